--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './Types.js';
--- /dev/null
+++ b/packages/decisions/src/Types.ts
@@ -0,0 +1,486 @@
+import type * as common from '@jayhaven/common';
+
+/** Name of a cell: the VMs that share one weight store and one control topic. */
+export type CellName = string;
+/** Offset of a record in its topic. */
+export type Offset = number;
+/** A replica is named by the offset of its `loadDecided` record. */
+export type ReplicaId = Offset;
+/** An order is named by the offset of the record that decided it. */
+export type OrderId = Offset;
+/** Offset of an accepted `ownerClaimed` or `ownerRenewed` chain start; also the fencing token of its orders. */
+export type ClaimOffset = Offset;
+
+/** Identifies a record; a sequence not above the last replayed one of its incarnation is a duplicate. */
+export interface RecordId {
+  readonly incarnation: common.Incarnation;
+  readonly sequence: number;
+}
+
+/** A record as it is appended to a topic. */
+export interface RecordEnvelope<Body> {
+  readonly id: RecordId;
+  readonly clock: common.HybridTime;
+  readonly body: Body;
+}
+
+/** A record as it is read from a topic. */
+export interface LogRecord<Body> extends RecordEnvelope<Body> {
+  readonly offset: Offset;
+}
+
+export interface Address {
+  /** IP address. */
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What a VM offers to run a target. */
+export interface TargetDescription {
+  readonly address: common.TargetAddress;
+  readonly role: 'engine' | 'service';
+  /** Service name, for a service. */
+  readonly service?: string;
+  /** Memory of each accelerator, bytes; empty for a service. */
+  readonly acceleratorBytes: readonly number[];
+  /** Whether the engine refuses an order with an old fencing token. */
+  readonly fencing: 'checked' | 'ignored';
+}
+
+/** Memory an order takes on each accelerator of its target, bytes; same length as `acceleratorBytes`. */
+export type AcceleratorBytes = readonly number[];
+
+/** Names one set of weights. */
+export interface ModelVersion {
+  readonly partner: common.PartnerName;
+  readonly model: string;
+  readonly version: string;
+}
+
+/** Why a decision was made: the rule's name with its figures. Shown in the time line. */
+export interface DecisionReason {
+  readonly rule: string;
+  readonly figures: Readonly<Record<string, number | string>>;
+}
+
+export interface DaemonJoined {
+  readonly kind: 'daemonJoined';
+  readonly daemon: string;
+  readonly vm: common.VmName;
+  readonly failureDomain: common.FailureDomainName;
+  readonly peers: Address;
+  readonly operators: Address;
+}
+/** Written by a daemon that stopped in order; it sends nothing after this record. */
+export interface DaemonLeft {
+  readonly kind: 'daemonLeft';
+}
+/** Written by any daemon once the evidence is older than the longest delivery time of an order. */
+export interface IncarnationGone {
+  readonly kind: 'incarnationGone';
+  readonly incarnation: common.Incarnation;
+  readonly evidence: 'vmGone' | 'successorStarted';
+}
+export interface OwnerClaimed {
+  readonly kind: 'ownerClaimed';
+  readonly cell: CellName;
+  /** Claim that this one supersedes; null for the first. Replay rejects any other than the current one. */
+  readonly supersedes: ClaimOffset | null;
+}
+export interface OwnerRenewed {
+  readonly kind: 'ownerRenewed';
+  readonly cell: CellName;
+  readonly claim: ClaimOffset;
+}
+export interface OwnerReleased {
+  readonly kind: 'ownerReleased';
+  readonly cell: CellName;
+  readonly claim: ClaimOffset;
+}
+export interface VmObserved {
+  readonly kind: 'vmObserved';
+  readonly vm: common.VmName;
+  readonly failureDomain: common.FailureDomainName;
+  readonly state: 'live' | 'leaving' | 'gone';
+  readonly targets: readonly TargetDescription[];
+}
+export interface LoadDecided extends ModelVersion {
+  readonly kind: 'loadDecided';
+  readonly cell: CellName;
+  readonly claim: ClaimOffset;
+  readonly target: common.TargetAddress;
+  readonly bytes: AcceleratorBytes;
+  /** This is replica number `ordinal` of the model version, counted from 1. Replay rejects any but the next one. */
+  readonly ordinal: number;
+  readonly urgency: common.Urgency;
+  readonly reason: DecisionReason;
+}
+/** A new owner takes over an unsettled order and may send it too. */
+export interface OrderAdopted {
+  readonly kind: 'orderAdopted';
+  readonly cell: CellName;
+  readonly claim: ClaimOffset;
+  readonly order: OrderId;
+}
+/** An incarnation reports that it will not send the order (again). */
+export interface OrderSettled {
+  readonly kind: 'orderSettled';
+  readonly order: OrderId;
+  readonly result: 'sent' | 'notSent';
+}
+/** A checking engine confirmed the token: older claims can reach it no more. */
+export interface FenceRaised {
+  readonly kind: 'fenceRaised';
+  readonly target: common.TargetAddress;
+  readonly claim: ClaimOffset;
+}
+export interface ReplicaReady {
+  readonly kind: 'replicaReady';
+  readonly replica: ReplicaId;
+}
+/** The engine confirmed that the replica is not loaded and not loading. */
+export interface ReplicaFailed {
+  readonly kind: 'replicaFailed';
+  readonly replica: ReplicaId;
+  readonly reason: string;
+}
+export interface UnloadDecided {
+  readonly kind: 'unloadDecided';
+  readonly cell: CellName;
+  readonly claim: ClaimOffset;
+  readonly replica: ReplicaId;
+  readonly reason: DecisionReason;
+}
+/** The engine confirmed the unload. */
+export interface ReplicaUnloaded {
+  readonly kind: 'replicaUnloaded';
+  readonly replica: ReplicaId;
+}
+export interface AdapterLoadDecided {
+  readonly kind: 'adapterLoadDecided';
+  readonly cell: CellName;
+  readonly claim: ClaimOffset;
+  readonly replica: ReplicaId;
+  readonly adapter: string;
+  readonly bytes: AcceleratorBytes;
+}
+export interface AdapterReady {
+  readonly kind: 'adapterReady';
+  readonly order: OrderId;
+}
+export interface AdapterUnloadDecided {
+  readonly kind: 'adapterUnloadDecided';
+  readonly cell: CellName;
+  readonly claim: ClaimOffset;
+  readonly replica: ReplicaId;
+  readonly adapter: string;
+}
+/** The engine confirmed that the adapter is not loaded (after an unload, or because its load failed). */
+export interface AdapterUnloaded {
+  readonly kind: 'adapterUnloaded';
+  readonly replica: ReplicaId;
+  readonly adapter: string;
+}
+
+/** Keys of the configuration; see `ConfigurationKey` in the documentation of `configuration.ts`. */
+export interface ConfigurationEdited {
+  readonly kind: 'configurationEdited';
+  readonly partner: common.PartnerName;
+  readonly operator: string;
+  readonly key: string;
+  /** Offset of the edit that set the value this one is based on; null if the key was unset. */
+  readonly basedOn: Offset | null;
+  /** JSON value; null removes the key. */
+  readonly value: unknown;
+  /** Required for keys under `exceptions/`. */
+  readonly reason: string;
+}
+/** Another partner agrees to a pending edit of a shared key. */
+export interface ConfigurationApproved {
+  readonly kind: 'configurationApproved';
+  readonly partner: common.PartnerName;
+  readonly operator: string;
+  readonly edit: Offset;
+}
+
+/** Body of a record of the topic `control`. */
+export type ControlRecordBody =
+  | DaemonJoined
+  | DaemonLeft
+  | IncarnationGone
+  | OwnerClaimed
+  | OwnerRenewed
+  | OwnerReleased
+  | VmObserved
+  | LoadDecided
+  | OrderAdopted
+  | OrderSettled
+  | FenceRaised
+  | ReplicaReady
+  | ReplicaFailed
+  | UnloadDecided
+  | ReplicaUnloaded
+  | AdapterLoadDecided
+  | AdapterReady
+  | AdapterUnloadDecided
+  | AdapterUnloaded
+  | ConfigurationEdited
+  | ConfigurationApproved;
+
+export type ControlRecord = LogRecord<ControlRecordBody>;
+
+export interface DaemonEntry {
+  readonly incarnation: common.Incarnation;
+  readonly daemon: string;
+  readonly vm: common.VmName;
+  readonly failureDomain: common.FailureDomainName;
+  readonly peers: Address;
+  readonly operators: Address;
+  /** `replaced`: a newer incarnation of the same daemon joined, `incarnationGone` is still due. */
+  readonly state: 'joined' | 'replaced';
+  readonly joinedAt: Offset;
+}
+
+export interface CellEntry {
+  readonly cell: CellName;
+  /** Current claim, or null after a release. */
+  readonly claim: ClaimOffset | null;
+  readonly owner: common.Incarnation | null;
+  /** Latest accepted claim, kept after a release so that the next claim names it. */
+  readonly latestClaim: ClaimOffset | null;
+  /** Offset of the last claim or renewal; watchers time the lease from when they read it. */
+  readonly renewedAt: Offset;
+}
+
+export interface VmEntry {
+  readonly vm: common.VmName;
+  readonly failureDomain: common.FailureDomainName;
+  readonly state: 'live' | 'leaving';
+  readonly targets: readonly TargetDescription[];
+}
+
+/** States follow `replicaLifecycle.json`. */
+export type ReplicaState = 'loading' | 'ready' | 'unloading';
+
+export interface ReplicaEntry extends ModelVersion {
+  readonly replica: ReplicaId;
+  readonly target: common.TargetAddress;
+  readonly vm: common.VmName;
+  readonly bytes: AcceleratorBytes;
+  readonly state: ReplicaState;
+  readonly urgency: common.Urgency;
+  readonly adapters: ReadonlyMap<string, AdapterEntry>;
+}
+
+export interface AdapterEntry {
+  readonly adapter: string;
+  readonly order: OrderId;
+  readonly bytes: AcceleratorBytes;
+  readonly state: ReplicaState;
+}
+
+/** An order that some incarnation may still send. */
+export interface OrderEntry extends ModelVersion {
+  readonly order: OrderId;
+  readonly action: 'load' | 'unload' | 'adapterLoad' | 'adapterUnload';
+  readonly replica: ReplicaId;
+  readonly adapter?: string;
+  readonly target: common.TargetAddress;
+  /** Memory pinned while the order is unsettled, bytes. */
+  readonly bytes: AcceleratorBytes;
+  /** Incarnations that may still send it, with the claim each acts under. */
+  readonly senders: ReadonlyMap<common.Incarnation, ClaimOffset>;
+}
+
+export interface ConfigurationEntry {
+  readonly key: string;
+  readonly value: unknown;
+  readonly partner: common.PartnerName;
+  readonly operator: string;
+  readonly reason: string;
+  /** Offset of the edit that set it: its version. */
+  readonly version: Offset;
+  readonly clock: common.HybridTime;
+}
+
+/** An edit of a shared key that waits for the other partners. */
+export interface PendingEdit extends ConfigurationEntry {
+  readonly basedOn: Offset | null;
+  readonly approvedBy: readonly common.PartnerName[];
+}
+
+/** A line of the configuration history. */
+export interface EditHistoryEntry {
+  readonly offset: Offset;
+  readonly key: string;
+  readonly partner: common.PartnerName;
+  readonly operator: string;
+  readonly value: unknown;
+  readonly reason: string;
+  readonly clock: common.HybridTime;
+  /** Rule that rejected the edit; absent for an accepted one. */
+  readonly rejectedBy?: string;
+  readonly pending?: boolean;
+}
+
+/** Limits that replay enforces; the same in every daemon of a cell. */
+export interface ControlLimits {
+  /** Loads of models in progress per cell. */
+  readonly maximumConcurrentLoads: number;
+  /** Adapters in transit per cell. */
+  readonly maximumAdaptersInTransit: number;
+  /** Partners that must approve edits of shared keys. */
+  readonly partners: readonly common.PartnerName[];
+}
+
+/** The state that every daemon replays from the topic `control`. */
+export interface ControlState {
+  readonly limits: ControlLimits;
+  /** Offset of the last applied record; -1 before the first. */
+  readonly appliedOffset: Offset;
+  readonly lastSequences: ReadonlyMap<common.Incarnation, number>;
+  readonly daemons: ReadonlyMap<common.Incarnation, DaemonEntry>;
+  readonly cells: ReadonlyMap<CellName, CellEntry>;
+  readonly vms: ReadonlyMap<common.VmName, VmEntry>;
+  readonly replicas: ReadonlyMap<ReplicaId, ReplicaEntry>;
+  /** Unsettled orders only. */
+  readonly orders: ReadonlyMap<OrderId, OrderEntry>;
+  /** Highest token that each checking engine confirmed. */
+  readonly fences: ReadonlyMap<common.TargetAddress, ClaimOffset>;
+  readonly configuration: ReadonlyMap<string, ConfigurationEntry>;
+  readonly pendingEdits: ReadonlyMap<Offset, PendingEdit>;
+  /** Latest edits, newest last, bounded. */
+  readonly history: readonly EditHistoryEntry[];
+}
+
+/** What replay decided about a record. */
+export type Verdict =
+  | { readonly kind: 'accepted' }
+  | { readonly kind: 'duplicate' }
+  | { readonly kind: 'rejected'; readonly rule: RejectionRule; readonly message: string; readonly winner?: Offset };
+
+export type RejectionRule =
+  | 'claimSuperseded'
+  | 'notOwner'
+  | 'wrongOrdinal'
+  | 'maximumReplicas'
+  | 'memory'
+  | 'targetUnknown'
+  | 'targetLeaving'
+  | 'unsettledOrder'
+  | 'concurrentLoads'
+  | 'adaptersInTransit'
+  | 'wrongState'
+  | 'unknownReference'
+  | 'notAuthor'
+  | 'staleEdit'
+  | 'foreignKey'
+  | 'missingReason'
+  | 'invalidValue'
+  | 'unknownKey'
+  | 'shareExceeded'
+  | 'unknownSender';
+
+export interface ReplayResult {
+  readonly state: ControlState;
+  readonly verdict: Verdict;
+}
+
+/** Settings of one model after defaults and exceptions. Times in milliseconds, memory in bytes. */
+export interface ModelSettings extends ModelVersion {
+  /** Weights per accelerator; the model needs as many accelerators as entries. */
+  readonly weightBytes: AcceleratorBytes;
+  /** Memory kept for the prefix cache and KV cache, per accelerator. */
+  readonly cacheBytes: number;
+  readonly adapters: ReadonlyMap<string, AdapterSettings>;
+  readonly minimumReplicas: number;
+  readonly maximumReplicas: number;
+  readonly keepAliveMs: number;
+  /** Requests in flight over all replicas, per replica, above which another replica is loaded. */
+  readonly requestsPerReplica: number;
+  readonly urgency: common.Urgency;
+  readonly deadlineMs: number;
+  /** Waiting requests per daemon. */
+  readonly queueLimit: number;
+  /** Load time when nothing better is known. */
+  readonly expectedLoadMs: number;
+}
+
+export interface AdapterSettings {
+  readonly adapter: string;
+  readonly bytes: number;
+}
+
+/** A plain service of a partner. */
+export interface ServiceSettings {
+  readonly partner: common.PartnerName;
+  readonly service: string;
+  /** `METHOD /path-prefix` of calls that may be repeated; all others are non-idempotent. */
+  readonly idempotentRoutes: readonly string[];
+  readonly deadlineMs: number;
+}
+
+/** Body of a record of a topic `claims-<n>`. */
+export type ClaimRecordBody =
+  | {
+      readonly kind: 'claimed';
+      readonly key: string;
+      readonly fingerprint: string;
+      /** Names the one attempt of one entry daemon that may send. */
+      readonly attempt: string;
+      readonly sender: common.Incarnation;
+    }
+  | {
+      readonly kind: 'completed';
+      readonly key: string;
+      readonly attempt: string;
+      readonly status: number;
+      /** Stored answer, base64; absent if larger than `maximumStoredAnswerBytes`. */
+      readonly answer?: StoredAnswer;
+    }
+  | { readonly kind: 'released'; readonly key: string; readonly attempt: string }
+  /** The attempt may have run; its outcome will never be known. */
+  | { readonly kind: 'abandoned'; readonly key: string; readonly attempt: string };
+
+export interface StoredAnswer {
+  readonly contentType: string;
+  readonly base64: string;
+}
+
+export interface ClaimEntry {
+  readonly key: string;
+  readonly fingerprint: string;
+  readonly attempt: string;
+  readonly sender: common.Incarnation;
+  readonly state: 'running' | 'completed' | 'abandoned';
+  readonly status?: number;
+  readonly answer?: StoredAnswer;
+  /** Wall clock of the claim, milliseconds; keys are forgotten after the window. */
+  readonly claimedAtMs: number;
+}
+
+export interface ClaimsState {
+  readonly appliedOffset: Offset;
+  readonly lastSequences: ReadonlyMap<common.Incarnation, number>;
+  readonly claims: ReadonlyMap<string, ClaimEntry>;
+}
+
+/** Answer to an entry daemon that asks for a claim. */
+export type ClaimAnswer =
+  | { readonly kind: 'granted' }
+  | { readonly kind: 'running' }
+  | { readonly kind: 'completed'; readonly status: number; readonly answer?: StoredAnswer }
+  | { readonly kind: 'unknown' }
+  | { readonly kind: 'mismatch' };
+
+/** Load of a target as its engine reported it. */
+export interface LoadDigest {
+  readonly target: common.TargetAddress;
+  /** The engine's own sequence number; a digest with a lower one is older. */
+  readonly sequence: number;
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** Whether the collector reaches the target. */
+  readonly reachable: boolean;
+}
