Add the settings reader and the time line

The settings file of a daemon is checked as a whole: every problem is reported at once with its file, line, section, key and expected form, and nothing is returned unless all of it is valid. The schema is in common so that the command line can check a file without importing the daemon.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -7,3 +7,4 @@
 export * from './Logger.js';
 export * from './Outcome.js';
 export * from './Task.js';
+export * as settings from './settings/index.js';
--- /dev/null
+++ b/packages/common/src/settings/daemonSettings.test.ts
@@ -0,0 +1,98 @@
+import { describe, expect, it } from 'vitest';
+import { formatSettingsProblem, parseDaemonSettings } from './daemonSettings.js';
+
+const hash = 'a'.repeat(64);
+
+const validText = `
+[daemon]
+name = entry-1
+vm = vm-1
+failure_domain = fd-a
+cell = north
+[listen]
+callers = 127.0.0.1:8080
+peers = [::1]:8090
+operators = 127.0.0.1:8070
+[platform]
+log_url = http://127.0.0.1:8100/
+vm_list_url = http://127.0.0.1:8101/vms
+[partner solano]
+[operator mara]
+partner = solano
+key_sha256 = ${hash.toUpperCase()}
+`;
+
+function problemsOf(text: string): string[] {
+  const outcome = parseDaemonSettings('d.ini', text);
+  return outcome.ok ? [] : outcome.failure.map(formatSettingsProblem);
+}
+
+function withLines(...lines: readonly string[]): string {
+  return `${validText}${lines.join('\n')}\n`;
+}
+
+describe('parseDaemonSettings', () => {
+  it('fills in defaults and keeps given values (guards against a half-configured daemon)', () => {
+    const outcome = parseDaemonSettings('d.ini', withLines('[owner]', 'lease_ms = 900', 'renew_ms = 300'));
+    expect(outcome).toMatchObject({
+      ok: true,
+      value: {
+        listen: { peers: { host: '::1', port: 8090 } },
+        platform: { logUrl: 'http://127.0.0.1:8100', topicPrefix: '', claimPartitions: 4 },
+        owner: { leaseMs: 900, renewMs: 300, loadsPerSecond: 4 },
+        stop: { announceMs: 5000 },
+        seedPeers: [],
+        operators: [{ name: 'mara', partner: 'solano', keySha256: hash }],
+      },
+    });
+  });
+
+  it('names every fault at once (guards against one restart per fault)', () => {
+    const text = withLines(
+      '[ownr]',
+      '[limits]',
+      'maximum_body_bites = 1',
+      'retry_budget = 2',
+      '[stop]',
+      'limit_ms = 5s',
+    );
+    expect(problemsOf(text.replace('vm = vm-1\n', ''))).toEqual([
+      'd.ini:2: [daemon] vm: required key is missing (expected: name of 1 to 63 letters, digits, "-", "_" or ".", starting with a letter or digit)',
+      expect.stringContaining('d.ini:17: [ownr]: unknown section "ownr"; did you mean "owner"?'),
+      'd.ini:19: [limits] maximum_body_bites: unknown key "maximum_body_bites"; did you mean "maximum_body_bytes"?',
+      'd.ini:20: [limits] retry_budget: "2" is not valid (expected: share of requests from 0 to 1)',
+      'd.ini:22: [stop] limit_ms: "5s" is not valid (expected: whole number of milliseconds from 100 to 86400000)',
+    ]);
+  });
+
+  it('refuses duplicates (guards against a second value that silently wins)', () => {
+    const text = withLines('[stop]', 'limit_ms = 9000', 'limit_ms = 8000', '[partner solano]');
+    expect(problemsOf(text)).toEqual([
+      'd.ini:20: [stop] limit_ms: key is already set in line 19',
+      'd.ini:21: [partner solano]: section is already defined in line 14',
+    ]);
+  });
+
+  it.each([
+    ['a host name', 'callers = 127.0.0.1:8080', 'callers = localhost:8080'],
+    ['a port out of range', 'callers = 127.0.0.1:8080', 'callers = 127.0.0.1:80800'],
+    ['a URL with a host name', 'http://127.0.0.1:8100/', 'http://log.example:8100/'],
+    ['the same address twice', 'operators = 127.0.0.1:8070', 'operators = 127.0.0.1:8080'],
+    ['an operator of an unknown partner', 'partner = solano', 'partner = solana'],
+    ['a key in plain text', `key_sha256 = ${hash.toUpperCase()}`, 'key_sha256 = secret'],
+    ['a setting outside sections', '[daemon]', ''],
+  ])('refuses %s (guards against a daemon that nobody reaches)', (_, good, bad) => {
+    expect(problemsOf(validText.replace(good, bad)).length).toBeGreaterThan(0);
+  });
+
+  it('refuses a renewal interval close to the lease (guards against losing ownership by one late append)', () => {
+    expect(problemsOf(withLines('[owner]', 'lease_ms = 1000', 'renew_ms = 900'))).toEqual([
+      expect.stringContaining('[owner] renew_ms: 900 ms is too long'),
+    ]);
+  });
+
+  it('refuses one key for two operators (guards against edits under a wrong name)', () => {
+    const text = withLines('[operator ines]', 'partner = solano', `key_sha256 = ${hash}`);
+    expect(problemsOf(text)).toEqual([expect.stringContaining('key is already the key of [operator mara]')]);
+  });
+});
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,3 @@
 export type * from './Types.js';
+export * from './settings/index.js';
+export * from './timeline/index.js';
--- /dev/null
+++ b/packages/daemon/src/settings/index.ts
@@ -0,0 +1,1 @@
+export * from './readSettings.js';
--- /dev/null
+++ b/packages/daemon/src/timeline/Timeline.test.ts
@@ -0,0 +1,42 @@
+import * as common from '@jayhaven/common';
+import { describe, expect, it } from 'vitest';
+import { mergeEvents } from './mergeEvents.js';
+import { Timeline } from './Timeline.js';
+
+function createTimeline(daemon: string, capacity?: number): { timeline: Timeline; clock: common.HybridClock } {
+  const clock = new common.HybridClock();
+  return { timeline: new Timeline(daemon, clock, () => 1000, capacity), clock };
+}
+
+describe('Timeline', () => {
+  it('keeps the newest events in order (guards against unbounded memory and a ring read from its middle)', () => {
+    const { timeline } = createTimeline('a', 3);
+    for (const event of ['one', 'two', 'three', 'four', 'five']) {
+      timeline.record({ part: 'test', event });
+    }
+    expect(timeline.read().map((event) => event.event)).toEqual(['three', 'four', 'five']);
+  });
+
+  it('filters by every member and time (guards against showing another request)', () => {
+    const { timeline } = createTimeline('a');
+    timeline.record({ part: 'test', event: 'mine', request: 'r1', model: 'm', replica: 4 });
+    timeline.record({ part: 'test', event: 'other', request: 'r2', model: 'm', replica: 5 });
+    timeline.record({ part: 'test', event: 'late', request: 'r1', model: 'n' });
+    const names = (filter: Parameters<Timeline['read']>[0]): string[] => timeline.read(filter).map((e) => e.event);
+    expect(names({ request: 'r1' })).toEqual(['mine', 'late']);
+    expect(names({ request: 'r1', model: 'm' })).toEqual(['mine']);
+    expect(names({ replica: 5 })).toEqual(['other']);
+    expect(names({ since: { wallMs: 1000, counter: 1 } })).toEqual(['late']);
+    expect(timeline.exportLines({ replica: 4 }).trimEnd().split('\n')).toHaveLength(1);
+  });
+
+  it('merges an effect after its cause on another daemon (guards against clocks that differ)', () => {
+    const sender = createTimeline('z');
+    const receiver = createTimeline('a');
+    sender.timeline.record({ part: 'test', event: 'sent' });
+    receiver.clock.receive({ wallMs: 1000, counter: 0 });
+    receiver.timeline.record({ part: 'test', event: 'received' });
+    const merged = mergeEvents([receiver.timeline.read(), sender.timeline.read()]);
+    expect(merged.map((event) => event.event)).toEqual(['sent', 'received']);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/timeline/index.ts
@@ -0,0 +1,2 @@
+export * from './mergeEvents.js';
+export * from './Timeline.js';
