Add the operators' interface

Edits and approvals are answered only after read-back. A foreign key, a missing reason and an edit without its base version are refused before the log sees them; replay checks the same rules again.

--- a/packages/common/src/settings/IniReader.ts
+++ b/packages/common/src/settings/IniReader.ts
@@ -43,7 +43,7 @@
 
 function addEntry(section: OpenSection | undefined, content: string, line: number): LineProblem | undefined {
   // One line at a time, so that `ini` unquotes and unescapes while the line number stays known.
-  const [pair] = Object.entries(ini.parse(content));
+  const [pair] = Object.entries<unknown>(ini.parse(content));
   if (!pair || !content.includes('=')) {
     return { message: `"${content}" is not a setting`, expected: 'key = value' };
   }
--- /dev/null
+++ b/packages/daemon/src/operators/AppliedTimes.ts
@@ -0,0 +1,82 @@
+import type * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+import type { ControlChange, ControlLog } from '../Types.js';
+
+/** Configuration versions whose time of application is kept; about a day of edits at the target scale. */
+const maximumVersions = 4096;
+
+/** Notes when this daemon applied records and brought configuration versions into force. */
+export class AppliedTimes {
+  private readonly _versions = new Map<decisions.Offset, number>();
+  private readonly _rejected = new Map<string, number>();
+  private readonly _unsubscribe: common.Unsubscribe;
+  private _appliedAtMs: number;
+
+  public constructor(
+    private readonly _log: ControlLog,
+    private readonly _wallNow: () => number,
+  ) {
+    this.startedAtMs = _wallNow();
+    this._appliedAtMs = this.startedAtMs;
+    this._unsubscribe = _log.onChange((change) => {
+      this._note(change);
+    });
+  }
+
+  public readonly startedAtMs: number;
+
+  /** When the last record was applied. */
+  public get appliedAtMs(): number {
+    return this._appliedAtMs;
+  }
+
+  /** Records that replay rejected since the start, by rule. */
+  public get rejectedRecords(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this._rejected);
+  }
+
+  /** When each version came into force here; the start of the daemon for versions it started with. */
+  public versionTimes(versions: readonly decisions.Offset[]): Readonly<Record<string, number>> {
+    const inForce = new Set([...this._log.state.configuration.values()].map((entry) => entry.version));
+    const times: Record<string, number> = {};
+    for (const version of versions.filter((candidate) => inForce.has(candidate))) {
+      times[String(version)] = this._versions.get(version) ?? this.startedAtMs;
+    }
+    return times;
+  }
+
+  /** Stops listening to the log. */
+  public dispose(): void {
+    this._unsubscribe();
+  }
+
+  private _note({ record, verdict, state }: ControlChange): void {
+    const nowMs = this._wallNow();
+    this._appliedAtMs = nowMs;
+    if (verdict.kind === 'rejected') {
+      this._rejected.set(verdict.rule, (this._rejected.get(verdict.rule) ?? 0) + 1);
+    }
+    if (verdict.kind !== 'accepted') {
+      return;
+    }
+    const { body } = record;
+    const version =
+      body.kind === 'configurationEdited'
+        ? record.offset
+        : body.kind === 'configurationApproved'
+          ? body.edit
+          : undefined;
+    // A pending edit is noted when the last approval brings it into force.
+    if (version !== undefined && [...state.configuration.values()].some((entry) => entry.version === version)) {
+      this._versions.set(version, nowMs);
+      this._forgetOldest();
+    }
+  }
+
+  private _forgetOldest(): void {
+    const [oldest] = this._versions.keys();
+    if (oldest !== undefined && this._versions.size > maximumVersions) {
+      this._versions.delete(oldest);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/operators/EditService.ts
@@ -0,0 +1,113 @@
+import type * as decisions from '@jayhaven/decisions';
+import type * as z from 'zod';
+import type { AppendFailure, ControlLog, Credential } from '../Types.js';
+import { errorAnswer, okAnswer } from './answers.js';
+import type { approvalBody, editBody } from './schemas.js';
+import type { Answer } from './Types.js';
+import { viewHistoryEntry } from './views.js';
+
+const sharedPrefix = 'shared/';
+
+/** HTTP status of a record that replay rejected; 409 for rules not listed. */
+const statusOfRule: Readonly<Record<string, number>> = {
+  foreignKey: 403,
+  unknownReference: 404,
+  staleEdit: 409,
+  missingReason: 422,
+  invalidValue: 422,
+  unknownKey: 422,
+  shareExceeded: 422,
+};
+
+/** Appends edits and approvals and answers after read-back. */
+export class EditService {
+  public constructor(
+    private readonly _log: ControlLog,
+    private readonly _partners: readonly string[],
+    private readonly _timeoutMs: number,
+  ) {}
+
+  /** Edits one key of the operator's partner, or proposes an edit of a shared key. */
+  public async edit(operator: Credential, body: z.output<typeof editBody>): Promise<Answer> {
+    const refusal = this._refuse(operator, body);
+    if (refusal) {
+      return refusal;
+    }
+    const { key, value, basedOn, reason } = body;
+    const outcome = await this._log.append(
+      {
+        kind: 'configurationEdited',
+        partner: operator.partner,
+        operator: operator.name,
+        key,
+        basedOn,
+        value,
+        reason: reason.trim(),
+      },
+      this._timeoutMs,
+    );
+    if (!outcome.ok) {
+      return this._failed(outcome.failure, { key, basedOn });
+    }
+    const version = outcome.value.offset;
+    const pending = this._log.state.pendingEdits.has(version);
+    return okAnswer({ state: pending ? 'pending' : 'accepted', key, value, version });
+  }
+
+  /** Approves a pending edit of a shared key. */
+  public async approve(operator: Credential, { edit }: z.output<typeof approvalBody>): Promise<Answer> {
+    const outcome = await this._log.append(
+      { kind: 'configurationApproved', partner: operator.partner, operator: operator.name, edit },
+      this._timeoutMs,
+    );
+    if (!outcome.ok) {
+      return this._failed(outcome.failure, { edit });
+    }
+    const pending = this._log.state.pendingEdits.get(edit);
+    const approvedBy = pending?.approvedBy;
+    return okAnswer({ state: pending ? 'pending' : 'accepted', edit, ...(approvedBy ? { approvedBy } : {}) });
+  }
+
+  /** Rules that are known before the log is asked; replay checks them again. */
+  private _refuse(operator: Credential, { key, reason }: z.output<typeof editBody>): Answer | undefined {
+    const [owner = ''] = key.split('/');
+    if (!key.startsWith(sharedPrefix) && owner !== operator.partner) {
+      return this._partners.includes(owner)
+        ? errorAnswer(403, 'foreign_key', `"${key}" belongs to ${owner}; you act for ${operator.partner}`)
+        : errorAnswer(422, 'unknown_key', `"${key}" starts with no partner; yours start with "${operator.partner}/"`);
+    }
+    if (key.split('/')[1] === 'exceptions' && reason.trim() === '') {
+      return errorAnswer(422, 'missing_reason', `"${key}" is an exception and needs a written reason`);
+    }
+    return undefined;
+  }
+
+  private _failed(failure: AppendFailure, subject: Readonly<Record<string, unknown>>): Answer {
+    switch (failure.kind) {
+      case 'rejected':
+        return errorAnswer(statusOfRule[failure.rule] ?? 409, snakeCase(failure.rule), failure.message, {
+          ...(failure.winner === undefined ? {} : { extra: { winner: this._winner(failure.winner) } }),
+        });
+      case 'unconfirmed':
+        return {
+          status: 202,
+          body: {
+            state: 'unconfirmed',
+            ...subject,
+            message: `${failure.message}. It may still take effect: look at the history before you repeat it.`,
+          },
+        };
+      case 'logUnavailable':
+        return errorAnswer(503, 'log_unavailable', failure.message, { retryAfterMs: failure.retryAfterMs });
+    }
+  }
+
+  private _winner(offset: decisions.Offset): unknown {
+    const entry = this._log.state.history.find((candidate) => candidate.offset === offset);
+    return entry ? viewHistoryEntry(entry) : { version: offset };
+  }
+}
+
+function snakeCase(rule: string): string {
+  return rule.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+}
--- /dev/null
+++ b/packages/daemon/src/operators/Types.ts
@@ -0,0 +1,80 @@
+import type * as common from '@jayhaven/common';
+import type { Timeline } from '../timeline/index.js';
+import type { ControlPlane, Credential, FrontPart, FrontStatus, LagStatus, OwnerPart, OwnerStatus } from '../Types.js';
+
+/** Parts of the daemon that the operators' interface shows. */
+export interface OperatorParts {
+  readonly controlPlane: ControlPlane;
+  readonly owner: Pick<OwnerPart, 'status'>;
+  readonly front: Pick<FrontPart, 'status'>;
+  readonly timeline: Timeline;
+  /** Starts the graceful stop of this daemon; called at most once per `POST /v1/drain`. */
+  readonly drain: () => void;
+}
+
+/** The operators' interface. */
+export interface OperatorsPart extends AsyncDisposable {
+  /** The bound port. */
+  readonly port: number;
+}
+
+/** Answer of a daemon to `status.read`. Wall-clock times in milliseconds since 1970. */
+export interface DaemonStatus {
+  readonly daemon: string;
+  readonly incarnation: common.Incarnation;
+  readonly vm: common.VmName;
+  readonly failureDomain: common.FailureDomainName;
+  readonly cell: string;
+  readonly startedAtMs: number;
+  readonly lag: LagStatus;
+  /** When the last record was applied. */
+  readonly appliedAtMs: number;
+  readonly owner: OwnerStatus;
+  readonly front: FrontStatus;
+  /** Records that replay rejected since the start, by rule. */
+  readonly rejectedRecords: Readonly<Record<string, number>>;
+  /** When each asked configuration version came into force here; absent if it is not in force. */
+  readonly versionTimes: Readonly<Record<string, number>>;
+}
+
+/** Answer of a daemon to `timeline.read`. */
+export interface TimelineAnswer {
+  readonly daemon: string;
+  readonly events: readonly common.TimelineEvent[];
+  /** Whether older matching events were left out. */
+  readonly truncated: boolean;
+}
+
+/** A member that gave no usable answer. */
+export interface SilentMember {
+  readonly daemon: string;
+  readonly incarnation: common.Incarnation;
+  readonly reason: string;
+}
+
+/** Answers of all members to one call. */
+export interface ClusterAnswers<Answer> {
+  readonly answers: readonly Answer[];
+  readonly silent: readonly SilentMember[];
+}
+
+/** An authenticated request. */
+export interface OperatorRequest {
+  readonly operator: Credential;
+  readonly query: Readonly<Record<string, string>>;
+  readonly body: unknown;
+}
+
+/** A response with a JSON body. */
+export interface Answer {
+  readonly status: number;
+  readonly body: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** One operation of the interface. */
+export interface Route {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly run: (request: OperatorRequest) => Answer | Promise<Answer>;
+}
--- /dev/null
+++ b/packages/daemon/src/operators/answers.ts
@@ -0,0 +1,27 @@
+import type * as common from '@jayhaven/common';
+import type { Answer } from './Types.js';
+
+/** Optional members of an error answer. */
+export interface ErrorDetails {
+  readonly executed?: common.Executed;
+  readonly retryAfterMs?: number;
+  /** Further members of the body, beside `error`. */
+  readonly extra?: Readonly<Record<string, unknown>>;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** A successful answer. */
+export function okAnswer(body: unknown): Answer {
+  return { status: 200, body };
+}
+
+/** An answer with an `ErrorBody`; `Retry-After` is rounded up to whole seconds. */
+export function errorAnswer(status: number, type: string, message: string, details: ErrorDetails = {}): Answer {
+  const { executed = 'no', retryAfterMs, extra, headers } = details;
+  const body: common.ErrorBody = {
+    error: { type, message, executed, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) },
+  };
+  const retryHeaders =
+    retryAfterMs === undefined ? {} : { 'retry-after': String(Math.max(1, Math.ceil(retryAfterMs / 1000))) };
+  return { status, body: { ...body, ...extra }, headers: { ...headers, ...retryHeaders } };
+}
--- /dev/null
+++ b/packages/daemon/src/operators/index.ts
@@ -0,0 +1,2 @@
+export * from './openOperators.js';
+export type * from './Types.js';
--- /dev/null
+++ b/packages/daemon/src/operators/schemas.ts
@@ -0,0 +1,131 @@
+/** zod schemas of what operators send and of what other daemons answer. */
+import * as z from 'zod';
+import type { DaemonStatus, TimelineAnswer } from './Types.js';
+
+const maximumKeyLength = 256;
+const maximumReasonLength = 2000;
+/** Largest number of versions in one `status.read`. */
+export const maximumAskedVersions = 1000;
+/** Newest matching events that one daemon returns. */
+export const maximumEventsPerDaemon = 5000;
+
+const offset = z.number().int().min(0);
+const count = z.number();
+
+/** Body of `POST /v1/edits`. */
+export const editBody = z.strictObject({
+  key: z.string().min(1).max(maximumKeyLength),
+  /** JSON value; null removes the key. */
+  value: z.json(),
+  /** Version that the edit is based on; null if the key is unset. */
+  basedOn: offset.nullable(),
+  reason: z.string().max(maximumReasonLength).default(''),
+});
+
+/** Body of `POST /v1/approvals`. */
+export const approvalBody = z.strictObject({ edit: offset });
+
+/** Body of `POST /v1/drain`. */
+export const drainBody = z.strictObject({ reason: z.string().max(maximumReasonLength).default('') });
+
+const queryNumber = z
+  .string()
+  .regex(/^\d{1,15}$/, 'whole number')
+  .transform(Number);
+
+/** Time stamp `<milliseconds since 1970>` or `<milliseconds>.<counter>`. */
+const queryTime = z
+  .string()
+  .regex(/^\d{1,15}(\.\d{1,9})?$/, 'milliseconds since 1970, with an optional ".counter"')
+  .transform((text) => {
+    const [wallMs = '0', counter] = text.split('.');
+    return { wallMs: Number(wallMs), counter: counter === undefined ? -1 : Number(counter) };
+  });
+
+/** Query of `GET /v1/configuration`. */
+export const configurationQuery = z.strictObject({ key: z.string().max(maximumKeyLength).optional() });
+
+/** Query of `GET /v1/history` and `GET /v1/refusals`. */
+export const historyQuery = z.strictObject({
+  key: z.string().max(maximumKeyLength).optional(),
+  rule: z.string().max(maximumKeyLength).optional(),
+  limit: queryNumber.optional(),
+});
+
+/** Query of `GET /v1/timeline`. */
+export const timelineQuery = z.strictObject({
+  request: z.string().max(maximumKeyLength).optional(),
+  model: z.string().max(maximumKeyLength).optional(),
+  replica: queryNumber.optional(),
+  since: queryTime.optional(),
+});
+
+/** Query of operations that take none. */
+export const noQuery = z.strictObject({});
+
+const hybridTime = z.object({ wallMs: z.number(), counter: z.number() });
+
+/** Parameters of `timeline.read`. */
+export const timelineParameters = z.object({
+  request: z.string().optional(),
+  model: z.string().optional(),
+  replica: z.number().optional(),
+  since: hybridTime.optional(),
+});
+
+/** Parameters of `status.read`. */
+export const statusParameters = z.object({ versions: z.array(offset).max(maximumAskedVersions).default([]) });
+
+/** Answer to `timeline.read`. */
+export const timelineAnswer = z.object({
+  daemon: z.string(),
+  truncated: z.boolean(),
+  events: z.array(
+    z.object({
+      time: hybridTime,
+      daemon: z.string(),
+      part: z.string(),
+      event: z.string(),
+      request: z.string().optional(),
+      model: z.string().optional(),
+      replica: z.number().optional(),
+      offset: z.number().optional(),
+      detail: z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])).optional(),
+    }),
+  ),
+}) as unknown as z.ZodType<TimelineAnswer>;
+
+const urgency = z.enum(['interactive', 'batch']);
+
+/** Answer to `status.read`. */
+export const daemonStatus: z.ZodType<DaemonStatus> = z.object({
+  daemon: z.string(),
+  incarnation: z.string(),
+  vm: z.string(),
+  failureDomain: z.string(),
+  cell: z.string(),
+  startedAtMs: z.number(),
+  lag: z.object({
+    appliedOffset: z.number(),
+    highestSeenOffset: z.number(),
+    source: z.enum(['log', 'peers', 'none']),
+    lagging: z.boolean(),
+    logAvailable: z.boolean(),
+  }),
+  appliedAtMs: z.number(),
+  owner: z.object({
+    cell: z.string(),
+    isOwner: z.boolean(),
+    owner: z.string().nullable(),
+    claim: z.number().nullable(),
+    queuedLoads: z.array(z.object({ model: z.string(), urgency, waitedMs: count })),
+    loadsPerSecond: count,
+  }),
+  front: z.object({
+    inFlight: count,
+    draining: z.boolean(),
+    waiting: z.array(z.object({ partner: z.string(), model: z.string(), count, oldestMs: count })),
+  }),
+  rejectedRecords: z.record(z.string(), count),
+  versionTimes: z.record(z.string(), z.number()),
+});
