Add the stand-ins for the platform

Log, VM list, weight store, engine, plain service and fault proxy, each usable in-process and as a process.

--- /dev/null
+++ b/packages/standins/src/FaultSwitch.ts
@@ -0,0 +1,30 @@
+import type { RandomSource } from './RandomSource.js';
+import type { FaultRate } from './Types.js';
+
+/** Decides for each call whether a fault strikes. */
+export class FaultSwitch {
+  private _rate: FaultRate = false;
+
+  public constructor(private readonly _random: RandomSource) {}
+
+  public get rate(): FaultRate {
+    return this._rate;
+  }
+
+  /** Sets the rate; `undefined` keeps it. */
+  public set(rate: FaultRate | undefined): void {
+    this._rate = rate ?? this._rate;
+  }
+
+  /** Says whether the fault strikes this call, and uses up one of a counted number. */
+  public strikes(): boolean {
+    if (typeof this._rate === 'boolean') {
+      return this._rate;
+    }
+    if (this._rate >= 1) {
+      this._rate = this._rate >= 2 ? this._rate - 1 : false;
+      return true;
+    }
+    return this._random.next() < this._rate;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/RandomSource.ts
@@ -0,0 +1,17 @@
+/** Deterministic random numbers (mulberry32), so that a seed repeats a run's faults. */
+export class RandomSource {
+  private _state: number;
+
+  public constructor(seed: number) {
+    this._state = seed >>> 0;
+  }
+
+  /** Returns a number from 0 up to 1. */
+  public next(): number {
+    this._state = (this._state + 0x6d2b79f5) >>> 0;
+    let mixed = this._state;
+    mixed = Math.imul(mixed ^ (mixed >>> 15), mixed | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/AcceleratorMemory.ts
@@ -0,0 +1,45 @@
+/** Memory in use on each accelerator. Nothing is refused: overcommitment is only reported. */
+export class AcceleratorMemory {
+  private readonly _used: number[];
+
+  public constructor(private readonly _sizes: readonly number[]) {
+    this._used = _sizes.map(() => 0);
+  }
+
+  public get usedBytes(): readonly number[] {
+    return [...this._used];
+  }
+
+  public get freeBytes(): readonly number[] {
+    return this._sizes.map((size, index) => size - (this._used[index] ?? 0));
+  }
+
+  /** Takes memory, and returns the accelerators that are now over their size. */
+  public take(bytes: readonly number[]): readonly number[] {
+    this._add(bytes, 1);
+    return this._sizes.map((_size, index) => index).filter((index) => (this.freeBytes[index] ?? 0) < 0);
+  }
+
+  public release(bytes: readonly number[]): void {
+    this._add(bytes, -1);
+  }
+
+  /**
+   * Spreads the memory of an order over the accelerators. A list gives the bytes of each accelerator, or of each one
+   * named in `accelerators`; a number is divided evenly over the named ones, or over all.
+   */
+  public spread(bytes: number | readonly number[], accelerators: readonly number[] | undefined): readonly number[] {
+    const chosen = accelerators ?? this._sizes.map((_size, index) => index);
+    const parts = typeof bytes === 'number' ? chosen.map(() => bytes / chosen.length) : bytes;
+    if (typeof bytes !== 'number' && bytes.length === this._sizes.length) {
+      return bytes;
+    }
+    return this._sizes.map((_size, index) => parts[chosen.indexOf(index)] ?? 0);
+  }
+
+  private _add(bytes: readonly number[], sign: 1 | -1): void {
+    bytes.forEach((part, index) => {
+      this._used[index] = (this._used[index] ?? 0) + sign * part;
+    });
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/CheckpointCache.ts
@@ -0,0 +1,48 @@
+import type { CheckpointTier } from './Types.js';
+
+/** Checkpoints on the target VM: the latest in memory, older ones on disk, the rest only in the weight store. */
+export class CheckpointCache {
+  private readonly _memory = new Map<string, number>();
+  private readonly _disk = new Map<string, number>();
+
+  public constructor(
+    private readonly _memoryBytes: number,
+    private readonly _diskBytes: number,
+  ) {}
+
+  public tierOf(checkpoint: string): CheckpointTier {
+    if (this._memory.has(checkpoint)) {
+      return 'memory';
+    }
+    return this._disk.has(checkpoint) ? 'disk' : 'remote';
+  }
+
+  /** Keeps a checkpoint that was loaded. */
+  public keep(checkpoint: string, bytes: number): void {
+    insert(this._memory, checkpoint, bytes, this._memoryBytes);
+    insert(this._disk, checkpoint, bytes, this._diskBytes);
+  }
+
+  /** Puts a checkpoint into a tier, for a test. */
+  public place(checkpoint: string, tier: CheckpointTier): void {
+    this._memory.delete(checkpoint);
+    this._disk.delete(checkpoint);
+    if (tier !== 'remote') {
+      (tier === 'memory' ? this._memory : this._disk).set(checkpoint, 0);
+    }
+  }
+}
+
+/** Adds an entry as the latest one, and drops the oldest ones beyond the size. */
+function insert(entries: Map<string, number>, checkpoint: string, bytes: number, sizeBytes: number): void {
+  entries.delete(checkpoint);
+  entries.set(checkpoint, bytes);
+  let used = [...entries.values()].reduce((sum, entry) => sum + entry, 0);
+  for (const [oldest, oldestBytes] of entries) {
+    if (used <= sizeBytes) {
+      break;
+    }
+    entries.delete(oldest);
+    used -= oldestBytes;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/CompletionService.ts
@@ -0,0 +1,168 @@
+import * as crypto from 'node:crypto';
+import * as common from '@jayhaven/common';
+import type { FaultSwitch } from '../FaultSwitch.js';
+import type { Call } from '../http/HttpStandIn.js';
+import type { BatchScheduler, Sequence } from './BatchScheduler.js';
+import { CompletionResponder } from './CompletionResponder.js';
+import type { EngineRecords } from './EngineRecords.js';
+import type { ModelEntry, ModelRepository } from './ModelRepository.js';
+import type { PrefixCache } from './PrefixCache.js';
+import { parseCompletion, promptHash, type CompletionRequest } from './tokens.js';
+import type { RequestRecord } from './Types.js';
+
+/** Share of the time to the first token that a fully cached prefix saves. */
+const cachedPrefixSaving = 0.8;
+
+/** Faults of answers, set at run time. */
+export interface AnswerFaults {
+  readonly crossAnswers: FaultSwitch;
+  /** Tokens after which a stream is cut; null for none. */
+  truncateStreams: number | null;
+  /** Cut streams end as a valid HTTP message, only without their end marker. */
+  truncateCleanly: boolean;
+}
+
+/** The parts that completions work with. */
+export interface CompletionParts {
+  readonly scheduler: BatchScheduler;
+  readonly repository: ModelRepository;
+  readonly prefixes: PrefixCache;
+  readonly records: EngineRecords;
+  readonly faults: AnswerFaults;
+  readonly firstTokenMs: number;
+}
+
+/** Answers the completion endpoints. */
+export class CompletionService {
+  private readonly _active = new Map<ModelEntry, Set<() => void>>();
+  private _lastAnswer: { readonly id: string; readonly hash: string } | undefined;
+
+  public constructor(private readonly _parts: CompletionParts) {}
+
+  /** Takes a request; answers when its tokens are made. */
+  public handle(call: Call, chat: boolean): void {
+    const request = parseCompletion(call.body);
+    if (!request) {
+      refuse(call, 400, 'invalid_request_error', 'the body is not a completion request');
+      return;
+    }
+    const record = this._parts.records.addRequest(newRecord(call, request));
+    const [name = '', adapter] = request.model.split(':');
+    const entry = this._parts.repository.readyModel(name);
+    if (!entry) {
+      refuseRecorded(call, record, 404, 'model_not_loaded', `model ${name} is not loaded`);
+    } else if (adapter !== undefined && entry.adapters.get(adapter)?.state !== 'ready') {
+      refuseRecorded(call, record, 404, 'adapter_not_loaded', `adapter ${adapter} is not loaded`);
+    } else {
+      this._run(call, chat, request, record, entry);
+    }
+  }
+
+  /** Breaks the requests of a model. */
+  public endRequests(entry: ModelEntry): void {
+    for (const end of [...(this._active.get(entry) ?? [])]) {
+      end();
+    }
+  }
+
+  private _run(call: Call, chat: boolean, request: CompletionRequest, record: RequestRecord, entry: ModelEntry): void {
+    const { scheduler, repository, prefixes, faults } = this._parts;
+    const responder = new CompletionResponder({ request, chat, ...this._identity(record) }, call.response);
+    const end = (outcome: RequestRecord['outcome']): void => {
+      if (record.endedMs !== undefined) {
+        return;
+      }
+      record.outcome = outcome;
+      record.endedMs = Date.now();
+      scheduler.cancel(sequence);
+      this._active.get(entry)?.delete(breakOff);
+      repository.endUse(entry);
+    };
+    const breakOff = (): void => {
+      end('unloaded');
+      call.response.destroy();
+    };
+    const sequence: Sequence = {
+      urgency: record.urgency,
+      firstIndex: request.resumeFrom,
+      endIndex: Math.max(request.resumeFrom, request.maximumTokens),
+      firstTokenMs: () => {
+        const cached = prefixes.use(request.model, request.prompt, Date.now());
+        return this._parts.firstTokenMs * (1 - cached * cachedPrefixSaving);
+      },
+      onStarted: () => {
+        record.outcome = 'running';
+        record.startedMs = Date.now();
+        responder.begin();
+      },
+      onToken: (index) => {
+        if (faults.truncateStreams !== null && record.tokens >= faults.truncateStreams) {
+          end('truncated');
+          responder.truncate(faults.truncateCleanly);
+          return true;
+        }
+        record.tokens += 1;
+        return responder.token(index);
+      },
+      onFinished: () => {
+        end('finished');
+        responder.finish();
+      },
+      onShed: () => {
+        end('refused');
+        refuseRecorded(call, record, 503, 'overloaded', 'pushed out of the queue by interactive requests');
+      },
+    };
+    repository.beginUse(entry);
+    this._active.set(entry, (this._active.get(entry) ?? new Set()).add(breakOff));
+    call.response.on('drain', () => {
+      scheduler.resume(sequence);
+    });
+    call.response.on('close', () => {
+      end('cancelled');
+    });
+    if (!scheduler.submit(sequence)) {
+      end('refused');
+      refuseRecorded(call, record, 503, 'overloaded', 'the queue is full');
+    }
+  }
+
+  /** The id and hash that an answer carries; those of the request before if answers are crossed. */
+  private _identity(record: RequestRecord): { readonly id: string; readonly hash: string } {
+    const own = { id: record.id, hash: record.promptHash };
+    const other = this._lastAnswer ?? { id: `other-${record.id}`, hash: promptHash('other') };
+    this._lastAnswer = own;
+    if (this._parts.faults.crossAnswers.strikes()) {
+      record.crossed = true;
+      return other;
+    }
+    return own;
+  }
+}
+
+function newRecord(call: Call, request: CompletionRequest): RequestRecord {
+  const { headers } = call.request;
+  return {
+    id: typeof headers['x-request-id'] === 'string' ? headers['x-request-id'] : crypto.randomUUID(),
+    model: request.model,
+    urgency: headers['x-priority'] === 'batch' ? 'batch' : 'interactive',
+    promptHash: promptHash(request.prompt),
+    resumeFrom: request.resumeFrom,
+    maximumTokens: request.maximumTokens,
+    arrivedMs: Date.now(),
+    outcome: 'waiting',
+    tokens: 0,
+  };
+}
+
+function refuseRecorded(call: Call, record: RequestRecord, status: number, type: string, message: string): void {
+  record.outcome = 'refused';
+  record.refusal = type;
+  record.endedMs = Date.now();
+  refuse(call, status, type, message, record.id);
+}
+
+function refuse(call: Call, status: number, type: string, message: string, id?: string): void {
+  const body = { ...(id === undefined ? {} : { id }), error: { type, message, code: status } };
+  common.sendJson(call.response, status, body, id === undefined ? {} : { 'x-request-id': id });
+}
--- /dev/null
+++ b/packages/standins/src/engine/tokens.ts
@@ -0,0 +1,72 @@
+import * as crypto from 'node:crypto';
+import * as zod from 'zod';
+
+/** Tokens of an answer when the request sets no limit. */
+const defaultMaximumTokens = 16;
+
+const messageSchema = zod.looseObject({ role: zod.string(), content: zod.unknown() });
+const completionSchema = zod.looseObject({
+  model: zod.string(),
+  prompt: zod.unknown().optional(),
+  messages: zod.array(messageSchema).optional(),
+  stream: zod.boolean().optional(),
+  max_tokens: zod.number().int().min(1).optional(),
+  max_completion_tokens: zod.number().int().min(1).optional(),
+  resume_from: zod.number().int().min(0).optional(),
+});
+
+/** A completion request as far as the engine uses it. */
+export interface CompletionRequest {
+  readonly model: string;
+  readonly prompt: string;
+  readonly stream: boolean;
+  readonly maximumTokens: number;
+  readonly resumeFrom: number;
+}
+
+/** Reads a completion body; `undefined` if it is not valid. */
+export function parseCompletion(body: unknown): CompletionRequest | undefined {
+  const parsed = completionSchema.safeParse(body);
+  if (!parsed.success) {
+    return undefined;
+  }
+  const { model, prompt, messages, stream, max_tokens, max_completion_tokens, resume_from } = parsed.data;
+  return {
+    model,
+    prompt: promptText(prompt, messages),
+    stream: stream ?? false,
+    maximumTokens: max_tokens ?? max_completion_tokens ?? defaultMaximumTokens,
+    resumeFrom: resume_from ?? 0,
+  };
+}
+
+function promptText(prompt: unknown, messages: readonly zod.infer<typeof messageSchema>[] | undefined): string {
+  if (!messages) {
+    return typeof prompt === 'string' ? prompt : JSON.stringify(prompt ?? '');
+  }
+  return messages.map((message) => `${message.role}: ${textOf(message.content)}`).join('\n');
+}
+
+function textOf(content: unknown): string {
+  return typeof content === 'string' ? content : JSON.stringify(content ?? '');
+}
+
+/** Short hash that ties each token to its prompt. */
+export function promptHash(prompt: string): string {
+  return crypto.createHash('sha256').update(prompt).digest('hex').slice(0, 8);
+}
+
+/** The token at an index of the answer to a prompt. */
+export function tokenText(hash: string, index: number): string {
+  return `t${hash}-${index} `;
+}
+
+/** The whole answer to a prompt, from a token index on. */
+export function answerText(prompt: string, maximumTokens: number, from = 0): string {
+  const hash = promptHash(prompt);
+  let text = '';
+  for (let index = from; index < maximumTokens; index += 1) {
+    text += tokenText(hash, index);
+  }
+  return text;
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export type * from './Types.js';
+export type * from './engine/Types.js';
+export type { LoadReport } from './engine/LoadReports.js';
+export type { CacheEvent } from './engine/PrefixCache.js';
+export { Engine } from './engine/Engine.js';
+export { answerText, promptHash, tokenText } from './engine/tokens.js';
+export { LogService, type LogOptions } from './log/LogService.js';
+export { FaultProxy, type FaultProxyOptions } from './proxy/FaultProxy.js';
+export { PlainService, type PlainServiceOptions, type ServiceCallRecord } from './service/PlainService.js';
+export { VmList, type VmEntry, type VmListOptions } from './vms/VmList.js';
+export { WeightStore, type WeightStoreOptions } from './weights/WeightStore.js';
+export { RandomSource } from './RandomSource.js';
--- /dev/null
+++ b/packages/standins/src/log/Topic.ts
@@ -0,0 +1,79 @@
+/** A record as the log returns it. */
+export interface StoredRecord {
+  readonly offset: number;
+  readonly value: unknown;
+  readonly timestamp: number;
+}
+
+interface Entry extends StoredRecord {
+  readonly bytes: number;
+}
+
+/** One topic with a single partition, held in memory. */
+export class Topic {
+  private _entries: Entry[] = [];
+  private _beginning = 0;
+  private readonly _waiters = new Set<() => void>();
+
+  public get beginningOffset(): number {
+    return this._beginning;
+  }
+
+  public get endOffset(): number {
+    return this._beginning + this._entries.length;
+  }
+
+  /** Appends values in order, and returns the offset of the first. */
+  public append(values: readonly unknown[], nowMs: number): number {
+    const first = this.endOffset;
+    for (const value of values) {
+      const bytes = Buffer.byteLength(JSON.stringify(value ?? null));
+      this._entries.push({ offset: this.endOffset, value, timestamp: nowMs, bytes });
+    }
+    this.wake();
+    return first;
+  }
+
+  /** Reads from an offset; at least one record if there is one, then up to the limit. */
+  public read(offset: number, maximumBytes: number): { readonly records: StoredRecord[]; readonly bytes: number } {
+    const records: StoredRecord[] = [];
+    let bytes = 0;
+    for (let index = offset - this._beginning; index < this._entries.length; index += 1) {
+      const entry = this._entries[index];
+      if (!entry || (records.length > 0 && bytes + entry.bytes > maximumBytes)) {
+        break;
+      }
+      records.push({ offset: entry.offset, value: entry.value, timestamp: entry.timestamp });
+      bytes += entry.bytes;
+    }
+    return { records, bytes };
+  }
+
+  /** Drops records older than a time. */
+  public dropBefore(timeMs: number): void {
+    const kept = this._entries.findIndex((entry) => entry.timestamp >= timeMs);
+    const dropped = kept === -1 ? this._entries.length : kept;
+    this._entries = this._entries.slice(dropped);
+    this._beginning += dropped;
+  }
+
+  /** Resolves at the next append, at a call of `wake`, or after the timeout. */
+  public waitForChange(timeoutMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = (): void => {
+        clearTimeout(timer);
+        this._waiters.delete(finish);
+        resolve();
+      };
+      const timer = setTimeout(finish, timeoutMs);
+      this._waiters.add(finish);
+    });
+  }
+
+  /** Ends every wait. */
+  public wake(): void {
+    for (const waiter of [...this._waiters]) {
+      waiter();
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/main.ts
@@ -0,0 +1,18 @@
+#!/usr/bin/env node
+import { startFromArguments, type Started } from './commandLine.js';
+
+async function stop(started: Started): Promise<void> {
+  await started.standIn[Symbol.asyncDispose]();
+  process.exit(0);
+}
+
+try {
+  const started = await startFromArguments(process.argv.slice(2));
+  process.once('SIGTERM', () => {
+    void stop(started);
+  });
+  process.stdout.write(`${JSON.stringify(started.announcement)}\n`);
+} catch (error) {
+  process.stderr.write(`stand-in: ${String(error)}\n`);
+  process.exitCode = 1;
+}
--- /dev/null
+++ b/packages/standins/src/service/PlainService.ts
@@ -0,0 +1,146 @@
+import * as timers from 'node:timers/promises';
+import * as common from '@jayhaven/common';
+import * as zod from 'zod';
+import { FaultSwitch } from '../FaultSwitch.js';
+import { HttpStandIn, breakConnection, type Call } from '../http/HttpStandIn.js';
+import { RandomSource } from '../RandomSource.js';
+import type { ListenOptions } from '../Types.js';
+
+/** Options of the plain service stand-in. */
+export interface PlainServiceOptions extends ListenOptions {
+  /** Name that answers carry. */
+  readonly name?: string;
+  /** Time from the run of a call to its answer, milliseconds. */
+  readonly answerMs?: number;
+  readonly seed?: number;
+}
+
+/** A call that the service ran. */
+export interface ServiceCallRecord {
+  readonly timeMs: number;
+  readonly method: string;
+  readonly path: string;
+  readonly key: string | null;
+  readonly requestId: string | null;
+  readonly body: string;
+  /** 0 if the connection was closed before the answer. */
+  status: number;
+}
+
+const faultRate = zod.union([zod.boolean(), zod.number().min(0)]).optional();
+const controlSchema = zod.strictObject({
+  answerMs: zod.number().min(0).optional(),
+  closeBeforeAnswer: faultRate,
+  closeKeepAlive: faultRate,
+  fail: faultRate,
+  silent: zod.boolean().optional(),
+});
+
+/** Plain service whose calls have effects that must not be repeated. Records every call that it ran. */
+export class PlainService extends HttpStandIn {
+  private readonly _calls: ServiceCallRecord[] = [];
+  private readonly _counts = new Map<string, number>();
+  private readonly _closeBeforeAnswer: FaultSwitch;
+  private readonly _closeKeepAlive: FaultSwitch;
+  private readonly _fail: FaultSwitch;
+  private _answerMs: number;
+  private _silent = false;
+
+  private constructor(private readonly _options: PlainServiceOptions) {
+    super();
+    const random = new RandomSource(_options.seed ?? 1);
+    this._closeBeforeAnswer = new FaultSwitch(random);
+    this._closeKeepAlive = new FaultSwitch(random);
+    this._fail = new FaultSwitch(random);
+    this._answerMs = _options.answerMs ?? 0;
+  }
+
+  /** Starts the service. */
+  public static async open(options: PlainServiceOptions = {}): Promise<PlainService> {
+    const service = new PlainService(options);
+    await service.listen(options);
+    return service;
+  }
+
+  /** Calls that ran. */
+  public get calls(): readonly ServiceCallRecord[] {
+    return this._calls;
+  }
+
+  protected override stop(): void {
+    this._silent = true;
+  }
+
+  protected override async handle(call: Call): Promise<void> {
+    if (call.path === '/control') {
+      this._control(call);
+    } else if (call.path === '/control/records') {
+      common.sendJson(call.response, 200, { calls: this._calls, counts: Object.fromEntries(this._counts) });
+    } else {
+      await this._run(call);
+    }
+  }
+
+  private async _run(call: Call): Promise<void> {
+    const record = this._record(call);
+    if (this._answerMs > 0) {
+      await timers.setTimeout(this._answerMs);
+    }
+    if (this._silent) {
+      return;
+    }
+    if (this._closeBeforeAnswer.strikes()) {
+      breakConnection(call);
+      return;
+    }
+    record.status = this._fail.strikes() ? 500 : 200;
+    if (this._closeKeepAlive.strikes()) {
+      // The answer promises a connection that stays open; the close meets the next request on it.
+      call.response.on('finish', () => {
+        setTimeout(() => call.request.socket.destroy(), 1);
+      });
+    }
+    const { method, path, key } = record;
+    const body = { service: this._options.name ?? 'service', method, path, key, count: this._countOf(key) };
+    common.sendJson(call.response, record.status, record.status === 200 ? body : { error: { type: 'failed' }, key });
+  }
+
+  private _record(call: Call): ServiceCallRecord {
+    const key = headerOf(call, 'idempotency-key');
+    if (key !== null) {
+      this._counts.set(key, this._countOf(key) + 1);
+    }
+    const record: ServiceCallRecord = {
+      timeMs: Date.now(),
+      method: call.method,
+      path: call.path,
+      key,
+      requestId: headerOf(call, 'x-request-id'),
+      body: call.text,
+      status: 0,
+    };
+    this._calls.push(record);
+    return record;
+  }
+
+  private _countOf(key: string | null): number {
+    return key === null ? 0 : (this._counts.get(key) ?? 0);
+  }
+
+  private _control(call: Call): void {
+    if (call.method === 'POST') {
+      const control = controlSchema.parse(call.body);
+      this._answerMs = control.answerMs ?? this._answerMs;
+      this._silent = control.silent ?? this._silent;
+      this._closeBeforeAnswer.set(control.closeBeforeAnswer);
+      this._closeKeepAlive.set(control.closeKeepAlive);
+      this._fail.set(control.fail);
+    }
+    common.sendJson(call.response, 200, { calls: this._calls.length, keys: this._counts.size });
+  }
+}
+
+function headerOf(call: Call, name: string): string | null {
+  const value = call.request.headers[name];
+  return typeof value === 'string' ? value : null;
+}
--- /dev/null
+++ b/packages/standins/src/weights/TransferPool.ts
@@ -0,0 +1,83 @@
+interface Transfer {
+  remainingMs: number;
+  readonly finish: () => void;
+}
+
+/**
+ * Transfers that run at full speed up to a number in transit and share that capacity beyond it. Work is given as the
+ * time it takes at full speed.
+ */
+export class TransferPool {
+  private readonly _transfers = new Set<Transfer>();
+  private _timer: NodeJS.Timeout | undefined;
+  private _advancedMs = 0;
+  private _slowdown = 1;
+
+  public constructor(private readonly _capacity: number) {}
+
+  public get inTransit(): number {
+    return this._transfers.size;
+  }
+
+  /** Makes every transfer slower by a factor, also those under way. */
+  public setSlowdown(factor: number, nowMs: number): void {
+    this._advance(nowMs);
+    this._slowdown = factor;
+    this._schedule(nowMs);
+  }
+
+  /** Starts a transfer, and returns a function that gives it up. */
+  public start(fullSpeedMs: number, nowMs: number, finish: () => void): () => void {
+    this._advance(nowMs);
+    const transfer = { remainingMs: fullSpeedMs, finish };
+    this._transfers.add(transfer);
+    this._schedule(nowMs);
+    return () => {
+      const cancelledMs = performance.now();
+      this._advance(cancelledMs);
+      this._transfers.delete(transfer);
+      this._schedule(cancelledMs);
+    };
+  }
+
+  /** Gives up every transfer. */
+  public stop(): void {
+    clearTimeout(this._timer);
+    this._transfers.clear();
+  }
+
+  private get _speed(): number {
+    return Math.min(1, this._capacity / this._transfers.size) / this._slowdown;
+  }
+
+  private _advance(nowMs: number): void {
+    const workMs = (nowMs - this._advancedMs) * this._speed;
+    this._advancedMs = nowMs;
+    for (const transfer of this._transfers) {
+      transfer.remainingMs -= workMs;
+    }
+  }
+
+  private _schedule(nowMs: number): void {
+    clearTimeout(this._timer);
+    for (const transfer of [...this._transfers]) {
+      // Timers fire up to 1 ms early by the monotonic clock.
+      if (transfer.remainingMs <= 0.5) {
+        this._transfers.delete(transfer);
+        transfer.finish();
+      }
+    }
+    if (this._transfers.size > 0) {
+      const next = Math.min(...[...this._transfers].map((transfer) => transfer.remainingMs));
+      this._timer = setTimeout(
+        () => {
+          const firedMs = performance.now();
+          this._advance(firedMs);
+          this._schedule(firedMs);
+        },
+        Math.max(0, next / this._speed),
+      );
+      this._advancedMs = nowMs;
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/weights/WeightStore.ts
@@ -0,0 +1,143 @@
+import * as common from '@jayhaven/common';
+import * as zod from 'zod';
+import { HttpStandIn, sendNotFound, type Call } from '../http/HttpStandIn.js';
+import { RandomSource } from '../RandomSource.js';
+import type { ListenOptions, Outage } from '../Types.js';
+import { TransferPool } from './TransferPool.js';
+
+/** Adapters that move at full speed at the same time. */
+const adaptersAtFullSpeed = 30;
+const minimumAdapterMs = 5;
+const maximumAdapterMs = 10;
+
+/** Options of the weight store stand-in. */
+export interface WeightStoreOptions extends ListenOptions {
+  /** Loads at full speed at the same time. */
+  readonly concurrent?: number;
+  /** Speed of one load. */
+  readonly bytesPerSecond?: number;
+  /** Loads that start in a second; further ones wait. */
+  readonly loadsPerSecond?: number;
+  readonly seed?: number;
+}
+
+const controlSchema = zod.strictObject({
+  slowdown: zod.number().positive().optional(),
+  outage: zod.union([zod.boolean(), zod.literal('hang')]).optional(),
+});
+
+/** Rate-limited store of weights. Answers once a transfer is over; sends no weights. */
+export class WeightStore extends HttpStandIn {
+  private readonly _models: TransferPool;
+  private readonly _adapters = new TransferPool(adaptersAtFullSpeed);
+  private readonly _random: RandomSource;
+  private readonly _timers = new Set<NodeJS.Timeout>();
+  private readonly _counters = { loads: 0, adapterLoads: 0, bytes: 0, cancelled: 0, mostInTransit: 0 };
+  private _outage: Outage = false;
+  private _slowdown = 1;
+  private _nextStartMs = 0;
+
+  private constructor(private readonly _options: WeightStoreOptions) {
+    super();
+    this._models = new TransferPool(_options.concurrent ?? 4);
+    this._random = new RandomSource(_options.seed ?? 1);
+  }
+
+  /** Starts the weight store. */
+  public static async open(options: WeightStoreOptions = {}): Promise<WeightStore> {
+    const store = new WeightStore(options);
+    await store.listen(options);
+    return store;
+  }
+
+  protected override stop(): void {
+    for (const timer of this._timers) {
+      clearTimeout(timer);
+    }
+    this._models.stop();
+    this._adapters.stop();
+  }
+
+  protected override handle(call: Call): void {
+    const name = /^\/weights\/(.+)$/.exec(call.path)?.[1];
+    if (call.path === '/control') {
+      this._control(call);
+    } else if (name === undefined || call.method !== 'GET') {
+      sendNotFound(call);
+    } else if (this._outage === true) {
+      common.sendJson(call.response, 503, { error: { type: 'outage', message: 'the weight store is down' } });
+    } else if (!this._outage) {
+      this._transfer(call, decodeURIComponent(name));
+    }
+  }
+
+  private _transfer(call: Call, name: string): void {
+    const bytes = Number(call.query.get('bytes') ?? 0);
+    const startedMs = performance.now();
+    const finish = (): void => {
+      this._counters.bytes += bytes;
+      common.sendJson(call.response, 200, { name, bytes, durationMs: performance.now() - startedMs });
+    };
+    if (call.query.get('kind') === 'adapter') {
+      this._counters.adapterLoads += 1;
+      const durationMs = minimumAdapterMs + this._random.next() * (maximumAdapterMs - minimumAdapterMs);
+      this._run(call, this._adapters, durationMs, finish);
+      return;
+    }
+    const durationMs = (bytes / (this._options.bytesPerSecond ?? 20e9)) * 1000;
+    this._afterTurn(startedMs, () => {
+      this._counters.loads += 1;
+      this._run(call, this._models, durationMs, finish);
+    });
+  }
+
+  private _run(call: Call, pool: TransferPool, durationMs: number, finish: () => void): void {
+    if (call.request.socket.destroyed) {
+      this._counters.cancelled += 1;
+      return;
+    }
+    const cancel = pool.start(durationMs, performance.now(), finish);
+    this._counters.mostInTransit = Math.max(this._counters.mostInTransit, this._models.inTransit);
+    call.response.on('close', () => {
+      if (!call.response.writableFinished) {
+        this._counters.cancelled += 1;
+        cancel();
+      }
+    });
+  }
+
+  /** Starts a load when the limit of loads per second allows it; up to one second's worth may start at once. */
+  private _afterTurn(nowMs: number, start: () => void): void {
+    const spacingMs = 1000 / (this._options.loadsPerSecond ?? 5);
+    const burstMs = Math.max(0, 1000 - spacingMs);
+    const theoreticalMs = Math.max(nowMs, this._nextStartMs);
+    const delayMs = theoreticalMs - burstMs - nowMs;
+    this._nextStartMs = theoreticalMs + spacingMs;
+    if (delayMs < 1) {
+      start();
+      return;
+    }
+    const timer = setTimeout(() => {
+      this._timers.delete(timer);
+      start();
+    }, delayMs);
+    this._timers.add(timer);
+  }
+
+  private _control(call: Call): void {
+    if (call.method === 'POST') {
+      const control = controlSchema.parse(call.body);
+      this._outage = control.outage ?? this._outage;
+      this._slowdown = control.slowdown ?? this._slowdown;
+      this._models.setSlowdown(this._slowdown, performance.now());
+      this._adapters.setSlowdown(this._slowdown, performance.now());
+    }
+    common.sendJson(call.response, 200, {
+      ...this._counters,
+      inTransit: this._models.inTransit,
+      adaptersInTransit: this._adapters.inTransit,
+      slowdown: this._slowdown,
+      outage: this._outage,
+    });
+  }
+}
