--- a/packages/decisions/src/Types.ts
+++ b/packages/decisions/src/Types.ts
@@ -103,6 +103,11 @@
   readonly failureDomain: common.FailureDomainName;
   readonly state: 'live' | 'leaving' | 'gone';
   readonly targets: readonly TargetDescription[];
+  /**
+   * `VmEntry.observedAt` that the watcher saw, null if the VM was unknown. If given, replay rejects an observation
+   * that was made before a newer one, for example by a watcher that was paused.
+   */
+  readonly basedOn?: Offset | null;
 }
 export interface LoadDecided extends ModelVersion {
   readonly kind: 'loadDecided';
@@ -257,6 +262,8 @@
   readonly failureDomain: common.FailureDomainName;
   readonly state: 'live' | 'leaving';
   readonly targets: readonly TargetDescription[];
+  /** Offset of the latest accepted observation. */
+  readonly observedAt?: Offset;
 }
 
 /** States follow `replicaLifecycle.json`. */
@@ -290,6 +297,10 @@
   readonly bytes: AcceleratorBytes;
   /** Incarnations that may still send it, with the claim each acts under. */
   readonly senders: ReadonlyMap<common.Incarnation, ClaimOffset>;
+  /** Urgency of the load, for a load order. */
+  readonly urgency?: common.Urgency;
+  /** A sender may have sent it after the engine had confirmed that the replica or adapter is gone. */
+  readonly mayHaveRunLate?: boolean;
 }
 
 export interface ConfigurationEntry {
@@ -379,13 +390,23 @@
   | 'invalidValue'
   | 'unknownKey'
   | 'shareExceeded'
-  | 'unknownSender';
+  | 'unknownSender'
+  /** The kind of the record is not known to this version. */
+  | 'unknownKind'
+  | 'invalidRecord'
+  /** An earlier claim holds the idempotency key. */
+  | 'keyTaken';
 
 export interface ReplayResult {
   readonly state: ControlState;
   readonly verdict: Verdict;
 }
 
+export interface ClaimReplayResult {
+  readonly state: ClaimsState;
+  readonly verdict: Verdict;
+}
+
 /** Settings of one model after defaults and exceptions. Times in milliseconds, memory in bytes. */
 export interface ModelSettings extends ModelVersion {
   /** Weights per accelerator; the model needs as many accelerators as entries. */
@@ -463,6 +484,8 @@
   readonly appliedOffset: Offset;
   readonly lastSequences: ReadonlyMap<common.Incarnation, number>;
   readonly claims: ReadonlyMap<string, ClaimEntry>;
+  /** How long a key is remembered, milliseconds; the same in every daemon. */
+  readonly windowMs?: number;
 }
 
 /** Answer to an entry daemon that asks for a claim. */
--- /dev/null
+++ b/packages/decisions/src/configuration/keys.ts
@@ -0,0 +1,92 @@
+/**
+ * Keys of the configuration:
+ *
+ * - `p/defaults/<field>`, `p/models/<model>`, `p/adapters/<model>/<adapter>`, `p/exceptions/<model>/<field>` and
+ *   `p/services/<service>` belong to partner `p`;
+ * - `shared/share/<p>` concerns all partners.
+ */
+import type * as common from '@jayhaven/common';
+
+/** A key taken apart. */
+export type ConfigurationKey =
+  | { readonly kind: 'default'; readonly partner: common.PartnerName; readonly field: SettingField }
+  | { readonly kind: 'model'; readonly partner: common.PartnerName; readonly model: string }
+  | { readonly kind: 'adapter'; readonly partner: common.PartnerName; readonly model: string; readonly adapter: string }
+  | {
+      readonly kind: 'exception';
+      readonly partner: common.PartnerName;
+      readonly model: string;
+      readonly field: SettingField;
+    }
+  | { readonly kind: 'service'; readonly partner: common.PartnerName; readonly service: string }
+  | { readonly kind: 'share'; readonly partner: common.PartnerName };
+
+/** Fields that have a default and may have exceptions. */
+export const settingFields = [
+  'keepAliveSeconds',
+  'minimumReplicas',
+  'maximumReplicas',
+  'requestsPerReplica',
+  'urgency',
+  'deadlineMilliseconds',
+  'queueLimit',
+] as const;
+
+export type SettingField = (typeof settingFields)[number];
+
+/** First segment of the keys that concern all partners. */
+const sharedPrefix = 'shared';
+// Callers write `partner/model` and `model:adapter`, so names contain neither slash nor colon.
+const segmentPattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/;
+
+/** Takes a key apart; undefined if no such key exists. */
+export function parseConfigurationKey(key: string): ConfigurationKey | undefined {
+  const segments = key.split('/');
+  if (!segments.every((segment) => segmentPattern.test(segment))) {
+    return undefined;
+  }
+  const [partner = '', kind, first, second] = segments;
+  if (partner === sharedPrefix) {
+    return kind === 'share' && first !== undefined && segments.length === 3 ? { kind, partner: first } : undefined;
+  }
+  if (first === undefined) {
+    return undefined;
+  }
+  if (segments.length === 3) {
+    return parseShortKey(partner, kind, first);
+  }
+  return segments.length === 4 && second !== undefined ? parseLongKey(partner, kind, first, second) : undefined;
+}
+
+function parseShortKey(partner: string, kind: string | undefined, name: string): ConfigurationKey | undefined {
+  switch (kind) {
+    case 'defaults':
+      return isSettingField(name) ? { kind: 'default', partner, field: name } : undefined;
+    case 'models':
+      return { kind: 'model', partner, model: name };
+    case 'services':
+      return { kind: 'service', partner, service: name };
+    default:
+      return undefined;
+  }
+}
+
+function parseLongKey(
+  partner: string,
+  kind: string | undefined,
+  model: string,
+  name: string,
+): ConfigurationKey | undefined {
+  switch (kind) {
+    case 'adapters':
+      return { kind: 'adapter', partner, model, adapter: name };
+    case 'exceptions':
+      return isSettingField(name) ? { kind: 'exception', partner, model, field: name } : undefined;
+    default:
+      return undefined;
+  }
+}
+
+function isSettingField(name: string): name is SettingField {
+  return (settingFields as readonly string[]).includes(name);
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,1 +1,14 @@
 export type * from './Types.js';
+export * from './claims/replayClaim.js';
+export * from './claims/schemas.js';
+export * from './configuration/keys.js';
+export * from './configuration/settings.js';
+export { findValueFault } from './configuration/values.js';
+export * from './lifecycle/Lifecycle.js';
+export { findTarget, freeBytes } from './queries/memory.js';
+export * from './queries/rendezvous.js';
+export * from './queries/replicas.js';
+export * from './records/parse.js';
+export { emptyControlState, replay, replayValue } from './replay/replay.js';
+export { maximumHistoryEntries } from './replay/configuration.js';
+export * from './snapshot/snapshot.js';
--- /dev/null
+++ b/packages/decisions/src/lifecycle/Lifecycle.ts
@@ -0,0 +1,42 @@
+/** State charts of replicas, orders and daemons, read from JSON and run with xstate's pure transition function. */
+import { createRequire } from 'node:module';
+import * as xstate from 'xstate';
+
+// An import of a JSON module prints an experimental warning on Node.js 20.
+const requireJson = createRequire(import.meta.url);
+
+/** Decides whether an event is allowed in a state, and which state follows. */
+export class Lifecycle {
+  private readonly _machine: xstate.AnyStateMachine;
+  private readonly _results = new Map<string, string | undefined>();
+
+  public constructor(chartPath: string) {
+    this._machine = xstate.createMachine(requireJson(chartPath) as Parameters<typeof xstate.createMachine>[0]);
+  }
+
+  /** State after the event, or undefined if the state does not allow the event. */
+  public next(state: string, event: string): string | undefined {
+    // One transition takes about 18 µs; the charts are constant, so each result is computed once.
+    const cacheKey = `${state} ${event}`;
+    if (!this._results.has(cacheKey)) {
+      this._results.set(cacheKey, this._compute(state, event));
+    }
+    return this._results.get(cacheKey);
+  }
+
+  private _compute(state: string, event: string): string | undefined {
+    const current = this._machine.resolveState({ value: state, context: {} }) as xstate.AnyMachineSnapshot;
+    if (!current.can({ type: event })) {
+      return undefined;
+    }
+    const [following] = xstate.transition(this._machine, current, { type: event });
+    return (following as xstate.AnyMachineSnapshot).value as string;
+  }
+}
+
+/** Life cycle of a replica and of an adapter in a replica. */
+export const replicaLifecycle = new Lifecycle('./replicaLifecycle.json');
+/** Life cycle of an order: unsettled while some incarnation may still send it. */
+export const orderLifecycle = new Lifecycle('./orderLifecycle.json');
+/** Life cycle of an incarnation of a daemon. */
+export const daemonLifecycle = new Lifecycle('./daemonLifecycle.json');
--- /dev/null
+++ b/packages/decisions/src/queries/memory.ts
@@ -0,0 +1,95 @@
+/** Memory that replicas, adapters and unsettled orders take on the accelerators of targets. */
+import type * as common from '@jayhaven/common';
+import type * as types from '../Types.js';
+
+interface KnownTarget {
+  readonly vm: types.VmEntry;
+  readonly target: types.TargetDescription;
+}
+
+interface TargetIndex {
+  readonly targets: ReadonlyMap<common.TargetAddress, KnownTarget>;
+  readonly used: ReadonlyMap<common.TargetAddress, readonly number[]>;
+}
+
+// States are immutable, so an index stays valid as long as its state exists.
+const targetsByVms = new WeakMap<types.ControlState['vms'], TargetIndex['targets']>();
+const usedByState = new WeakMap<types.ControlState, TargetIndex['used']>();
+
+/** Finds a target and its VM. */
+export function findTarget(state: types.ControlState, address: common.TargetAddress): KnownTarget | undefined {
+  let targets = targetsByVms.get(state.vms);
+  if (targets === undefined) {
+    const found = new Map<common.TargetAddress, KnownTarget>();
+    for (const vm of state.vms.values()) {
+      for (const target of vm.targets) {
+        found.set(target.address, { vm, target });
+      }
+    }
+    targets = found;
+    targetsByVms.set(state.vms, targets);
+  }
+  return targets.get(address);
+}
+
+/**
+ * Free memory of each accelerator of a target, bytes. Counts replicas and adapters in every state and what unsettled
+ * orders pin. Empty for an unknown target.
+ */
+export function freeBytes(state: types.ControlState, address: common.TargetAddress): types.AcceleratorBytes {
+  const known = findTarget(state, address);
+  if (known === undefined) {
+    return [];
+  }
+  const used = usedBytes(state).get(address) ?? [];
+  return known.target.acceleratorBytes.map((size, index) => size - (used[index] ?? 0));
+}
+
+/** Whether an order pins memory that no replica or adapter of the state accounts for. */
+export function pinsMemory(state: types.ControlState, order: types.OrderEntry): boolean {
+  if (order.action === 'load') {
+    return !state.replicas.has(order.replica);
+  }
+  if (order.action === 'adapterLoad') {
+    return adapterOf(state, order)?.order !== order.order;
+  }
+  return false;
+}
+
+/** The adapter that an order is about, if its replica still has it. */
+export function adapterOf(state: types.ControlState, order: types.OrderEntry): types.AdapterEntry | undefined {
+  return order.adapter === undefined ? undefined : state.replicas.get(order.replica)?.adapters.get(order.adapter);
+}
+
+function usedBytes(state: types.ControlState): TargetIndex['used'] {
+  const known = usedByState.get(state);
+  if (known !== undefined) {
+    return known;
+  }
+  const used = new Map<common.TargetAddress, number[]>();
+  for (const replica of state.replicas.values()) {
+    addBytes(used, replica.target, replica.bytes);
+    for (const adapter of replica.adapters.values()) {
+      addBytes(used, replica.target, adapter.bytes);
+    }
+  }
+  for (const order of state.orders.values()) {
+    if (pinsMemory(state, order)) {
+      addBytes(used, order.target, order.bytes);
+    }
+  }
+  usedByState.set(state, used);
+  return used;
+}
+
+function addBytes(
+  used: Map<common.TargetAddress, number[]>,
+  address: common.TargetAddress,
+  bytes: types.AcceleratorBytes,
+): void {
+  const sums = used.get(address) ?? [];
+  bytes.forEach((count, index) => {
+    sums[index] = (sums[index] ?? 0) + count;
+  });
+  used.set(address, sums);
+}
--- /dev/null
+++ b/packages/decisions/src/queries/replicas.ts
@@ -0,0 +1,68 @@
+/** Counts of replicas and of loads in progress. */
+import type * as types from '../Types.js';
+import { adapterOf } from './memory.js';
+
+/** Where a replica of a model version is or may still appear. */
+export interface CountedReplica {
+  readonly replica: types.ReplicaId;
+  readonly target: string;
+  /** `pinned`: the replica is gone, but an unsettled order may still load it. */
+  readonly state: types.ReplicaState | 'pinned';
+  /** The replica; absent if it is only pinned. */
+  readonly entry?: types.ReplicaEntry;
+}
+
+/** Replicas of a model version that count: loading, ready, unloading, or pinned by an unsettled load order. */
+export function replicasOf(state: types.ControlState, version: types.ModelVersion): readonly CountedReplica[] {
+  const counted: CountedReplica[] = [];
+  for (const entry of state.replicas.values()) {
+    if (isSameVersion(entry, version)) {
+      counted.push({ replica: entry.replica, target: entry.target, state: entry.state, entry });
+    }
+  }
+  for (const order of state.orders.values()) {
+    if (order.action === 'load' && isSameVersion(order, version) && !state.replicas.has(order.replica)) {
+      counted.push({ replica: order.replica, target: order.target, state: 'pinned' });
+    }
+  }
+  return counted;
+}
+
+/** Whether two names denote the same weights. */
+export function isSameVersion(first: types.ModelVersion, second: types.ModelVersion): boolean {
+  return isSameModel(first, second) && first.version === second.version;
+}
+
+/** Whether two names denote the same model, in any version. */
+export function isSameModel(first: types.ModelVersion, second: types.ModelVersion): boolean {
+  return first.partner === second.partner && first.model === second.model;
+}
+
+/** Loads that use the weight store, or may still do so: loading replicas and unsettled load orders. */
+export function loadsInProgress(state: types.ControlState): number {
+  let count = 0;
+  for (const replica of state.replicas.values()) {
+    count += replica.state === 'loading' ? 1 : 0;
+  }
+  for (const order of state.orders.values()) {
+    const replicaState = state.replicas.get(order.replica)?.state;
+    count += order.action === 'load' && replicaState !== 'loading' && replicaState !== 'ready' ? 1 : 0;
+  }
+  return count;
+}
+
+/** Adapters in transit from the weight store, or that may still be sent. */
+export function adaptersInTransit(state: types.ControlState): number {
+  let count = 0;
+  for (const replica of state.replicas.values()) {
+    for (const adapter of replica.adapters.values()) {
+      count += adapter.state === 'loading' ? 1 : 0;
+    }
+  }
+  for (const order of state.orders.values()) {
+    const adapter = adapterOf(state, order);
+    const isCounted = adapter?.order === order.order && adapter.state !== 'unloading';
+    count += order.action === 'adapterLoad' && !isCounted ? 1 : 0;
+  }
+  return count;
+}
--- /dev/null
+++ b/packages/decisions/src/records/parse.ts
@@ -0,0 +1,45 @@
+/** Parses values of a topic into typed records. */
+import * as common from '@jayhaven/common';
+import type { z } from 'zod';
+import type * as types from '../Types.js';
+import { controlBodySchemas, envelopeSchema } from './schemas.js';
+
+/** Why a value is not a record that this version can apply. */
+export interface ParseFailure {
+  readonly rule: 'invalidRecord' | 'unknownKind';
+  readonly message: string;
+  /** Identifier of the record, if the envelope is valid. */
+  readonly id?: types.RecordId;
+}
+
+/** Parses a value of the topic `control`. */
+export function parseControlRecord(
+  value: unknown,
+): common.Outcome<types.RecordEnvelope<types.ControlRecordBody>, ParseFailure> {
+  return parseRecord(value, controlBodySchemas);
+}
+
+/** Parses a value with the schema of its kind. */
+export function parseRecord<Body>(
+  value: unknown,
+  bodySchemas: ReadonlyMap<string, z.ZodType<Body>>,
+): common.Outcome<types.RecordEnvelope<Body>, ParseFailure> {
+  const envelope = envelopeSchema.safeParse(value);
+  if (!envelope.success) {
+    return common.fail({ rule: 'invalidRecord', message: describe('envelope', envelope.error) });
+  }
+  const { id, clock, body } = envelope.data;
+  const schema = bodySchemas.get(body.kind);
+  if (schema === undefined) {
+    return common.fail({ rule: 'unknownKind', message: `record kind "${body.kind}" is not known`, id });
+  }
+  const parsed = schema.safeParse(body);
+  return parsed.success
+    ? common.succeed({ id, clock, body: parsed.data })
+    : common.fail({ rule: 'invalidRecord', message: describe(body.kind, parsed.error), id });
+}
+
+function describe(part: string, error: z.ZodError): string {
+  const issue = error.issues[0];
+  return `${part}: ${issue === undefined ? 'invalid' : `${issue.path.join('.')}: ${issue.message}`}`;
+}
--- /dev/null
+++ b/packages/decisions/src/replay/ownership.ts
@@ -0,0 +1,85 @@
+/** Replay of ownership of cells. Safety rests on the order of the log alone; leases are not part of replay. */
+import { withEntry } from '../collections/copyOnWrite.js';
+import type * as types from '../Types.js';
+import { accept, reject, rejection, type Step } from './verdicts.js';
+
+/** A claim is accepted only if it names the latest accepted claim. */
+export function replayClaimed(state: types.ControlState, step: Step<types.OwnerClaimed>): types.ReplayResult {
+  const { cell, supersedes } = step.body;
+  const latest = state.cells.get(cell)?.latestClaim ?? null;
+  if (supersedes !== latest) {
+    const message = `claim supersedes ${supersedes ?? 'none'}, but the latest claim is ${latest ?? 'none'}`;
+    return reject(state, 'claimSuperseded', message, latest ?? undefined);
+  }
+  const entry: types.CellEntry = {
+    cell,
+    claim: step.offset,
+    owner: step.author,
+    latestClaim: step.offset,
+    renewedAt: step.offset,
+  };
+  return accept(state, { cells: withEntry(state.cells, cell, entry) });
+}
+
+/** The owner is still alive. */
+export function replayRenewed(state: types.ControlState, step: Step<types.OwnerRenewed>): types.ReplayResult {
+  return changeOwned(state, step, (entry) => ({ ...entry, renewedAt: step.offset }));
+}
+
+/** The owner gives up the cell; the next claim still names its claim. */
+export function replayReleased(state: types.ControlState, step: Step<types.OwnerReleased>): types.ReplayResult {
+  return changeOwned(state, step, (entry) => ({ ...entry, claim: null, owner: null }));
+}
+
+/** Releases every cell of an incarnation that acts no more. */
+export function vacateCells(state: types.ControlState, incarnation: string): types.ControlState {
+  let cells = state.cells;
+  for (const [cell, entry] of state.cells) {
+    if (entry.owner === incarnation) {
+      cells = withEntry(cells, cell, { ...entry, claim: null, owner: null });
+    }
+  }
+  return { ...state, cells };
+}
+
+/** Verdict against a decision that is not made by the owner under the current claim; undefined if it is. */
+export function checkClaim(
+  state: types.ControlState,
+  author: string,
+  cell: types.CellName,
+  claim: types.ClaimOffset,
+): types.Verdict | undefined {
+  const entry = state.cells.get(cell);
+  if (entry === undefined || entry.latestClaim === null) {
+    return rejection('notOwner', `cell ${cell} has no owner`);
+  }
+  if (claim !== entry.latestClaim) {
+    return rejection('claimSuperseded', `claim ${claim} is superseded by ${entry.latestClaim}`, entry.latestClaim);
+  }
+  return entry.owner === author ? undefined : rejection('notOwner', `${author} does not own cell ${cell}`);
+}
+
+/** Verdict against a report that only the current owner may write; undefined if the author owns a cell. */
+export function checkReporter(state: types.ControlState, author: string): types.Verdict | undefined {
+  // A report of a superseded owner may be older than an order that its successor sent since.
+  for (const entry of state.cells.values()) {
+    if (entry.owner === author) {
+      return undefined;
+    }
+  }
+  return rejection('notOwner', `${author} does not own the cell`);
+}
+
+function changeOwned(
+  state: types.ControlState,
+  step: Step<types.OwnerRenewed | types.OwnerReleased>,
+  change: (entry: types.CellEntry) => types.CellEntry,
+): types.ReplayResult {
+  const { cell, claim } = step.body;
+  const refusal = checkClaim(state, step.author, cell, claim);
+  const entry = state.cells.get(cell);
+  if (refusal !== undefined || entry === undefined) {
+    return { state, verdict: refusal ?? rejection('notOwner', `cell ${cell} has no owner`) };
+  }
+  return accept(state, { cells: withEntry(state.cells, cell, change(entry)) });
+}
--- /dev/null
+++ b/packages/decisions/src/replay/verdicts.ts
@@ -0,0 +1,33 @@
+/** Results of replay. */
+import type * as types from '../Types.js';
+
+/** A record whose body has one of the given kinds. */
+export interface Step<Body extends types.ControlRecordBody> {
+  readonly author: string;
+  readonly offset: types.Offset;
+  readonly clock: types.ControlRecord['clock'];
+  readonly body: Body;
+}
+
+/** Verdict of a record that has no effect. */
+export type RejectedVerdict = Extract<types.Verdict, { kind: 'rejected' }>;
+
+/** The record takes effect. */
+export function accept(state: types.ControlState, change: Partial<types.ControlState> = {}): types.ReplayResult {
+  return { state: { ...state, ...change }, verdict: { kind: 'accepted' } };
+}
+
+/** The record has no effect. */
+export function reject(
+  state: types.ControlState,
+  rule: types.RejectionRule,
+  message: string,
+  winner?: types.Offset,
+): types.ReplayResult {
+  return { state, verdict: rejection(rule, message, winner) };
+}
+
+/** Verdict of a rejected record. */
+export function rejection(rule: types.RejectionRule, message: string, winner?: types.Offset): RejectedVerdict {
+  return { kind: 'rejected', rule, message, ...(winner === undefined ? {} : { winner }) };
+}
