--- /dev/null
+++ b/packages/daemon/src/log/AppendQueue.ts
@@ -0,0 +1,152 @@
+import * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+import type { AppendFailure } from '../Types.js';
+
+/** What replay made of an appended record. */
+export interface ReadBack {
+  readonly offset: number;
+  readonly verdict: decisions.Verdict;
+}
+
+/** Outcome of one append after read-back. */
+export type AppendOutcome = common.Outcome<ReadBack, Exclude<AppendFailure, { readonly kind: 'rejected' }>>;
+
+/** Appends of one topic that are not settled. More are refused, so that memory stays bounded in an outage. */
+const maximumPending = 2000;
+/** Bounds the size of one append request. */
+const maximumBatchRecords = 500;
+
+interface PendingAppend<Body> {
+  readonly envelope: decisions.RecordEnvelope<Body>;
+  readonly deadlineMs: number;
+  readonly resolve: (outcome: AppendOutcome) => void;
+  state: 'queued' | 'sent' | 'acknowledged';
+}
+
+/** Records on their way into one topic, in the order of their sequence numbers. Holds no timers or sockets. */
+export class AppendQueue<Body> {
+  private readonly _pending = new Map<number, PendingAppend<Body>>();
+  private _lastSequence = 0;
+
+  public constructor(private readonly _incarnation: common.Incarnation) {}
+
+  /** Earliest deadline, or `undefined` if nothing is pending. */
+  public get earliestDeadlineMs(): number | undefined {
+    let earliest: number | undefined;
+    for (const { deadlineMs } of this._pending.values()) {
+      earliest = earliest === undefined ? deadlineMs : Math.min(earliest, deadlineMs);
+    }
+    return earliest;
+  }
+
+  /** Adds a record. Returns false if the queue is full. */
+  public add(
+    body: Body,
+    clock: common.HybridTime,
+    deadlineMs: number,
+    resolve: (outcome: AppendOutcome) => void,
+  ): boolean {
+    if (this._pending.size >= maximumPending) {
+      return false;
+    }
+    this._lastSequence += 1;
+    const id = { incarnation: this._incarnation, sequence: this._lastSequence };
+    this._pending.set(this._lastSequence, { envelope: { id, clock, body }, deadlineMs, resolve, state: 'queued' });
+    return true;
+  }
+
+  /**
+   * Takes the records for the next append: those whose acknowledgement is missing, with their old ids, and then the
+   * new ones. The order of sequence numbers makes a late copy of an older append a duplicate.
+   */
+  public takeBatch(): readonly decisions.RecordEnvelope<Body>[] {
+    const batch: decisions.RecordEnvelope<Body>[] = [];
+    for (const entry of this._pending.values()) {
+      if (batch.length === maximumBatchRecords) {
+        break;
+      }
+      if (entry.state !== 'acknowledged') {
+        entry.state = 'sent';
+        batch.push(entry.envelope);
+      }
+    }
+    return batch;
+  }
+
+  /** Notes that the log took the records; they now wait for their read-back. */
+  public acknowledge(batch: readonly decisions.RecordEnvelope<Body>[]): void {
+    for (const { id } of batch) {
+      const entry = this._pending.get(id.sequence);
+      if (entry) {
+        entry.state = 'acknowledged';
+      }
+    }
+  }
+
+  /** Whether any record of a batch is not settled. */
+  public hasAny(batch: readonly decisions.RecordEnvelope<Body>[]): boolean {
+    return batch.some(({ id }) => this._pending.has(id.sequence));
+  }
+
+  /** Whether a record waits to be sent or acknowledged. */
+  public get hasUnacknowledged(): boolean {
+    for (const entry of this._pending.values()) {
+      if (entry.state !== 'acknowledged') {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Settles the append of a record that has been read back and replayed. */
+  public settle(record: decisions.LogRecord<Body>, verdict: decisions.Verdict): void {
+    if (record.id.incarnation !== this._incarnation) {
+      return;
+    }
+    this._take(record.id.sequence)?.resolve(common.succeed({ offset: record.offset, verdict }));
+  }
+
+  /** Gives up on the records whose time is over. */
+  public expire(nowMs: number, retryAfterMs: number): void {
+    for (const [sequence, entry] of this._pending) {
+      if (entry.deadlineMs <= nowMs) {
+        this._take(sequence);
+        entry.resolve(
+          entry.state === 'queued'
+            ? unavailable('the record was not sent in time', retryAfterMs)
+            : unconfirmed('the record was not read back in time'),
+        );
+      }
+    }
+  }
+
+  /** Refuses the records of which nothing has been sent. */
+  public refuseQueued(message: string, retryAfterMs: number): void {
+    for (const [sequence, entry] of this._pending) {
+      if (entry.state === 'queued') {
+        this._take(sequence);
+        entry.resolve(unavailable(message, retryAfterMs));
+      }
+    }
+  }
+
+  /** Settles everything when the topic is closed. */
+  public close(): void {
+    this.expire(Number.POSITIVE_INFINITY, 0);
+  }
+
+  private _take(sequence: number): PendingAppend<Body> | undefined {
+    const entry = this._pending.get(sequence);
+    this._pending.delete(sequence);
+    return entry;
+  }
+}
+
+/** Failure of a record of which nothing was sent. */
+export function unavailable(message: string, retryAfterMs: number): AppendOutcome {
+  return common.fail({ kind: 'logUnavailable', message, retryAfterMs });
+}
+
+function unconfirmed(message: string): AppendOutcome {
+  return common.fail({ kind: 'unconfirmed', message });
+}
--- /dev/null
+++ b/packages/daemon/src/log/LogHealth.ts
@@ -0,0 +1,66 @@
+import * as cockatiel from 'cockatiel';
+import type * as common from '@jayhaven/common';
+
+/** A single lost acknowledgement is common; three in a row are an outage. */
+const failuresBeforeBreak = 3;
+/** Pause after which one append tests a broken log, milliseconds. */
+const halfOpenAfterMs = 1000;
+
+/** Tells whether the log service is known to be down, from the appends and reads of all topics. */
+export class LogHealth {
+  private readonly _appends = cockatiel.circuitBreaker(cockatiel.handleWhenResult(isFailure), {
+    breaker: new cockatiel.ConsecutiveBreaker(failuresBeforeBreak),
+    halfOpenAfter: halfOpenAfterMs,
+  });
+  private readonly _unreadable = new Set<string>();
+  private _brokenAtMs = 0;
+
+  public constructor(private readonly _now: () => number) {
+    this._appends.onBreak(() => {
+      this._brokenAtMs = _now();
+    });
+  }
+
+  /** Whether appends are worth trying. */
+  public get available(): boolean {
+    return this.retryAfterMs() === undefined;
+  }
+
+  /** Time until an append may be tried again, or `undefined` if it may be tried now. */
+  public retryAfterMs(): number | undefined {
+    if (this._appends.state === cockatiel.CircuitState.Open) {
+      const remainingMs = this._brokenAtMs + halfOpenAfterMs - this._now();
+      if (remainingMs > 0) {
+        return Math.ceil(remainingMs);
+      }
+    }
+    return this._unreadable.size > 0 ? halfOpenAfterMs : undefined;
+  }
+
+  /** Runs an append under the circuit breaker; `undefined` if the breaker refuses it. */
+  public async append<Value, Failure>(
+    run: () => Promise<common.Outcome<Value, Failure>>,
+  ): Promise<common.Outcome<Value, Failure> | undefined> {
+    try {
+      return await this._appends.execute(run);
+    } catch (error) {
+      if (cockatiel.isBrokenCircuitError(error)) {
+        return undefined;
+      }
+      throw error;
+    }
+  }
+
+  /** Notes that the long poll of a topic fails or stays silent, or that it works. */
+  public setReadable(topic: string, readable: boolean): void {
+    if (readable) {
+      this._unreadable.delete(topic);
+    } else {
+      this._unreadable.add(topic);
+    }
+  }
+}
+
+function isFailure(result: unknown): boolean {
+  return (result as common.Outcome<unknown, unknown>).ok === false;
+}
--- /dev/null
+++ b/packages/daemon/src/log/TopicAppender.ts
@@ -0,0 +1,160 @@
+import * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+import { AppendQueue, unavailable, type AppendOutcome } from './AppendQueue.js';
+import { Backoff } from './Backoff.js';
+import type { LogClient } from './LogClient.js';
+import type { LogHealth } from './LogHealth.js';
+import type { LogFailure, ReplicaContext } from './Types.js';
+
+/** Retry time given to callers when nothing better is known, milliseconds. */
+const defaultRetryAfterMs = 1000;
+
+/** What an appender works with. Times in milliseconds. */
+export interface AppenderOptions {
+  readonly topic: string;
+  readonly client: LogClient;
+  readonly health: LogHealth;
+  readonly timeoutMs: number;
+}
+
+type Batch<Body> = readonly decisions.RecordEnvelope<Body>[];
+
+type AppenderMessage<Body> =
+  | { readonly kind: 'flush' }
+  | { readonly kind: 'retry' }
+  | { readonly kind: 'expire' }
+  | {
+      readonly kind: 'appended';
+      readonly batch: Batch<Body>;
+      readonly outcome: common.Outcome<number, LogFailure> | undefined;
+    };
+
+/**
+ * Appends to one topic with group commit: one append is in flight, and what arrives meanwhile goes into the next one.
+ * An append whose acknowledgement is missing is repeated with the same record ids.
+ */
+export class TopicAppender<Body> extends common.Task<AppenderMessage<Body>> {
+  private readonly _queue: AppendQueue<Body>;
+  private readonly _backoff = new Backoff();
+  private _inFlight = false;
+  private _checkReadBack: (() => void) | undefined;
+  private _expiryArmed = false;
+  private _stopped = false;
+
+  public constructor(
+    private readonly _context: ReplicaContext,
+    private readonly _options: AppenderOptions,
+  ) {
+    super();
+    this._queue = new AppendQueue(_context.incarnation);
+  }
+
+  /** Appends a record and resolves once it has been read back and replayed. */
+  public append(body: Body, timeoutMs: number): Promise<AppendOutcome> {
+    const retryAfterMs = this._options.health.retryAfterMs();
+    if (this._stopped) {
+      return Promise.resolve(unavailable('the topic is closed', defaultRetryAfterMs));
+    }
+    if (retryAfterMs !== undefined) {
+      return Promise.resolve(unavailable('the log is down', retryAfterMs));
+    }
+    return new Promise((resolve) => {
+      const { clock, now, wallNow } = this._context;
+      if (!this._queue.add(body, clock.stamp(wallNow()), now() + timeoutMs, resolve)) {
+        resolve(unavailable('too many appends wait for the log', defaultRetryAfterMs));
+        return;
+      }
+      this._armExpiry();
+      if (!this._inFlight) {
+        this.post({ kind: 'flush' });
+      }
+    });
+  }
+
+  /** Settles the append of a record that was read back and replayed. */
+  public settle(record: decisions.LogRecord<Body>, verdict: decisions.Verdict): void {
+    this._queue.settle(record, verdict);
+  }
+
+  /** Ends the append in flight if all its records have been read back. */
+  public readBackDone(): void {
+    this._checkReadBack?.();
+  }
+
+  public override async [Symbol.asyncDispose](): Promise<void> {
+    this._stopped = true;
+    this._queue.close();
+    await super[Symbol.asyncDispose]();
+  }
+
+  protected override handle(message: AppenderMessage<Body>): void {
+    if (this._stopped) {
+      return;
+    }
+    switch (message.kind) {
+      case 'flush':
+        this._flush();
+        break;
+      case 'retry':
+        this._inFlight = false;
+        this._flush();
+        break;
+      case 'expire':
+        this._expire();
+        break;
+      case 'appended':
+        this._takeOutcome(message.batch, message.outcome);
+        break;
+    }
+  }
+
+  private _flush(): void {
+    if (this._inFlight || !this._queue.hasUnacknowledged) {
+      return;
+    }
+    this._inFlight = true;
+    const batch = this._queue.takeBatch();
+    const { client, health, topic, timeoutMs } = this._options;
+    // Read-back proves that the append took effect, also when its acknowledgement is late or lost.
+    const readBack = new Promise<common.Outcome<number, LogFailure>>((resolve) => {
+      this._checkReadBack = () => {
+        if (!this._queue.hasAny(batch)) {
+          resolve(common.succeed(0));
+        }
+      };
+    });
+    void health
+      .append(() => Promise.race([client.append(topic, batch, timeoutMs), readBack]))
+      .then((outcome) => this.post({ kind: 'appended', batch, outcome }));
+  }
+
+  private _takeOutcome(batch: Batch<Body>, outcome: common.Outcome<number, LogFailure> | undefined): void {
+    this._checkReadBack = undefined;
+    if (outcome?.ok) {
+      this._inFlight = false;
+      this._backoff.reset();
+      this._queue.acknowledge(batch);
+      this._flush();
+      return;
+    }
+    const retryAfterMs = this._options.health.retryAfterMs();
+    if (retryAfterMs !== undefined) {
+      this._queue.refuseQueued('the log is down', retryAfterMs);
+    }
+    this.postAfter(this._backoff.nextMs(), () => ({ kind: 'retry' }));
+  }
+
+  private _armExpiry(): void {
+    const earliestMs = this._queue.earliestDeadlineMs;
+    if (!this._expiryArmed && earliestMs !== undefined) {
+      this._expiryArmed = true;
+      this.postAfter(Math.max(0, Math.ceil(earliestMs - this._context.now())), () => ({ kind: 'expire' }));
+    }
+  }
+
+  private _expire(): void {
+    this._expiryArmed = false;
+    this._queue.expire(this._context.now(), this._options.health.retryAfterMs() ?? defaultRetryAfterMs);
+    this._armExpiry();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/log/TopicReplica.ts
@@ -0,0 +1,351 @@
+import * as common from '@jayhaven/common';
+import type { AppendOutcome } from './AppendQueue.js';
+import { Backoff } from './Backoff.js';
+import type { LogClient } from './LogClient.js';
+import type { LogHealth } from './LogHealth.js';
+import { OffsetWaiters } from './OffsetWaiters.js';
+import { ReadMonitor } from './ReadMonitor.js';
+import { RecordRing } from './RecordRing.js';
+import { SnapshotStore } from './SnapshotStore.js';
+import { TopicAppender } from './TopicAppender.js';
+import type {
+  LogFailure,
+  PeerRecords,
+  PeerSource,
+  RawRecord,
+  ReplicaContext,
+  StateImage,
+  TopicChange,
+  TopicRules,
+} from './Types.js';
+
+/** Time that the log holds a long poll without records. */
+const pollWaitMs = 1000;
+const tickMs = 250;
+/** Settings of a replica. Times in milliseconds. */
+export interface ReplicaOptions<Body, State> {
+  readonly topic: string;
+  readonly rules: TopicRules<Body, State>;
+  readonly client: LogClient;
+  readonly health: LogHealth;
+  readonly peers: PeerSource;
+  readonly timeoutMs: number;
+}
+
+type ReplicaMessage =
+  | { readonly kind: 'start' }
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'poll' }
+  | { readonly kind: 'polled'; readonly outcome: common.Outcome<readonly RawRecord[], LogFailure> }
+  | { readonly kind: 'peerRecords'; readonly answer: PeerRecords | undefined }
+  | { readonly kind: 'recovered'; readonly images: readonly StateImage[]; readonly starting: boolean };
+
+/**
+ * Replays one topic in offset order, and appends to it with group commit. An append resolves once its record has been
+ * read back and replayed. While the log cannot be read, records come from peers.
+ */
+export class TopicReplica<Body, State> extends common.Task<ReplicaMessage> {
+  private readonly _appender: TopicAppender<Body>;
+  private readonly _ring = new RecordRing();
+  private readonly _snapshots: SnapshotStore;
+  private readonly _changes = new common.Emitter<TopicChange<Body, State>>();
+  private readonly _replacements = new common.Emitter<State>();
+  private readonly _positions = new OffsetWaiters();
+  private readonly _monitor: ReadMonitor;
+  private readonly _readBackoff = new Backoff();
+  private _state: State;
+  private _nextOffset = 0;
+  private _highestSeenOffset = -1;
+  private _source: 'log' | 'peers' | 'none' = 'none';
+  private _polling = false;
+  private _recovering = false;
+  private _askingPeers = false;
+  private _snapshotTakenAtMs = 0;
+  private _stopped = false;
+
+  /** A change of state by one record. */
+  public readonly onChange = this._changes.event;
+  /** The state was replaced as a whole, by a snapshot or by a peer's state. */
+  public readonly onReplaced = this._replacements.event;
+
+  public constructor(
+    private readonly _context: ReplicaContext,
+    private readonly _options: ReplicaOptions<Body, State>,
+  ) {
+    super();
+    this._state = _options.rules.empty;
+    this._appender = new TopicAppender(_context, _options);
+    this._snapshots = new SnapshotStore(_options.client, `${_options.topic}-snapshots`, _options.timeoutMs);
+    this._monitor = new ReadMonitor(pollWaitMs, _context.now());
+    this.post({ kind: 'start' });
+    this.postEvery(tickMs, () => ({ kind: 'tick' }));
+  }
+
+  public get state(): State {
+    return this._state;
+  }
+
+  /** Offset of the next record to apply. */
+  public get nextOffset(): number {
+    return this._nextOffset;
+  }
+
+  /** Highest offset that the log or a peer has shown. */
+  public get highestSeenOffset(): number {
+    return Math.max(this._highestSeenOffset, this._nextOffset - 1);
+  }
+
+  /** Where the last records came from. */
+  public get source(): 'log' | 'peers' | 'none' {
+    return this._source;
+  }
+
+  /** Wall clock of the newest snapshot that this replica wrote or started from; 0 if there was none. */
+  public get snapshotTakenAtMs(): number {
+    return this._snapshotTakenAtMs;
+  }
+
+  /** Whether the topic is read from the log at present. */
+  public get isReadingFromLog(): boolean {
+    return this._monitor.isReadingFromLog(this._context.now());
+  }
+
+  /** Appends a record and resolves once it has been read back and replayed. */
+  public append(body: Body, timeoutMs: number): Promise<AppendOutcome> {
+    return this._appender.append(body, timeoutMs);
+  }
+
+  /** Notes an offset that a peer has applied. */
+  public noteOffset(offset: number): void {
+    this._highestSeenOffset = Math.max(this._highestSeenOffset, offset);
+  }
+
+  /** Resolves with true once all records below an offset are applied, or with false after the timeout. */
+  public waitFor(nextOffset: number, timeoutMs: number): Promise<boolean> {
+    return this._positions.wait(nextOffset, this._nextOffset, timeoutMs);
+  }
+
+  /** Resolves with true once everything that the log holds at the time of the call is applied. */
+  public async catchUp(timeoutMs: number): Promise<boolean> {
+    const startedMs = this._context.now();
+    const range = await this._options.client.offsets(this._options.topic, timeoutMs);
+    if (!range.ok) {
+      return false;
+    }
+    this.noteOffset(range.value.end - 1);
+    return this.waitFor(range.value.end, Math.max(0, timeoutMs - (this._context.now() - startedMs)));
+  }
+
+  /** Recent records for a peer; waits up to `waitMs` while there are none. */
+  public async recordsAfter(offset: number, waitMs: number): Promise<PeerRecords> {
+    if (offset >= this._nextOffset) {
+      await this.waitFor(offset + 1, waitMs);
+    }
+    return this._ring.from(offset, this._nextOffset);
+  }
+
+  /** The whole state for a peer or a snapshot. */
+  public image(): StateImage {
+    const state = this._options.rules.encode(this._state);
+    return { nextOffset: this._nextOffset, state, takenAtMs: this._context.wallNow() };
+  }
+
+  /** Writes a snapshot of the present state. */
+  public async writeSnapshot(): Promise<boolean> {
+    if (this._nextOffset === 0) {
+      return false;
+    }
+    const image = this.image();
+    const written = await this._snapshots.write(image);
+    if (written.ok) {
+      this._snapshotTakenAtMs = image.takenAtMs;
+    }
+    return written.ok;
+  }
+
+  public override async [Symbol.asyncDispose](): Promise<void> {
+    this._stopped = true;
+    this._positions.close();
+    await this._appender[Symbol.asyncDispose]();
+    this._options.health.setReadable(this._options.topic, true);
+    await super[Symbol.asyncDispose]();
+  }
+
+  protected override handle(message: ReplicaMessage): void {
+    if (this._stopped) {
+      return;
+    }
+    switch (message.kind) {
+      case 'start':
+        this._recover(true);
+        break;
+      case 'tick':
+        this._checkSource();
+        break;
+      case 'poll':
+        this._poll();
+        break;
+      case 'polled':
+        this._takePoll(message.outcome);
+        break;
+      case 'peerRecords':
+        this._takePeerRecords(message.answer);
+        break;
+      case 'recovered':
+        this._takeImages(message.images, message.starting);
+        break;
+    }
+  }
+
+  private _poll(): void {
+    if (this._polling) {
+      return;
+    }
+    this._polling = true;
+    this._monitor.pollStarted(this._context.now());
+    const { client, topic, timeoutMs } = this._options;
+    void client
+      .read(topic, this._nextOffset, pollWaitMs, pollWaitMs + timeoutMs)
+      .then((outcome) => this.post({ kind: 'polled', outcome }));
+  }
+
+  private _takePoll(outcome: common.Outcome<readonly RawRecord[], LogFailure>): void {
+    const { health, topic } = this._options;
+    this._polling = false;
+    if (outcome.ok) {
+      this._monitor.pollSucceeded();
+      health.setReadable(topic, true);
+      this._source = 'log';
+      if (this._apply(outcome.value)) {
+        this._readBackoff.reset();
+        this._poll();
+      }
+    } else if (outcome.failure.kind === 'belowBeginning') {
+      this._monitor.pollSucceeded();
+      this._recover(false);
+    } else {
+      this._monitor.pollFailed(this._context.now());
+      health.setReadable(topic, !this._monitor.isDown);
+      this._askPeers();
+      this.postAfter(this._readBackoff.nextMs(), () => ({ kind: 'poll' }));
+    }
+  }
+
+  /** Applies the records that follow the last applied one; earlier ones came twice. Returns false at a gap. */
+  private _apply(records: readonly RawRecord[]): boolean {
+    for (const raw of records) {
+      if (raw.offset > this._nextOffset) {
+        this._recover(false);
+        return false;
+      }
+      if (raw.offset === this._nextOffset) {
+        this._ring.push(raw);
+        this._nextOffset = raw.offset + 1;
+        this._replay(raw);
+      }
+    }
+    this._positions.advance(this._nextOffset);
+    this._appender.readBackDone();
+    return true;
+  }
+
+  private _replay(raw: RawRecord): void {
+    const envelope = this._options.rules.parse(raw.value);
+    if (!envelope) {
+      this._context.logger.warn('a record is malformed and has no effect', { offset: raw.offset });
+      return;
+    }
+    const record = { ...envelope, offset: raw.offset };
+    this._context.clock.receive(record.clock);
+    const { state, verdict } = this._options.rules.replay(this._state, record);
+    this._state = state;
+    this._changes.fire({ record, verdict, state });
+    this._appender.settle(record, verdict);
+  }
+
+  private _checkSource(): void {
+    const nowMs = this._context.now();
+    this._monitor.setBehind(this._highestSeenOffset >= this._nextOffset, nowMs);
+    if (this._monitor.needsPeers(nowMs)) {
+      this._askPeers();
+    }
+  }
+
+  private _askPeers(): void {
+    if (this._askingPeers || this._recovering) {
+      return;
+    }
+    this._askingPeers = true;
+    void this._options.peers
+      .recordsAfter(this._options.topic, this._nextOffset)
+      .then((answer) => this.post({ kind: 'peerRecords', answer }));
+  }
+
+  private _takePeerRecords(answer: PeerRecords | undefined): void {
+    this._askingPeers = false;
+    if (!answer) {
+      return;
+    }
+    this.noteOffset(answer.nextOffset - 1);
+    if (answer.kind === 'gap') {
+      this._recover(false);
+      return;
+    }
+    // A poll in flight may return the same records later; they are skipped by offset.
+    if (answer.records.length > 0) {
+      this._source = this.isReadingFromLog ? this._source : 'peers';
+      this._apply(answer.records);
+    }
+    if (this._monitor.needsPeers(this._context.now())) {
+      this._askPeers();
+    }
+  }
+
+  /** Looks for a whole state that is further than the own one: the newest snapshot, else a peer's state. */
+  private _recover(starting: boolean): void {
+    if (this._recovering) {
+      return;
+    }
+    this._recovering = true;
+    void this._findImages(starting).then((images) => this.post({ kind: 'recovered', images, starting }));
+  }
+
+  private async _findImages(starting: boolean): Promise<readonly StateImage[]> {
+    const snapshot = await this._snapshots.readNewest();
+    const found = snapshot.ok && snapshot.value ? [snapshot.value] : [];
+    const beyond = Math.max(this._nextOffset, ...found.map((image) => image.nextOffset));
+    if (!starting || !snapshot.ok) {
+      const image = await this._options.peers.state(this._options.topic, beyond);
+      return image ? [...found, image] : found;
+    }
+    return found;
+  }
+
+  private _takeImages(images: readonly StateImage[], starting: boolean): void {
+    this._recovering = false;
+    const before = this._nextOffset;
+    for (const image of images) {
+      this._adopt(image);
+    }
+    if (starting || this._nextOffset > before) {
+      this._poll();
+    } else {
+      this.postAfter(this._readBackoff.nextMs(), () => ({ kind: 'poll' }));
+    }
+  }
+
+  /** Replaces the state by one that is further; never goes back. */
+  private _adopt(image: StateImage): void {
+    const state = image.nextOffset > this._nextOffset ? this._options.rules.decode(image.state) : undefined;
+    if (state === undefined) {
+      return;
+    }
+    this._state = state;
+    this._nextOffset = image.nextOffset;
+    this._snapshotTakenAtMs = Math.max(this._snapshotTakenAtMs, image.takenAtMs);
+    this._ring.clear();
+    this._context.logger.info('took over a whole state', { nextOffset: image.nextOffset });
+    this._replacements.fire(state);
+    this._positions.advance(this._nextOffset);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/log/Types.ts
@@ -0,0 +1,73 @@
+import type * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+
+/** A record as the log service returns it, before its value is checked. */
+export interface RawRecord {
+  readonly offset: number;
+  readonly value: unknown;
+}
+
+/** Offsets of a topic: the first kept record and the next one to be written. */
+export interface TopicOffsets {
+  readonly beginning: number;
+  readonly end: number;
+}
+
+/** Why a call to the log service has no result. */
+export type LogFailure =
+  /** The offset is below the first kept record. */
+  | { readonly kind: 'belowBeginning'; readonly message: string }
+  /** The service did not answer, or answered with an error; an append may still take effect. */
+  | { readonly kind: 'unavailable'; readonly message: string };
+
+/** Result of replaying one record. */
+export interface Replayed<State> {
+  readonly state: State;
+  readonly verdict: decisions.Verdict;
+}
+
+/** Pure functions of one kind of topic. */
+export interface TopicRules<Body, State> {
+  readonly empty: State;
+  parse(value: unknown): decisions.RecordEnvelope<Body> | undefined;
+  replay(state: State, record: decisions.LogRecord<Body>): Replayed<State>;
+  encode(state: State): unknown;
+  decode(value: unknown): State | undefined;
+}
+
+/** A replayed record. */
+export interface TopicChange<Body, State> {
+  readonly record: decisions.LogRecord<Body>;
+  readonly verdict: decisions.Verdict;
+  readonly state: State;
+}
+
+/** A whole state with the offset of the next record to apply. */
+export interface StateImage {
+  readonly nextOffset: number;
+  readonly state: unknown;
+  /** Wall clock at which it was encoded, milliseconds. */
+  readonly takenAtMs: number;
+}
+
+/** What a peer answers to a request for records. */
+export type PeerRecords =
+  /** `nextOffset` is the next offset that the peer will apply. */
+  | { readonly kind: 'records'; readonly records: readonly RawRecord[]; readonly nextOffset: number }
+  /** The peer keeps no record that old; a whole state is needed. */
+  | { readonly kind: 'gap'; readonly nextOffset: number };
+
+/** Where a replica gets records and states from while it cannot read the log. */
+export interface PeerSource {
+  recordsAfter(topic: string, offset: number): Promise<PeerRecords | undefined>;
+  state(topic: string, aboveOffset: number): Promise<StateImage | undefined>;
+}
+
+/** Clocks and identity that a replica needs. */
+export interface ReplicaContext {
+  readonly incarnation: common.Incarnation;
+  readonly logger: common.Logger;
+  readonly clock: common.HybridClock;
+  readonly now: () => number;
+  readonly wallNow: () => number;
+}
--- /dev/null
+++ b/packages/daemon/src/peers/PeerGroup.ts
@@ -0,0 +1,229 @@
+import * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+import * as zod from 'zod';
+import type { DaemonContext, PeerFailure, PeerMember, Peers } from '../Types.js';
+import { LeavingHints } from './LeavingHints.js';
+import { RpcClient } from './RpcClient.js';
+import { RpcServer } from './RpcServer.js';
+import { SuspicionTable } from './SuspicionTable.js';
+import { TrafficCounter } from './TrafficCounter.js';
+import type { AnswerEnvelope, CallEnvelope, PeerTraffic } from './Types.js';
+
+/** Addresses of callers whose `daemonJoined` is not replayed; bounds the memory. */
+const maximumLearnedAddresses = 64;
+
+const clockSchema = zod.object({ wallMs: zod.number(), counter: zod.number() });
+const callSchema = zod.object({
+  caller: zod.string(),
+  callee: zod.string().optional(),
+  clock: clockSchema,
+  body: zod.unknown(),
+});
+const answerSchema = zod.object({ callee: zod.string(), clock: clockSchema, body: zod.unknown() });
+
+type Handler = (parameters: unknown, caller: common.Incarnation) => Promise<unknown>;
+
+/** Answer of a call by address. */
+export interface AddressedAnswer {
+  readonly callee: common.Incarnation;
+  readonly body: unknown;
+}
+
+/** The daemons of the cell, as the control topic names them, and calls to them. */
+export class PeerGroup implements Peers, AsyncDisposable {
+  public readonly hints = new LeavingHints();
+  private readonly _suspicions = new SuspicionTable();
+  private readonly _traffic = new TrafficCounter();
+  private readonly _client = new RpcClient(this._traffic);
+  private readonly _server = new RpcServer(this._traffic);
+  private readonly _handlers = new Map<string, Handler>();
+  private readonly _learned = new Map<common.Incarnation, decisions.Address>();
+  private readonly _membersChanged = new common.Emitter<undefined>();
+  private readonly _leavingHints = new common.Emitter<readonly common.VmName[]>();
+  private _daemons: decisions.ControlState['daemons'] = new Map();
+  private _members: readonly PeerMember[];
+
+  public constructor(
+    private readonly _context: DaemonContext,
+    private readonly _self: common.Incarnation,
+  ) {
+    this._members = this._buildMembers();
+  }
+
+  public get members(): readonly PeerMember[] {
+    return this._members;
+  }
+
+  public get suspicions(): SuspicionTable {
+    return this._suspicions;
+  }
+
+  /** Bytes on the sockets between daemons since the start. */
+  public get traffic(): PeerTraffic {
+    return this._traffic.total;
+  }
+
+  /** Where this daemon is reached. */
+  public get address(): decisions.Address {
+    return { host: this._context.settings.listen.peers.host, port: this._server.port };
+  }
+
+  public readonly onMembersChanged = (listener: () => void): common.Unsubscribe => this._membersChanged.event(listener);
+
+  public readonly onLeavingHints = this._leavingHints.event;
+
+  /** Starts listening; rejects when the address cannot be bound. */
+  public async listen(): Promise<void> {
+    await this._server.listen(this._context.settings.listen.peers);
+  }
+
+  public setLeavingHints(vms: readonly common.VmName[]): void {
+    this.hints.setOwn(vms);
+  }
+
+  /** Reports hints that have come from a peer to the listeners. */
+  public fireLeavingHints(): void {
+    this._leavingHints.fire(this.hints.list(this._context.now()));
+  }
+
+  /** Takes over the daemons of a newly replayed state. */
+  public setDaemons(daemons: decisions.ControlState['daemons']): void {
+    if (daemons !== this._daemons) {
+      this._daemons = daemons;
+      this._suspicions.keepOnly(new Set([...daemons.keys(), ...this._learned.keys()]));
+      this.refresh();
+    }
+  }
+
+  /** Rebuilds the list of members, and reports a change of it. */
+  public refresh(): void {
+    const members = this._buildMembers();
+    const changed =
+      members.length !== this._members.length ||
+      members.some((member, index) => {
+        const old = this._members[index];
+        return old?.incarnation !== member.incarnation || old.suspected !== member.suspected;
+      });
+    if (changed) {
+      this._members = members;
+      this._membersChanged.fire(undefined);
+    }
+  }
+
+  /** Notes where a caller is reached whose `daemonJoined` is not replayed yet. */
+  public learnAddress(incarnation: common.Incarnation, address: decisions.Address): void {
+    if (this._daemons.has(incarnation)) {
+      this._learned.delete(incarnation);
+      return;
+    }
+    this._learned.delete(incarnation);
+    this._learned.set(incarnation, address);
+    const oldest = this._learned.keys().next().value;
+    if (this._learned.size > maximumLearnedAddresses && oldest !== undefined) {
+      this._learned.delete(oldest);
+    }
+  }
+
+  public handle(method: string, handler: Handler): void {
+    this._handlers.set(method, handler);
+    this._server.addMethod(method, (parameters) => this._serve(handler, parameters));
+  }
+
+  public async call(
+    incarnation: common.Incarnation,
+    method: string,
+    parameters: unknown,
+    timeoutMs: number,
+  ): Promise<common.Outcome<unknown, PeerFailure>> {
+    if (incarnation === this._self) {
+      return this._callSelf(method, parameters);
+    }
+    const address = this._daemons.get(incarnation)?.peers ?? this._learned.get(incarnation);
+    if (!address) {
+      return common.fail({ kind: 'unreachable', message: `${incarnation} is not a member` });
+    }
+    const answer = await this.callAddress(address, method, parameters, timeoutMs, incarnation);
+    return answer.ok ? common.succeed(answer.value.body) : answer;
+  }
+
+  /** Calls whoever listens at an address, or only the expected incarnation there. */
+  public async callAddress(
+    address: decisions.Address,
+    method: string,
+    parameters: unknown,
+    timeoutMs: number,
+    expected?: common.Incarnation,
+  ): Promise<common.Outcome<AddressedAnswer, PeerFailure>> {
+    const envelope: CallEnvelope = {
+      caller: this._self,
+      clock: this._context.clock.stamp(this._context.wallNow()),
+      body: parameters,
+      ...(expected === undefined ? {} : { callee: expected }),
+    };
+    const outcome = await this._client.call(address, method, { ...envelope }, timeoutMs);
+    if (!outcome.ok) {
+      return outcome;
+    }
+    const answer = answerSchema.safeParse(outcome.value);
+    if (!answer.success) {
+      return common.fail({ kind: 'error', message: `the answer to ${method} is malformed` });
+    }
+    const { callee, clock, body } = answer.data;
+    this._context.clock.receive(clock);
+    this.heard(callee);
+    if (expected !== undefined && callee !== expected) {
+      // Two processes cannot listen on one port, so the expected one is gone.
+      return common.fail({ kind: 'refused', message: `${callee} has taken over the port of ${expected}` });
+    }
+    return common.succeed({ callee, body });
+  }
+
+  /** Withdraws a suspicion, because the member has answered or made a call. */
+  public heard(incarnation: common.Incarnation): void {
+    const wasSuspected = this._suspicions.isSuspected(incarnation, this._context.now());
+    this._suspicions.heard(incarnation, this._context.now());
+    if (wasSuspected) {
+      this.refresh();
+    }
+  }
+
+  public async [Symbol.asyncDispose](): Promise<void> {
+    await this._client[Symbol.asyncDispose]();
+    await this._server[Symbol.asyncDispose]();
+  }
+
+  private _buildMembers(): readonly PeerMember[] {
+    const nowMs = this._context.now();
+    const { name, failureDomain } = this._context.settings.daemon;
+    const self = { incarnation: this._self, daemon: name, failureDomain, suspected: false, self: true };
+    const others: PeerMember[] = [];
+    for (const { incarnation, daemon, failureDomain, state } of this._daemons.values()) {
+      if (state === 'joined' && incarnation !== this._self) {
+        const suspected = this._suspicions.isSuspected(incarnation, nowMs);
+        others.push({ incarnation, daemon, failureDomain, suspected, self: false });
+      }
+    }
+    return [self, ...others];
+  }
+
+  private async _serve(handler: Handler, parameters: unknown): Promise<AnswerEnvelope> {
+    const { caller, callee, clock, body } = callSchema.parse(parameters);
+    this._context.clock.receive(clock);
+    this.heard(caller);
+    const isForSelf = callee === undefined || callee === this._self;
+    const answer = isForSelf ? await handler(body, caller) : null;
+    return { callee: this._self, clock: this._context.clock.stamp(this._context.wallNow()), body: answer ?? null };
+  }
+
+  private async _callSelf(method: string, parameters: unknown): Promise<common.Outcome<unknown, PeerFailure>> {
+    const handler = this._handlers.get(method);
+    if (!handler) {
+      return common.fail({ kind: 'error', message: `method ${method} is not known` });
+    }
+    try {
+      return common.succeed(await handler(parameters, this._self));
+    } catch (error) {
+      return common.fail({ kind: 'error', message: String(error) });
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/RpcClient.ts
@@ -0,0 +1,125 @@
+import * as http from 'node:http';
+import * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+import { JSONRPCClient, isJSONRPCResponse, type JSONRPCResponse } from 'json-rpc-2.0';
+import type { PeerFailure } from '../Types.js';
+import type { TrafficCounter } from './TrafficCounter.js';
+
+/** Calls in flight to one peer; a peer that hangs must not hold more memory. */
+const maximumCallsPerPeer = 64;
+/** Holds a whole state of the control topic. */
+const maximumAnswerBytes = 64 * 1024 * 1024;
+
+interface Call {
+  readonly address: decisions.Address;
+  readonly timeoutMs: number;
+  /** Kept here because the JSON-RPC client passes on only the message of an error. */
+  failure: PeerFailure | undefined;
+}
+
+class CallError extends Error {
+  public constructor(public readonly failure: PeerFailure) {
+    super(failure.message);
+  }
+}
+
+/** JSON-RPC 2.0 calls over HTTP with keep-alive. */
+export class RpcClient implements AsyncDisposable {
+  private readonly _agent = new http.Agent({ keepAlive: true, maxSockets: maximumCallsPerPeer });
+  private readonly _inFlight = new Map<string, number>();
+  private readonly _client: JSONRPCClient<Call>;
+
+  public constructor(private readonly _traffic: TrafficCounter) {
+    this._client = new JSONRPCClient<Call>(async (payload: unknown, call: Call) => {
+      try {
+        this._client.receive(await this._post(payload, call, true));
+      } catch (error) {
+        call.failure = error instanceof CallError ? error.failure : undefined;
+        throw error;
+      }
+    });
+  }
+
+  /** Calls a method at an address. */
+  public async call(
+    address: decisions.Address,
+    method: string,
+    parameters: Readonly<Record<string, unknown>>,
+    timeoutMs: number,
+  ): Promise<common.Outcome<unknown, PeerFailure>> {
+    const peer = `${address.host}:${address.port}`;
+    const inFlight = this._inFlight.get(peer) ?? 0;
+    if (inFlight >= maximumCallsPerPeer) {
+      return common.fail({ kind: 'error', message: `${inFlight} calls to ${peer} are in flight` });
+    }
+    this._inFlight.set(peer, inFlight + 1);
+    const call: Call = { address, timeoutMs, failure: undefined };
+    try {
+      return common.succeed(await this._client.request(method, parameters, call));
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      return common.fail(call.failure ?? { kind: 'error', message });
+    } finally {
+      this._release(peer);
+    }
+  }
+
+  public [Symbol.asyncDispose](): Promise<void> {
+    this._agent.destroy();
+    return Promise.resolve();
+  }
+
+  private _release(peer: string): void {
+    const inFlight = (this._inFlight.get(peer) ?? 1) - 1;
+    if (inFlight === 0) {
+      this._inFlight.delete(peer);
+    } else {
+      this._inFlight.set(peer, inFlight);
+    }
+  }
+
+  private _post(payload: unknown, call: Call, mayRepeat: boolean): Promise<JSONRPCResponse> {
+    return new Promise((resolve, reject) => {
+      const body = Buffer.from(JSON.stringify(payload));
+      const { host, port } = call.address;
+      const headers = { 'content-type': 'application/json', 'content-length': body.length };
+      const request = http.request({ host, port, path: '/rpc', method: 'POST', agent: this._agent, headers });
+      const timer = setTimeout(() => {
+        reject(new CallError({ kind: 'timeout', message: `no answer within ${call.timeoutMs} ms` }));
+        request.destroy();
+      }, call.timeoutMs);
+      request.on('socket', (socket) => {
+        this._traffic.add(socket);
+      });
+      request.on('error', (error: NodeJS.ErrnoException) => {
+        clearTimeout(timer);
+        if (mayRepeat && request.reusedSocket && error.code === 'ECONNRESET') {
+          // The peer closed an idle connection at the moment of the call. All methods may be repeated.
+          this._post(payload, call, false).then(resolve, reject);
+          return;
+        }
+        const kind = error.code === 'ECONNREFUSED' ? 'refused' : 'unreachable';
+        reject(new CallError({ kind, message: error.message }));
+      });
+      request.on('response', (response) => {
+        readAnswer(response)
+          .then(resolve, (error: unknown) => {
+            reject(new CallError({ kind: 'unreachable', message: String(error) }));
+          })
+          .finally(() => {
+            clearTimeout(timer);
+          });
+      });
+      request.end(body);
+    });
+  }
+}
+
+async function readAnswer(response: http.IncomingMessage): Promise<JSONRPCResponse> {
+  const text = await common.readBody(response, maximumAnswerBytes);
+  const answer: unknown = JSON.parse(text);
+  if (!isJSONRPCResponse(answer)) {
+    throw new Error(`answer with status ${response.statusCode ?? 0} is not JSON-RPC`);
+  }
+  return answer;
+}
--- /dev/null
+++ b/packages/daemon/src/peers/Types.ts
@@ -0,0 +1,48 @@
+import type * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+
+/** Parameters of every call between daemons. */
+export interface CallEnvelope {
+  readonly caller: common.Incarnation;
+  /** Whom the caller means to reach; absent if it only knows an address. */
+  readonly callee?: common.Incarnation;
+  readonly clock: common.HybridTime;
+  readonly body: unknown;
+}
+
+/** Result of every call between daemons. */
+export interface AnswerEnvelope {
+  readonly callee: common.Incarnation;
+  readonly clock: common.HybridTime;
+  readonly body: unknown;
+}
+
+/** A suspicion that is passed on; `ageMs` is the time since the last missed answer. */
+export interface PassedSuspicion {
+  readonly incarnation: common.Incarnation;
+  readonly ageMs: number;
+}
+
+/** A leaving VM that is passed on; `ageMs` is the time since its origin confirmed it. */
+export interface PassedHint {
+  readonly vm: common.VmName;
+  readonly ageMs: number;
+}
+
+/** Content of a heartbeat and of its answer. */
+export interface HeartbeatBody {
+  /** Offset of the last applied record of the control topic. */
+  readonly appliedOffset: number;
+  /** The member that is known to be furthest, with its offset. */
+  readonly furthest: { readonly incarnation: common.Incarnation; readonly offset: number };
+  readonly leaving: readonly PassedHint[];
+  readonly suspected: readonly PassedSuspicion[];
+  /** Lets a daemon be called before its `daemonJoined` is replayed. */
+  readonly address: decisions.Address;
+}
+
+/** Bytes on the sockets between daemons. */
+export interface PeerTraffic {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+}
