--- a/packages/common/src/settings/daemonSettings.test.ts
+++ b/packages/common/src/settings/daemonSettings.test.ts
@@ -79,6 +79,7 @@
     ['a URL with a host name', 'http://127.0.0.1:8100/', 'http://log.example:8100/'],
     ['the same address twice', 'operators = 127.0.0.1:8070', 'operators = 127.0.0.1:8080'],
     ['an operator of an unknown partner', 'partner = solano', 'partner = solana'],
+    ['a partner with a reserved name', '[partner solano]', '[partner solano]\n[partner shared]'],
     ['a key in plain text', `key_sha256 = ${hash.toUpperCase()}`, 'key_sha256 = secret'],
     ['a setting outside sections', '[daemon]', ''],
   ])('refuses %s (guards against a daemon that nobody reaches)', (_, good, bad) => {
--- a/packages/common/src/settings/daemonSettings.ts
+++ b/packages/common/src/settings/daemonSettings.ts
@@ -12,6 +12,9 @@
 const dayMs = 24 * hourMs;
 const mebibyte = 1024 * 1024;
 
+/** First segment of configuration keys that no partner owns. */
+const reservedName = 'shared';
+
 const logLevels = ['fatal', 'error', 'warn', 'info', 'debug', 'trace', 'silent'] as const;
 
 const daemonFields = {
@@ -126,6 +129,10 @@
   if (partners.length === 0) {
     checker.report({ section: 'partner', message: 'no partner is defined', expected: 'at least one [partner NAME]' });
   }
+  if (partners.includes(reservedName)) {
+    const message = `"${reservedName}" names the keys that concern all partners`;
+    checker.report({ section: `partner ${reservedName}`, ...checker.lineOf(`partner ${reservedName}`, ''), message });
+  }
   checkCredentials(checker, [...sections.callers, ...sections.operators], partners);
 }
 
--- a/packages/daemon/src/operators/EditService.ts
+++ b/packages/daemon/src/operators/EditService.ts
@@ -1,4 +1,4 @@
-import type * as decisions from '@jayhaven/decisions';
+import * as decisions from '@jayhaven/decisions';
 import type * as z from 'zod';
 import type { AppendFailure, ControlLog, Credential } from '../Types.js';
 import { errorAnswer, okAnswer } from './answers.js';
@@ -6,8 +6,6 @@
 import type { Answer } from './Types.js';
 import { viewHistoryEntry } from './views.js';
 
-const sharedPrefix = 'shared/';
-
 /** HTTP status of a record that replay rejected; 409 for rules not listed. */
 const statusOfRule: Readonly<Record<string, number>> = {
   foreignKey: 403,
@@ -69,17 +67,20 @@
   }
 
   /** Rules that are known before the log is asked; replay checks them again. */
-  private _refuse(operator: Credential, { key, reason }: z.output<typeof editBody>): Answer | undefined {
+  private _refuse(operator: Credential, { key, value, reason }: z.output<typeof editBody>): Answer | undefined {
     const [owner = ''] = key.split('/');
-    if (!key.startsWith(sharedPrefix) && owner !== operator.partner) {
-      return this._partners.includes(owner)
-        ? errorAnswer(403, 'foreign_key', `"${key}" belongs to ${owner}; you act for ${operator.partner}`)
-        : errorAnswer(422, 'unknown_key', `"${key}" starts with no partner; yours start with "${operator.partner}/"`);
+    if (owner !== operator.partner && this._partners.includes(owner)) {
+      return errorAnswer(403, 'foreign_key', `"${key}" belongs to ${owner}; you act for ${operator.partner}`);
+    }
+    const parsed = decisions.parseConfigurationKey(key);
+    if (!parsed || !this._partners.includes(parsed.partner)) {
+      return errorAnswer(422, 'unknown_key', `key "${key}" does not exist`);
     }
-    if (key.split('/')[1] === 'exceptions' && reason.trim() === '') {
+    if (parsed.kind === 'exception' && reason.trim() === '') {
       return errorAnswer(422, 'missing_reason', `"${key}" is an exception and needs a written reason`);
     }
-    return undefined;
+    const fault = decisions.findValueFault(parsed, value);
+    return fault === undefined ? undefined : errorAnswer(422, 'invalid_value', `value of "${key}": ${fault}`);
   }
 
   private _failed(failure: AppendFailure, subject: Readonly<Record<string, unknown>>): Answer {
--- a/packages/daemon/src/operators/openOperators.test.ts
+++ b/packages/daemon/src/operators/openOperators.test.ts
@@ -230,6 +230,8 @@
     ['an exception without a reason', { ...edit, key: 'solano/exceptions/m/queueLimit', reason: ' ' }],
     ['an edit without the version it is based on', { ...edit, basedOn: undefined }],
     ['a key of nobody', { ...edit, key: 'nobody/defaults/queueLimit' }],
+    ['a field that does not exist', { ...edit, key: 'solano/defaults/queueLimits' }],
+    ['a value of another type', { ...edit, value: 'sixty' }],
     ['an unknown member', { ...edit, force: true }],
   ])('refuses %s (guards against edits that nobody can explain)', async (_, body) => {
     expect(await fixture.current.call('POST', '/v1/edits', body)).toMatchObject({ status: 422 });
--- a/packages/daemon/src/operators/views.ts
+++ b/packages/daemon/src/operators/views.ts
@@ -1,6 +1,5 @@
 /** Turns the replayed state into what operators read. Maps become lists; times become ISO 8601. */
-import type * as decisions from '@jayhaven/decisions';
-import { freeBytes, replicasOn } from './memory.js';
+import * as decisions from '@jayhaven/decisions';
 import type { ClusterAnswers, DaemonStatus } from './Types.js';
 
 /** Formats a wall-clock time. */
@@ -67,8 +66,8 @@
       fencing: target.fencing,
       fence: state.fences.get(target.address) ?? null,
       acceleratorBytes: target.acceleratorBytes,
-      freeBytes: freeBytes(state, target),
-      replicas: replicasOn(state, target.address).map(viewReplica),
+      freeBytes: decisions.freeBytes(state, target.address),
+      replicas: [...state.replicas.values()].filter((entry) => entry.target === target.address).map(viewReplica),
       orders: [...state.orders.values()].filter((order) => order.target === target.address).map(viewOrder),
     })),
   );
