Add the operators' command line

An edit is based on the version in force unless the operator names one, and the command waits until every daemon has applied it.

--- /dev/null
+++ b/packages/cli/src/commands/RefusalsCommand.ts
@@ -0,0 +1,30 @@
+import * as oclif from '@oclif/core';
+import { BaseCommand, connectionFlags } from '../BaseCommand.js';
+import { formatHistory } from '../output/history.js';
+import { formatTable } from '../output/table.js';
+import * as responses from '../responses.js';
+
+/** `jayhaven refusals`. */
+export class RefusalsCommand extends BaseCommand {
+  public static override summary = 'Show rejected edits and records by rule.';
+  public static override examples = ['<%= config.bin %> refusals', '<%= config.bin %> refusals --rule staleEdit'];
+  public static override flags = {
+    rule: oclif.Flags.string({ summary: 'Only edits that this rule rejected.', helpValue: 'RULE' }),
+    limit: oclif.Flags.integer({ char: 'n', summary: 'Number of edits.', default: 50, min: 1 }),
+    ...connectionFlags,
+  };
+
+  public async run(): Promise<unknown> {
+    const { flags } = await this.parse(RefusalsCommand);
+    const client = await this.connect(flags);
+    const query = { rule: flags.rule, limit: flags.limit };
+    const answer = this.take(await client.get('/v1/refusals', query, responses.refusals));
+    this.log(formatHistory(answer.refusals, 'No rejected edits.'));
+    const rows = answer.daemons.flatMap(({ daemon, rejectedRecords }) =>
+      Object.entries(rejectedRecords).map(([rule, count]) => [daemon, rule, String(count)]),
+    );
+    this.log(`\n${formatTable(['DAEMON', 'RULE', 'RECORDS SINCE START'], rows, 'No rejected records.')}`);
+    this.warnSilent(answer.silent);
+    return answer;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/edits/reportEdit.ts
@@ -0,0 +1,66 @@
+import * as oclif from '@oclif/core';
+import type { OperatorClient } from '../client/OperatorClient.js';
+import { formatDuration, formatValue } from '../output/values.js';
+import { type EditResult, type InForce, waitInForce } from './submitEdit.js';
+
+/** Flags of commands that submit one edit. */
+export const editFlags = {
+  reason: oclif.Flags.string({
+    char: 'r',
+    summary: 'Why; required for exceptions, kept in the history.',
+    helpValue: 'TEXT',
+    default: '',
+  }),
+  'based-on': oclif.Flags.integer({
+    summary: 'Version that the edit is based on, instead of the one in force.',
+    helpValue: 'VERSION',
+    min: 0,
+  }),
+  wait: oclif.Flags.boolean({
+    summary: 'Wait up to 3 s until the edit is in force on every daemon.',
+    default: true,
+    allowNo: true,
+  }),
+};
+
+/** One line about an edit, for example `solano/defaults/queueLimit: 50 -> 60 accepted as version 17`. */
+export function describeEdit(result: EditResult): string {
+  const { key, value, previous, state, version } = result;
+  if (state === 'unchanged') {
+    return `${key}: ${formatSide(value)} unchanged`;
+  }
+  const change = `${formatSide(previous)} -> ${formatSide(value)}`;
+  return state === 'pending'
+    ? `${key}: ${change} is pending as version ${version}; the other partners run "jayhaven approve ${version}"`
+    : `${key}: ${change} accepted as version ${version}`;
+}
+
+/** Prints the result of an edit and, unless told otherwise, where it is in force. */
+export async function reportEdit(
+  command: oclif.Command,
+  client: OperatorClient,
+  result: EditResult,
+  wait: boolean,
+): Promise<unknown> {
+  command.log(describeEdit(result));
+  if (result.state !== 'accepted' || !wait) {
+    return result;
+  }
+  const inForce = await waitInForce(client, result.key, result.version);
+  command.log(describeInForce(inForce));
+  return { ...result, inForce };
+}
+
+/** One line about the daemons that have applied an edit. */
+export function describeInForce(inForce: InForce | undefined): string {
+  if (!inForce) {
+    return 'Whether it is in force could not be read; see "jayhaven show KEY".';
+  }
+  const { applied, total, missing, waitedMs } = inForce;
+  const missingText = missing.length === 0 ? '' : `; not yet on ${missing.join(', ')}`;
+  return `In force on ${applied} of ${total} daemons after ${formatDuration(waitedMs)}${missingText}`;
+}
+
+function formatSide(value: unknown): string {
+  return value === undefined || value === null ? '(unset)' : formatValue(value);
+}
--- /dev/null
+++ b/packages/cli/src/edits/submitEdit.ts
@@ -0,0 +1,68 @@
+import * as common from '@jayhaven/common';
+import type { OperatorClient } from '../client/OperatorClient.js';
+import * as responses from '../responses.js';
+import type { ClientFailure, EditRequest } from '../Types.js';
+
+/** Result of an edit that the log took. */
+export interface EditResult {
+  readonly state: 'accepted' | 'pending' | 'unchanged';
+  readonly key: string;
+  readonly value: unknown;
+  readonly version: number;
+  /** Value that was in force before; undefined if the key was unset. */
+  readonly previous: unknown;
+}
+
+/** Daemons that have applied a version. */
+export interface InForce {
+  readonly applied: number;
+  readonly total: number;
+  readonly missing: readonly string[];
+  readonly waitedMs: number;
+}
+
+/** Time between two looks at the daemons, milliseconds. */
+const pollMs = 150;
+/** An accepted edit is in force everywhere within this time (promise P9), milliseconds. */
+const inForceLimitMs = 3000;
+
+/** Submits an edit, based on the version in force unless the request names another. */
+export async function submitEdit(
+  client: OperatorClient,
+  request: EditRequest,
+  skipUnchanged = false,
+): Promise<common.Outcome<EditResult, ClientFailure>> {
+  const { key, value, reason } = request;
+  const current = await client.get('/v1/configuration', { key }, responses.configuration);
+  if (!current.ok) {
+    return current;
+  }
+  const entry = current.value.keys.find((candidate) => candidate.key === key);
+  const previous = entry?.value;
+  if (skipUnchanged && JSON.stringify(previous ?? null) === JSON.stringify(value)) {
+    return common.succeed({ state: 'unchanged', key, value, version: entry?.version ?? 0, previous });
+  }
+  const basedOn = request.basedOn === undefined ? (entry?.version ?? null) : request.basedOn;
+  const answer = await client.post('/v1/edits', { key, value, basedOn, reason }, responses.editAnswer);
+  return answer.ok
+    ? common.succeed({ state: answer.value.state, key, value, version: answer.value.version, previous })
+    : answer;
+}
+
+/** Waits until every daemon has applied a version, or the promised time is over. */
+export async function waitInForce(client: OperatorClient, key: string, version: number): Promise<InForce | undefined> {
+  const startMs = performance.now();
+  for (;;) {
+    const answer = await client.get('/v1/configuration', { key }, responses.configuration);
+    if (!answer.ok) {
+      return undefined;
+    }
+    const { daemons } = answer.value;
+    const missing = daemons.filter((daemon) => (daemon.appliedOffset ?? -1) < version).map(({ daemon }) => daemon);
+    const waitedMs = performance.now() - startMs;
+    if (missing.length === 0 || waitedMs > inForceLimitMs) {
+      return { applied: daemons.length - missing.length, total: daemons.length, missing, waitedMs };
+    }
+    await new Promise((resolve) => setTimeout(resolve, pollMs));
+  }
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './commands/index.js';
+export type * from './Types.js';
--- /dev/null
+++ b/packages/cli/src/output/table.ts
@@ -0,0 +1,22 @@
+/** Formats rows under headers as aligned columns. An empty table is one line that says so. */
+export function formatTable(headers: readonly string[], rows: readonly (readonly string[])[], empty: string): string {
+  if (rows.length === 0) {
+    return empty;
+  }
+  const lines = [headers, ...rows];
+  const widths = headers.map((_, column) => Math.max(...lines.map((line) => (line[column] ?? '').length)));
+  return lines
+    .map((line) =>
+      widths
+        .map((width, column) => (line[column] ?? '').padEnd(width))
+        .join('  ')
+        .trimEnd(),
+    )
+    .join('\n');
+}
+
+/** Formats name and value pairs, one a line. */
+export function formatPairs(pairs: readonly (readonly [string, string])[]): string {
+  const width = Math.max(...pairs.map(([name]) => name.length));
+  return pairs.map(([name, value]) => `${name.padEnd(width)}  ${value}`).join('\n');
+}
--- a/packages/common/src/settings/fields.ts
+++ b/packages/common/src/settings/fields.ts
@@ -101,3 +101,14 @@
   const bareUrl = url.username === '' && url.search === '' && url.hash === '';
   return url.protocol === 'http:' && bareUrl && net.isIP(url.hostname.replace(/^\[|\]$/g, '')) !== 0;
 }
+
+/** Any text that is not empty. */
+export function text(): z.ZodType<string, string> {
+  return z.string().min(1, 'text that is not empty');
+}
+
+/** A list of addresses that is kept as text. */
+export function addressListText(): z.ZodType<string, string> {
+  const expected = `list of ${addressForm}, separated by commas`;
+  return z.string().refine((list) => list.split(',').every((part) => parseAddress(part.trim())), expected);
+}
