Void reports that were read before a late order may have arrived

A report that releases memory, or says that a VM is gone, may name the applied offset at which its author read the engine or the VM list. Replay rejects it if a sender was settled or a replica was decided since. Load orders to a VM that is gone pin memory at its address until their senders are settled.

--- a/packages/decisions/src/Types.ts
+++ b/packages/decisions/src/Types.ts
@@ -104,10 +104,10 @@
   readonly state: 'live' | 'leaving' | 'gone';
   readonly targets: readonly TargetDescription[];
   /**
-   * `VmEntry.observedAt` that the watcher saw, null if the VM was unknown. If given, replay rejects an observation
-   * that was made before a newer one, for example by a watcher that was paused.
+   * Applied offset when the VM list was read. If given, replay rejects an observation that is older than the latest
+   * one, and `gone` if a replica was decided on the VM since. A watcher may have been paused after reading the list.
    */
-  readonly basedOn?: Offset | null;
+  readonly readAfter?: Offset;
 }
 export interface LoadDecided extends ModelVersion {
   readonly kind: 'loadDecided';
@@ -143,8 +143,16 @@
   readonly kind: 'replicaReady';
   readonly replica: ReplicaId;
 }
+/** Part of the reports that release memory. */
+export interface EngineReading {
+  /**
+   * Applied offset when the engine was asked. Replay rejects the report if a sender of the load order was settled
+   * later: its order may have reached the engine after the answer.
+   */
+  readonly readAfter?: Offset;
+}
 /** The engine confirmed that the replica is not loaded and not loading. */
-export interface ReplicaFailed {
+export interface ReplicaFailed extends EngineReading {
   readonly kind: 'replicaFailed';
   readonly replica: ReplicaId;
   readonly reason: string;
@@ -157,7 +165,7 @@
   readonly reason: DecisionReason;
 }
 /** The engine confirmed the unload. */
-export interface ReplicaUnloaded {
+export interface ReplicaUnloaded extends EngineReading {
   readonly kind: 'replicaUnloaded';
   readonly replica: ReplicaId;
 }
@@ -181,7 +189,7 @@
   readonly adapter: string;
 }
 /** The engine confirmed that the adapter is not loaded (after an unload, or because its load failed). */
-export interface AdapterUnloaded {
+export interface AdapterUnloaded extends EngineReading {
   readonly kind: 'adapterUnloaded';
   readonly replica: ReplicaId;
   readonly adapter: string;
@@ -266,7 +274,11 @@
   readonly observedAt?: Offset;
 }
 
-/** States follow `replicaLifecycle.json`. */
+/**
+ * States follow `replicaLifecycle.json`. A replica whose load order may have been sent after the engine had confirmed
+ * that it is gone is `loading` again once the order is settled: the owner reads the engine and reports
+ * `replicaReady` or `replicaFailed`.
+ */
 export type ReplicaState = 'loading' | 'ready' | 'unloading';
 
 export interface ReplicaEntry extends ModelVersion {
@@ -277,6 +289,8 @@
   readonly state: ReplicaState;
   readonly urgency: common.Urgency;
   readonly adapters: ReadonlyMap<string, AdapterEntry>;
+  /** Offset of the last record that settled a sender of its load order. */
+  readonly lastSettledAt?: Offset;
 }
 
 export interface AdapterEntry {
@@ -284,6 +298,8 @@
   readonly order: OrderId;
   readonly bytes: AcceleratorBytes;
   readonly state: ReplicaState;
+  /** Offset of the last record that settled a sender of its load order. */
+  readonly lastSettledAt?: Offset;
 }
 
 /** An order that some incarnation may still send. */
@@ -301,6 +317,11 @@
   readonly urgency?: common.Urgency;
   /** A sender may have sent it after the engine had confirmed that the replica or adapter is gone. */
   readonly mayHaveRunLate?: boolean;
+  /**
+   * The VM of the target is gone. The order counts as no replica, but still pins memory, because another VM may get
+   * the same address before the senders are settled.
+   */
+  readonly targetGone?: boolean;
 }
 
 export interface ConfigurationEntry {
--- a/packages/decisions/src/configuration/values.ts
+++ b/packages/decisions/src/configuration/values.ts
@@ -59,7 +59,7 @@
 
 /** Whether a value is too large to be kept, also in the history. */
 export function isTooLong(value: unknown): boolean {
-  return JSON.stringify(value).length > maximumValueLength;
+  return value !== undefined && JSON.stringify(value).length > maximumValueLength;
 }
 
 function schemaOf(key: ConfigurationKey): z.ZodType {
--- a/packages/decisions/src/queries/replicas.ts
+++ b/packages/decisions/src/queries/replicas.ts
@@ -21,7 +21,7 @@
     }
   }
   for (const order of state.orders.values()) {
-    if (order.action === 'load' && isSameVersion(order, version) && !state.replicas.has(order.replica)) {
+    if (isPinnedLoad(order) && isSameVersion(order, version) && !state.replicas.has(order.replica)) {
       counted.push({ replica: order.replica, target: order.target, state: 'pinned' });
     }
   }
@@ -46,7 +46,7 @@
   }
   for (const order of state.orders.values()) {
     const replicaState = state.replicas.get(order.replica)?.state;
-    count += order.action === 'load' && replicaState !== 'loading' && replicaState !== 'ready' ? 1 : 0;
+    count += isPinnedLoad(order) && replicaState !== 'loading' && replicaState !== 'ready' ? 1 : 0;
   }
   return count;
 }
@@ -62,7 +62,11 @@
   for (const order of state.orders.values()) {
     const adapter = adapterOf(state, order);
     const isCounted = adapter?.order === order.order && adapter.state !== 'unloading';
-    count += order.action === 'adapterLoad' && !isCounted ? 1 : 0;
+    count += order.action === 'adapterLoad' && order.targetGone !== true && !isCounted ? 1 : 0;
   }
   return count;
 }
+
+function isPinnedLoad(order: types.OrderEntry): boolean {
+  return order.action === 'load' && order.targetGone !== true;
+}
--- a/packages/decisions/src/records/schemas.ts
+++ b/packages/decisions/src/records/schemas.ts
@@ -1,6 +1,7 @@
 /** Schemas of the records of the topic `control`. */
 import { z } from 'zod';
 import type * as types from '../Types.js';
+import { isBoundedJson } from './isBoundedJson.js';
 
 /** Longest name or identifier in a record, characters. */
 const maximumNameLength = 256;
@@ -27,6 +28,7 @@
 /** Fields that name one set of weights. */
 export const modelVersionFields = { partner: name, model: name, version: name };
 const reason = z.object({ rule: name, figures: z.record(z.string(), z.union([z.number(), z.string()])) });
+const reading = { readAfter: offsetSchema.exactOptional() };
 const underClaim = { cell: name, claim: offsetSchema };
 
 const bodies = {
@@ -53,7 +55,7 @@
     failureDomain: name,
     state: z.enum(['live', 'leaving', 'gone']),
     targets: z.array(targetSchema).max(256),
-    basedOn: offsetSchema.nullable().exactOptional(),
+    ...reading,
   }),
   loadDecided: z.object({
     kind: z.literal('loadDecided'),
@@ -73,9 +75,9 @@
   }),
   fenceRaised: z.object({ kind: z.literal('fenceRaised'), target: name, claim: offsetSchema }),
   replicaReady: z.object({ kind: z.literal('replicaReady'), replica: offsetSchema }),
-  replicaFailed: z.object({ kind: z.literal('replicaFailed'), replica: offsetSchema, reason: text }),
+  replicaFailed: z.object({ kind: z.literal('replicaFailed'), replica: offsetSchema, reason: text, ...reading }),
   unloadDecided: z.object({ kind: z.literal('unloadDecided'), ...underClaim, replica: offsetSchema, reason }),
-  replicaUnloaded: z.object({ kind: z.literal('replicaUnloaded'), replica: offsetSchema }),
+  replicaUnloaded: z.object({ kind: z.literal('replicaUnloaded'), replica: offsetSchema, ...reading }),
   adapterLoadDecided: z.object({
     kind: z.literal('adapterLoadDecided'),
     ...underClaim,
@@ -90,14 +92,19 @@
     replica: offsetSchema,
     adapter: name,
   }),
-  adapterUnloaded: z.object({ kind: z.literal('adapterUnloaded'), replica: offsetSchema, adapter: name }),
+  adapterUnloaded: z.object({
+    kind: z.literal('adapterUnloaded'),
+    replica: offsetSchema,
+    adapter: name,
+    ...reading,
+  }),
   configurationEdited: z.object({
     kind: z.literal('configurationEdited'),
     partner: name,
     operator: name,
     key: z.string().max(maximumTextLength),
     basedOn: offsetSchema.nullable(),
-    value: z.json(),
+    value: z.unknown().refine(isBoundedJson, 'must be JSON of bounded size'),
     reason: text,
   }),
   configurationApproved: z.object({
--- a/packages/decisions/src/replay/adapters.ts
+++ b/packages/decisions/src/replay/adapters.ts
@@ -3,7 +3,7 @@
 import { replicaLifecycle } from '../lifecycle/Lifecycle.js';
 import { adaptersInTransit, isSameModel } from '../queries/replicas.js';
 import type * as types from '../Types.js';
-import { checkMemory, checkTargetVm } from './loads.js';
+import { checkMemory, checkReading, checkTargetVm } from './loads.js';
 import { checkClaim, checkReporter } from './ownership.js';
 import { accept, reject, rejection, type Step } from './verdicts.js';
 
@@ -86,6 +86,10 @@
     const unknown = rejection('unknownReference', `replica ${step.body.replica} has no adapter ${step.body.adapter}`);
     return { state, verdict: refusal ?? unknown };
   }
+  const outdated = checkReading(step.body, adapter.lastSettledAt);
+  if (outdated !== undefined) {
+    return { state, verdict: outdated };
+  }
   return moveAdapter(state, replica, adapter, adapter.state === 'unloading' ? 'replicaUnloaded' : 'replicaFailed');
 }
 
--- a/packages/decisions/src/replay/loads.ts
+++ b/packages/decisions/src/replay/loads.ts
@@ -63,7 +63,15 @@
   if (refusal !== undefined || replica === undefined) {
     return { state, verdict: refusal ?? rejection('unknownReference', `replica ${step.body.replica} does not exist`) };
   }
-  return moveReplica(state, replica, step.body.kind);
+  const outdated = step.body.kind === 'replicaReady' ? undefined : checkReading(step.body, replica.lastSettledAt);
+  return outdated === undefined ? moveReplica(state, replica, step.body.kind) : { state, verdict: outdated };
+}
+
+/** Verdict against a report that was read from the engine before a sender of the load order was settled. */
+export function checkReading(report: types.EngineReading, lastSettledAt: types.Offset = -1): types.Verdict | undefined {
+  return report.readAfter === undefined || report.readAfter >= lastSettledAt
+    ? undefined
+    : rejection('wrongState', `a sender was settled at ${lastSettledAt}, after the engine was read`, lastSettledAt);
 }
 
 /** Verdict against an order that does not fit into the free memory of its target. */
--- a/packages/decisions/src/replay/membership.ts
+++ b/packages/decisions/src/replay/membership.ts
@@ -11,9 +11,6 @@
 
 /** A daemon joins; older incarnations of the same name count as replaced. */
 export function replayJoined(state: types.ControlState, step: Step<types.DaemonJoined>): types.ReplayResult {
-  if (state.daemons.has(step.author)) {
-    return reject(state, 'wrongState', `incarnation ${step.author} has already joined`);
-  }
   const { daemon, vm, failureDomain, peers, operators } = step.body;
   const daemons = new Map(state.daemons);
   for (const [incarnation, entry] of daemons) {
--- a/packages/decisions/src/replay/orders.ts
+++ b/packages/decisions/src/replay/orders.ts
@@ -2,6 +2,7 @@
 import { withEntry, withoutEntry } from '../collections/copyOnWrite.js';
 import { orderLifecycle, replicaLifecycle } from '../lifecycle/Lifecycle.js';
 import { adapterOf, findTarget } from '../queries/memory.js';
+import { isSameModel } from '../queries/replicas.js';
 import type * as types from '../Types.js';
 import { checkClaim, checkReporter } from './ownership.js';
 import { accept, reject, type Step } from './verdicts.js';
@@ -26,7 +27,10 @@
     return reject(state, 'unknownReference', `order ${id} is not unsettled`);
   }
   const subject = order.adapter === undefined ? state.replicas.get(order.replica) : adapterOf(state, order);
-  if (subject?.state !== adoptableStates[order.action] || orderLifecycle.next('unsettled', 'adopted') === undefined) {
+  if (
+    subject?.state !== adoptableStates[order.action] ||
+    orderLifecycle.next(stateOf(order), 'adopted') === undefined
+  ) {
     return reject(state, 'wrongState', `order ${id} is no longer due: its subject is ${subject?.state ?? 'gone'}`);
   }
   const adopted = { ...order, senders: withEntry(order.senders, step.author, claim) };
@@ -42,7 +46,7 @@
   if (!order.senders.has(step.author)) {
     return reject(state, 'notAuthor', `${step.author} is not a sender of order ${order.order}`);
   }
-  return accept(settleSender(state, order, step.author, step.body.result === 'sent'));
+  return accept(settleSender(state, order, step.author, step.body.result));
 }
 
 /** A checking engine refuses orders of older claims from now on. */
@@ -81,7 +85,7 @@
     for (const [sender, claim] of order.senders) {
       const current = settled.orders.get(order.order);
       if (current !== undefined && matches(order, claim, sender)) {
-        settled = settleSender(settled, current, sender, true);
+        settled = settleSender(settled, current, sender, 'sent');
       }
     }
   }
@@ -92,19 +96,41 @@
   state: types.ControlState,
   order: types.OrderEntry,
   sender: string,
-  mayHaveRun: boolean,
+  result: types.OrderSettled['result'],
 ): types.ControlState {
   const senders = withoutEntry(order.senders, sender);
-  const ranLate = order.mayHaveRunLate === true || (mayHaveRun && isSubjectGone(state, order));
+  const ranLate = order.mayHaveRunLate === true || (result === 'sent' && isSubjectGone(state, order));
   const event = senders.size === 0 ? 'lastSenderSettled' : 'senderSettled';
-  if (orderLifecycle.next('unsettled', event) !== 'settled') {
+  if (orderLifecycle.next(stateOf(order), event) !== 'settled') {
     const remaining = { ...order, senders, ...(ranLate ? { mayHaveRunLate: true } : {}) };
-    return { ...state, orders: withEntry(state.orders, order.order, remaining) };
+    return noteSettled({ ...state, orders: withEntry(state.orders, order.order, remaining) }, order);
   }
-  const settled = { ...state, orders: withoutEntry(state.orders, order.order) };
+  const settled = noteSettled({ ...state, orders: withoutEntry(state.orders, order.order) }, order);
   return ranLate ? restoreLoading(settled, order) : settled;
 }
 
+/** Notes in the loaded subject of an order that a sender was settled, so that older readings of the engine are void. */
+function noteSettled(state: types.ControlState, order: types.OrderEntry): types.ControlState {
+  const lastSettledAt = state.appliedOffset;
+  const replica = state.replicas.get(order.replica);
+  if (replica === undefined) {
+    return state;
+  }
+  if (order.action === 'load') {
+    return { ...state, replicas: withEntry(state.replicas, replica.replica, { ...replica, lastSettledAt }) };
+  }
+  const adapter = adapterOf(state, order);
+  if (order.action !== 'adapterLoad' || adapter?.order !== order.order) {
+    return state;
+  }
+  const adapters = withEntry(replica.adapters, adapter.adapter, { ...adapter, lastSettledAt });
+  return { ...state, replicas: withEntry(state.replicas, replica.replica, { ...replica, adapters }) };
+}
+
+function stateOf(order: types.OrderEntry): string {
+  return order.targetGone === true ? 'detached' : 'unsettled';
+}
+
 function isSubjectGone(state: types.ControlState, order: types.OrderEntry): boolean {
   return order.action === 'load'
     ? !state.replicas.has(order.replica)
@@ -124,14 +150,25 @@
   if (order.action === 'load') {
     const urgency = order.urgency ?? 'batch';
     const names = { partner, model, version, replica: id, target, vm };
-    const entry: types.ReplicaEntry = { ...names, bytes, state: 'loading', urgency, adapters: new Map() };
+    const lastSettledAt = state.appliedOffset;
+    const adapters = new Map<string, types.AdapterEntry>();
+    const entry: types.ReplicaEntry = { ...names, bytes, state: 'loading', urgency, adapters, lastSettledAt };
     return { ...state, replicas: withEntry(state.replicas, id, entry) };
   }
-  const replica = state.replicas.get(order.replica);
+  // A later replica of the model on the same target takes the adapter as well.
+  const replica = [...state.replicas.values()].find(
+    (candidate) => candidate.target === target && isSameModel(candidate, order),
+  );
   if (replica === undefined || order.adapter === undefined || replica.adapters.has(order.adapter)) {
     return state;
   }
-  const adapter: types.AdapterEntry = { adapter: order.adapter, order: id, bytes, state: 'loading' };
+  const adapter: types.AdapterEntry = {
+    adapter: order.adapter,
+    order: id,
+    bytes,
+    state: 'loading',
+    lastSettledAt: state.appliedOffset,
+  };
   const adapters = withEntry(replica.adapters, order.adapter, adapter);
   return { ...state, replicas: withEntry(state.replicas, replica.replica, { ...replica, adapters }) };
 }
--- a/packages/decisions/src/replay/ownership.ts
+++ b/packages/decisions/src/replay/ownership.ts
@@ -6,6 +6,9 @@
 /** A claim is accepted only if it names the latest accepted claim. */
 export function replayClaimed(state: types.ControlState, step: Step<types.OwnerClaimed>): types.ReplayResult {
   const { cell, supersedes } = step.body;
+  if (state.daemons.get(step.author)?.state !== 'joined') {
+    return reject(state, 'wrongState', `incarnation ${step.author} is replaced`);
+  }
   const latest = state.cells.get(cell)?.latestClaim ?? null;
   if (supersedes !== latest) {
     const message = `claim supersedes ${supersedes ?? 'none'}, but the latest claim is ${latest ?? 'none'}`;
--- a/packages/decisions/src/replay/replay.ts
+++ b/packages/decisions/src/replay/replay.ts
@@ -35,12 +35,17 @@
   }
   const advanced = { ...state, appliedOffset: record.offset };
   const { id, body } = record;
-  if (id.sequence <= (state.lastSequences.get(id.incarnation) ?? -1)) {
+  const lastSequence = state.lastSequences.get(id.incarnation);
+  if (lastSequence !== undefined && id.sequence <= lastSequence) {
     return { state: advanced, verdict: { kind: 'duplicate' } };
   }
   if (body.kind !== 'daemonJoined' && !state.daemons.has(id.incarnation)) {
     return reject(advanced, 'unknownSender', `incarnation ${id.incarnation} has not joined or has left`);
   }
+  if (body.kind === 'daemonJoined' && lastSequence !== undefined) {
+    // The orders of an incarnation that left are settled, so it may not come back as a sender.
+    return reject(advanced, 'wrongState', `incarnation ${id.incarnation} has joined before`);
+  }
   return dispatch(membership.recordSequence(advanced, id), record);
 }
 
--- a/packages/decisions/src/replay/vms.ts
+++ b/packages/decisions/src/replay/vms.ts
@@ -4,14 +4,16 @@
 import type * as types from '../Types.js';
 import { accept, reject, type Step } from './verdicts.js';
 
-/** Takes over an observation; replicas and orders on targets that are no longer listed are dropped. */
+/**
+ * Takes over an observation. Replicas on targets that are no longer listed are dropped. Load orders stay until their
+ * senders are settled, because they may reach a new VM with the same address; other orders are dropped.
+ */
 export function replayVmObserved(state: types.ControlState, step: Step<types.VmObserved>): types.ReplayResult {
-  const { vm, failureDomain, state: observed, targets, basedOn } = step.body;
+  const { vm, failureDomain, state: observed, targets } = step.body;
   const known = state.vms.get(vm);
-  const observedAt = known?.observedAt ?? null;
-  if (basedOn !== undefined && basedOn !== observedAt) {
-    const message = `observation of VM ${vm} is older than the one at ${observedAt ?? 'none'}`;
-    return reject(state, 'wrongState', message, observedAt ?? undefined);
+  const newer = findNewer(state, step.body);
+  if (newer !== undefined) {
+    return reject(state, 'wrongState', `observation of VM ${vm} is older than record ${newer}`, newer);
   }
   if (observed === 'gone') {
     const vms = withoutEntry(state.vms, vm);
@@ -25,6 +27,20 @@
   return accept({ ...dropTargets(state, removed), vms: withEntry(state.vms, vm, entry) });
 }
 
+/** The record that an observation may not override; undefined if the observation is recent enough. */
+function findNewer(state: types.ControlState, observation: types.VmObserved): types.Offset | undefined {
+  const { vm, readAfter } = observation;
+  if (readAfter === undefined) {
+    return undefined;
+  }
+  const observedAt = state.vms.get(vm)?.observedAt ?? -1;
+  if (observedAt > readAfter) {
+    return observedAt;
+  }
+  const replicas = observation.state === 'gone' ? [...state.replicas.values()] : [];
+  return replicas.find((replica) => replica.vm === vm && replica.replica > readAfter)?.replica;
+}
+
 function addressesOf(vm: types.VmEntry | undefined): Set<common.TargetAddress> {
   return new Set(vm?.targets.map((target) => target.address));
 }
@@ -33,10 +49,18 @@
   if (addresses.size === 0) {
     return state;
   }
+  const orders = new Map<types.OrderId, types.OrderEntry>();
+  for (const [id, order] of state.orders) {
+    if (!addresses.has(order.target)) {
+      orders.set(id, order);
+    } else if (order.action === 'load' || order.action === 'adapterLoad') {
+      orders.set(id, { ...order, targetGone: true });
+    }
+  }
   return {
     ...state,
+    orders,
     replicas: filterEntries(state.replicas, (replica) => !addresses.has(replica.target)),
-    orders: filterEntries(state.orders, (order) => !addresses.has(order.target)),
     fences: filterEntries(state.fences, (_fence, address) => !addresses.has(address)),
   };
 }
--- a/packages/decisions/src/snapshot/schemas.ts
+++ b/packages/decisions/src/snapshot/schemas.ts
@@ -45,7 +45,13 @@
   observedAt: offset.exactOptional(),
 });
 
-const adapter = z.object({ adapter: text, order: offset, bytes, state: replicaState });
+const adapter = z.object({
+  adapter: text,
+  order: offset,
+  bytes,
+  state: replicaState,
+  lastSettledAt: offset.exactOptional(),
+});
 
 const replica = z.object({
   ...modelVersionFields,
@@ -56,6 +62,7 @@
   state: replicaState,
   urgency: urgencySchema,
   adapters: z.array(adapter),
+  lastSettledAt: offset.exactOptional(),
 });
 
 const order = z.object({
@@ -69,11 +76,12 @@
   senders: sequences,
   urgency: urgencySchema.exactOptional(),
   mayHaveRunLate: z.boolean().exactOptional(),
+  targetGone: z.boolean().exactOptional(),
 });
 
 const configurationEntry = z.object({
   key: text,
-  value: z.json(),
+  value: z.unknown(),
   partner: text,
   operator: text,
   reason: text,
@@ -86,7 +94,7 @@
   key: text,
   partner: text,
   operator: text,
-  value: z.json(),
+  value: z.unknown(),
   reason: text,
   clock: hybridTimeSchema,
   rejectedBy: text.exactOptional(),
