--- /dev/null
+++ b/packages/daemon/src/claims/ClaimHolder.ts
@@ -0,0 +1,159 @@
+import * as decisions from '@jayhaven/decisions';
+import type * as common from '@jayhaven/common';
+import * as zod from 'zod';
+import type { ControlReplica } from '../log/ControlLogReplica.js';
+import type { LogHealth } from '../log/LogHealth.js';
+import type { DaemonContext, Peers } from '../Types.js';
+import type { ClaimPartitions, ClaimReplica } from './ClaimPartitions.js';
+import { partitionOf } from './partitions.js';
+import type { AcquireAnswer, AcquireCall, ReportAnswer, ReportCall } from './Types.js';
+
+/** Retry time for a failure that is not an outage, milliseconds. */
+const retryAfterMs = 1000;
+
+const acquireSchema: zod.ZodType<AcquireCall> = zod.object({
+  key: zod.string(),
+  fingerprint: zod.string(),
+  attempt: zod.string(),
+  timeoutMs: zod.number(),
+});
+const reportSchema = zod.object({ body: zod.unknown(), timeoutMs: zod.number() });
+
+/** Decides claims on the keys of the partitions that this daemon holds, through the claims topics. */
+export class ClaimHolder {
+  public constructor(
+    private readonly _context: DaemonContext,
+    private readonly _partitions: ClaimPartitions,
+    private readonly _control: ControlReplica,
+    private readonly _health: LogHealth,
+    peers: Peers,
+  ) {
+    peers.handle('claims.acquire', (call, caller) => this._acquire(acquireSchema.parse(call), caller));
+    for (const method of ['claims.complete', 'claims.release', 'claims.abandon']) {
+      peers.handle(method, (call) => this._report(parseReport(call)));
+    }
+  }
+
+  private async _acquire(call: AcquireCall, sender: common.Incarnation): Promise<AcquireAnswer> {
+    const deadlineMs = this._context.now() + call.timeoutMs;
+    const replica = await this._replicaOf(call.key, call.timeoutMs);
+    if (!replica.ok) {
+      return replica.failure;
+    }
+    const settled = await this._settledAnswer(replica.value, call, deadlineMs);
+    if (settled) {
+      return { kind: 'answered', answer: settled };
+    }
+    const { key, fingerprint, attempt } = call;
+    const body = { kind: 'claimed', key, fingerprint, attempt, sender } as const;
+    const outcome = await replica.value.append(body, deadlineMs - this._context.now());
+    if (!outcome.ok) {
+      return failed(
+        outcome.failure.message,
+        outcome.failure.kind === 'logUnavailable' ? outcome.failure.retryAfterMs : retryAfterMs,
+      );
+    }
+    // The read-back has caught the replica up with everything before this claim.
+    const answer = decisions.answerFor(replica.value.state, key, fingerprint, attempt);
+    return answer ? { kind: 'answered', answer } : failed('the claim was released at once', retryAfterMs);
+  }
+
+  /** An answer that needs no claim record: the key is taken for certain. */
+  private async _settledAnswer(
+    replica: ClaimReplica,
+    call: AcquireCall,
+    deadlineMs: number,
+  ): Promise<decisions.ClaimAnswer | undefined> {
+    const { key, fingerprint, attempt } = call;
+    const read = (): decisions.ClaimAnswer | undefined => decisions.answerFor(replica.state, key, fingerprint, attempt);
+    const first = read();
+    if (!first || first.kind === 'granted') {
+      return undefined;
+    }
+    if (first.kind === 'completed') {
+      return first;
+    }
+    // Another holder may have written a release or a result that is not replayed here yet.
+    await replica.catchUp(deadlineMs - this._context.now());
+    const entry = replica.state.claims.get(key);
+    if (entry?.state === 'running' && entry.attempt !== attempt && (await this._isGone(entry.sender, deadlineMs))) {
+      const body = { kind: 'abandoned', key, attempt: entry.attempt } as const;
+      await replica.append(body, deadlineMs - this._context.now());
+    }
+    const second = read();
+    return second?.kind === 'granted' ? undefined : second;
+  }
+
+  /** Whether an incarnation has left the group for certain, and not merely not been replayed yet. */
+  private async _isGone(sender: common.Incarnation, deadlineMs: number): Promise<boolean> {
+    const isJoined = (): boolean => this._control.state.daemons.get(sender)?.state === 'joined';
+    if (isJoined()) {
+      return false;
+    }
+    // Its join precedes its claim in time, so it is below the end of the control topic as of now.
+    return (await this._control.catchUp(deadlineMs - this._context.now())) && !isJoined();
+  }
+
+  private async _report(call: ReportCall): Promise<ReportAnswer> {
+    const deadlineMs = this._context.now() + call.timeoutMs;
+    const { body } = call;
+    const replica = await this._replicaOf(body.key, call.timeoutMs);
+    if (!replica.ok) {
+      return replica.failure;
+    }
+    const outcome = await replica.value.append(body, deadlineMs - this._context.now());
+    if (!outcome.ok) {
+      return failed(outcome.failure.message, retryAfterMs);
+    }
+    const entry = replica.value.state.claims.get(body.key);
+    return { kind: 'replayed', done: isDone(body, entry) };
+  }
+
+  private async _replicaOf(
+    key: string,
+    timeoutMs: number,
+  ): Promise<common.Outcome<ClaimReplica, { kind: 'failed'; message: string; retryAfterMs: number }>> {
+    const outageMs = this._health.retryAfterMs();
+    if (outageMs !== undefined) {
+      return { ok: false, failure: failed('the log is down', outageMs) };
+    }
+    const partition = partitionOf(key, this._context.settings.platform.claimPartitions);
+    const replica = await this._partitions.ready(partition, timeoutMs);
+    return replica
+      ? { ok: true, value: replica }
+      : { ok: false, failure: failed('the claims topic is not replayed yet', retryAfterMs) };
+  }
+}
+
+/** Whether the key is in the reported state, by this report or by an earlier copy of it. */
+function isDone(body: ReportCall['body'], entry: decisions.ClaimEntry | undefined): boolean {
+  const isOwn = entry?.attempt === body.attempt;
+  switch (body.kind) {
+    case 'completed':
+      return isOwn && entry.state === 'completed';
+    case 'released':
+      return !isOwn;
+    case 'abandoned':
+      return isOwn && entry.state !== 'running';
+  }
+}
+
+function parseReport(call: unknown): ReportCall {
+  const { body, timeoutMs } = reportSchema.parse(call);
+  const parsed = decisions.parseClaimRecord({
+    id: { incarnation: 'unused', sequence: 1 },
+    clock: { wallMs: 0, counter: 0 },
+    body,
+  });
+  if (!parsed.ok || parsed.value.body.kind === 'claimed') {
+    throw new Error('the report is malformed');
+  }
+  return { body: parsed.value.body, timeoutMs };
+}
+
+function failed(
+  message: string,
+  retryMs: number,
+): { readonly kind: 'failed'; readonly message: string; readonly retryAfterMs: number } {
+  return { kind: 'failed', message, retryAfterMs: retryMs };
+}
--- a/packages/daemon/src/log/AppendQueue.ts
+++ b/packages/daemon/src/log/AppendQueue.ts
@@ -16,6 +16,14 @@
 /** Bounds the size of one append request. */
 const maximumBatchRecords = 500;
 
+/**
+ * Last sequence number that this incarnation has used in a topic. It outlives a closed replica of the topic, because a
+ * number that is used again makes a record a duplicate.
+ */
+export interface SequenceCounter {
+  last: number;
+}
+
 interface PendingAppend<Body> {
   readonly envelope: decisions.RecordEnvelope<Body>;
   readonly deadlineMs: number;
@@ -26,9 +34,11 @@
 /** Records on their way into one topic, in the order of their sequence numbers. Holds no timers or sockets. */
 export class AppendQueue<Body> {
   private readonly _pending = new Map<number, PendingAppend<Body>>();
-  private _lastSequence = 0;
 
-  public constructor(private readonly _incarnation: common.Incarnation) {}
+  public constructor(
+    private readonly _incarnation: common.Incarnation,
+    private readonly _sequence: SequenceCounter = { last: 0 },
+  ) {}
 
   /** Earliest deadline, or `undefined` if nothing is pending. */
   public get earliestDeadlineMs(): number | undefined {
@@ -49,9 +59,9 @@
     if (this._pending.size >= maximumPending) {
       return false;
     }
-    this._lastSequence += 1;
-    const id = { incarnation: this._incarnation, sequence: this._lastSequence };
-    this._pending.set(this._lastSequence, { envelope: { id, clock, body }, deadlineMs, resolve, state: 'queued' });
+    this._sequence.last += 1;
+    const id = { incarnation: this._incarnation, sequence: this._sequence.last };
+    this._pending.set(id.sequence, { envelope: { id, clock, body }, deadlineMs, resolve, state: 'queued' });
     return true;
   }
 
--- /dev/null
+++ b/packages/daemon/src/log/ControlLogReplica.ts
@@ -0,0 +1,86 @@
+import * as common from '@jayhaven/common';
+import * as decisions from '@jayhaven/decisions';
+import type { AppendFailure, ControlChange, ControlLog, LagStatus } from '../Types.js';
+import type { LogHealth } from './LogHealth.js';
+import type { TopicReplica } from './TopicReplica.js';
+import type { TopicRules } from './Types.js';
+
+/** The control topic's replica. */
+export type ControlReplica = TopicReplica<decisions.ControlRecordBody, decisions.ControlState>;
+
+/** Replay of the control topic. */
+export function controlRules(
+  limits: decisions.ControlLimits,
+): TopicRules<decisions.ControlRecordBody, decisions.ControlState> {
+  return {
+    empty: decisions.emptyControlState(limits),
+    parse: (value) => valueOf(decisions.parseControlRecord(value)),
+    replay: (state, record) => decisions.replay(state, record),
+    encode: (state) => decisions.encodeSnapshot(state),
+    decode: (value) => valueOf(decisions.decodeSnapshot(value)),
+  };
+}
+
+function valueOf<Value>(outcome: common.Outcome<Value, unknown>): Value | undefined {
+  return outcome.ok ? outcome.value : undefined;
+}
+
+/** Retry time given to callers before the daemon has joined, milliseconds. */
+const joinRetryAfterMs = 500;
+
+/** The replayed control topic as the other parts of the daemon see it. */
+export class ControlLogReplica implements ControlLog {
+  public constructor(
+    public readonly incarnation: common.Incarnation,
+    private readonly _replica: ControlReplica,
+    private readonly _health: LogHealth,
+  ) {}
+
+  public get state(): decisions.ControlState {
+    return this._replica.state;
+  }
+
+  public get lag(): LagStatus {
+    const appliedOffset = this._replica.nextOffset - 1;
+    const highestSeenOffset = this._replica.highestSeenOffset;
+    return {
+      appliedOffset,
+      highestSeenOffset,
+      source: this._replica.source,
+      lagging: highestSeenOffset > appliedOffset,
+      logAvailable: this._health.available,
+    };
+  }
+
+  public readonly onChange = (listener: (change: ControlChange) => void): common.Unsubscribe =>
+    this._replica.onChange(listener);
+
+  /** Whether the daemon's own `daemonJoined` is in force. Records of others have no effect before that. */
+  public get joined(): boolean {
+    return this.state.daemons.has(this.incarnation);
+  }
+
+  public async append(
+    body: decisions.ControlRecordBody,
+    timeoutMs: number,
+  ): Promise<common.Outcome<{ readonly offset: number }, AppendFailure>> {
+    if (!this.joined && body.kind !== 'daemonJoined') {
+      const message = 'the daemon has not joined yet';
+      return common.fail({ kind: 'logUnavailable', message, retryAfterMs: joinRetryAfterMs });
+    }
+    const outcome = await this._replica.append(body, timeoutMs);
+    if (!outcome.ok) {
+      return outcome;
+    }
+    const { offset, verdict } = outcome.value;
+    switch (verdict.kind) {
+      case 'accepted':
+        return common.succeed({ offset });
+      case 'rejected':
+        return common.fail(verdict);
+      case 'duplicate':
+        // Its first copy lies in a part of the log that was taken over as a whole state.
+        return common.fail({ kind: 'unconfirmed', message: 'the verdict on the record was not seen' });
+    }
+  }
+}
--- a/packages/daemon/src/log/LogHealth.ts
+++ b/packages/daemon/src/log/LogHealth.ts
@@ -62,5 +62,5 @@
 }
 
 function isFailure(result: unknown): boolean {
-  return (result as common.Outcome<unknown, unknown>).ok === false;
+  return !(result as common.Outcome<unknown, unknown>).ok;
 }
--- a/packages/daemon/src/log/TopicAppender.ts
+++ b/packages/daemon/src/log/TopicAppender.ts
@@ -1,6 +1,6 @@
 import * as common from '@jayhaven/common';
 import type * as decisions from '@jayhaven/decisions';
-import { AppendQueue, unavailable, type AppendOutcome } from './AppendQueue.js';
+import { AppendQueue, unavailable, type AppendOutcome, type SequenceCounter } from './AppendQueue.js';
 import { Backoff } from './Backoff.js';
 import type { LogClient } from './LogClient.js';
 import type { LogHealth } from './LogHealth.js';
@@ -15,6 +15,7 @@
   readonly client: LogClient;
   readonly health: LogHealth;
   readonly timeoutMs: number;
+  readonly sequence?: SequenceCounter;
 }
 
 type Batch<Body> = readonly decisions.RecordEnvelope<Body>[];
@@ -46,7 +47,7 @@
     private readonly _options: AppenderOptions,
   ) {
     super();
-    this._queue = new AppendQueue(_context.incarnation);
+    this._queue = new AppendQueue(_context.incarnation, _options.sequence);
   }
 
   /** Appends a record and resolves once it has been read back and replayed. */
--- a/packages/daemon/src/log/TopicReplica.ts
+++ b/packages/daemon/src/log/TopicReplica.ts
@@ -1,13 +1,11 @@
 import * as common from '@jayhaven/common';
 import type { AppendOutcome } from './AppendQueue.js';
 import { Backoff } from './Backoff.js';
-import type { LogClient } from './LogClient.js';
-import type { LogHealth } from './LogHealth.js';
 import { OffsetWaiters } from './OffsetWaiters.js';
 import { ReadMonitor } from './ReadMonitor.js';
 import { RecordRing } from './RecordRing.js';
 import { SnapshotStore } from './SnapshotStore.js';
-import { TopicAppender } from './TopicAppender.js';
+import { TopicAppender, type AppenderOptions } from './TopicAppender.js';
 import type {
   LogFailure,
   PeerRecords,
@@ -23,13 +21,14 @@
 const pollWaitMs = 1000;
 const tickMs = 250;
 /** Settings of a replica. Times in milliseconds. */
-export interface ReplicaOptions<Body, State> {
-  readonly topic: string;
+export interface ReplicaOptions<Body, State> extends AppenderOptions {
   readonly rules: TopicRules<Body, State>;
-  readonly client: LogClient;
-  readonly health: LogHealth;
   readonly peers: PeerSource;
-  readonly timeoutMs: number;
+}
+
+interface FoundImages {
+  readonly snapshot: StateImage | undefined;
+  readonly peer: StateImage | undefined;
 }
 
 type ReplicaMessage =
@@ -38,7 +37,7 @@
   | { readonly kind: 'poll' }
   | { readonly kind: 'polled'; readonly outcome: common.Outcome<readonly RawRecord[], LogFailure> }
   | { readonly kind: 'peerRecords'; readonly answer: PeerRecords | undefined }
-  | { readonly kind: 'recovered'; readonly images: readonly StateImage[]; readonly starting: boolean };
+  | { readonly kind: 'recovered'; readonly images: FoundImages; readonly starting: boolean };
 
 /**
  * Replays one topic in offset order, and appends to it with group commit. An append resolves once its record has been
@@ -150,6 +149,11 @@
     return { nextOffset: this._nextOffset, state, takenAtMs: this._context.wallNow() };
   }
 
+  /** Replaces the state by an equivalent one, for example without entries that no replay needs any more. */
+  public compact(rewrite: (state: State) => State): void {
+    this._state = rewrite(this._state);
+  }
+
   /** Writes a snapshot of the present state. */
   public async writeSnapshot(): Promise<boolean> {
     if (this._nextOffset === 0) {
@@ -310,23 +314,20 @@
     void this._findImages(starting).then((images) => this.post({ kind: 'recovered', images, starting }));
   }
 
-  private async _findImages(starting: boolean): Promise<readonly StateImage[]> {
-    const snapshot = await this._snapshots.readNewest();
-    const found = snapshot.ok && snapshot.value ? [snapshot.value] : [];
-    const beyond = Math.max(this._nextOffset, ...found.map((image) => image.nextOffset));
-    if (!starting || !snapshot.ok) {
-      const image = await this._options.peers.state(this._options.topic, beyond);
-      return image ? [...found, image] : found;
-    }
-    return found;
+  private async _findImages(starting: boolean): Promise<FoundImages> {
+    const read = await this._snapshots.readNewest();
+    const snapshot = read.ok ? read.value : undefined;
+    const beyond = Math.max(this._nextOffset, snapshot?.nextOffset ?? 0);
+    const needsPeers = !starting || !read.ok;
+    return { snapshot, peer: needsPeers ? await this._options.peers.state(this._options.topic, beyond) : undefined };
   }
 
-  private _takeImages(images: readonly StateImage[], starting: boolean): void {
+  private _takeImages(images: FoundImages, starting: boolean): void {
     this._recovering = false;
     const before = this._nextOffset;
-    for (const image of images) {
-      this._adopt(image);
-    }
+    this._snapshotTakenAtMs = Math.max(this._snapshotTakenAtMs, images.snapshot?.takenAtMs ?? 0);
+    this._adopt(images.snapshot);
+    this._adopt(images.peer);
     if (starting || this._nextOffset > before) {
       this._poll();
     } else {
@@ -335,14 +336,17 @@
   }
 
   /** Replaces the state by one that is further; never goes back. */
-  private _adopt(image: StateImage): void {
-    const state = image.nextOffset > this._nextOffset ? this._options.rules.decode(image.state) : undefined;
+  private _adopt(image: StateImage | undefined): void {
+    if (!image || image.nextOffset <= this._nextOffset) {
+      return;
+    }
+    const state = this._options.rules.decode(image.state);
     if (state === undefined) {
+      this._context.logger.error('a whole state is malformed and was ignored', { nextOffset: image.nextOffset });
       return;
     }
     this._state = state;
     this._nextOffset = image.nextOffset;
-    this._snapshotTakenAtMs = Math.max(this._snapshotTakenAtMs, image.takenAtMs);
     this._ring.clear();
     this._context.logger.info('took over a whole state', { nextOffset: image.nextOffset });
     this._replacements.fire(state);
--- /dev/null
+++ b/packages/daemon/src/peers/Heartbeats.ts
@@ -0,0 +1,142 @@
+import * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+import * as zod from 'zod';
+import type { DaemonContext } from '../Types.js';
+import type { PeerGroup } from './PeerGroup.js';
+import type { PeerOffsets } from './PeerOffsets.js';
+import { neighboursOf } from './ring.js';
+import type { HeartbeatBody } from './Types.js';
+
+const heartbeatIntervalMs = 1000;
+const heartbeatTimeoutMs = 1000;
+/** Seeds asked in one beat while the group is not known; the next beat takes the following ones. */
+const seedsPerBeat = 3;
+
+const addressSchema = zod.object({ host: zod.string(), port: zod.number() });
+const heartbeatSchema: zod.ZodType<HeartbeatBody> = zod.object({
+  appliedOffset: zod.number(),
+  furthest: zod.object({ incarnation: zod.string(), offset: zod.number() }),
+  leaving: zod.array(zod.object({ vm: zod.string(), ageMs: zod.number().min(0) })),
+  suspected: zod.array(zod.object({ incarnation: zod.string(), ageMs: zod.number().min(0) })),
+  address: addressSchema,
+});
+
+/** What heartbeats need of the replayed control topic. */
+export interface HeartbeatSource {
+  readonly appliedOffset: number;
+  /** Whether the daemons of the cell are known well enough to do without seeds. */
+  readonly isCurrent: boolean;
+  /** Notes an offset that a peer has applied. */
+  noteOffset(offset: number): void;
+}
+
+/** Sends a heartbeat to the ring neighbours every second, and answers those of others. */
+export class Heartbeats extends common.Task<'beat'> {
+  private _nextSeed = 0;
+  private _stopped = false;
+
+  public constructor(
+    private readonly _context: DaemonContext,
+    private readonly _self: common.Incarnation,
+    private readonly _group: PeerGroup,
+    private readonly _offsets: PeerOffsets,
+    private readonly _source: HeartbeatSource,
+  ) {
+    super();
+    _group.handle('peer.heartbeat', (parameters, caller) => {
+      this._take(caller, heartbeatSchema.parse(parameters));
+      return Promise.resolve(this._body());
+    });
+    this.post('beat');
+    this.postEvery(heartbeatIntervalMs, () => 'beat');
+  }
+
+  /** Asks seeds at once, so that a starting daemon knows who is furthest. */
+  public async askSeeds(): Promise<void> {
+    await Promise.all(this._nextSeeds().map((seed) => this._beatSeed(seed)));
+  }
+
+  public override async [Symbol.asyncDispose](): Promise<void> {
+    this._stopped = true;
+    await super[Symbol.asyncDispose]();
+  }
+
+  protected override handle(): void {
+    if (this._stopped) {
+      return;
+    }
+    const nowMs = this._context.now();
+    const { members, suspicions } = this._group;
+    const names = members.map(({ incarnation }) => incarnation);
+    const neighbours = neighboursOf(this._self, names, (member) => suspicions.isSuspected(member, nowMs));
+    for (const neighbour of neighbours) {
+      void this._beat(neighbour);
+    }
+    if (neighbours.length === 0 || !this._source.isCurrent) {
+      void this.askSeeds();
+    }
+    this._group.refresh();
+  }
+
+  private async _beat(neighbour: common.Incarnation): Promise<void> {
+    const answer = await this._group.call(neighbour, 'peer.heartbeat', this._body(), heartbeatTimeoutMs);
+    if (answer.ok) {
+      this._takeAnswer(neighbour, answer.value);
+    } else if (!this._stopped) {
+      this._group.suspicions.missed(neighbour, this._context.now());
+      this._group.refresh();
+    }
+  }
+
+  private async _beatSeed(seed: decisions.Address): Promise<void> {
+    const answer = await this._group.callAddress(seed, 'peer.heartbeat', this._body(), heartbeatTimeoutMs);
+    if (answer.ok && answer.value.callee !== this._self) {
+      this._takeAnswer(answer.value.callee, answer.value.body);
+    }
+  }
+
+  private _nextSeeds(): readonly decisions.Address[] {
+    const seeds = this._context.settings.seedPeers;
+    const count = Math.min(seedsPerBeat, seeds.length);
+    const chosen = Array.from({ length: count }, (_none, index) => seeds[(this._nextSeed + index) % seeds.length]);
+    this._nextSeed = seeds.length === 0 ? 0 : (this._nextSeed + count) % seeds.length;
+    return chosen.filter((seed) => seed !== undefined);
+  }
+
+  private _takeAnswer(from: common.Incarnation, body: unknown): void {
+    const parsed = heartbeatSchema.safeParse(body);
+    if (parsed.success) {
+      this._take(from, parsed.data);
+    }
+  }
+
+  private _take(from: common.Incarnation, body: HeartbeatBody): void {
+    const nowMs = this._context.now();
+    this._offsets.note(from, body.appliedOffset);
+    if (body.furthest.incarnation !== this._self) {
+      this._offsets.note(body.furthest.incarnation, body.furthest.offset);
+    }
+    this._source.noteOffset(Math.max(body.appliedOffset, body.furthest.offset));
+    this._group.learnAddress(from, body.address);
+    // A member cannot be told that it has failed itself.
+    const others = body.suspected.filter(({ incarnation }) => incarnation !== this._self);
+    this._group.suspicions.takeOver(others, nowMs);
+    this._group.refresh();
+    if (this._group.hints.takeOver(body.leaving, nowMs)) {
+      this._group.fireLeavingHints();
+    }
+  }
+
+  private _body(): HeartbeatBody {
+    const nowMs = this._context.now();
+    const own = { incarnation: this._self, offset: this._source.appliedOffset };
+    const other = this._offsets.furthest;
+    return {
+      appliedOffset: own.offset,
+      furthest: other && other.offset > own.offset ? other : own,
+      leaving: this._group.hints.passOn(nowMs),
+      suspected: this._group.suspicions.passOn(nowMs),
+      address: this._group.address,
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/Membership.ts
@@ -0,0 +1,97 @@
+import * as common from '@jayhaven/common';
+import type { ControlLogReplica, ControlReplica } from '../log/ControlLogReplica.js';
+import type { DaemonContext } from '../Types.js';
+import type { PeerGroup } from './PeerGroup.js';
+
+const joinTimeoutMs = 5000;
+const joinRetryMs = 500;
+const leaveTimeoutMs = 3000;
+
+/** Joins the group, keeps its list of daemons current, and leaves it. */
+export class Membership extends common.Task<'join'> {
+  private readonly _unsubscribes: readonly common.Unsubscribe[];
+  private readonly _caughtUp: Promise<void>;
+  private _leaving = false;
+  private _stopped = false;
+
+  public constructor(
+    private readonly _context: DaemonContext,
+    private readonly _log: ControlLogReplica,
+    private readonly _replica: ControlReplica,
+    private readonly _group: PeerGroup,
+  ) {
+    super();
+    this._unsubscribes = [
+      _replica.onChange(({ state }) => {
+        _group.setDaemons(state.daemons);
+      }),
+      _replica.onReplaced((state) => {
+        _group.setDaemons(state.daemons);
+      }),
+    ];
+    this._caughtUp = this._catchUpOnce();
+    this.post('join');
+  }
+
+  /**
+   * Resolves once the daemon has joined, or after the timeout. Without the log the daemon starts with the state of a
+   * peer, or with none, and joins later.
+   */
+  public async opened(timeoutMs: number): Promise<void> {
+    const deadlineMs = this._context.now() + timeoutMs;
+    while (!this._log.joined && this._context.now() < deadlineMs && !this._hasPeerState()) {
+      await this._replica.waitFor(this._replica.nextOffset + 1, Math.min(100, deadlineMs - this._context.now()));
+    }
+  }
+
+  /** Writes `daemonLeft`. Nothing may be appended afterwards. */
+  public async leave(): Promise<void> {
+    this._leaving = true;
+    if (this._log.joined) {
+      const outcome = await this._log.append({ kind: 'daemonLeft' }, leaveTimeoutMs);
+      if (!outcome.ok) {
+        this._context.logger.part('peers').warn('could not write daemonLeft', { failure: outcome.failure.kind });
+      }
+    }
+  }
+
+  public override async [Symbol.asyncDispose](): Promise<void> {
+    this._stopped = true;
+    for (const unsubscribe of this._unsubscribes) {
+      unsubscribe();
+    }
+    await super[Symbol.asyncDispose]();
+  }
+
+  protected override handle(): void {
+    if (!this._leaving && !this._stopped && !this._log.joined) {
+      void this._join().then(() => {
+        this.postAfter(joinRetryMs, () => 'join');
+      });
+    }
+  }
+
+  private _hasPeerState(): boolean {
+    return this._replica.nextOffset > 0 && !this._replica.isReadingFromLog;
+  }
+
+  private async _catchUpOnce(): Promise<void> {
+    await this._replica.catchUp(this._context.settings.platform.logTimeoutMs);
+  }
+
+  private async _join(): Promise<void> {
+    await this._caughtUp;
+    const { daemon, listen } = this._context.settings;
+    await this._log.append(
+      {
+        kind: 'daemonJoined',
+        daemon: daemon.name,
+        vm: daemon.vm,
+        failureDomain: daemon.failureDomain,
+        peers: this._group.address,
+        operators: listen.operators,
+      },
+      joinTimeoutMs,
+    );
+  }
+}
