--- a/packages/daemon/src/ControlPlane.ts
+++ b/packages/daemon/src/ControlPlane.ts
@@ -64,7 +64,7 @@
   });
   closing.register(heartbeats);
   closing.register(replica);
-  const log = new ControlLogReplica(incarnation, replica, health);
+  const log = new ControlLogReplica(incarnation, replica);
   const membership = closing.register(new Membership(context, log, replica, group));
   closing.register(new GoneReporter(context, log, group));
   closing.register(
@@ -74,20 +74,23 @@
       now,
       wallNow,
       isWriter: () => isFirst('control/snapshots', group, incarnation),
-      logAvailable: () => health.available,
       logger,
     }),
   );
   const partitions = closing.register(new ClaimPartitions(context, replicaContext, client, health, group));
-  new ClaimHolder(context, partitions, replica, health, group);
-  const claims = new ClaimsRouter(context, group);
+  new ClaimHolder(context, partitions, replica, group);
+  const claims = closing.register(new ClaimsRouter(context, group, () => log.joined));
   await membership.opened(settings.platform.logTimeoutMs);
   return {
     incarnation,
     log,
     peers: group,
     claims,
-    leave: () => membership.leave(),
+    onRemoved: membership.onRemoved,
+    leave: async () => {
+      await membership.leave();
+      heartbeats.stop();
+    },
     [Symbol.asyncDispose]: () => closing[Symbol.asyncDispose](),
   };
 }
--- a/packages/daemon/src/Types.ts
+++ b/packages/daemon/src/Types.ts
@@ -123,6 +123,8 @@
   /** Leaving VMs to pass on in heartbeats. */
   setLeavingHints(vms: readonly common.VmName[]): void;
   readonly onLeavingHints: (listener: (vms: readonly common.VmName[]) => void) => common.Unsubscribe;
+  /** Bytes on the sockets between daemons since the start, HTTP headers included. */
+  readonly traffic?: { readonly sentBytes: number; readonly receivedBytes: number };
 }
 
 export interface PeerMember {
@@ -222,6 +224,11 @@
   readonly log: ControlLog;
   readonly peers: Peers;
   readonly claims: ClaimsClient;
+  /**
+   * Another daemon has reported this incarnation gone, so its orders count as settled and its records have no effect.
+   * The process must end and start again as a new incarnation.
+   */
+  readonly onRemoved?: (listener: () => void) => common.Unsubscribe;
   /** Writes `daemonLeft` and stops heartbeats. */
   leave(): Promise<void>;
 }
--- a/packages/daemon/src/claims/ClaimHolder.ts
+++ b/packages/daemon/src/claims/ClaimHolder.ts
@@ -2,11 +2,10 @@
 import type * as common from '@jayhaven/common';
 import * as zod from 'zod';
 import type { ControlReplica } from '../log/ControlLogReplica.js';
-import type { LogHealth } from '../log/LogHealth.js';
 import type { DaemonContext, Peers } from '../Types.js';
 import type { ClaimPartitions, ClaimReplica } from './ClaimPartitions.js';
 import { partitionOf } from './partitions.js';
-import type { AcquireAnswer, AcquireCall, ReportAnswer, ReportCall } from './Types.js';
+import type { AcquireAnswer, AcquireCall, AcquireFailure, ReportAnswer, ReportCall } from './Types.js';
 
 /** Retry time for a failure that is not an outage, milliseconds. */
 const retryAfterMs = 1000;
@@ -25,7 +24,6 @@
     private readonly _context: DaemonContext,
     private readonly _partitions: ClaimPartitions,
     private readonly _control: ControlReplica,
-    private readonly _health: LogHealth,
     peers: Peers,
   ) {
     peers.handle('claims.acquire', (call, caller) => this._acquire(acquireSchema.parse(call), caller));
@@ -48,10 +46,10 @@
     const body = { kind: 'claimed', key, fingerprint, attempt, sender } as const;
     const outcome = await replica.value.append(body, deadlineMs - this._context.now());
     if (!outcome.ok) {
-      return failed(
-        outcome.failure.message,
-        outcome.failure.kind === 'logUnavailable' ? outcome.failure.retryAfterMs : retryAfterMs,
-      );
+      const { failure } = outcome;
+      return failure.kind === 'logUnavailable'
+        ? failed(failure.message, failure.retryAfterMs)
+        : { ...failed(failure.message, retryAfterMs), mayTakeEffect: true };
     }
     // The read-back has caught the replica up with everything before this claim.
     const answer = decisions.answerFor(replica.value.state, key, fingerprint, attempt);
@@ -109,13 +107,9 @@
     return { kind: 'replayed', done: isDone(body, entry) };
   }
 
-  private async _replicaOf(
-    key: string,
-    timeoutMs: number,
-  ): Promise<common.Outcome<ClaimReplica, { kind: 'failed'; message: string; retryAfterMs: number }>> {
-    const outageMs = this._health.retryAfterMs();
-    if (outageMs !== undefined) {
-      return { ok: false, failure: failed('the log is down', outageMs) };
+  private async _replicaOf(key: string, timeoutMs: number): Promise<common.Outcome<ClaimReplica, AcquireFailure>> {
+    if (!this._control.isLogAvailable) {
+      return { ok: false, failure: failed('the log is down', retryAfterMs) };
     }
     const partition = partitionOf(key, this._context.settings.platform.claimPartitions);
     const replica = await this._partitions.ready(partition, timeoutMs);
@@ -151,9 +145,6 @@
   return { body: parsed.value.body, timeoutMs };
 }
 
-function failed(
-  message: string,
-  retryMs: number,
-): { readonly kind: 'failed'; readonly message: string; readonly retryAfterMs: number } {
-  return { kind: 'failed', message, retryAfterMs: retryMs };
+function failed(message: string, afterMs: number): AcquireFailure {
+  return { kind: 'failed', message, retryAfterMs: afterMs, mayTakeEffect: false };
 }
--- a/packages/daemon/src/claims/ClaimPartitions.ts
+++ b/packages/daemon/src/claims/ClaimPartitions.ts
@@ -112,7 +112,6 @@
       now: this._context.now,
       wallNow: this._context.wallNow,
       isWriter: () => this._rank(partition) === 0,
-      logAvailable: () => this._health.available,
       logger: this._logger,
     });
     const caughtUp = this._catchUp(replica);
--- a/packages/daemon/src/claims/ClaimsRouter.ts
+++ b/packages/daemon/src/claims/ClaimsRouter.ts
@@ -3,7 +3,8 @@
 import * as zod from 'zod';
 import type { ClaimFailure, ClaimRequest, ClaimsClient, DaemonContext, Peers } from '../Types.js';
 import { holdersOf, partitionOf } from './partitions.js';
-import type { AcquireAnswer, AcquireCall, ReportAnswer, ReportCall } from './Types.js';
+import { ReportRetrier } from './ReportRetrier.js';
+import type { AcquireAnswer, AcquireCall, AcquireFailure, ReportAnswer, ReportCall } from './Types.js';
 
 /** Ranked members that are asked for one claim. */
 const maximumHolders = 3;
@@ -11,6 +12,9 @@
 const shareOfTime = 0.5;
 const reportTimeoutMs = 5000;
 const retryAfterMs = 1000;
+/** Attempts remembered as given up; an attempt is asked for within seconds of its failure, if at all. */
+const maximumGivenUp = 10_000;
+const methods = { completed: 'claims.complete', released: 'claims.release', abandoned: 'claims.abandon' } as const;
 
 const claimAnswerSchema: zod.ZodType<decisions.ClaimAnswer> = zod.discriminatedUnion('kind', [
   zod.object({ kind: zod.literal('granted') }),
@@ -25,7 +29,12 @@
 ]);
 const acquireAnswerSchema: zod.ZodType<AcquireAnswer> = zod.discriminatedUnion('kind', [
   zod.object({ kind: zod.literal('answered'), answer: claimAnswerSchema }),
-  zod.object({ kind: zod.literal('failed'), message: zod.string(), retryAfterMs: zod.number() }),
+  zod.object({
+    kind: zod.literal('failed'),
+    message: zod.string(),
+    retryAfterMs: zod.number(),
+    mayTakeEffect: zod.boolean(),
+  }),
 ]);
 const reportAnswerSchema: zod.ZodType<ReportAnswer> = zod.discriminatedUnion('kind', [
   zod.object({ kind: zod.literal('replayed'), done: zod.boolean() }),
@@ -36,16 +45,63 @@
  * Asks the holder of a key's partition, and the next ranked members when it cannot be reached. Asking several is safe:
  * all of them append to the same topic, and the same attempt is granted once.
  */
-export class ClaimsRouter implements ClaimsClient {
+export class ClaimsRouter implements ClaimsClient, AsyncDisposable {
+  private readonly _retrier: ReportRetrier;
+  private readonly _givenUp = new Set<string>();
+
   public constructor(
     private readonly _context: DaemonContext,
     private readonly _peers: Peers,
-  ) {}
+    /** Whether the own `daemonJoined` is in force; a claim of an unknown sender would count as abandoned. */
+    private readonly _isJoined: () => boolean,
+  ) {
+    this._retrier = new ReportRetrier(_context.now, async (body) => (await this._send(body)) !== undefined);
+  }
 
   public async acquire(request: ClaimRequest): Promise<common.Outcome<decisions.ClaimAnswer, ClaimFailure>> {
+    if (this._givenUp.has(request.attempt)) {
+      return common.fail({ message: 'the attempt was given up, and its claim is being released', retryAfterMs });
+    }
+    if (!this._isJoined()) {
+      return common.fail({ message: 'the daemon has not joined yet', retryAfterMs });
+    }
+    const outcome = await this._ask(request);
+    if (outcome.kind === 'answered') {
+      return common.succeed(outcome.answer);
+    }
+    if (outcome.mayTakeEffect) {
+      this._giveUp(request);
+    }
+    return common.fail({ message: outcome.message, retryAfterMs: outcome.retryAfterMs });
+  }
+
+  public complete(
+    key: string,
+    attempt: string,
+    status: number,
+    answer: decisions.StoredAnswer | undefined,
+  ): Promise<boolean> {
+    const stored = answer === undefined ? {} : { answer };
+    return this._report({ kind: 'completed', key, attempt, status, ...stored });
+  }
+
+  public release(key: string, attempt: string): Promise<boolean> {
+    return this._report({ kind: 'released', key, attempt });
+  }
+
+  public abandon(key: string, attempt: string): Promise<boolean> {
+    return this._report({ kind: 'abandoned', key, attempt });
+  }
+
+  public async [Symbol.asyncDispose](): Promise<void> {
+    await this._retrier[Symbol.asyncDispose]();
+  }
+
+  private async _ask(request: ClaimRequest): Promise<AcquireAnswer> {
     const deadlineMs = this._context.now() + request.timeoutMs;
     const { key, fingerprint, attempt } = request;
-    let failure: ClaimFailure = { message: 'no holder can be reached', retryAfterMs };
+    let failure = failed('no holder can be reached');
+    let mayTakeEffect = false;
     for (const holder of this._holders(key)) {
       const timeoutMs = (deadlineMs - this._context.now()) * shareOfTime;
       if (timeoutMs < 1) {
@@ -53,44 +109,54 @@
       }
       const call: AcquireCall = { key, fingerprint, attempt, timeoutMs };
       const outcome = await this._peers.call(holder, 'claims.acquire', call, timeoutMs);
-      const answer = outcome.ok ? acquireAnswerSchema.safeParse(outcome.value) : undefined;
-      if (answer?.data?.kind === 'answered') {
-        return common.succeed(answer.data.answer);
+      const answer = outcome.ok ? acquireAnswerSchema.safeParse(outcome.value).data : undefined;
+      if (answer?.kind === 'answered') {
+        return answer;
       }
-      failure = answer?.data ?? failure;
+      failure = answer ?? failure;
+      mayTakeEffect ||= answer?.mayTakeEffect ?? (outcome.ok || outcome.failure.kind !== 'refused');
     }
-    return common.fail({ message: failure.message, retryAfterMs: failure.retryAfterMs });
-  }
-
-  public async complete(
-    key: string,
-    attempt: string,
-    status: number,
-    answer: decisions.StoredAnswer | undefined,
-  ): Promise<boolean> {
-    const stored = answer === undefined ? {} : { answer };
-    return this._report('claims.complete', { kind: 'completed', key, attempt, status, ...stored });
+    return { ...failure, mayTakeEffect };
   }
 
-  public async release(key: string, attempt: string): Promise<boolean> {
-    return this._report('claims.release', { kind: 'released', key, attempt });
+  /**
+   * Frees the key of an attempt that will not send, although its claim may yet come into force. The second release is
+   * for a claim record that another holder appended late.
+   */
+  private _giveUp({ key, attempt }: ClaimRequest): void {
+    this._givenUp.add(attempt);
+    const oldest = this._givenUp.values().next().value;
+    if (this._givenUp.size > maximumGivenUp && oldest !== undefined) {
+      this._givenUp.delete(oldest);
+    }
+    const body = { kind: 'released', key, attempt } as const;
+    const nowMs = this._context.now();
+    this._retrier.add({ body, dueAtMs: nowMs });
+    this._retrier.add({ body, dueAtMs: nowMs + this._context.settings.owner.orderDeliveryMs });
   }
 
-  public async abandon(key: string, attempt: string): Promise<boolean> {
-    return this._report('claims.abandon', { kind: 'abandoned', key, attempt });
+  /** Sends a report, and leaves it to the retrier if no holder has replayed it. */
+  private async _report(body: ReportCall['body']): Promise<boolean> {
+    const done = await this._send(body);
+    if (done === undefined) {
+      this._retrier.add({ body, dueAtMs: this._context.now() });
+    }
+    return done ?? false;
   }
 
-  private async _report(method: string, body: ReportCall['body']): Promise<boolean> {
+  /** Whether the key is in the reported state; `undefined` if no holder has replayed the report. */
+  private async _send(body: ReportCall['body']): Promise<boolean | undefined> {
     const deadlineMs = this._context.now() + reportTimeoutMs;
     for (const holder of this._holders(body.key)) {
       const timeoutMs = (deadlineMs - this._context.now()) * shareOfTime;
-      const outcome = await this._peers.call(holder, method, { body, timeoutMs }, timeoutMs);
-      const answer = outcome.ok ? reportAnswerSchema.safeParse(outcome.value) : undefined;
-      if (answer?.data?.kind === 'replayed') {
-        return answer.data.done;
+      const call: ReportCall = { body, timeoutMs };
+      const outcome = await this._peers.call(holder, methods[body.kind], call, timeoutMs);
+      const answer = outcome.ok ? reportAnswerSchema.safeParse(outcome.value).data : undefined;
+      if (answer?.kind === 'replayed') {
+        return answer.done;
       }
     }
-    return false;
+    return undefined;
   }
 
   private _holders(key: string): readonly common.Incarnation[] {
@@ -98,3 +164,7 @@
     return holdersOf(partition, this._peers.members).slice(0, maximumHolders);
   }
 }
+
+function failed(message: string): AcquireFailure {
+  return { kind: 'failed', message, retryAfterMs, mayTakeEffect: false };
+}
--- /dev/null
+++ b/packages/daemon/src/claims/ReportRetrier.ts
@@ -0,0 +1,63 @@
+import * as common from '@jayhaven/common';
+import type { ReportCall } from './Types.js';
+
+const retryIntervalMs = 1000;
+/** Reports kept through an outage; beyond it the oldest is dropped, and its key stays running or unknown. */
+const maximumWaiting = 5000;
+/** Reports sent at once after an outage. */
+const maximumAtOnce = 50;
+
+/** A report to a claim holder that is due at some time. */
+export interface DueReport {
+  readonly body: ReportCall['body'];
+  readonly dueAtMs: number;
+}
+
+/** Repeats reports on claims until they are in force, for example after an outage of the log. */
+export class ReportRetrier extends common.Task<'retry'> {
+  private _waiting: DueReport[] = [];
+  private _sending = false;
+  private _stopped = false;
+
+  public constructor(
+    private readonly _now: () => number,
+    /** Returns whether the report was replayed, whatever its effect. */
+    private readonly _send: (body: ReportCall['body']) => Promise<boolean>,
+  ) {
+    super();
+    this.postEvery(retryIntervalMs, () => 'retry');
+  }
+
+  /** Adds a report. */
+  public add(report: DueReport): void {
+    this._waiting.push(report);
+    if (this._waiting.length > maximumWaiting) {
+      this._waiting.shift();
+    }
+  }
+
+  public override async [Symbol.asyncDispose](): Promise<void> {
+    this._stopped = true;
+    await super[Symbol.asyncDispose]();
+  }
+
+  protected override handle(): void {
+    if (!this._sending && !this._stopped) {
+      void this._sendDue();
+    }
+  }
+
+  private async _sendDue(): Promise<void> {
+    const nowMs = this._now();
+    const due = this._waiting.filter((report) => report.dueAtMs <= nowMs).slice(0, maximumAtOnce);
+    if (due.length === 0) {
+      return;
+    }
+    this._sending = true;
+    const sent = new Set(due);
+    this._waiting = this._waiting.filter((report) => !sent.has(report));
+    const results = await Promise.all(due.map(async (report) => ({ report, done: await this._send(report.body) })));
+    this._waiting.unshift(...results.filter(({ done }) => !done).map(({ report }) => report));
+    this._sending = false;
+  }
+}
--- a/packages/daemon/src/claims/Types.ts
+++ b/packages/daemon/src/claims/Types.ts
@@ -15,9 +15,16 @@
 }
 
 /** Answer of a holder to `claims.acquire`. */
-export type AcquireAnswer =
-  | { readonly kind: 'answered'; readonly answer: decisions.ClaimAnswer }
-  | { readonly kind: 'failed'; readonly message: string; readonly retryAfterMs: number };
+export type AcquireAnswer = { readonly kind: 'answered'; readonly answer: decisions.ClaimAnswer } | AcquireFailure;
+
+/** A claim that was not decided. */
+export interface AcquireFailure {
+  readonly kind: 'failed';
+  readonly message: string;
+  readonly retryAfterMs: number;
+  /** Whether a claim record may still come into force. */
+  readonly mayTakeEffect: boolean;
+}
 
 /** Answer of a holder to a report. `done` is false if the key is not in the reported state after replay. */
 export type ReportAnswer =
--- a/packages/daemon/src/log/ControlLogReplica.ts
+++ b/packages/daemon/src/log/ControlLogReplica.ts
@@ -1,7 +1,6 @@
 import * as common from '@jayhaven/common';
 import * as decisions from '@jayhaven/decisions';
 import type { AppendFailure, ControlChange, ControlLog, LagStatus } from '../Types.js';
-import type { LogHealth } from './LogHealth.js';
 import type { TopicReplica } from './TopicReplica.js';
 import type { TopicRules } from './Types.js';
 
@@ -33,7 +32,6 @@
   public constructor(
     public readonly incarnation: common.Incarnation,
     private readonly _replica: ControlReplica,
-    private readonly _health: LogHealth,
   ) {}
 
   public get state(): decisions.ControlState {
@@ -48,7 +46,7 @@
       highestSeenOffset,
       source: this._replica.source,
       lagging: highestSeenOffset > appliedOffset,
-      logAvailable: this._health.available,
+      logAvailable: this._replica.isLogAvailable,
     };
   }
 
--- a/packages/daemon/src/log/LogHealth.ts
+++ b/packages/daemon/src/log/LogHealth.ts
@@ -21,20 +21,21 @@
     });
   }
 
-  /** Whether appends are worth trying. */
-  public get available(): boolean {
-    return this.retryAfterMs() === undefined;
+  /** Whether appends to a topic are worth trying. */
+  public isAvailable(topic: string): boolean {
+    return this.retryAfterMs(topic) === undefined;
   }
 
   /** Time until an append may be tried again, or `undefined` if it may be tried now. */
-  public retryAfterMs(): number | undefined {
+  public retryAfterMs(topic: string): number | undefined {
     if (this._appends.state === cockatiel.CircuitState.Open) {
       const remainingMs = this._brokenAtMs + halfOpenAfterMs - this._now();
       if (remainingMs > 0) {
         return Math.ceil(remainingMs);
       }
     }
-    return this._unreadable.size > 0 ? halfOpenAfterMs : undefined;
+    // An append that cannot be read back cannot be confirmed.
+    return this._unreadable.has(topic) ? halfOpenAfterMs : undefined;
   }
 
   /** Runs an append under the circuit breaker; `undefined` if the breaker refuses it. */
--- a/packages/daemon/src/log/SnapshotKeeper.ts
+++ b/packages/daemon/src/log/SnapshotKeeper.ts
@@ -8,6 +8,7 @@
 /** The part of a replica that snapshots are made of. */
 export interface SnapshotSource {
   readonly isReadingFromLog: boolean;
+  readonly isLogAvailable: boolean;
   readonly snapshotTakenAtMs: number;
   writeSnapshot(): Promise<boolean>;
 }
@@ -20,7 +21,6 @@
   readonly wallNow: () => number;
   /** Whether this daemon is the one that writes at present. */
   readonly isWriter: () => boolean;
-  readonly logAvailable: () => boolean;
   readonly logger: common.Logger;
 }
 
@@ -38,8 +38,8 @@
   }
 
   protected override handle(): void {
-    const { source, isWriter, logAvailable } = this._options;
-    if (!source.isReadingFromLog || !logAvailable()) {
+    const { source, isWriter } = this._options;
+    if (!source.isReadingFromLog || !source.isLogAvailable) {
       this._dueAfterOutage = true;
       return;
     }
--- a/packages/daemon/src/log/TopicAppender.ts
+++ b/packages/daemon/src/log/TopicAppender.ts
@@ -39,7 +39,8 @@
   private readonly _backoff = new Backoff();
   private _inFlight = false;
   private _checkReadBack: (() => void) | undefined;
-  private _expiryArmed = false;
+  private _flushPosted = false;
+  private _expiryArmedForMs = Number.POSITIVE_INFINITY;
   private _stopped = false;
 
   public constructor(
@@ -52,7 +53,7 @@
 
   /** Appends a record and resolves once it has been read back and replayed. */
   public append(body: Body, timeoutMs: number): Promise<AppendOutcome> {
-    const retryAfterMs = this._options.health.retryAfterMs();
+    const retryAfterMs = this._retryAfterMs();
     if (this._stopped) {
       return Promise.resolve(unavailable('the topic is closed', defaultRetryAfterMs));
     }
@@ -65,9 +66,9 @@
         resolve(unavailable('too many appends wait for the log', defaultRetryAfterMs));
         return;
       }
-      this._armExpiry();
-      if (!this._inFlight) {
-        this.post({ kind: 'flush' });
+      this._armExpiry(now() + timeoutMs);
+      if (!this._inFlight && !this._flushPosted) {
+        this._flushPosted = this.post({ kind: 'flush' });
       }
     });
   }
@@ -94,6 +95,7 @@
     }
     switch (message.kind) {
       case 'flush':
+        this._flushPosted = false;
         this._flush();
         break;
       case 'retry':
@@ -138,24 +140,27 @@
       this._flush();
       return;
     }
-    const retryAfterMs = this._options.health.retryAfterMs();
+    const retryAfterMs = this._retryAfterMs();
     if (retryAfterMs !== undefined) {
       this._queue.refuseQueued('the log is down', retryAfterMs);
     }
     this.postAfter(this._backoff.nextMs(), () => ({ kind: 'retry' }));
   }
 
-  private _armExpiry(): void {
-    const earliestMs = this._queue.earliestDeadlineMs;
-    if (!this._expiryArmed && earliestMs !== undefined) {
-      this._expiryArmed = true;
-      this.postAfter(Math.max(0, Math.ceil(earliestMs - this._context.now())), () => ({ kind: 'expire' }));
+  private _armExpiry(deadlineMs: number | undefined): void {
+    if (deadlineMs !== undefined && deadlineMs < this._expiryArmedForMs) {
+      this._expiryArmedForMs = deadlineMs;
+      this.postAfter(Math.max(0, Math.ceil(deadlineMs - this._context.now())), () => ({ kind: 'expire' }));
     }
   }
 
   private _expire(): void {
-    this._expiryArmed = false;
-    this._queue.expire(this._context.now(), this._options.health.retryAfterMs() ?? defaultRetryAfterMs);
-    this._armExpiry();
+    this._expiryArmedForMs = Number.POSITIVE_INFINITY;
+    this._queue.expire(this._context.now(), this._retryAfterMs() ?? defaultRetryAfterMs);
+    this._armExpiry(this._queue.earliestDeadlineMs);
+  }
+
+  private _retryAfterMs(): number | undefined {
+    return this._options.health.retryAfterMs(this._options.topic);
   }
 }
--- a/packages/daemon/src/log/TopicReplica.ts
+++ b/packages/daemon/src/log/TopicReplica.ts
@@ -94,6 +94,11 @@
     return Math.max(this._highestSeenOffset, this._nextOffset - 1);
   }
 
+  /** Whether the log takes appends to the topic, as far as is known. */
+  public get isLogAvailable(): boolean {
+    return this._options.health.isAvailable(this._options.topic);
+  }
+
   /** Where the last records came from. */
   public get source(): 'log' | 'peers' | 'none' {
     return this._source;
--- a/packages/daemon/src/peers/Heartbeats.ts
+++ b/packages/daemon/src/peers/Heartbeats.ts
@@ -12,12 +12,14 @@
 /** Seeds asked in one beat while the group is not known; the next beat takes the following ones. */
 const seedsPerBeat = 3;
 
+const passedSchema = zod.object({ incarnation: zod.string(), ageMs: zod.number().min(0) });
 const addressSchema = zod.object({ host: zod.string(), port: zod.number() });
 const heartbeatSchema: zod.ZodType<HeartbeatBody> = zod.object({
   appliedOffset: zod.number(),
   furthest: zod.object({ incarnation: zod.string(), offset: zod.number() }),
   leaving: zod.array(zod.object({ vm: zod.string(), ageMs: zod.number().min(0) })),
-  suspected: zod.array(zod.object({ incarnation: zod.string(), ageMs: zod.number().min(0) })),
+  suspected: zod.array(passedSchema),
+  answering: zod.array(passedSchema),
   address: addressSchema,
 });
 
@@ -56,6 +58,11 @@
     await Promise.all(this._nextSeeds().map((seed) => this._beatSeed(seed)));
   }
 
+  /** Sends no more heartbeats; others' are still answered. */
+  public stop(): void {
+    this._stopped = true;
+  }
+
   public override async [Symbol.asyncDispose](): Promise<void> {
     this._stopped = true;
     await super[Symbol.asyncDispose]();
@@ -120,7 +127,7 @@
     this._group.learnAddress(from, body.address);
     // A member cannot be told that it has failed itself.
     const others = body.suspected.filter(({ incarnation }) => incarnation !== this._self);
-    this._group.suspicions.takeOver(others, nowMs);
+    this._group.suspicions.takeOver(others, body.answering, nowMs);
     this._group.refresh();
     if (this._group.hints.takeOver(body.leaving, nowMs)) {
       this._group.fireLeavingHints();
@@ -136,6 +143,7 @@
       furthest: other && other.offset > own.offset ? other : own,
       leaving: this._group.hints.passOn(nowMs),
       suspected: this._group.suspicions.passOn(nowMs),
+      answering: this._group.suspicions.passOnWithdrawn(nowMs),
       address: this._group.address,
     };
   }
--- a/packages/daemon/src/peers/Membership.ts
+++ b/packages/daemon/src/peers/Membership.ts
@@ -1,4 +1,5 @@
 import * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
 import type { ControlLogReplica, ControlReplica } from '../log/ControlLogReplica.js';
 import type { DaemonContext } from '../Types.js';
 import type { PeerGroup } from './PeerGroup.js';
@@ -11,6 +12,8 @@
 export class Membership extends common.Task<'join'> {
   private readonly _unsubscribes: readonly common.Unsubscribe[];
   private readonly _caughtUp: Promise<void>;
+  private readonly _removed = new common.Emitter<undefined>();
+  private _wasJoined = false;
   private _leaving = false;
   private _stopped = false;
 
@@ -23,10 +26,10 @@
     super();
     this._unsubscribes = [
       _replica.onChange(({ state }) => {
-        _group.setDaemons(state.daemons);
+        this._takeDaemons(state.daemons);
       }),
       _replica.onReplaced((state) => {
-        _group.setDaemons(state.daemons);
+        this._takeDaemons(state.daemons);
       }),
     ];
     this._caughtUp = this._catchUpOnce();
@@ -44,6 +47,9 @@
     }
   }
 
+  /** Another daemon has reported this incarnation gone. */
+  public readonly onRemoved = (listener: () => void): common.Unsubscribe => this._removed.event(listener);
+
   /** Writes `daemonLeft`. Nothing may be appended afterwards. */
   public async leave(): Promise<void> {
     this._leaving = true;
@@ -64,13 +70,24 @@
   }
 
   protected override handle(): void {
-    if (!this._leaving && !this._stopped && !this._log.joined) {
+    // An incarnation that was reported gone must not join again: its unsent orders count as settled.
+    if (!this._leaving && !this._stopped && !this._wasJoined) {
       void this._join().then(() => {
         this.postAfter(joinRetryMs, () => 'join');
       });
     }
   }
 
+  private _takeDaemons(daemons: decisions.ControlState['daemons']): void {
+    this._group.setDaemons(daemons);
+    const isJoined = daemons.has(this._log.incarnation);
+    if (this._wasJoined && !isJoined && !this._leaving) {
+      this._context.logger.part('peers').error('another daemon has reported this incarnation gone');
+      this._removed.fire(undefined);
+    }
+    this._wasJoined ||= isJoined;
+  }
+
   private _hasPeerState(): boolean {
     return this._replica.nextOffset > 0 && !this._replica.isReadingFromLog;
   }
--- a/packages/daemon/src/peers/SuspicionTable.ts
+++ b/packages/daemon/src/peers/SuspicionTable.ts
@@ -1,5 +1,5 @@
 import type * as common from '@jayhaven/common';
-import type { PassedSuspicion } from './Types.js';
+import type { PassedContact } from './Types.js';
 
 /** Missed answers in a row before a member is suspected; one slow answer does not count. */
 const missesBeforeSuspicion = 3;
@@ -10,12 +10,14 @@
 const suspicionLifeMs = 15_000;
 /** Bounds the size of a heartbeat. */
 const maximumPassedOn = 32;
+const never = Number.NEGATIVE_INFINITY;
 
 interface Contact {
   missesInRow: number;
+  /** Last answer, own or passed on. */
   answeredAtMs: number;
-  /** Time of the last missed answer, own or passed on, that supports a suspicion. */
-  suspectedAtMs: number | undefined;
+  /** Last missed answer, own or passed on, that supports a suspicion. */
+  suspectedAtMs: number;
 }
 
 /** Which members seem to have failed. Suspicion only affects advisory choices. */
@@ -27,7 +29,6 @@
     const contact = this._contact(incarnation);
     contact.missesInRow = 0;
     contact.answeredAtMs = nowMs;
-    contact.suspectedAtMs = undefined;
   }
 
   /** A member did not answer a heartbeat. */
@@ -39,31 +40,34 @@
     }
   }
 
-  /** Takes over what another member passed on, unless this daemon has heard of the suspect since then. */
-  public takeOver(suspicions: readonly PassedSuspicion[], nowMs: number): void {
-    for (const { incarnation, ageMs } of suspicions) {
-      const atMs = nowMs - ageMs;
+  /** Takes over what another member passed on. Of two contacts with a member the later one counts. */
+  public takeOver(suspected: readonly PassedContact[], answering: readonly PassedContact[], nowMs: number): void {
+    for (const { incarnation, ageMs } of suspected) {
       const contact = this._contact(incarnation);
-      if (atMs > contact.answeredAtMs && atMs > (contact.suspectedAtMs ?? Number.NEGATIVE_INFINITY)) {
-        contact.suspectedAtMs = atMs;
-      }
+      contact.suspectedAtMs = Math.max(contact.suspectedAtMs, nowMs - ageMs);
+    }
+    for (const { incarnation, ageMs } of answering) {
+      const contact = this._contact(incarnation);
+      contact.answeredAtMs = Math.max(contact.answeredAtMs, nowMs - ageMs);
     }
   }
 
   public isSuspected(incarnation: common.Incarnation, nowMs: number): boolean {
-    const suspectedAtMs = this._contacts.get(incarnation)?.suspectedAtMs;
-    return suspectedAtMs !== undefined && nowMs - suspectedAtMs < suspicionLifeMs;
+    const contact = this._contacts.get(incarnation);
+    return contact !== undefined && isSuspect(contact, nowMs);
   }
 
   /** The latest suspicions, for a heartbeat. */
-  public passOn(nowMs: number): readonly PassedSuspicion[] {
-    const suspicions: PassedSuspicion[] = [];
-    for (const [incarnation, { suspectedAtMs }] of this._contacts) {
-      if (suspectedAtMs !== undefined && this.isSuspected(incarnation, nowMs)) {
-        suspicions.push({ incarnation, ageMs: Math.round(nowMs - suspectedAtMs) });
-      }
-    }
-    return suspicions.sort((first, second) => first.ageMs - second.ageMs).slice(0, maximumPassedOn);
+  public passOn(nowMs: number): readonly PassedContact[] {
+    return this._latest(nowMs, (contact) => (isSuspect(contact, nowMs) ? contact.suspectedAtMs : undefined));
+  }
+
+  /** Answers of members that were suspected shortly before, for a heartbeat. */
+  public passOnWithdrawn(nowMs: number): readonly PassedContact[] {
+    return this._latest(nowMs, (contact) => {
+      const wasSuspected = nowMs - contact.suspectedAtMs < suspicionLifeMs;
+      return wasSuspected && !isSuspect(contact, nowMs) ? contact.answeredAtMs : undefined;
+    });
   }
 
   /** Forgets incarnations that are no longer members. */
@@ -75,12 +79,27 @@
     }
   }
 
+  private _latest(nowMs: number, timeOf: (contact: Contact) => number | undefined): readonly PassedContact[] {
+    const passed: PassedContact[] = [];
+    for (const [incarnation, contact] of this._contacts) {
+      const atMs = timeOf(contact);
+      if (atMs !== undefined) {
+        passed.push({ incarnation, ageMs: Math.max(0, Math.round(nowMs - atMs)) });
+      }
+    }
+    return passed.sort((first, second) => first.ageMs - second.ageMs).slice(0, maximumPassedOn);
+  }
+
   private _contact(incarnation: common.Incarnation): Contact {
     let contact = this._contacts.get(incarnation);
     if (!contact) {
-      contact = { missesInRow: 0, answeredAtMs: Number.NEGATIVE_INFINITY, suspectedAtMs: undefined };
+      contact = { missesInRow: 0, answeredAtMs: never, suspectedAtMs: never };
       this._contacts.set(incarnation, contact);
     }
     return contact;
   }
 }
+
+function isSuspect(contact: Contact, nowMs: number): boolean {
+  return contact.suspectedAtMs > contact.answeredAtMs && nowMs - contact.suspectedAtMs < suspicionLifeMs;
+}
--- a/packages/daemon/src/peers/Types.ts
+++ b/packages/daemon/src/peers/Types.ts
@@ -17,8 +17,8 @@
   readonly body: unknown;
 }
 
-/** A suspicion that is passed on; `ageMs` is the time since the last missed answer. */
-export interface PassedSuspicion {
+/** A missed or received answer that is passed on; `ageMs` is the time since then. */
+export interface PassedContact {
   readonly incarnation: common.Incarnation;
   readonly ageMs: number;
 }
@@ -36,7 +36,9 @@
   /** The member that is known to be furthest, with its offset. */
   readonly furthest: { readonly incarnation: common.Incarnation; readonly offset: number };
   readonly leaving: readonly PassedHint[];
-  readonly suspected: readonly PassedSuspicion[];
+  readonly suspected: readonly PassedContact[];
+  /** Members that were suspected and have answered since. */
+  readonly answering: readonly PassedContact[];
   /** Lets a daemon be called before its `daemonJoined` is replayed. */
   readonly address: decisions.Address;
 }
