--- a/packages/daemon/src/log/TopicAppender.ts
+++ b/packages/daemon/src/log/TopicAppender.ts
@@ -1,6 +1,6 @@
 import * as common from '@jayhaven/common';
 import type * as decisions from '@jayhaven/decisions';
-import { AppendQueue, unavailable, type AppendOutcome } from './AppendQueue.js';
+import { AppendQueue, unavailable, type AppendOutcome, type SequenceCounter } from './AppendQueue.js';
 import { Backoff } from './Backoff.js';
 import type { LogClient } from './LogClient.js';
 import type { LogHealth } from './LogHealth.js';
@@ -15,6 +15,7 @@
   readonly client: LogClient;
   readonly health: LogHealth;
   readonly timeoutMs: number;
+  readonly sequence?: SequenceCounter;
 }
 
 type Batch<Body> = readonly decisions.RecordEnvelope<Body>[];
@@ -38,7 +39,8 @@
   private readonly _backoff = new Backoff();
   private _inFlight = false;
   private _checkReadBack: (() => void) | undefined;
-  private _expiryArmed = false;
+  private _flushPosted = false;
+  private _expiryArmedForMs = Number.POSITIVE_INFINITY;
   private _stopped = false;
 
   public constructor(
@@ -46,12 +48,12 @@
     private readonly _options: AppenderOptions,
   ) {
     super();
-    this._queue = new AppendQueue(_context.incarnation);
+    this._queue = new AppendQueue(_context.incarnation, _options.sequence);
   }
 
   /** Appends a record and resolves once it has been read back and replayed. */
   public append(body: Body, timeoutMs: number): Promise<AppendOutcome> {
-    const retryAfterMs = this._options.health.retryAfterMs();
+    const retryAfterMs = this._retryAfterMs();
     if (this._stopped) {
       return Promise.resolve(unavailable('the topic is closed', defaultRetryAfterMs));
     }
@@ -64,9 +66,9 @@
         resolve(unavailable('too many appends wait for the log', defaultRetryAfterMs));
         return;
       }
-      this._armExpiry();
-      if (!this._inFlight) {
-        this.post({ kind: 'flush' });
+      this._armExpiry(now() + timeoutMs);
+      if (!this._inFlight && !this._flushPosted) {
+        this._flushPosted = this.post({ kind: 'flush' });
       }
     });
   }
@@ -93,6 +95,7 @@
     }
     switch (message.kind) {
       case 'flush':
+        this._flushPosted = false;
         this._flush();
         break;
       case 'retry':
@@ -137,24 +140,27 @@
       this._flush();
       return;
     }
-    const retryAfterMs = this._options.health.retryAfterMs();
+    const retryAfterMs = this._retryAfterMs();
     if (retryAfterMs !== undefined) {
       this._queue.refuseQueued('the log is down', retryAfterMs);
     }
     this.postAfter(this._backoff.nextMs(), () => ({ kind: 'retry' }));
   }
 
-  private _armExpiry(): void {
-    const earliestMs = this._queue.earliestDeadlineMs;
-    if (!this._expiryArmed && earliestMs !== undefined) {
-      this._expiryArmed = true;
-      this.postAfter(Math.max(0, Math.ceil(earliestMs - this._context.now())), () => ({ kind: 'expire' }));
+  private _armExpiry(deadlineMs: number | undefined): void {
+    if (deadlineMs !== undefined && deadlineMs < this._expiryArmedForMs) {
+      this._expiryArmedForMs = deadlineMs;
+      this.postAfter(Math.max(0, Math.ceil(deadlineMs - this._context.now())), () => ({ kind: 'expire' }));
     }
   }
 
   private _expire(): void {
-    this._expiryArmed = false;
-    this._queue.expire(this._context.now(), this._options.health.retryAfterMs() ?? defaultRetryAfterMs);
-    this._armExpiry();
+    this._expiryArmedForMs = Number.POSITIVE_INFINITY;
+    this._queue.expire(this._context.now(), this._retryAfterMs() ?? defaultRetryAfterMs);
+    this._armExpiry(this._queue.earliestDeadlineMs);
+  }
+
+  private _retryAfterMs(): number | undefined {
+    return this._options.health.retryAfterMs(this._options.topic);
   }
 }
