--- /dev/null
+++ b/packages/daemon/src/owner/Lease.ts
@@ -0,0 +1,217 @@
+import * as common from '@jayhaven/common';
+import * as decisions from '@jayhaven/decisions';
+import type { ControlChange, ControlPlane, DaemonContext } from '../Types.js';
+import type { LeaseView } from './Types.js';
+
+/** Interval of the checks, milliseconds. */
+const tickMs = 100;
+/** Each further rank waits this much longer, so that the append of the first one is read back before. */
+const rankDelayMs = 300;
+/** Refused connections in a row after which the owner's process counts as gone. */
+const refusalsUntilGone = 2;
+/** Daemons that probe the owner's port. */
+const probers = 2;
+const probeIntervalMs = 500;
+const probeTimeoutMs = 1_000;
+
+type LeaseMessage =
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'changed'; readonly change: ControlChange }
+  | { readonly kind: 'appended'; readonly sentAtMs: number; readonly ok: boolean }
+  | { readonly kind: 'probed'; readonly owner: common.Incarnation; readonly refused: boolean };
+
+/**
+ * Claims the cell when it has no owner and renews the claim. Saves work only: replay refuses decisions under a
+ * superseded claim whatever any lease says.
+ */
+export class Lease extends common.Task<LeaseMessage> implements LeaseView {
+  private readonly _cell: string;
+  private readonly _unsubscribe: common.Unsubscribe;
+  private readonly _logger: common.Logger;
+  /** Since when the cell is known to need an owner. */
+  private _vacantSinceMs: number | undefined;
+  private _lastRenewalReadMs: number;
+  /** When the latest renewal that was read back had been sent. */
+  private _renewedFromMs = -Infinity;
+  private _lastAttemptMs = -Infinity;
+  private _lastProbeMs = -Infinity;
+  private _refusals = 0;
+  private _appending = false;
+  private _released = false;
+
+  public constructor(
+    private readonly _context: DaemonContext,
+    private readonly _control: ControlPlane,
+  ) {
+    super();
+    this._cell = _context.settings.daemon.cell;
+    this._logger = _context.logger.part('lease');
+    this._lastRenewalReadMs = _context.now();
+    this._unsubscribe = _control.log.onChange((change) => {
+      const kind = change.record.body.kind;
+      if (kind === 'ownerClaimed' || kind === 'ownerRenewed' || kind === 'ownerReleased') {
+        this.post({ kind: 'changed', change });
+      }
+    });
+    this.postEvery(tickMs, () => ({ kind: 'tick' }));
+  }
+
+  public currentClaim(): decisions.ClaimOffset | undefined {
+    const entry = this._entry;
+    const holds = entry?.owner === this._control.incarnation && entry.claim !== null;
+    const inTime = this._context.now() < this._renewedFromMs + this._context.settings.owner.leaseMs;
+    return holds && inTime ? entry.claim : undefined;
+  }
+
+  /** Reports that a call to the owner found its port closed, or reached it. */
+  public noteOwnerContact(owner: common.Incarnation, refused: boolean): void {
+    this.post({ kind: 'probed', owner, refused });
+  }
+
+  /** Gives up ownership, and claims no more. */
+  public async release(): Promise<void> {
+    this._released = true;
+    const entry = this._entry;
+    if (entry?.owner === this._control.incarnation && entry.claim !== null) {
+      const body = { kind: 'ownerReleased', cell: this._cell, claim: entry.claim } as const;
+      const outcome = await this._control.log.append(body, this._context.settings.platform.logTimeoutMs);
+      this._logger.info(outcome.ok ? 'ownership released' : 'ownership could not be released; the lease will pass');
+    }
+  }
+
+  /** Claims no more, while orders of this daemon are still being settled. */
+  public stopClaiming(): void {
+    this._released = true;
+  }
+
+  public override async [Symbol.asyncDispose](): Promise<void> {
+    this._unsubscribe();
+    await super[Symbol.asyncDispose]();
+  }
+
+  protected override handle(message: LeaseMessage): void {
+    switch (message.kind) {
+      case 'tick':
+        this._tick(this._context.now());
+        break;
+      case 'changed':
+        this._changed(message.change);
+        break;
+      case 'appended':
+        this._appending = false;
+        if (message.ok) {
+          this._renewedFromMs = Math.max(this._renewedFromMs, message.sentAtMs);
+        }
+        break;
+      case 'probed':
+        this._probed(message.owner, message.refused);
+        break;
+    }
+  }
+
+  private get _entry(): decisions.CellEntry | undefined {
+    return this._control.log.state.cells.get(this._cell);
+  }
+
+  private _tick(nowMs: number): void {
+    if (this._appending || !this._control.log.lag.logAvailable) {
+      return;
+    }
+    const entry = this._entry;
+    if (entry?.owner === this._control.incarnation && entry.claim !== null) {
+      this._renew(entry.claim, nowMs);
+      return;
+    }
+    if (this._released) {
+      return;
+    }
+    this._probe(entry, nowMs);
+    this._claimIfVacant(entry, nowMs);
+  }
+
+  private _renew(claim: decisions.ClaimOffset, nowMs: number): void {
+    if (nowMs - this._lastAttemptMs >= this._context.settings.owner.renewMs) {
+      this._append({ kind: 'ownerRenewed', cell: this._cell, claim }, nowMs);
+    }
+  }
+
+  private _claimIfVacant(entry: decisions.CellEntry | undefined, nowMs: number): void {
+    if (!this._isVacant(entry, nowMs)) {
+      this._vacantSinceMs = undefined;
+      return;
+    }
+    this._vacantSinceMs ??= nowMs;
+    if (nowMs >= this._vacantSinceMs + this._rank(entry) * rankDelayMs) {
+      this._vacantSinceMs = undefined;
+      this._refusals = 0;
+      const supersedes = entry?.latestClaim ?? null;
+      this._append({ kind: 'ownerClaimed', cell: this._cell, supersedes }, nowMs);
+    }
+  }
+
+  private _isVacant(entry: decisions.CellEntry | undefined, nowMs: number): boolean {
+    if (entry?.owner == null || !this._control.log.state.daemons.has(entry.owner)) {
+      return true;
+    }
+    const passed = nowMs - this._lastRenewalReadMs > this._context.settings.owner.leaseMs;
+    return passed || this._refusals >= refusalsUntilGone;
+  }
+
+  /** Place of this daemon in the order in which daemons claim. */
+  private _rank(entry: decisions.CellEntry | undefined): number {
+    const candidates = this._control.peers.members
+      .filter((member) => !member.suspected && member.incarnation !== entry?.owner)
+      .map((member) => member.incarnation);
+    const ranked = decisions.rankByRendezvous(`owner/${this._cell}/${entry?.latestClaim ?? ''}`, candidates);
+    const rank = ranked.indexOf(this._control.incarnation);
+    return rank < 0 ? ranked.length : rank;
+  }
+
+  private _probe(entry: decisions.CellEntry | undefined, nowMs: number): void {
+    const owner = entry?.owner;
+    if (owner == null || nowMs - this._lastProbeMs < probeIntervalMs || this._rank(entry) >= probers) {
+      return;
+    }
+    this._lastProbeMs = nowMs;
+    void this._control.peers.call(owner, 'owner.ping', {}, probeTimeoutMs).then((outcome) => {
+      this.noteOwnerContact(owner, !outcome.ok && outcome.failure.kind === 'refused');
+    });
+  }
+
+  private _probed(owner: common.Incarnation, refused: boolean): void {
+    if (owner === this._entry?.owner) {
+      this._refusals = refused ? this._refusals + 1 : 0;
+    }
+  }
+
+  private _changed(change: ControlChange): void {
+    if (change.verdict.kind !== 'accepted') {
+      return;
+    }
+    const entry = change.state.cells.get(this._cell);
+    if (entry?.renewedAt === change.record.offset) {
+      this._lastRenewalReadMs = this._context.now();
+    }
+    if (change.record.body.kind === 'ownerClaimed') {
+      this._refusals = 0;
+      this._vacantSinceMs = undefined;
+      this._context.timeline.record({
+        part: 'owner',
+        event: 'ownerClaimed',
+        offset: change.record.offset,
+        detail: { owner: entry?.owner ?? '' },
+      });
+    }
+  }
+
+  private _append(body: decisions.ControlRecordBody, nowMs: number): void {
+    this._appending = true;
+    this._lastAttemptMs = nowMs;
+    void this._control.log.append(body, this._context.settings.platform.logTimeoutMs).then((outcome) => {
+      if (!outcome.ok && outcome.failure.kind !== 'rejected') {
+        this._logger.warn(`${body.kind} was not confirmed`, { failure: outcome.failure });
+      }
+      this.post({ kind: 'appended', sentAtMs: nowMs, ok: outcome.ok });
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/owner/Reports.ts
@@ -0,0 +1,56 @@
+import type * as decisions from '@jayhaven/decisions';
+import type { ControlPlane, DaemonContext } from '../Types.js';
+
+/** Pause after a record that was not confirmed, milliseconds. */
+const retryMs = 300;
+
+/** Appends reports, each at most once at a time. A loop that still sees the need asks again. */
+export class Reports {
+  private readonly _pending = new Map<string, Promise<boolean>>();
+  private readonly _pausedUntil = new Map<string, number>();
+
+  public constructor(
+    private readonly _context: DaemonContext,
+    private readonly _control: ControlPlane,
+  ) {}
+
+  /** Number of appends in progress. */
+  public get pending(): number {
+    return this._pending.size;
+  }
+
+  /** Appends a record unless the same one is on its way or failed a moment ago. Resolves true once accepted. */
+  public append(body: decisions.ControlRecordBody): Promise<boolean> {
+    const key = JSON.stringify(body);
+    const running = this._pending.get(key);
+    if (running !== undefined) {
+      return running;
+    }
+    if ((this._pausedUntil.get(key) ?? -Infinity) > this._context.now()) {
+      return Promise.resolve(false);
+    }
+    const appended = this._append(key, body);
+    this._pending.set(key, appended);
+    return appended;
+  }
+
+  private async _append(key: string, body: decisions.ControlRecordBody): Promise<boolean> {
+    this._pausedUntil.delete(key);
+    const outcome = await this._control.log.append(body, this._context.settings.platform.logTimeoutMs);
+    this._pending.delete(key);
+    if (!outcome.ok) {
+      this._pausedUntil.set(key, this._context.now() + retryMs);
+      this._forgetOld();
+    }
+    return outcome.ok;
+  }
+
+  private _forgetOld(): void {
+    const nowMs = this._context.now();
+    for (const [key, untilMs] of this._pausedUntil) {
+      if (untilMs < nowMs) {
+        this._pausedUntil.delete(key);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/owner/Signal.ts
@@ -0,0 +1,26 @@
+/** Lets one loop sleep until it is woken or a time has passed. */
+export class Signal {
+  private _wake: (() => void) | undefined;
+  private _raised = false;
+
+  /** Ends the current or the next sleep. */
+  public raise(): void {
+    this._raised = true;
+    this._wake?.();
+  }
+
+  /** Sleeps for a time, or until raised. */
+  public async sleep(durationMs: number): Promise<void> {
+    if (!this._raised) {
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(resolve, durationMs);
+        this._wake = () => {
+          clearTimeout(timer);
+          resolve();
+        };
+      });
+    }
+    this._wake = undefined;
+    this._raised = false;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/owner/TargetDriver.ts
@@ -0,0 +1,327 @@
+import * as common from '@jayhaven/common';
+import * as decisions from '@jayhaven/decisions';
+import { EngineClient } from './EngineClient.js';
+import { OrderSender } from './OrderSender.js';
+import type { Reports } from './Reports.js';
+import { Signal } from './Signal.js';
+import {
+  findModel,
+  hasOlderSender,
+  hasOrder,
+  isAccountedFor,
+  isAdoptable,
+  ordersAt,
+  replicasAt,
+} from './targetState.js';
+import type { EngineModel, FailedLoad, FinishedLoad, OwnerServices } from './Types.js';
+
+/** Interval of index reads while something is in progress, milliseconds: its half is what a cold start loses. */
+const busyIntervalMs = 20;
+/** Interval for loads that take long: this share of the time that they have taken so far. */
+const longLoadShare = 0.02;
+const longestIntervalMs = 500;
+/** Interval while the target cannot be read. */
+const unreachableIntervalMs = 200;
+/** Index reads in a row that must agree before a replica counts as absent. */
+const absentReadsLimit = 2;
+/** Adapters in transit do not show in the index; an absent one counts as failed only after this time. */
+const adapterTransitLimitMs = 5_000;
+
+/** What a driver reports to the owner. */
+export interface DriverEvents {
+  readonly onLoaded: (load: FinishedLoad) => void;
+  readonly onFailed: (load: FailedLoad) => void;
+  readonly onStray: (target: common.TargetAddress, present: boolean) => void;
+}
+
+/**
+ * Brings the replicas and orders of one target to where the replayed state wants them. It compares state and engine
+ * anew in each round, so it resumes after any failure, also of another owner.
+ */
+export class TargetDriver {
+  private readonly _signal = new Signal();
+  private readonly _sender: OrderSender;
+  /** When loading was first seen, per replica or order of an adapter. */
+  private readonly _startedMs = new Map<number, number>();
+  private readonly _absentReads = new Map<string, number>();
+  private _verifyRounds = 0;
+  private _strayPresent = false;
+  private _stopped = false;
+
+  public constructor(
+    private readonly _services: OwnerServices,
+    private readonly _reports: Reports,
+    private readonly _events: DriverEvents,
+    public readonly target: common.TargetAddress,
+  ) {
+    this._sender = new OrderSender(_services, _reports, () => {
+      this._signal.raise();
+    });
+  }
+
+  /** Looks at the state again now. */
+  public wake(): void {
+    this._signal.raise();
+  }
+
+  /** Compares ready replicas with the index too. */
+  public verify(): void {
+    this._verifyRounds = absentReadsLimit + 1;
+    this._signal.raise();
+  }
+
+  /** Ends the loop after the current round. */
+  public stop(): void {
+    this._stopped = true;
+    this._signal.raise();
+  }
+
+  /** Works until nothing is left to do at the target. */
+  public async run(): Promise<void> {
+    while (!this._stopped && this.hasWork()) {
+      const reached = await this._round();
+      if (!this._stopped && this.hasWork()) {
+        await this._signal.sleep(reached ? this._intervalMs() : unreachableIntervalMs);
+      }
+    }
+  }
+
+  /** Whether state and engine may differ at this target. */
+  public hasWork(): boolean {
+    const { state, incarnation } = this._services.control.log;
+    const owns = this._services.lease.currentClaim() !== undefined;
+    const orders = ordersAt(state, this.target);
+    if (orders.some((order) => order.senders.has(incarnation))) {
+      return true;
+    }
+    if (!owns) {
+      return false;
+    }
+    return (
+      this._verifyRounds > 0 ||
+      this._strayPresent ||
+      orders.some((order) => isAdoptable(state, order)) ||
+      replicasAt(state, this.target).some(
+        (replica) =>
+          replica.state !== 'ready' || [...replica.adapters.values()].some((adapter) => adapter.state !== 'ready'),
+      )
+    );
+  }
+
+  private async _round(): Promise<boolean> {
+    const claim = this._services.lease.currentClaim();
+    const { incarnation } = this._services.control.log;
+    if (claim !== undefined) {
+      await this._takeOver(claim);
+    }
+    const { state } = this._services.control.log;
+    this._sender.forgetSettled(state);
+    for (const order of ordersAt(state, this.target)) {
+      if (order.senders.has(incarnation)) {
+        this._sender.drive(order);
+      }
+    }
+    return claim !== undefined && this._confirm();
+  }
+
+  /** Fences off older claims where the engine checks tokens, and adopts the orders of former owners. */
+  private async _takeOver(claim: decisions.ClaimOffset): Promise<void> {
+    const { control, engines, context } = this._services;
+    const foreign = ordersAt(control.log.state, this.target).filter((order) => hasOlderSender(order, claim));
+    if (foreign.length === 0) {
+      return;
+    }
+    const checked = decisions.findTarget(control.log.state, this.target)?.target.fencing === 'checked';
+    if (checked && (control.log.state.fences.get(this.target) ?? -1) < claim) {
+      // Adopt first: replay settles older senders at the fence, and an order without senders cannot be adopted.
+      await this._adopt(foreign, claim);
+      if (await engines.raiseFence(this.target, claim)) {
+        await this._reports.append({ kind: 'fenceRaised', target: this.target, claim });
+        context.timeline.record({ part: 'owner', event: 'fenceRaised', detail: { target: this.target, claim } });
+      }
+      return;
+    }
+    await this._adopt(foreign, claim);
+  }
+
+  private async _adopt(orders: readonly decisions.OrderEntry[], claim: decisions.ClaimOffset): Promise<void> {
+    const { control, context } = this._services;
+    const cell = context.settings.daemon.cell;
+    const due = orders.filter(
+      (order) => order.senders.get(control.incarnation) !== claim && isAdoptable(control.log.state, order),
+    );
+    await Promise.all(
+      due.map((order) => this._reports.append({ kind: 'orderAdopted', cell, claim, order: order.order })),
+    );
+  }
+
+  /** Reads the index and reports what it confirms. Returns whether the engine was reached. */
+  private async _confirm(): Promise<boolean> {
+    const before = this._services.control.log.state;
+    const index = await this._services.engines.readIndex(this.target);
+    const claim = this._services.lease.currentClaim();
+    if (claim === undefined) {
+      return true;
+    }
+    if (index === undefined) {
+      this._failUndelivered(before, claim);
+      return false;
+    }
+    for (const replica of replicasAt(before, this.target)) {
+      this._confirmReplica(before, replica, index);
+    }
+    this._confirmNoStrays(before, index, claim);
+    this._verifyRounds = Math.max(0, this._verifyRounds - 1);
+    return true;
+  }
+
+  private _confirmReplica(
+    before: decisions.ControlState,
+    replica: decisions.ReplicaEntry,
+    index: readonly EngineModel[],
+  ): void {
+    const model = findModel(index, replica);
+    const present = model !== undefined && model.state !== 'UNAVAILABLE';
+    const id = replica.replica;
+    if (replica.state === 'loading') {
+      this._noteStart(id);
+      if (model?.state === 'READY') {
+        this._reportReady(replica);
+      } else if (this._isAbsent(`load ${id}`, present || hasOrder(before, id))) {
+        this._reportFailed(replica, this._failureOf(id));
+      }
+    } else if (replica.state === 'unloading') {
+      if (this._isAbsent(`unload ${id}`, present || hasOrder(before, id), 1)) {
+        void this._reports.append({ kind: 'replicaUnloaded', replica: id });
+      }
+    } else if (this._isAbsent(`ready ${id}`, present)) {
+      this._reportFailed(replica, 'the engine no longer holds the model');
+    } else if (model !== undefined && present) {
+      this._confirmAdapters(before, replica, model);
+    }
+  }
+
+  private _confirmAdapters(before: decisions.ControlState, replica: decisions.ReplicaEntry, model: EngineModel): void {
+    for (const entry of replica.adapters.values()) {
+      const present = model.adapters.includes(entry.adapter);
+      const unsettled = [...before.orders.values()].some(
+        (order) => order.replica === replica.replica && order.adapter === entry.adapter,
+      );
+      if (entry.state === 'loading' && present) {
+        void this._reports.append({ kind: 'adapterReady', order: entry.order });
+      } else if (this._isAdapterGone(entry, present || unsettled)) {
+        void this._reports.append({ kind: 'adapterUnloaded', replica: replica.replica, adapter: entry.adapter });
+      }
+    }
+  }
+
+  private _isAdapterGone(entry: decisions.AdapterEntry, present: boolean): boolean {
+    const key = `adapter ${entry.order} ${entry.state}`;
+    if (entry.state === 'loading') {
+      this._noteStart(entry.order);
+      const answered = this._sender.answerTo(entry.order) !== undefined;
+      const startedMs = this._startedMs.get(entry.order) ?? 0;
+      const overdue = this._services.context.now() - startedMs > adapterTransitLimitMs;
+      return this._isAbsent(key, present || !(answered || overdue));
+    }
+    return this._isAbsent(key, present);
+  }
+
+  /** A model that neither a replica nor an unsettled order accounts for is unloaded. */
+  private _confirmNoStrays(
+    before: decisions.ControlState,
+    index: readonly EngineModel[],
+    claim: decisions.ClaimOffset,
+  ): void {
+    const strays = index.filter(
+      (model) => model.state !== 'UNAVAILABLE' && !isAccountedFor(before, this.target, model),
+    );
+    for (const model of strays) {
+      const key = `stray ${model.name}@${model.version}`;
+      // The first read only notes a stray: the state may be older than the engine.
+      if (this._isAbsent(key, false)) {
+        this._absentReads.delete(key);
+        this._unloadStray(model, claim);
+      }
+    }
+    if (strays.length > 0 !== this._strayPresent) {
+      this._strayPresent = strays.length > 0;
+      this._events.onStray(this.target, this._strayPresent);
+    }
+  }
+
+  private _unloadStray(model: EngineModel, claim: decisions.ClaimOffset): void {
+    const { state } = this._services.control.log;
+    const [partner = '', ...rest] = model.name.split('/');
+    const version = { partner, model: rest.join('/'), version: model.version };
+    // Checked again just before sending: a decision of the last moments may account for the model.
+    if (model.state !== 'UNLOADING' && !isAccountedFor(state, this.target, model)) {
+      this._services.context.timeline.record({
+        part: 'owner',
+        event: 'strayUnloaded',
+        model: model.name,
+        detail: { target: this.target, version: model.version },
+      });
+      void this._services.engines.unload(this.target, version, claim);
+    }
+  }
+
+  /** A load of this claim of which no byte was ever delivered cannot be loading, although the engine is silent. */
+  private _failUndelivered(state: decisions.ControlState, claim: decisions.ClaimOffset): void {
+    for (const replica of replicasAt(state, this.target)) {
+      const id = replica.replica;
+      if (replica.state === 'loading' && id > claim && !hasOrder(state, id) && this._sender.wasNeverDelivered(id)) {
+        this._reportFailed(replica, 'the engine cannot be reached; nothing was sent');
+      }
+    }
+  }
+
+  private _reportReady(replica: decisions.ReplicaEntry): void {
+    const id = replica.replica;
+    const durationMs = this._services.context.now() - (this._startedMs.get(id) ?? this._services.context.now());
+    void this._reports.append({ kind: 'replicaReady', replica: id }).then((accepted) => {
+      if (accepted) {
+        this._startedMs.delete(id);
+        this._events.onLoaded({ replica, durationMs });
+      }
+    });
+  }
+
+  private _reportFailed(replica: decisions.ReplicaEntry, reason: string): void {
+    void this._reports.append({ kind: 'replicaFailed', replica: replica.replica, reason }).then((accepted) => {
+      if (accepted) {
+        this._startedMs.delete(replica.replica);
+        this._events.onFailed({ target: this.target, model: EngineClient.modelName(replica), reason });
+      }
+    });
+  }
+
+  private _failureOf(id: decisions.ReplicaId): string {
+    const answer = this._sender.answerTo(id);
+    return answer?.kind === 'refused' ? answer.message : 'the engine does not hold the model after the load order';
+  }
+
+  private _noteStart(id: number): void {
+    if (!this._startedMs.has(id)) {
+      this._startedMs.set(id, this._services.context.now());
+    }
+  }
+
+  /** Counts successive reads that miss something; true once there are enough. */
+  private _isAbsent(key: string, present: boolean, limit: number = absentReadsLimit): boolean {
+    if (present) {
+      this._absentReads.delete(key);
+      return false;
+    }
+    const reads = (this._absentReads.get(key) ?? 0) + 1;
+    this._absentReads.set(key, reads);
+    return reads >= limit;
+  }
+
+  private _intervalMs(): number {
+    const nowMs = this._services.context.now();
+    const youngestMs = Math.min(...[...this._startedMs.values()].map((startedMs) => nowMs - startedMs));
+    const share = Number.isFinite(youngestMs) ? youngestMs * longLoadShare : 0;
+    return Math.min(longestIntervalMs, Math.max(busyIntervalMs, share));
+  }
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -12,3 +12,5 @@
 export { emptyControlState, replay, replayValue } from './replay/replay.js';
 export { maximumHistoryEntries } from './replay/configuration.js';
 export * from './snapshot/snapshot.js';
+export * from './placement/index.js';
+export * from './policy/index.js';
--- /dev/null
+++ b/packages/decisions/src/placement/LoadQueue.ts
@@ -0,0 +1,142 @@
+import type * as common from '@jayhaven/common';
+import type { ModelSettings } from '../Types.js';
+import { neededBytes, sumBytes } from './fitting.js';
+
+/** An entry that nobody asked for again within this time is dropped; daemons repeat a wake each second. */
+const entryLifetimeMs = 5_000;
+/** A big load goes ahead of smaller ones once it has waited this long. */
+const agedMs = 5_000;
+
+/** A model that waits to be loaded. */
+export interface LoadQueueEntry {
+  readonly settings: ModelSettings;
+  readonly urgency: common.Urgency;
+  /** Replicas wanted in all. */
+  readonly replicas: number;
+  /** End of the most patient waiter's time; Infinity if nobody waits. */
+  readonly deadlineMs: number;
+  readonly enqueuedMs: number;
+  readonly refreshedMs: number;
+  readonly waiting: number;
+}
+
+/** A request to load a model. */
+export interface LoadQueueRequest {
+  readonly settings: ModelSettings;
+  readonly urgency: common.Urgency;
+  readonly replicas: number;
+  readonly remainingMs: number;
+  readonly waiting: number;
+}
+
+/**
+ * Loads that wait for a decision. Interactive before batch; within an urgency the partner that has had least for its
+ * weight, then small before big.
+ */
+export class LoadQueue {
+  private readonly _entries = new Map<string, LoadQueueEntry>();
+  /** Load time given to each partner so far, divided by its weight. */
+  private readonly _served = new Map<common.PartnerName, number>();
+
+  public constructor(private readonly _maximumEntries = 1_000) {}
+
+  public get size(): number {
+    return this._entries.size;
+  }
+
+  /** Adds a model or renews its entry. Returns false if the queue is full. */
+  public add(request: LoadQueueRequest, nowMs: number): boolean {
+    const key = keyOf(request.settings);
+    const before = this._entries.get(key);
+    if (before === undefined && this._entries.size >= this._maximumEntries) {
+      return false;
+    }
+    const interactive = request.urgency === 'interactive' || before?.urgency === 'interactive';
+    this._entries.set(key, {
+      settings: request.settings,
+      urgency: interactive ? 'interactive' : 'batch',
+      replicas: Math.max(request.replicas, before?.replicas ?? 0),
+      deadlineMs: Math.max(nowMs + request.remainingMs, before?.deadlineMs ?? 0),
+      enqueuedMs: before?.enqueuedMs ?? nowMs,
+      refreshedMs: nowMs,
+      waiting: Math.max(request.waiting, before?.waiting ?? 0),
+    });
+    if (before === undefined) {
+      this._catchUp(request.settings.partner);
+    }
+    return true;
+  }
+
+  /** Removes a model, because it was decided or refused. */
+  public remove(settings: ModelSettings): void {
+    this._entries.delete(keyOf(settings));
+  }
+
+  /** Whether the model waits. */
+  public has(settings: ModelSettings): boolean {
+    return this._entries.has(keyOf(settings));
+  }
+
+  /** Charges a partner for a decided load. */
+  public charge(partner: common.PartnerName, loadMs: number, weight: number): void {
+    this._served.set(partner, (this._served.get(partner) ?? 0) + loadMs / Math.max(weight, 0.01));
+  }
+
+  /** Drops entries that nobody renewed or whose deadline has passed. */
+  public dropStale(nowMs: number): void {
+    for (const [key, entry] of this._entries) {
+      if (nowMs - entry.refreshedMs > entryLifetimeMs || entry.deadlineMs < nowMs) {
+        this._entries.delete(key);
+      }
+    }
+  }
+
+  /** Entries in the order in which they should be decided. A blocked entry is to be skipped, not waited for. */
+  public ordered(nowMs: number): readonly LoadQueueEntry[] {
+    return [...this._entries.values()].sort((first, second) => this._compare(first, second, nowMs));
+  }
+
+  /** Number of entries ahead of a model. */
+  public position(settings: ModelSettings, nowMs: number): number {
+    const key = keyOf(settings);
+    const index = this.ordered(nowMs).findIndex((entry) => keyOf(entry.settings) === key);
+    return index < 0 ? this._entries.size : index;
+  }
+
+  private _compare(first: LoadQueueEntry, second: LoadQueueEntry, nowMs: number): number {
+    return (
+      rankOf(first.urgency) - rankOf(second.urgency) ||
+      this._servedOf(first) - this._servedOf(second) ||
+      sizeOf(first, nowMs) - sizeOf(second, nowMs) ||
+      first.enqueuedMs - second.enqueuedMs ||
+      (keyOf(first.settings) < keyOf(second.settings) ? -1 : 1)
+    );
+  }
+
+  private _servedOf(entry: LoadQueueEntry): number {
+    return this._served.get(entry.settings.partner) ?? 0;
+  }
+
+  /** A partner that had nothing queued starts level with the others instead of claiming its idle time. */
+  private _catchUp(partner: common.PartnerName): void {
+    const waiting = [...this._entries.values()];
+    const others = waiting.filter((entry) => entry.settings.partner !== partner);
+    const own = waiting.filter((entry) => entry.settings.partner === partner);
+    if (own.length === 1 && others.length > 0) {
+      const level = Math.min(...others.map((entry) => this._servedOf(entry)));
+      this._served.set(partner, Math.max(level, this._served.get(partner) ?? 0));
+    }
+  }
+}
+
+function rankOf(urgency: common.Urgency): number {
+  return urgency === 'interactive' ? 0 : 1;
+}
+
+function sizeOf(entry: LoadQueueEntry, nowMs: number): number {
+  return nowMs - entry.enqueuedMs > agedMs ? 0 : sumBytes(neededBytes(entry.settings));
+}
+
+function keyOf(settings: ModelSettings): string {
+  return `${settings.partner}/${settings.model}@${settings.version}`;
+}
--- /dev/null
+++ b/packages/decisions/src/placement/TokenBucket.ts
@@ -0,0 +1,67 @@
+/** Loads longer than expected by this factor lower the rate. */
+const slowFactor = 1.5;
+/** Rate after a slow load, as a share of the rate before. */
+const decrease = 0.7;
+/** Rate regained by each load that is not slow, as a share of the configured rate. */
+const increase = 0.05;
+/** Lowest rate, as a share of the configured rate, so that recovery is noticed. */
+const lowestShare = 0.2;
+
+/** Paces loads per second; slower while loads take longer than expected (additive increase, multiplicative decrease). */
+export class TokenBucket {
+  private readonly _configuredPerSecond: number;
+  private _perSecond: number;
+  private _tokens: number;
+  private _filledAtMs: number;
+
+  public constructor(perSecond: number, nowMs: number) {
+    this._configuredPerSecond = perSecond;
+    this._perSecond = perSecond;
+    this._tokens = this._capacity;
+    this._filledAtMs = nowMs;
+  }
+
+  /** Loads per second that are allowed now. */
+  public get perSecond(): number {
+    return this._perSecond;
+  }
+
+  /** Takes a token if one is there. */
+  public take(nowMs: number): boolean {
+    this._fill(nowMs);
+    if (this._tokens < 1) {
+      return false;
+    }
+    this._tokens -= 1;
+    return true;
+  }
+
+  /** Gives back the token of a load that was not decided. */
+  public giveBack(): void {
+    this._tokens = Math.min(this._capacity, this._tokens + 1);
+  }
+
+  /** Time until `position` further loads may have started. */
+  public waitMs(position: number, nowMs: number): number {
+    this._fill(nowMs);
+    return Math.max(0, ((position + 1 - this._tokens) / this._perSecond) * 1_000);
+  }
+
+  /** Adapts the rate to a finished load. */
+  public observe(expectedMs: number, actualMs: number): void {
+    this._perSecond =
+      actualMs > expectedMs * slowFactor
+        ? Math.max(this._configuredPerSecond * lowestShare, this._perSecond * decrease)
+        : Math.min(this._configuredPerSecond, this._perSecond + this._configuredPerSecond * increase);
+  }
+
+  /** One second's worth: the limits of the weight store are per second. */
+  private get _capacity(): number {
+    return Math.max(1, this._configuredPerSecond);
+  }
+
+  private _fill(nowMs: number): void {
+    this._tokens = Math.min(this._capacity, this._tokens + ((nowMs - this._filledAtMs) / 1_000) * this._perSecond);
+    this._filledAtMs = nowMs;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/placement/evictions.ts
@@ -0,0 +1,135 @@
+/** Chooses replicas to evict so that a load fits. */
+import * as queries from './queries.js';
+import type { AcceleratorBytes, ModelSettings, ReplicaEntry } from '../Types.js';
+import { addBytes, fitBytes, sumBytes } from './fitting.js';
+import type { CandidateTarget, PlacementRequest, PlacementView } from './Types.js';
+
+/** Horizon over which the chance of use is weighed, milliseconds. */
+const horizonMs = 5 * 60_000;
+
+/** Replicas to evict on one target, with their cost. */
+export interface EvictionPlan {
+  readonly target: CandidateTarget;
+  readonly victims: readonly ReplicaEntry[];
+  /** Expected reload time lost per byte freed, summed over the victims. */
+  readonly cost: number;
+}
+
+/** The cheapest set of victims on one target after which the load fits, or undefined. */
+export function planEviction(
+  view: PlacementView,
+  request: PlacementRequest,
+  target: CandidateTarget,
+): EvictionPlan | undefined {
+  if (view.nowMs < view.evictAfterMs) {
+    return undefined;
+  }
+  const candidates = [...view.state.replicas.values()]
+    .filter((replica) => replica.target === target.address && isEvictable(view, replica))
+    .map((replica) => ({ replica, cost: evictionCost(view, replica) }))
+    .filter((candidate) => Number.isFinite(candidate.cost))
+    .sort((first, second) => first.cost - second.cost || first.replica.replica - second.replica.replica);
+  let free: AcceleratorBytes = queries.freeBytes(view.state, target.address);
+  const victims: ReplicaEntry[] = [];
+  let cost = 0;
+  for (const candidate of candidates) {
+    if (!staysInShare(view, request.settings, victims, candidate.replica)) {
+      continue;
+    }
+    victims.push(candidate.replica);
+    cost += candidate.cost * sumBytes(candidate.replica.bytes);
+    free = addBytes(free, candidate.replica.bytes);
+    if (fitBytes(request.settings, free) !== undefined) {
+      return { target, ...withoutNeedless(view, request, target, victims), cost };
+    }
+  }
+  return undefined;
+}
+
+/** Whether a replica may be unloaded at all now. */
+export function isEvictable(view: PlacementView, replica: ReplicaEntry): boolean {
+  if (replica.state !== 'ready' || hasUnsettledOrder(view, replica)) {
+    return false;
+  }
+  if (view.usageOf(replica).inFlight > 0) {
+    return false;
+  }
+  const settings = queries.modelSettings(view.state, replica.partner, replica.model);
+  if (settings?.version !== replica.version) {
+    return true;
+  }
+  return readyCount(view, replica) > settings.minimumReplicas;
+}
+
+/** An unsettled order pins the memory, so an unload would free nothing. */
+export function hasUnsettledOrder(view: PlacementView, replica: ReplicaEntry): boolean {
+  return [...view.state.orders.values()].some((order) => order.replica === replica.replica);
+}
+
+function readyCount(view: PlacementView, replica: ReplicaEntry): number {
+  return queries.replicasOf(view.state, replica).filter((other) => other.state === 'ready').length;
+}
+
+/** Reload time times chance of use, per byte. */
+function evictionCost(view: PlacementView, replica: ReplicaEntry): number {
+  const settings = queries.modelSettings(view.state, replica.partner, replica.model);
+  if (settings?.version !== replica.version) {
+    return 0;
+  }
+  const chance = view.policy.chanceOfUse(settings, view.usageOf(replica), horizonMs, view.nowMs);
+  return (view.expectedLoadMs(settings, replica.target) * chance) / Math.max(1, sumBytes(replica.bytes));
+}
+
+/** A partner keeps its guaranteed share against the other partners. */
+function staysInShare(
+  view: PlacementView,
+  settings: ModelSettings,
+  victims: readonly ReplicaEntry[],
+  candidate: ReplicaEntry,
+): boolean {
+  const partner = candidate.partner;
+  if (partner === settings.partner) {
+    return true;
+  }
+  const evicted = [...victims, candidate].filter((replica) => replica.partner === partner);
+  const left = partnerBytes(view, partner) - evicted.reduce((sum, replica) => sum + sumBytes(replica.bytes), 0);
+  return left >= queries.shareOf(view.state, partner) * cellBytes(view);
+}
+
+/** Accelerator memory that the replicas of a partner take. */
+export function partnerBytes(view: PlacementView, partner: string): number {
+  return [...view.state.replicas.values()]
+    .filter((replica) => replica.partner === partner && replica.state !== 'unloading')
+    .reduce((sum, replica) => sum + sumBytes(replica.bytes), 0);
+}
+
+function cellBytes(view: PlacementView): number {
+  let total = 0;
+  for (const entry of view.state.vms.values()) {
+    for (const target of entry.targets) {
+      total += sumBytes(target.acceleratorBytes);
+    }
+  }
+  return total;
+}
+
+/** Drops victims that turned out to be unnecessary once a larger one was added. */
+function withoutNeedless(
+  view: PlacementView,
+  request: PlacementRequest,
+  target: CandidateTarget,
+  victims: readonly ReplicaEntry[],
+): { readonly victims: readonly ReplicaEntry[] } {
+  let kept = [...victims];
+  for (const victim of victims) {
+    const rest = kept.filter((other) => other !== victim);
+    const free = rest.reduce(
+      (sum, replica) => addBytes(sum, replica.bytes),
+      queries.freeBytes(view.state, target.address),
+    );
+    if (fitBytes(request.settings, free) !== undefined) {
+      kept = rest;
+    }
+  }
+  return { victims: kept };
+}
--- /dev/null
+++ b/packages/decisions/src/placement/placeReplica.ts
@@ -0,0 +1,206 @@
+/** Decides where a replica is loaded, what is evicted for it, or why it is refused. */
+import * as queries from './queries.js';
+import type { AcceleratorBytes, DecisionReason, ModelSettings, ReplicaId } from '../Types.js';
+import { domainsHolding, liveEngines, targetsHolding } from './candidates.js';
+import { planEviction, type EvictionPlan } from './evictions.js';
+import { addBytes, fitBytes, sumBytes } from './fitting.js';
+import type { CandidateTarget, Placement, PlacementRequest, PlacementView } from './Types.js';
+
+/** Load times within this factor count as equal, so that a good fit decides between them. */
+const similarLoadFactor = 1.25;
+/** When to come back if nothing is expected to change soon, milliseconds. */
+const noRoomRetryMs = 10_000;
+/** When to come back for a model that no target can hold; only a change of the configuration or the VMs helps. */
+const neverFitsRetryMs = 60_000;
+/** Allowance for an unload with drain before a load, milliseconds. */
+const unloadAllowanceMs = 500;
+
+interface Option {
+  readonly target: CandidateTarget;
+  readonly bytes: AcceleratorBytes;
+  readonly expectedMs: number;
+  readonly leftover: number;
+  readonly sharesDomain: boolean;
+}
+
+/** Places one more replica of a model, unless it has the wanted number. */
+export function placeReplica(view: PlacementView, request: PlacementRequest): Placement {
+  const { settings } = request;
+  const existing = queries.replicasOf(view.state, settings);
+  const staying = existing.filter((replica) => !isLeaving(view, replica.replica));
+  const usable =
+    staying.find((replica) => replica.state === 'ready') ?? staying.find((replica) => replica.state === 'loading');
+  if (usable !== undefined && staying.length >= request.replicas) {
+    return { kind: 'served', replica: usable.replica, state: usable.state === 'ready' ? 'ready' : 'loading' };
+  }
+  if (existing.length >= settings.maximumReplicas) {
+    return waitForUnload(view, request, existing.length);
+  }
+  return placeOnTarget(view, request, existing.length + 1);
+}
+
+/** Whether the VM of a replica takes no new work. */
+export function isLeaving(view: PlacementView, id: ReplicaId): boolean {
+  const vm = view.state.replicas.get(id)?.vm;
+  return vm !== undefined && (view.leavingVms.has(vm) || view.state.vms.get(vm)?.state !== 'live');
+}
+
+function placeOnTarget(view: PlacementView, request: PlacementRequest, ordinal: number): Placement {
+  const { settings } = request;
+  const engines = liveEngines(view);
+  const large = engines.filter((engine) => fitBytes(settings, engine.acceleratorBytes) !== undefined);
+  if (large.length === 0) {
+    return neverFits(request, engines.length);
+  }
+  const holding = targetsHolding(view, settings);
+  const free = large.filter((engine) => !holding.has(engine.address));
+  const open = free.filter((engine) => !view.blockedTargets.has(engine.address));
+  const option = bestOption(view, settings, open);
+  if (option !== undefined) {
+    return loadOn(request, option, ordinal, open.length);
+  }
+  const eviction = cheapestEviction(view, request, open);
+  if (eviction !== undefined) {
+    return evictFor(view, request, eviction);
+  }
+  if (free.length > open.length || free.some((engine) => fitsAfterUnloads(view, settings, engine))) {
+    return waitForRoom(view, request);
+  }
+  return noRoom(request, large.length);
+}
+
+function bestOption(
+  view: PlacementView,
+  settings: ModelSettings,
+  engines: readonly CandidateTarget[],
+): Option | undefined {
+  const domains = domainsHolding(view, settings);
+  const options: Option[] = [];
+  for (const target of engines) {
+    const free = queries.freeBytes(view.state, target.address);
+    const bytes = fitBytes(settings, free);
+    if (bytes !== undefined) {
+      options.push({
+        target,
+        bytes,
+        expectedMs: view.expectedLoadMs(settings, target.address),
+        leftover: leftoverOf(free, bytes),
+        sharesDomain: domains.has(target.failureDomain),
+      });
+    }
+  }
+  const fastest = Math.min(...options.map((option) => option.expectedMs));
+  return options.sort((first, second) => compareOptions(first, second, fastest))[0];
+}
+
+/** Free memory left on the accelerators that the model uses. */
+function leftoverOf(free: AcceleratorBytes, bytes: AcceleratorBytes): number {
+  return sumBytes(free.map((available, index) => ((bytes[index] ?? 0) > 0 ? available - (bytes[index] ?? 0) : 0)));
+}
+
+function compareOptions(first: Option, second: Option, fastestMs: number): number {
+  return (
+    Number(first.sharesDomain) - Number(second.sharesDomain) ||
+    Number(first.expectedMs > fastestMs * similarLoadFactor) -
+      Number(second.expectedMs > fastestMs * similarLoadFactor) ||
+    first.leftover - second.leftover ||
+    (first.target.address < second.target.address ? -1 : 1)
+  );
+}
+
+function loadOn(request: PlacementRequest, option: Option, ordinal: number, candidates: number): Placement {
+  const reason: DecisionReason = {
+    rule: ordinal > 1 ? 'spreadThenTierThenBestFit' : 'tierThenBestFit',
+    figures: {
+      candidates,
+      expectedMs: Math.round(option.expectedMs),
+      leftoverBytes: option.leftover,
+      sharesDomain: option.sharesDomain ? 'yes' : 'no',
+      urgency: request.urgency,
+    },
+  };
+  return {
+    kind: 'load',
+    target: option.target.address,
+    bytes: option.bytes,
+    ordinal,
+    expectedMs: option.expectedMs,
+    reason,
+  };
+}
+
+function cheapestEviction(
+  view: PlacementView,
+  request: PlacementRequest,
+  engines: readonly CandidateTarget[],
+): EvictionPlan | undefined {
+  const plans = engines.flatMap((engine) => planEviction(view, request, engine) ?? []);
+  return plans.sort(
+    (first, second) => first.cost - second.cost || (first.target.address < second.target.address ? -1 : 1),
+  )[0];
+}
+
+function evictFor(view: PlacementView, request: PlacementRequest, plan: EvictionPlan): Placement {
+  return {
+    kind: 'evict',
+    target: plan.target.address,
+    victims: plan.victims.map((victim) => victim.replica),
+    reason: {
+      rule: 'leastReloadCostPerByte',
+      figures: {
+        for: `${request.settings.partner}/${request.settings.model}`,
+        cost: plan.cost,
+        victims: plan.victims.length,
+        freedBytes: plan.victims.reduce((sum, victim) => sum + sumBytes(victim.bytes), 0),
+        expectedMs: view.expectedLoadMs(request.settings, plan.target.address),
+      },
+    },
+  };
+}
+
+/** Whether the model fits once the unloads in progress on the target are done. */
+function fitsAfterUnloads(view: PlacementView, settings: ModelSettings, target: CandidateTarget): boolean {
+  let free = queries.freeBytes(view.state, target.address);
+  for (const replica of view.state.replicas.values()) {
+    if (replica.target === target.address && replica.state === 'unloading') {
+      free = addBytes(free, replica.bytes);
+    }
+  }
+  return fitBytes(settings, free) !== undefined;
+}
+
+function waitForUnload(view: PlacementView, request: PlacementRequest, existing: number): Placement {
+  const expectedMs = view.expectedLoadMs(request.settings) + unloadAllowanceMs;
+  const figures = { existing, maximumReplicas: request.settings.maximumReplicas };
+  return { kind: 'wait', expectedMs, reason: { rule: 'replicaSlotTaken', figures } };
+}
+
+function waitForRoom(view: PlacementView, request: PlacementRequest): Placement {
+  const expectedMs = view.expectedLoadMs(request.settings) + unloadAllowanceMs;
+  return { kind: 'wait', expectedMs, reason: { rule: 'roomExpected', figures: { allowanceMs: unloadAllowanceMs } } };
+}
+
+function noRoom(request: PlacementRequest, candidates: number): Placement {
+  const name = `${request.settings.partner}/${request.settings.model}`;
+  return {
+    kind: 'refuse',
+    type: 'model_no_room',
+    message: `no target has room for model ${name} and no replica may be evicted for it`,
+    retryAfterMs: noRoomRetryMs,
+    reason: { rule: 'noRoom', figures: { candidates } },
+  };
+}
+
+function neverFits(request: PlacementRequest, engines: number): Placement {
+  const { settings } = request;
+  return {
+    kind: 'refuse',
+    type: 'model_never_fits',
+    message: `model ${settings.partner}/${settings.model} fits on none of ${engines} live engines`,
+    retryAfterMs: neverFitsRetryMs,
+    reason: {
+      rule: 'neverFits',
+      figures: { engines, accelerators: settings.weightBytes.length, bytes: sumBytes(settings.weightBytes) },
+    },
+  };
+}
--- /dev/null
+++ b/packages/decisions/src/placement/upkeep.ts
@@ -0,0 +1,229 @@
+/** Decides which replicas and adapters are unloaded, and which models are loaded without a waiting request. */
+import * as queries from './queries.js';
+import type * as common from '@jayhaven/common';
+import type { DecisionReason, ModelSettings, ReplicaEntry, ReplicaId } from '../Types.js';
+import { hasUnsettledOrder, isEvictable } from './evictions.js';
+import { isLeaving } from './placeReplica.js';
+import type { PlacementView } from './Types.js';
+
+/** A replica is given up when the others would be loaded below this share of their setting. */
+const scaleDownShare = 0.7;
+
+/** A replica to unload. */
+export interface UnloadChoice {
+  readonly replica: ReplicaId;
+  readonly reason: DecisionReason;
+}
+
+/** An adapter to unload. */
+export interface AdapterUnloadChoice {
+  readonly replica: ReplicaId;
+  readonly adapter: string;
+}
+
+/** A load that nobody waits for. */
+export interface LoadWish {
+  readonly settings: ModelSettings;
+  readonly urgency: common.Urgency;
+  /** Replicas wanted in all. */
+  readonly replicas: number;
+  readonly reason: DecisionReason;
+}
+
+/** Replicas to unload now, at most one per model. */
+export function chooseUnloads(view: PlacementView): readonly UnloadChoice[] {
+  if (view.nowMs < view.evictAfterMs) {
+    return [];
+  }
+  const choices = new Map<string, UnloadChoice>();
+  for (const replica of view.state.replicas.values()) {
+    const key = `${replica.partner}/${replica.model}`;
+    const reason = choices.has(key) ? undefined : unloadReason(view, replica);
+    if (reason !== undefined) {
+      choices.set(key, { replica: replica.replica, reason });
+    }
+  }
+  return [...choices.values()];
+}
+
+function unloadReason(view: PlacementView, replica: ReplicaEntry): DecisionReason | undefined {
+  if (replica.state !== 'ready' || hasUnsettledOrder(view, replica)) {
+    return undefined;
+  }
+  const settings = queries.modelSettings(view.state, replica.partner, replica.model);
+  if (settings === undefined || settings.version !== replica.version) {
+    return supersededReason(view, replica, settings);
+  }
+  return (
+    leavingReason(view, replica, settings) ??
+    idleReason(view, replica, settings) ??
+    surplusReason(view, replica, settings)
+  );
+}
+
+/** Another version is configured: the old one goes once the new one is ready, or when it is no longer used. */
+function supersededReason(
+  view: PlacementView,
+  replica: ReplicaEntry,
+  settings: ModelSettings | undefined,
+): DecisionReason | undefined {
+  const ready = settings === undefined || stayingReady(view, settings).length > 0;
+  const idle = view.usageOf(replica).inFlight === 0;
+  if (!ready && !idle) {
+    return undefined;
+  }
+  return { rule: 'versionSuperseded', figures: { version: replica.version, configured: settings?.version ?? 'none' } };
+}
+
+/** A replica on a leaving VM blocks the slot of its replacement. */
+function leavingReason(
+  view: PlacementView,
+  replica: ReplicaEntry,
+  settings: ModelSettings,
+): DecisionReason | undefined {
+  if (!isLeaving(view, replica.replica) || !isWanted(view, settings)) {
+    return undefined;
+  }
+  const existing = queries.replicasOf(view.state, settings);
+  if (existing.length < settings.maximumReplicas || stayingReady(view, settings).length > 0) {
+    return undefined;
+  }
+  return { rule: 'vmLeaving', figures: { vm: replica.vm, replicas: existing.length } };
+}
+
+function idleReason(view: PlacementView, replica: ReplicaEntry, settings: ModelSettings): DecisionReason | undefined {
+  if (!isEvictable(view, replica)) {
+    return undefined;
+  }
+  const usage = view.usageOf(replica);
+  const idleMs = view.nowMs - Math.max(usage.lastUsedMs, view.readySinceMs(replica.replica));
+  const keepAliveMs = view.policy.keepAliveMs(settings, usage);
+  if (idleMs < keepAliveMs) {
+    return undefined;
+  }
+  return {
+    rule: 'idle',
+    figures: { policy: view.policy.name, idleMs: Math.round(idleMs), keepAliveMs: Math.round(keepAliveMs) },
+  };
+}
+
+/** Fewer replicas carry the load, also that of the busiest moment of the last minutes. */
+function surplusReason(
+  view: PlacementView,
+  replica: ReplicaEntry,
+  settings: ModelSettings,
+): DecisionReason | undefined {
+  const ready = stayingReady(view, settings);
+  const rest = ready.length - 1;
+  const newest = Math.max(...ready);
+  if (rest < Math.max(1, settings.minimumReplicas) || replica.replica !== newest) {
+    return undefined;
+  }
+  const { peakInFlight } = view.usageOf(replica);
+  const readyMs = view.nowMs - view.readySinceMs(replica.replica);
+  const capacity = settings.requestsPerReplica * rest * scaleDownShare;
+  if (peakInFlight > capacity || readyMs < settings.keepAliveMs) {
+    return undefined;
+  }
+  return { rule: 'surplus', figures: { peakInFlight, ready: ready.length, capacity } };
+}
+
+/** Adapters that were not used for the keep-alive of their model. */
+export function chooseAdapterUnloads(view: PlacementView): readonly AdapterUnloadChoice[] {
+  if (view.nowMs < view.evictAfterMs) {
+    return [];
+  }
+  return [...view.state.replicas.values()].flatMap((replica) => {
+    const settings = queries.modelSettings(view.state, replica.partner, replica.model);
+    const usage = view.usageOf(replica);
+    return [...replica.adapters.values()].flatMap(({ adapter, state }) => {
+      const busy = (usage.adaptersInFlight.get(adapter) ?? 0) > 0;
+      const sinceMs = usage.adaptersLastUsedMs.get(adapter) ?? view.readySinceMs(replica.replica);
+      const idle = view.nowMs - sinceMs > (settings?.keepAliveMs ?? 0);
+      const due = replica.state === 'ready' && state === 'ready' && !busy && idle;
+      return due ? [{ replica: replica.replica, adapter }] : [];
+    });
+  });
+}
+
+/** Loads that are due without a waiting request. */
+export function chooseLoads(view: PlacementView): readonly LoadWish[] {
+  return queries.allModels(view.state).flatMap((settings) => {
+    const existing = queries.replicasOf(view.state, settings);
+    if (existing.length >= settings.maximumReplicas) {
+      return [];
+    }
+    return (
+      minimumWish(view, settings) ??
+      scaleUpWish(view, settings) ??
+      replacementWish(view, settings) ??
+      prewarmWish(view, settings, existing.length) ??
+      []
+    );
+  });
+}
+
+function minimumWish(view: PlacementView, settings: ModelSettings): LoadWish | undefined {
+  const staying = stayingCount(view, settings);
+  const wanted = Math.min(settings.minimumReplicas, settings.maximumReplicas);
+  return staying < wanted
+    ? {
+        settings,
+        urgency: 'batch',
+        replicas: wanted,
+        reason: { rule: 'minimumReplicas', figures: { staying, wanted } },
+      }
+    : undefined;
+}
+
+function scaleUpWish(view: PlacementView, settings: ModelSettings): LoadWish | undefined {
+  const ready = stayingReady(view, settings).length;
+  const { inFlight } = view.usageOf(settings);
+  const wanted = Math.min(settings.maximumReplicas, Math.ceil(inFlight / settings.requestsPerReplica));
+  if (ready === 0 || stayingCount(view, settings) >= wanted) {
+    return undefined;
+  }
+  const figures = { inFlight, ready, requestsPerReplica: settings.requestsPerReplica };
+  return { settings, urgency: settings.urgency, replicas: wanted, reason: { rule: 'scaleUp', figures } };
+}
+
+function replacementWish(view: PlacementView, settings: ModelSettings): LoadWish | undefined {
+  const existing = queries.replicasOf(view.state, settings);
+  const leaving = existing.filter((replica) => isLeaving(view, replica.replica)).length;
+  if (leaving === 0 || stayingCount(view, settings) > 0 || !isWanted(view, settings)) {
+    return undefined;
+  }
+  return { settings, urgency: settings.urgency, replicas: 1, reason: { rule: 'vmLeaving', figures: { leaving } } };
+}
+
+function prewarmWish(view: PlacementView, settings: ModelSettings, existing: number): LoadWish | undefined {
+  const usage = view.usageOf(settings);
+  const loadMs = view.expectedLoadMs(settings);
+  const afterMs = view.policy.prewarmAfterMs(settings, usage, loadMs);
+  const idleMs = view.nowMs - usage.lastUsedMs;
+  // Later than one keep-alive past the due time, the expected request did not come.
+  if (existing > 0 || afterMs === undefined || idleMs < afterMs || idleMs > afterMs + settings.keepAliveMs) {
+    return undefined;
+  }
+  const figures = { idleMs: Math.round(idleMs), afterMs: Math.round(afterMs), loadMs: Math.round(loadMs) };
+  return { settings, urgency: 'batch', replicas: 1, reason: { rule: 'prewarm', figures } };
+}
+
+/** Whether the model was used within its keep-alive or has a minimum. */
+function isWanted(view: PlacementView, settings: ModelSettings): boolean {
+  const usage = view.usageOf(settings);
+  return settings.minimumReplicas > 0 || view.nowMs - usage.lastUsedMs < settings.keepAliveMs;
+}
+
+function stayingReady(view: PlacementView, settings: ModelSettings): readonly ReplicaId[] {
+  return queries
+    .replicasOf(view.state, settings)
+    .filter((replica) => replica.state === 'ready' && !isLeaving(view, replica.replica))
+    .map((replica) => replica.replica);
+}
+
+function stayingCount(view: PlacementView, settings: ModelSettings): number {
+  return queries
+    .replicasOf(view.state, settings)
+    .filter((replica) => replica.state !== 'unloading' && !isLeaving(view, replica.replica)).length;
+}
--- /dev/null
+++ b/packages/decisions/src/policy/GapHistogram.ts
@@ -0,0 +1,64 @@
+import type { GapStatistics } from './Types.js';
+
+/** Upper bound of the first bin, milliseconds. */
+const firstBoundMs = 250;
+/** Each bin is wider than the one before by this factor, so a percentile is off by at most a quarter. */
+const growth = 1.25;
+/** The last bin ends after about 16 h; longer gaps fall into it. */
+const binCount = 56;
+/** Counts are halved at this total, so that old habits fade. */
+const maximumSamples = 512;
+
+/** Histogram of times between requests with logarithmic bins. */
+export class GapHistogram implements GapStatistics {
+  private readonly _bins = new Float64Array(binCount);
+  private _samples = 0;
+
+  public get samples(): number {
+    return this._samples;
+  }
+
+  /** Adds one gap. */
+  public add(gapMs: number): void {
+    const bin = binOf(gapMs);
+    this._bins[bin] = (this._bins[bin] ?? 0) + 1;
+    this._samples += 1;
+    if (this._samples >= maximumSamples) {
+      this._bins.forEach((count, index) => {
+        this._bins[index] = count / 2;
+      });
+      this._samples /= 2;
+    }
+  }
+
+  public percentileMs(share: number): number {
+    let rest = this._samples * share;
+    for (let bin = 0; bin < binCount; bin += 1) {
+      rest -= this._bins[bin] ?? 0;
+      if (rest <= 1e-9) {
+        return upperBoundMs(bin);
+      }
+    }
+    return upperBoundMs(binCount - 1);
+  }
+
+  public shareAbove(gapMs: number): number {
+    if (this._samples === 0) {
+      return 1;
+    }
+    let above = 0;
+    for (let bin = binOf(gapMs); bin < binCount; bin += 1) {
+      above += this._bins[bin] ?? 0;
+    }
+    return above / this._samples;
+  }
+}
+
+function binOf(gapMs: number): number {
+  const bin = gapMs <= firstBoundMs ? 0 : Math.ceil(Math.log(gapMs / firstBoundMs) / Math.log(growth));
+  return Math.min(bin, binCount - 1);
+}
+
+function upperBoundMs(bin: number): number {
+  return firstBoundMs * growth ** bin;
+}
--- /dev/null
+++ b/packages/decisions/src/policy/KeepAlivePolicy.ts
@@ -0,0 +1,22 @@
+import type { ModelSettings } from '../Types.js';
+import type { ModelUsage } from './Types.js';
+
+/** Decides how long an idle replica stays loaded and when a model is loaded ahead of its next request. */
+export abstract class KeepAlivePolicy {
+  /** Name for reasons and the time line. */
+  public abstract readonly name: string;
+
+  /** Idle time after which a replica is unloaded; `Infinity` keeps it until memory is needed. */
+  public abstract keepAliveMs(settings: ModelSettings, usage: ModelUsage): number;
+
+  /** Time since the last use at which to load the model again; undefined if it waits for a request. */
+  public prewarmAfterMs(_settings: ModelSettings, _usage: ModelUsage, _loadMs: number): number | undefined {
+    return undefined;
+  }
+
+  /** Chance, 0 to 1, that the model is used within the horizon. Weighs the cost of evicting it. */
+  public chanceOfUse(_settings: ModelSettings, usage: ModelUsage, horizonMs: number, nowMs: number): number {
+    // Recency alone: half after one horizon of idle time, less afterwards.
+    return horizonMs / (horizonMs + Math.max(0, nowMs - usage.lastUsedMs));
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/policy/NeverUnloadPolicy.ts
@@ -0,0 +1,14 @@
+import { KeepAlivePolicy } from './KeepAlivePolicy.js';
+
+/** Keeps every model, also when another one needs the memory. */
+export class NeverUnloadPolicy extends KeepAlivePolicy {
+  public override readonly name = 'neverUnload';
+
+  public override keepAliveMs(): number {
+    return Infinity;
+  }
+
+  public override chanceOfUse(): number {
+    return Infinity;
+  }
+}
