--- /dev/null
+++ b/packages/daemon/src/owner/OwnerCaller.ts
@@ -0,0 +1,92 @@
+import * as common from '@jayhaven/common';
+import type {
+  ControlPlane,
+  DaemonContext,
+  OwnerClient,
+  UsageEntry,
+  WakeAnswer,
+  WakeFailure,
+  WakeRequest,
+} from '../Types.js';
+import type { Lease } from './Lease.js';
+import { wakeResultSchema, type WakeResult } from './schemas.js';
+
+/** Limit for one call to the owner, milliseconds. */
+const callTimeoutMs = 2_000;
+/** Pause before the owner is asked again, unless it changes before. */
+const retryMs = 100;
+/** Allowance beyond the lease for another daemon to claim the cell. */
+const claimAllowanceMs = 2_000;
+const noOwnerRetryMs = 1_000;
+const logUnavailableRetryMs = 5_000;
+
+/** Finds the owner of the cell and calls it, in this daemon or another. */
+export class OwnerCaller implements OwnerClient {
+  public constructor(
+    private readonly _context: DaemonContext,
+    private readonly _control: ControlPlane,
+    private readonly _lease: Lease,
+  ) {}
+
+  public async wake(request: WakeRequest): Promise<common.Outcome<WakeAnswer, WakeFailure>> {
+    const { leaseMs } = this._context.settings.owner;
+    const startedMs = this._context.now();
+    const patienceMs = Math.min(request.remainingMs, leaseMs + claimAllowanceMs);
+    for (;;) {
+      if (!this._control.log.lag.logAvailable) {
+        const message = 'the log is unavailable, so no load can be decided';
+        return common.fail({ kind: 'logUnavailable', message, retryAfterMs: logUnavailableRetryMs });
+      }
+      const elapsedMs = this._context.now() - startedMs;
+      const answer = await this._ask({ ...request, remainingMs: Math.max(0, request.remainingMs - elapsedMs) });
+      if (answer !== undefined && answer.kind !== 'notOwner') {
+        return common.succeed(answer);
+      }
+      if (this._context.now() - startedMs + retryMs > patienceMs) {
+        const message = 'no daemon owns the cell now';
+        return common.fail({ kind: 'noOwner', message, retryAfterMs: noOwnerRetryMs });
+      }
+      await this._ownerChange(retryMs);
+    }
+  }
+
+  public reportUsage(entries: readonly UsageEntry[]): void {
+    const owner = this._owner;
+    if (owner !== null) {
+      void this._control.peers.call(owner, 'owner.usage', { entries }, callTimeoutMs);
+    }
+  }
+
+  private get _owner(): common.Incarnation | null {
+    return this._control.log.state.cells.get(this._context.settings.daemon.cell)?.owner ?? null;
+  }
+
+  private async _ask(request: WakeRequest): Promise<WakeResult | undefined> {
+    const owner = this._owner;
+    if (owner === null) {
+      return undefined;
+    }
+    const outcome = await this._control.peers.call(owner, 'owner.wake', request, callTimeoutMs);
+    this._lease.noteOwnerContact(owner, !outcome.ok && outcome.failure.kind === 'refused');
+    const parsed = outcome.ok ? wakeResultSchema.safeParse(outcome.value) : undefined;
+    return parsed?.success === true ? parsed.data : undefined;
+  }
+
+  /** Resolves when the cell has another owner, or after a time. */
+  private _ownerChange(durationMs: number): Promise<void> {
+    const before = this._owner;
+    return new Promise((resolve) => {
+      const finish = (): void => {
+        clearTimeout(timer);
+        unsubscribe();
+        resolve();
+      };
+      const timer = setTimeout(finish, durationMs);
+      const unsubscribe = this._control.log.onChange(() => {
+        if (this._owner !== before && this._owner !== null) {
+          finish();
+        }
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/owner/Planning.ts
@@ -0,0 +1,206 @@
+import type * as common from '@jayhaven/common';
+import * as decisions from '@jayhaven/decisions';
+import { hasOlderSender, isAdoptable } from './targetState.js';
+import type { FailedLoad, FinishedLoad, OwnerServices } from './Types.js';
+
+/** Daemons report usage within this time after a change of owner; nothing is unloaded before. */
+const usageGraceMs = 3_000;
+/** A target gets no load for this time after one failed there, milliseconds. */
+const failedTargetPauseMs = 5_000;
+/** Room made for a load is kept for it this long. */
+const reservationMs = 30_000;
+/** Failures of a model in a row after which callers are refused. */
+const failuresUntilRefusal = 3;
+/** Callers are refused this long after the last failure. */
+const failurePauseMs = 5_000;
+
+/** Partners and what they give more weight; see section 1.3 of docs/design.md. */
+const partnerWeights: decisions.PartnerWeights = new Map([
+  ['solano', { coldStart: 0.8 }],
+  ['cascade', { coldStart: 0.3 }],
+]);
+
+interface Reservation {
+  readonly model: string;
+  readonly untilMs: number;
+}
+
+interface Failures {
+  count: number;
+  lastMs: number;
+}
+
+/** What one term of ownership knows: queue, usage, load times and what is being decided. Lost with the term. */
+export class Planning {
+  public readonly queue = new decisions.LoadQueue();
+  public readonly usage: decisions.UsageRecorder;
+  public readonly bucket: decisions.TokenBucket;
+  public readonly policy: decisions.KeepAlivePolicy = new decisions.HistogramPolicy(partnerWeights);
+  /** Loads whose decision is on its way to the log: model to target. */
+  public readonly pendingLoads = new Map<string, common.TargetAddress>();
+  /** Unloads whose decision is on its way to the log. */
+  public readonly pendingUnloads = new Set<decisions.ReplicaId>();
+  public readonly loadTimes: decisions.LoadTimes;
+  private readonly _reservations = new Map<common.TargetAddress, Reservation>();
+  private readonly _pausedTargets = new Map<common.TargetAddress, number>();
+  private readonly _strays = new Set<common.TargetAddress>();
+  private readonly _failures = new Map<string, Failures>();
+  private readonly _readySinceMs = new Map<decisions.ReplicaId, number>();
+  private readonly _loadingSinceMs = new Map<decisions.ReplicaId, number>();
+
+  public constructor(
+    private readonly _services: OwnerServices,
+    public readonly claim: decisions.ClaimOffset,
+    private readonly _startedMs: number,
+    loadTimes: decisions.LoadTimes,
+  ) {
+    this.usage = new decisions.UsageRecorder(_startedMs);
+    this.bucket = new decisions.TokenBucket(_services.context.settings.owner.loadsPerSecond, _startedMs);
+    this.loadTimes = loadTimes;
+  }
+
+  /** Name of a model version in the maps of this class. */
+  public static keyOf(model: decisions.ModelVersion): string {
+    return `${model.partner}/${model.model}@${model.version}`;
+  }
+
+  /** What placement works with now. */
+  public view(nowMs: number, reservedFor?: string): decisions.PlacementView {
+    const { state } = this._services.control.log;
+    return {
+      state,
+      policy: this.policy,
+      usageOf: (model) => this.usage.usageOf(model, nowMs),
+      expectedLoadMs: (settings, target) => this.loadTimes.expectedMs(settings, target),
+      readySinceMs: (replica) => this._readySinceMs.get(replica) ?? this._startedMs,
+      blockedTargets: this._blockedTargets(state, nowMs, reservedFor),
+      leavingVms: this._leavingVms,
+      evictAfterMs: this._startedMs + usageGraceMs,
+      nowMs,
+    };
+  }
+
+  /** VMs that were called leaving ahead of the log. */
+  public set leavingVms(vms: ReadonlySet<common.VmName>) {
+    this._leavingVms = vms;
+  }
+
+  /** Notes when replicas start and become ready. */
+  public observe(state: decisions.ControlState, nowMs: number): void {
+    for (const replica of state.replicas.values()) {
+      const since = replica.state === 'loading' ? this._loadingSinceMs : this._readySinceMs;
+      if (replica.state !== 'unloading' && !since.has(replica.replica)) {
+        since.set(replica.replica, nowMs);
+      }
+    }
+    for (const since of [this._loadingSinceMs, this._readySinceMs]) {
+      for (const replica of since.keys()) {
+        if (!state.replicas.has(replica)) {
+          since.delete(replica);
+        }
+      }
+    }
+  }
+
+  /** Time a loading replica still needs. */
+  public remainingLoadMs(settings: decisions.ModelSettings, replica: decisions.ReplicaId, nowMs: number): number {
+    const target = this._services.control.log.state.replicas.get(replica)?.target;
+    const elapsedMs = nowMs - (this._loadingSinceMs.get(replica) ?? nowMs);
+    // A load that is already late is expected to need a tenth of its time more.
+    return Math.max(this.loadTimes.expectedMs(settings, target) - elapsedMs, elapsedMs / 10, 10);
+  }
+
+  /** Keeps the room that evictions make on a target for one model. */
+  public reserve(target: common.TargetAddress, settings: decisions.ModelSettings, nowMs: number): void {
+    this._reservations.set(target, { model: Planning.keyOf(settings), untilMs: nowMs + reservationMs });
+  }
+
+  /** Target on which room is being made for the model, if any. */
+  public reservedTarget(settings: decisions.ModelSettings): common.TargetAddress | undefined {
+    const key = Planning.keyOf(settings);
+    return [...this._reservations].find(([, reservation]) => reservation.model === key)?.[0];
+  }
+
+  /** Gives up the room kept for a model. */
+  public unreserve(settings: decisions.ModelSettings): void {
+    const target = this.reservedTarget(settings);
+    if (target !== undefined) {
+      this._reservations.delete(target);
+    }
+  }
+
+  /** Learns from a finished load. */
+  public noteLoaded(load: FinishedLoad): void {
+    const { replica, durationMs } = load;
+    const settings = decisions.modelSettings(this._services.control.log.state, replica.partner, replica.model);
+    if (settings !== undefined) {
+      this.bucket.observe(this.loadTimes.expectedMs(settings, replica.target), durationMs);
+    }
+    this.loadTimes.record(replica, replica.target, durationMs);
+    this._failures.delete(`${replica.partner}/${replica.model}`);
+  }
+
+  /** Leaves out a target for a while after a failed load. */
+  public noteFailed(load: FailedLoad, nowMs: number): void {
+    this._pausedTargets.set(load.target, nowMs + failedTargetPauseMs);
+    const failures = this._failures.get(load.model) ?? { count: 0, lastMs: nowMs };
+    this._failures.set(load.model, { count: failures.count + 1, lastMs: nowMs });
+  }
+
+  /** Time until a model that failed repeatedly is tried for callers again; undefined if it is not held back. */
+  public failurePauseMs(model: decisions.ModelVersion, nowMs: number): number | undefined {
+    const failures = this._failures.get(`${model.partner}/${model.model}`);
+    const restMs = failures === undefined ? 0 : failures.lastMs + failurePauseMs - nowMs;
+    return failures !== undefined && failures.count >= failuresUntilRefusal && restMs > 0 ? restMs : undefined;
+  }
+
+  /** Notes whether an engine holds a model that nothing accounts for. */
+  public noteStray(target: common.TargetAddress, present: boolean): void {
+    if (present) {
+      this._strays.add(target);
+    } else {
+      this._strays.delete(target);
+    }
+  }
+
+  private _leavingVms: ReadonlySet<common.VmName> = new Set();
+
+  private _blockedTargets(
+    state: decisions.ControlState,
+    nowMs: number,
+    reservedFor: string | undefined,
+  ): ReadonlySet<common.TargetAddress> {
+    const blocked = new Set<common.TargetAddress>([...this.pendingLoads.values(), ...this._strays]);
+    for (const [target, untilMs] of this._pausedTargets) {
+      if (untilMs > nowMs) {
+        blocked.add(target);
+      } else {
+        this._pausedTargets.delete(target);
+      }
+    }
+    for (const [target, reservation] of this._reservations) {
+      if (reservation.untilMs < nowMs) {
+        this._reservations.delete(target);
+      } else if (reservation.model !== reservedFor) {
+        blocked.add(target);
+      }
+    }
+    for (const order of state.orders.values()) {
+      if (this._isUnadopted(state, order)) {
+        blocked.add(order.target);
+      }
+    }
+    return blocked;
+  }
+
+  /** Nothing is decided on a target before its fence is raised and its orders are adopted. */
+  private _isUnadopted(state: decisions.ControlState, order: decisions.OrderEntry): boolean {
+    if (!hasOlderSender(order, this.claim)) {
+      return false;
+    }
+    const checked = decisions.findTarget(state, order.target)?.target.fencing === 'checked';
+    const unfenced = checked && (state.fences.get(order.target) ?? -1) < this.claim;
+    const adopted = order.senders.get(this._services.control.incarnation) === this.claim;
+    return unfenced || (isAdoptable(state, order) && !adopted);
+  }
+}
--- a/packages/daemon/src/owner/TargetDriver.ts
+++ b/packages/daemon/src/owner/TargetDriver.ts
@@ -78,9 +78,9 @@
 
   /** Works until nothing is left to do at the target. */
   public async run(): Promise<void> {
-    while (!this._stopped && this.hasWork()) {
+    while (this._continues()) {
       const reached = await this._round();
-      if (!this._stopped && this.hasWork()) {
+      if (this._continues()) {
         await this._signal.sleep(reached ? this._intervalMs() : unreachableIntervalMs);
       }
     }
@@ -108,6 +108,10 @@
     );
   }
 
+  private _continues(): boolean {
+    return !this._stopped && this.hasWork();
+  }
+
   private async _round(): Promise<boolean> {
     const claim = this._services.lease.currentClaim();
     const { incarnation } = this._services.control.log;
--- /dev/null
+++ b/packages/daemon/src/owner/WakeAnswers.ts
@@ -0,0 +1,111 @@
+/** Answers entry daemons that ask for a loaded model. */
+import * as decisions from '@jayhaven/decisions';
+import type { WakeAnswer, WakeRequest } from '../Types.js';
+import type { AdapterPlanner } from './AdapterPlanner.js';
+import { Planning } from './Planning.js';
+import type { OwnerServices } from './Types.js';
+
+/** Expected load time of an adapter, milliseconds. */
+const adapterLoadMs = 20;
+/** Estimates vary; those who wait already are given up only beyond this multiple of their remaining time. */
+const tolerance = 1.25;
+/** When to come back for a model or adapter that is not configured, milliseconds. */
+const unknownRetryMs = 60_000;
+const queueFullRetryMs = 2_000;
+
+/** Answers one request and queues the load it needs. */
+export function answerWake(
+  services: OwnerServices,
+  planning: Planning,
+  adapters: AdapterPlanner,
+  request: WakeRequest,
+  nowMs: number,
+): WakeAnswer {
+  const settings = decisions.modelSettings(services.control.log.state, request.partner, request.model);
+  const name = `${request.partner}/${request.model}`;
+  if (settings === undefined) {
+    return refuse('model_unknown', `model ${name} is not configured`, unknownRetryMs);
+  }
+  const adapter = request.adapter === undefined ? undefined : settings.adapters.get(request.adapter);
+  if (request.adapter !== undefined && adapter === undefined) {
+    return refuse('adapter_unknown', `model ${name} has no adapter ${request.adapter}`, unknownRetryMs);
+  }
+  planning.usage.touch(settings, request.adapter, nowMs);
+  if (adapter !== undefined && !adapters.wish(settings, adapter, request.urgency, nowMs)) {
+    return refuse('queue_full', 'too many adapters wait to be loaded', queueFullRetryMs);
+  }
+  const answer = answerForModel(planning, settings, request, nowMs);
+  if (answer.kind === 'refused' || adapter === undefined) {
+    return answer;
+  }
+  return answerForAdapter(planning, settings, adapter, answer.readyInMs, nowMs);
+}
+
+function answerForModel(
+  planning: Planning,
+  settings: decisions.ModelSettings,
+  request: WakeRequest,
+  nowMs: number,
+): WakeAnswer {
+  const { urgency, remainingMs, waiting } = request;
+  const view = planning.view(nowMs, Planning.keyOf(settings));
+  const placement = decisions.placeReplica(view, { settings, urgency, remainingMs, replicas: 1 });
+  if (placement.kind === 'refuse') {
+    return refuse(placement.type, placement.message, placement.retryAfterMs);
+  }
+  if (placement.kind === 'served' && placement.state === 'ready') {
+    return { kind: 'expected', readyInMs: 0 };
+  }
+  if (placement.kind === 'served') {
+    return inTime(settings, planning.remainingLoadMs(settings, placement.replica, nowMs), remainingMs * tolerance);
+  }
+  const pauseMs = planning.failurePauseMs(settings, nowMs);
+  if (pauseMs !== undefined) {
+    return refuse('model_load_failed', `model ${nameOf(settings)} failed to load repeatedly`, pauseMs);
+  }
+  const loadMs = placement.kind === 'evict' ? planning.loadTimes.expectedMs(settings) + 500 : placement.expectedMs;
+  const queued = planning.queue.has(settings) || planning.pendingLoads.has(Planning.keyOf(settings));
+  const waitMs = planning.bucket.waitMs(planning.queue.position(settings, nowMs), nowMs);
+  const answer = inTime(settings, waitMs + loadMs, queued ? remainingMs * tolerance : remainingMs);
+  // A model whose load alone outlasts the deadline is loaded all the same: the caller may come back when it is ready.
+  if (answer.kind === 'refused' && loadMs <= remainingMs) {
+    return answer;
+  }
+  const keepMs = Math.max(remainingMs, waitMs + loadMs);
+  if (!planning.queue.add({ settings, urgency, replicas: 1, remainingMs: keepMs, waiting }, nowMs)) {
+    return refuse('queue_full', 'too many models wait to be loaded', queueFullRetryMs);
+  }
+  return answer;
+}
+
+function answerForAdapter(
+  planning: Planning,
+  settings: decisions.ModelSettings,
+  adapter: decisions.AdapterSettings,
+  modelReadyInMs: number,
+  nowMs: number,
+): WakeAnswer {
+  const placement = decisions.placeAdapter(planning.view(nowMs), settings, adapter.adapter, adapter.bytes);
+  if (modelReadyInMs === 0 && placement.kind === 'noRoom') {
+    const message = `no replica of ${nameOf(settings)} has room for adapter ${adapter.adapter}`;
+    return refuse('adapter_no_room', message, queueFullRetryMs);
+  }
+  const ready = placement.kind === 'served' && placement.state === 'ready';
+  return { kind: 'expected', readyInMs: ready ? 0 : modelReadyInMs + adapterLoadMs };
+}
+
+function inTime(settings: decisions.ModelSettings, readyInMs: number, remainingMs: number): WakeAnswer {
+  if (readyInMs <= remainingMs) {
+    return { kind: 'expected', readyInMs };
+  }
+  const figures = `expected in ${Math.round(readyInMs)} ms, ${Math.round(remainingMs)} ms remain`;
+  return refuse('model_cold_no_time', `model ${nameOf(settings)} is not loaded: ${figures}`, readyInMs);
+}
+
+function refuse(type: string, message: string, retryAfterMs: number): WakeAnswer {
+  return { kind: 'refused', type, message, retryAfterMs: Math.ceil(retryAfterMs) };
+}
+
+function nameOf(settings: decisions.ModelSettings): string {
+  return `${settings.partner}/${settings.model}`;
+}
--- /dev/null
+++ b/packages/daemon/src/owner/index.ts
@@ -0,0 +1,1 @@
+export { openOwner } from './openOwner.js';
--- /dev/null
+++ b/packages/daemon/src/targets/LoadCollector.ts
@@ -0,0 +1,281 @@
+import * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+import type { ControlPlane } from '../Types.js';
+import { chooseCollector } from './collectorChoice.js';
+import { renewIntervalMs } from './LoadDigests.js';
+import { digestsSchema, indexSchema, loadReportSchema, subscribeSchema, type DigestMessage } from './schemas.js';
+
+const pollIntervalMs = 1_000;
+const pollTimeoutMs = 900;
+/** The index is compared at every such poll. */
+const pollsPerIndex = 2;
+/** Failures in a row after which a target counts as unreachable. */
+const failuresUntilUnreachable = 3;
+const sendTimeoutMs = 1_000;
+/** A subscription outlives one lost renewal. */
+const subscriptionMs = 2 * renewIntervalMs;
+
+type CollectorMessage =
+  | { readonly kind: 'poll' }
+  | {
+      readonly kind: 'subscribed';
+      readonly daemon: common.Incarnation;
+      readonly targets: readonly common.TargetAddress[];
+      readonly reply: (digests: readonly DigestMessage[]) => void;
+    }
+  | { readonly kind: 'polled'; readonly target: common.TargetAddress; readonly body: unknown }
+  | { readonly kind: 'indexed'; readonly target: common.TargetAddress; readonly body: unknown }
+  | { readonly kind: 'sent'; readonly daemon: common.Incarnation };
+
+interface CollectedTarget {
+  digest: DigestMessage | undefined;
+  failures: number;
+  polling: boolean;
+  polls: number;
+}
+
+/** Polls the load of the targets that fall to this daemon and sends changes to those who subscribed. */
+export class LoadCollector extends common.Task<CollectorMessage> {
+  private readonly _http = new common.JsonHttpClient(2);
+  private readonly _targets = new Map<common.TargetAddress, CollectedTarget>();
+  /** Until when each daemon is interested in each target. */
+  private readonly _subscribers = new Map<common.TargetAddress, Map<common.Incarnation, number>>();
+  /** Changes that wait for the previous message to a daemon; later ones replace earlier ones. */
+  private readonly _outbox = new Map<common.Incarnation, Map<common.TargetAddress, DigestMessage>>();
+  private readonly _sending = new Set<common.Incarnation>();
+
+  public constructor(
+    private readonly _now: () => number,
+    private readonly _control: ControlPlane,
+    /** Called when the engine's index contradicts the replayed state. */
+    private readonly _contradicted: (target: common.TargetAddress) => void,
+  ) {
+    super();
+    _control.peers.handle('load.subscribe', (parameters, caller) => this._onSubscribe(parameters, caller));
+    this.postEvery(pollIntervalMs, () => ({ kind: 'poll' }));
+  }
+
+  public override async [Symbol.asyncDispose](): Promise<void> {
+    await super[Symbol.asyncDispose]();
+    await this._http[Symbol.asyncDispose]();
+  }
+
+  protected override handle(message: CollectorMessage): void {
+    switch (message.kind) {
+      case 'poll':
+        this._poll();
+        break;
+      case 'subscribed':
+        this._subscribed(message.daemon, message.targets);
+        message.reply(message.targets.flatMap((target) => this._targets.get(target)?.digest ?? []));
+        break;
+      case 'polled':
+        this._polled(message.target, message.body);
+        break;
+      case 'indexed':
+        this._indexed(message.target, message.body);
+        break;
+      case 'sent':
+        this._sending.delete(message.daemon);
+        this._flush(message.daemon);
+        break;
+    }
+  }
+
+  private async _onSubscribe(parameters: unknown, caller: common.Incarnation): Promise<unknown> {
+    const parsed = subscribeSchema.safeParse(parameters);
+    if (!parsed.success) {
+      return { digests: [] };
+    }
+    const digests = await new Promise<readonly DigestMessage[]>((resolve) => {
+      const { targets } = parsed.data;
+      if (!this.post({ kind: 'subscribed', daemon: caller, targets, reply: resolve })) {
+        resolve([]);
+      }
+    });
+    return digestsSchema.parse({ digests });
+  }
+
+  private _subscribed(daemon: common.Incarnation, targets: readonly common.TargetAddress[]): void {
+    for (const target of targets) {
+      const subscribers = this._subscribers.get(target) ?? new Map<common.Incarnation, number>();
+      subscribers.set(daemon, this._now() + subscriptionMs);
+      this._subscribers.set(target, subscribers);
+      if (!this._targets.has(target) && this._listedTargets().has(target)) {
+        this._start(target);
+      }
+    }
+  }
+
+  private _listedTargets(): ReadonlySet<common.TargetAddress> {
+    const listed = new Set<common.TargetAddress>();
+    for (const vm of this._control.log.state.vms.values()) {
+      for (const target of vm.targets) {
+        listed.add(target.address);
+      }
+    }
+    return listed;
+  }
+
+  private _poll(): void {
+    const members = this._control.peers.members
+      .filter((member) => !member.suspected || member.self)
+      .map((member) => member.incarnation);
+    const own = new Set<common.TargetAddress>();
+    this._expireSubscribers();
+    for (const target of this._listedTargets()) {
+      // A subscriber may see other members than this daemon; it is served all the same.
+      if (chooseCollector(target, members) === this._control.incarnation || this._subscribers.has(target)) {
+        own.add(target);
+      }
+    }
+    for (const target of this._targets.keys()) {
+      if (!own.has(target)) {
+        this._targets.delete(target);
+      }
+    }
+    for (const target of own) {
+      this._start(target);
+    }
+  }
+
+  private _expireSubscribers(): void {
+    const nowMs = this._now();
+    for (const [target, subscribers] of this._subscribers) {
+      for (const [daemon, untilMs] of subscribers) {
+        if (untilMs < nowMs) {
+          subscribers.delete(daemon);
+        }
+      }
+      if (subscribers.size === 0) {
+        this._subscribers.delete(target);
+      }
+    }
+  }
+
+  private _start(target: common.TargetAddress): void {
+    const collected = this._targets.get(target) ?? { digest: undefined, failures: 0, polling: false, polls: 0 };
+    this._targets.set(target, collected);
+    if (collected.polling) {
+      return;
+    }
+    collected.polling = true;
+    collected.polls += 1;
+    const load = { method: 'GET', url: `http://${target}/v2/load`, timeoutMs: pollTimeoutMs } as const;
+    void this._http.request(load).then((outcome) => {
+      const ok = outcome.ok && outcome.value.status === 200;
+      this.post({ kind: 'polled', target, body: ok ? outcome.value.body : undefined });
+    });
+    if (collected.polls % pollsPerIndex === 0 && this._isEngine(target)) {
+      this._readIndex(target);
+    }
+  }
+
+  private _readIndex(target: common.TargetAddress): void {
+    const url = `http://${target}/v2/repository/index`;
+    void this._http.request({ method: 'POST', url, body: {}, timeoutMs: pollTimeoutMs }).then((outcome) => {
+      if (outcome.ok && outcome.value.status === 200) {
+        this.post({ kind: 'indexed', target, body: outcome.value.body });
+      }
+    });
+  }
+
+  private _isEngine(target: common.TargetAddress): boolean {
+    return [...this._control.log.state.vms.values()].some((vm) =>
+      vm.targets.some((entry) => entry.address === target && entry.role === 'engine'),
+    );
+  }
+
+  private _polled(target: common.TargetAddress, body: unknown): void {
+    const collected = this._targets.get(target);
+    if (collected === undefined) {
+      return;
+    }
+    collected.polling = false;
+    const before = collected.digest;
+    const report = loadReportSchema.safeParse(body);
+    if (!report.success) {
+      collected.failures += 1;
+      if (collected.failures === failuresUntilUnreachable) {
+        const last = before ?? { target, sequence: 0, running: 0, waiting: 0, slots: 0, restarted: false };
+        this._change(collected, { ...last, reachable: false, restarted: false });
+      }
+      return;
+    }
+    collected.failures = 0;
+    // Polls of one collector follow one another, so a lower sequence means that the engine started anew.
+    const restarted = before !== undefined && report.data.sequence < before.sequence;
+    const digest = { target, ...report.data, reachable: true, restarted };
+    if (before === undefined || restarted || isChanged(before, digest)) {
+      this._change(collected, digest);
+    }
+  }
+
+  private _change(collected: CollectedTarget, digest: DigestMessage): void {
+    collected.digest = digest;
+    for (const daemon of this._subscribers.get(digest.target)?.keys() ?? []) {
+      const outbox = this._outbox.get(daemon) ?? new Map<common.TargetAddress, DigestMessage>();
+      const waiting = outbox.get(digest.target);
+      outbox.set(digest.target, { ...digest, restarted: digest.restarted || waiting?.restarted === true });
+      this._outbox.set(daemon, outbox);
+      this._flush(daemon);
+    }
+  }
+
+  /** One message at a time to each daemon, so that a slow one costs one socket and one batch. */
+  private _flush(daemon: common.Incarnation): void {
+    const outbox = this._outbox.get(daemon);
+    if (outbox === undefined || this._sending.has(daemon)) {
+      return;
+    }
+    this._outbox.delete(daemon);
+    this._sending.add(daemon);
+    const digests = [...outbox.values()];
+    void this._control.peers.call(daemon, 'load.digest', { digests }, sendTimeoutMs).then(() => {
+      this.post({ kind: 'sent', daemon });
+    });
+  }
+
+  private _indexed(target: common.TargetAddress, body: unknown): void {
+    const parsed = indexSchema.safeParse(body);
+    if (parsed.success && contradicts(this._control.log.state, target, parsed.data)) {
+      this._contradicted(target);
+    }
+  }
+}
+
+function isChanged(before: DigestMessage, after: DigestMessage): boolean {
+  return (
+    before.running !== after.running ||
+    before.waiting !== after.waiting ||
+    before.slots !== after.slots ||
+    !before.reachable
+  );
+}
+
+/** Whether a ready replica is missing, or a model is there that nothing accounts for. */
+function contradicts(
+  state: decisions.ControlState,
+  target: common.TargetAddress,
+  index: readonly { readonly name: string; readonly version: string; readonly state: string }[],
+): boolean {
+  const present = new Set(
+    index.filter((model) => model.state !== 'UNAVAILABLE').map((model) => `${model.name}@${model.version}`),
+  );
+  const known = new Set<string>();
+  for (const replica of state.replicas.values()) {
+    const key = `${replica.partner}/${replica.model}@${replica.version}`;
+    if (replica.target === target) {
+      known.add(key);
+      if (replica.state === 'ready' && !present.has(key)) {
+        return true;
+      }
+    }
+  }
+  for (const order of state.orders.values()) {
+    if (order.target === target) {
+      known.add(`${order.partner}/${order.model}@${order.version}`);
+    }
+  }
+  return [...present].some((key) => !known.has(key));
+}
--- /dev/null
+++ b/packages/daemon/src/targets/LoadDigests.ts
@@ -0,0 +1,147 @@
+import * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+import type { ControlPlane, LoadView } from '../Types.js';
+import { chooseCollector } from './collectorChoice.js';
+import type { LeavingVms } from './LeavingVms.js';
+import { digestsSchema, type DigestMessage } from './schemas.js';
+
+/** Interest ends this long after the last call. */
+const interestMs = 10_000;
+/** Subscriptions are renewed at this interval; the collector keeps them twice as long. */
+export const renewIntervalMs = 10_000;
+const subscribeTimeoutMs = 2_000;
+const tickMs = 500;
+
+type DigestsMessage =
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'members' }
+  | { readonly kind: 'digests'; readonly digests: readonly DigestMessage[] }
+  | { readonly kind: 'failed'; readonly targets: readonly common.TargetAddress[] };
+
+interface Interest {
+  lastCalledMs: number;
+  /** Collector that was asked, and when. */
+  collector: string | undefined;
+  renewedMs: number;
+}
+
+/** Load of the targets that this daemon routes to. */
+export class LoadDigests extends common.Task<DigestsMessage> implements LoadView {
+  private readonly _interests = new Map<common.TargetAddress, Interest>();
+  private readonly _digests = new Map<common.TargetAddress, decisions.LoadDigest>();
+  private readonly _unsubscribe: common.Unsubscribe;
+
+  public constructor(
+    private readonly _now: () => number,
+    private readonly _control: ControlPlane,
+    private readonly _leaving: LeavingVms,
+  ) {
+    super();
+    _control.peers.handle('load.digest', (parameters) => {
+      const parsed = digestsSchema.safeParse(parameters);
+      if (parsed.success) {
+        this.post({ kind: 'digests', digests: parsed.data.digests });
+      }
+      return Promise.resolve({});
+    });
+    this._unsubscribe = _control.peers.onMembersChanged(() => {
+      this.post({ kind: 'members' });
+    });
+    this.postEvery(tickMs, () => ({ kind: 'tick' }));
+  }
+
+  public subscribe(target: common.TargetAddress): void {
+    const interest = this._interests.get(target);
+    if (interest === undefined) {
+      this._interests.set(target, { lastCalledMs: this._now(), collector: undefined, renewedMs: -Infinity });
+    } else {
+      interest.lastCalledMs = this._now();
+    }
+  }
+
+  public digest(target: common.TargetAddress): decisions.LoadDigest | undefined {
+    return this._digests.get(target);
+  }
+
+  public isLeaving(vm: common.VmName): boolean {
+    return this._leaving.isLeaving(vm);
+  }
+
+  public override async [Symbol.asyncDispose](): Promise<void> {
+    this._unsubscribe();
+    await super[Symbol.asyncDispose]();
+  }
+
+  protected override handle(message: DigestsMessage): void {
+    switch (message.kind) {
+      case 'tick':
+      case 'members':
+        this._renew(this._now());
+        break;
+      case 'digests':
+        for (const digest of message.digests) {
+          this._receive(digest);
+        }
+        break;
+      case 'failed':
+        for (const target of message.targets) {
+          const interest = this._interests.get(target);
+          if (interest !== undefined) {
+            interest.collector = undefined;
+          }
+        }
+        break;
+    }
+  }
+
+  private _renew(nowMs: number): void {
+    const members = this._control.peers.members
+      .filter((member) => !member.suspected || member.self)
+      .map((member) => member.incarnation);
+    const due = new Map<string, common.TargetAddress[]>();
+    for (const [target, interest] of this._interests) {
+      if (nowMs - interest.lastCalledMs > interestMs) {
+        this._interests.delete(target);
+        this._digests.delete(target);
+        continue;
+      }
+      const collector = chooseCollector(target, members);
+      if (
+        collector !== undefined &&
+        (collector !== interest.collector || nowMs - interest.renewedMs > renewIntervalMs)
+      ) {
+        interest.collector = collector;
+        interest.renewedMs = nowMs;
+        due.set(collector, [...(due.get(collector) ?? []), target]);
+      }
+    }
+    for (const [collector, targets] of due) {
+      this._ask(collector, targets);
+    }
+  }
+
+  private _ask(collector: string, targets: readonly common.TargetAddress[]): void {
+    void this._control.peers.call(collector, 'load.subscribe', { targets }, subscribeTimeoutMs).then((outcome) => {
+      const parsed = outcome.ok ? digestsSchema.safeParse(outcome.value) : undefined;
+      if (parsed?.success === true) {
+        this.post({ kind: 'digests', digests: parsed.data.digests });
+      } else {
+        this.post({ kind: 'failed', targets });
+      }
+    });
+  }
+
+  /** The engine's sequence decides which of two digests is newer, not their arrival. */
+  private _receive(message: DigestMessage): void {
+    if (!this._interests.has(message.target)) {
+      return;
+    }
+    const { restarted, ...digest } = message;
+    const before = this._digests.get(message.target);
+    // The sequence stands still while a target is unreachable, and starts anew when its engine does.
+    const older = before?.reachable === true && digest.sequence < before.sequence && !restarted;
+    if (!older) {
+      this._digests.set(message.target, digest);
+    }
+  }
+}
--- a/packages/decisions/src/placement/upkeep.ts
+++ b/packages/decisions/src/placement/upkeep.ts
@@ -51,7 +51,7 @@
     return undefined;
   }
   const settings = queries.modelSettings(view.state, replica.partner, replica.model);
-  if (settings === undefined || settings.version !== replica.version) {
+  if (settings?.version !== replica.version) {
     return supersededReason(view, replica, settings);
   }
   return (
--- a/packages/decisions/src/policy/FixedKeepAlivePolicy.ts
+++ b/packages/decisions/src/policy/FixedKeepAlivePolicy.ts
@@ -8,4 +8,8 @@
   public override keepAliveMs(settings: ModelSettings): number {
     return settings.keepAliveMs;
   }
+
+  public override prewarmAfterMs(): undefined {
+    return undefined;
+  }
 }
--- a/packages/decisions/src/policy/KeepAlivePolicy.ts
+++ b/packages/decisions/src/policy/KeepAlivePolicy.ts
@@ -10,9 +10,7 @@
   public abstract keepAliveMs(settings: ModelSettings, usage: ModelUsage): number;
 
   /** Time since the last use at which to load the model again; undefined if it waits for a request. */
-  public prewarmAfterMs(_settings: ModelSettings, _usage: ModelUsage, _loadMs: number): number | undefined {
-    return undefined;
-  }
+  public abstract prewarmAfterMs(settings: ModelSettings, usage: ModelUsage, loadMs: number): number | undefined;
 
   /** Chance, 0 to 1, that the model is used within the horizon. Weighs the cost of evicting it. */
   public chanceOfUse(_settings: ModelSettings, usage: ModelUsage, horizonMs: number, nowMs: number): number {
--- a/packages/decisions/src/policy/LeastRecentlyUsedPolicy.ts
+++ b/packages/decisions/src/policy/LeastRecentlyUsedPolicy.ts
@@ -7,4 +7,8 @@
   public override keepAliveMs(): number {
     return Infinity;
   }
+
+  public override prewarmAfterMs(): undefined {
+    return undefined;
+  }
 }
--- a/packages/decisions/src/policy/NeverUnloadPolicy.ts
+++ b/packages/decisions/src/policy/NeverUnloadPolicy.ts
@@ -11,4 +11,8 @@
   public override chanceOfUse(): number {
     return Infinity;
   }
+
+  public override prewarmAfterMs(): undefined {
+    return undefined;
+  }
 }
