--- /dev/null
+++ b/packages/daemon/src/owner/testing/MemoryLog.ts
@@ -0,0 +1,33 @@
+import * as decisions from '@jayhaven/decisions';
+
+/** Control topic in memory, shared by the daemons of one test. */
+export class MemoryLog {
+  public readonly records: decisions.ControlRecord[] = [];
+  public available = true;
+  private readonly _readers = new Set<() => void>();
+
+  /** Appends a record and lets every daemon read it. */
+  public append(envelope: decisions.RecordEnvelope<decisions.ControlRecordBody>): decisions.Offset {
+    const offset = this.records.length;
+    this.records.push({ ...envelope, offset });
+    for (const read of this._readers) {
+      setImmediate(read);
+    }
+    return offset;
+  }
+
+  /** Calls a reader after each append. */
+  public subscribe(read: () => void): void {
+    this._readers.add(read);
+  }
+
+  /** Records of one kind, with their verdict by a replay of their own. */
+  public accepted(limits: decisions.ControlLimits): readonly decisions.ControlRecord[] {
+    let state = decisions.emptyControlState(limits);
+    return this.records.filter((record) => {
+      const result = decisions.replay(state, record);
+      state = result.state;
+      return result.verdict.kind === 'accepted';
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/owner/testing/TestCell.ts
@@ -0,0 +1,126 @@
+import * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+import type { DaemonContext, OwnerPart, WakeAnswer, WakeRequest } from '../../Types.js';
+import { openOwner } from '../openOwner.js';
+import { MemoryControl, testLimits } from './MemoryControl.js';
+import { MemoryLog } from './MemoryLog.js';
+import type { ScriptedEngine } from './ScriptedEngine.js';
+
+const silent: common.Logger = {
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+  part: () => silent,
+};
+
+/** One daemon's owner part in a test. */
+export interface TestDaemon {
+  readonly control: MemoryControl;
+  readonly owner: OwnerPart;
+}
+
+/** Timing of a test cell, milliseconds. */
+export interface TestTiming {
+  readonly leaseMs?: number;
+  readonly renewMs?: number;
+  readonly orderDeliveryMs?: number;
+}
+
+/** A cell in one process: a log in memory, daemons with their owner part, and engines. */
+export class TestCell implements AsyncDisposable {
+  public readonly log = new MemoryLog();
+  public readonly group: MemoryControl[] = [];
+  public readonly daemons: TestDaemon[] = [];
+  private readonly _registry = new common.DisposalRegistry();
+
+  public constructor(private readonly _timing: TestTiming = {}) {}
+
+  /** Starts one daemon. */
+  public async start(name: string): Promise<TestDaemon> {
+    const control = new MemoryControl(`${name}#1`, this.log, this.group);
+    const owner = await openOwner(this._contextOf(name), control);
+    this._registry.register(owner);
+    const daemon = { control, owner };
+    this.daemons.push(daemon);
+    return daemon;
+  }
+
+  /** Writes a configuration value, as an operator of `solano`. */
+  public configure(control: MemoryControl, key: string, value: unknown): Promise<unknown> {
+    const names = { kind: 'configurationEdited', partner: key.split('/')[0] ?? '', operator: 'test', key } as const;
+    return control.append({ ...names, basedOn: null, value, reason: 'test' });
+  }
+
+  /** Lists an engine on a VM of its own. */
+  public addEngine(
+    control: MemoryControl,
+    engine: ScriptedEngine,
+    fencing: 'checked' | 'ignored',
+    vm = `vm-${engine.address}`,
+  ): Promise<unknown> {
+    const target: decisions.TargetDescription = {
+      address: engine.address,
+      role: 'engine',
+      acceleratorBytes: [100],
+      fencing,
+    };
+    return control.append({ kind: 'vmObserved', vm, failureDomain: 'a', state: 'live', targets: [target] });
+  }
+
+  /** Asks for a model through one daemon. */
+  public async wake(
+    daemon: TestDaemon,
+    model: string,
+    fields: Partial<WakeRequest> = {},
+  ): Promise<WakeAnswer | string> {
+    const outcome = await daemon.owner.client.wake({
+      ...{ partner: 'solano', model, version: '1', urgency: 'interactive', remainingMs: 20_000, waiting: 1 },
+      ...fields,
+    });
+    return outcome.ok ? outcome.value : outcome.failure.kind;
+  }
+
+  /** Accepted records of one kind. */
+  public accepted(kind: decisions.ControlRecordBody['kind']): readonly decisions.ControlRecord[] {
+    return this.log.accepted(testLimits).filter((record) => record.body.kind === kind);
+  }
+
+  public [Symbol.asyncDispose](): Promise<void> {
+    return this._registry[Symbol.asyncDispose]();
+  }
+
+  private _contextOf(name: string): DaemonContext {
+    const owner = {
+      leaseMs: this._timing.leaseMs ?? 600,
+      renewMs: this._timing.renewMs ?? 150,
+      loadsPerSecond: 20,
+      maximumConcurrentLoads: 4,
+      maximumAdaptersInTransit: 30,
+      orderDeliveryMs: this._timing.orderDeliveryMs ?? 300,
+    };
+    const settings = {
+      daemon: { name, vm: `vm-${name}`, failureDomain: 'a', cell: 'c', logLevel: 'silent' },
+      platform: { vmListUrl: 'http://127.0.0.1:1/vms', logTimeoutMs: 2_000 },
+      owner,
+    } as DaemonContext['settings'];
+    return {
+      settings,
+      logger: silent,
+      timeline: { record: () => undefined },
+      clock: new common.HybridClock(),
+      now: () => performance.now(),
+      wallNow: () => Date.now(),
+    };
+  }
+}
+
+/** Waits until a condition holds; throws after the limit. */
+export async function until(condition: () => boolean, limitMs = 10_000): Promise<void> {
+  const endMs = performance.now() + limitMs;
+  while (!condition()) {
+    if (performance.now() > endMs) {
+      throw new Error(`condition not met within ${limitMs} ms: ${condition.toString()}`);
+    }
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
