--- a/packages/daemon/src/Types.ts
+++ b/packages/daemon/src/Types.ts
@@ -263,6 +263,8 @@
 
 /** The callers' interface. */
 export interface FrontPart extends AsyncDisposable {
+  /** Bound port of the callers' interface. */
+  readonly port: number;
   /** Fails readiness, keeps accepting for the announced time, and resolves when no request is in flight. */
   drain(): Promise<{ readonly unfinished: number }>;
   status(): FrontStatus;
--- /dev/null
+++ b/packages/daemon/src/front/BodyReader.ts
@@ -0,0 +1,91 @@
+import type * as http from 'node:http';
+import * as common from '@jayhaven/common';
+import { notRun } from '../routing/refusals.js';
+import type { CallerError } from '../routing/Types.js';
+
+/** Request bodies held at once, bytes. With 128 MB for the process, more would leave too little for answers. */
+const maximumBufferedBytes = 48 * 1024 * 1024;
+/** Bytes discarded after a refusal before the connection is ended. */
+const discardFactor = 4;
+/** Time to receive a body, milliseconds. */
+const bodyTimeoutMs = 15_000;
+
+/** Reads request bodies whole, bounded in size, time and total memory. */
+export class BodyReader {
+  private _bufferedBytes = 0;
+
+  public constructor(
+    private readonly _maximumBytes: number,
+    private readonly _timeoutMs: number = bodyTimeoutMs,
+  ) {}
+
+  /** Bytes of the bodies that are being held. */
+  public get bufferedBytes(): number {
+    return this._bufferedBytes;
+  }
+
+  /** Reads a body. The bytes count as held until `release` is called with the same number. */
+  public read(incoming: http.IncomingMessage): Promise<common.Outcome<Buffer, CallerError>> {
+    const announced = Number(incoming.headers['content-length'] ?? 0);
+    if (announced > this._maximumBytes) {
+      this.discard(incoming);
+      return Promise.resolve(common.fail(this._tooLarge()));
+    }
+    return new Promise((resolve) => {
+      const chunks: Buffer[] = [];
+      let size = 0;
+      const finish = (outcome: common.Outcome<Buffer, CallerError>): void => {
+        clearTimeout(timer);
+        incoming.off('data', onData).off('end', onEnd).off('close', onClose);
+        if (!outcome.ok) {
+          this.release(size);
+          this.discard(incoming);
+        }
+        resolve(outcome);
+      };
+      const onData = (chunk: Buffer): void => {
+        size += chunk.length;
+        this._bufferedBytes += chunk.length;
+        if (size > this._maximumBytes) {
+          finish(common.fail(this._tooLarge()));
+        } else if (this._bufferedBytes > maximumBufferedBytes) {
+          finish(common.fail(notRun(503, 'overloaded', 'too many request bodies are in progress', 1_000)));
+        } else {
+          chunks.push(chunk);
+        }
+      };
+      const onEnd = (): void => {
+        finish(common.succeed(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks)));
+      };
+      const onClose = (): void => {
+        finish(common.fail(notRun(400, 'incomplete_body', 'the connection closed before the body was complete')));
+      };
+      const timer = setTimeout(() => {
+        finish(common.fail(notRun(408, 'body_timeout', `the body was not complete within ${this._timeoutMs} ms`)));
+      }, this._timeoutMs);
+      incoming.on('data', onData).on('end', onEnd).on('close', onClose);
+      incoming.on('error', () => undefined);
+    });
+  }
+
+  /** Counts bytes of a body as no longer held. */
+  public release(bytes: number): void {
+    this._bufferedBytes -= bytes;
+  }
+
+  private _tooLarge(): CallerError {
+    return notRun(413, 'body_too_large', `the body is larger than ${this._maximumBytes} bytes`);
+  }
+
+  /** Reads on without keeping anything, so that the caller can read its answer; ends the connection of a flood. */
+  public discard(incoming: http.IncomingMessage): void {
+    let discarded = 0;
+    incoming.on('data', (chunk: Buffer) => {
+      discarded += chunk.length;
+      if (discarded > discardFactor * this._maximumBytes) {
+        incoming.destroy();
+      }
+    });
+    incoming.resume();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/front/CallerAnswer.ts
@@ -0,0 +1,154 @@
+import type * as http from 'node:http';
+import type * as common from '@jayhaven/common';
+import type { CallerError } from '../routing/Types.js';
+import type { DaemonContext } from '../Types.js';
+import { errorBody, sendError } from './answers.js';
+import type { CallerRequest } from './Types.js';
+
+/** Time kept back from the deadline so that the final answer arrives before it, milliseconds. */
+const answerMarginMs = 25;
+/** Largest share of a short deadline that is kept back. */
+const answerMarginShare = 0.1;
+/** Time for a slow caller to read the end of an answer that ended at its deadline, milliseconds. */
+const lingerMs = 2_000;
+
+/** What an answer needs from the call that produces it. */
+export interface AnswerSource {
+  /** Whether the request has been run so far. */
+  readonly executed: () => common.Executed;
+  /** The caller reads again. */
+  readonly onDrain: () => void;
+  /** The answer was ended: by the call itself, by the deadline, or because the caller is gone. */
+  readonly onEnded: () => void;
+}
+
+/** The answer to one caller. It ends exactly once, at the latest at the deadline. */
+export class CallerAnswer {
+  /** Resolves with the outcome when the last byte is handed over or the caller is gone. */
+  public readonly closed: Promise<string>;
+  private readonly _response: http.ServerResponse;
+  private _outcome: string | undefined;
+  private _timer: NodeJS.Timeout | undefined;
+  private _limitMs = Infinity;
+  private _firstEventMs: number | undefined;
+
+  public constructor(
+    private readonly _context: DaemonContext,
+    private readonly _request: CallerRequest,
+    private readonly _stream: boolean,
+    private readonly _source: AnswerSource,
+  ) {
+    const response = _request.response;
+    this._response = response;
+    response.on('drain', _source.onDrain);
+    response.on('error', () => undefined);
+    this.closed = new Promise((resolve) => {
+      const onClosed = (): void => {
+        this._end('caller_gone');
+        clearTimeout(this._timer);
+        resolve(this._outcome ?? 'caller_gone');
+      };
+      response.on('finish', onClosed);
+      response.on('close', onClosed);
+      if (response.destroyed) {
+        onClosed();
+      }
+    });
+  }
+
+  /** Whether nothing more can be said to the caller. */
+  public get ended(): boolean {
+    return this._outcome !== undefined;
+  }
+
+  /** Starts the deadline timer. Returns the monotonic time by which the answer ends. */
+  public setDeadline(deadlineMs: number): number {
+    const limitedMs = Math.min(deadlineMs, this._context.settings.limits.maximumDeadlineMs);
+    this._limitMs = this._request.arrivedMs + limitedMs - Math.min(answerMarginMs, limitedMs * answerMarginShare);
+    this._timer = setTimeout(
+      () => {
+        this.fail(this._deadlineExceeded());
+        // A caller that does not read must not hold the connection and its buffers.
+        this._timer = setTimeout(() => this._response.destroy(), lingerMs);
+      },
+      Math.max(0, this._limitMs - this._context.now()),
+    );
+    return this._limitMs;
+  }
+
+  /** Passes events of a stream on. False if the caller is slower than the stream. */
+  public writeEvents(text: string): boolean {
+    if (this.ended) {
+      return true;
+    }
+    if (this._firstEventMs === undefined) {
+      this._firstEventMs = this._context.now();
+      this._response.writeHead(200, {
+        'content-type': 'text/event-stream',
+        'cache-control': 'no-cache',
+        'x-request-id': this._request.requestId,
+      });
+    }
+    return this._response.write(text);
+  }
+
+  /** Ends the answer well. A stream has passed its end marker already. */
+  public complete(body: Buffer | undefined): void {
+    if (this._context.now() >= this._limitMs) {
+      this.fail(this._deadlineExceeded());
+    } else if (this._end('ok')) {
+      if (!this._stream && body) {
+        this._response.writeHead(200, {
+          'content-type': 'application/json',
+          'content-length': body.length,
+          'x-request-id': this._request.requestId,
+        });
+      }
+      this._response.end(body);
+    }
+  }
+
+  /** Ends the answer with an error: a status if nothing was sent yet, else an event in the stream. */
+  public fail(error: CallerError): void {
+    if (!this._end(error.type, error)) {
+      return;
+    }
+    if (sendError(this._response, error, this._request.requestId) || this._response.destroyed) {
+      return;
+    }
+    const body = JSON.stringify(errorBody(error, this._request.requestId));
+    this._response.end(`event: error\ndata: ${body}\n\n`);
+  }
+
+  private _deadlineExceeded(): CallerError {
+    const executed = this._source.executed();
+    const message = 'the request was not finished before its deadline';
+    return { status: 504, type: 'deadline_exceeded', message, executed, retryAfterMs: 1_000 };
+  }
+
+  private _end(outcome: string, error?: CallerError): boolean {
+    if (this._outcome !== undefined) {
+      return false;
+    }
+    this._outcome = outcome;
+    this._record(outcome, error);
+    this._source.onEnded();
+    return true;
+  }
+
+  private _record(outcome: string, error: CallerError | undefined): void {
+    const { arrivedMs, requestId } = this._request;
+    const first = this._firstEventMs;
+    this._context.timeline.record({
+      part: 'front',
+      event: outcome === 'ok' ? 'finished' : outcome === 'caller_gone' ? 'callerGone' : 'refused',
+      request: requestId,
+      detail: {
+        outcome,
+        totalMs: Math.round(this._context.now() - arrivedMs),
+        ...(first === undefined ? {} : { firstEventMs: Math.round(first - arrivedMs) }),
+        ...(error ? { executed: error.executed, reason: error.message, retryAfterMs: error.retryAfterMs ?? 0 } : {}),
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/front/CallerServer.ts
@@ -0,0 +1,102 @@
+import * as http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Duplex } from 'node:stream';
+import type * as decisions from '@jayhaven/decisions';
+import { notRun } from '../routing/refusals.js';
+import type { CallerError } from '../routing/Types.js';
+import { errorBody } from './answers.js';
+import { newRequestId } from './requestHeaders.js';
+
+/** Time to send the headers, milliseconds. */
+const headersTimeoutMs = 10_000;
+/** Time to send a whole request, milliseconds. Longer than the limit of the body, which gives the better answer. */
+const requestTimeoutMs = 20_000;
+/** Idle time of a connection, milliseconds. Longer than the usual idle time of a balancer's connections. */
+const keepAliveTimeoutMs = 75_000;
+/** Open connections of callers. */
+const maximumConnections = 10_000;
+
+/** HTTP server for callers; answers broken requests with a typed error and goes on serving. */
+export class CallerServer implements AsyncDisposable {
+  private _closed: Promise<void> | undefined;
+
+  private constructor(private readonly _server: http.Server) {}
+
+  /** Starts listening; rejects when the address cannot be bound. */
+  public static async open(
+    address: decisions.Address,
+    maximumHeaderBytes: number,
+    handler: http.RequestListener,
+  ): Promise<CallerServer> {
+    const server = http.createServer(
+      {
+        maxHeaderSize: maximumHeaderBytes,
+        headersTimeout: headersTimeoutMs,
+        requestTimeout: requestTimeoutMs,
+        keepAliveTimeout: keepAliveTimeoutMs,
+        connectionsCheckingInterval: 1_000,
+      },
+      handler,
+    );
+    server.maxConnections = maximumConnections;
+    server.on('clientError', refuseBroken);
+    server.on('connect', (_request, socket) => {
+      refuseOnSocket(socket, notRun(405, 'method_not_allowed', 'CONNECT is not supported'));
+    });
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(address.port, address.host, () => {
+        server.off('error', reject);
+        resolve();
+      });
+    });
+    return new CallerServer(server);
+  }
+
+  /** The bound port. */
+  public get port(): number {
+    return (this._server.address() as AddressInfo | null)?.port ?? 0;
+  }
+
+  /** Stops accepting connections and closes idle ones. Resolves when the last connection has ended. */
+  public stopAccepting(): Promise<void> {
+    this._closed ??= new Promise((resolve) => {
+      this._server.close(() => {
+        resolve();
+      });
+    });
+    this._server.closeIdleConnections();
+    return this._closed;
+  }
+
+  public async [Symbol.asyncDispose](): Promise<void> {
+    const closed = this.stopAccepting();
+    this._server.closeAllConnections();
+    await closed;
+  }
+}
+
+function refuseBroken(error: NodeJS.ErrnoException, socket: Duplex): void {
+  const refusal =
+    error.code === 'HPE_HEADER_OVERFLOW'
+      ? notRun(431, 'headers_too_large', 'the request headers are too large')
+      : error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+        ? notRun(408, 'request_timeout', 'the request was not complete in time')
+        : notRun(400, 'malformed_request', 'the request is not valid HTTP');
+  refuseOnSocket(socket, refusal);
+}
+
+/** Answers without an `http.ServerResponse`, unless an answer has already begun on the connection. */
+function refuseOnSocket(socket: Duplex, refusal: CallerError): void {
+  const pending = (socket as { readonly _httpMessage?: http.ServerResponse })._httpMessage;
+  if (!socket.writable || pending?.headersSent) {
+    socket.destroy();
+    return;
+  }
+  const body = JSON.stringify(errorBody(refusal, newRequestId()));
+  const reason = http.STATUS_CODES[refusal.status] ?? '';
+  socket.end(
+    `HTTP/1.1 ${refusal.status} ${reason}\r\nconnection: close\r\ncontent-type: application/json\r\n` +
+      `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/front/CompletionCall.ts
@@ -0,0 +1,243 @@
+import type * as http from 'node:http';
+import type * as common from '@jayhaven/common';
+import { EngineAttempt } from '../routing/EngineAttempt.js';
+import type { ModelCatalog } from '../routing/ModelCatalog.js';
+import { notRun } from '../routing/refusals.js';
+import type { RetryAllowance } from '../routing/RetryAllowance.js';
+import type { Router } from '../routing/Router.js';
+import type { AttemptEnd, CallerError, ResolvedModel, TargetLease, Waiter, WaitOutcome } from '../routing/Types.js';
+import type { UsageReporter } from '../routing/UsageReporter.js';
+import type { WaitingRoom } from '../routing/WaitingRoom.js';
+import type { DaemonContext } from '../Types.js';
+import { CallerAnswer } from './CallerAnswer.js';
+import { engineBody, type CompletionKind } from './completionBody.js';
+import type { FrontMetrics } from './FrontMetrics.js';
+import type { CallerRequest, CompletionBody } from './Types.js';
+
+/** Failed attempts after which a request is given up, whatever the budget and the deadline allow. */
+const maximumFailedAttempts = 4;
+/** Pause before a target that has just failed is tried again because there is no other, milliseconds. */
+const sameTargetPauseMs = 50;
+/** Time that a target which does not have the model is left out; replay catches up sooner, milliseconds. */
+const notLoadedPauseMs = 500;
+/** Longest time that an overloaded target is left out, milliseconds. */
+const overloadedPauseMs = 500;
+
+/** What completion calls share. */
+export interface CompletionParts {
+  readonly context: DaemonContext;
+  readonly catalog: ModelCatalog;
+  readonly router: Router;
+  readonly room: WaitingRoom;
+  readonly agent: http.Agent;
+  readonly retries: RetryAllowance;
+  readonly usage: UsageReporter;
+  readonly metrics: FrontMetrics;
+}
+
+/** One completion request of a caller, from its body to its last byte. */
+export class CompletionCall {
+  private readonly _answer: CallerAnswer;
+  private readonly _excluded = new Set<common.TargetAddress>();
+  private _urgency: common.Urgency = 'interactive';
+  private _deadlineMs = 0;
+  private _attempts = 0;
+  private _failures = 0;
+  private _nextIndex = 0;
+  private _executed: common.Executed = 'no';
+  private _attempt: EngineAttempt | undefined;
+  private _interrupt: () => void = () => undefined;
+
+  public constructor(
+    private readonly _parts: CompletionParts,
+    private readonly _request: CallerRequest,
+    private readonly _kind: CompletionKind,
+    private readonly _body: CompletionBody,
+  ) {
+    this._answer = new CallerAnswer(_parts.context, _request, _body.stream, {
+      executed: () => this._executedSoFar(),
+      onDrain: () => this._attempt?.resume(),
+      onEnded: () => {
+        this._attempt?.cancel();
+        this._interrupt();
+      },
+    });
+  }
+
+  /** Runs the request to its end. Resolves with the outcome once the answer is written or the caller is gone. */
+  public async run(): Promise<string> {
+    const model = this._resolve();
+    if (!model) {
+      this._answer.fail(notRun(404, 'model_not_found', `model ${JSON.stringify(this._body.model)} is not configured`));
+      return this._answer.closed;
+    }
+    const { settings, retries, usage } = { settings: model.settings, ...this._parts };
+    this._urgency = this._request.urgency ?? settings.urgency;
+    this._deadlineMs = this._answer.setDeadline(this._request.deadlineMs ?? settings.deadlineMs);
+    this._record('accepted', model, { urgency: this._urgency, stream: this._body.stream });
+    retries.countRequest();
+    const left = usage.arrived(model);
+    try {
+      await this._serve();
+      return await this._answer.closed;
+    } finally {
+      left();
+    }
+  }
+
+  private async _serve(): Promise<void> {
+    while (!this._answer.ended) {
+      // Resolved anew each time, because the wanted version may have changed while the request waited.
+      const model = this._resolve();
+      if (!model) {
+        this._answer.fail(notRun(404, 'model_not_found', 'the model was removed from the configuration'));
+        return;
+      }
+      const nowMs = this._parts.context.now();
+      const lease = this._parts.router.choose(model, this._body.promptStart, this._excluded, nowMs);
+      if (lease) {
+        await this._dispatch(model, lease);
+      } else if (this._excluded.size > 0) {
+        this._excluded.clear();
+        await this._pause(sameTargetPauseMs);
+      } else {
+        await this._wait(model, nowMs);
+      }
+    }
+  }
+
+  private _resolve(): ResolvedModel | undefined {
+    return this._parts.catalog.resolve(this._request.caller.partner, this._body.model);
+  }
+
+  private async _wait(model: ResolvedModel, nowMs: number): Promise<void> {
+    this._record('waiting', model, {});
+    let waiter: Waiter | undefined;
+    const outcome = await new Promise<WaitOutcome>((resolve) => {
+      waiter = {
+        request: this._request.requestKey,
+        partner: model.settings.partner,
+        queue: model.queue,
+        urgency: this._urgency,
+        arrivedMs: this._request.arrivedMs,
+        deadlineMs: this._deadlineMs,
+        model,
+        settle: resolve,
+      };
+      this._interrupt = () => {
+        resolve({ kind: 'released' });
+      };
+      this._parts.room.enter(waiter);
+    });
+    if (this._answer.ended && waiter) {
+      this._parts.room.leave(waiter);
+    } else if (outcome.kind === 'refused') {
+      this._answer.fail({ ...outcome.error, executed: this._executed });
+    } else {
+      this._record('released', model, { waitedMs: Math.round(this._parts.context.now() - nowMs) });
+    }
+  }
+
+  private async _pause(pauseMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, pauseMs);
+      this._interrupt = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
+  private async _dispatch(model: ResolvedModel, lease: TargetLease): Promise<void> {
+    this._attempts += 1;
+    const attempt = new EngineAttempt(
+      {
+        target: lease.target,
+        path: this._kind === 'chat' ? '/v1/chat/completions' : '/v1/completions',
+        body: engineBody(this._body, model.engineName, this._nextIndex),
+        urgency: this._urgency,
+        engineId: `${this._request.requestKey}-${this._attempts}`,
+        publicId: this._request.requestId,
+        stream: this._body.stream,
+        resumeFrom: this._nextIndex,
+        write: (text) => this._answer.writeEvents(text),
+      },
+      this._parts.agent,
+    );
+    this._attempt = attempt;
+    const event = this._nextIndex > 0 ? 'resumed' : this._attempts > 1 ? 'retried' : 'dispatched';
+    this._record(event, model, { target: lease.target, attempt: this._attempts, from: this._nextIndex }, lease.replica);
+    const end = await attempt.run();
+    this._attempt = undefined;
+    this._nextIndex = attempt.nextIndex;
+    this._executed = strongest(this._executed, attempt.executed);
+    this._conclude(model, lease, end);
+  }
+
+  private _conclude(model: ResolvedModel, lease: TargetLease, end: AttemptEnd): void {
+    const { context, router, metrics } = this._parts;
+    const nowMs = context.now();
+    lease.finish(end.kind === 'failed' ? 'failed' : end.kind === 'cancelled' ? 'neutral' : 'answered', nowMs);
+    switch (end.kind) {
+      case 'complete':
+        this._answer.complete(end.body);
+        break;
+      case 'rejected':
+        this._answer.fail(notRun(end.status, 'invalid_request', end.message));
+        break;
+      case 'notRun': {
+        const pauseMs = end.type === 'overloaded' ? Math.min(end.retryAfterMs, overloadedPauseMs) : notLoadedPauseMs;
+        router.pause(model, lease.target, nowMs + pauseMs);
+        metrics.retried('notRun');
+        this._record('targetRefused', model, { target: lease.target, reason: end.type });
+        break;
+      }
+      case 'failed':
+        this._failed(model, lease, end.reason);
+        break;
+      case 'cancelled':
+        break;
+    }
+  }
+
+  private _failed(model: ResolvedModel, lease: TargetLease, reason: string): void {
+    this._failures += 1;
+    this._excluded.add(lease.target);
+    this._record('attemptFailed', model, { target: lease.target, reason, delivered: this._nextIndex });
+    if (this._failures >= maximumFailedAttempts) {
+      this._answer.fail(this._targetFailed(`${this._failures} attempts failed, the last one: ${reason}`));
+    } else if (!this._parts.retries.take()) {
+      this._answer.fail(this._targetFailed(`the attempt failed (${reason}) and the retry budget is spent`));
+    } else {
+      this._parts.metrics.retried(this._nextIndex > 0 ? 'resumed' : 'failed');
+    }
+  }
+
+  private _targetFailed(message: string): CallerError {
+    return { status: 502, type: 'target_failed', message, executed: this._executed, retryAfterMs: 1_000 };
+  }
+
+  private _executedSoFar(): common.Executed {
+    return strongest(this._executed, this._attempt?.executed ?? 'no');
+  }
+
+  private _record(
+    event: string,
+    model: ResolvedModel,
+    detail: Readonly<Record<string, string | number | boolean>>,
+    replica?: number,
+  ): void {
+    this._parts.context.timeline.record({
+      part: 'front',
+      event,
+      request: this._request.requestId,
+      model: model.queue,
+      ...(replica === undefined ? {} : { replica }),
+      detail,
+    });
+  }
+}
+
+function strongest(first: common.Executed, second: common.Executed): common.Executed {
+  return first === 'yes' || second === 'yes' ? 'yes' : first === 'unknown' ? first : second;
+}
--- /dev/null
+++ b/packages/daemon/src/front/completionBody.ts
@@ -0,0 +1,66 @@
+/** Parses the body of a completion request and writes the body for the engine. */
+import * as common from '@jayhaven/common';
+import { z } from 'zod';
+import { notRun } from '../routing/refusals.js';
+import type { CallerError } from '../routing/Types.js';
+import type { CompletionBody } from './Types.js';
+
+/** Characters of the prompt that take part in prefix affinity. */
+const promptStartLength = 256;
+
+const commonFields = { model: z.string().min(1).max(300), stream: z.boolean().nullish() };
+const chatSchema = z.looseObject({
+  ...commonFields,
+  messages: z.array(z.looseObject({ role: z.string(), content: z.unknown() })).min(1),
+});
+const textSchema = z.looseObject({
+  ...commonFields,
+  prompt: z.union([z.string(), z.array(z.unknown()).min(1)]),
+});
+
+/** Shape of a completion request. */
+export type CompletionKind = 'chat' | 'text';
+
+/** Parses and checks a request body. */
+export function parseCompletionBody(kind: CompletionKind, raw: Buffer): common.Outcome<CompletionBody, CallerError> {
+  let json: unknown;
+  try {
+    json = JSON.parse(raw.toString('utf8'));
+  } catch {
+    return common.fail(notRun(400, 'invalid_body', 'the body is not valid JSON'));
+  }
+  if (kind === 'chat') {
+    const chat = chatSchema.safeParse(json);
+    return chat.success ? succeed(raw, chat.data, chat.data.messages[0]?.content) : invalid(chat.error);
+  }
+  const text = textSchema.safeParse(json);
+  return text.success ? succeed(raw, text.data, text.data.prompt) : invalid(text.error);
+}
+
+/** Writes the body for an engine: its own model name, and the token index to continue from if any. */
+export function engineBody(body: CompletionBody, engineName: string, resumeFrom: number): Buffer {
+  // JSON.stringify leaves out undefined fields, so a caller cannot set `resume_from`.
+  const resume = resumeFrom > 0 ? resumeFrom : undefined;
+  return Buffer.from(JSON.stringify({ ...body.fields, model: engineName, resume_from: resume }));
+}
+
+function succeed(
+  raw: Buffer,
+  fields: Readonly<Record<string, unknown>> & { readonly model: string; readonly stream?: boolean | null | undefined },
+  prompt: unknown,
+): common.Outcome<CompletionBody, CallerError> {
+  const text = typeof prompt === 'string' ? prompt : JSON.stringify(prompt ?? '');
+  return common.succeed({
+    raw,
+    fields,
+    model: fields.model,
+    stream: fields.stream === true,
+    promptStart: text.slice(0, promptStartLength),
+  });
+}
+
+function invalid(error: z.ZodError): common.Outcome<CompletionBody, CallerError> {
+  const issue = error.issues[0];
+  const message = issue ? `${issue.path.join('.') || 'body'}: ${issue.message}` : 'the body is malformed';
+  return common.fail(notRun(400, 'invalid_body', message));
+}
--- /dev/null
+++ b/packages/daemon/src/front/index.ts
@@ -0,0 +1,1 @@
+export * from './openFront.js';
--- /dev/null
+++ b/packages/daemon/src/routing/EngineAttempt.ts
@@ -0,0 +1,238 @@
+import * as http from 'node:http';
+import type * as common from '@jayhaven/common';
+import { StreamChecker } from './StreamChecker.js';
+import type { AttemptEnd } from './Types.js';
+
+/** Largest answer that is held until it is complete, bytes. */
+const maximumAnswerBytes = 8 * 1024 * 1024;
+/** Largest error answer of an engine that is read, bytes. */
+const maximumErrorBytes = 64 * 1024;
+/** Time to connect, milliseconds. Round trips inside a region stay below a few milliseconds. */
+const connectTimeoutMs = 1_000;
+/** Time to try again after an engine refused for lack of room, when it gives none. */
+const overloadedRetryMs = 200;
+
+/** One request to one engine. */
+export interface AttemptRequest {
+  readonly target: common.TargetAddress;
+  readonly path: string;
+  readonly body: Buffer;
+  readonly urgency: common.Urgency;
+  /** Id for the engine, unique for this attempt. */
+  readonly engineId: string;
+  /** Id that the caller sees. */
+  readonly publicId: string;
+  readonly stream: boolean;
+  /** Index of the first token to come. */
+  readonly resumeFrom: number;
+  /** Passes checked events on; false asks for a pause until `resume`. */
+  readonly write: (text: string) => boolean;
+}
+
+/** An attempt to have one engine run a request. The answer is bound to the connection and to the echoed id. */
+export class EngineAttempt {
+  private readonly _checker: StreamChecker;
+  private _outgoing: http.ClientRequest | undefined;
+  private _answer: http.IncomingMessage | undefined;
+  private _executed: common.Executed = 'no';
+  private _resolve: (end: AttemptEnd) => void = () => undefined;
+  private _ended = false;
+
+  public constructor(
+    private readonly _request: AttemptRequest,
+    private readonly _agent: http.Agent,
+  ) {
+    this._checker = new StreamChecker(_request.engineId, _request.publicId, _request.resumeFrom);
+  }
+
+  /** Whether the engine has run the request so far. */
+  public get executed(): common.Executed {
+    return this._executed;
+  }
+
+  /** Index of the next token to deliver. */
+  public get nextIndex(): number {
+    return this._checker.nextIndex;
+  }
+
+  /** Sends the request and resolves when the attempt has ended. */
+  public run(): Promise<AttemptEnd> {
+    return new Promise((resolve) => {
+      this._resolve = resolve;
+      const { target, path, body, engineId, urgency } = this._request;
+      const separator = target.lastIndexOf(':');
+      const outgoing = http.request({
+        host: target.slice(0, separator).replace(/^\[|\]$/g, ''),
+        port: Number(target.slice(separator + 1)),
+        path,
+        method: 'POST',
+        agent: this._agent,
+        headers: {
+          'content-type': 'application/json',
+          'content-length': body.length,
+          'x-request-id': engineId,
+          'x-priority': urgency,
+        },
+      });
+      this._outgoing = outgoing;
+      this._watchConnection(outgoing);
+      outgoing.on('error', (error) => {
+        this._fail(error.message);
+      });
+      outgoing.on('response', (answer) => {
+        this._receive(answer);
+      });
+      outgoing.end(body);
+    });
+  }
+
+  /** Ends the attempt by closing its connection, which makes the engine stop. */
+  public cancel(): void {
+    this._end({ kind: 'cancelled' }, true);
+  }
+
+  /** Continues after a pause. */
+  public resume(): void {
+    this._answer?.resume();
+  }
+
+  private _watchConnection(outgoing: http.ClientRequest): void {
+    outgoing.on('socket', (socket) => {
+      if (!socket.connecting) {
+        this._executed = 'unknown';
+        return;
+      }
+      const timer = setTimeout(() => {
+        this._fail(`no connection within ${connectTimeoutMs} ms`);
+      }, connectTimeoutMs);
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        this._executed = 'unknown';
+      });
+      socket.once('close', () => {
+        clearTimeout(timer);
+      });
+    });
+  }
+
+  private _receive(answer: http.IncomingMessage): void {
+    this._answer = answer;
+    const status = answer.statusCode ?? 0;
+    if (status !== 200) {
+      this._collect(answer, maximumErrorBytes, (body) => {
+        this._end(this._classify(status, answer, body), false);
+      });
+      return;
+    }
+    this._executed = 'yes';
+    if (this._request.stream) {
+      this._receiveStream(answer);
+    } else {
+      this._collect(answer, maximumAnswerBytes, (body) => {
+        this._receiveWhole(body);
+      });
+    }
+  }
+
+  private _receiveStream(answer: http.IncomingMessage): void {
+    answer.on('data', (chunk: Buffer) => {
+      if (this._ended) {
+        return;
+      }
+      const checked = this._checker.push(chunk);
+      if (checked.text !== '' && !this._request.write(checked.text)) {
+        answer.pause();
+      }
+      if (checked.fault) {
+        this._fail(checked.fault);
+      } else if (this._checker.done) {
+        this._end({ kind: 'complete' }, false);
+      }
+    });
+    answer.on('error', () => undefined);
+    answer.on('close', () => {
+      this._fail('the stream ended before its end marker');
+    });
+  }
+
+  private _collect(answer: http.IncomingMessage, maximumBytes: number, use: (body: Buffer) => void): void {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    answer.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      chunks.push(chunk);
+      if (size > maximumBytes) {
+        this._fail(`the answer is larger than ${maximumBytes} bytes`);
+      }
+    });
+    answer.on('end', () => {
+      if (answer.complete && !this._ended) {
+        use(Buffer.concat(chunks));
+      }
+    });
+    answer.on('error', () => undefined);
+    answer.on('close', () => {
+      this._fail('the connection broke before the answer was complete');
+    });
+  }
+
+  /** Passes a complete answer on if it is an answer to this attempt. */
+  private _receiveWhole(body: Buffer): void {
+    try {
+      const json: unknown = JSON.parse(body.toString('utf8'));
+      if (typeof json === 'object' && json !== null && 'id' in json && json.id === this._request.engineId) {
+        const publicBody = Buffer.from(JSON.stringify({ ...json, id: this._request.publicId }));
+        this._end({ kind: 'complete', body: publicBody }, false);
+        return;
+      }
+    } catch {
+      this._fail('malformed');
+      return;
+    }
+    this._fail('foreignAnswer');
+  }
+
+  private _classify(status: number, answer: http.IncomingMessage, body: Buffer): AttemptEnd {
+    if (status === 404 || status === 503 || status === 429) {
+      this._executed = 'no';
+      const seconds = Number(answer.headers['retry-after'] ?? 0);
+      const retryAfterMs = seconds > 0 ? seconds * 1_000 : overloadedRetryMs;
+      return { kind: 'notRun', type: status === 404 ? 'model_not_loaded' : 'overloaded', retryAfterMs };
+    }
+    if (status >= 400 && status < 500) {
+      this._executed = 'no';
+      return { kind: 'rejected', status, message: readErrorMessage(body) };
+    }
+    return { kind: 'failed', executed: 'unknown', reason: `the engine answered ${status}` };
+  }
+
+  private _fail(reason: string): void {
+    if (reason === 'foreignAnswer') {
+      this._executed = 'unknown';
+    }
+    this._end({ kind: 'failed', executed: this._executed, reason }, true);
+  }
+
+  private _end(end: AttemptEnd, closeConnection: boolean): void {
+    if (this._ended) {
+      return;
+    }
+    this._ended = true;
+    if (closeConnection) {
+      this._outgoing?.destroy();
+    } else {
+      this._answer?.resume();
+    }
+    this._resolve(end);
+  }
+}
+
+function readErrorMessage(body: Buffer): string {
+  try {
+    const json = JSON.parse(body.toString('utf8')) as { readonly error?: { readonly message?: unknown } };
+    const message = json.error?.message;
+    return typeof message === 'string' ? message.slice(0, 500) : 'the engine refused the request';
+  } catch {
+    return 'the engine refused the request';
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/routing/Router.ts
@@ -0,0 +1,146 @@
+import * as decisions from '@jayhaven/decisions';
+import type * as common from '@jayhaven/common';
+import type { LoadView } from '../Types.js';
+import { BoundedMap } from './BoundedMap.js';
+import type { ModelCatalog } from './ModelCatalog.js';
+import { TargetBreakers } from './TargetBreakers.js';
+import type { ResolvedModel, TargetLease } from './Types.js';
+
+/** Prompts whose last target is remembered. */
+const maximumAffinities = 8_192;
+/** Pauses of a model at a target that are remembered. */
+const maximumPauses = 8_192;
+/** Interval between renewals of a subscription; one lasts 10 s. */
+const subscriptionMs = 3_000;
+
+interface SeenDigest {
+  readonly sequence: number;
+  readonly seenMs: number;
+  /** Own requests in flight at that time; the digest contains them. */
+  readonly ownInFlight: number;
+}
+
+/** Picks targets for model requests from the replayed state, load digests and what this daemon has in flight. */
+export class Router {
+  private readonly _inFlight = new Map<common.TargetAddress, number>();
+  private readonly _digests = new BoundedMap<common.TargetAddress, SeenDigest>(4_096);
+  private readonly _subscribed = new BoundedMap<common.TargetAddress, number>(4_096);
+  private readonly _affinities = new BoundedMap<string, common.TargetAddress>(maximumAffinities);
+  private readonly _pauses = new BoundedMap<string, number>(maximumPauses);
+  private readonly _breakers = new TargetBreakers();
+
+  public constructor(
+    private readonly _catalog: ModelCatalog,
+    private readonly _loads: LoadView,
+    private readonly _random: () => number = Math.random,
+  ) {}
+
+  /** Whether any target may take a request for the model now. */
+  public isRoutable(model: ResolvedModel, nowMs: number): boolean {
+    return this._catalog.readyReplicas(model).some((replica) => this._isUsable(replica, model, nowMs));
+  }
+
+  /** Picks a target other than the excluded ones; undefined if there is none. */
+  public choose(
+    model: ResolvedModel,
+    promptStart: string,
+    excluded: ReadonlySet<common.TargetAddress>,
+    nowMs: number,
+  ): TargetLease | undefined {
+    const replicas = new Map<common.TargetAddress, decisions.ReplicaEntry>();
+    const candidates: decisions.RouteCandidate[] = [];
+    for (const replica of this._catalog.readyReplicas(model)) {
+      if (!excluded.has(replica.target) && this._isUsable(replica, model, nowMs)) {
+        replicas.set(replica.target, replica);
+        candidates.push(this._candidate(replica.target, nowMs));
+      }
+    }
+    const affinity = `${model.engineName} ${promptStart}`;
+    const preferred = candidates.length > 1 ? this._affinities.get(affinity) : undefined;
+    const chosen = decisions.chooseTarget(candidates, preferred, [this._random(), this._random()]);
+    const replica = chosen && replicas.get(chosen.target);
+    if (!replica) {
+      return undefined;
+    }
+    if (candidates.length > 1) {
+      this._affinities.set(affinity, replica.target);
+    }
+    return this._lease(replica, nowMs);
+  }
+
+  /** Keeps requests for the model away from the target until the given time. */
+  public pause(model: ResolvedModel, target: common.TargetAddress, untilMs: number): void {
+    this._pauses.set(`${target} ${model.queue}`, untilMs);
+  }
+
+  private _lease(replica: decisions.ReplicaEntry, nowMs: number): TargetLease {
+    const target = replica.target;
+    this._inFlight.set(target, (this._inFlight.get(target) ?? 0) + 1);
+    this._breakers.picked(target, nowMs);
+    let open = true;
+    return {
+      target,
+      replica: replica.replica,
+      finish: (result, endedMs) => {
+        if (!open) {
+          return;
+        }
+        open = false;
+        this._leave(target);
+        if (result === 'answered') {
+          this._breakers.succeeded(target);
+        } else if (result === 'failed') {
+          this._breakers.failed(target, endedMs);
+        }
+      },
+    };
+  }
+
+  private _leave(target: common.TargetAddress): void {
+    const remaining = (this._inFlight.get(target) ?? 1) - 1;
+    if (remaining > 0) {
+      this._inFlight.set(target, remaining);
+    } else {
+      this._inFlight.delete(target);
+    }
+  }
+
+  private _isUsable(replica: decisions.ReplicaEntry, model: ResolvedModel, nowMs: number): boolean {
+    this._subscribe(replica.target, nowMs);
+    return (
+      !this._loads.isLeaving(replica.vm) &&
+      this._loads.digest(replica.target)?.reachable !== false &&
+      this._breakers.allows(replica.target, nowMs) &&
+      !this._isPaused(`${replica.target} ${model.queue}`, nowMs)
+    );
+  }
+
+  private _isPaused(key: string, nowMs: number): boolean {
+    const untilMs = this._pauses.get(key);
+    return untilMs !== undefined && nowMs < untilMs;
+  }
+
+  private _subscribe(target: common.TargetAddress, nowMs: number): void {
+    const renewedMs = this._subscribed.get(target);
+    if (renewedMs === undefined || nowMs - renewedMs >= subscriptionMs) {
+      this._subscribed.set(target, nowMs);
+      this._loads.subscribe(target);
+    }
+  }
+
+  private _candidate(target: common.TargetAddress, nowMs: number): decisions.RouteCandidate {
+    const inFlight = this._inFlight.get(target) ?? 0;
+    const digest = this._loads.digest(target);
+    if (!digest) {
+      return { target, inFlight, reportedOthers: 0, reportAgeMs: 0, slots: 0 };
+    }
+    let seen = this._digests.get(target);
+    // A restarted engine counts from the beginning again, so any other number is a new digest here.
+    if (seen?.sequence !== digest.sequence) {
+      seen = { sequence: digest.sequence, seenMs: nowMs, ownInFlight: inFlight };
+      this._digests.set(target, seen);
+    }
+    const reportedOthers = Math.max(0, digest.running + digest.waiting - seen.ownInFlight);
+    return { target, inFlight, reportedOthers, reportAgeMs: nowMs - seen.seenMs, slots: digest.slots };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/routing/ServiceAttempt.ts
@@ -0,0 +1,153 @@
+import * as http from 'node:http';
+import * as net from 'node:net';
+import type * as common from '@jayhaven/common';
+
+/** Largest answer of a plain service, bytes. */
+const maximumAnswerBytes = 8 * 1024 * 1024;
+/** Time to connect, milliseconds. */
+const connectTimeoutMs = 1_000;
+
+/** A call of a plain service. */
+export interface ServiceRequest {
+  readonly method: string;
+  /** Path with its query string. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+}
+
+/** A complete answer of a plain service. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  readonly body: Buffer;
+}
+
+/** How an attempt ended. */
+export type ServiceAttemptEnd =
+  | { readonly kind: 'answered'; readonly answer: ServiceAnswer }
+  /** No byte of the request was written. */
+  | { readonly kind: 'notConnected'; readonly reason: string }
+  /** Bytes were written; the call may have run. */
+  | { readonly kind: 'broken'; readonly reason: string };
+
+/** Headers that concern one connection only, and those that the system sets itself. */
+const droppedHeaders: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'host',
+  'content-length',
+  'expect',
+  'authorization',
+  'x-request-id',
+]);
+
+/** Headers to pass on. */
+export function forwardedHeaders(headers: http.IncomingHttpHeaders): Record<string, string> {
+  const forwarded: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined && !droppedHeaders.has(name)) {
+      forwarded[name] = Array.isArray(value) ? value.join(', ') : value;
+    }
+  }
+  return forwarded;
+}
+
+/**
+ * Calls a plain service once over a connection of its own. A kept-alive connection may be closed by the service just
+ * as the request is written, and then nobody knows whether the call ran; on a new one every byte is accounted for.
+ */
+export async function callService(
+  target: common.TargetAddress,
+  request: ServiceRequest,
+  limitMs: number,
+): Promise<ServiceAttemptEnd> {
+  const socket = await connect(target);
+  return typeof socket === 'string' ? { kind: 'notConnected', reason: socket } : exchange(socket, target, request, limitMs);
+}
+
+function connect(target: common.TargetAddress): Promise<net.Socket | string> {
+  const separator = target.lastIndexOf(':');
+  const host = target.slice(0, separator).replace(/^\[|\]$/g, '');
+  return new Promise((resolve) => {
+    const socket = net.connect({ host, port: Number(target.slice(separator + 1)), noDelay: true });
+    const timer = setTimeout(() => {
+      socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`));
+    }, connectTimeoutMs);
+    socket.on('error', (error) => {
+      clearTimeout(timer);
+      resolve(error.message);
+    });
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      resolve(socket);
+    });
+  });
+}
+
+function exchange(
+  socket: net.Socket,
+  target: common.TargetAddress,
+  request: ServiceRequest,
+  limitMs: number,
+): Promise<ServiceAttemptEnd> {
+  return new Promise((resolve) => {
+    const outgoing = http.request({
+      createConnection: () => socket,
+      method: request.method,
+      path: request.path,
+      headers: { ...request.headers, host: target, connection: 'close', 'content-length': request.body.length },
+    });
+    const finish = (end: ServiceAttemptEnd): void => {
+      clearTimeout(timer);
+      resolve(end);
+      outgoing.destroy();
+    };
+    const breakOff = (reason: string): void => {
+      finish({ kind: 'broken', reason });
+    };
+    const timer = setTimeout(() => {
+      breakOff(`no complete answer within ${Math.round(limitMs)} ms`);
+    }, limitMs);
+    outgoing.on('error', (error) => {
+      breakOff(error.message);
+    });
+    outgoing.on('response', (incoming) => {
+      void readAnswer(incoming).then(finish);
+    });
+    outgoing.end(request.body);
+  });
+}
+
+/** Reads a whole answer, or the reason why there is none. */
+async function readAnswer(incoming: http.IncomingMessage): Promise<ServiceAttemptEnd> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of incoming as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      chunks.push(chunk);
+      if (size > maximumAnswerBytes) {
+        return { kind: 'broken', reason: `the answer is larger than ${maximumAnswerBytes} bytes` };
+      }
+    }
+  } catch (error) {
+    return { kind: 'broken', reason: String(error) };
+  }
+  if (!incoming.complete) {
+    return { kind: 'broken', reason: 'the connection broke before the answer was complete' };
+  }
+  const headers: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(incoming.headers)) {
+    if (value !== undefined && !droppedHeaders.has(name)) {
+      headers[name] = value;
+    }
+  }
+  return { kind: 'answered', answer: { status: incoming.statusCode ?? 502, headers, body: Buffer.concat(chunks) } };
+}
--- /dev/null
+++ b/packages/daemon/src/routing/ServiceTargets.ts
@@ -0,0 +1,63 @@
+import type * as common from '@jayhaven/common';
+import * as decisions from '@jayhaven/decisions';
+import type { ControlLog, LoadView } from '../Types.js';
+import type { ServiceAttemptEnd } from './ServiceAttempt.js';
+import { TargetBreakers } from './TargetBreakers.js';
+
+/** Picks targets of plain services. */
+export class ServiceTargets {
+  private readonly _inFlight = new Map<common.TargetAddress, number>();
+  private readonly _breakers = new TargetBreakers();
+
+  public constructor(
+    private readonly _log: ControlLog,
+    private readonly _loads: LoadView,
+    private readonly _now: () => number,
+    private readonly _random: () => number = Math.random,
+  ) {}
+
+  /** Picks a live target that was not tried yet. A target with an open breaker is taken only if there is no other. */
+  public choose(
+    service: string,
+    tried: ReadonlySet<common.TargetAddress>,
+    nowMs: number,
+  ): common.TargetAddress | undefined {
+    const live = decisions
+      .serviceTargets(this._log.state, service, (vm) => this._loads.isLeaving(vm))
+      .filter((target) => !tried.has(target));
+    const healthy = live.filter((target) => this._breakers.allows(target, nowMs));
+    const candidates = (healthy.length > 0 ? healthy : live).map((target) => ({
+      target,
+      inFlight: this._inFlight.get(target) ?? 0,
+      reportedOthers: 0,
+      reportAgeMs: 0,
+      slots: 0,
+    }));
+    const chosen = decisions.chooseTarget(candidates, undefined, [this._random(), this._random()]);
+    if (chosen) {
+      this._breakers.picked(chosen.target, nowMs);
+    }
+    return chosen?.target;
+  }
+
+  /** Counts an attempt as in flight until it ends, and its end for the target's breaker. */
+  public async track(
+    target: common.TargetAddress,
+    run: () => Promise<ServiceAttemptEnd>,
+  ): Promise<ServiceAttemptEnd> {
+    this._inFlight.set(target, (this._inFlight.get(target) ?? 0) + 1);
+    const end = await run();
+    const remaining = (this._inFlight.get(target) ?? 1) - 1;
+    if (remaining > 0) {
+      this._inFlight.set(target, remaining);
+    } else {
+      this._inFlight.delete(target);
+    }
+    if (end.kind === 'answered') {
+      this._breakers.succeeded(target);
+    } else {
+      this._breakers.failed(target, this._now());
+    }
+    return end;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/routing/Types.ts
@@ -0,0 +1,50 @@
+import type * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+
+/** A refusal or failure as the caller sees it. */
+export interface CallerError {
+  readonly status: number;
+  readonly type: string;
+  readonly message: string;
+  readonly executed: common.Executed;
+  readonly retryAfterMs?: number;
+}
+
+/** The model a request names, with its settings in force. */
+export interface ResolvedModel {
+  readonly settings: decisions.ModelSettings;
+  readonly adapter: string | undefined;
+  /** Name at the engine: `partner/model` or `partner/model:adapter`. */
+  readonly engineName: string;
+  /** Key of the waiting queue: model version and adapter. */
+  readonly queue: string;
+}
+
+/** A target that was picked for one attempt. Counts as in flight there until `finish`. */
+export interface TargetLease {
+  readonly target: common.TargetAddress;
+  readonly replica: decisions.ReplicaId;
+  /** Ends the attempt. `failed` counts against the target's circuit breaker. */
+  finish(result: 'answered' | 'failed' | 'neutral', nowMs: number): void;
+}
+
+/** How an attempt at an engine ended. */
+export type AttemptEnd =
+  /** The whole answer was passed on. */
+  | { readonly kind: 'complete'; readonly body?: Buffer }
+  /** The engine did not run it; another target may. */
+  | { readonly kind: 'notRun'; readonly type: 'model_not_loaded' | 'overloaded'; readonly retryAfterMs: number }
+  /** The engine finds the request invalid. */
+  | { readonly kind: 'rejected'; readonly status: number; readonly message: string }
+  | { readonly kind: 'failed'; readonly executed: common.Executed; readonly reason: string }
+  | { readonly kind: 'cancelled' };
+
+/** Answer of the waiting room. */
+export type WaitOutcome = { readonly kind: 'released' } | { readonly kind: 'refused'; readonly error: CallerError };
+
+/** A request in the waiting room. */
+export interface Waiter extends decisions.WaitingRequest {
+  readonly model: ResolvedModel;
+  /** Called once, with the final answer of the waiting room. */
+  readonly settle: (outcome: WaitOutcome) => void;
+}
--- /dev/null
+++ b/packages/decisions/src/admission/admitRequest.ts
@@ -0,0 +1,74 @@
+/** Admission to the waiting room: bounded by count and time, fair between partners, batch shed before interactive. */
+import type * as common from '@jayhaven/common';
+import type { AdmissionDecision, WaitingRequest, WaitingRoomLimits, WaitingRoomView } from './Types.js';
+
+/** Retry-After of a full queue when nothing better is known. */
+const fullQueueRetryMs = 2_000;
+
+/**
+ * Decides about a request at its arrival. `expectedReadyMs` is the monotonic time at which a replica is expected, if
+ * known.
+ */
+export function admitRequest(
+  request: WaitingRequest,
+  view: WaitingRoomView,
+  limits: WaitingRoomLimits,
+  expectedReadyMs: number | undefined,
+  nowMs: number,
+): AdmissionDecision {
+  const readyInMs = expectedReadyMs === undefined ? undefined : Math.max(0, expectedReadyMs - nowMs);
+  if (missesDeadline(request, expectedReadyMs, nowMs)) {
+    return { kind: 'refused', type: 'deadline_unreachable', retryAfterMs: readyInMs ?? fullQueueRetryMs };
+  }
+  const queueFull = view.queue.length >= limits.queueLimit;
+  const roomFull = !hasRoom(request.partner, view, limits);
+  if (!queueFull && !roomFull) {
+    return { kind: 'admitted' };
+  }
+  const victim = request.urgency === 'interactive' ? findVictim(view, queueFull) : undefined;
+  return victim
+    ? { kind: 'admittedInstead', shed: victim }
+    : {
+        kind: 'refused',
+        type: queueFull ? 'queue_full' : 'partner_queue_full',
+        retryAfterMs: readyInMs ?? fullQueueRetryMs,
+      };
+}
+
+/** Whether a request can no longer be answered in time if a replica is ready only at `expectedReadyMs`. */
+export function missesDeadline(
+  request: Pick<WaitingRequest, 'deadlineMs'>,
+  expectedReadyMs: number | undefined,
+  nowMs: number,
+): boolean {
+  return request.deadlineMs <= nowMs || (expectedReadyMs !== undefined && expectedReadyMs >= request.deadlineMs);
+}
+
+/** Half of the room is reserved in equal parts, so that no partner finds it taken by the others. */
+function hasRoom(partner: common.PartnerName, view: WaitingRoomView, limits: WaitingRoomLimits): boolean {
+  const reserved = Math.floor(limits.maximumWaiting / (2 * Math.max(1, limits.partners.length)));
+  const own = view.byPartner.get(partner) ?? 0;
+  if (own < reserved) {
+    return view.total < limits.maximumWaiting;
+  }
+  let heldForOthers = 0;
+  for (const other of limits.partners) {
+    if (other !== partner) {
+      heldForOthers += Math.max(0, reserved - (view.byPartner.get(other) ?? 0));
+    }
+  }
+  return view.total + heldForOthers < limits.maximumWaiting;
+}
+
+/** A full queue loses one of its own batch requests; a full room loses one of the same partner. */
+function findVictim(view: WaitingRoomView, queueFull: boolean): WaitingRequest | undefined {
+  return queueFull ? view.queue.findLast((waiting) => waiting.urgency === 'batch') : view.youngestBatchOfPartner;
+}
+
+/** Order in which waiting requests are released: interactive before batch, then by arrival. */
+export function compareForRelease(first: WaitingRequest, second: WaitingRequest): number {
+  if (first.urgency !== second.urgency) {
+    return first.urgency === 'interactive' ? -1 : 1;
+  }
+  return first.arrivedMs - second.arrivedMs;
+}
--- /dev/null
+++ b/packages/decisions/src/admission/index.ts
@@ -0,0 +1,2 @@
+export type * from './Types.js';
+export * from './admitRequest.js';
--- /dev/null
+++ b/packages/decisions/src/routing/chooseTarget.ts
@@ -0,0 +1,47 @@
+/** Routing choice: power of two choices with a preference for the target that holds the prompt's prefix. */
+import type { RouteCandidate } from './Types.js';
+
+/** Age at which a digest counts half. */
+const digestHalfLifeMs = 2_000;
+/** Slots assumed for a target that has not reported any. */
+const assumedSlots = 8;
+/** The preferred target is kept while its load per slot is at most this much above the best alternative. */
+const affinityTolerance = 0.5;
+
+/** Expected load of a target, in requests per slot. A stale digest counts less than a fresh one. */
+export function estimatedLoad(candidate: RouteCandidate): number {
+  const confidence = 0.5 ** (Math.max(0, candidate.reportAgeMs) / digestHalfLifeMs);
+  const slots = candidate.slots > 0 ? candidate.slots : assumedSlots;
+  return (candidate.inFlight + confidence * candidate.reportedOthers) / slots;
+}
+
+/**
+ * Picks a target. `draws` are two random numbers in [0, 1). The preferred target wins unless it is clearly more loaded
+ * than the better one of two random candidates.
+ */
+export function chooseTarget(
+  candidates: readonly RouteCandidate[],
+  preferred: string | undefined,
+  draws: readonly [number, number],
+): RouteCandidate | undefined {
+  const best = betterOfTwo(candidates, draws);
+  if (!best || preferred === undefined || preferred === best.target) {
+    return best;
+  }
+  const favourite = candidates.find((candidate) => candidate.target === preferred);
+  return favourite && estimatedLoad(favourite) <= estimatedLoad(best) + affinityTolerance ? favourite : best;
+}
+
+function betterOfTwo(
+  candidates: readonly RouteCandidate[],
+  draws: readonly [number, number],
+): RouteCandidate | undefined {
+  const firstIndex = Math.floor(draws[0] * candidates.length);
+  const first = candidates[firstIndex];
+  if (!first || candidates.length === 1) {
+    return first;
+  }
+  const secondIndex = (firstIndex + 1 + Math.floor(draws[1] * (candidates.length - 1))) % candidates.length;
+  const second = candidates[secondIndex];
+  return second && estimatedLoad(second) < estimatedLoad(first) ? second : first;
+}
--- /dev/null
+++ b/packages/decisions/src/routing/index.ts
@@ -0,0 +1,5 @@
+export type * from './Types.js';
+export * from './chooseTarget.js';
+export * from './idempotentRoute.js';
+export * from './readyReplicas.js';
+export * from './retryBudget.js';
--- /dev/null
+++ b/packages/decisions/src/routing/retryBudget.ts
@@ -0,0 +1,18 @@
+/** Retry budget: each request adds a share of a token, each retry takes one. */
+import type { RetryBudget } from './Types.js';
+
+/** Retries that a quiet daemon may still make, so that single failures are always retried. */
+const maximumTokens = 10;
+
+/** The budget of a daemon that has just started. */
+export const initialRetryBudget: RetryBudget = { tokens: maximumTokens };
+
+/** Counts a first attempt. `share` is the number of retries allowed per request on average. */
+export function depositRequest(budget: RetryBudget, share: number): RetryBudget {
+  return { tokens: Math.min(maximumTokens, budget.tokens + share) };
+}
+
+/** Takes one retry from the budget; undefined if it is spent. */
+export function withdrawRetry(budget: RetryBudget): RetryBudget | undefined {
+  return budget.tokens >= 1 ? { tokens: budget.tokens - 1 } : undefined;
+}
