--- a/packages/daemon/src/front/CallerAnswer.ts
+++ b/packages/daemon/src/front/CallerAnswer.ts
@@ -22,6 +22,13 @@
   readonly onEnded: () => void;
 }
 
+/** A complete answer with its body. */
+export interface WholeAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  readonly body: Buffer;
+}
+
 /** The answer to one caller. It ends exactly once, at the latest at the deadline. */
 export class CallerAnswer {
   /** Resolves with the outcome when the last byte is handed over or the caller is gone. */
@@ -35,7 +42,6 @@
   public constructor(
     private readonly _context: DaemonContext,
     private readonly _request: CallerRequest,
-    private readonly _stream: boolean,
     private readonly _source: AnswerSource,
   ) {
     const response = _request.response;
@@ -92,19 +98,26 @@
     return this._response.write(text);
   }
 
-  /** Ends the answer well. A stream has passed its end marker already. */
-  public complete(body: Buffer | undefined): void {
+  /** Ends a stream that has passed its end marker. */
+  public completeStream(): void {
     if (this._context.now() >= this._limitMs) {
       this.fail(this._deadlineExceeded());
     } else if (this._end('ok')) {
-      if (!this._stream && body) {
-        this._response.writeHead(200, {
-          'content-type': 'application/json',
-          'content-length': body.length,
-          'x-request-id': this._request.requestId,
-        });
-      }
-      this._response.end(body);
+      this._response.end();
+    }
+  }
+
+  /** Sends a whole answer. */
+  public pass(answer: WholeAnswer): void {
+    if (this._context.now() >= this._limitMs) {
+      this.fail(this._deadlineExceeded());
+    } else if (this._end('ok')) {
+      this._response.writeHead(answer.status, {
+        ...answer.headers,
+        'content-length': answer.body.length,
+        'x-request-id': this._request.requestId,
+      });
+      this._response.end(answer.body);
     }
   }
 
--- a/packages/daemon/src/front/CompletionCall.ts
+++ b/packages/daemon/src/front/CompletionCall.ts
@@ -54,7 +54,7 @@
     private readonly _kind: CompletionKind,
     private readonly _body: CompletionBody,
   ) {
-    this._answer = new CallerAnswer(_parts.context, _request, _body.stream, {
+    this._answer = new CallerAnswer(_parts.context, _request, {
       executed: () => this._executedSoFar(),
       onDrain: () => this._attempt?.resume(),
       onEnded: () => {
@@ -180,7 +180,7 @@
     lease.finish(end.kind === 'failed' ? 'failed' : end.kind === 'cancelled' ? 'neutral' : 'answered', nowMs);
     switch (end.kind) {
       case 'complete':
-        this._answer.complete(end.body);
+        this._complete(end.body);
         break;
       case 'rejected':
         this._answer.fail(notRun(end.status, 'invalid_request', end.message));
@@ -200,6 +200,14 @@
     }
   }
 
+  private _complete(body: Buffer | undefined): void {
+    if (body) {
+      this._answer.pass({ status: 200, headers: { 'content-type': 'application/json' }, body });
+    } else {
+      this._answer.completeStream();
+    }
+  }
+
   private _failed(model: ResolvedModel, lease: TargetLease, reason: string): void {
     this._failures += 1;
     this._excluded.add(lease.target);
--- a/packages/daemon/src/front/Front.ts
+++ b/packages/daemon/src/front/Front.ts
@@ -4,6 +4,7 @@
 import * as common from '@jayhaven/common';
 import { ModelCatalog } from '../routing/ModelCatalog.js';
 import { notRun } from '../routing/refusals.js';
+import { ServiceTargets } from '../routing/ServiceTargets.js';
 import { RetryAllowance } from '../routing/RetryAllowance.js';
 import { Router } from '../routing/Router.js';
 import type { CallerError } from '../routing/Types.js';
@@ -18,6 +19,7 @@
 import { CompletionCall, type CompletionParts } from './CompletionCall.js';
 import { FrontMetrics } from './FrontMetrics.js';
 import { newRequestId, readRequestHeaders, readRequestId } from './requestHeaders.js';
+import { ServiceCall, type ServiceParts } from './ServiceCall.js';
 import type { CallerRequest } from './Types.js';
 
 /** Interval at which a drain looks for unfinished requests, milliseconds. */
@@ -32,6 +34,7 @@
   private readonly _bodies: BodyReader;
   private readonly _metrics: FrontMetrics;
   private readonly _parts: CompletionParts;
+  private readonly _serviceParts: ServiceParts;
   private readonly _keyPrefix = crypto.randomBytes(6).toString('hex');
   private _server: CallerServer | undefined;
   private _requestCount = 0;
@@ -59,6 +62,14 @@
     const retries = new RetryAllowance(settings.limits.retryBudget);
     const usage = new UsageReporter(client);
     this._parts = { context: _context, catalog, router, room, agent, retries, usage, metrics: this._metrics };
+    this._serviceParts = {
+      context: _context,
+      log: _controlPlane.log,
+      claims: _controlPlane.claims,
+      targets: new ServiceTargets(_controlPlane.log, loads, _context.now),
+      retries,
+      metrics: this._metrics,
+    };
     this._resources.register(() => {
       agent.destroy();
     });
@@ -199,14 +210,16 @@
       this._track(request, 'completion', 'POST', () => this._complete(request, kind));
     } else if (path === '/v1/models') {
       this._track(request, 'models', 'GET', () => this._listModels(request));
+    } else if (/^\/services\/[^/]+/.test(path)) {
+      this._track(request, 'service', undefined, () => this._callService(request));
     } else {
       this._refuse(incoming, response, notRun(404, 'not_found', 'no such path'), requestId);
     }
   }
 
   /** Runs a handler and counts the request as in flight until it has ended. */
-  private _track(request: CallerRequest, kind: string, method: string, run: () => Promise<string>): void {
-    if (request.incoming.method !== method) {
+  private _track(request: CallerRequest, kind: string, method: string | undefined, run: () => Promise<string>): void {
+    if (method !== undefined && request.incoming.method !== method) {
       request.response.setHeader('allow', method);
       const error = notRun(405, 'method_not_allowed', `use ${method}`);
       this._refuse(request.incoming, request.response, error, request.requestId);
@@ -220,16 +233,26 @@
     });
   }
 
-  private async _complete(request: CallerRequest, kind: CompletionKind): Promise<string> {
+  private _complete(request: CallerRequest, kind: CompletionKind): Promise<string> {
+    return this._withBody(request, async (raw) => {
+      const body = parseCompletionBody(kind, raw);
+      return body.ok
+        ? new CompletionCall(this._parts, request, kind, body.value).run()
+        : this._refuse(request.incoming, request.response, body.failure, request.requestId);
+    });
+  }
+
+  private _callService(request: CallerRequest): Promise<string> {
+    return this._withBody(request, (raw) => new ServiceCall(this._serviceParts, request, raw).run());
+  }
+
+  private async _withBody(request: CallerRequest, run: (raw: Buffer) => Promise<string>): Promise<string> {
     const raw = await this._bodies.read(request.incoming);
     if (!raw.ok) {
       return this._refuse(request.incoming, request.response, raw.failure, request.requestId);
     }
     try {
-      const body = parseCompletionBody(kind, raw.value);
-      return body.ok
-        ? await new CompletionCall(this._parts, request, kind, body.value).run()
-        : this._refuse(request.incoming, request.response, body.failure, request.requestId);
+      return await run(raw.value);
     } finally {
       this._bodies.release(raw.value.length);
     }
--- a/packages/daemon/src/front/ServiceCall.ts
+++ b/packages/daemon/src/front/ServiceCall.ts
@@ -3,13 +3,7 @@
 import * as decisions from '@jayhaven/decisions';
 import { notRun } from '../routing/refusals.js';
 import type { RetryAllowance } from '../routing/RetryAllowance.js';
-import {
-  callService,
-  forwardedHeaders,
-  type ServiceAnswer,
-  type ServiceAttemptEnd,
-  type ServiceRequest,
-} from '../routing/ServiceAttempt.js';
+import { callService, forwardedHeaders, type ServiceRequest } from '../routing/ServiceAttempt.js';
 import type { ServiceTargets } from '../routing/ServiceTargets.js';
 import type * as types from '../Types.js';
 import { CallerAnswer } from './CallerAnswer.js';
@@ -46,7 +40,7 @@
     const [, , service = '', ...segments] = _request.path.split('/');
     this._service = service;
     this._path = `/${segments.join('/')}`;
-    this._answer = new CallerAnswer(_parts.context, _request, false, {
+    this._answer = new CallerAnswer(_parts.context, _request, {
       executed: () => this._executed,
       onDrain: () => undefined,
       onEnded: () => undefined,
@@ -83,18 +77,28 @@
       }
       tried.add(target);
       this._record(attempt > 1 ? 'retried' : 'dispatched', { target, attempt });
-      const end = await targets.track(target, () => callService(target, this._serviceRequest(), limitMs - context.now()));
+      const end = await targets.track(target, () =>
+        callService(target, this._serviceRequest(), {
+          limitMs: limitMs - context.now(),
+          beforeWrite: () => this._beforeWrite(),
+        }),
+      );
       if (end.kind === 'answered') {
         this._executed = 'yes';
         this._answer.pass(end.answer);
         return;
       }
       reason = end.reason;
-      this._executed = end.kind === 'broken' ? 'unknown' : this._executed;
       metrics.retried(end.kind === 'broken' ? 'failed' : 'notConnected');
     }
     const status = this._executed === 'no' ? 503 : 502;
-    this._answer.fail({ status, type: 'target_failed', message: reason, executed: this._executed, retryAfterMs: 1_000 });
+    this._answer.fail({
+      status,
+      type: 'target_failed',
+      message: reason,
+      executed: this._executed,
+      retryAfterMs: 1_000,
+    });
   }
 
   private async _runOnce(limitMs: number): Promise<void> {
@@ -112,7 +116,7 @@
       maximumConnects: maximumAttempts,
       service: this._service,
       request: this._serviceRequest(),
-      isAbandoned: () => this._answer.ended,
+      isAnswered: () => this._answer.ended,
       onSending: (target) => {
         this._executed = 'unknown';
         this._record('dispatched', { target, attempt: 1 });
@@ -130,6 +134,15 @@
     await send.recorded;
   }
 
+  /** After the caller has its final answer nothing may be sent, or "not run" would become untrue. */
+  private _beforeWrite(): boolean {
+    if (this._answer.ended) {
+      return false;
+    }
+    this._executed = 'unknown';
+    return true;
+  }
+
   private _checkKey(key: string | string[] | undefined): ReturnType<typeof notRun> | undefined {
     if (key === undefined) {
       const message = 'this call may not be repeated: send an Idempotency-Key';
@@ -171,5 +184,3 @@
     });
   }
 }
-
-export type { ServiceAnswer, ServiceAttemptEnd };
--- a/packages/daemon/src/routing/ServiceAttempt.ts
+++ b/packages/daemon/src/routing/ServiceAttempt.ts
@@ -16,6 +16,14 @@
   readonly body: Buffer;
 }
 
+/** Limits of one attempt. */
+export interface ServiceCallOptions {
+  /** Time for the whole attempt, milliseconds. */
+  readonly limitMs: number;
+  /** Called when the connection stands and nothing is written; false gives the call up. */
+  readonly beforeWrite: () => boolean;
+}
+
 /** A complete answer of a plain service. */
 export interface ServiceAnswer {
   readonly status: number;
@@ -66,10 +74,17 @@
 export async function callService(
   target: common.TargetAddress,
   request: ServiceRequest,
-  limitMs: number,
+  options: ServiceCallOptions,
 ): Promise<ServiceAttemptEnd> {
   const socket = await connect(target);
-  return typeof socket === 'string' ? { kind: 'notConnected', reason: socket } : exchange(socket, target, request, limitMs);
+  if (typeof socket === 'string') {
+    return { kind: 'notConnected', reason: socket };
+  }
+  if (!options.beforeWrite()) {
+    socket.destroy();
+    return { kind: 'notConnected', reason: 'the call was given up before it was sent' };
+  }
+  return exchange(socket, target, request, options.limitMs);
 }
 
 function connect(target: common.TargetAddress): Promise<net.Socket | string> {
--- a/packages/daemon/src/routing/ServiceTargets.ts
+++ b/packages/daemon/src/routing/ServiceTargets.ts
@@ -41,10 +41,7 @@
   }
 
   /** Counts an attempt as in flight until it ends, and its end for the target's breaker. */
-  public async track(
-    target: common.TargetAddress,
-    run: () => Promise<ServiceAttemptEnd>,
-  ): Promise<ServiceAttemptEnd> {
+  public async track(target: common.TargetAddress, run: () => Promise<ServiceAttemptEnd>): Promise<ServiceAttemptEnd> {
     this._inFlight.set(target, (this._inFlight.get(target) ?? 0) + 1);
     const end = await run();
     const remaining = (this._inFlight.get(target) ?? 1) - 1;
--- a/packages/daemon/src/routing/StreamChecker.ts
+++ b/packages/daemon/src/routing/StreamChecker.ts
@@ -93,7 +93,7 @@
       return { text: '', fault: 'malformed' };
     }
     const fields = json as Readonly<Record<string, unknown>>;
-    if (fields['id'] !== this._engineId) {
+    if (fields.id !== this._engineId) {
       return { text: '', fault: 'error' in fields && !('id' in fields) ? 'engineError' : 'foreignAnswer' };
     }
     const index = findTokenIndex(fields);
@@ -113,8 +113,8 @@
 }
 
 function findTokenIndex(fields: Readonly<Record<string, unknown>>): number | undefined {
-  const choice: unknown = Array.isArray(fields['choices']) ? fields['choices'][0] : undefined;
+  const choice: unknown = Array.isArray(fields.choices) ? fields.choices[0] : undefined;
   const inChoice = typeof choice === 'object' && choice !== null && 'token_index' in choice && choice.token_index;
-  const index = fields['token_index'] ?? inChoice;
+  const index = fields.token_index ?? inChoice;
   return typeof index === 'number' ? index : undefined;
 }
