Keep answers inside the deadline and drain without cutting kept-alive connections

Unreachable targets are a last resort instead of being excluded, because a collector may be cut off alone. The retry budget holds ten seconds of retries, so that the requests in flight at one failed target can all be retried, and a broken stream is resumed once in any case.

--- a/packages/daemon/src/front/BodyReader.ts
+++ b/packages/daemon/src/front/BodyReader.ts
@@ -25,12 +25,13 @@
   }
 
   /** Reads a body. The bytes count as held until `release` is called with the same number. */
-  public read(incoming: http.IncomingMessage): Promise<common.Outcome<Buffer, CallerError>> {
+  public read(incoming: http.IncomingMessage, deadlineMs = Infinity): Promise<common.Outcome<Buffer, CallerError>> {
     const announced = Number(incoming.headers['content-length'] ?? 0);
     if (announced > this._maximumBytes) {
       this.discard(incoming);
       return Promise.resolve(common.fail(this._tooLarge()));
     }
+    const timeoutMs = Math.min(this._timeoutMs, deadlineMs);
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
       let size = 0;
@@ -61,8 +62,8 @@
         finish(common.fail(notRun(400, 'incomplete_body', 'the connection closed before the body was complete')));
       };
       const timer = setTimeout(() => {
-        finish(common.fail(notRun(408, 'body_timeout', `the body was not complete within ${this._timeoutMs} ms`)));
-      }, this._timeoutMs);
+        finish(common.fail(notRun(408, 'body_timeout', `the body was not complete within ${timeoutMs} ms`, 1_000)));
+      }, timeoutMs);
       incoming.on('data', onData).on('end', onEnd).on('close', onClose);
       incoming.on('error', () => undefined);
     });
--- a/packages/daemon/src/front/CallerAnswer.ts
+++ b/packages/daemon/src/front/CallerAnswer.ts
@@ -12,6 +12,11 @@
 /** Time for a slow caller to read the end of an answer that ended at its deadline, milliseconds. */
 const lingerMs = 2_000;
 
+/** Time after which an answer must have ended to arrive before a deadline, milliseconds. */
+export function answerTimeMs(deadlineMs: number): number {
+  return deadlineMs - Math.min(answerMarginMs, deadlineMs * answerMarginShare);
+}
+
 /** What an answer needs from the call that produces it. */
 export interface AnswerSource {
   /** Whether the request has been run so far. */
@@ -70,7 +75,7 @@
   /** Starts the deadline timer. Returns the monotonic time by which the answer ends. */
   public setDeadline(deadlineMs: number): number {
     const limitedMs = Math.min(deadlineMs, this._context.settings.limits.maximumDeadlineMs);
-    this._limitMs = this._request.arrivedMs + limitedMs - Math.min(answerMarginMs, limitedMs * answerMarginShare);
+    this._limitMs = this._request.arrivedMs + answerTimeMs(limitedMs);
     this._timer = setTimeout(
       () => {
         this.fail(this._deadlineExceeded());
@@ -84,11 +89,15 @@
 
   /** Passes events of a stream on. False if the caller is slower than the stream. */
   public writeEvents(text: string): boolean {
+    const nowMs = this._context.now();
+    if (!this.ended && nowMs >= this._limitMs) {
+      this.fail(this._deadlineExceeded());
+    }
     if (this.ended) {
       return true;
     }
     if (this._firstEventMs === undefined) {
-      this._firstEventMs = this._context.now();
+      this._firstEventMs = nowMs;
       this._response.writeHead(200, {
         'content-type': 'text/event-stream',
         'cache-control': 'no-cache',
@@ -100,9 +109,7 @@
 
   /** Ends a stream that has passed its end marker. */
   public completeStream(): void {
-    if (this._context.now() >= this._limitMs) {
-      this.fail(this._deadlineExceeded());
-    } else if (this._end('ok')) {
+    if (this._end('ok')) {
       this._response.end();
     }
   }
@@ -154,7 +161,7 @@
     const first = this._firstEventMs;
     this._context.timeline.record({
       part: 'front',
-      event: outcome === 'ok' ? 'finished' : outcome === 'caller_gone' ? 'callerGone' : 'refused',
+      event: eventName(outcome, error),
       request: requestId,
       detail: {
         outcome,
@@ -165,3 +172,10 @@
     });
   }
 }
+
+function eventName(outcome: string, error: CallerError | undefined): string {
+  if (!error) {
+    return outcome === 'ok' ? 'finished' : 'callerGone';
+  }
+  return error.executed === 'no' ? 'refused' : 'failed';
+}
--- a/packages/daemon/src/front/CompletionCall.ts
+++ b/packages/daemon/src/front/CompletionCall.ts
@@ -44,6 +44,7 @@
   private _attempts = 0;
   private _failures = 0;
   private _nextIndex = 0;
+  private _resumes = 0;
   private _executed: common.Executed = 'no';
   private _attempt: EngineAttempt | undefined;
   private _interrupt: () => void = () => undefined;
@@ -214,13 +215,22 @@
     this._record('attemptFailed', model, { target: lease.target, reason, delivered: this._nextIndex });
     if (this._failures >= maximumFailedAttempts) {
       this._answer.fail(this._targetFailed(`${this._failures} attempts failed, the last one: ${reason}`));
-    } else if (!this._parts.retries.take()) {
+    } else if (!this._mayRetry()) {
       this._answer.fail(this._targetFailed(`the attempt failed (${reason}) and the retry budget is spent`));
     } else {
       this._parts.metrics.retried(this._nextIndex > 0 ? 'resumed' : 'failed');
     }
   }
 
+  /** A broken stream is resumed once in any case; everything else is limited by the budget. */
+  private _mayRetry(): boolean {
+    if (this._nextIndex > 0) {
+      this._resumes += 1;
+      return this._resumes === 1 || this._parts.retries.take();
+    }
+    return this._parts.retries.take();
+  }
+
   private _targetFailed(message: string): CallerError {
     return { status: 502, type: 'target_failed', message, executed: this._executed, retryAfterMs: 1_000 };
   }
--- a/packages/daemon/src/front/Front.ts
+++ b/packages/daemon/src/front/Front.ts
@@ -13,17 +13,19 @@
 import type * as types from '../Types.js';
 import { sendError } from './answers.js';
 import { BodyReader } from './BodyReader.js';
+import { answerTimeMs } from './CallerAnswer.js';
 import { CallerDirectory } from './CallerDirectory.js';
 import { CallerServer } from './CallerServer.js';
 import { parseCompletionBody, type CompletionKind } from './completionBody.js';
 import { CompletionCall, type CompletionParts } from './CompletionCall.js';
 import { FrontMetrics } from './FrontMetrics.js';
+import { InFlightRequests } from './InFlightRequests.js';
 import { newRequestId, readRequestHeaders, readRequestId } from './requestHeaders.js';
 import { ServiceCall, type ServiceParts } from './ServiceCall.js';
 import type { CallerRequest } from './Types.js';
 
-/** Interval at which a drain looks for unfinished requests, milliseconds. */
-const drainCheckMs = 20;
+/** Unfinished requests that are named in the log at the stop limit. */
+const maximumLoggedIds = 20;
 /** Idle connections kept to one target. */
 const maximumIdleConnections = 64;
 
@@ -38,7 +40,7 @@
   private readonly _keyPrefix = crypto.randomBytes(6).toString('hex');
   private _server: CallerServer | undefined;
   private _requestCount = 0;
-  private _inFlight = 0;
+  private readonly _inFlight = new InFlightRequests();
   private _draining: Promise<{ readonly unfinished: number }> | undefined;
 
   public constructor(
@@ -57,7 +59,7 @@
     });
     this._callers = new CallerDirectory(settings.callers);
     this._bodies = new BodyReader(settings.limits.maximumBodyBytes);
-    this._metrics = new FrontMetrics(() => ({ inFlight: this._inFlight, waiting: this._waitingCount() }));
+    this._metrics = new FrontMetrics(() => ({ inFlight: this._inFlight.size, waiting: this._waitingCount() }));
     const agent = new http.Agent({ keepAlive: true, maxFreeSockets: maximumIdleConnections });
     const retries = new RetryAllowance(settings.limits.retryBudget);
     const usage = new UsageReporter(client);
@@ -105,7 +107,7 @@
       count: waiters.length,
       oldestMs: Math.round(nowMs - waiters.reduce((oldest, waiter) => Math.min(oldest, waiter.arrivedMs), nowMs)),
     }));
-    return { inFlight: this._inFlight, draining: this._draining !== undefined, waiting };
+    return { inFlight: this._inFlight.size, draining: this._draining !== undefined, waiting };
   }
 
   public async [Symbol.asyncDispose](): Promise<void> {
@@ -123,17 +125,16 @@
   private async _drain(): Promise<{ readonly unfinished: number }> {
     const { announceMs, limitMs } = this._context.settings.stop;
     const limit = this._context.now() + limitMs;
-    this._context.logger.info('draining', { inFlight: this._inFlight, announceMs });
+    this._context.logger.info('draining', { inFlight: this._inFlight.size, announceMs });
+    this._inFlight.announceClose();
     await timers.setTimeout(Math.min(announceMs, limitMs));
-    const closed = this._server?.stopAccepting();
-    while (this._inFlight > 0 && this._context.now() < limit) {
-      await timers.setTimeout(drainCheckMs);
-    }
-    const unfinished = this._inFlight;
+    void this._server?.stopAccepting();
+    await this._inFlight.waitUntilQuiet(this._context.now, limit);
+    const unfinished = this._inFlight.size;
     if (unfinished > 0) {
-      this._context.logger.warn('requests are unfinished at the stop limit', { unfinished });
+      const requests = this._inFlight.ids(maximumLoggedIds);
+      this._context.logger.warn('requests are unfinished at the stop limit', { unfinished, requests });
     }
-    closed?.catch(() => undefined);
     return { unfinished };
   }
 
@@ -182,7 +183,7 @@
 
   /** Paths without a key. */
   private _receiveOpen(incoming: http.IncomingMessage, response: http.ServerResponse, path: string): boolean {
-    if (incoming.method !== 'GET') {
+    if (incoming.method !== 'GET' && incoming.method !== 'HEAD') {
       return false;
     }
     if (path === '/healthz') {
@@ -225,11 +226,11 @@
       this._refuse(request.incoming, request.response, error, request.requestId);
       return;
     }
-    this._inFlight += 1;
+    this._inFlight.add(request);
     void run().then((outcome) => {
-      this._inFlight -= 1;
-      const durationMs = this._context.now() - request.arrivedMs;
-      this._metrics.finished(request.caller.partner, kind, outcome, durationMs);
+      const nowMs = this._context.now();
+      this._inFlight.remove(request, nowMs);
+      this._metrics.finished(request.caller.partner, kind, outcome, nowMs - request.arrivedMs);
     });
   }
 
@@ -247,7 +248,8 @@
   }
 
   private async _withBody(request: CallerRequest, run: (raw: Buffer) => Promise<string>): Promise<string> {
-    const raw = await this._bodies.read(request.incoming);
+    const timeoutMs = request.deadlineMs === undefined ? undefined : answerTimeMs(request.deadlineMs);
+    const raw = await this._bodies.read(request.incoming, timeoutMs);
     if (!raw.ok) {
       return this._refuse(request.incoming, request.response, raw.failure, request.requestId);
     }
@@ -273,6 +275,7 @@
     error: CallerError,
     requestId: string,
   ): string {
+    this._metrics.refused(error.type);
     sendError(response, error, requestId);
     if (!incoming.complete) {
       this._bodies.discard(incoming);
--- a/packages/daemon/src/front/FrontMetrics.ts
+++ b/packages/daemon/src/front/FrontMetrics.ts
@@ -57,6 +57,11 @@
     this._duration.observe({ kind }, durationMs / 1_000);
   }
 
+  /** Counts a request that was refused before it was taken in. */
+  public refused(type: string): void {
+    this._requests.inc({ partner: '', kind: 'refused', outcome: type });
+  }
+
   /** Counts an attempt after the first one. */
   public retried(reason: 'notRun' | 'failed' | 'resumed' | 'notConnected'): void {
     this._retries.inc({ reason });
--- /dev/null
+++ b/packages/daemon/src/front/InFlightRequests.ts
@@ -0,0 +1,47 @@
+import * as timers from 'node:timers/promises';
+import type { CallerRequest } from './Types.js';
+
+/** Interval of checks while waiting for the last request, milliseconds. */
+const checkIntervalMs = 20;
+/** Time without requests before the last connections may be closed: one may be on its way on a kept-alive one. */
+const quietMs = 250;
+
+/** Requests of callers that are not finished. */
+export class InFlightRequests {
+  private readonly _requests = new Set<CallerRequest>();
+  private _lastEndedMs = -Infinity;
+
+  public get size(): number {
+    return this._requests.size;
+  }
+
+  /** Ids of some unfinished requests, for the log. */
+  public ids(maximum: number): string[] {
+    return [...this._requests].slice(0, maximum).map(({ requestId }) => requestId);
+  }
+
+  public add(request: CallerRequest): void {
+    this._requests.add(request);
+  }
+
+  public remove(request: CallerRequest, nowMs: number): void {
+    this._requests.delete(request);
+    this._lastEndedMs = nowMs;
+  }
+
+  /** Makes answers that have not begun announce the end of their connection. */
+  public announceClose(): void {
+    for (const { response } of this._requests) {
+      if (!response.headersSent) {
+        response.shouldKeepAlive = false;
+      }
+    }
+  }
+
+  /** Waits until no request is in flight and none follows for a moment; at the latest until `limitMs`. */
+  public async waitUntilQuiet(now: () => number, limitMs: number): Promise<void> {
+    while (now() < limitMs && (this._requests.size > 0 || now() - this._lastEndedMs < quietMs)) {
+      await timers.setTimeout(checkIntervalMs);
+    }
+  }
+}
--- a/packages/daemon/src/routing/Router.ts
+++ b/packages/daemon/src/routing/Router.ts
@@ -55,7 +55,7 @@
         candidates.push(this._candidate(replica.target, nowMs));
       }
     }
-    const affinity = `${model.engineName} ${promptStart}`;
+    const affinity = `${model.engineName} ${decisions.promptHash(promptStart)}`;
     const preferred = candidates.length > 1 ? this._affinities.get(affinity) : undefined;
     const chosen = decisions.chooseTarget(candidates, preferred, [this._random(), this._random()]);
     const replica = chosen && replicas.get(chosen.target);
@@ -109,7 +109,6 @@
     this._subscribe(replica.target, nowMs);
     return (
       !this._loads.isLeaving(replica.vm) &&
-      this._loads.digest(replica.target)?.reachable !== false &&
       this._breakers.allows(replica.target, nowMs) &&
       !this._isPaused(`${replica.target} ${model.queue}`, nowMs)
     );
@@ -132,7 +131,7 @@
     const inFlight = this._inFlight.get(target) ?? 0;
     const digest = this._loads.digest(target);
     if (!digest) {
-      return { target, inFlight, reportedOthers: 0, reportAgeMs: 0, slots: 0 };
+      return { target, inFlight, reportedOthers: 0, reportAgeMs: 0, slots: 0, reachable: true };
     }
     let seen = this._digests.get(target);
     // A restarted engine counts from the beginning again, so any other number is a new digest here.
@@ -141,6 +140,13 @@
       this._digests.set(target, seen);
     }
     const reportedOthers = Math.max(0, digest.running + digest.waiting - seen.ownInFlight);
-    return { target, inFlight, reportedOthers, reportAgeMs: nowMs - seen.seenMs, slots: digest.slots };
+    return {
+      target,
+      inFlight,
+      reportedOthers,
+      reportAgeMs: nowMs - seen.seenMs,
+      slots: digest.slots,
+      reachable: digest.reachable,
+    };
   }
 }
--- a/packages/daemon/src/routing/ServiceAttempt.ts
+++ b/packages/daemon/src/routing/ServiceAttempt.ts
@@ -59,8 +59,9 @@
 /** Headers to pass on. */
 export function forwardedHeaders(headers: http.IncomingHttpHeaders): Record<string, string> {
   const forwarded: Record<string, string> = {};
+  const connectionHeaders = (headers.connection ?? '').toLowerCase().split(/[\s,]+/);
   for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined && !droppedHeaders.has(name)) {
+    if (value !== undefined && !droppedHeaders.has(name) && !connectionHeaders.includes(name)) {
       forwarded[name] = Array.isArray(value) ? value.join(', ') : value;
     }
   }
@@ -158,11 +159,15 @@
   if (!incoming.complete) {
     return { kind: 'broken', reason: 'the connection broke before the answer was complete' };
   }
+  const status = incoming.statusCode ?? 0;
+  if (status < 200 || status > 599) {
+    return { kind: 'broken', reason: `the answer has the invalid status ${status}` };
+  }
   const headers: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(incoming.headers)) {
     if (value !== undefined && !droppedHeaders.has(name)) {
       headers[name] = value;
     }
   }
-  return { kind: 'answered', answer: { status: incoming.statusCode ?? 502, headers, body: Buffer.concat(chunks) } };
+  return { kind: 'answered', answer: { status, headers, body: Buffer.concat(chunks) } };
 }
--- a/packages/daemon/src/routing/ServiceTargets.ts
+++ b/packages/daemon/src/routing/ServiceTargets.ts
@@ -32,6 +32,7 @@
       reportedOthers: 0,
       reportAgeMs: 0,
       slots: 0,
+      reachable: true,
     }));
     const chosen = decisions.chooseTarget(candidates, undefined, [this._random(), this._random()]);
     if (chosen) {
--- a/packages/daemon/src/routing/WaitingRoom.ts
+++ b/packages/daemon/src/routing/WaitingRoom.ts
@@ -153,7 +153,7 @@
     if (!answer.ok) {
       this._wakeFailed(queue, answer.failure, nowMs);
     } else if (answer.value.kind === 'expected') {
-      this._expect(queue, nowMs + answer.value.readyInMs, nowMs);
+      this._expect(queue, asked, nowMs + answer.value.readyInMs, nowMs);
     } else {
       const { type, message, retryAfterMs } = answer.value;
       queue.refuse((waiter) => isCoveredBy(waiter, asked), notRun(503, type, message, retryAfterMs));
@@ -164,7 +164,7 @@
     this._forgetIfEmpty(queue);
   }
 
-  private _expect(queue: WaitingQueue, expectedReadyMs: number, nowMs: number): void {
+  private _expect(queue: WaitingQueue, asked: AskedWake, expectedReadyMs: number, nowMs: number): void {
     queue.expectedReadyMs = expectedReadyMs;
     const error = notRun(
       503,
@@ -173,6 +173,10 @@
       Math.max(0, expectedReadyMs - nowMs),
     );
     queue.refuse((waiter) => decisions.missesDeadline(waiter, expectedReadyMs, nowMs), error);
+    // An interactive request that joined batch ones must reach the owner with its own urgency.
+    if (asked.urgency === 'batch' && queue.waiters.some(({ urgency }) => urgency === 'interactive')) {
+      this._wake(queue, nowMs);
+    }
   }
 
   private _wakeFailed(queue: WaitingQueue, failure: WakeFailure, nowMs: number): void {
--- a/packages/decisions/src/routing/Types.ts
+++ b/packages/decisions/src/routing/Types.ts
@@ -11,6 +11,8 @@
   readonly reportAgeMs: number;
   /** Requests that the target runs at once; 0 if unknown. */
   readonly slots: number;
+  /** False if the collector does not reach the target. */
+  readonly reachable: boolean;
 }
 
 /** Token bucket that bounds retries to a share of the requests. */
--- a/packages/decisions/src/routing/chooseTarget.ts
+++ b/packages/decisions/src/routing/chooseTarget.ts
@@ -24,14 +24,21 @@
   preferred: string | undefined,
   draws: readonly [number, number],
 ): RouteCandidate | undefined {
-  const best = betterOfTwo(candidates, draws);
+  const usable = reachableFirst(candidates);
+  const best = betterOfTwo(usable, draws);
   if (!best || preferred === undefined || preferred === best.target) {
     return best;
   }
-  const favourite = candidates.find((candidate) => candidate.target === preferred);
+  const favourite = usable.find((candidate) => candidate.target === preferred);
   return favourite && estimatedLoad(favourite) <= estimatedLoad(best) + affinityTolerance ? favourite : best;
 }
 
+/** A collector may be cut off from a target that others reach, so unreachable targets are a last resort. */
+function reachableFirst(candidates: readonly RouteCandidate[]): readonly RouteCandidate[] {
+  const reachable = candidates.filter((candidate) => candidate.reachable);
+  return reachable.length > 0 ? reachable : candidates;
+}
+
 function betterOfTwo(
   candidates: readonly RouteCandidate[],
   draws: readonly [number, number],
--- a/packages/decisions/src/routing/retryBudget.ts
+++ b/packages/decisions/src/routing/retryBudget.ts
@@ -1,8 +1,8 @@
 /** Retry budget: each request adds a share of a token, each retry takes one. */
 import type { RetryBudget } from './Types.js';
 
-/** Retries that a quiet daemon may still make, so that single failures are always retried. */
-const maximumTokens = 10;
+/** Enough to retry what was in flight at one failed target; ten seconds of the budget at 50 requests per second. */
+const maximumTokens = 100;
 
 /** The budget of a daemon that has just started. */
 export const initialRetryBudget: RetryBudget = { tokens: maximumTokens };
