Add the harness for tests with real processes

Cluster starts the stand-ins and daemons as processes, CallerClient checks that an answer is whole and belongs to its request, and Observer checks the promises from the stand-ins' records only. The daemon's part was not run, because its binary does not exist yet.

The fault proxy can now drop the connections of one caller, which a partition between two daemons needs. Orders with a list of accelerators map their bytes to exactly these.

--- /dev/null
+++ b/packages/proofs/src/harness/Observer.ts
@@ -0,0 +1,212 @@
+import type * as standins from '@jayhaven/standins';
+import type { CallResult } from './CallerClient.js';
+import type { ManagedProcess } from './ManagedProcess.js';
+import { mostAtOnce, replicaSpans, type ReplicaSpan } from './replicaHistory.js';
+import type { StandInHandle } from './StandInHandle.js';
+
+/** Interval at which records are copied, because a killed stand-in takes its own with it, milliseconds. */
+const copyIntervalMs = 250;
+
+/** The targets that an observer watches. */
+export interface ObservedCluster {
+  readonly engines: readonly { readonly vm: string; readonly standIn: StandInHandle }[];
+  readonly services: readonly { readonly vm: string; readonly service: string; readonly standIn: StandInHandle }[];
+}
+
+/** What a test allows. */
+export interface Expectations {
+  /** Most replicas of a model (`partner/model`) at once; models not named may have `replicasPerModel`. */
+  readonly replicas?: Readonly<Record<string, number>>;
+  /** Most replicas of any other model at once; no limit if not given. */
+  readonly replicasPerModel?: number;
+}
+
+interface ServiceRecords {
+  readonly calls: readonly standins.ServiceCallRecord[];
+}
+
+/** Records of one process of a target; a restart begins a new set. */
+interface Copy<Records> {
+  readonly name: string;
+  readonly records: Records;
+}
+
+/** Checks the system's promises from outside, with the stand-ins' records and the callers' results only. */
+export class Observer {
+  private readonly _engines = new Map<ManagedProcess, Copy<standins.EngineRecordList>>();
+  private readonly _services = new Map<ManagedProcess, Copy<ServiceRecords> & { readonly service: string }>();
+  private readonly _results: CallResult[] = [];
+  private _timer: NodeJS.Timeout | undefined;
+  private _copying: Promise<void> | undefined;
+
+  public constructor(private readonly _cluster: ObservedCluster) {}
+
+  /** Results of the callers so far. */
+  public get results(): readonly CallResult[] {
+    return this._results;
+  }
+
+  /** Takes a caller's result for the checks. */
+  public note(result: CallResult): void {
+    this._results.push(result);
+  }
+
+  /** Starts to copy records. */
+  public start(): void {
+    this._timer = setInterval(() => {
+      void this.copy();
+    }, copyIntervalMs);
+  }
+
+  public stop(): void {
+    clearInterval(this._timer);
+  }
+
+  /** Copies the records of every target that answers. */
+  public async copy(): Promise<void> {
+    this._copying ??= this._copyAll().finally(() => {
+      this._copying = undefined;
+    });
+    await this._copying;
+  }
+
+  /** Records of every engine process so far. */
+  public engineRecords(): readonly { readonly engine: string; readonly records: standins.EngineRecordList }[] {
+    return [...this._engines.values()].map(({ name, records }) => ({ engine: name, records }));
+  }
+
+  /** Calls that services ran so far. */
+  public serviceCalls(service?: string): readonly standins.ServiceCallRecord[] {
+    return [...this._services.values()]
+      .filter((copy) => service === undefined || copy.service === service)
+      .flatMap((copy) => copy.records.calls);
+  }
+
+  /** Spans in which engines held replicas of a model (`partner/model`), or of all models. */
+  public replicaSpans(model?: string): readonly ReplicaSpan[] {
+    return [...this._engines]
+      .flatMap(([process, { name, records }]) => replicaSpans(name, records.models, process.endedMs))
+      .filter((span) => model === undefined || span.model === model);
+  }
+
+  /** Copies the records a last time, and returns every broken promise as a sentence. */
+  public async violations(expectations: Expectations = {}): Promise<readonly string[]> {
+    await this._copying;
+    await this.copy();
+    return [
+      ...this._replicaViolations(expectations),
+      ...this._memoryViolations(),
+      ...this._repeatedCalls(),
+      ...this._untrueRefusals(),
+      ...this._mismatchedAnswers(),
+    ];
+  }
+
+  private async _copyAll(): Promise<void> {
+    const engines = this._cluster.engines.map(async ({ vm, standIn }) => {
+      const records = await readRecords<standins.EngineRecordList>(standIn);
+      if (records) {
+        this._engines.set(records.process, { name: vm, records: records.value });
+      }
+    });
+    const services = this._cluster.services.map(async ({ vm, service, standIn }) => {
+      const records = await readRecords<ServiceRecords>(standIn);
+      if (records) {
+        this._services.set(records.process, { name: vm, service, records: records.value });
+      }
+    });
+    await Promise.all([...engines, ...services]);
+  }
+
+  private _replicaViolations({ replicas = {}, replicasPerModel }: Expectations): readonly string[] {
+    const spans = this.replicaSpans();
+    return [...new Set(spans.map((span) => span.model))].flatMap((model) => {
+      const allowed = replicas[model] ?? replicasPerModel ?? Number.POSITIVE_INFINITY;
+      const most = mostAtOnce(spans.filter((span) => span.model === model));
+      return most > allowed ? [`${most} replicas of ${model} at once, ${allowed} allowed`] : [];
+    });
+  }
+
+  private _memoryViolations(): readonly string[] {
+    return this.engineRecords().flatMap(({ engine, records }) => [
+      ...records.violations.map((violation) => `${engine}: ${violation.rule}: ${violation.message}`),
+      ...records.models
+        .filter(({ usedBytes }) => usedBytes.some((used, index) => used > (records.accelerators[index] ?? 0)))
+        .map((record) => `${engine}: ${record.usedBytes.join(',')} bytes in use at ${record.timeMs}`),
+    ]);
+  }
+
+  private _repeatedCalls(): readonly string[] {
+    return [...this._callsByKey()]
+      .filter(([, count]) => count > 1)
+      .map(([key, count]) => `call ${key} ran ${count} times`);
+  }
+
+  /** Refusals that say "not run" although the call ran. */
+  private _untrueRefusals(): readonly string[] {
+    const keys = this._callsByKey();
+    const requests = new Set(this.serviceCalls().map((call) => call.requestId));
+    const prompts = new Set(this._promptsWithTokens());
+    const ran = (result: CallResult): boolean =>
+      result.kind === 'completion'
+        ? prompts.has(result.promptHash ?? '')
+        : requests.has(result.requestId) || (this._isOnlyAttempt(result) && keys.has(keyOf(result) ?? ''));
+    return this._results
+      .filter((result) => result.error?.executed === 'no' && ran(result))
+      .map((result) => `${result.requestId} was refused as not run, but it ran`);
+  }
+
+  /** Prompts for which an engine has made tokens. */
+  private _promptsWithTokens(): readonly string[] {
+    return this.engineRecords().flatMap(({ records }) =>
+      records.requests.filter((request) => request.tokens > 0).map((request) => request.promptHash),
+    );
+  }
+
+  /** A refused repeat of a key says nothing about the first attempt. */
+  private _isOnlyAttempt(result: CallResult): boolean {
+    return this._results.filter((other) => other.key === result.key && other.service === result.service).length === 1;
+  }
+
+  private _mismatchedAnswers(): readonly string[] {
+    return this._results
+      .filter((result) => result.outcome === 'mismatched')
+      .map((result) => `${result.requestId} got an answer that is not its own or not whole: ${result.detail ?? ''}`);
+  }
+
+  private _callsByKey(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const { service, records } of this._services.values()) {
+      for (const call of records.calls) {
+        if (call.key !== null) {
+          const key = `${service} ${call.key}`;
+          counts.set(key, (counts.get(key) ?? 0) + 1);
+        }
+      }
+    }
+    return counts;
+  }
+}
+
+function keyOf(result: CallResult): string | undefined {
+  return result.key === undefined ? undefined : `${result.service ?? ''} ${result.key}`;
+}
+
+interface ReadRecords<Records> {
+  readonly process: ManagedProcess;
+  readonly value: Records;
+}
+
+/** Reads the records of a target; `undefined` if it does not answer. */
+async function readRecords<Records>(standIn: StandInHandle): Promise<ReadRecords<Records> | undefined> {
+  const { process } = standIn;
+  if (process.endedMs !== undefined) {
+    return undefined;
+  }
+  try {
+    const value = (await standIn.records()) as Records;
+    return standIn.process === process ? { process, value } : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/harness/SseReader.ts
@@ -0,0 +1,39 @@
+/** One chunk of a completion stream, as far as the harness checks it. */
+export interface StreamChunk {
+  readonly id?: string;
+  readonly token_index?: number;
+  readonly choices?: readonly { readonly text?: string; readonly delta?: { readonly content?: string } }[];
+  readonly error?: unknown;
+}
+
+/** Parses server-sent events as their bytes arrive. */
+export class SseReader {
+  private readonly _decoder = new TextDecoder();
+  private _rest = '';
+  private _done = false;
+
+  /** Whether the end marker has arrived. */
+  public get done(): boolean {
+    return this._done;
+  }
+
+  /** Takes bytes and returns the chunks that are complete now. */
+  public push(bytes: Uint8Array): readonly StreamChunk[] {
+    const parts = (this._rest + this._decoder.decode(bytes, { stream: true })).split('\n\n');
+    this._rest = parts.pop() ?? '';
+    const chunks: StreamChunk[] = [];
+    for (const part of parts) {
+      const data = part
+        .split('\n')
+        .filter((line) => line.startsWith('data:'))
+        .map((line) => line.slice('data:'.length).trim())
+        .join('\n');
+      if (data === '[DONE]') {
+        this._done = true;
+      } else if (data !== '') {
+        chunks.push(JSON.parse(data) as StreamChunk);
+      }
+    }
+    return chunks;
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/harness/index.ts
@@ -0,0 +1,10 @@
+export type * from './Types.js';
+export { CallerClient, type CallResult, type CompletionCall, type ServiceCall } from './CallerClient.js';
+export { Cluster, type Target } from './Cluster.js';
+export { DaemonHandle, type DaemonIdentity, type DaemonProxies } from './DaemonHandle.js';
+export { freePort } from './freePorts.js';
+export { delay, ManagedProcess, until } from './ManagedProcess.js';
+export { Observer, type Expectations } from './Observer.js';
+export { OperatorClient, type ConfigurationValue, type EditAnswer } from './OperatorClient.js';
+export { bearerKey } from './settingsFile.js';
+export { StandInHandle } from './StandInHandle.js';
--- /dev/null
+++ b/packages/proofs/src/harness/replicaHistory.ts
@@ -0,0 +1,55 @@
+import type * as standins from '@jayhaven/standins';
+
+/** A span of time in which an engine held a replica. */
+export interface ReplicaSpan {
+  readonly target: string;
+  readonly model: string;
+  readonly version: string;
+  readonly fromMs: number;
+  /** Infinity while it is held. */
+  readonly untilMs: number;
+}
+
+/** Spans in which one engine held replicas, from its records. A dead engine holds nothing. */
+export function replicaSpans(
+  target: string,
+  models: readonly standins.ModelRecord[],
+  endedMs: number | undefined,
+): readonly ReplicaSpan[] {
+  const open = new Map<string, standins.ModelRecord>();
+  const spans: ReplicaSpan[] = [];
+  const close = (first: standins.ModelRecord, untilMs: number): void => {
+    spans.push({ target, model: first.name, version: first.version, fromMs: first.timeMs, untilMs });
+  };
+  for (const record of models) {
+    const key = `${record.name}@${record.version}`;
+    const first = open.get(key);
+    if (record.state === 'LOADING') {
+      open.set(key, first ?? record);
+    } else if (record.state === 'UNAVAILABLE' && first) {
+      open.delete(key);
+      close(first, record.timeMs);
+    }
+  }
+  for (const first of open.values()) {
+    close(first, endedMs ?? Number.POSITIVE_INFINITY);
+  }
+  return spans;
+}
+
+/** Most spans of a model at the same time. A span that ends in the millisecond in which another begins is before it. */
+export function mostAtOnce(spans: readonly ReplicaSpan[]): number {
+  const changes = spans
+    .flatMap((span) => [
+      { timeMs: span.fromMs, change: 1 },
+      { timeMs: span.untilMs, change: -1 },
+    ])
+    .sort((first, second) => first.timeMs - second.timeMs || first.change - second.change);
+  let current = 0;
+  let most = 0;
+  for (const { change } of changes) {
+    current += change;
+    most = Math.max(most, current);
+  }
+  return most;
+}
--- a/packages/standins/src/engine/AcceleratorMemory.ts
+++ b/packages/standins/src/engine/AcceleratorMemory.ts
@@ -29,12 +29,11 @@
    * named in `accelerators`; a number is divided evenly over the named ones, or over all.
    */
   public spread(bytes: number | readonly number[], accelerators: readonly number[] | undefined): readonly number[] {
-    const chosen = accelerators ?? this._sizes.map((_size, index) => index);
+    const all = this._sizes.map((_size, index) => index);
+    const chosen = accelerators ?? all;
     const parts = typeof bytes === 'number' ? chosen.map(() => bytes / chosen.length) : bytes;
-    if (typeof bytes !== 'number' && bytes.length === this._sizes.length) {
-      return bytes;
-    }
-    return this._sizes.map((_size, index) => parts[chosen.indexOf(index)] ?? 0);
+    const places = parts.length === chosen.length ? chosen : all;
+    return all.map((index) => parts[places.indexOf(index)] ?? 0);
   }
 
   private _add(bytes: readonly number[], sign: 1 | -1): void {
--- a/packages/standins/src/engine/tokens.ts
+++ b/packages/standins/src/engine/tokens.ts
@@ -9,10 +9,10 @@
   model: zod.string(),
   prompt: zod.unknown().optional(),
   messages: zod.array(messageSchema).optional(),
-  stream: zod.boolean().optional(),
-  max_tokens: zod.number().int().min(1).optional(),
-  max_completion_tokens: zod.number().int().min(1).optional(),
-  resume_from: zod.number().int().min(0).optional(),
+  stream: zod.boolean().nullish(),
+  max_tokens: zod.number().int().min(1).nullish(),
+  max_completion_tokens: zod.number().int().min(1).nullish(),
+  resume_from: zod.number().int().min(0).nullish(),
 });
 
 /** A completion request as far as the engine uses it. */
--- a/packages/standins/src/proxy/FaultProxy.ts
+++ b/packages/standins/src/proxy/FaultProxy.ts
@@ -24,6 +24,8 @@
   delayMs: zod.number().min(0).optional(),
   toTarget: directionSchema.optional(),
   toClient: directionSchema.optional(),
+  /** Drops, in both directions, every connection whose client has sent one of these texts. */
+  dropContaining: zod.array(zod.string().min(1)).optional(),
   /** Refuses new connections. */
   refuse: zod.boolean().optional(),
   /** Breaks the existing connections. */
@@ -36,6 +38,7 @@
   private readonly _connections = new Set<ProxiedConnection>();
   private _toTarget: DirectionFault = { drop: false, delayMs: 0 };
   private _toClient: DirectionFault = { drop: false, delayMs: 0 };
+  private _dropContaining: readonly string[] = [];
   private _server: net.Server | undefined;
   private _proxyPort = 0;
   private _accepted = 0;
@@ -65,6 +68,7 @@
     };
     this._toTarget = merge(this._toTarget, both, control.toTarget);
     this._toClient = merge(this._toClient, both, control.toClient);
+    this._dropContaining = control.dropContaining ?? this._dropContaining;
     for (const connection of [...this._connections]) {
       if (control.closeConnections) {
         connection.close();
@@ -98,6 +102,7 @@
     common.sendJson(call.response, 200, {
       toTarget: this._toTarget,
       toClient: this._toClient,
+      dropContaining: this._dropContaining,
       refuse: this._server === undefined,
       connections: this._connections.size,
       accepted: this._accepted,
@@ -120,7 +125,11 @@
     this._accepted += 1;
     const separator = this._options.to.lastIndexOf(':');
     const to = { host: this._options.to.slice(0, separator), port: Number(this._options.to.slice(separator + 1)) };
-    const faults = { toTarget: () => this._toTarget, toClient: () => this._toClient };
+    const faults = {
+      toTarget: () => this._toTarget,
+      toClient: () => this._toClient,
+      dropContaining: () => this._dropContaining,
+    };
     const connection = new ProxiedConnection(client, to, faults, () => {
       this._connections.delete(connection);
     });
--- a/packages/standins/src/proxy/ProxiedConnection.ts
+++ b/packages/standins/src/proxy/ProxiedConnection.ts
@@ -11,12 +11,16 @@
 export interface ConnectionFaults {
   readonly toTarget: () => DirectionFault;
   readonly toClient: () => DirectionFault;
+  /** Texts in the client's bytes that make the proxy drop both directions. */
+  readonly dropContaining: () => readonly string[];
 }
 
 /** One client connection and its connection to the target. */
 export class ProxiedConnection {
   private readonly _target: net.Socket;
   private readonly _lanes: readonly Lane[];
+  /** Start of what the client has sent last; it names the client in each request. */
+  private _clientText = '';
 
   public constructor(
     private readonly _client: net.Socket,
@@ -25,10 +29,17 @@
     onClosed: () => void,
   ) {
     this._target = net.connect({ host: to.host, port: to.port, noDelay: true });
-    this._lanes = [
-      new Lane(this._client, this._target, faults.toTarget),
-      new Lane(this._target, this._client, faults.toClient),
-    ];
+    const dropped = (): boolean => faults.dropContaining().some((text) => this._clientText.includes(text));
+    const toTarget = (chunk?: Buffer): DirectionFault => {
+      this._clientText = chunk?.toString('latin1') ?? this._clientText;
+      const fault = faults.toTarget();
+      return { ...fault, drop: fault.drop || dropped() };
+    };
+    const toClient = (): DirectionFault => {
+      const fault = faults.toClient();
+      return { ...fault, drop: fault.drop || dropped() };
+    };
+    this._lanes = [new Lane(this._client, this._target, toTarget), new Lane(this._target, this._client, toClient)];
     for (const socket of [this._client, this._target]) {
       socket.on('error', () => {
         this.close();
@@ -58,6 +69,9 @@
   }
 }
 
+/** Says what happens to a direction; is shown each new chunk. */
+type FaultOf = (chunk?: Buffer) => DirectionFault;
+
 /** Bytes of one direction. */
 class Lane {
   private readonly _gate: Gate;
@@ -65,7 +79,7 @@
   public constructor(
     source: net.Socket,
     private readonly _destination: net.Socket,
-    fault: () => DirectionFault,
+    fault: FaultOf,
   ) {
     this._gate = new Gate(fault);
     source.pipe(this._gate).pipe(this._destination);
@@ -88,14 +102,14 @@
   private _held: (() => void) | undefined;
   private _timer: NodeJS.Timeout | undefined;
 
-  public constructor(private readonly _fault: () => DirectionFault) {
+  public constructor(private readonly _fault: FaultOf) {
     super();
   }
 
   public override _transform(chunk: Buffer, _encoding: string, done: stream.TransformCallback): void {
     this._pass(() => {
       done(null, chunk);
-    });
+    }, chunk);
   }
 
   public override _flush(done: stream.TransformCallback): void {
@@ -115,8 +129,8 @@
     }
   }
 
-  private _pass(next: () => void): void {
-    const { drop, delayMs } = this._fault();
+  private _pass(next: () => void, chunk?: Buffer): void {
+    const { drop, delayMs } = this._fault(chunk);
     if (drop) {
       this._held = next;
     } else if (delayMs > 0) {
