--- /dev/null
+++ b/packages/standins/src/service/PlainService.test.ts
@@ -0,0 +1,35 @@
+import * as vitest from 'vitest';
+import { call } from '../testSupport.js';
+import { PlainService } from './PlainService.js';
+
+vitest.describe('PlainService', () => {
+  vitest.test('counts a call that ran although its answer was lost (guards against unseen repeats)', async () => {
+    const service = await PlainService.open({ name: 'booking' });
+    const key = { 'idempotency-key': 'k1' };
+    await call(service, 'POST', '/control', { closeBeforeAnswer: 1 });
+    await vitest.expect(call(service, 'POST', '/pay', 'ten', key)).rejects.toThrow();
+    vitest.expect((await call(service, 'POST', '/pay', 'ten', key)).body).toMatchObject({ count: 2 });
+    vitest.expect((await call(service, 'GET', '/control/records')).body).toMatchObject({
+      counts: { k1: 2 },
+      calls: [
+        { status: 0, body: 'ten', key: 'k1' },
+        { status: 200, path: '/pay' },
+      ],
+    });
+    await call(service, 'POST', '/control', { fail: 1 });
+    vitest.expect((await call(service, 'POST', '/pay')).status).toBe(500);
+    await service[Symbol.asyncDispose]();
+  });
+
+  vitest.test('closes a kept connection after its answer (guards against a fault that does nothing)', async () => {
+    const service = await PlainService.open();
+    await call(service, 'POST', '/control', { closeKeepAlive: true });
+    const response = await fetch(`http://127.0.0.1:${service.port}/list`);
+    vitest.expect(response.headers.get('connection')).toBe('keep-alive');
+    await response.text();
+    await vitest.vi.waitFor(() => {
+      vitest.expect(service.openConnections).toBe(0);
+    }, 5000);
+    await service[Symbol.asyncDispose]();
+  });
+});
--- a/packages/standins/src/service/PlainService.ts
+++ b/packages/standins/src/service/PlainService.ts
@@ -1,3 +1,4 @@
+import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as common from '@jayhaven/common';
 import * as zod from 'zod';
@@ -44,6 +45,7 @@
   private readonly _closeKeepAlive: FaultSwitch;
   private readonly _fail: FaultSwitch;
   private _answerMs: number;
+  private readonly _sockets = new Set<net.Socket>();
   private _silent = false;
 
   private constructor(private readonly _options: PlainServiceOptions) {
@@ -67,6 +69,11 @@
     return this._calls;
   }
 
+  /** Connections that clients keep open. */
+  public get openConnections(): number {
+    return this._sockets.size;
+  }
+
   protected override stop(): void {
     this._silent = true;
   }
@@ -106,6 +113,13 @@
   }
 
   private _record(call: Call): ServiceCallRecord {
+    const { socket } = call.request;
+    if (!this._sockets.has(socket)) {
+      this._sockets.add(socket);
+      socket.once('close', () => {
+        this._sockets.delete(socket);
+      });
+    }
     const key = headerOf(call, 'idempotency-key');
     if (key !== null) {
       this._counts.set(key, this._countOf(key) + 1);
--- /dev/null
+++ b/packages/standins/src/testSupport.ts
@@ -0,0 +1,22 @@
+/** An answer with its JSON body. */
+export interface JsonAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Calls a stand-in of a test. A body that is not text is sent as JSON. */
+export async function call(
+  standIn: { readonly port: number },
+  method: string,
+  path: string,
+  body?: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<JsonAnswer> {
+  const response = await fetch(`http://127.0.0.1:${standIn.port}${path}`, {
+    method,
+    headers,
+    ...(body === undefined ? {} : { body: typeof body === 'string' ? body : JSON.stringify(body) }),
+  });
+  const text = await response.text();
+  return { status: response.status, body: text === '' ? undefined : (JSON.parse(text) as unknown) };
+}
--- a/packages/standins/src/weights/TransferPool.ts
+++ b/packages/standins/src/weights/TransferPool.ts
@@ -1,3 +1,6 @@
+/** Longest delay that a Node.js timer takes, milliseconds; a longer one fires at once. */
+const maximumTimerMs = 2 ** 31 - 1;
+
 interface Transfer {
   remainingMs: number;
   readonly finish: () => void;
@@ -75,7 +78,7 @@
           this._advance(firedMs);
           this._schedule(firedMs);
         },
-        Math.max(0, next / this._speed),
+        Math.min(maximumTimerMs, Math.max(0, next / this._speed)),
       );
       this._advancedMs = nowMs;
     }
