--- a/packages/common/src/JsonHttpClient.ts
+++ b/packages/common/src/JsonHttpClient.ts
@@ -63,6 +63,7 @@
       outgoing.on('socket', (socket) => {
         if (!socket.connecting) {
           connected = true;
+          return;
         }
         socket.once('connect', () => {
           connected = true;
--- a/packages/daemon/src/timeline/Timeline.test.ts
+++ b/packages/daemon/src/timeline/Timeline.test.ts
@@ -26,7 +26,9 @@
     expect(names({ request: 'r1' })).toEqual(['mine', 'late']);
     expect(names({ request: 'r1', model: 'm' })).toEqual(['mine']);
     expect(names({ replica: 5 })).toEqual(['other']);
-    expect(names({ since: { wallMs: 1000, counter: 1 } })).toEqual(['late']);
+    timeline.record({ part: 'test', event: 'versioned', model: 'p/m@2' });
+    expect(names({ model: 'p/m' })).toEqual(['versioned']);
+    expect(names({ since: { wallMs: 1000, counter: 2 } })).toEqual(['versioned']);
     expect(timeline.exportLines({ replica: 4 }).trimEnd().split('\n')).toHaveLength(1);
   });
 
--- a/packages/daemon/src/timeline/Timeline.ts
+++ b/packages/daemon/src/timeline/Timeline.ts
@@ -54,8 +54,13 @@
 function matches(event: common.TimelineEvent, filter: TimelineFilter): boolean {
   return (
     (filter.request === undefined || event.request === filter.request) &&
-    (filter.model === undefined || event.model === filter.model) &&
+    (filter.model === undefined || isModel(event.model, filter.model)) &&
     (filter.replica === undefined || event.replica === filter.replica) &&
     (filter.since === undefined || common.compareHybridTime(event.time, filter.since) > 0)
   );
 }
+
+/** Whether an event's model, `partner/model` or `partner/model@version`, is the wanted one. */
+function isModel(model: string | undefined, wanted: string): boolean {
+  return model === wanted || (model?.startsWith(`${wanted}@`) ?? false);
+}
--- /dev/null
+++ b/packages/proofs/src/harness/findOwner.ts
@@ -0,0 +1,21 @@
+import type { Cluster } from './Cluster.js';
+import type { DaemonHandle } from './DaemonHandle.js';
+import { until } from './ManagedProcess.js';
+
+interface OwnersAnswer {
+  readonly cells: readonly { readonly daemon: string | null }[];
+}
+
+/** The daemon that owns the cell in the view of a daemon; waits until there is one. */
+export async function findOwner(cluster: Cluster, askedIndex = 0, timeoutMs = 15_000): Promise<DaemonHandle> {
+  let found: DaemonHandle | undefined;
+  await until('a daemon owns the cell', timeoutMs, async () => {
+    const { cells } = (await cluster.operator('solano', askedIndex).read('owners')) as OwnersAnswer;
+    found = cluster.daemons.find((daemon) => cells.some((cell) => cell.daemon === daemon.name));
+    return found !== undefined;
+  });
+  if (found === undefined) {
+    throw new Error('invariant broken: until() returned without an owner');
+  }
+  return found;
+}
--- a/packages/proofs/src/harness/index.ts
+++ b/packages/proofs/src/harness/index.ts
@@ -2,6 +2,7 @@
 export { CallerClient, type CallResult, type CompletionCall, type ServiceCall } from './CallerClient.js';
 export { Cluster, type Target } from './Cluster.js';
 export { DaemonHandle, type DaemonIdentity, type DaemonProxies } from './DaemonHandle.js';
+export { findOwner } from './findOwner.js';
 export { freePort } from './freePorts.js';
 export { delay, ManagedProcess, until } from './ManagedProcess.js';
 export { Observer, type Expectations } from './Observer.js';
