Copy records incrementally, and test the harness's daemons

The observer copied every request each 250 ms, which grows with the square of a run's length; it now asks only for requests that ended since.

--- a/packages/proofs/src/harness/Cluster.ts
+++ b/packages/proofs/src/harness/Cluster.ts
@@ -7,6 +7,7 @@
 import { DaemonHandle, type DaemonProxies } from './DaemonHandle.js';
 import { freePort } from './freePorts.js';
 import { Observer } from './Observer.js';
+import { until } from './ManagedProcess.js';
 import { OperatorClient } from './OperatorClient.js';
 import { formatSettings, mergeSettings, partnerSections } from './settingsFile.js';
 import { StandInHandle } from './StandInHandle.js';
@@ -118,6 +119,25 @@
     return new OperatorClient(this._client, this.daemon(daemonIndex).operatorsUrl, partner);
   }
 
+  /**
+   * Waits until every running daemon has a configured value in force. Returns the time of each daemon, milliseconds
+   * from the call; the values are polled at all daemons at the same time.
+   */
+  public timesUntilInForce(partner: string, key: string, value: unknown, timeoutMs: number): Promise<number[]> {
+    const expected = JSON.stringify(value);
+    const startMs = performance.now();
+    const running = this.daemons.flatMap((daemon, index) => (daemon.isRunning ? [index] : []));
+    const waits = running.map(async (index) => {
+      const operator = this.operator(partner, index);
+      await until(`${key} is in force at ${this.daemon(index).name}`, timeoutMs, async () => {
+        const current = await operator.value(key).catch(() => undefined);
+        return current !== undefined && JSON.stringify(current.value) === expected;
+      });
+      return performance.now() - startMs;
+    });
+    return Promise.all(waits);
+  }
+
   /** Writes the whole VM list. */
   public async publishVms(): Promise<void> {
     const engineEntries = this.engines.map((target, index) => entryOf(target, 'engine', this._engineLabels(index)));
@@ -224,7 +244,7 @@
       const settingsFile = path.join(folder, `${identity.name}.ini`);
       const seeds = peerAddresses.filter((_address, other) => other !== index);
       await fs.writeFile(settingsFile, formatSettings(this._settingsOf(identity, proxies, seeds)));
-      const handle = new DaemonHandle({ ...identity, settingsFile }, proxies, this._client);
+      const handle = new DaemonHandle({ ...identity, settingsFile }, proxies, this._client, this._options.daemonScript);
       this.daemons.push(this._resources.register(handle));
     }
   }
--- a/packages/proofs/src/harness/DaemonHandle.ts
+++ b/packages/proofs/src/harness/DaemonHandle.ts
@@ -3,7 +3,8 @@
 import { ManagedProcess, until } from './ManagedProcess.js';
 import type { StandInHandle } from './StandInHandle.js';
 
-const script = path.resolve(import.meta.dirname, '..', '..', '..', 'daemon', 'dist', 'main.js');
+/** Program of a daemon in this workspace. */
+export const workspaceDaemon = path.resolve(import.meta.dirname, '..', '..', '..', 'daemon', 'dist', 'main.js');
 
 /** Time for an answer about readiness, milliseconds. */
 const readinessTimeoutMs = 2_000;
@@ -33,6 +34,7 @@
     public readonly identity: DaemonIdentity,
     public readonly proxies: DaemonProxies,
     private readonly _client: common.JsonHttpClient,
+    private readonly _script: string = workspaceDaemon,
   ) {}
 
   public get name(): string {
@@ -56,6 +58,11 @@
     return this._process;
   }
 
+  /** Whether the process was started and has not ended. */
+  public get isRunning(): boolean {
+    return this._process !== undefined && this._process.endedMs === undefined;
+  }
+
   /** Standard error of every start, the latest last. */
   public get errorOutput(): string {
     const all = [...this._ended, ...(this._process ? [this._process] : [])];
@@ -70,7 +77,7 @@
       }
       this._ended.push(this._process);
     }
-    this._process = new ManagedProcess(this.name, script, ['--settings', this.identity.settingsFile]);
+    this._process = new ManagedProcess(this.name, this._script, ['--settings', this.identity.settingsFile]);
   }
 
   /** Waits until the daemon says that it is ready. */
--- a/packages/proofs/src/harness/Observer.ts
+++ b/packages/proofs/src/harness/Observer.ts
@@ -82,6 +82,19 @@
       .flatMap((copy) => copy.records.calls);
   }
 
+  /** Requests that arrived at the engine of a VM after a time and were not refused, and calls that its service ran. */
+  public workAfter(vm: string, timeMs: number): number {
+    const requests = [...this._engines.values()]
+      .filter((copy) => copy.name === vm)
+      .flatMap(({ records }) => records.requests)
+      .filter((request) => request.arrivedMs > timeMs && request.outcome !== 'refused');
+    const calls = [...this._services.values()]
+      .filter((copy) => copy.name === vm)
+      .flatMap(({ records }) => records.calls)
+      .filter((call) => call.timeMs > timeMs);
+    return requests.length + calls.length;
+  }
+
   /** Spans in which engines held replicas of a model (`partner/model`), or of all models. */
   public replicaSpans(model?: string): readonly ReplicaSpan[] {
     return [...this._engines]
@@ -104,15 +117,20 @@
 
   private async _copyAll(): Promise<void> {
     const engines = this._cluster.engines.map(async ({ vm, standIn }) => {
-      const records = await readRecords<standins.EngineRecordList>(standIn);
+      const { process } = standIn;
+      const known = this._engines.get(process)?.records;
+      const ended = known?.requests.slice(0, known.endedRequests) ?? [];
+      const records = await readRecords<standins.EngineRecordList>(standIn, `?ended_from=${ended.length}`);
       if (records) {
-        this._engines.set(records.process, { name: vm, records: records.value });
+        this._engines.set(process, { name: vm, records: { ...records, requests: [...ended, ...records.requests] } });
       }
     });
     const services = this._cluster.services.map(async ({ vm, service, standIn }) => {
-      const records = await readRecords<ServiceRecords>(standIn);
+      const { process } = standIn;
+      const known = this._services.get(process)?.records.calls ?? [];
+      const records = await readRecords<ServiceRecords>(standIn, `?from=${known.length}`);
       if (records) {
-        this._services.set(records.process, { name: vm, service, records: records.value });
+        this._services.set(process, { name: vm, service, records: { calls: [...known, ...records.calls] } });
       }
     });
     await Promise.all([...engines, ...services]);
@@ -192,20 +210,15 @@
   return result.key === undefined ? undefined : `${result.service ?? ''} ${result.key}`;
 }
 
-interface ReadRecords<Records> {
-  readonly process: ManagedProcess;
-  readonly value: Records;
-}
-
 /** Reads the records of a target; `undefined` if it does not answer. */
-async function readRecords<Records>(standIn: StandInHandle): Promise<ReadRecords<Records> | undefined> {
+async function readRecords<Records>(standIn: StandInHandle, query: string): Promise<Records | undefined> {
   const { process } = standIn;
   if (process.endedMs !== undefined) {
     return undefined;
   }
   try {
-    const value = (await standIn.records()) as Records;
-    return standIn.process === process ? { process, value } : undefined;
+    const records = (await standIn.records(query)) as Records;
+    return standIn.process === process ? records : undefined;
   } catch {
     return undefined;
   }
--- a/packages/proofs/src/harness/StandInHandle.ts
+++ b/packages/proofs/src/harness/StandInHandle.ts
@@ -64,8 +64,8 @@
   }
 
   /** Reads the observer's records. */
-  public records(): Promise<unknown> {
-    return this.request('GET', '/control/records', undefined, recordsTimeoutMs);
+  public records(query = ''): Promise<unknown> {
+    return this.request('GET', `/control/records${query}`, undefined, recordsTimeoutMs);
   }
 
   /** Calls the control interface; throws if it does not answer 200. */
--- a/packages/proofs/src/harness/Types.ts
+++ b/packages/proofs/src/harness/Types.ts
@@ -57,6 +57,8 @@
   /** Settings of every daemon by section; they replace the harness's values. */
   readonly settings?: Readonly<Record<string, SettingsSection>>;
   readonly seed?: number;
+  /** Program of the daemons; the workspace's own build if not given. */
+  readonly daemonScript?: string;
 }
 
 /** Sizes and times of a model, as in the configuration key `partner/models/model`. */
--- a/packages/proofs/src/harness/index.ts
+++ b/packages/proofs/src/harness/index.ts
@@ -1,7 +1,11 @@
+/**
+ * Harness for tests with real processes. A test starts a `Cluster`, calls it with `cluster.callers`, and asserts that
+ * `cluster.observer.violations(...)` is empty; `cluster.errorOutput()` belongs into the message of a failed assertion.
+ */
 export type * from './Types.js';
 export { CallerClient, type CallResult, type CompletionCall, type ServiceCall } from './CallerClient.js';
 export { Cluster, type Target } from './Cluster.js';
-export { DaemonHandle, type DaemonIdentity, type DaemonProxies } from './DaemonHandle.js';
+export { DaemonHandle, workspaceDaemon, type DaemonIdentity, type DaemonProxies } from './DaemonHandle.js';
 export { freePort } from './freePorts.js';
 export { delay, ManagedProcess, until } from './ManagedProcess.js';
 export { Observer, type Expectations } from './Observer.js';
--- a/packages/standins/src/engine/CompletionService.ts
+++ b/packages/standins/src/engine/CompletionService.ts
@@ -50,9 +50,9 @@
     const [name = '', adapter] = request.model.split(':');
     const entry = this._parts.repository.readyModel(name);
     if (!entry) {
-      refuseRecorded(call, record, 404, 'model_not_loaded', `model ${name} is not loaded`);
+      this._refuse(call, record, 404, 'model_not_loaded', `model ${name} is not loaded`);
     } else if (adapter !== undefined && entry.adapters.get(adapter)?.state !== 'ready') {
-      refuseRecorded(call, record, 404, 'adapter_not_loaded', `adapter ${adapter} is not loaded`);
+      this._refuse(call, record, 404, 'adapter_not_loaded', `adapter ${adapter} is not loaded`);
     } else {
       this._run(call, chat, request, record, entry);
     }
@@ -66,14 +66,13 @@
   }
 
   private _run(call: Call, chat: boolean, request: CompletionRequest, record: RequestRecord, entry: ModelEntry): void {
-    const { scheduler, repository, prefixes, faults } = this._parts;
+    const { scheduler, repository, prefixes, records, faults } = this._parts;
     const responder = new CompletionResponder({ request, chat, ...this._identity(record) }, call.response);
     const end = (outcome: RequestRecord['outcome']): void => {
       if (record.endedMs !== undefined) {
         return;
       }
-      record.outcome = outcome;
-      record.endedMs = Date.now();
+      records.endRequest(record, outcome, Date.now());
       scheduler.cancel(sequence);
       this._active.get(entry)?.delete(breakOff);
       repository.endUse(entry);
@@ -110,7 +109,7 @@
       },
       onShed: () => {
         end('refused');
-        refuseRecorded(call, record, 503, 'overloaded', 'pushed out of the queue by interactive requests');
+        this._refuse(call, record, 503, 'overloaded', 'pushed out of the queue by interactive requests');
       },
     };
     repository.beginUse(entry);
@@ -123,10 +122,16 @@
     });
     if (!scheduler.submit(sequence)) {
       end('refused');
-      refuseRecorded(call, record, 503, 'overloaded', 'the queue is full');
+      this._refuse(call, record, 503, 'overloaded', 'the queue is full');
     }
   }
 
+  private _refuse(call: Call, record: RequestRecord, status: number, type: string, message: string): void {
+    record.refusal = type;
+    this._parts.records.endRequest(record, 'refused', Date.now());
+    refuse(call, status, type, message, record.id);
+  }
+
   /** The id and hash that an answer carries; those of the request before if answers are crossed. */
   private _identity(record: RequestRecord): { readonly id: string; readonly hash: string } {
     const own = { id: record.id, hash: record.promptHash };
@@ -155,13 +160,6 @@
   };
 }
 
-function refuseRecorded(call: Call, record: RequestRecord, status: number, type: string, message: string): void {
-  record.outcome = 'refused';
-  record.refusal = type;
-  record.endedMs = Date.now();
-  refuse(call, status, type, message, record.id);
-}
-
 function refuse(call: Call, status: number, type: string, message: string, id?: string): void {
   const body = { ...(id === undefined ? {} : { id }), error: { type, message, code: status } };
   common.sendJson(call.response, status, body, id === undefined ? {} : { 'x-request-id': id });
--- a/packages/standins/src/engine/Engine.ts
+++ b/packages/standins/src/engine/Engine.ts
@@ -106,7 +106,9 @@
       return;
     }
     if (call.path === '/control/records') {
-      common.sendJson(call.response, 200, this._records.list());
+      const endedFrom = call.query.get('ended_from');
+      const list = endedFrom === null ? this._records.list() : this._records.listFrom(Number(endedFrom));
+      common.sendJson(call.response, 200, list);
       return;
     }
     if (this._faults.silent) {
--- a/packages/standins/src/engine/EngineRecords.ts
+++ b/packages/standins/src/engine/EngineRecords.ts
@@ -14,6 +14,8 @@
   private readonly _adapters: AdapterRecord[] = [];
   private readonly _violations: ViolationRecord[] = [];
   private readonly _requests: RequestRecord[] = [];
+  private readonly _active = new Set<RequestRecord>();
+  private readonly _ended: RequestRecord[] = [];
 
   public constructor(
     private readonly _accelerators: readonly number[],
@@ -34,15 +36,26 @@
 
   public addRequest(request: RequestRecord): RequestRecord {
     this._requests.push(request);
+    this._active.add(request);
     return request;
   }
 
+  /** Notes how a request ended. Only the first call for a request counts. */
+  public endRequest(request: RequestRecord, outcome: RequestRecord['outcome'], nowMs: number): void {
+    if (this._active.delete(request)) {
+      request.outcome = outcome;
+      request.endedMs = nowMs;
+      this._ended.push(request);
+    }
+  }
+
   /** Records a broken rule, and writes it to standard error. */
   public addViolation(violation: ViolationRecord): void {
     this._violations.push(violation);
     process.stderr.write(`engine: VIOLATION ${violation.rule}: ${violation.message}\n`);
   }
 
+  /** Every record; requests in the order of their arrival. */
   public list(): EngineRecordList {
     return {
       accelerators: this._accelerators,
@@ -52,6 +65,12 @@
       adapters: this._adapters,
       violations: this._violations,
       requests: this._requests,
+      endedRequests: this._ended.length,
     };
   }
+
+  /** Every record, but of the requests only the active ones and those that ended after the first `endedFrom`. */
+  public listFrom(endedFrom: number): EngineRecordList {
+    return { ...this.list(), requests: [...this._ended.slice(endedFrom), ...this._active] };
+  }
 }
--- a/packages/standins/src/engine/ModelRepository.ts
+++ b/packages/standins/src/engine/ModelRepository.ts
@@ -111,6 +111,8 @@
           this._parts.endRequests(entry);
         }
         this._freeIfUnused(entry);
+      } else if (entry.state === 'UNLOADING' && !drain) {
+        this._parts.endRequests(entry);
       }
     }
     return { status: 200, body: {} };
--- a/packages/standins/src/engine/Types.ts
+++ b/packages/standins/src/engine/Types.ts
@@ -108,4 +108,6 @@
   readonly adapters: readonly AdapterRecord[];
   readonly violations: readonly ViolationRecord[];
   readonly requests: readonly RequestRecord[];
+  /** Requests that have ended so far; the next reader may ask for later ones only. */
+  readonly endedRequests: number;
 }
--- a/packages/standins/src/service/PlainService.ts
+++ b/packages/standins/src/service/PlainService.ts
@@ -82,7 +82,8 @@
     if (call.path === '/control') {
       this._control(call);
     } else if (call.path === '/control/records') {
-      common.sendJson(call.response, 200, { calls: this._calls, counts: Object.fromEntries(this._counts) });
+      const calls = this._calls.slice(Number(call.query.get('from') ?? 0));
+      common.sendJson(call.response, 200, { calls, counts: Object.fromEntries(this._counts) });
     } else {
       await this._run(call);
     }
