--- a/packages/standins/src/engine/Engine.test.ts
+++ b/packages/standins/src/engine/Engine.test.ts
@@ -41,6 +41,15 @@
     return call(engine, 'POST', '/v1/completions', { model, prompt: 'hi', ...body }, headers);
   }
 
+  async function requestsArrived(count: number): Promise<void> {
+    await vitest.vi.waitFor(
+      () => {
+        vitest.expect(engine.records.requests).toHaveLength(count);
+      },
+      { timeout: 5000, interval: 1 },
+    );
+  }
+
   function textOf(answer: JsonAnswer): string | undefined {
     return (answer.body as { choices: { text: string }[] }).choices[0]?.text;
   }
@@ -88,7 +97,7 @@
 
   vitest.test('checks the token of a delayed order when it takes effect (guards tests of late orders)', async () => {
     await open({ fencing: 'checked' });
-    await call(engine, 'POST', '/control', { delayOrdersMs: 200 });
+    await call(engine, 'POST', '/control', { delayOrdersMs: 1000 });
     const late = order('load', { fencing_token: 1 });
     await timers.setTimeout(50);
     await call(engine, 'POST', '/control', { delayOrdersMs: 0 });
@@ -110,7 +119,7 @@
     await open({ tokenMs: 20 });
     await load();
     const running = complete({ max_tokens: 20 });
-    await timers.setTimeout(60);
+    await requestsArrived(1);
     await order('unload', { drain: true });
     vitest.expect(await stateOf()).toBe('UNLOADING');
     vitest.expect(usedBytes()).toEqual([1e9]);
@@ -124,14 +133,14 @@
     await open({ tokenMs: 20 });
     await load();
     const running = complete({ max_tokens: 50 });
-    await timers.setTimeout(60);
+    await requestsArrived(1);
     await Promise.all([vitest.expect(running).rejects.toThrow(), order('unload', {})]);
     vitest.expect(engine.records.requests[0]?.outcome).toBe('unloaded');
     vitest.expect(usedBytes()).toEqual([0]);
   });
 
   vitest.test('serves interactive requests first and sheds batch when full (guards P3 tests)', async () => {
-    await open({ slots: 1, queueLimit: 2, tokenMs: 10 });
+    await open({ slots: 1, queueLimit: 2, tokenMs: 30 });
     await load();
     const answers = [];
     for (const [id, priority] of [
@@ -141,7 +150,7 @@
       ['d', 'interactive'],
     ] as const) {
       answers.push(complete({ max_tokens: 10 }, { 'x-request-id': id, 'x-priority': priority }));
-      await timers.setTimeout(15);
+      await requestsArrived(answers.length);
     }
     vitest.expect((await Promise.all(answers)).map(({ status }) => status)).toEqual([200, 200, 503, 200]);
     const [, second, , fourth] = engine.records.requests;
@@ -190,14 +199,14 @@
   });
 
   vitest.test('reports load and cache events late (guards tests against fresh reports only)', async () => {
-    await open({ loadLagMs: 400, cacheEventLagMs: 400, tokenMs: 50 });
+    await open({ loadLagMs: 800, cacheEventLagMs: 800, tokenMs: 50 });
     await load();
-    await timers.setTimeout(450);
-    const running = complete({ max_tokens: 20, prompt: 'p'.repeat(200) });
+    await timers.setTimeout(850);
+    const running = complete({ max_tokens: 40, prompt: 'p'.repeat(200) });
     await timers.setTimeout(100);
     vitest.expect((await call(engine, 'GET', '/v2/load')).body).toMatchObject({ running: 0, free_bytes: [79e9] });
     vitest.expect((await call(engine, 'GET', '/v2/cache-events?from=0')).body).toMatchObject({ events: [] });
-    await timers.setTimeout(500);
+    await timers.setTimeout(900);
     vitest.expect((await call(engine, 'GET', '/v2/load')).body).toMatchObject({ running: 1 });
     vitest.expect((await call(engine, 'GET', '/v2/cache-events?from=2')).body).toMatchObject({
       events: [{ sequence: 2 }, { sequence: 3 }],
--- a/packages/standins/src/proxy/FaultProxy.test.ts
+++ b/packages/standins/src/proxy/FaultProxy.test.ts
@@ -29,8 +29,10 @@
   vitest.test('drops only the answers, and delivers them after healing (guards against lost bytes)', async () => {
     await call(proxy, 'POST', '/control', { toClient: { drop: true } });
     const pending = send('a');
+    await vitest.vi.waitFor(() => {
+      vitest.expect(service.calls).toHaveLength(1);
+    }, 5000);
     vitest.expect(await isPending(pending)).toBe(true);
-    vitest.expect(service.calls).toHaveLength(1);
     await call(proxy, 'POST', '/control', { cut: false });
     vitest.expect(await pending).toMatchObject({ status: 200 });
   });
