Make the fault proxy's delay a latency, and add an advertised peer address to the settings type

Each chunk waited for the delay of the one before, so 100 ms limited a stream to 10 chunks a second. Chunks are now stamped on arrival. A proxy in front of a daemon's peer port needs the optional setting `advertised_peers`; the reader and the peer group do not know it yet.

--- a/packages/daemon/src/Types.ts
+++ b/packages/daemon/src/Types.ts
@@ -171,6 +171,8 @@
     readonly callers: decisions.Address;
     readonly peers: decisions.Address;
     readonly operators: decisions.Address;
+    /** Address at which other daemons reach `peers`, where that is not the bound one. */
+    readonly advertisedPeers?: decisions.Address;
   };
   readonly platform: {
     /** Base URL of the log service. */
--- a/packages/standins/src/proxy/FaultProxy.test.ts
+++ b/packages/standins/src/proxy/FaultProxy.test.ts
@@ -1,5 +1,6 @@
 import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
+import { Engine } from '../engine/Engine.js';
 import { PlainService } from '../service/PlainService.js';
 import { call } from '../testSupport.js';
 import { FaultProxy } from './FaultProxy.js';
@@ -70,4 +71,21 @@
     vitest.expect(await send('c')).toMatchObject({ status: 200 });
     vitest.expect(performance.now() - startedMs).toBeGreaterThan(190);
   });
+
+  vitest.test('delays every chunk of a stream equally (guards against a delay that limits the rate)', async () => {
+    const engine = await Engine.open({ tokenMs: 20, firstTokenMs: 0 });
+    await call(engine, 'POST', '/v2/repository/models/p%2Fm/load', { parameters: { version: '1' } });
+    await using delayed = await FaultProxy.open({ to: `127.0.0.1:${engine.port}` });
+    await delayed.setFaults({ toClient: { delayMs: 200 } });
+    const startedMs = performance.now();
+    const response = await fetch(`http://127.0.0.1:${delayed.proxyPort}/v1/completions`, {
+      method: 'POST',
+      body: JSON.stringify({ model: 'p/m', prompt: 'hi', stream: true, max_tokens: 30 }),
+    });
+    vitest.expect(await response.text()).toMatch(/\[DONE\]\n\n$/);
+    // 30 tokens take 0.6 s and one delay; 30 delays in turn would take 6 s.
+    vitest.expect(performance.now() - startedMs).toBeGreaterThan(750);
+    vitest.expect(performance.now() - startedMs).toBeLessThan(4000);
+    await engine[Symbol.asyncDispose]();
+  });
 });
--- a/packages/standins/src/proxy/FaultProxy.ts
+++ b/packages/standins/src/proxy/FaultProxy.ts
@@ -3,7 +3,8 @@
 import * as zod from 'zod';
 import { HttpStandIn, sendNotFound, type Call } from '../http/HttpStandIn.js';
 import type { ListenOptions } from '../Types.js';
-import { ProxiedConnection, type DirectionFault } from './ProxiedConnection.js';
+import { ProxiedConnection } from './ProxiedConnection.js';
+import type { DirectionFault } from './Types.js';
 
 /** Options of the fault proxy. */
 export interface FaultProxyOptions extends ListenOptions {
--- a/packages/standins/src/proxy/ProxiedConnection.ts
+++ b/packages/standins/src/proxy/ProxiedConnection.ts
@@ -1,11 +1,9 @@
 import * as net from 'node:net';
-import * as stream from 'node:stream';
+import { Gate, type FaultOf } from './Gate.js';
+import type { DirectionFault } from './Types.js';
 
-/** Fault of one direction. A dropped direction holds its bytes back, as TCP does until a path heals. */
-export interface DirectionFault {
-  readonly drop: boolean;
-  readonly delayMs: number;
-}
+/** Characters of the client's latest bytes that are searched; a request names its client near its start. */
+const clientTextLength = 8192;
 
 /** The faults that a connection asks for at each chunk. */
 export interface ConnectionFaults {
@@ -19,7 +17,7 @@
 export class ProxiedConnection {
   private readonly _target: net.Socket;
   private readonly _lanes: readonly Lane[];
-  /** Start of what the client has sent last; it names the client in each request. */
+  /** What the client has sent last. */
   private _clientText = '';
 
   public constructor(
@@ -31,7 +29,9 @@
     this._target = net.connect({ host: to.host, port: to.port, noDelay: true });
     const dropped = (): boolean => faults.dropContaining().some((text) => this._clientText.includes(text));
     const toTarget = (chunk?: Buffer): DirectionFault => {
-      this._clientText = chunk?.toString('latin1') ?? this._clientText;
+      this._clientText = (this._clientText + (chunk?.toString('latin1', 0, clientTextLength) ?? '')).slice(
+        -clientTextLength,
+      );
       const fault = faults.toTarget();
       return { ...fault, drop: fault.drop || dropped() };
     };
@@ -69,9 +69,6 @@
   }
 }
 
-/** Says what happens to a direction; is shown each new chunk. */
-type FaultOf = (chunk?: Buffer) => DirectionFault;
-
 /** Bytes of one direction. */
 class Lane {
   private readonly _gate: Gate;
@@ -96,47 +93,3 @@
     this._gate.destroy();
   }
 }
-
-/** Passes chunks on in order, late or not at all while the direction is dropped. */
-class Gate extends stream.Transform {
-  private _held: (() => void) | undefined;
-  private _timer: NodeJS.Timeout | undefined;
-
-  public constructor(private readonly _fault: FaultOf) {
-    super();
-  }
-
-  public override _transform(chunk: Buffer, _encoding: string, done: stream.TransformCallback): void {
-    this._pass(() => {
-      done(null, chunk);
-    }, chunk);
-  }
-
-  public override _flush(done: stream.TransformCallback): void {
-    this._pass(done);
-  }
-
-  public override _destroy(error: Error | null, done: (error?: Error | null) => void): void {
-    clearTimeout(this._timer);
-    done(error);
-  }
-
-  public update(): void {
-    const held = this._held;
-    if (held && !this._fault().drop) {
-      this._held = undefined;
-      held();
-    }
-  }
-
-  private _pass(next: () => void, chunk?: Buffer): void {
-    const { drop, delayMs } = this._fault(chunk);
-    if (drop) {
-      this._held = next;
-    } else if (delayMs > 0) {
-      this._timer = setTimeout(next, delayMs);
-    } else {
-      next();
-    }
-  }
-}
