--- a/packages/daemon/src/Types.ts
+++ b/packages/daemon/src/Types.ts
@@ -171,7 +171,7 @@
     readonly callers: decisions.Address;
     readonly peers: decisions.Address;
     readonly operators: decisions.Address;
-    /** Address at which other daemons reach `peers`, where that is not the bound one. */
+    /** Where other daemons reach the peer port, if not at `peers` (address translation). */
     readonly advertisedPeers?: decisions.Address;
   };
   readonly platform: {
