--- a/packages/decisions/src/replay/orders.ts
+++ b/packages/decisions/src/replay/orders.ts
@@ -109,6 +109,20 @@
   return ranLate ? restoreLoading(settled, order) : settled;
 }
 
+/** A late adapter can only sit in a late load of its model; the memory of both is released together. */
+function addToPinnedLoad(
+  orders: types.ControlState['orders'],
+  adapter: types.OrderEntry,
+): types.ControlState['orders'] {
+  for (const order of orders.values()) {
+    if (order.action === 'load' && order.target === adapter.target && isSameModel(order, adapter)) {
+      const bytes = order.bytes.map((count, index) => count + (adapter.bytes[index] ?? 0));
+      return withEntry(orders, order.order, { ...order, bytes });
+    }
+  }
+  return orders;
+}
+
 /** Notes in the loaded subject of an order that a sender was settled, so that older readings of the engine are void. */
 function noteSettled(state: types.ControlState, order: types.OrderEntry): types.ControlState {
   const lastSettledAt = state.appliedOffset;
@@ -159,7 +173,10 @@
   const replica = [...state.replicas.values()].find(
     (candidate) => candidate.target === target && isSameModel(candidate, order),
   );
-  if (replica === undefined || order.adapter === undefined || replica.adapters.has(order.adapter)) {
+  if (replica === undefined) {
+    return { ...state, orders: addToPinnedLoad(state.orders, order) };
+  }
+  if (order.adapter === undefined || replica.adapters.has(order.adapter)) {
     return state;
   }
   const adapter: types.AdapterEntry = {
