--- /dev/null
+++ b/packages/daemon/src/peers/Types.ts
@@ -0,0 +1,50 @@
+import type * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
+
+/** Parameters of every call between daemons. */
+export interface CallEnvelope {
+  readonly caller: common.Incarnation;
+  /** Whom the caller means to reach; absent if it only knows an address. */
+  readonly callee?: common.Incarnation;
+  readonly clock: common.HybridTime;
+  readonly body: unknown;
+}
+
+/** Result of every call between daemons. */
+export interface AnswerEnvelope {
+  readonly callee: common.Incarnation;
+  readonly clock: common.HybridTime;
+  readonly body: unknown;
+}
+
+/** A missed or received answer that is passed on; `ageMs` is the time since then. */
+export interface PassedContact {
+  readonly incarnation: common.Incarnation;
+  readonly ageMs: number;
+}
+
+/** A leaving VM that is passed on; `ageMs` is the time since its origin confirmed it. */
+export interface PassedHint {
+  readonly vm: common.VmName;
+  readonly ageMs: number;
+}
+
+/** Content of a heartbeat and of its answer. */
+export interface HeartbeatBody {
+  /** Offset of the last applied record of the control topic. */
+  readonly appliedOffset: number;
+  /** The member that is known to be furthest, with its offset. */
+  readonly furthest: { readonly incarnation: common.Incarnation; readonly offset: number };
+  readonly leaving: readonly PassedHint[];
+  readonly suspected: readonly PassedContact[];
+  /** Members that were suspected and have answered since. */
+  readonly answering: readonly PassedContact[];
+  /** Lets a daemon be called before its `daemonJoined` is replayed. */
+  readonly address: decisions.Address;
+}
+
+/** Bytes on the sockets between daemons. */
+export interface PeerTraffic {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,6 @@
 export type * from './Types.js';
+export * from './admission/index.js';
+export * from './routing/index.js';
 export * from './claims/replayClaim.js';
 export * from './claims/schemas.js';
 export * from './configuration/keys.js';
@@ -12,3 +14,5 @@
 export { emptyControlState, replay, replayValue } from './replay/replay.js';
 export { maximumHistoryEntries } from './replay/configuration.js';
 export * from './snapshot/snapshot.js';
+export * from './placement/index.js';
+export * from './policy/index.js';
