--- a/packages/decisions/src/Types.ts
+++ b/packages/decisions/src/Types.ts
@@ -108,6 +108,8 @@
    * one, and `gone` if a replica was decided on the VM since. A watcher may have been paused after reading the list.
    */
   readonly readAfter?: Offset;
+  /** `VmEntry.observedAt` that the watcher saw, null if the VM was unknown. If given, it must still be the latest. */
+  readonly basedOn?: Offset | null;
 }
 export interface LoadDecided extends ModelVersion {
   readonly kind: 'loadDecided';
--- a/packages/decisions/src/records/schemas.ts
+++ b/packages/decisions/src/records/schemas.ts
@@ -56,6 +56,7 @@
     state: z.enum(['live', 'leaving', 'gone']),
     targets: z.array(targetSchema).max(256),
     ...reading,
+    basedOn: offsetSchema.nullable().exactOptional(),
   }),
   loadDecided: z.object({
     kind: z.literal('loadDecided'),
--- a/packages/decisions/src/replay/vms.ts
+++ b/packages/decisions/src/replay/vms.ts
@@ -29,13 +29,16 @@
 
 /** The record that an observation may not override; undefined if the observation is recent enough. */
 function findNewer(state: types.ControlState, observation: types.VmObserved): types.Offset | undefined {
-  const { vm, readAfter } = observation;
+  const { vm, readAfter, basedOn } = observation;
+  const latest = state.vms.get(vm)?.observedAt;
+  if (basedOn !== undefined && basedOn !== (latest ?? null)) {
+    return latest ?? state.appliedOffset;
+  }
   if (readAfter === undefined) {
     return undefined;
   }
-  const observedAt = state.vms.get(vm)?.observedAt ?? -1;
-  if (observedAt > readAfter) {
-    return observedAt;
+  if (latest !== undefined && latest > readAfter) {
+    return latest;
   }
   const replicas = observation.state === 'gone' ? [...state.replicas.values()] : [];
   return replicas.find((replica) => replica.vm === vm && replica.replica > readAfter)?.replica;
