--- a/packages/decisions/src/claims/replayClaim.ts
+++ b/packages/decisions/src/claims/replayClaim.ts
@@ -1,5 +1,5 @@
 /** Replay of a claims topic: which attempt may send the call of an idempotency key. */
-import { filterEntries, withEntry, withoutEntry } from '../collections/copyOnWrite.js';
+import { BucketMap } from '../collections/BucketMap.js';
 import { rejection } from '../replay/verdicts.js';
 import type * as types from '../Types.js';
 import { parseClaimRecord } from './schemas.js';
@@ -13,7 +13,7 @@
 
 /** State before the first record. */
 export function emptyClaimsState(windowMs: number = defaultClaimWindowMs): types.ClaimsState {
-  return { appliedOffset: -1, lastSequences: new Map(), claims: new Map(), windowMs };
+  return { appliedOffset: -1, lastSequences: new Map(), claims: BucketMap.from<types.ClaimEntry>([]), windowMs };
 }
 
 /** Applies one record; the first claim of a key by offset wins. */
@@ -85,10 +85,8 @@
  */
 export function forgetOldClaims(state: types.ClaimsState, nowMs: number, windowMs: number): types.ClaimsState {
   const oldestMs = nowMs - windowMs - claimClockToleranceMs;
-  return {
-    ...state,
-    claims: filterEntries(state.claims, (entry) => entry.state === 'running' || entry.claimedAtMs >= oldestMs),
-  };
+  const kept = [...state.claims].filter(([, entry]) => entry.state === 'running' || entry.claimedAtMs >= oldestMs);
+  return kept.length === state.claims.size ? state : { ...state, claims: BucketMap.from(kept) };
 }
 
 function apply(state: types.ClaimsState, record: types.LogRecord<types.ClaimRecordBody>): types.ClaimReplayResult {
@@ -108,11 +106,11 @@
       return applyCompleted(state, entry, body);
     case 'released':
       return entry.state === 'running'
-        ? accepted(state, withoutEntry(state.claims, entry.key))
+        ? accepted(state, claimsOf(state).without(entry.key))
         : wrongState(state, entry, body.kind);
     case 'abandoned':
       return entry.state === 'running'
-        ? accepted(state, withEntry(state.claims, entry.key, { ...entry, state: 'abandoned' }))
+        ? accepted(state, claimsOf(state).with(entry.key, { ...entry, state: 'abandoned' }))
         : wrongState(state, entry, body.kind);
     default:
       return { state, verdict: rejection('unknownKind', 'record kind is not known') };
@@ -133,7 +131,7 @@
       : { state, verdict: rejection('keyTaken', `key ${key} is claimed by attempt ${holder.attempt}`) };
   }
   const entry: types.ClaimEntry = { key, fingerprint, attempt, sender, state: 'running', claimedAtMs: wallMs };
-  return accepted(state, withEntry(state.claims, key, entry));
+  return accepted(state, claimsOf(state).with(key, entry));
 }
 
 function applyCompleted(
@@ -152,7 +150,13 @@
     status,
     ...(answer === undefined ? {} : { answer }),
   };
-  return accepted(state, withEntry(state.claims, entry.key, completed));
+  return accepted(state, claimsOf(state).with(entry.key, completed));
+}
+
+function claimsOf(state: types.ClaimsState): BucketMap<types.ClaimEntry> {
+  return state.claims instanceof BucketMap
+    ? (state.claims as BucketMap<types.ClaimEntry>)
+    : BucketMap.from(state.claims);
 }
 
 function isExpired(state: types.ClaimsState, entry: types.ClaimEntry, wallMs: number): boolean {
--- a/packages/decisions/src/replay/membership.ts
+++ b/packages/decisions/src/replay/membership.ts
@@ -7,7 +7,7 @@
 import { accept, reject, type Step } from './verdicts.js';
 
 /** Sequences of departed incarnations that are kept to recognise late duplicates of their records. */
-const maximumDepartedSequences = 1024;
+const maximumDepartedSequences = 256;
 
 /** A daemon joins; older incarnations of the same name count as replaced. */
 export function replayJoined(state: types.ControlState, step: Step<types.DaemonJoined>): types.ReplayResult {
--- a/packages/decisions/src/snapshot/snapshot.ts
+++ b/packages/decisions/src/snapshot/snapshot.ts
@@ -1,6 +1,7 @@
 /** Snapshots of the replayed states as JSON values. Maps become lists of values, in their order. */
 import * as common from '@jayhaven/common';
 import type { z } from 'zod';
+import { BucketMap } from '../collections/BucketMap.js';
 import type * as types from '../Types.js';
 import { claimsSnapshotSchema, controlSnapshotSchema, snapshotFormat } from './schemas.js';
 
@@ -79,7 +80,7 @@
   return common.succeed({
     appliedOffset,
     lastSequences: new Map(lastSequences),
-    claims: indexBy(claims, (entry) => entry.key),
+    claims: BucketMap.from(claims.map((entry) => [entry.key, entry] as const)),
     ...(windowMs === undefined ? {} : { windowMs }),
   });
 }
