--- a/packages/daemon/src/ControlPlane.test.ts
+++ b/packages/daemon/src/ControlPlane.test.ts
@@ -1,57 +1,159 @@
-import * as common from '@jayhaven/common';
-import * as standins from '@jayhaven/standins';
 import * as vitest from 'vitest';
-import { openControlPlane } from './ControlPlane.js';
-import { joinedDaemons, testContext, testSettings, until } from './log/testing/support.js';
+import { edit, GroupFixture } from './log/testing/GroupFixture.js';
+import { joinedDaemons, until } from './log/testing/support.js';
 import type { ControlPlane } from './Types.js';
 
-/** Opens daemons on one log. */
-async function openAll(
-  closing: common.DisposalRegistry,
-  logUrl: string,
-  names: readonly string[],
-): Promise<readonly ControlPlane[]> {
-  const planes = await Promise.all(names.map((name) => openControlPlane(testContext(testSettings(name, logUrl)))));
-  for (const plane of planes) {
-    closing.register(plane);
-  }
-  await until('all have joined everywhere', () =>
-    planes.every((plane) => joinedDaemons(plane).length === names.length),
-  );
-  return planes;
+const names = ['a', 'b', 'c', 'd'];
+
+function edited(plane: ControlPlane, field: string): unknown {
+  return plane.log.state.configuration.get(`solano/defaults/${field}`)?.value;
 }
 
 vitest.describe('control plane on the log stand-in', () => {
-  let closing: common.DisposalRegistry;
-  let log: standins.LogService;
-  let logUrl: string;
+  let group: GroupFixture;
 
   vitest.beforeEach(async () => {
-    closing = new common.DisposalRegistry();
-    log = closing.register(await standins.LogService.open());
-    logUrl = `http://127.0.0.1:${log.port}`;
+    group = await GroupFixture.open();
   });
 
   vitest.afterEach(async () => {
-    await closing[Symbol.asyncDispose]();
+    await group[Symbol.asyncDispose]();
   });
 
   vitest.test('daemons join, and call each other (guards against a group that does not form)', async () => {
-    const [first, second] = await openAll(closing, logUrl, ['a', 'b', 'c']);
+    const [first, second] = await group.startAll(names);
     second?.peers.handle('status.read', (parameters, caller) => Promise.resolve({ parameters, caller }));
     const answer = await first?.peers.call(second?.incarnation ?? '', 'status.read', { x: 1 }, 1000);
     vitest.expect(answer).toEqual({ ok: true, value: { parameters: { x: 1 }, caller: first?.incarnation } });
-    vitest.expect(first?.peers.members.map(({ daemon }) => daemon).sort()).toEqual(['a', 'b', 'c']);
+    vitest.expect(first?.peers.members.map(({ daemon }) => daemon).sort()).toEqual(names);
+    vitest.expect(first?.peers.traffic?.sentBytes).toBeGreaterThan(0);
+  });
+
+  vitest.test('one of two racing edits is accepted everywhere (guards against a lost edit)', async () => {
+    const planes = await group.startAll(names);
+    const outcomes = await Promise.all(
+      planes.slice(0, 2).map((plane, index) => plane.log.append(edit('queueLimit', 100 + index, null), 2000)),
+    );
+    vitest.expect(outcomes.filter((outcome) => outcome.ok)).toHaveLength(1);
+    const loser = outcomes.find((outcome) => !outcome.ok);
+    vitest.expect(loser).toMatchObject({ failure: { kind: 'rejected', rule: 'staleEdit' } });
+    await until('the edit is in force everywhere', () =>
+      planes.every((plane) => edited(plane, 'queueLimit') === edited(planes[0] ?? plane, 'queueLimit')),
+    );
+  });
+
+  vitest.test('an edit reaches a daemon that is cut off within 3 s (guards against a stale daemon)', async () => {
+    const planes = await group.startAll(names);
+    await group.cutOff('d', true);
+    const startedMs = performance.now();
+    const outcome = await planes[0]?.log.append(edit('queueLimit', 7, null), 2000);
+    vitest.expect(outcome?.ok).toBe(true);
+    await until('the edit is in force everywhere', () => planes.every((plane) => edited(plane, 'queueLimit') === 7));
+    vitest.expect(performance.now() - startedMs).toBeLessThan(3000);
+    await until('the cut-off daemon knows it', () => !group.plane('d').log.lag.logAvailable);
+    await group.cutOff('d', false);
+    await until('it uses the log again', () => group.plane('d').log.lag.logAvailable);
+    vitest.expect((await group.plane('d').log.append(edit('queueLimit', 8, null), 2000)).ok).toBe(false);
   });
 
-  vitest.test('grants a key to one of two attempts (guards against a call that runs twice)', async () => {
-    const planes = await openAll(closing, logUrl, ['a', 'b', 'c']);
-    const answers = await Promise.all(
-      planes.map(({ claims }, index) =>
-        claims.acquire({ key: 'solano/pay/1', fingerprint: 'f', attempt: `attempt-${index}`, timeoutMs: 2000 }),
-      ),
+  vitest.test('a daemon that starts in an outage takes state from a seed, and joins later', async () => {
+    const [first] = await group.startAll(names);
+    await first?.log.append(edit('queueLimit', 7, null), 2000);
+    await group.control({ outage: true });
+    const seeds = [...(first?.log.state.daemons.values() ?? [])].map(({ peers }) => peers);
+    const late = await group.start('e', { seedPeers: seeds.slice(0, 2) });
+    await until('the state has come from a peer', () => edited(late, 'queueLimit') === 7);
+    vitest.expect(late.log.lag.source).not.toBe('log');
+    const refused = await late.log.append(edit('queueLimit', 8, null), 2000);
+    vitest.expect(refused).toMatchObject({ failure: { kind: 'logUnavailable' } });
+    late.peers.handle('status.read', () => Promise.resolve('late'));
+    await until('its neighbours know its address', () => late.peers.members.length === names.length + 1);
+    const neighbours = await Promise.all(
+      names.map((name) => group.plane(name).peers.call(late.incarnation, 'status.read', {}, 1000)),
     );
-    const kinds = answers.map((answer) => (answer.ok ? answer.value.kind : 'failed')).sort();
-    vitest.expect(kinds).toEqual(['granted', 'running', 'running']);
+    vitest.expect(neighbours.some((answer) => answer.ok && answer.value === 'late')).toBe(true);
+    await group.control({ outage: false });
+    await until('it has joined', () => joinedDaemons(late).includes('e'));
+  });
+
+  vitest.test('a successor settles the old incarnation once, after the delivery time', async () => {
+    const [first, second] = await group.startAll(names);
+    const old = first?.incarnation ?? '';
+    await group.kill('a');
+    const startedMs = performance.now();
+    await group.start('a');
+    await until('it is replaced', () => second?.log.state.daemons.get(old)?.state === 'replaced');
+    await until('it is gone', () => second?.log.state.daemons.has(old) === false);
+    vitest.expect(performance.now() - startedMs).toBeGreaterThan(1000);
+    const gone = group.log
+      .topic('test-control')
+      .read(0, 1e6)
+      .records.filter(({ value }) => JSON.stringify(value).includes('incarnationGone'));
+    vitest.expect(gone).toHaveLength(1);
+  });
+
+  vitest.test('a vanished VM settles its daemon, and a live process on it learns of it', async () => {
+    const [first, second] = await group.startAll(names);
+    let removed = false;
+    second?.onRemoved?.(() => {
+      removed = true;
+    });
+    const observed = { kind: 'vmObserved', vm: 'vm-b', failureDomain: 'a', state: 'gone', targets: [] } as const;
+    await first?.log.append(observed, 2000);
+    await until('the incarnation is gone', () => first?.log.state.daemons.has(second?.incarnation ?? '') === false);
+    await until('the daemon knows', () => removed);
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    vitest.expect(joinedDaemons(group.plane('a'))).toEqual(['a', 'c', 'd']);
+  });
+
+  vitest.test(
+    'a killed member is suspected by all, and not one that answers (guards against dead holders)',
+    async () => {
+      const planes = await group.startAll(names);
+      await group.kill('b');
+      const rest = planes.filter((_plane, index) => index !== 1);
+      const suspected = (plane: ControlPlane): readonly string[] =>
+        plane.peers.members.filter((member) => member.suspected).map(({ daemon }) => daemon);
+      await until('all suspect it', () => rest.every((plane) => suspected(plane).join() === 'b'), 8000);
+      const answer = await rest[0]?.peers.call(planes[1]?.incarnation ?? '', 'peer.heartbeat', {}, 1000);
+      vitest.expect(answer).toMatchObject({ ok: false, failure: { kind: 'refused' } });
+    },
+  );
+
+  vitest.test('leaving hints reach all while the log is down (guards against work for a leaving target)', async () => {
+    const planes = await group.startAll(names);
+    await group.control({ outage: true });
+    const heard = new Set<number>();
+    planes.forEach((plane, index) => {
+      plane.peers.onLeavingHints((vms) => {
+        if (vms.includes('vm-7')) {
+          heard.add(index);
+        }
+      });
+    });
+    planes[0]?.peers.setLeavingHints(['vm-7']);
+    await until('the others have heard', () => [1, 2, 3].every((index) => heard.has(index)), 4000);
+  });
+
+  vitest.test('a daemon that leaves is no member any more, and appends nothing', async () => {
+    const [first] = await group.startAll(names);
+    await first?.leave();
+    await until('it has left', () => !joinedDaemons(group.plane('b')).includes('a'));
+    vitest.expect((await first?.log.append(edit('queueLimit', 1, null), 1000))?.ok).toBe(false);
+    await new Promise((resolve) => setTimeout(resolve, 1200));
+    vitest.expect(joinedDaemons(group.plane('b'))).toEqual(['b', 'c', 'd']);
+  });
+
+  vitest.test('configuration outlives retention (guards against an edit that reverts)', async () => {
+    await group[Symbol.asyncDispose]();
+    group = await GroupFixture.open({ retentionMs: 3000 });
+    const platform = { logRetentionMs: 3000 };
+    const [first] = await group.startAll(['a', 'b'], { platform });
+    await first?.log.append(edit('queueLimit', 7, null), 2000);
+    await new Promise((resolve) => setTimeout(resolve, 5000));
+    vitest.expect(group.log.topic('test-control').beginningOffset).toBeGreaterThan(2);
+    const late = await group.start('c', { platform });
+    vitest.expect(edited(late, 'queueLimit')).toBe(7);
+    vitest.expect(joinedDaemons(late)).toEqual(['a', 'b', 'c']);
   });
 });
--- /dev/null
+++ b/packages/daemon/src/log/testing/FakeLogClient.ts
@@ -0,0 +1,153 @@
+import * as common from '@jayhaven/common';
+import { LogClient } from '../LogClient.js';
+import type { LogFailure, RawRecord, TopicOffsets } from '../Types.js';
+
+/** Faults that strike each call until they are changed. */
+export interface LogFaults {
+  /** Answers every call with a failure, and applies nothing. */
+  down: boolean;
+  /** Answers no call before its time limit, and applies nothing. */
+  hanging: boolean;
+  /** Applies an append, and reports a failure. */
+  loseAcknowledgements: boolean;
+  /** Applies an append twice. */
+  duplicate: boolean;
+  /** Reports a failure, and applies the append after this time; 0 applies it at once. */
+  applyLateMs: number;
+  /** Delays each answer. */
+  delayMs: number;
+}
+
+interface FakeTopic {
+  beginning: number;
+  readonly records: RawRecord[];
+}
+
+/** The log service in memory, shared by the clients of several replicas. */
+export class FakeLog {
+  public appends = 0;
+  public readonly faults: LogFaults = {
+    down: false,
+    hanging: false,
+    loseAcknowledgements: false,
+    duplicate: false,
+    applyLateMs: 0,
+    delayMs: 0,
+  };
+  private readonly _topics = new Map<string, FakeTopic>();
+  private readonly _changed = new common.Emitter<undefined>();
+
+  public topic(name: string): FakeTopic {
+    const topic = this._topics.get(name) ?? { beginning: 0, records: [] };
+    this._topics.set(name, topic);
+    return topic;
+  }
+
+  /** Drops the records below an offset, as retention does. */
+  public dropBefore(name: string, offset: number): void {
+    this.topic(name).beginning = offset;
+  }
+
+  public apply(name: string, values: readonly unknown[]): number {
+    const { records } = this.topic(name);
+    const first = records.length;
+    for (const value of values) {
+      records.push({ offset: records.length, value: JSON.parse(JSON.stringify(value)) as unknown });
+    }
+    this._changed.fire(undefined);
+    return first;
+  }
+
+  /** Waits for the next append. */
+  public async change(timeoutMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const finish = (): void => {
+        clearTimeout(timer);
+        unsubscribe();
+        resolve();
+      };
+      const timer = setTimeout(finish, timeoutMs);
+      const unsubscribe = this._changed.event(finish);
+    });
+  }
+}
+
+/** Client of a `FakeLog`. `cutOff` makes the log unreachable for this client only. */
+export class FakeLogClient extends LogClient {
+  public cutOff = false;
+
+  public constructor(private readonly _log: FakeLog) {
+    super();
+  }
+
+  public override async append(
+    topic: string,
+    values: readonly unknown[],
+    timeoutMs: number,
+  ): Promise<common.Outcome<number, LogFailure>> {
+    const failure = await this._fault(timeoutMs);
+    if (failure) {
+      return failure;
+    }
+    this._log.appends += 1;
+    const { applyLateMs, duplicate, loseAcknowledgements } = this._log.faults;
+    if (applyLateMs > 0) {
+      setTimeout(() => this._log.apply(topic, values), applyLateMs);
+      return unavailable('no acknowledgement');
+    }
+    const first = this._log.apply(topic, values);
+    if (duplicate) {
+      this._log.apply(topic, values);
+    }
+    return loseAcknowledgements ? unavailable('the acknowledgement was lost') : common.succeed(first);
+  }
+
+  public override async read(
+    topic: string,
+    offset: number,
+    waitMs: number,
+    timeoutMs: number,
+  ): Promise<common.Outcome<readonly RawRecord[], LogFailure>> {
+    const failure = await this._fault(timeoutMs);
+    if (failure) {
+      return failure;
+    }
+    const { beginning, records } = this._log.topic(topic);
+    if (offset < beginning) {
+      return common.fail({ kind: 'belowBeginning', message: 'below the beginning' });
+    }
+    const endMs = performance.now() + waitMs;
+    while (offset >= records.length && performance.now() < endMs) {
+      await this._log.change(endMs - performance.now());
+      const late = await this._fault(timeoutMs);
+      if (late) {
+        return late;
+      }
+    }
+    return common.succeed(records.slice(offset));
+  }
+
+  public override async offsets(topic: string, timeoutMs: number): Promise<common.Outcome<TopicOffsets, LogFailure>> {
+    const failure = await this._fault(timeoutMs);
+    const { beginning, records } = this._log.topic(topic);
+    return failure ?? common.succeed({ beginning, end: records.length });
+  }
+
+  public override [Symbol.asyncDispose](): Promise<void> {
+    return Promise.resolve();
+  }
+
+  private async _fault(timeoutMs: number): Promise<{ readonly ok: false; readonly failure: LogFailure } | undefined> {
+    const { down, hanging, delayMs } = this._log.faults;
+    if (hanging || delayMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, hanging ? timeoutMs : delayMs));
+    } else {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    return down || hanging || this.cutOff ? unavailable('the log is down') : undefined;
+  }
+}
+
+function unavailable(message: string): { readonly ok: false; readonly failure: LogFailure } {
+  return common.fail({ kind: 'unavailable', message });
+}
