--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,6 @@
 export type * from './Types.js';
+export * from './admission/index.js';
+export * from './routing/index.js';
 export * from './claims/replayClaim.js';
 export * from './claims/schemas.js';
 export * from './configuration/keys.js';
