Read engines before reports that release memory, adopt each order once, and keep a load slot for urgent loads

A long load adopted from a paused owner was adopted and settled again in each round, because its order stays unsettled while the author may resume; one adoption per claim is enough. A restarted engine has forgotten its fencing token, so it is raised again before the engine is compared with the state.

--- a/packages/daemon/src/owner/LoadPlanner.ts
+++ b/packages/daemon/src/owner/LoadPlanner.ts
@@ -1,3 +1,4 @@
+import type * as common from '@jayhaven/common';
 import * as decisions from '@jayhaven/decisions';
 import { EngineClient } from './EngineClient.js';
 import { Planning } from './Planning.js';
@@ -15,9 +16,12 @@
   public decideLoads(planning: Planning, nowMs: number): void {
     planning.queue.dropStale(nowMs);
     for (const entry of planning.queue.ordered(nowMs)) {
-      if (!this._hasLoadSlot(planning)) {
+      if (!this._hasLoadSlot(planning, entry.urgency)) {
         return;
       }
+      if (planning.isBlocked(entry.settings, this._services.control.log.state, nowMs)) {
+        continue;
+      }
       if (planning.pendingLoads.has(Planning.keyOf(entry.settings)) || this._awaitsRoom(planning, entry)) {
         continue;
       }
@@ -50,10 +54,13 @@
     });
   }
 
-  private _hasLoadSlot(planning: Planning): boolean {
+  /** Batch loads leave one slot free, so that an urgent load does not wait for a long one. */
+  private _hasLoadSlot(planning: Planning, urgency: common.Urgency): boolean {
     const { state } = this._services.control.log;
+    const { maximumConcurrentLoads } = state.limits;
     const inProgress = decisions.loadsInProgress(state) + planning.pendingLoads.size;
-    return inProgress < state.limits.maximumConcurrentLoads;
+    const kept = urgency === 'batch' && maximumConcurrentLoads > 1 ? 1 : 0;
+    return inProgress < maximumConcurrentLoads - kept;
   }
 
   /** Room is being made on a target: placing again would evict more. */
@@ -82,6 +89,7 @@
         planning.unreserve(settings);
         return true;
       case 'wait':
+        planning.noteBlocked(settings, view.state, nowMs);
         return true;
       case 'evict':
         planning.reserve(placement.target, settings, nowMs);
@@ -106,7 +114,8 @@
     const { control, context } = this._services;
     const { settings, urgency } = entry;
     const { partner, model, version } = settings;
-    const { target, bytes, ordinal, reason } = placement;
+    const { target, bytes, ordinal } = placement;
+    const reason = withCause(placement.reason, entry);
     const key = Planning.keyOf(settings);
     planning.pendingLoads.set(key, target);
     const cell = context.settings.daemon.cell;
@@ -134,6 +143,12 @@
   }
 }
 
+function withCause(reason: decisions.DecisionReason, entry: decisions.LoadQueueEntry): decisions.DecisionReason {
+  const { cause, waiting } = entry;
+  const because = cause === undefined ? { cause: 'wake', waiting } : { ...cause.figures, cause: cause.rule };
+  return { rule: reason.rule, figures: { ...because, ...reason.figures } };
+}
+
 function failureDetail(outcome: {
   readonly ok: boolean;
   readonly failure?: { readonly kind: string; readonly message: string };
--- a/packages/daemon/src/owner/Orders.ts
+++ b/packages/daemon/src/owner/Orders.ts
@@ -65,6 +65,9 @@
         break;
       case 'finished':
         this._running.delete(message.target);
+        if (this._drivers.get(message.target)?.hasWork() === false) {
+          this._drivers.delete(message.target);
+        }
         // A change may have come after the driver's last look.
         this._scan();
         break;
@@ -95,25 +98,34 @@
   }
 
   private _start(target: common.TargetAddress): void {
-    const driver = this._driverOf(target);
+    const driver = this._drivers.get(target);
     if (this._running.has(target)) {
-      driver.wake();
-    } else if (driver.hasWork()) {
-      const finished = driver.run().then(() => {
-        if (!this.post({ kind: 'finished', target })) {
-          this._running.delete(target);
-        }
-      });
-      this._running.set(target, finished);
+      driver?.wake();
+    } else if ((driver ?? this._newDriver(target)).hasWork()) {
+      this._run(this._driverOf(target));
     }
   }
 
+  private _run(driver: TargetDriver): void {
+    const { target } = driver;
+    const finished = driver.run().then(() => {
+      if (!this.post({ kind: 'finished', target })) {
+        this._running.delete(target);
+      }
+    });
+    this._running.set(target, finished);
+  }
+
   private _driverOf(target: common.TargetAddress): TargetDriver {
     let driver = this._drivers.get(target);
     if (driver === undefined) {
-      driver = new TargetDriver(this._services, this._reports, this._events, target);
+      driver = this._newDriver(target);
       this._drivers.set(target, driver);
     }
     return driver;
   }
+
+  private _newDriver(target: common.TargetAddress): TargetDriver {
+    return new TargetDriver(this._services, this._reports, this._events, target);
+  }
 }
--- a/packages/daemon/src/owner/Planner.ts
+++ b/packages/daemon/src/owner/Planner.ts
@@ -95,8 +95,7 @@
     }
     switch (message.kind) {
       case 'wake':
-        message.reply(answerWake(this._services, planning, this._adapters, message.request, nowMs));
-        this._step(planning, nowMs);
+        this._wake(planning, message.request, message.reply, nowMs);
         break;
       case 'usage':
         planning.usage.record(message.daemon, message.entries, nowMs);
@@ -123,6 +122,16 @@
     }
   }
 
+  private _wake(planning: Planning, request: WakeRequest, reply: (result: WakeResult) => void, nowMs: number): void {
+    // Without the log nothing is decided; the caller looks at the log itself and refuses its waiters.
+    if (!this._services.control.log.lag.logAvailable) {
+      reply({ kind: 'notOwner' });
+      return;
+    }
+    reply(answerWake(this._services, planning, this._adapters, request, nowMs));
+    this._step(planning, nowMs);
+  }
+
   /** Starts a new term when this daemon has a new claim. */
   private _currentPlanning(nowMs: number): Planning | undefined {
     const claim = this._services.lease.currentClaim();
@@ -153,8 +162,8 @@
     planning.leavingVms = this._leavingVms();
     const view = planning.view(nowMs);
     for (const wish of decisions.chooseLoads(view)) {
-      const { settings, urgency, replicas } = wish;
-      planning.queue.add({ settings, urgency, replicas, remainingMs: Infinity, waiting: 0 }, nowMs);
+      const { settings, urgency, replicas, reason } = wish;
+      planning.queue.add({ settings, urgency, replicas, remainingMs: Infinity, waiting: 0, cause: reason }, nowMs);
     }
     for (const choice of decisions.chooseUnloads(view)) {
       this._loads.decideUnload(planning, choice.replica, choice.reason);
--- a/packages/daemon/src/owner/Planning.ts
+++ b/packages/daemon/src/owner/Planning.ts
@@ -5,6 +5,8 @@
 
 /** Daemons report usage within this time after a change of owner; nothing is unloaded before. */
 const usageGraceMs = 3_000;
+/** Usage, pauses and hints change without a record, so a blocked load is tried again after this time. */
+const blockedRetryMs = 500;
 /** A target gets no load for this time after one failed there, milliseconds. */
 const failedTargetPauseMs = 5_000;
 /** Room made for a load is kept for it this long. */
@@ -25,6 +27,12 @@
   readonly untilMs: number;
 }
 
+/** State in which a load could not be placed. */
+interface Blocked {
+  readonly state: decisions.ControlState;
+  readonly atMs: number;
+}
+
 interface Failures {
   count: number;
   lastMs: number;
@@ -44,6 +52,7 @@
   private readonly _reservations = new Map<common.TargetAddress, Reservation>();
   private readonly _pausedTargets = new Map<common.TargetAddress, number>();
   private readonly _strays = new Set<common.TargetAddress>();
+  private readonly _blocked = new Map<string, Blocked>();
   private readonly _failures = new Map<string, Failures>();
   private readonly _readySinceMs = new Map<decisions.ReplicaId, number>();
   private readonly _loadingSinceMs = new Map<decisions.ReplicaId, number>();
@@ -129,6 +138,26 @@
     }
   }
 
+  /** Notes that a load cannot be placed in this state. */
+  public noteBlocked(settings: decisions.ModelSettings, state: decisions.ControlState, nowMs: number): void {
+    this._blocked.set(Planning.keyOf(settings), { state, atMs: nowMs });
+  }
+
+  /** Whether a load was tried a moment ago, and neither replicas nor orders nor VMs have changed since. */
+  public isBlocked(settings: decisions.ModelSettings, state: decisions.ControlState, nowMs: number): boolean {
+    const key = Planning.keyOf(settings);
+    const blocked = this._blocked.get(key);
+    const same =
+      blocked?.state.replicas === state.replicas &&
+      blocked.state.orders === state.orders &&
+      blocked.state.vms === state.vms;
+    if (!same || nowMs - blocked.atMs > blockedRetryMs) {
+      this._blocked.delete(key);
+      return false;
+    }
+    return true;
+  }
+
   /** Learns from a finished load. */
   public noteLoaded(load: FinishedLoad): void {
     const { replica, durationMs } = load;
--- a/packages/daemon/src/owner/Reports.ts
+++ b/packages/daemon/src/owner/Reports.ts
@@ -21,7 +21,8 @@
 
   /** Appends a record unless the same one is on its way or failed a moment ago. Resolves true once accepted. */
   public append(body: decisions.ControlRecordBody): Promise<boolean> {
-    const key = JSON.stringify(body);
+    // The same report of a later reading is no other report.
+    const key = JSON.stringify({ ...body, readAfter: undefined });
     const running = this._pending.get(key);
     if (running !== undefined) {
       return running;
--- a/packages/daemon/src/owner/TargetDriver.ts
+++ b/packages/daemon/src/owner/TargetDriver.ts
@@ -20,10 +20,14 @@
 /** Interval for loads that take long: this share of the time that they have taken so far. */
 const longLoadShare = 0.02;
 const longestIntervalMs = 500;
+/** Interval while only reports of broken sends are due. */
+const settlingIntervalMs = 200;
 /** Interval while the target cannot be read. */
 const unreachableIntervalMs = 200;
 /** Index reads in a row that must agree before a replica counts as absent. */
 const absentReadsLimit = 2;
+/** Index reads after a contradiction was reported. */
+const verifyRounds = absentReadsLimit + 1;
 /** Adapters in transit do not show in the index; an absent one counts as failed only after this time. */
 const adapterTransitLimitMs = 5_000;
 
@@ -42,7 +46,9 @@
   private readonly _signal = new Signal();
   private readonly _sender: OrderSender;
   /** When loading was first seen, per replica or order of an adapter. */
-  private readonly _startedMs = new Map<number, number>();
+  private readonly _startedMs = new Map<string, number>();
+  /** Orders that this daemon adopted, with the claim; each is adopted once, however long its load takes. */
+  private readonly _adopted = new Map<decisions.OrderId, decisions.ClaimOffset>();
   private readonly _absentReads = new Map<string, number>();
   private _verifyRounds = 0;
   private _strayPresent = false;
@@ -66,7 +72,7 @@
 
   /** Compares ready replicas with the index too. */
   public verify(): void {
-    this._verifyRounds = absentReadsLimit + 1;
+    this._verifyRounds = verifyRounds;
     this._signal.raise();
   }
 
@@ -84,6 +90,9 @@
         await this._signal.sleep(reached ? this._intervalMs() : unreachableIntervalMs);
       }
     }
+    this._startedMs.clear();
+    this._absentReads.clear();
+    this._adopted.clear();
   }
 
   /** Whether state and engine may differ at this target. */
@@ -97,11 +106,14 @@
     if (!owns) {
       return false;
     }
+    return orders.some((order) => isAdoptable(state, order)) || this._isInTransition();
+  }
+
+  private _isInTransition(): boolean {
     return (
       this._verifyRounds > 0 ||
       this._strayPresent ||
-      orders.some((order) => isAdoptable(state, order)) ||
-      replicasAt(state, this.target).some(
+      replicasAt(this._services.control.log.state, this.target).some(
         (replica) =>
           replica.state !== 'ready' || [...replica.adapters.values()].some((adapter) => adapter.state !== 'ready'),
       )
@@ -117,6 +129,7 @@
     const { incarnation } = this._services.control.log;
     if (claim !== undefined) {
       await this._takeOver(claim);
+      await this._restoreFence(claim);
     }
     const { state } = this._services.control.log;
     this._sender.forgetSettled(state);
@@ -148,14 +161,30 @@
     await this._adopt(foreign, claim);
   }
 
+  /** An engine that started anew has forgotten its token, so an order of a former owner could reach it. */
+  private async _restoreFence(claim: decisions.ClaimOffset): Promise<void> {
+    const { control, engines } = this._services;
+    const checked = decisions.findTarget(control.log.state, this.target)?.target.fencing === 'checked';
+    if (checked && this._verifyRounds === verifyRounds) {
+      await engines.raiseFence(this.target, claim);
+    }
+  }
+
   private async _adopt(orders: readonly decisions.OrderEntry[], claim: decisions.ClaimOffset): Promise<void> {
     const { control, context } = this._services;
     const cell = context.settings.daemon.cell;
     const due = orders.filter(
-      (order) => order.senders.get(control.incarnation) !== claim && isAdoptable(control.log.state, order),
+      (order) =>
+        this._adopted.get(order.order) !== claim &&
+        order.senders.get(control.incarnation) !== claim &&
+        isAdoptable(control.log.state, order),
     );
     await Promise.all(
-      due.map((order) => this._reports.append({ kind: 'orderAdopted', cell, claim, order: order.order })),
+      due.map(async (order) => {
+        if (await this._reports.append({ kind: 'orderAdopted', cell, claim, order: order.order })) {
+          this._adopted.set(order.order, claim);
+        }
+      }),
     );
   }
 
@@ -187,20 +216,22 @@
     const model = findModel(index, replica);
     const present = model !== undefined && model.state !== 'UNAVAILABLE';
     const id = replica.replica;
+    if (replica.state !== 'ready') {
+      this._noteStart(`${replica.state} ${id}`);
+    }
     if (replica.state === 'loading') {
-      this._noteStart(id);
       if (model?.state === 'READY') {
         this._reportReady(replica);
       } else if (this._isAbsent(`load ${id}`, present || this._hasOwnOrder(before, id))) {
-        this._reportFailed(replica, this._failureOf(id));
+        this._reportFailed(replica, this._failureOf(id), before);
       }
     } else if (replica.state === 'unloading') {
       // A late unload of a former owner does no harm: the model is not loaded here again before it is settled.
       if (this._isAbsent(`unload ${id}`, present, 1)) {
-        void this._reports.append({ kind: 'replicaUnloaded', replica: id });
+        void this._reports.append({ kind: 'replicaUnloaded', replica: id, readAfter: before.appliedOffset });
       }
     } else if (this._isAbsent(`ready ${id}`, present)) {
-      this._reportFailed(replica, 'the engine no longer holds the model');
+      this._reportFailed(replica, 'the engine no longer holds the model', before);
     } else if (model !== undefined && present) {
       this._confirmAdapters(before, replica, model);
     }
@@ -215,7 +246,8 @@
       if (entry.state === 'loading' && present) {
         void this._reports.append({ kind: 'adapterReady', order: entry.order });
       } else if (this._isAdapterGone(entry, present || unsettled)) {
-        void this._reports.append({ kind: 'adapterUnloaded', replica: replica.replica, adapter: entry.adapter });
+        const names = { kind: 'adapterUnloaded', replica: replica.replica, adapter: entry.adapter } as const;
+        void this._reports.append({ ...names, readAfter: before.appliedOffset });
       }
     }
   }
@@ -231,9 +263,9 @@
   private _isAdapterGone(entry: decisions.AdapterEntry, present: boolean): boolean {
     const key = `adapter ${entry.order} ${entry.state}`;
     if (entry.state === 'loading') {
-      this._noteStart(entry.order);
+      this._noteStart(`adapter ${entry.order}`);
       const answered = this._sender.answerTo(entry.order) !== undefined;
-      const startedMs = this._startedMs.get(entry.order) ?? 0;
+      const startedMs = this._startedMs.get(`adapter ${entry.order}`) ?? 0;
       const overdue = this._services.context.now() - startedMs > adapterTransitLimitMs;
       return this._isAbsent(key, present || !(answered || overdue));
     }
@@ -284,26 +316,28 @@
     for (const replica of replicasAt(state, this.target)) {
       const id = replica.replica;
       if (replica.state === 'loading' && id > claim && !hasOrder(state, id) && this._sender.wasNeverDelivered(id)) {
-        this._reportFailed(replica, 'the engine cannot be reached; nothing was sent');
+        this._reportFailed(replica, 'the engine cannot be reached; nothing was sent', state);
       }
     }
   }
 
   private _reportReady(replica: decisions.ReplicaEntry): void {
     const id = replica.replica;
-    const durationMs = this._services.context.now() - (this._startedMs.get(id) ?? this._services.context.now());
+    const durationMs =
+      this._services.context.now() - (this._startedMs.get(`loading ${id}`) ?? this._services.context.now());
     void this._reports.append({ kind: 'replicaReady', replica: id }).then((accepted) => {
       if (accepted) {
-        this._startedMs.delete(id);
+        this._startedMs.delete(`loading ${id}`);
         this._events.onLoaded({ replica, durationMs });
       }
     });
   }
 
-  private _reportFailed(replica: decisions.ReplicaEntry, reason: string): void {
-    void this._reports.append({ kind: 'replicaFailed', replica: replica.replica, reason }).then((accepted) => {
+  private _reportFailed(replica: decisions.ReplicaEntry, reason: string, before: decisions.ControlState): void {
+    const names = { kind: 'replicaFailed', replica: replica.replica, reason } as const;
+    void this._reports.append({ ...names, readAfter: before.appliedOffset }).then((accepted) => {
       if (accepted) {
-        this._startedMs.delete(replica.replica);
+        this._startedMs.delete(`loading ${replica.replica}`);
         this._events.onFailed({ target: this.target, model: EngineClient.modelName(replica), reason });
       }
     });
@@ -314,9 +348,9 @@
     return answer?.kind === 'refused' ? answer.message : 'the engine does not hold the model after the load order';
   }
 
-  private _noteStart(id: number): void {
-    if (!this._startedMs.has(id)) {
-      this._startedMs.set(id, this._services.context.now());
+  private _noteStart(key: string): void {
+    if (!this._startedMs.has(key)) {
+      this._startedMs.set(key, this._services.context.now());
     }
   }
 
@@ -332,6 +366,9 @@
   }
 
   private _intervalMs(): number {
+    if (!this._isInTransition()) {
+      return settlingIntervalMs;
+    }
     const nowMs = this._services.context.now();
     const youngestMs = Math.min(...[...this._startedMs.values()].map((startedMs) => nowMs - startedMs));
     const share = Number.isFinite(youngestMs) ? youngestMs * longLoadShare : 0;
--- a/packages/daemon/src/owner/WakeAnswers.ts
+++ b/packages/daemon/src/owner/WakeAnswers.ts
@@ -47,7 +47,11 @@
   request: WakeRequest,
   nowMs: number,
 ): WakeAnswer {
-  const { urgency, remainingMs, waiting } = request;
+  const { urgency, remainingMs } = request;
+  if (planning.queue.has(settings)) {
+    // Daemons repeat their wakes each second; placement need not be worked out again for each of them.
+    return answerForQueued(planning, settings, request, planning.loadTimes.expectedMs(settings), nowMs);
+  }
   const view = planning.view(nowMs, Planning.keyOf(settings));
   const placement = decisions.placeReplica(view, { settings, urgency, remainingMs, replicas: 1 });
   if (placement.kind === 'refuse') {
@@ -64,6 +68,18 @@
     return refuse('model_load_failed', `model ${nameOf(settings)} failed to load repeatedly`, pauseMs);
   }
   const loadMs = placement.kind === 'evict' ? planning.loadTimes.expectedMs(settings) + 500 : placement.expectedMs;
+  return answerForQueued(planning, settings, request, loadMs, nowMs);
+}
+
+/** Queues the model, or renews its place, and estimates when it is ready. */
+function answerForQueued(
+  planning: Planning,
+  settings: decisions.ModelSettings,
+  request: WakeRequest,
+  loadMs: number,
+  nowMs: number,
+): WakeAnswer {
+  const { urgency, remainingMs, waiting } = request;
   const queued = planning.queue.has(settings) || planning.pendingLoads.has(Planning.keyOf(settings));
   const waitMs = planning.bucket.waitMs(planning.queue.position(settings, nowMs), nowMs);
   const answer = inTime(settings, waitMs + loadMs, queued ? remainingMs * tolerance : remainingMs);
--- a/packages/daemon/src/owner/testing/MemoryControl.ts
+++ b/packages/daemon/src/owner/testing/MemoryControl.ts
@@ -79,9 +79,9 @@
   public get members(): readonly PeerMember[] {
     return this._group
       .filter((member) => !member.killed)
-      .map(({ incarnation }) => {
+      .map(({ incarnation, paused }) => {
         const self = incarnation === this.incarnation;
-        return { incarnation, daemon: incarnation, failureDomain: 'a', suspected: false, self };
+        return { incarnation, daemon: incarnation, failureDomain: 'a', suspected: paused, self };
       });
   }
 
--- a/packages/daemon/src/targets/LeavingVms.ts
+++ b/packages/daemon/src/targets/LeavingVms.ts
@@ -3,13 +3,16 @@
 
 /** VMs called leaving by the VM list or by peers, ahead of the log. */
 export class LeavingVms {
-  private readonly _hints = new Set<common.VmName>();
+  /** From the VM list, as far as this daemon reads it. */
+  private _listed: ReadonlySet<common.VmName> = new Set();
+  /** From peers, which pass hints on themselves. */
+  private readonly _received = new Set<common.VmName>();
   private readonly _unsubscribe: readonly common.Unsubscribe[];
 
   public constructor(private readonly _control: ControlPlane) {
     this._unsubscribe = [
       _control.peers.onLeavingHints((vms) => {
-        this.add(vms);
+        this._receive(vms);
       }),
       _control.log.onChange((change) => {
         if (change.record.body.kind === 'vmObserved') {
@@ -21,25 +24,21 @@
 
   /** Hints that the log does not have yet. */
   public get hints(): ReadonlySet<common.VmName> {
-    return this._hints;
+    return new Set([...this._listed, ...this._received]);
   }
 
-  /** Takes over hints and passes them on, because heartbeats reach only a few peers. */
-  public add(vms: readonly common.VmName[]): void {
-    const before = this._hints.size;
-    for (const vm of vms) {
-      if (this._isNews(vm)) {
-        this._hints.add(vm);
-      }
-    }
-    if (this._hints.size !== before) {
-      this._control.peers.setLeavingHints([...this._hints]);
+  /** Takes over what the VM list calls leaving now, and tells the peers. */
+  public setListed(vms: readonly common.VmName[]): void {
+    const news = vms.filter((vm) => this._isNews(vm));
+    if (news.length !== this._listed.size || news.some((vm) => !this._listed.has(vm))) {
+      this._listed = new Set(news);
+      this._control.peers.setLeavingHints(news);
     }
   }
 
   /** Whether a VM takes no new work. */
   public isLeaving(vm: common.VmName): boolean {
-    return this._hints.has(vm) || this._control.log.state.vms.get(vm)?.state === 'leaving';
+    return this._listed.has(vm) || this._received.has(vm) || this._control.log.state.vms.get(vm)?.state === 'leaving';
   }
 
   /** Stops listening. */
@@ -54,13 +53,20 @@
     return this._control.log.state.vms.get(vm)?.state === 'live';
   }
 
+  private _receive(vms: readonly common.VmName[]): void {
+    for (const vm of vms) {
+      if (this._isNews(vm)) {
+        this._received.add(vm);
+      }
+    }
+  }
+
   private _expire(): void {
-    const expired = [...this._hints].filter((vm) => !this._isNews(vm));
-    if (expired.length > 0) {
-      for (const vm of expired) {
-        this._hints.delete(vm);
+    this.setListed([...this._listed]);
+    for (const vm of this._received) {
+      if (!this._isNews(vm)) {
+        this._received.delete(vm);
       }
-      this._control.peers.setLeavingHints([...this._hints]);
     }
   }
 }
--- a/packages/daemon/src/targets/LoadCollector.ts
+++ b/packages/daemon/src/targets/LoadCollector.ts
@@ -3,7 +3,14 @@
 import type { ControlPlane } from '../Types.js';
 import { chooseCollector } from './collectorChoice.js';
 import { renewIntervalMs } from './LoadDigests.js';
-import { digestsSchema, indexSchema, loadReportSchema, subscribeSchema, type DigestMessage } from './schemas.js';
+import {
+  digestsSchema,
+  indexSchema,
+  loadReportSchema,
+  subscribeSchema,
+  type DigestMessage,
+  type LoadReport,
+} from './schemas.js';
 
 const pollIntervalMs = 1_000;
 const pollTimeoutMs = 900;
@@ -23,7 +30,7 @@
       readonly targets: readonly common.TargetAddress[];
       readonly reply: (digests: readonly DigestMessage[]) => void;
     }
-  | { readonly kind: 'polled'; readonly target: common.TargetAddress; readonly body: unknown }
+  | { readonly kind: 'polled'; readonly target: common.TargetAddress; readonly report: LoadReport | undefined }
   | { readonly kind: 'indexed'; readonly target: common.TargetAddress; readonly body: unknown }
   | { readonly kind: 'sent'; readonly daemon: common.Incarnation };
 
@@ -70,7 +77,7 @@
         message.reply(message.targets.flatMap((target) => this._targets.get(target)?.digest ?? []));
         break;
       case 'polled':
-        this._polled(message.target, message.body);
+        this._polled(message.target, message.report);
         break;
       case 'indexed':
         this._indexed(message.target, message.body);
@@ -163,8 +170,7 @@
     collected.polls += 1;
     const load = { method: 'GET', url: `http://${target}/v2/load`, timeoutMs: pollTimeoutMs } as const;
     void this._http.request(load).then((outcome) => {
-      const ok = outcome.ok && outcome.value.status === 200;
-      this.post({ kind: 'polled', target, body: ok ? outcome.value.body : undefined });
+      this.post({ kind: 'polled', target, report: outcome.ok ? reportOf(outcome.value) : undefined });
     });
     if (collected.polls % pollsPerIndex === 0 && this._isEngine(target)) {
       this._readIndex(target);
@@ -186,15 +192,14 @@
     );
   }
 
-  private _polled(target: common.TargetAddress, body: unknown): void {
+  private _polled(target: common.TargetAddress, report: LoadReport | undefined): void {
     const collected = this._targets.get(target);
     if (collected === undefined) {
       return;
     }
     collected.polling = false;
     const before = collected.digest;
-    const report = loadReportSchema.safeParse(body);
-    if (!report.success) {
+    if (report === undefined) {
       collected.failures += 1;
       if (collected.failures === failuresUntilUnreachable) {
         const last = before ?? { target, sequence: 0, running: 0, waiting: 0, slots: 0, restarted: false };
@@ -204,8 +209,12 @@
     }
     collected.failures = 0;
     // Polls of one collector follow one another, so a lower sequence means that the engine started anew.
-    const restarted = before !== undefined && report.data.sequence < before.sequence;
-    const digest = { target, ...report.data, reachable: true, restarted };
+    const restarted = before !== undefined && report.sequence < before.sequence;
+    if (restarted) {
+      // The engine has lost its models and the fencing token that it had confirmed.
+      this._contradicted(target);
+    }
+    const digest = { target, ...report, reachable: true, restarted };
     if (before === undefined || restarted || isChanged(before, digest)) {
       this._change(collected, digest);
     }
@@ -244,6 +253,16 @@
   }
 }
 
+/** Load in a response; undefined if the target did not give one. */
+function reportOf(response: common.JsonResponse): LoadReport | undefined {
+  // A plain service need not report its load; its answer still shows that it can be reached.
+  if (response.status === 404) {
+    return { sequence: 0, running: 0, waiting: 0, slots: 0 };
+  }
+  const parsed = loadReportSchema.safeParse(response.body);
+  return response.status === 200 && parsed.success ? parsed.data : undefined;
+}
+
 function isChanged(before: DigestMessage, after: DigestMessage): boolean {
   return (
     before.running !== after.running ||
--- a/packages/daemon/src/targets/VmWatcher.ts
+++ b/packages/daemon/src/targets/VmWatcher.ts
@@ -15,7 +15,11 @@
 
 type WatcherMessage =
   | { readonly kind: 'poll' }
-  | { readonly kind: 'listed'; readonly vms: ReadonlyMap<common.VmName, ListedVm> | undefined }
+  | {
+      readonly kind: 'listed';
+      readonly vms: ReadonlyMap<common.VmName, ListedVm> | undefined;
+      readonly readAfter: decisions.Offset;
+    }
   | { readonly kind: 'written'; readonly vm: common.VmName };
 
 /** Reads the VM list and writes its changes to the log, if this daemon is one of the watchers. */
@@ -51,7 +55,7 @@
         break;
       case 'listed':
         this._polling = false;
-        this._listed(message.vms);
+        this._listed(message.vms, message.readAfter);
         break;
       case 'written':
         this._writing.delete(message.vm);
@@ -73,14 +77,15 @@
       return;
     }
     this._polling = true;
+    const readAfter = this._control.log.state.appliedOffset;
     const url = this._context.settings.platform.vmListUrl;
     void this._http.request({ method: 'GET', url, timeoutMs: pollTimeoutMs }).then((outcome) => {
       const ok = outcome.ok && outcome.value.status === 200;
-      this.post({ kind: 'listed', vms: ok ? parseVmList(outcome.value.body) : undefined });
+      this.post({ kind: 'listed', vms: ok ? parseVmList(outcome.value.body) : undefined, readAfter });
     });
   }
 
-  private _listed(vms: ReadonlyMap<common.VmName, ListedVm> | undefined): void {
+  private _listed(vms: ReadonlyMap<common.VmName, ListedVm> | undefined, readAfter: decisions.Offset): void {
     const known = this._control.log.state.vms;
     // An empty list in place of several VMs is a fault of the list: it would drop every replica at once.
     const usable = vms !== undefined && (vms.size > 0 || known.size <= 1);
@@ -91,7 +96,7 @@
     if (!usable) {
       return;
     }
-    this._leaving.add([...vms.values()].filter((vm) => vm.state === 'leaving').map((vm) => vm.vm));
+    this._leaving.setListed([...vms.values()].filter((vm) => vm.state === 'leaving').map((vm) => vm.vm));
     const changes = [...this._changedVms(vms, known), ...this._goneVms(vms, known)];
     const changed = new Set(changes.map((change) => change.vm));
     for (const vm of this._noticedMs.keys()) {
@@ -100,7 +105,7 @@
       }
     }
     for (const change of changes) {
-      this._write(change);
+      this._write({ ...change, readAfter });
     }
   }
 
@@ -110,7 +115,7 @@
   ): readonly decisions.VmObserved[] {
     return [...vms.values()]
       .filter((vm) => !isSameVm(vm, known.get(vm.vm)))
-      .map((vm) => ({ kind: 'vmObserved', ...vm, basedOn: known.get(vm.vm)?.observedAt ?? null }));
+      .map((vm) => ({ kind: 'vmObserved', ...vm }));
   }
 
   private _goneVms(
@@ -126,9 +131,8 @@
       const lists = (this._missing.get(entry.vm) ?? 0) + 1;
       this._missing.set(entry.vm, lists);
       if (lists >= missingListsUntilGone) {
-        const { vm, failureDomain, observedAt } = entry;
-        const names = { kind: 'vmObserved', vm, failureDomain } as const;
-        gone.push({ ...names, state: 'gone', targets: [], basedOn: observedAt ?? null });
+        const { vm, failureDomain } = entry;
+        gone.push({ kind: 'vmObserved', vm, failureDomain, state: 'gone', targets: [] });
       }
     }
     return gone;
--- a/packages/daemon/src/targets/schemas.ts
+++ b/packages/daemon/src/targets/schemas.ts
@@ -9,6 +9,8 @@
   slots: zod.number(),
 });
 
+export type LoadReport = zod.infer<typeof loadReportSchema>;
+
 /** Index of a target as far as the collector compares it. */
 export const indexSchema = zod.array(
   zod.object({ name: zod.string(), version: zod.string().default(''), state: zod.string() }),
--- a/packages/decisions/src/placement/LoadQueue.ts
+++ b/packages/decisions/src/placement/LoadQueue.ts
@@ -1,5 +1,5 @@
 import type * as common from '@jayhaven/common';
-import type { ModelSettings } from '../Types.js';
+import type { DecisionReason, ModelSettings } from '../Types.js';
 import { neededBytes, sumBytes } from './fitting.js';
 
 /** An entry that nobody asked for again within this time is dropped; daemons repeat a wake each second. */
@@ -18,6 +18,8 @@
   readonly enqueuedMs: number;
   readonly refreshedMs: number;
   readonly waiting: number;
+  /** Why the load is due, if nobody asked for it. */
+  readonly cause?: DecisionReason;
 }
 
 /** A request to load a model. */
@@ -27,6 +29,7 @@
   readonly replicas: number;
   readonly remainingMs: number;
   readonly waiting: number;
+  readonly cause?: DecisionReason;
 }
 
 /**
@@ -51,6 +54,7 @@
     if (before === undefined && this._entries.size >= this._maximumEntries) {
       return false;
     }
+    const cause = request.cause ?? before?.cause;
     const interactive = request.urgency === 'interactive' || before?.urgency === 'interactive';
     this._entries.set(key, {
       settings: request.settings,
@@ -60,6 +64,7 @@
       enqueuedMs: before?.enqueuedMs ?? nowMs,
       refreshedMs: nowMs,
       waiting: Math.max(request.waiting, before?.waiting ?? 0),
+      ...(cause === undefined ? {} : { cause }),
     });
     if (before === undefined) {
       this._catchUp(request.settings.partner);
