--- /dev/null
+++ b/packages/decisions/src/placement/placeReplica.test.ts
@@ -0,0 +1,244 @@
+import * as fc from 'fast-check';
+import * as vitest from 'vitest';
+import { GapHistogram } from '../policy/GapHistogram.js';
+import { FixedKeepAlivePolicy } from '../policy/FixedKeepAlivePolicy.js';
+import type { ModelUsage } from '../policy/Types.js';
+import { freeBytes } from '../queries/memory.js';
+import { emptyControlState, replay } from '../replay/replay.js';
+import type { ControlRecordBody, ControlState, ModelSettings, ReplicaId } from '../Types.js';
+import { modelSettings } from '../configuration/settings.js';
+import { placeReplica } from './placeReplica.js';
+import type { Placement, PlacementRequest, PlacementView } from './Types.js';
+import { chooseLoads, chooseUnloads } from './upkeep.js';
+
+const limits = { maximumConcurrentLoads: 100, maximumAdaptersInTransit: 30, partners: ['solano', 'cascade'] };
+const incarnation = 'd1#1';
+
+/** Replays records of one daemon that owns cell `c` under claim 1. */
+class World {
+  public state: ControlState = emptyControlState(limits);
+  public usage = new Map<string, Partial<ModelUsage>>();
+  public loadMs = new Map<string, number>();
+  private _offset = 0;
+
+  public constructor() {
+    const address = { host: '127.0.0.1', port: 1 };
+    const names = { daemon: 'd1', vm: 'v', failureDomain: 'a', peers: address, operators: address };
+    this.add({ kind: 'daemonJoined', ...names });
+    this.add({ kind: 'ownerClaimed', cell: 'c', supersedes: null });
+  }
+
+  public add(body: ControlRecordBody): number {
+    const offset = this._offset;
+    this._offset += 1;
+    const record = { id: { incarnation, sequence: offset }, clock: { wallMs: 0, counter: 0 }, body, offset };
+    const result = replay(this.state, record);
+    vitest.expect(result.verdict).toEqual({ kind: 'accepted' });
+    this.state = result.state;
+    return offset;
+  }
+
+  public engine(vm: string, failureDomain: string, acceleratorBytes: readonly number[]): void {
+    const target = { address: vm, role: 'engine', acceleratorBytes, fencing: 'checked' } as const;
+    this.add({ kind: 'vmObserved', vm, failureDomain, state: 'live', targets: [target] });
+  }
+
+  public set(key: string, value: unknown): void {
+    const partner = key.split('/')[0] ?? '';
+    this.add({ kind: 'configurationEdited', partner, operator: 'o', key, basedOn: null, value, reason: 'r' });
+  }
+
+  public model(name: string, weightBytes: readonly number[], cacheBytes = 0): void {
+    this.set(name.replace('/', '/models/'), { version: '1', weightBytes, cacheBytes, expectedLoadMilliseconds: 1_000 });
+  }
+
+  public settings(name: string): ModelSettings {
+    const [partner = '', model = ''] = name.split('/');
+    const settings = modelSettings(this.state, partner, model);
+    if (settings === undefined) {
+      throw new Error(`invariant broken: ${name} is not configured`);
+    }
+    return settings;
+  }
+
+  public view(fields: Partial<PlacementView> = {}): PlacementView {
+    return {
+      state: this.state,
+      policy: new FixedKeepAlivePolicy(),
+      usageOf: (model) => ({
+        lastUsedMs: 0,
+        inFlight: 0,
+        peakInFlight: 0,
+        adaptersInFlight: new Map(),
+        adaptersLastUsedMs: new Map(),
+        gaps: new GapHistogram(),
+        ...this.usage.get(`${model.partner}/${model.model}`),
+      }),
+      expectedLoadMs: (settings, target) => this.loadMs.get(target ?? '') ?? settings.expectedLoadMs,
+      readySinceMs: () => 0,
+      blockedTargets: new Set(),
+      leavingVms: new Set(),
+      evictAfterMs: 0,
+      nowMs: 100_000,
+      ...fields,
+    };
+  }
+
+  public place(name: string, fields: Partial<PlacementRequest> = {}, view: Partial<PlacementView> = {}): Placement {
+    const request = {
+      settings: this.settings(name),
+      urgency: 'interactive',
+      remainingMs: 30_000,
+      replicas: 1,
+    } as const;
+    return placeReplica(this.view(view), { ...request, ...fields });
+  }
+
+  /** Replays the decision that placement made, and that the replica is ready. */
+  public load(name: string, fields: Partial<PlacementRequest> = {}): ReplicaId {
+    const placement = this.place(name, fields);
+    vitest.expect(placement.kind).toBe('load');
+    if (placement.kind !== 'load') {
+      return -1;
+    }
+    const { target, bytes, ordinal, reason } = placement;
+    const [partner = '', model = ''] = name.split('/');
+    const names = { partner, model, version: '1', cell: 'c', claim: 1, urgency: 'batch' } as const;
+    const replica = this.add({ kind: 'loadDecided', ...names, target, bytes, ordinal, reason });
+    this.add({ kind: 'orderSettled', order: replica, result: 'sent' });
+    this.add({ kind: 'replicaReady', replica });
+    return replica;
+  }
+}
+
+vitest.describe('placeReplica', () => {
+  vitest.test('chooses the tightest accelerators that fit (guards against fragmented memory)', () => {
+    const world = new World();
+    world.engine('v1', 'a', [100, 100]);
+    world.engine('v2', 'a', [60, 100]);
+    world.model('solano/m', [40], 10);
+    vitest.expect(world.place('solano/m')).toMatchObject({ kind: 'load', target: 'v2', bytes: [50, 0], ordinal: 1 });
+  });
+
+  vitest.test('prefers a target that loaded the model faster before (guards the tail of cold starts)', () => {
+    const world = new World();
+    world.engine('v1', 'a', [100]);
+    world.engine('v2', 'a', [60]);
+    world.model('solano/m', [40]);
+    world.loadMs.set('v1', 200);
+    vitest.expect(world.place('solano/m')).toMatchObject({ target: 'v1', expectedMs: 200 });
+  });
+
+  vitest.test('puts a second replica into another failure domain (guards against losing both at once)', () => {
+    const world = new World();
+    world.set('solano/defaults/maximumReplicas', 2);
+    world.engine('v1', 'a', [50]);
+    world.engine('v2', 'a', [50]);
+    world.engine('v3', 'b', [100]);
+    world.model('solano/m', [40]);
+    world.load('solano/m');
+    vitest.expect(world.place('solano/m', { replicas: 2 })).toMatchObject({ target: 'v3', ordinal: 2 });
+    vitest.expect(world.place('solano/m')).toMatchObject({ kind: 'served', state: 'ready' });
+  });
+
+  vitest.test('refuses what can never fit, and what finds no room (guards against waiting in vain)', () => {
+    const world = new World();
+    world.engine('v1', 'a', [50]);
+    world.model('solano/big', [60]);
+    world.model('solano/m', [40]);
+    world.model('solano/n', [40]);
+    vitest.expect(world.place('solano/big')).toMatchObject({ kind: 'refuse', type: 'model_never_fits' });
+    world.load('solano/m');
+    world.usage.set('solano/m', { inFlight: 1 });
+    vitest.expect(world.place('solano/n')).toMatchObject({ kind: 'refuse', type: 'model_no_room' });
+    vitest.expect(world.place('solano/n', {}, { blockedTargets: new Set(['v1']) })).toMatchObject({ kind: 'wait' });
+  });
+
+  vitest.test('evicts the cheapest idle replica (guards against evicting what is used or slow to reload)', () => {
+    const world = new World();
+    world.engine('v1', 'a', [100]);
+    for (const name of ['solano/used', 'solano/recent', 'solano/old', 'solano/new']) {
+      world.model(name, [30]);
+    }
+    world.load('solano/used');
+    world.load('solano/recent');
+    const old = world.load('solano/old');
+    world.usage.set('solano/used', { inFlight: 1 });
+    world.usage.set('solano/recent', { lastUsedMs: 99_000 });
+    vitest.expect(world.place('solano/new')).toMatchObject({ kind: 'evict', target: 'v1', victims: [old] });
+    vitest.expect(world.place('solano/new', {}, { evictAfterMs: 200_000 })).toMatchObject({ kind: 'refuse' });
+  });
+
+  vitest.test('keeps a partner within its share from the other partner (guards the guaranteed share)', () => {
+    const world = new World();
+    world.engine('v1', 'a', [100]);
+    world.model('solano/m', [50]);
+    world.model('solano/n', [50]);
+    world.model('cascade/m', [50]);
+    const first = world.load('solano/m');
+    world.load('solano/n');
+    vitest.expect(world.place('cascade/m')).toMatchObject({ kind: 'evict' });
+    const key = 'shared/share/solano';
+    const names = { partner: 'solano', operator: 'o', key, basedOn: null, value: 0.5, reason: 'r' };
+    const edit = world.add({ kind: 'configurationEdited', ...names });
+    world.add({ kind: 'configurationApproved', partner: 'cascade', operator: 'o', edit });
+    vitest.expect(world.place('cascade/m')).toMatchObject({ kind: 'evict', victims: [first] });
+    world.add({ kind: 'unloadDecided', cell: 'c', claim: 1, replica: first, reason: { rule: 'r', figures: {} } });
+    vitest.expect(world.place('cascade/m')).toMatchObject({ kind: 'wait' });
+  });
+
+  vitest.test("keeps minimumReplicas, also when idle (guards the operators' setting)", () => {
+    const world = new World();
+    world.engine('v1', 'a', [50]);
+    world.set('solano/defaults/minimumReplicas', 1);
+    world.set('solano/defaults/keepAliveSeconds', 1);
+    world.model('solano/m', [40]);
+    vitest.expect(chooseLoads(world.view())).toMatchObject([{ replicas: 1, reason: { rule: 'minimumReplicas' } }]);
+    world.load('solano/m');
+    world.model('cascade/m', [40]);
+    vitest.expect(world.place('cascade/m')).toMatchObject({ kind: 'refuse' });
+    vitest.expect(chooseUnloads(world.view())).toEqual([]);
+  });
+
+  vitest.test('unloads what is idle, superseded or blocks its replacement (guards idle accelerator hours)', () => {
+    const world = new World();
+    world.engine('v1', 'a', [100]);
+    world.set('solano/defaults/keepAliveSeconds', 50);
+    world.model('solano/m', [40]);
+    const replica = world.load('solano/m');
+    vitest.expect(chooseUnloads(world.view())).toMatchObject([{ replica, reason: { rule: 'idle' } }]);
+    world.usage.set('solano/m', { lastUsedMs: 90_000 });
+    vitest.expect(chooseUnloads(world.view())).toEqual([]);
+    const leaving = { leavingVms: new Set(['v1']) };
+    vitest.expect(chooseUnloads(world.view(leaving))).toMatchObject([{ replica, reason: { rule: 'vmLeaving' } }]);
+  });
+
+  vitest.test('never places more than a target holds (guards P2 for any sequence of loads)', () => {
+    const memory = fc.array(fc.integer({ min: 1, max: 100 }), { minLength: 1, maxLength: 3 });
+    const models = fc.array(fc.array(fc.integer({ min: 1, max: 60 }), { minLength: 1, maxLength: 2 }), {
+      maxLength: 8,
+    });
+    fc.assert(
+      fc.property(fc.array(memory, { minLength: 1, maxLength: 4 }), models, (engines, weights) => {
+        const world = new World();
+        engines.forEach((bytes, index) => {
+          world.engine(`v${index}`, 'a', bytes);
+        });
+        weights.forEach((bytes, index) => {
+          const name = `solano/m${index}`;
+          world.model(name, bytes);
+          const placement = world.place(name);
+          if (placement.kind === 'load') {
+            // Replay checks memory and ordinal; the load is accepted or the test fails.
+            world.load(name);
+            vitest.expect(freeBytes(world.state, placement.target).every((free) => free >= 0)).toBe(true);
+          } else if (placement.kind === 'evict') {
+            const targets = placement.victims.map((victim) => world.state.replicas.get(victim)?.target);
+            vitest.expect(new Set(targets)).toEqual(new Set([placement.target]));
+          }
+        });
+      }),
+      { numRuns: 200 },
+    );
+  });
+});
