Let a load wait a moment for replicas in use instead of refusing it at once

Use is reported each second, so a replica that has just become idle looked busy, and after a change of owner nothing may be evicted for 3 s.

--- a/packages/daemon/src/owner/LoadPlanner.ts
+++ b/packages/daemon/src/owner/LoadPlanner.ts
@@ -90,6 +90,10 @@
         return true;
       case 'wait':
         planning.noteBlocked(settings, view.state, nowMs);
+        if (nowMs - entry.enqueuedMs > (placement.patienceMs ?? Infinity)) {
+          planning.queue.remove(settings);
+          planning.noteRefused(settings, nowMs);
+        }
         return true;
       case 'evict':
         planning.reserve(placement.target, settings, nowMs);
--- a/packages/daemon/src/owner/Planning.ts
+++ b/packages/daemon/src/owner/Planning.ts
@@ -7,6 +7,8 @@
 const usageGraceMs = 3_000;
 /** Usage, pauses and hints change without a record, so a blocked load is tried again after this time. */
 const blockedRetryMs = 500;
+/** Daemons repeat their wakes each second, so each of them hears a refusal within this time. */
+const refusalMs = 1_500;
 /** A target gets no load for this time after one failed there, milliseconds. */
 const failedTargetPauseMs = 5_000;
 /** Room made for a load is kept for it this long. */
@@ -53,6 +55,7 @@
   private readonly _pausedTargets = new Map<common.TargetAddress, number>();
   private readonly _strays = new Set<common.TargetAddress>();
   private readonly _blocked = new Map<string, Blocked>();
+  private readonly _refusedUntilMs = new Map<string, number>();
   private readonly _failures = new Map<string, Failures>();
   private readonly _readySinceMs = new Map<decisions.ReplicaId, number>();
   private readonly _loadingSinceMs = new Map<decisions.ReplicaId, number>();
@@ -138,6 +141,21 @@
     }
   }
 
+  /** Notes that a load waited for room in vain; the daemons hear it when they repeat their wakes. */
+  public noteRefused(settings: decisions.ModelSettings, nowMs: number): void {
+    this._refusedUntilMs.set(Planning.keyOf(settings), nowMs + refusalMs);
+  }
+
+  /** Whether a load waited for room in vain a moment ago. */
+  public isRefused(settings: decisions.ModelSettings, nowMs: number): boolean {
+    const key = Planning.keyOf(settings);
+    const refused = (this._refusedUntilMs.get(key) ?? -Infinity) > nowMs;
+    if (!refused) {
+      this._refusedUntilMs.delete(key);
+    }
+    return refused;
+  }
+
   /** Notes that a load cannot be placed in this state. */
   public noteBlocked(settings: decisions.ModelSettings, state: decisions.ControlState, nowMs: number): void {
     this._blocked.set(Planning.keyOf(settings), { state, atMs: nowMs });
--- a/packages/daemon/src/owner/WakeAnswers.ts
+++ b/packages/daemon/src/owner/WakeAnswers.ts
@@ -12,6 +12,7 @@
 /** When to come back for a model or adapter that is not configured, milliseconds. */
 const unknownRetryMs = 60_000;
 const queueFullRetryMs = 2_000;
+const noRoomRetryMs = 5_000;
 
 /** Answers one request and queues the load it needs. */
 export function answerWake(
@@ -63,6 +64,10 @@
   if (placement.kind === 'served') {
     return inTime(settings, planning.remainingLoadMs(settings, placement.replica, nowMs), remainingMs * tolerance);
   }
+  if (planning.isRefused(settings, nowMs)) {
+    const message = `no target has room for model ${nameOf(settings)}: all replicas that could be evicted are in use`;
+    return refuse('model_no_room', message, noRoomRetryMs);
+  }
   const pauseMs = planning.failurePauseMs(settings, nowMs);
   if (pauseMs !== undefined) {
     return refuse('model_load_failed', `model ${nameOf(settings)} failed to load repeatedly`, pauseMs);
--- a/packages/decisions/src/placement/LoadQueue.ts
+++ b/packages/decisions/src/placement/LoadQueue.ts
@@ -61,7 +61,8 @@
       urgency: interactive ? 'interactive' : 'batch',
       replicas: Math.max(request.replicas, before?.replicas ?? 0),
       deadlineMs: Math.max(nowMs + request.remainingMs, before?.deadlineMs ?? 0),
-      enqueuedMs: before?.enqueuedMs ?? nowMs,
+      // Someone who waits now has not waited as long as a wish that nobody waited for.
+      enqueuedMs: before !== undefined && (before.waiting > 0 || request.waiting === 0) ? before.enqueuedMs : nowMs,
       refreshedMs: nowMs,
       waiting: Math.max(request.waiting, before?.waiting ?? 0),
       ...(cause === undefined ? {} : { cause }),
--- a/packages/decisions/src/placement/Types.ts
+++ b/packages/decisions/src/placement/Types.ts
@@ -56,7 +56,13 @@
       readonly reason: DecisionReason;
     }
   /** Room or a slot becomes free soon: ask again after the next change. */
-  | { readonly kind: 'wait'; readonly expectedMs: number; readonly reason: DecisionReason }
+  | {
+      readonly kind: 'wait';
+      readonly expectedMs: number;
+      /** Nothing promises room: the load is refused after this time, milliseconds. */
+      readonly patienceMs?: number;
+      readonly reason: DecisionReason;
+    }
   | {
       readonly kind: 'refuse';
       readonly type: 'model_no_room' | 'model_cold_no_time' | 'model_never_fits';
--- a/packages/decisions/src/placement/evictions.ts
+++ b/packages/decisions/src/placement/evictions.ts
@@ -15,17 +15,21 @@
   readonly cost: number;
 }
 
-/** The cheapest set of victims on one target after which the load fits, or undefined. */
+/**
+ * The cheapest set of victims on one target after which the load fits, or undefined. With `ignoreUse` it tells whether
+ * the load could fit once requests in flight have ended.
+ */
 export function planEviction(
   view: PlacementView,
   request: PlacementRequest,
   target: CandidateTarget,
+  use: 'respectUse' | 'ignoreUse' = 'respectUse',
 ): EvictionPlan | undefined {
-  if (view.nowMs < view.evictAfterMs) {
+  if (use === 'respectUse' && view.nowMs < view.evictAfterMs) {
     return undefined;
   }
   const candidates = [...view.state.replicas.values()]
-    .filter((replica) => replica.target === target.address && isEvictable(view, replica))
+    .filter((replica) => replica.target === target.address && isEvictable(view, replica, use))
     .map((replica) => ({ replica, cost: evictionCost(view, replica) }))
     .filter((candidate) => Number.isFinite(candidate.cost))
     .sort((first, second) => first.cost - second.cost || first.replica.replica - second.replica.replica);
@@ -47,11 +51,15 @@
 }
 
 /** Whether a replica may be unloaded at all now. */
-export function isEvictable(view: PlacementView, replica: ReplicaEntry): boolean {
+export function isEvictable(
+  view: PlacementView,
+  replica: ReplicaEntry,
+  use: 'respectUse' | 'ignoreUse' = 'respectUse',
+): boolean {
   if (replica.state !== 'ready' || hasUnsettledOrder(view, replica)) {
     return false;
   }
-  if (view.usageOf(replica).inFlight > 0) {
+  if (use === 'respectUse' && view.usageOf(replica).inFlight > 0) {
     return false;
   }
   const settings = queries.modelSettings(view.state, replica.partner, replica.model);
--- a/packages/decisions/src/placement/placeReplica.ts
+++ b/packages/decisions/src/placement/placeReplica.ts
@@ -12,6 +12,8 @@
 const noRoomRetryMs = 10_000;
 /** When to come back for a model that no target can hold; only a change of the configuration or the VMs helps. */
 const neverFitsRetryMs = 60_000;
+/** Use is reported each second, so replicas that have become idle show within this time, milliseconds. */
+const inUsePatienceMs = 2_500;
 /** Allowance for an unload with drain before a load, milliseconds. */
 const unloadAllowanceMs = 500;
 
@@ -66,6 +68,9 @@
   if (free.length > open.length || free.some((engine) => fitsAfterUnloads(view, settings, engine))) {
     return waitForRoom(view, request);
   }
+  if (open.some((engine) => planEviction(view, request, engine, 'ignoreUse') !== undefined)) {
+    return waitForUse(view, request);
+  }
   return noRoom(request, large.length);
 }
 
@@ -180,6 +185,14 @@
   return { kind: 'wait', expectedMs, reason: { rule: 'roomExpected', figures: { allowanceMs: unloadAllowanceMs } } };
 }
 
+/** Replicas that are in use, or whose use is not known yet, may be idle in a moment. */
+function waitForUse(view: PlacementView, request: PlacementRequest): Placement {
+  const graceMs = Math.max(0, view.evictAfterMs - view.nowMs);
+  const expectedMs = view.expectedLoadMs(request.settings) + unloadAllowanceMs + graceMs;
+  const reason = { rule: 'replicasInUse', figures: { graceMs, patienceMs: inUsePatienceMs } };
+  return { kind: 'wait', expectedMs, patienceMs: graceMs + inUsePatienceMs, reason };
+}
+
 function noRoom(request: PlacementRequest, candidates: number): Placement {
   const name = `${request.settings.partner}/${request.settings.model}`;
   return {
