--- a/packages/daemon/src/front/CallerAnswer.ts
+++ b/packages/daemon/src/front/CallerAnswer.ts
@@ -31,7 +31,7 @@
 export interface WholeAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[]>>;
-  readonly body: Buffer;
+  readonly body: Buffer | string;
 }
 
 /** The answer to one caller. It ends exactly once, at the latest at the deadline. */
@@ -121,7 +121,7 @@
     } else if (this._end('ok')) {
       this._response.writeHead(answer.status, {
         ...answer.headers,
-        'content-length': answer.body.length,
+        'content-length': Buffer.byteLength(answer.body),
         'x-request-id': this._request.requestId,
       });
       this._response.end(answer.body);
--- a/packages/daemon/src/front/CompletionCall.ts
+++ b/packages/daemon/src/front/CompletionCall.ts
@@ -201,7 +201,7 @@
     }
   }
 
-  private _complete(body: Buffer | undefined): void {
+  private _complete(body: string | undefined): void {
     if (body) {
       this._answer.pass({ status: 200, headers: { 'content-type': 'application/json' }, body });
     } else {
--- a/packages/daemon/src/front/completionBody.ts
+++ b/packages/daemon/src/front/completionBody.ts
@@ -38,10 +38,10 @@
 }
 
 /** Writes the body for an engine: its own model name, and the token index to continue from if any. */
-export function engineBody(body: CompletionBody, engineName: string, resumeFrom: number): Buffer {
+export function engineBody(body: CompletionBody, engineName: string, resumeFrom: number): string {
   // JSON.stringify leaves out undefined fields, so a caller cannot set `resume_from`.
   const resume = resumeFrom > 0 ? resumeFrom : undefined;
-  return Buffer.from(JSON.stringify({ ...body.fields, model: engineName, resume_from: resume }));
+  return JSON.stringify({ ...body.fields, model: engineName, resume_from: resume });
 }
 
 function succeed(
--- a/packages/daemon/src/routing/EngineAttempt.ts
+++ b/packages/daemon/src/routing/EngineAttempt.ts
@@ -16,7 +16,8 @@
 export interface AttemptRequest {
   readonly target: common.TargetAddress;
   readonly path: string;
-  readonly body: Buffer;
+  /** A string is sent together with the headers in one write; a buffer would cost a second one. */
+  readonly body: string;
   readonly urgency: common.Urgency;
   /** Id for the engine, unique for this attempt. */
   readonly engineId: string;
@@ -69,7 +70,7 @@
         agent: this._agent,
         headers: {
           'content-type': 'application/json',
-          'content-length': body.length,
+          'content-length': Buffer.byteLength(body),
           'x-request-id': engineId,
           'x-priority': urgency,
         },
@@ -155,7 +156,7 @@
     });
   }
 
-  private _collect(answer: http.IncomingMessage, maximumBytes: number, use: (body: Buffer) => void): void {
+  private _collect(answer: http.IncomingMessage, maximumBytes: number, use: (body: string) => void): void {
     const chunks: Buffer[] = [];
     let size = 0;
     answer.on('data', (chunk: Buffer) => {
@@ -167,7 +168,7 @@
     });
     answer.on('end', () => {
       if (answer.complete && !this._ended) {
-        use(Buffer.concat(chunks));
+        use(Buffer.concat(chunks).toString('utf8'));
       }
     });
     answer.on('error', () => undefined);
@@ -177,12 +178,17 @@
   }
 
   /** Passes a complete answer on if it is an answer to this attempt. */
-  private _receiveWhole(body: Buffer): void {
+  private _receiveWhole(body: string): void {
+    const { engineId, publicId } = this._request;
+    const expectedStart = `{"id":"${engineId}"`;
+    if (body.startsWith(expectedStart) && body.endsWith('}')) {
+      this._end({ kind: 'complete', body: `{"id":"${publicId}"${body.slice(expectedStart.length)}` }, false);
+      return;
+    }
     try {
-      const json: unknown = JSON.parse(body.toString('utf8'));
-      if (typeof json === 'object' && json !== null && 'id' in json && json.id === this._request.engineId) {
-        const publicBody = Buffer.from(JSON.stringify({ ...json, id: this._request.publicId }));
-        this._end({ kind: 'complete', body: publicBody }, false);
+      const json: unknown = JSON.parse(body);
+      if (typeof json === 'object' && json !== null && 'id' in json && json.id === engineId) {
+        this._end({ kind: 'complete', body: JSON.stringify({ ...json, id: publicId }) }, false);
         return;
       }
     } catch {
@@ -192,7 +198,7 @@
     this._fail('foreignAnswer');
   }
 
-  private _classify(status: number, answer: http.IncomingMessage, body: Buffer): AttemptEnd {
+  private _classify(status: number, answer: http.IncomingMessage, body: string): AttemptEnd {
     if (status === 404 || status === 503 || status === 429) {
       this._executed = 'no';
       const seconds = Number(answer.headers['retry-after'] ?? 0);
@@ -227,9 +233,9 @@
   }
 }
 
-function readErrorMessage(body: Buffer): string {
+function readErrorMessage(body: string): string {
   try {
-    const json = JSON.parse(body.toString('utf8')) as { readonly error?: { readonly message?: unknown } };
+    const json = JSON.parse(body) as { readonly error?: { readonly message?: unknown } };
     const message = json.error?.message;
     return typeof message === 'string' ? message.slice(0, 500) : 'the engine refused the request';
   } catch {
--- a/packages/daemon/src/routing/Types.ts
+++ b/packages/daemon/src/routing/Types.ts
@@ -31,7 +31,7 @@
 /** How an attempt at an engine ended. */
 export type AttemptEnd =
   /** The whole answer was passed on. */
-  | { readonly kind: 'complete'; readonly body?: Buffer }
+  | { readonly kind: 'complete'; readonly body?: string }
   /** The engine did not run it; another target may. */
   | { readonly kind: 'notRun'; readonly type: 'model_not_loaded' | 'overloaded'; readonly retryAfterMs: number }
   /** The engine finds the request invalid. */
