--- /dev/null
+++ b/packages/daemon/src/front/InFlightRequests.test.ts
@@ -0,0 +1,81 @@
+import * as http from 'node:http';
+import * as timers from 'node:timers/promises';
+import * as vitest from 'vitest';
+import { expectedText, FrontFixture, streamText } from './testing/FrontFixture.js';
+
+vitest.describe('Drain', () => {
+  vitest.test('finishes what is in flight and what still arrives (guards against cut requests)', async () => {
+    await using fixture = await FrontFixture.open({}, { announceMs: 400, limitMs: 5_000 });
+    await fixture.addEngine('vm-1', true, { tokenMs: 20 });
+    const running = fixture.chat('p', { stream: true, tokens: 60 });
+    await vitest.vi.waitFor(() => {
+      vitest.expect(fixture.front.status().inFlight).toBe(1);
+    });
+    const drained = fixture.front.drain();
+    vitest.expect((await fixture.send({ path: '/readyz' })).status).toBe(503);
+    vitest.expect((await fixture.send({ path: '/healthz' })).status).toBe(200);
+    const late = await fixture.chat('q', { tokens: 2 });
+    vitest.expect(late.status).toBe(200);
+    vitest.expect(late.headers.connection).toBe('close');
+    await timers.setTimeout(450);
+    await vitest.expect(fixture.chat('r')).rejects.toThrow('ECONNREFUSED');
+    vitest.expect(streamText((await running).text)).toBe(expectedText('p', 60));
+    vitest.expect(await drained).toEqual({ unfinished: 0 });
+    vitest.expect(await fixture.front.drain()).toEqual({ unfinished: 0 });
+  });
+
+  vitest.test('reports what is unfinished at the limit (guards against hidden losses)', async () => {
+    await using fixture = await FrontFixture.open({}, { announceMs: 0, limitMs: 300 });
+    await fixture.addEngine('vm-1', true, { tokenMs: 50 });
+    const running = fixture.chat('p', { stream: true, tokens: 200 });
+    await vitest.vi.waitFor(() => {
+      vitest.expect(fixture.front.status().inFlight).toBe(1);
+    });
+    vitest.expect(await fixture.front.drain()).toEqual({ unfinished: 1 });
+    await fixture.front[Symbol.asyncDispose]();
+    vitest.expect((await running).complete).toBe(false);
+  });
+
+  vitest.test('cuts nothing while a balancer moves callers away (guards against resets while draining)', async () => {
+    await using fixture = await FrontFixture.open({}, { announceMs: 400, limitMs: 5_000 });
+    await fixture.addEngine('vm-1', true, { tokenMs: 1 });
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 4 });
+    const outcomes: string[] = [];
+    const sendOnce = (): Promise<void> =>
+      new Promise((resolve) => {
+        const body = JSON.stringify({ model: 'walk', prompt: 'p', max_tokens: 3 });
+        const headers = { authorization: 'Bearer solano-key', 'content-length': body.length };
+        const target = { host: '127.0.0.1', port: fixture.front.port, path: '/v1/completions', method: 'POST' };
+        const outgoing = http.request({ ...target, agent, headers }, (answer) => {
+          outcomes.push(String(answer.statusCode));
+          answer.resume().on('close', resolve);
+        });
+        outgoing.on('error', (error) => {
+          outcomes.push(error.message);
+          resolve();
+        });
+        outgoing.end(body);
+      });
+    // The balancer sends no more requests once it has seen that readiness fails. What reaches the listener in the
+    // instant of its close is reset by the kernel; the announced time exists so that nothing does.
+    let ready = true;
+    const balancer = async (): Promise<void> => {
+      while (ready) {
+        await timers.setTimeout(50);
+        ready = (await fixture.send({ path: '/readyz' })).status === 200;
+      }
+    };
+    const clients = Array.from({ length: 4 }, async () => {
+      while (ready) {
+        await sendOnce();
+      }
+    });
+    const balancing = balancer();
+    await timers.setTimeout(200);
+    vitest.expect(await fixture.front.drain()).toEqual({ unfinished: 0 });
+    await Promise.all([...clients, balancing]);
+    agent.destroy();
+    vitest.expect(outcomes.length).toBeGreaterThan(10);
+    vitest.expect(new Set(outcomes)).toEqual(new Set(['200']));
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/routing/StreamChecker.test.ts
@@ -0,0 +1,70 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import { StreamChecker } from './StreamChecker.js';
+
+function event(id: string, index: number, text: string): string {
+  return `data: ${JSON.stringify({ id, choices: [{ delta: { content: text } }], token_index: index })}\n\n`;
+}
+
+vitest.describe('StreamChecker', () => {
+  vitest.test('passes a stream whole however it is cut into chunks (guards against lost or broken events)', () => {
+    fastCheck.assert(
+      fastCheck.property(
+        fastCheck.array(fastCheck.string({ unit: 'grapheme' }), { maxLength: 20 }),
+        fastCheck.array(fastCheck.integer({ min: 1, max: 40 }), { minLength: 1, maxLength: 30 }),
+        (texts, sizes) => {
+          const source = Buffer.from(
+            texts.map((text, index) => event('e-1', index, text)).join('') + 'data: [DONE]\n\n',
+          );
+          const checker = new StreamChecker('e-1', 'public', 0);
+          let passed = '';
+          for (let at = 0, turn = 0; at < source.length; turn += 1) {
+            const end = at + (sizes[turn % sizes.length] ?? 1);
+            const checked = checker.push(source.subarray(at, end));
+            vitest.expect(checked.fault).toBeUndefined();
+            passed += checked.text;
+            at = end;
+          }
+          vitest
+            .expect(passed)
+            .toBe(texts.map((text, index) => event('public', index, text)).join('') + 'data: [DONE]\n\n');
+          vitest.expect(checker.done).toBe(true);
+          vitest.expect(checker.nextIndex).toBe(texts.length);
+        },
+      ),
+    );
+  });
+
+  const faults = [
+    ['a foreign id', event('e-2', 3, 'x'), 'foreignAnswer'],
+    ['an id that only begins alike', event('e-11', 3, 'x'), 'foreignAnswer'],
+    ['a foreign id with ours in its text', event('e-2', 3, '"id":"e-1"'), 'foreignAnswer'],
+    ['a gap', event('e-1', 4, 'x'), 'tokenGap'],
+    ['a repeat', event('e-1', 2, 'x'), 'tokenRepeat'],
+    ['an index hidden in the text', event('e-1', 5, '"token_index":3'), 'tokenGap'],
+    ['broken JSON', 'data: {"id":\n\n', 'malformed'],
+    ['an error of the engine', 'data: {"error":{"type":"x"}}\n\n', 'engineError'],
+  ] as const;
+  vitest.test.each(faults)('stops at %s (guards against wrong tokens)', (_, text, fault) => {
+    const checker = new StreamChecker('e-1', 'public', 3);
+    vitest.expect(checker.push(Buffer.from(text))).toEqual({ text: '', fault });
+  });
+
+  vitest.test('passes what is right before a fault (guards against losing delivered tokens)', () => {
+    const checker = new StreamChecker('e-1', 'public', 0);
+    const checked = checker.push(Buffer.from(event('e-1', 0, 'x') + event('e-1', 2, 'y')));
+    vitest.expect(checked).toEqual({ text: event('public', 0, 'x'), fault: 'tokenGap' });
+    vitest.expect(checker.nextIndex).toBe(1);
+  });
+
+  vitest.test('bounds an event without an end (guards against unbounded memory)', () => {
+    const checker = new StreamChecker('e-1', 'public', 0);
+    vitest.expect(checker.push(Buffer.alloc(2 * 1024 * 1024, 'x')).fault).toBe('malformed');
+  });
+
+  vitest.test('accepts another field order (guards against depending on one engine)', () => {
+    const checker = new StreamChecker('e-1', 'public', 0);
+    const checked = checker.push(Buffer.from('data: {"token_index":0,"id":"e-1"}\n\n'));
+    vitest.expect(checked).toEqual({ text: 'data: {"token_index":0,"id":"public"}\n\n' });
+  });
+});
