--- a/packages/daemon/src/front/CompletionCall.ts
+++ b/packages/daemon/src/front/CompletionCall.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 import type * as common from '@jayhaven/common';
+import type { AttemptWatch } from '../routing/AttemptWatch.js';
 import { EngineAttempt } from '../routing/EngineAttempt.js';
 import type { ModelCatalog } from '../routing/ModelCatalog.js';
 import { notRun } from '../routing/refusals.js';
@@ -20,6 +21,8 @@
 const sameTargetPauseMs = 50;
 /** Time that a target which does not have the model is left out; replay catches up sooner, milliseconds. */
 const notLoadedPauseMs = 500;
+/** Closed kept-alive connections that a request may meet without counting as a failure of the target. */
+const maximumStaleConnections = 3;
 /** Longest time that an overloaded target is left out, milliseconds. */
 const overloadedPauseMs = 500;
 
@@ -30,6 +33,7 @@
   readonly router: Router;
   readonly room: WaitingRoom;
   readonly agent: http.Agent;
+  readonly watch: AttemptWatch;
   readonly retries: RetryAllowance;
   readonly usage: UsageReporter;
   readonly metrics: FrontMetrics;
@@ -45,6 +49,7 @@
   private _failures = 0;
   private _nextIndex = 0;
   private _resumes = 0;
+  private _staleConnections = 0;
   private _executed: common.Executed = 'no';
   private _attempt: EngineAttempt | undefined;
   private _interrupt: () => void = () => undefined;
@@ -164,11 +169,14 @@
         write: (text) => this._answer.writeEvents(text),
       },
       this._parts.agent,
+      this._parts.context.now,
     );
     this._attempt = attempt;
     const event = this._nextIndex > 0 ? 'resumed' : this._attempts > 1 ? 'retried' : 'dispatched';
     this._record(event, model, { target: lease.target, attempt: this._attempts, from: this._nextIndex }, lease.replica);
+    const unwatch = this._parts.watch.watch(attempt, lease.target, lease.vm);
     const end = await attempt.run();
+    unwatch();
     this._attempt = undefined;
     this._nextIndex = attempt.nextIndex;
     this._executed = strongest(this._executed, attempt.executed);
@@ -178,7 +186,7 @@
   private _conclude(model: ResolvedModel, lease: TargetLease, end: AttemptEnd): void {
     const { context, router, metrics } = this._parts;
     const nowMs = context.now();
-    lease.finish(end.kind === 'failed' ? 'failed' : end.kind === 'cancelled' ? 'neutral' : 'answered', nowMs);
+    lease.finish(leaseResults[end.kind], nowMs);
     switch (end.kind) {
       case 'complete':
         this._complete(end.body);
@@ -196,6 +204,12 @@
       case 'failed':
         this._failed(model, lease, end.reason);
         break;
+      case 'staleConnection':
+        this._staleConnections += 1;
+        if (this._staleConnections > maximumStaleConnections) {
+          this._failed(model, lease, 'the target closes its connections');
+        }
+        break;
       case 'cancelled':
         break;
     }
@@ -256,6 +270,16 @@
   }
 }
 
+/** What the end of an attempt says about its target. */
+const leaseResults = {
+  complete: 'answered',
+  notRun: 'answered',
+  rejected: 'answered',
+  failed: 'failed',
+  staleConnection: 'neutral',
+  cancelled: 'neutral',
+} as const;
+
 function strongest(first: common.Executed, second: common.Executed): common.Executed {
   return first === 'yes' || second === 'yes' ? 'yes' : first === 'unknown' ? first : second;
 }
--- a/packages/daemon/src/front/Front.ts
+++ b/packages/daemon/src/front/Front.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as timers from 'node:timers/promises';
 import * as common from '@jayhaven/common';
+import { AttemptWatch } from '../routing/AttemptWatch.js';
 import { ModelCatalog } from '../routing/ModelCatalog.js';
 import { notRun } from '../routing/refusals.js';
 import { ServiceTargets } from '../routing/ServiceTargets.js';
@@ -63,7 +64,8 @@
     const agent = new http.Agent({ keepAlive: true, maxFreeSockets: maximumIdleConnections });
     const retries = new RetryAllowance(settings.limits.retryBudget);
     const usage = new UsageReporter(client);
-    this._parts = { context: _context, catalog, router, room, agent, retries, usage, metrics: this._metrics };
+    const watch = new AttemptWatch(_controlPlane.log, loads, _context.now);
+    this._parts = { context: _context, catalog, router, room, agent, watch, retries, usage, metrics: this._metrics };
     this._serviceParts = {
       context: _context,
       log: _controlPlane.log,
@@ -75,6 +77,7 @@
     this._resources.register(() => {
       agent.destroy();
     });
+    this._resources.register(watch);
     this._resources.register(usage);
     this._resources.register(room);
     this._resources.register(this._watchLog(room));
--- a/packages/daemon/src/front/ServiceCall.ts
+++ b/packages/daemon/src/front/ServiceCall.ts
@@ -79,7 +79,8 @@
       this._record(attempt > 1 ? 'retried' : 'dispatched', { target, attempt });
       const end = await targets.track(target, () =>
         callService(target, this._serviceRequest(), {
-          limitMs: limitMs - context.now(),
+          // Half of the remaining time, so that a silent target leaves time for another one.
+          limitMs: (limitMs - context.now()) / (attempt < maximumAttempts ? 2 : 1),
           beforeWrite: () => this._beforeWrite(),
         }),
       );
--- a/packages/daemon/src/routing/EngineAttempt.ts
+++ b/packages/daemon/src/routing/EngineAttempt.ts
@@ -38,11 +38,14 @@
   private _executed: common.Executed = 'no';
   private _resolve: (end: AttemptEnd) => void = () => undefined;
   private _ended = false;
+  private _lastHeardMs: number;
 
   public constructor(
     private readonly _request: AttemptRequest,
     private readonly _agent: http.Agent,
+    private readonly _now: () => number,
   ) {
+    this._lastHeardMs = _now();
     this._checker = new StreamChecker(_request.engineId, _request.publicId, _request.resumeFrom);
   }
 
@@ -51,6 +54,11 @@
     return this._executed;
   }
 
+  /** Monotonic time at which the target last sent anything, or at which the attempt began. */
+  public get lastHeardMs(): number {
+    return this._lastHeardMs;
+  }
+
   /** Index of the next token to deliver. */
   public get nextIndex(): number {
     return this._checker.nextIndex;
@@ -78,7 +86,11 @@
       this._outgoing = outgoing;
       this._watchConnection(outgoing);
       outgoing.on('error', (error) => {
-        this._fail(error.message);
+        if (outgoing.reusedSocket && !this._answer) {
+          this._end({ kind: 'staleConnection' }, true);
+        } else {
+          this._fail(error.message);
+        }
       });
       outgoing.on('response', (answer) => {
         this._receive(answer);
@@ -92,8 +104,14 @@
     this._end({ kind: 'cancelled' }, true);
   }
 
+  /** Ends the attempt as failed. */
+  public giveUp(reason: string): void {
+    this._fail(reason);
+  }
+
   /** Continues after a pause. */
   public resume(): void {
+    this._lastHeardMs = this._now();
     this._answer?.resume();
   }
 
@@ -118,6 +136,7 @@
 
   private _receive(answer: http.IncomingMessage): void {
     this._answer = answer;
+    this._lastHeardMs = this._now();
     const status = answer.statusCode ?? 0;
     if (status !== 200) {
       this._collect(answer, maximumErrorBytes, (body) => {
@@ -140,6 +159,7 @@
       if (this._ended) {
         return;
       }
+      this._lastHeardMs = this._now();
       const checked = this._checker.push(chunk);
       if (checked.text !== '' && !this._request.write(checked.text)) {
         answer.pause();
@@ -209,14 +229,14 @@
       this._executed = 'no';
       return { kind: 'rejected', status, message: readErrorMessage(body) };
     }
-    return { kind: 'failed', executed: 'unknown', reason: `the engine answered ${status}` };
+    return { kind: 'failed', reason: `the engine answered ${status}` };
   }
 
   private _fail(reason: string): void {
     if (reason === 'foreignAnswer') {
       this._executed = 'unknown';
     }
-    this._end({ kind: 'failed', executed: this._executed, reason }, true);
+    this._end({ kind: 'failed', reason }, true);
   }
 
   private _end(end: AttemptEnd, closeConnection: boolean): void {
--- a/packages/daemon/src/routing/Router.ts
+++ b/packages/daemon/src/routing/Router.ts
@@ -81,6 +81,7 @@
     return {
       target,
       replica: replica.replica,
+      vm: replica.vm,
       finish: (result, endedMs) => {
         if (!open) {
           return;
--- a/packages/daemon/src/routing/Types.ts
+++ b/packages/daemon/src/routing/Types.ts
@@ -24,6 +24,7 @@
 export interface TargetLease {
   readonly target: common.TargetAddress;
   readonly replica: decisions.ReplicaId;
+  readonly vm: common.VmName;
   /** Ends the attempt. `failed` counts against the target's circuit breaker. */
   finish(result: 'answered' | 'failed' | 'neutral', nowMs: number): void;
 }
@@ -36,7 +37,9 @@
   | { readonly kind: 'notRun'; readonly type: 'model_not_loaded' | 'overloaded'; readonly retryAfterMs: number }
   /** The engine finds the request invalid. */
   | { readonly kind: 'rejected'; readonly status: number; readonly message: string }
-  | { readonly kind: 'failed'; readonly executed: common.Executed; readonly reason: string }
+  | { readonly kind: 'failed'; readonly reason: string }
+  /** A kept-alive connection was closed as the request was written, which says nothing about the target. */
+  | { readonly kind: 'staleConnection' }
   | { readonly kind: 'cancelled' };
 
 /** Answer of the waiting room. */
