--- a/packages/daemon/src/front/CompletionCall.ts
+++ b/packages/daemon/src/front/CompletionCall.ts
@@ -202,6 +202,7 @@
         break;
       }
       case 'failed':
+      case 'serverError':
         this._failed(model, lease, end.reason);
         break;
       case 'staleConnection':
@@ -276,6 +277,7 @@
   notRun: 'answered',
   rejected: 'answered',
   failed: 'failed',
+  serverError: 'answered',
   staleConnection: 'neutral',
   cancelled: 'neutral',
 } as const;
--- a/packages/daemon/src/routing/EngineAttempt.test.ts
+++ b/packages/daemon/src/routing/EngineAttempt.test.ts
@@ -1,3 +1,6 @@
+import type * as http from 'node:http';
+import * as net from 'node:net';
+import * as common from '@jayhaven/common';
 import * as vitest from 'vitest';
 import { expectedText, FrontFixture } from '../front/testing/FrontFixture.js';
 
@@ -19,16 +22,86 @@
     vitest.expect(performance.now() - startMs).toBeLessThan(4_000);
   });
 
+  vitest.test('tells a closed kept-alive connection from a failure (guards against false failures)', async () => {
+    await using fixture = await FrontFixture.open();
+    const seen = new WeakSet<net.Socket>();
+    let closed = 0;
+    await openEngine(fixture, (request, response) => {
+      if (seen.has(request.socket)) {
+        closed += 1;
+        request.socket.destroy();
+        return;
+      }
+      seen.add(request.socket);
+      common.sendJson(response, 200, { id: request.headers['x-request-id'], choices: [] });
+    });
+    for (let round = 0; round < 6; round += 1) {
+      vitest.expect((await fixture.chat('p')).status).toBe(200);
+    }
+    vitest.expect(closed).toBeGreaterThan(0);
+    vitest.expect(fixture.events.filter(({ event }) => event === 'attemptFailed')).toEqual([]);
+  });
+
   vitest.test(
-    'uses a new connection after the engine closed the kept one (guards against false failures)',
+    'a request that an engine cannot run closes the engine to nobody (guards against poisoning)',
     async () => {
-      await using fixture = await FrontFixture.open({ retryBudget: 0 });
-      await fixture.addEngine('vm-1', true);
-      for (let round = 0; round < 3; round += 1) {
-        const answers = await Promise.all(Array.from({ length: 5 }, (_, index) => fixture.chat(`p${index}`)));
-        vitest.expect(answers.map(({ status }) => status)).toEqual([200, 200, 200, 200, 200]);
-      }
-      vitest.expect(fixture.events.filter(({ event }) => event === 'attemptFailed')).toEqual([]);
+      await using fixture = await FrontFixture.open();
+      await openEngine(fixture, (request, response) => {
+        let body = '';
+        request.on('data', (chunk: Buffer) => (body += chunk.toString()));
+        request.on('end', () => {
+          const status = body.includes('poison') ? 500 : 200;
+          common.sendJson(response, status, { id: request.headers['x-request-id'], choices: [] });
+        });
+      });
+      const poison = await fixture.chat('poison');
+      vitest.expect(poison.status).toBe(502);
+      vitest.expect(poison.text).toContain('"executed":"unknown"');
+      const startMs = performance.now();
+      vitest.expect((await fixture.chat('fine')).status).toBe(200);
+      vitest.expect(performance.now() - startMs).toBeLessThan(1_000);
+    },
+  );
+
+  const brokenAnswers = [
+    ['cut', 'HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n{"id":"'],
+    ['not JSON', 'HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nyes'],
+    ['not HTTP', 'hello\r\n\r\n'],
+    ['endless headers', `HTTP/1.1 200 OK\r\nx: ${'a'.repeat(100_000)}`],
+  ] as const;
+  vitest.test.each(brokenAnswers)(
+    'never passes on an answer that is %s (guards against half answers)',
+    async (_, bytes) => {
+      await using fixture = await FrontFixture.open();
+      const server = net.createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.once('data', () => socket.end(bytes));
+      });
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+      fixture.register(
+        () =>
+          new Promise<void>((resolve) =>
+            server.close(() => {
+              resolve();
+            }),
+          ),
+      );
+      fixture.plane.setVm('vm-1', 'live', { address: `127.0.0.1:${(server.address() as net.AddressInfo).port}` });
+      fixture.plane.setReplica({ replica: 1, vm: 'vm-1' });
+      const answer = await fixture.chat('p', { headers: { 'x-deadline-ms': '4000' } });
+      vitest.expect([502, 504]).toContain(answer.status);
+      vitest.expect(answer.text).toContain('"executed":"');
+      vitest.expect(answer.text).not.toContain('"executed":"no"');
     },
   );
 });
+
+/** Starts an engine that answers with `handler`, with the model `solano/walk` ready on it. */
+async function openEngine(fixture: FrontFixture, handler: http.RequestListener): Promise<void> {
+  const listener = fixture.register(await common.HttpListener.open({ host: '127.0.0.1', port: 0 }, handler));
+  fixture.register(() => {
+    listener.closeAllConnections();
+  });
+  fixture.plane.setVm('vm-1', 'live', { address: `127.0.0.1:${listener.port}` });
+  fixture.plane.setReplica({ replica: 1, vm: 'vm-1' });
+}
--- a/packages/daemon/src/routing/EngineAttempt.ts
+++ b/packages/daemon/src/routing/EngineAttempt.ts
@@ -229,7 +229,7 @@
       this._executed = 'no';
       return { kind: 'rejected', status, message: readErrorMessage(body) };
     }
-    return { kind: 'failed', reason: `the engine answered ${status}` };
+    return { kind: 'serverError', reason: `the engine answered ${status}` };
   }
 
   private _fail(reason: string): void {
--- a/packages/daemon/src/routing/Types.ts
+++ b/packages/daemon/src/routing/Types.ts
@@ -38,6 +38,8 @@
   /** The engine finds the request invalid. */
   | { readonly kind: 'rejected'; readonly status: number; readonly message: string }
   | { readonly kind: 'failed'; readonly reason: string }
+  /** The engine answered with a server error. A single request may cause that, so it does not count against it. */
+  | { readonly kind: 'serverError'; readonly reason: string }
   /** A kept-alive connection was closed as the request was written, which says nothing about the target. */
   | { readonly kind: 'staleConnection' }
   | { readonly kind: 'cancelled' };
