--- a/packages/daemon/src/operators/openOperators.ts
+++ b/packages/daemon/src/operators/openOperators.ts
@@ -1,6 +1,7 @@
 import * as common from '@jayhaven/common';
 import type { DaemonContext } from '../Types.js';
 import { AppliedTimes } from './AppliedTimes.js';
+import { ControlEvents } from './ControlEvents.js';
 import { EditService } from './EditService.js';
 import { MemberService } from './MemberService.js';
 import { OperatorServer } from './OperatorServer.js';
@@ -11,12 +12,15 @@
 export async function openOperators(context: DaemonContext, parts: OperatorParts): Promise<OperatorsPart> {
   const { settings } = context;
   const registry = new common.DisposalRegistry();
-  const times = new AppliedTimes(parts.controlPlane.log, context.wallNow);
+  const { log, incarnation } = parts.controlPlane;
+  const times = new AppliedTimes(log, context.wallNow);
+  const events = new ControlEvents(log, incarnation, context.timeline);
   registry.register(() => {
     times.dispose();
+    events.dispose();
   });
   new MemberService(context, parts, times).register();
-  const edits = new EditService(parts.controlPlane.log, settings.partners, settings.platform.logTimeoutMs);
+  const edits = new EditService(log, settings.partners, settings.platform.logTimeoutMs);
   const server = new OperatorServer(context, createRoutes(context, parts, edits));
   const listener = registry.register(await common.HttpListener.open(settings.listen.operators, server.handle));
   const { port } = listener;
