--- a/packages/cli/src/commands/RefusalsCommand.ts
+++ b/packages/cli/src/commands/RefusalsCommand.ts
@@ -20,10 +20,12 @@
     const query = { rule: flags.rule, limit: flags.limit };
     const answer = this.take(await client.get('/v1/refusals', query, responses.refusals));
     this.log(formatHistory(answer.refusals, 'No rejected edits.'));
-    const rows = answer.daemons.flatMap(({ daemon, rejectedRecords }) =>
-      Object.entries(rejectedRecords).map(([rule, count]) => [daemon, rule, String(count)]),
-    );
-    this.log(`\n${formatTable(['DAEMON', 'RULE', 'RECORDS SINCE START'], rows, 'No rejected records.')}`);
+    const rows = answer.daemons.flatMap(({ daemon, refusedEdits, rejectedRecords }) => [
+      ...Object.entries(refusedEdits).map(([rule, count]) => [daemon, 'edit refused at once', rule, String(count)]),
+      ...Object.entries(rejectedRecords).map(([rule, count]) => [daemon, 'record rejected', rule, String(count)]),
+    ]);
+    const headers = ['DAEMON', 'WHAT', 'RULE', 'COUNT SINCE START'];
+    this.log(`\n${formatTable(headers, rows, 'Nothing was refused since the daemons started.')}`);
     this.warnSilent(answer.silent);
     return answer;
   }
--- a/packages/cli/src/responses.ts
+++ b/packages/cli/src/responses.ts
@@ -60,7 +60,7 @@
 export const refusals = z.looseObject({
   byRule: ruleCounts,
   refusals: z.array(historyEntry),
-  daemons: z.array(z.looseObject({ daemon: z.string(), rejectedRecords: ruleCounts })),
+  daemons: z.array(z.looseObject({ daemon: z.string(), rejectedRecords: ruleCounts, refusedEdits: ruleCounts })),
   silent,
 });
 
--- a/packages/daemon/src/operators/EditService.ts
+++ b/packages/daemon/src/operators/EditService.ts
@@ -1,6 +1,6 @@
 import * as decisions from '@jayhaven/decisions';
 import type * as z from 'zod';
-import type { AppendFailure, ControlLog, Credential } from '../Types.js';
+import type { AppendFailure, ControlLog, Credential, TimelineRecorder } from '../Types.js';
 import { errorAnswer, okAnswer } from './answers.js';
 import type { approvalBody, editBody } from './schemas.js';
 import type { Answer } from './Types.js';
@@ -17,14 +17,28 @@
   shareExceeded: 422,
 };
 
+interface EditFault {
+  readonly status: number;
+  readonly type: string;
+  readonly message: string;
+}
+
 /** Appends edits and approvals and answers after read-back. */
 export class EditService {
+  private readonly _refusals = new Map<string, number>();
+
   public constructor(
     private readonly _log: ControlLog,
+    private readonly _timeline: TimelineRecorder,
     private readonly _partners: readonly string[],
     private readonly _timeoutMs: number,
   ) {}
 
+  /** Edits refused before the log saw them, by type; they are in no history. */
+  public get refusals(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this._refusals);
+  }
+
   /** Edits one key of the operator's partner, or proposes an edit of a shared key. */
   public async edit(operator: Credential, body: z.output<typeof editBody>): Promise<Answer> {
     const refusal = this._refuse(operator, body);
@@ -67,20 +81,36 @@
   }
 
   /** Rules that are known before the log is asked; replay checks them again. */
-  private _refuse(operator: Credential, { key, value, reason }: z.output<typeof editBody>): Answer | undefined {
+  private _refuse(operator: Credential, body: z.output<typeof editBody>): Answer | undefined {
+    const fault = this._findFault(operator, body);
+    if (fault === undefined) {
+      return undefined;
+    }
+    const { status, type, message } = fault;
+    this._refusals.set(type, (this._refusals.get(type) ?? 0) + 1);
+    const detail = { key: body.key, partner: operator.partner, operator: operator.name, type };
+    this._timeline.record({ part: 'operators', event: 'editRefused', detail });
+    return errorAnswer(status, type, message);
+  }
+
+  private _findFault(operator: Credential, { key, value, reason }: z.output<typeof editBody>): EditFault | undefined {
     const [owner = ''] = key.split('/');
     if (owner !== operator.partner && this._partners.includes(owner)) {
-      return errorAnswer(403, 'foreign_key', `"${key}" belongs to ${owner}; you act for ${operator.partner}`);
+      const message = `"${key}" belongs to ${owner}; you act for ${operator.partner}`;
+      return { status: 403, type: 'foreign_key', message };
     }
     const parsed = decisions.parseConfigurationKey(key);
     if (!parsed || !this._partners.includes(parsed.partner)) {
-      return errorAnswer(422, 'unknown_key', `key "${key}" does not exist`);
+      return { status: 422, type: 'unknown_key', message: `key "${key}" does not exist` };
     }
     if (parsed.kind === 'exception' && reason.trim() === '') {
-      return errorAnswer(422, 'missing_reason', `"${key}" is an exception and needs a written reason`);
+      const message = `"${key}" is an exception and needs a written reason`;
+      return { status: 422, type: 'missing_reason', message };
     }
     const fault = decisions.findValueFault(parsed, value);
-    return fault === undefined ? undefined : errorAnswer(422, 'invalid_value', `value of "${key}": ${fault}`);
+    return fault === undefined
+      ? undefined
+      : { status: 422, type: 'invalid_value', message: `value of "${key}": ${fault}` };
   }
 
   private _failed(failure: AppendFailure, subject: Readonly<Record<string, unknown>>): Answer {
--- a/packages/daemon/src/operators/MemberService.ts
+++ b/packages/daemon/src/operators/MemberService.ts
@@ -1,5 +1,6 @@
 import type { DaemonContext } from '../Types.js';
 import type { AppliedTimes } from './AppliedTimes.js';
+import type { EditService } from './EditService.js';
 import { maximumEventsPerDaemon, statusParameters, timelineParameters } from './schemas.js';
 import type { DaemonStatus, OperatorParts, TimelineAnswer } from './Types.js';
 
@@ -9,6 +10,7 @@
     private readonly _context: DaemonContext,
     private readonly _parts: OperatorParts,
     private readonly _times: AppliedTimes,
+    private readonly _edits: EditService,
   ) {}
 
   /** Registers both methods. */
@@ -36,6 +38,7 @@
       owner: owner.status(),
       front: front.status(),
       rejectedRecords: this._times.rejectedRecords,
+      refusedEdits: this._edits.refusals,
       versionTimes: this._times.versionTimes(versions),
     };
   }
--- a/packages/daemon/src/operators/Types.ts
+++ b/packages/daemon/src/operators/Types.ts
@@ -33,6 +33,8 @@
   readonly front: FrontStatus;
   /** Records that replay rejected since the start, by rule. */
   readonly rejectedRecords: Readonly<Record<string, number>>;
+  /** Edits that this daemon refused before the log saw them, by type. */
+  readonly refusedEdits: Readonly<Record<string, number>>;
   /** When each asked configuration version came into force here; absent if it is not in force. */
   readonly versionTimes: Readonly<Record<string, number>>;
 }
--- a/packages/daemon/src/operators/openOperators.test.ts
+++ b/packages/daemon/src/operators/openOperators.test.ts
@@ -202,6 +202,9 @@
     const answer = await fixture.current.call('POST', '/v1/edits', edit, 'key-ines');
     expect(answer).toMatchObject({ status: 403, body: { error: { type: 'foreign_key', executed: 'no' } } });
     expect(fixture.current.appended).toEqual([]);
+    expect((await fixture.current.call('GET', '/v1/refusals')).body).toMatchObject({
+      daemons: [{ daemon: 'entry-1', refusedEdits: { foreign_key: 1 } }],
+    });
   });
 
   it('names the winner of a race (guards against a loser who believes that the edit is in force)', async () => {
--- a/packages/daemon/src/operators/openOperators.ts
+++ b/packages/daemon/src/operators/openOperators.ts
@@ -19,8 +19,8 @@
     times.dispose();
     events.dispose();
   });
-  new MemberService(context, parts, times).register();
-  const edits = new EditService(log, settings.partners, settings.platform.logTimeoutMs);
+  const edits = new EditService(log, context.timeline, settings.partners, settings.platform.logTimeoutMs);
+  new MemberService(context, parts, times, edits).register();
   const server = new OperatorServer(context, createRoutes(context, parts, edits));
   const listener = registry.register(await common.HttpListener.open(settings.listen.operators, server.handle));
   const { port } = listener;
--- a/packages/daemon/src/operators/routes.ts
+++ b/packages/daemon/src/operators/routes.ts
@@ -28,7 +28,11 @@
     get('/v1/refusals', schemas.historyQuery, async ({ key, rule, limit = defaultHistoryLimit }) => {
       const refusals = readHistory(parts, key, rule).filter((entry) => entry.state === 'rejected');
       const cluster = await readStatus();
-      const daemons = cluster.answers.map(({ daemon, rejectedRecords }) => ({ daemon, rejectedRecords }));
+      const daemons = cluster.answers.map(({ daemon, rejectedRecords, refusedEdits }) => ({
+        daemon,
+        rejectedRecords,
+        refusedEdits,
+      }));
       return { byRule: countByRule(refusals), refusals: refusals.slice(-limit), daemons, silent: cluster.silent };
     }),
     get('/v1/replicas', schemas.noQuery, () => ({
--- a/packages/daemon/src/operators/schemas.ts
+++ b/packages/daemon/src/operators/schemas.ts
@@ -127,5 +127,6 @@
     waiting: z.array(z.object({ partner: z.string(), model: z.string(), count, oldestMs: count })),
   }),
   rejectedRecords: z.record(z.string(), count),
+  refusedEdits: z.record(z.string(), count),
   versionTimes: z.record(z.string(), z.number()),
 });
