--- a/packages/daemon/src/timeline/Timeline.test.ts
+++ b/packages/daemon/src/timeline/Timeline.test.ts
@@ -30,6 +30,16 @@
     expect(timeline.exportLines({ replica: 4 }).trimEnd().split('\n')).toHaveLength(1);
   });
 
+  it('finds a model under all its names (guards against a trace without the router or the owner)', () => {
+    const { timeline } = createTimeline('a');
+    for (const model of ['p/m', 'p/m@1', 'p/m@1:knots', 'p/mm', 'p/m2@1']) {
+      timeline.record({ part: 'test', event: model, model });
+    }
+    const names = (model: string): string[] => timeline.read({ model }).map((e) => e.event);
+    expect(names('p/m')).toEqual(['p/m', 'p/m@1', 'p/m@1:knots']);
+    expect(names('p/m@1')).toEqual(['p/m@1', 'p/m@1:knots']);
+  });
+
   it('merges an effect after its cause on another daemon (guards against clocks that differ)', () => {
     const sender = createTimeline('z');
     const receiver = createTimeline('a');
--- a/packages/daemon/src/timeline/Timeline.ts
+++ b/packages/daemon/src/timeline/Timeline.ts
@@ -7,6 +7,7 @@
 /** Selects events; every given member must match. */
 export interface TimelineFilter {
   readonly request?: string;
+  /** `partner/model`, optionally with `@version`; events of its versions and adapters match too. */
   readonly model?: string;
   readonly replica?: number;
   /** Only events after this time. */
@@ -54,8 +55,13 @@
 function matches(event: common.TimelineEvent, filter: TimelineFilter): boolean {
   return (
     (filter.request === undefined || event.request === filter.request) &&
-    (filter.model === undefined || event.model === filter.model) &&
+    (filter.model === undefined || matchesModel(event.model, filter.model)) &&
     (filter.replica === undefined || event.replica === filter.replica) &&
     (filter.since === undefined || common.compareHybridTime(event.time, filter.since) > 0)
   );
 }
+
+/** Events name a model as `partner/model`, `partner/model@version` or `partner/model@version:adapter`. */
+function matchesModel(name: string | undefined, wanted: string): boolean {
+  return name === wanted || name?.startsWith(`${wanted}@`) === true || name?.startsWith(`${wanted}:`) === true;
+}
