--- a/packages/cli/src/commands/TimelineCommand.ts
+++ b/packages/cli/src/commands/TimelineCommand.ts
@@ -1,6 +1,5 @@
 import * as fs from 'node:fs/promises';
 import * as oclif from '@oclif/core';
-import type * as z from 'zod';
 import { BaseCommand, connectionFlags } from '../BaseCommand.js';
 import type { OperatorClient, Query } from '../client/OperatorClient.js';
 import { CommandError } from '../CommandError.js';
@@ -44,7 +43,7 @@
     if (flags.export !== undefined) {
       await fs.writeFile(flags.export, '');
     }
-    const first = await this._read(client, { ...query, since });
+    const first = this.take(await client.get('/v1/timeline', { ...query, since }, responses.timeline));
     this.warnSilent(first.silent);
     this._warnTruncated(first.truncated);
     await this._write(first.events, flags.export, flags.follow);
@@ -54,16 +53,22 @@
     return first;
   }
 
-  private async _read(client: OperatorClient, query: Query): Promise<z.output<typeof responses.timeline>> {
-    return this.take(await client.get('/v1/timeline', query, responses.timeline));
-  }
-
   private async _follow(client: OperatorClient, query: Query, exportFile: string | undefined): Promise<void> {
+    let reachable = true;
     for (;;) {
       await new Promise((resolve) => setTimeout(resolve, followMs));
-      const newest = Math.max(0, ...this._seen.values());
-      const answer = await this._read(client, { ...query, since: Math.max(0, newest - overlapMs) });
-      const events = answer.events.filter((event) => !this._seen.has(identify(event)));
+      const newest = [...this._seen.values()].reduce((latest, wallMs) => Math.max(latest, wallMs), 0);
+      const since = Math.max(0, newest - overlapMs);
+      const answer = await client.get('/v1/timeline', { ...query, since }, responses.timeline);
+      if (!answer.ok && answer.failure.kind === 'unreachable') {
+        if (reachable) {
+          this.warn(`${answer.failure.message}; trying again`);
+        }
+        reachable = false;
+        continue;
+      }
+      reachable = true;
+      const events = this.take(answer).events.filter((event) => !this._seen.has(identify(event)));
       await this._write(events, exportFile, true);
       this._forget(newest - 2 * overlapMs);
     }
@@ -80,7 +85,9 @@
     const lines = events.map((event) => `${JSON.stringify(event)}\n`).join('');
     if (exportFile !== undefined) {
       await fs.appendFile(exportFile, lines);
-      this.logToStderr(`${events.length} events written to ${exportFile}`);
+      if (events.length > 0 || !follow) {
+        this.logToStderr(`${events.length} events written to ${exportFile}`);
+      }
     } else if (this.jsonEnabled() && follow) {
       process.stdout.write(lines);
     } else {
--- a/packages/cli/src/commands/commands.test.ts
+++ b/packages/cli/src/commands/commands.test.ts
@@ -212,6 +212,24 @@
     expect(JSON.parse(await fs.readFile(file, 'utf8'))).toEqual(event);
   });
 
+  it('follows late events without repeating any (guards against events lost between two reads)', async () => {
+    const event = { time: { wallMs: 9000, counter: 0 }, daemon: 'entry-1', part: 'owner', event: 'first' };
+    const late = { ...event, time: { wallMs: 8000, counter: 0 }, daemon: 'entry-2', event: 'late' };
+    const body = { events: [event], truncated: [], silent: [] };
+    answers.set('GET /v1/timeline', { status: 200, body });
+    const env = { PATH: process.env.PATH, JAYHAVEN_ADDRESS: `127.0.0.1:${listener.port}`, JAYHAVEN_KEY: 'secret' };
+    const child = childProcess.spawn(process.execPath, [binary, 'timeline', '--follow'], { env });
+    const output: string[] = [];
+    child.stdout.on('data', (chunk: Buffer) => output.push(chunk.toString()));
+    await expect.poll(() => output.join(''), { timeout: 20_000 }).toContain('owner: first');
+    answers.set('GET /v1/timeline', { status: 200, body: { ...body, events: [late, event] } });
+    await expect.poll(() => output.join(''), { timeout: 20_000 }).toContain('owner: late');
+    const reads = exchanges.length;
+    await expect.poll(() => exchanges.length, { timeout: 20_000 }).toBeGreaterThan(reads + 1);
+    child.kill();
+    expect(output.join('').trimEnd().split('\n')).toHaveLength(2);
+  });
+
   it('takes address and key from a settings file (guards against keys in process lists)', async () => {
     const file = path.join(directory, 'client.ini');
     await fs.writeFile(file, `[jayhaven]\naddress = 127.0.0.1:${listener.port}\nkey = from-file\n`);
--- a/packages/common/src/settings/daemonSettings.test.ts
+++ b/packages/common/src/settings/daemonSettings.test.ts
@@ -1,3 +1,4 @@
+import * as fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { formatSettingsProblem, parseDaemonSettings } from './daemonSettings.js';
 
@@ -96,4 +97,36 @@
     const text = withLines('[operator ines]', 'partner = solano', `key_sha256 = ${hash}`);
     expect(problemsOf(text)).toEqual([expect.stringContaining('key is already the key of [operator mara]')]);
   });
+
+  it('answers any text with problems and never throws (guards against a start that ends in a stack trace)', () => {
+    const fragment = fc.oneof(
+      fc.string(),
+      fc.constantFrom(
+        ...validText.split('\n'),
+        '[limits]',
+        '[stop',
+        '__proto__ = 1',
+        '[__proto__]',
+        'constructor = 1',
+        'a[] = 1',
+      ),
+    );
+    fc.assert(
+      fc.property(fc.array(fragment, { maxLength: 30 }), (lines) => {
+        const outcome = parseDaemonSettings('d.ini', lines.join('\n'));
+        return outcome.ok || outcome.failure.length > 0;
+      }),
+      { numRuns: 500 },
+    );
+  });
+
+  it('names the line of any misspelt key (guards against a fault that nobody finds)', () => {
+    const keys = validText.split('\n').flatMap((line, index) => (/^(\w+) =/.test(line) ? [index] : []));
+    fc.assert(
+      fc.property(fc.constantFrom(...keys), (index) => {
+        const lines = validText.split('\n').map((line, at) => (at === index ? `x${line}` : line));
+        return problemsOf(lines.join('\n')).some((problem) => problem.startsWith(`d.ini:${index + 1}: `));
+      }),
+    );
+  });
 });
--- a/packages/daemon/src/operators/AppliedTimes.ts
+++ b/packages/daemon/src/operators/AppliedTimes.ts
@@ -37,6 +37,9 @@
 
   /** When each version came into force here; the start of the daemon for versions it started with. */
   public versionTimes(versions: readonly decisions.Offset[]): Readonly<Record<string, number>> {
+    if (versions.length === 0) {
+      return {};
+    }
     const inForce = new Set([...this._log.state.configuration.values()].map((entry) => entry.version));
     const times: Record<string, number> = {};
     for (const version of versions.filter((candidate) => inForce.has(candidate))) {
--- a/packages/daemon/src/operators/MemberService.ts
+++ b/packages/daemon/src/operators/MemberService.ts
@@ -1,7 +1,7 @@
 import type { DaemonContext } from '../Types.js';
 import type { AppliedTimes } from './AppliedTimes.js';
 import type { EditService } from './EditService.js';
-import { maximumEventsPerDaemon, statusParameters, timelineParameters } from './schemas.js';
+import { statusParameters, timelineParameters } from './schemas.js';
 import type { DaemonStatus, OperatorParts, TimelineAnswer } from './Types.js';
 
 /** Serves `status.read` and `timeline.read` to the other daemons. */
@@ -45,7 +45,7 @@
 
   /** The newest matching events of this daemon. */
   public timeline(parameters: unknown): TimelineAnswer {
-    const { request, model, replica, since } = timelineParameters.parse(parameters);
+    const { request, model, replica, since, limit } = timelineParameters.parse(parameters);
     const events = this._parts.timeline.read({
       ...(request === undefined ? {} : { request }),
       ...(model === undefined ? {} : { model }),
@@ -54,8 +54,8 @@
     });
     return {
       daemon: this._context.settings.daemon.name,
-      events: events.slice(-maximumEventsPerDaemon),
-      truncated: events.length > maximumEventsPerDaemon,
+      events: events.slice(-limit),
+      truncated: events.length > limit,
     };
   }
 }
--- a/packages/daemon/src/operators/OperatorServer.ts
+++ b/packages/daemon/src/operators/OperatorServer.ts
@@ -66,7 +66,12 @@
       const headers = { connection: 'close' };
       return errorAnswer(413, 'body_too_large', `body is larger than ${maximumBodyBytes} bytes`, { headers });
     }
-    const text = await common.readBody(request, maximumBodyBytes);
+    let text: string;
+    try {
+      text = await common.readBody(request, maximumBodyBytes);
+    } catch (error) {
+      return errorAnswer(400, 'incomplete_body', `body cannot be read: ${String(error)}`);
+    }
     let body: unknown;
     try {
       body = text === '' ? {} : JSON.parse(text);
--- a/packages/daemon/src/operators/openOperators.test.ts
+++ b/packages/daemon/src/operators/openOperators.test.ts
@@ -327,6 +327,16 @@
     });
   });
 
+  it('says when older events are left out (guards against a trace that looks complete)', async () => {
+    for (let count = 0; count < 5001; count += 1) {
+      fixture.current.timeline.record({ part: 'router', event: `event${count}` });
+    }
+    const { body } = await fixture.current.call('GET', '/v1/timeline');
+    const { events, truncated } = body as { events: common.TimelineEvent[]; truncated: string[] };
+    expect(truncated).toEqual(['entry-1']);
+    expect([events.length, events[0]?.event, events.at(-1)?.event]).toEqual([5000, 'event1', 'event5000']);
+  });
+
   it.each(['/v1/status', '/v1/history', '/v1/queues', '/v1/owners'])(
     'answers %s (guards against a dead route)',
     async (path) => {
--- a/packages/daemon/src/operators/routes.ts
+++ b/packages/daemon/src/operators/routes.ts
@@ -55,7 +55,9 @@
       return { cells: views.viewOwners(log.state, cluster), silent: cluster.silent };
     }),
     get('/v1/timeline', schemas.timelineQuery, async (query) => {
-      const cluster = await readCluster(peers, 'timeline.read', query, schemas.timelineAnswer);
+      const fairShare = Math.floor(schemas.maximumEventsPerAnswer / Math.max(1, peers.members.length));
+      const limit = Math.max(1, Math.min(schemas.maximumEventsPerDaemon, fairShare));
+      const cluster = await readCluster(peers, 'timeline.read', { ...query, limit }, schemas.timelineAnswer);
       return {
         events: mergeEvents(cluster.answers.map((answer) => answer.events)),
         truncated: cluster.answers.filter((answer) => answer.truncated).map((answer) => answer.daemon),
--- a/packages/daemon/src/operators/schemas.ts
+++ b/packages/daemon/src/operators/schemas.ts
@@ -6,8 +6,10 @@
 const maximumReasonLength = 2000;
 /** Largest number of versions in one `status.read`. */
 export const maximumAskedVersions = 1000;
-/** Newest matching events that one daemon returns. */
+/** Newest matching events that one daemon returns at most. */
 export const maximumEventsPerDaemon = 5000;
+/** Events over all daemons that one `GET /v1/timeline` asks for; about 15 MB. */
+export const maximumEventsPerAnswer = 50_000;
 
 const offset = z.number().int().min(0);
 const count = z.number();
@@ -71,6 +73,7 @@
   model: z.string().optional(),
   replica: z.number().optional(),
   since: hybridTime.optional(),
+  limit: z.number().int().min(1).max(maximumEventsPerDaemon).default(maximumEventsPerDaemon),
 });
 
 /** Parameters of `status.read`. */
--- a/packages/daemon/src/timeline/Timeline.test.ts
+++ b/packages/daemon/src/timeline/Timeline.test.ts
@@ -1,4 +1,5 @@
 import * as common from '@jayhaven/common';
+import * as fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { mergeEvents } from './mergeEvents.js';
 import { Timeline } from './Timeline.js';
@@ -49,4 +50,17 @@
     const merged = mergeEvents([receiver.timeline.read(), sender.timeline.read()]);
     expect(merged.map((event) => event.event)).toEqual(['sent', 'received']);
   });
+
+  it('keeps exactly the newest events for any capacity and count (guards against an off-by-one in the ring)', () => {
+    fc.assert(
+      fc.property(fc.integer({ min: 1, max: 9 }), fc.integer({ min: 0, max: 40 }), (capacity, count) => {
+        const { timeline } = createTimeline('a', capacity);
+        const names = Array.from({ length: count }, (_, index) => `event${index}`);
+        for (const event of names) {
+          timeline.record({ part: 'test', event });
+        }
+        expect(timeline.read().map((event) => event.event)).toEqual(names.slice(-capacity));
+      }),
+    );
+  });
 });
