--- a/packages/daemon/src/operators/ControlEvents.ts
+++ b/packages/daemon/src/operators/ControlEvents.ts
@@ -5,11 +5,16 @@
 /** Replicas whose model is kept for events that come after their entry is gone. */
 const maximumReplicas = 4096;
 
-/** Kinds that their author records; the owner records its decisions itself, with their figures. */
-const authoredKinds: ReadonlySet<decisions.ControlRecordBody['kind']> = new Set([
+/** Kinds that every daemon records, because the time line of an author that has stopped is lost. */
+const sharedKinds: ReadonlySet<decisions.ControlRecordBody['kind']> = new Set([
+  'daemonJoined',
   'daemonLeft',
   'incarnationGone',
   'ownerReleased',
+]);
+
+/** Kinds that their author records; the owner records its decisions itself, with their figures. */
+const authoredKinds: ReadonlySet<decisions.ControlRecordBody['kind']> = new Set([
   'orderAdopted',
   'orderSettled',
   'replicaReady',
@@ -21,7 +26,7 @@
 
 /**
  * Records replayed control records in the time line. Configuration is recorded by every daemon, because operators ask
- * when an edit came into force at each; other records are recorded by their author only.
+ * when an edit came into force at each, and so is membership; other records are recorded by their author only.
  */
 export class ControlEvents {
   private readonly _models = new Map<decisions.ReplicaId, string>();
@@ -54,11 +59,11 @@
         this._timeline.record({ part: 'log', event: 'recordRejected', offset, detail });
       }
     } else if (verdict.kind === 'accepted') {
-      this._noteAccepted(body, offset, isAuthor);
+      this._noteAccepted(record, isAuthor);
     }
   }
 
-  private _noteAccepted(body: decisions.ControlRecordBody, offset: number, isAuthor: boolean): void {
+  private _noteAccepted({ body, offset, id }: decisions.ControlRecord, isAuthor: boolean): void {
     if (body.kind === 'configurationEdited') {
       const { key, partner, operator, reason } = body;
       const detail = { key, value: JSON.stringify(body.value), partner, operator, reason };
@@ -71,6 +76,9 @@
         offset,
         detail: { edit, partner, operator },
       });
+    } else if (sharedKinds.has(body.kind)) {
+      const detail = { author: id.incarnation, ...detailOf(body).detail };
+      this._timeline.record({ part: 'log', event: body.kind, offset, detail });
     } else if (isAuthor && authoredKinds.has(body.kind)) {
       this._timeline.record({ part: 'log', event: body.kind, offset, ...this._replicaOf(body), ...detailOf(body) });
     }
--- a/packages/daemon/src/operators/operatorsOnLog.test.ts
+++ b/packages/daemon/src/operators/operatorsOnLog.test.ts
@@ -5,6 +5,7 @@
 import { openControlPlane } from '../ControlPlane.js';
 import { joinedDaemons, testContext, testSettings, until } from '../log/testing/support.js';
 import { Timeline } from '../timeline/index.js';
+import type { ControlPlane } from '../Types.js';
 import { openOperators } from './openOperators.js';
 import type { OperatorsPart } from './Types.js';
 
@@ -18,13 +19,14 @@
   public log!: standins.LogService;
   private readonly _client = this.closing.register(new common.JsonHttpClient());
   private _operators: readonly OperatorsPart[] = [];
+  private _planes: readonly ControlPlane[] = [];
 
   public async open(): Promise<void> {
     this.log = this.closing.register(await standins.LogService.open());
     const opened = await Promise.all(names.map((name) => this._openDaemon(name)));
     this._operators = opened.map(({ operators }) => operators);
-    const planes = opened.map(({ plane }) => plane);
-    await until('all have joined', () => planes.every((plane) => joinedDaemons(plane).length === names.length));
+    this._planes = opened.map(({ plane }) => plane);
+    await until('all have joined', () => this._planes.every((plane) => joinedDaemons(plane).length === names.length));
   }
 
   public async call(daemon: number, operator: string, path: string, body?: unknown): Promise<common.JsonResponse> {
@@ -47,6 +49,10 @@
     });
   }
 
+  public async leave(daemon: number): Promise<void> {
+    await this._planes[daemon]?.leave();
+  }
+
   private async _openDaemon(name: string) {
     const operators = ['mara/solano', 'ines/cascade'].map((text) => {
       const [operator = '', partner = ''] = text.split('/');
@@ -132,6 +138,16 @@
     expect(await cell.call(0, 'ines', '/v1/approvals', { edit: 999_999 })).toMatchObject({ status: 404 });
   });
 
+  it('shows that a daemon left although its own events are gone (guards against an unexplained stop)', async () => {
+    await cell.leave(0);
+    const readLeft = async (): Promise<readonly string[]> => {
+      const { body } = await cell.call(1, 'ines', '/v1/timeline');
+      const { events } = body as { events: common.TimelineEvent[] };
+      return events.filter(({ event, daemon }) => event === 'daemonLeft' && daemon !== 'a').map(({ daemon }) => daemon);
+    };
+    await expect.poll(async () => [...(await readLeft())].sort(), { timeout: 3000 }).toEqual(['b', 'c']);
+  });
+
   it('calls an edit unconfirmed while appends stall (guards against a wrong "refused")', async () => {
     await cell.disturbLog({ stallAppends: true });
     expect(await cell.call(0, 'mara', '/v1/edits', edit(41, null))).toMatchObject({ status: 202 });
--- a/packages/daemon/src/operators/schemas.ts
+++ b/packages/daemon/src/operators/schemas.ts
@@ -8,7 +8,7 @@
 export const maximumAskedVersions = 1000;
 /** Newest matching events that one daemon returns at most. */
 export const maximumEventsPerDaemon = 5000;
-/** Events over all daemons that one `GET /v1/timeline` asks for; about 15 MB. */
+/** Events over all daemons that one `GET /v1/timeline` asks for; about 10 MB at 200 bytes an event. */
 export const maximumEventsPerAnswer = 50_000;
 
 const offset = z.number().int().min(0);
