--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -29,7 +29,7 @@
   const settings = await readSettings(options.settings);
   if (!settings.ok) {
     for (const problem of settings.failure) {
-      process.stderr.write(`${problem.message}\n`);
+      process.stderr.write(`${common.settings.formatSettingsProblem(problem)}\n`);
     }
     return exitCodes.usage;
   }
