--- a/packages/daemon/src/ControlPlane.ts
+++ b/packages/daemon/src/ControlPlane.ts
@@ -22,7 +22,18 @@
 
 /** Longest time that a peer may make this daemon wait for records, milliseconds. */
 const longestPeerWaitMs = 1000;
-const recordsAfterSchema = zod.object({ offset: zod.number(), waitMs: zod.number().max(longestPeerWaitMs) });
+
+/** Names the topic, so that a daemon never takes the records of another cell from a wrong seed. */
+function recordSchemas(topic: string): {
+  readonly recordsAfter: zod.ZodType<{ readonly offset: number; readonly waitMs: number }>;
+  readonly state: zod.ZodType;
+} {
+  const named = zod.literal(topic);
+  return {
+    recordsAfter: zod.object({ topic: named, offset: zod.number(), waitMs: zod.number().max(longestPeerWaitMs) }),
+    state: zod.object({ topic: named }),
+  };
+}
 
 /** Opens the replayed log, the daemon group and the claims. Rejects when the peers' address cannot be bound. */
 export async function openControlPlane(
@@ -38,19 +49,25 @@
   closing.register(client);
   const health = new LogHealth(now);
   const group = closing.register(new PeerGroup(context, incarnation));
-  await group.listen();
+  try {
+    await group.listen();
+  } catch (error) {
+    await closing[Symbol.asyncDispose]();
+    throw error;
+  }
 
+  const topic = `${settings.platform.topicPrefix}control`;
   const offsets = new PeerOffsets();
   const source = new ControlPeerSource(group, offsets, () => heartbeats.askSeeds());
   const replica: ControlReplica = new TopicReplica(replicaContext, {
-    topic: `${settings.platform.topicPrefix}control`,
+    topic,
     rules: controlRules(limitsOf(settings)),
     client,
     health,
     peers: source,
     timeoutMs: settings.platform.logTimeoutMs,
   });
-  serveRecords(group, replica);
+  serveRecords(group, replica, topic);
   const log = new ControlLogReplica(incarnation, replica);
   const heartbeats = new Heartbeats(context, incarnation, group, offsets, {
     get appliedOffset() {
@@ -76,7 +93,7 @@
       retentionMs: settings.platform.logRetentionMs,
       now,
       wallNow,
-      isWriter: () => isFirst('control/snapshots', group, incarnation),
+      rank: () => rankOf('control/snapshots', group, incarnation),
       logger,
     }),
   );
@@ -84,7 +101,9 @@
     new ClaimPartitions(context, replicaContext, client, health, group, () => log.joined),
   );
   new ClaimHolder(context, partitions, replica, group);
-  const claims = closing.register(new ClaimsRouter(context, group, () => log.joined));
+  const claims = closing.register(
+    new ClaimsRouter(context, group, () => log.state.daemons.get(incarnation)?.state === 'joined'),
+  );
   await membership.opened(settings.platform.logTimeoutMs);
   return {
     incarnation,
@@ -105,15 +124,20 @@
   return { maximumConcurrentLoads, maximumAdaptersInTransit, partners: settings.partners };
 }
 
-function serveRecords(group: PeerGroup, replica: ControlReplica): void {
+function serveRecords(group: PeerGroup, replica: ControlReplica, topic: string): void {
+  const schemas = recordSchemas(topic);
   group.handle('log.recordsAfter', (parameters) => {
-    const { offset, waitMs } = recordsAfterSchema.parse(parameters);
+    const { offset, waitMs } = schemas.recordsAfter.parse(parameters);
     return replica.recordsAfter(offset, waitMs);
   });
-  group.handle('log.state', () => Promise.resolve(replica.image()));
+  group.handle('log.state', (parameters) => {
+    schemas.state.parse(parameters);
+    return Promise.resolve(replica.image());
+  });
 }
 
-function isFirst(key: string, group: PeerGroup, incarnation: common.Incarnation): boolean {
+/** Place of this daemon among the live members for a key. */
+function rankOf(key: string, group: PeerGroup, incarnation: common.Incarnation): number {
   const live = group.members.filter((member) => !member.suspected).map((member) => member.incarnation);
-  return decisions.rankByRendezvous(key, live)[0] === incarnation;
+  return decisions.rankByRendezvous(key, live).indexOf(incarnation);
 }
--- a/packages/daemon/src/claims/ClaimPartitions.ts
+++ b/packages/daemon/src/claims/ClaimPartitions.ts
@@ -116,7 +116,7 @@
       retentionMs: platform.logRetentionMs,
       now: this._context.now,
       wallNow: this._context.wallNow,
-      isWriter: () => this._rank(partition) === 0,
+      rank: () => this._rank(partition),
       logger: this._logger,
     });
     const caughtUp = this._catchUp(replica);
--- a/packages/daemon/src/log/AppendQueue.ts
+++ b/packages/daemon/src/log/AppendQueue.ts
@@ -13,8 +13,9 @@
 
 /** Appends of one topic that are not settled. More are refused, so that memory stays bounded in an outage. */
 const maximumPending = 2000;
-/** Bounds the size of one append request. */
+/** Bounds the size of one append request; log services commonly refuse more than 1 MiB. */
 const maximumBatchRecords = 500;
+const maximumBatchCharacters = 512 * 1024;
 
 /**
  * Last sequence number that this incarnation has used in a topic. It outlives a closed replica of the topic, because a
@@ -26,6 +27,7 @@
 
 interface PendingAppend<Body> {
   readonly envelope: decisions.RecordEnvelope<Body>;
+  readonly characters: number;
   readonly deadlineMs: number;
   readonly resolve: (outcome: AppendOutcome) => void;
   state: 'queued' | 'sent' | 'acknowledged';
@@ -59,9 +61,10 @@
     if (this._pending.size >= maximumPending) {
       return false;
     }
+    const characters = JSON.stringify(body).length;
     this._sequence.last += 1;
     const id = { incarnation: this._incarnation, sequence: this._sequence.last };
-    this._pending.set(id.sequence, { envelope: { id, clock, body }, deadlineMs, resolve, state: 'queued' });
+    this._pending.set(id.sequence, { envelope: { id, clock, body }, characters, deadlineMs, resolve, state: 'queued' });
     return true;
   }
 
@@ -71,14 +74,17 @@
    */
   public takeBatch(): readonly decisions.RecordEnvelope<Body>[] {
     const batch: decisions.RecordEnvelope<Body>[] = [];
+    let characters = 0;
     for (const entry of this._pending.values()) {
-      if (batch.length === maximumBatchRecords) {
-        break;
+      if (entry.state === 'acknowledged') {
+        continue;
       }
-      if (entry.state !== 'acknowledged') {
-        entry.state = 'sent';
-        batch.push(entry.envelope);
+      characters += entry.characters;
+      if (batch.length === maximumBatchRecords || (batch.length > 0 && characters > maximumBatchCharacters)) {
+        break;
       }
+      entry.state = 'sent';
+      batch.push(entry.envelope);
     }
     return batch;
   }
@@ -109,11 +115,10 @@
   }
 
   /** Settles the append of a record that has been read back and replayed. */
-  public settle(record: decisions.LogRecord<Body>, verdict: decisions.Verdict): void {
-    if (record.id.incarnation !== this._incarnation) {
-      return;
+  public settle(id: decisions.RecordId, offset: number, verdict: decisions.Verdict): void {
+    if (id.incarnation === this._incarnation) {
+      this._take(id.sequence)?.resolve(common.succeed({ offset, verdict }));
     }
-    this._take(record.id.sequence)?.resolve(common.succeed({ offset: record.offset, verdict }));
   }
 
   /** Gives up on the records whose time is over. */
--- a/packages/daemon/src/log/ControlPeerSource.ts
+++ b/packages/daemon/src/log/ControlPeerSource.ts
@@ -34,13 +34,13 @@
     private readonly _askSeeds: () => Promise<void>,
   ) {}
 
-  public async recordsAfter(_topic: string, offset: number): Promise<PeerRecords | undefined> {
-    const parameters = { offset, waitMs: peerWaitMs };
+  public async recordsAfter(topic: string, offset: number): Promise<PeerRecords | undefined> {
+    const parameters = { topic, offset, waitMs: peerWaitMs };
     return this._ask(await this._candidates(offset), 'log.recordsAfter', parameters, recordsTimeoutMs, recordsSchema);
   }
 
-  public async state(_topic: string, aboveOffset: number): Promise<StateImage | undefined> {
-    return this._ask(await this._candidates(aboveOffset), 'log.state', {}, stateTimeoutMs, imageSchema);
+  public async state(topic: string, aboveOffset: number): Promise<StateImage | undefined> {
+    return this._ask(await this._candidates(aboveOffset), 'log.state', { topic }, stateTimeoutMs, imageSchema);
   }
 
   /** Peers that are known to be ahead, else any live member: it may be about to receive records. */
@@ -53,7 +53,7 @@
     const live = this._group.members.filter((member) => !member.self && !member.suspected);
     const suspected = new Set(this._group.members.filter((member) => member.suspected).map((m) => m.incarnation));
     const names = [...ahead.filter((name) => !suspected.has(name)), ...live.map((member) => member.incarnation)];
-    return [...new Set(names)].slice(0, maximumTries);
+    return [...new Set(names)].filter((name) => this._group.knows(name)).slice(0, maximumTries);
   }
 
   private async _ask<Answer>(
--- /dev/null
+++ b/packages/daemon/src/log/SnapshotKeeper.test.ts
@@ -0,0 +1,70 @@
+import * as vitest from 'vitest';
+import { SnapshotKeeper, type SnapshotSource } from './SnapshotKeeper.js';
+import { testContext, testSettings } from './testing/support.js';
+
+const retentionMs = 3000;
+
+/** Counts snapshots in a topic that several keepers share. */
+class FakeTopic {
+  public snapshots = 0;
+
+  public source(change: Partial<SnapshotSource> = {}): SnapshotSource {
+    return {
+      isReadingFromLog: true,
+      isLogAvailable: true,
+      snapshotTakenAtMs: 0,
+      writeSnapshot: () => {
+        this.snapshots += 1;
+        return Promise.resolve(true);
+      },
+      snapshotEnd: () => Promise.resolve(this.snapshots),
+      ...change,
+    };
+  }
+}
+
+function open(source: SnapshotSource, rank: number): SnapshotKeeper {
+  const { logger, now, wallNow } = testContext(testSettings('a', ''));
+  return new SnapshotKeeper({ source, retentionMs, now, wallNow, rank: () => rank, logger });
+}
+
+async function run(keepers: readonly SnapshotKeeper[], timeMs: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, timeMs));
+  await Promise.all(keepers.map((keeper) => keeper[Symbol.asyncDispose]()));
+}
+
+vitest.describe('SnapshotKeeper', () => {
+  vitest.test('only the first in the ranking writes (guards against one snapshot for each daemon)', async () => {
+    const topic = new FakeTopic();
+    const keepers = [0, 1, 2, 5].map((rank) => open(topic.source(), rank));
+    await run(keepers, 2600);
+    vitest.expect(topic.snapshots).toBe(2);
+  });
+
+  vitest.test('the next one writes when the first is cut off (guards against loss by retention)', async () => {
+    const topic = new FakeTopic();
+    const keepers = [open(topic.source({ isReadingFromLog: false }), 0), open(topic.source(), 1)];
+    await run(keepers, 1900);
+    vitest.expect(topic.snapshots).toBe(1);
+  });
+
+  vitest.test('writes right after an outage (guards against records that expire before the next one)', async () => {
+    const topic = new FakeTopic();
+    let reading = false;
+    const source = topic.source();
+    const keeper = open(
+      {
+        ...source,
+        get isReadingFromLog() {
+          return reading;
+        },
+      },
+      0,
+    );
+    setTimeout(() => {
+      reading = true;
+    }, 300);
+    await run([keeper], 900);
+    vitest.expect(topic.snapshots).toBe(1);
+  });
+});
--- a/packages/daemon/src/log/SnapshotKeeper.ts
+++ b/packages/daemon/src/log/SnapshotKeeper.ts
@@ -2,6 +2,13 @@
 
 /** Snapshots within the retention time of the log, so that one is always complete. */
 const snapshotsPerRetention = 3;
+/**
+ * Share of the usual age by which each next daemon in the ranking waits longer before it looks whether a snapshot was
+ * written. The first one may be cut off from the log while its peers still reach it.
+ */
+const overdueShare = 0.25;
+/** Ranks beyond this wait no longer, so that two thirds of the retention time are never exceeded. */
+const lastOverdueRank = 4;
 const shortestCheckMs = 250;
 const longestCheckMs = 10_000;
 
@@ -11,6 +18,8 @@
   readonly isLogAvailable: boolean;
   readonly snapshotTakenAtMs: number;
   writeSnapshot(): Promise<boolean>;
+  /** Moves whenever any daemon writes a snapshot; `undefined` if it is not known. */
+  snapshotEnd(): Promise<number | undefined>;
 }
 
 /** What a keeper works with. Times in milliseconds. */
@@ -19,56 +28,92 @@
   readonly retentionMs: number;
   readonly now: () => number;
   readonly wallNow: () => number;
-  /** Whether this daemon is the one that writes at present. */
-  readonly isWriter: () => boolean;
+  /** Place of this daemon among those that may write; the one at 0 writes. Negative if it may not. */
+  readonly rank: () => number;
   readonly logger: common.Logger;
 }
 
 /** Writes a snapshot every third of the retention time and right after an outage, if this daemon is chosen. */
 export class SnapshotKeeper extends common.Task<'check'> {
-  private readonly _startedMs: number;
+  /** Time of the last snapshot that this daemon knows of; at first that of its start. */
+  private _lastMs: number;
+  private _seenEnd: number | undefined;
+  private _hasSeenSnapshot = false;
   private _dueAfterOutage = false;
-  private _writing = false;
+  private _busy = false;
 
   public constructor(private readonly _options: SnapshotKeeperOptions) {
     super();
-    this._startedMs = _options.now();
+    this._lastMs = _options.now();
     const fractionMs = _options.retentionMs / (snapshotsPerRetention * 10);
     this.postEvery(Math.min(longestCheckMs, Math.max(shortestCheckMs, fractionMs)), () => 'check');
   }
 
   protected override handle(): void {
-    const { source, isWriter } = this._options;
+    const { source, rank, retentionMs } = this._options;
     if (!source.isReadingFromLog || !source.isLogAvailable) {
       this._dueAfterOutage = true;
       return;
     }
-    if (!isWriter()) {
-      // The chosen daemon has seen the same outage.
-      this._dueAfterOutage = false;
+    const ownRank = rank();
+    if (this._busy || ownRank < 0) {
       return;
     }
-    if (
-      !this._writing &&
-      (this._dueAfterOutage || this._ageMs() >= this._options.retentionMs / snapshotsPerRetention)
-    ) {
-      void this._write();
+    const intervalMs = retentionMs / snapshotsPerRetention;
+    const dueMs = intervalMs * (1 + overdueShare * Math.min(ownRank, lastOverdueRank));
+    if (this._seenEnd === undefined) {
+      this._run(() => this._readEnd());
+    } else if (ownRank === 0 && (this._dueAfterOutage || this._ageMs() >= dueMs)) {
+      this._run(() => this._write());
+    } else if (ownRank > 0) {
+      // The first in the ranking has seen the same outage.
+      this._dueAfterOutage = false;
+      if (this._ageMs() >= dueMs) {
+        this._run(() => this._writeUnlessWritten(this._seenEnd ?? 0));
+      }
     }
   }
 
   private _ageMs(): number {
     const { source, now, wallNow } = this._options;
-    return source.snapshotTakenAtMs > 0 ? wallNow() - source.snapshotTakenAtMs : now() - this._startedMs;
+    const sinceMs = now() - this._lastMs;
+    // A snapshot that this daemon started from may be older than the daemon.
+    const startedFromOld = !this._hasSeenSnapshot && source.snapshotTakenAtMs > 0;
+    return startedFromOld ? Math.max(sinceMs, wallNow() - source.snapshotTakenAtMs) : sinceMs;
+  }
+
+  private _run(work: () => Promise<void>): void {
+    this._busy = true;
+    void work().then(() => {
+      this._busy = false;
+    });
+  }
+
+  private async _readEnd(): Promise<void> {
+    this._seenEnd = (await this._options.source.snapshotEnd()) ?? this._seenEnd;
+  }
+
+  private async _writeUnlessWritten(seenEnd: number): Promise<void> {
+    await this._readEnd();
+    if ((this._seenEnd ?? 0) > seenEnd) {
+      this._noteSnapshot();
+    } else {
+      await this._write();
+    }
   }
 
   private async _write(): Promise<void> {
-    this._writing = true;
     const startedMs = this._options.now();
-    const written = await this._options.source.writeSnapshot();
-    this._writing = false;
-    if (written) {
+    if (await this._options.source.writeSnapshot()) {
       this._dueAfterOutage = false;
       this._options.logger.info('wrote a snapshot', { durationMs: Math.round(this._options.now() - startedMs) });
+      await this._readEnd();
+      this._noteSnapshot();
     }
   }
+
+  private _noteSnapshot(): void {
+    this._lastMs = this._options.now();
+    this._hasSeenSnapshot = true;
+  }
 }
--- a/packages/daemon/src/log/SnapshotStore.ts
+++ b/packages/daemon/src/log/SnapshotStore.ts
@@ -68,6 +68,12 @@
     return common.succeed(newest);
   }
 
+  /** Offset after the last record of the snapshot topic; `undefined` if the log does not answer. */
+  public async end(): Promise<number | undefined> {
+    const range = await this._client.offsets(this._topic, this._timeoutMs);
+    return range.ok ? range.value.end : undefined;
+  }
+
   private _append(value: zod.infer<typeof recordSchema>): Promise<common.Outcome<number, LogFailure>> {
     return this._client.append(this._topic, [value], this._timeoutMs);
   }
--- a/packages/daemon/src/log/TopicAppender.ts
+++ b/packages/daemon/src/log/TopicAppender.ts
@@ -74,8 +74,8 @@
   }
 
   /** Settles the append of a record that was read back and replayed. */
-  public settle(record: decisions.LogRecord<Body>, verdict: decisions.Verdict): void {
-    this._queue.settle(record, verdict);
+  public settle(id: decisions.RecordId, offset: number, verdict: decisions.Verdict): void {
+    this._queue.settle(id, offset, verdict);
   }
 
   /** Ends the append in flight if all its records have been read back. */
--- a/packages/daemon/src/log/TopicReplica.test.ts
+++ b/packages/daemon/src/log/TopicReplica.test.ts
@@ -33,6 +33,13 @@
     vitest.expect(rejected.ok && rejected.value.verdict.kind).toBe('rejected');
   });
 
+  vitest.test('reports a malformed record as rejected (guards against an edit that hangs)', async () => {
+    const { replica } = open('a');
+    const outcome = await replica.append({ value: Number.NaN }, 1000);
+    vitest.expect(outcome).toMatchObject({ ok: true, value: { verdict: { kind: 'rejected', rule: 'invalidRecord' } } });
+    vitest.expect((await replica.append({ value: 1 }, 1000)).ok).toBe(true);
+  });
+
   vitest.test('a burst goes into few appends in order (guards against one append per record)', async () => {
     const { replica } = open('a');
     const values = Array.from({ length: 1500 }, (_none, index) => index);
--- a/packages/daemon/src/log/TopicReplica.ts
+++ b/packages/daemon/src/log/TopicReplica.ts
@@ -1,4 +1,5 @@
 import * as common from '@jayhaven/common';
+import * as zod from 'zod';
 import type { AppendOutcome } from './AppendQueue.js';
 import { Backoff } from './Backoff.js';
 import { OffsetWaiters } from './OffsetWaiters.js';
@@ -20,6 +21,7 @@
 /** Time that the log holds a long poll without records. */
 const pollWaitMs = 1000;
 const tickMs = 250;
+const authorSchema = zod.object({ id: zod.object({ incarnation: zod.string(), sequence: zod.number() }) });
 /** Settings of a replica. Times in milliseconds. */
 export interface ReplicaOptions<Body, State> extends AppenderOptions {
   readonly rules: TopicRules<Body, State>;
@@ -172,6 +174,11 @@
     return written.ok;
   }
 
+  /** End of the snapshot topic; it moves whenever any daemon writes a snapshot. */
+  public snapshotEnd(): Promise<number | undefined> {
+    return this._snapshots.end();
+  }
+
   public override async [Symbol.asyncDispose](): Promise<void> {
     this._stopped = true;
     this._positions.close();
@@ -261,7 +268,7 @@
   private _replay(raw: RawRecord): void {
     const envelope = this._options.rules.parse(raw.value);
     if (!envelope) {
-      this._context.logger.warn('a record is malformed and has no effect', { offset: raw.offset });
+      this._skipMalformed(raw);
       return;
     }
     const record = { ...envelope, offset: raw.offset };
@@ -269,7 +276,17 @@
     const { state, verdict } = this._options.rules.replay(this._state, record);
     this._state = state;
     this._changes.fire({ record, verdict, state });
-    this._appender.settle(record, verdict);
+    this._appender.settle(record.id, raw.offset, verdict);
+  }
+
+  /** A malformed record has no effect; its author is told if it is this daemon. */
+  private _skipMalformed({ offset, value }: RawRecord): void {
+    this._context.logger.warn('a record is malformed and has no effect', { offset });
+    const author = authorSchema.safeParse(value);
+    if (author.success) {
+      const message = 'the record is malformed';
+      this._appender.settle(author.data.id, offset, { kind: 'rejected', rule: 'invalidRecord', message });
+    }
   }
 
   private _checkSource(): void {
--- a/packages/daemon/src/log/testing/replicas.ts
+++ b/packages/daemon/src/log/testing/replicas.ts
@@ -1,5 +1,6 @@
 /** Replicas of a small topic for tests: the state lists the values that took effect, in order. */
 import * as common from '@jayhaven/common';
+import type * as decisions from '@jayhaven/decisions';
 import { LogHealth } from '../LogHealth.js';
 import { TopicReplica } from '../TopicReplica.js';
 import type { PeerSource, TopicRules } from '../Types.js';
@@ -22,7 +23,10 @@
 /** Accepts every number that is not negative. */
 export const numberRules: TopicRules<NumberBody, NumberState> = {
   empty: { lastSequences: {}, values: [] },
-  parse: (value) => value as ReturnType<TopicRules<NumberBody, NumberState>['parse']>,
+  parse: (value) => {
+    const envelope = value as decisions.RecordEnvelope<NumberBody>;
+    return typeof envelope.body.value === 'number' ? envelope : undefined;
+  },
   replay: (state, { id, body }) => {
     if (id.sequence <= (state.lastSequences[id.incarnation] ?? 0)) {
       return { state, verdict: { kind: 'duplicate' } };
--- a/packages/daemon/src/peers/Heartbeats.ts
+++ b/packages/daemon/src/peers/Heartbeats.ts
@@ -91,7 +91,7 @@
     const answer = await this._group.call(neighbour, 'peer.heartbeat', this._body(), heartbeatTimeoutMs);
     if (answer.ok) {
       this._takeAnswer(neighbour, answer.value);
-    } else if (!this._stopped) {
+    } else if (!this._stopped && answer.failure.kind !== 'error') {
       this._group.suspicions.missed(neighbour, this._context.now());
       this._group.refresh();
     }
@@ -100,6 +100,7 @@
   private async _beatSeed(seed: decisions.Address): Promise<void> {
     const answer = await this._group.callAddress(seed, 'peer.heartbeat', this._body(), heartbeatTimeoutMs);
     if (answer.ok && answer.value.callee !== this._self) {
+      this._group.learnAddress(answer.value.callee, seed);
       this._takeAnswer(answer.value.callee, answer.value.body);
     }
   }
--- a/packages/daemon/src/peers/PeerGroup.ts
+++ b/packages/daemon/src/peers/PeerGroup.ts
@@ -124,6 +124,11 @@
     }
   }
 
+  /** Whether an incarnation's address is known. */
+  public knows(incarnation: common.Incarnation): boolean {
+    return this._addressOf(incarnation) !== undefined;
+  }
+
   public handle(method: string, handler: Handler): void {
     this._handlers.set(method, handler);
     this._server.addMethod(method, (parameters) => this._serve(handler, parameters));
@@ -138,7 +143,7 @@
     if (incarnation === this._self) {
       return this._callSelf(method, parameters);
     }
-    const address = this._daemons.get(incarnation)?.peers ?? this._learned.get(incarnation);
+    const address = this._addressOf(incarnation);
     if (!address) {
       return common.fail({ kind: 'unreachable', message: `${incarnation} is not a member` });
     }
@@ -192,6 +197,10 @@
     await this._server[Symbol.asyncDispose]();
   }
 
+  private _addressOf(incarnation: common.Incarnation): decisions.Address | undefined {
+    return this._daemons.get(incarnation)?.peers ?? this._learned.get(incarnation);
+  }
+
   private _buildMembers(): readonly PeerMember[] {
     const nowMs = this._context.now();
     const { name, failureDomain } = this._context.settings.daemon;
