--- a/packages/daemon/src/owner/Planning.ts
+++ b/packages/daemon/src/owner/Planning.ts
@@ -5,6 +5,10 @@
 
 /** Daemons report usage within this time after a change of owner; nothing is unloaded before. */
 const usageGraceMs = 3_000;
+/** Usage, pauses and hints change without a record, so a blocked load is tried again after this time. */
+const blockedRetryMs = 500;
+/** Daemons repeat their wakes each second, so each of them hears a refusal within this time. */
+const refusalMs = 1_500;
 /** A target gets no load for this time after one failed there, milliseconds. */
 const failedTargetPauseMs = 5_000;
 /** Room made for a load is kept for it this long. */
@@ -25,6 +29,12 @@
   readonly untilMs: number;
 }
 
+/** State in which a load could not be placed. */
+interface Blocked {
+  readonly state: decisions.ControlState;
+  readonly atMs: number;
+}
+
 interface Failures {
   count: number;
   lastMs: number;
@@ -44,6 +54,8 @@
   private readonly _reservations = new Map<common.TargetAddress, Reservation>();
   private readonly _pausedTargets = new Map<common.TargetAddress, number>();
   private readonly _strays = new Set<common.TargetAddress>();
+  private readonly _blocked = new Map<string, Blocked>();
+  private readonly _refusedUntilMs = new Map<string, number>();
   private readonly _failures = new Map<string, Failures>();
   private readonly _readySinceMs = new Map<decisions.ReplicaId, number>();
   private readonly _loadingSinceMs = new Map<decisions.ReplicaId, number>();
@@ -129,6 +141,41 @@
     }
   }
 
+  /** Notes that a load waited for room in vain; the daemons hear it when they repeat their wakes. */
+  public noteRefused(settings: decisions.ModelSettings, nowMs: number): void {
+    this._refusedUntilMs.set(Planning.keyOf(settings), nowMs + refusalMs);
+  }
+
+  /** Whether a load waited for room in vain a moment ago. */
+  public isRefused(settings: decisions.ModelSettings, nowMs: number): boolean {
+    const key = Planning.keyOf(settings);
+    const refused = (this._refusedUntilMs.get(key) ?? -Infinity) > nowMs;
+    if (!refused) {
+      this._refusedUntilMs.delete(key);
+    }
+    return refused;
+  }
+
+  /** Notes that a load cannot be placed in this state. */
+  public noteBlocked(settings: decisions.ModelSettings, state: decisions.ControlState, nowMs: number): void {
+    this._blocked.set(Planning.keyOf(settings), { state, atMs: nowMs });
+  }
+
+  /** Whether a load was tried a moment ago, and neither replicas nor orders nor VMs have changed since. */
+  public isBlocked(settings: decisions.ModelSettings, state: decisions.ControlState, nowMs: number): boolean {
+    const key = Planning.keyOf(settings);
+    const blocked = this._blocked.get(key);
+    const same =
+      blocked?.state.replicas === state.replicas &&
+      blocked.state.orders === state.orders &&
+      blocked.state.vms === state.vms;
+    if (!same || nowMs - blocked.atMs > blockedRetryMs) {
+      this._blocked.delete(key);
+      return false;
+    }
+    return true;
+  }
+
   /** Learns from a finished load. */
   public noteLoaded(load: FinishedLoad): void {
     const { replica, durationMs } = load;
