Keep results ahead of needless releases in an outage

Each claim refused in an outage was followed by a release that waited for the log, and 5,000 of them could push out reports of finished calls.

--- a/packages/daemon/src/ControlPlane.test.ts
+++ b/packages/daemon/src/ControlPlane.test.ts
@@ -56,6 +56,17 @@
     vitest.expect((await group.plane('d').log.append(edit('queueLimit', 8, null), 2000)).ok).toBe(false);
   });
 
+  vitest.test('an edit is in force within 3 s while the log is slow (guards against a false outage)', async () => {
+    const planes = await group.startAll(names);
+    await group.control({ appendDelayMs: 700, readDelayMs: 700 });
+    await new Promise((resolve) => setTimeout(resolve, 3000));
+    vitest.expect(planes.every((plane) => plane.log.lag.logAvailable)).toBe(true);
+    const startedMs = performance.now();
+    vitest.expect((await planes[0]?.log.append(edit('queueLimit', 7, null), 5000))?.ok).toBe(true);
+    await until('the edit is in force everywhere', () => planes.every((plane) => edited(plane, 'queueLimit') === 7));
+    vitest.expect(performance.now() - startedMs).toBeLessThan(3000);
+  });
+
   vitest.test('a daemon that starts in an outage takes state from a seed, and joins later', async () => {
     const [first] = await group.startAll(names);
     await first?.log.append(edit('queueLimit', 7, null), 2000);
--- a/packages/daemon/src/claims/Claims.test.ts
+++ b/packages/daemon/src/claims/Claims.test.ts
@@ -76,6 +76,7 @@
     const refused = await planes[1]?.claims.acquire({ key, fingerprint: 'f', attempt: 'second', timeoutMs: 3000 });
     vitest.expect(performance.now() - startedMs).toBeLessThan(200);
     vitest.expect(refused).toMatchObject({ ok: false });
+    vitest.expect(await planes[1]?.claims.release(key, 'second')).toBe(true);
     vitest.expect(await planes[0]?.claims.complete(key, 'first', 200, undefined)).toBe(false);
     await group.control({ outage: false });
     await until('the log is used again', () => planes.every((plane) => plane.log.lag.logAvailable));
--- a/packages/daemon/src/claims/ClaimsRouter.ts
+++ b/packages/daemon/src/claims/ClaimsRouter.ts
@@ -12,8 +12,8 @@
 const shareOfTime = 0.5;
 const reportTimeoutMs = 5000;
 const retryAfterMs = 1000;
-/** Attempts remembered as given up; an attempt is asked for within seconds of its failure, if at all. */
-const maximumGivenUp = 10_000;
+/** Failed attempts that are remembered; an attempt is asked for or released within seconds of its failure, if at all. */
+const maximumFailed = 10_000;
 const methods = { completed: 'claims.complete', released: 'claims.release', abandoned: 'claims.abandon' } as const;
 
 const claimAnswerSchema: zod.ZodType<decisions.ClaimAnswer> = zod.discriminatedUnion('kind', [
@@ -47,7 +47,8 @@
  */
 export class ClaimsRouter implements ClaimsClient, AsyncDisposable {
   private readonly _retrier: ReportRetrier;
-  private readonly _givenUp = new Set<string>();
+  /** Failed attempts, and whether their claim may still come into force. */
+  private readonly _failed = new Map<string, boolean>();
 
   public constructor(
     private readonly _context: DaemonContext,
@@ -59,16 +60,15 @@
   }
 
   public async acquire(request: ClaimRequest): Promise<common.Outcome<decisions.ClaimAnswer, ClaimFailure>> {
-    if (this._givenUp.has(request.attempt)) {
+    if (this._failed.get(request.attempt) === true) {
       return common.fail({ message: 'the attempt was given up, and its claim is being released', retryAfterMs });
     }
-    if (!this._isJoined()) {
-      return common.fail({ message: 'the daemon has not joined yet', retryAfterMs });
-    }
-    const outcome = await this._ask(request);
+    const outcome = this._isJoined() ? await this._ask(request) : failed('the daemon has not joined yet');
     if (outcome.kind === 'answered') {
+      this._failed.delete(request.attempt);
       return common.succeed(outcome.answer);
     }
+    this._noteFailed(request.attempt, outcome.mayTakeEffect);
     if (outcome.mayTakeEffect) {
       this._giveUp(request);
     }
@@ -86,7 +86,8 @@
   }
 
   public release(key: string, attempt: string): Promise<boolean> {
-    return this._report({ kind: 'released', key, attempt });
+    // Nothing was claimed, or the release is under way. In an outage these would crowd out the reports that matter.
+    return this._failed.has(attempt) ? Promise.resolve(true) : this._report({ kind: 'released', key, attempt });
   }
 
   public abandon(key: string, attempt: string): Promise<boolean> {
@@ -124,17 +125,20 @@
    * for a claim record that another holder appended late.
    */
   private _giveUp({ key, attempt }: ClaimRequest): void {
-    this._givenUp.add(attempt);
-    const oldest = this._givenUp.values().next().value;
-    if (this._givenUp.size > maximumGivenUp && oldest !== undefined) {
-      this._givenUp.delete(oldest);
-    }
     const body = { kind: 'released', key, attempt } as const;
     const nowMs = this._context.now();
     this._retrier.add({ body, dueAtMs: nowMs });
     this._retrier.add({ body, dueAtMs: nowMs + this._context.settings.owner.orderDeliveryMs });
   }
 
+  private _noteFailed(attempt: string, mayTakeEffect: boolean): void {
+    this._failed.set(attempt, mayTakeEffect);
+    const oldest = this._failed.keys().next().value;
+    if (this._failed.size > maximumFailed && oldest !== undefined) {
+      this._failed.delete(oldest);
+    }
+  }
+
   /** Sends a report, and leaves it to the retrier if no holder has replayed it. */
   private async _report(body: ReportCall['body']): Promise<boolean> {
     const done = await this._send(body);
--- a/packages/daemon/src/claims/ReportRetrier.ts
+++ b/packages/daemon/src/claims/ReportRetrier.ts
@@ -2,7 +2,7 @@
 import type { ReportCall } from './Types.js';
 
 const retryIntervalMs = 1000;
-/** Reports kept through an outage; beyond it the oldest is dropped, and its key stays running or unknown. */
+/** Reports kept through an outage. Beyond it the oldest release is dropped, or else the oldest result. */
 const maximumWaiting = 5000;
 /** Reports sent at once after an outage. */
 const maximumAtOnce = 50;
@@ -32,7 +32,9 @@
   public add(report: DueReport): void {
     this._waiting.push(report);
     if (this._waiting.length > maximumWaiting) {
-      this._waiting.shift();
+      // A dropped release keeps a key taken, which is safe; a dropped result is lost for good.
+      const release = this._waiting.findIndex(({ body }) => body.kind === 'released');
+      this._waiting.splice(Math.max(0, release), 1);
     }
   }
 
