--- a/packages/daemon/src/ControlPlane.ts
+++ b/packages/daemon/src/ControlPlane.ts
@@ -9,6 +9,7 @@
 import { ControlPeerSource } from './log/ControlPeerSource.js';
 import type { LogClient } from './log/LogClient.js';
 import { LogHealth } from './log/LogHealth.js';
+import { OutageRecorder } from './log/OutageRecorder.js';
 import { RestLogClient } from './log/RestLogClient.js';
 import { SnapshotKeeper } from './log/SnapshotKeeper.js';
 import { TopicReplica } from './log/TopicReplica.js';
@@ -86,6 +87,7 @@
   closing.register(heartbeats);
   closing.register(replica);
   const membership = closing.register(new Membership(context, log, replica, group));
+  closing.register(new OutageRecorder(context, replica));
   closing.register(new GoneReporter(context, log, group));
   closing.register(
     new SnapshotKeeper({
--- /dev/null
+++ b/packages/daemon/src/peers/SuspicionTable.test.ts
@@ -0,0 +1,56 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import { neighboursOf } from './ring.js';
+import { SuspicionTable } from './SuspicionTable.js';
+
+vitest.describe('SuspicionTable', () => {
+  vitest.test('suspects after three misses in a row (guards against suspicion of one slow answer)', () => {
+    const table = new SuspicionTable();
+    table.missed('x', 1000);
+    table.missed('x', 2000);
+    table.heard('x', 2500);
+    table.missed('x', 3000);
+    table.missed('x', 4000);
+    vitest.expect(table.isSuspected('x', 4000)).toBe(false);
+    table.missed('x', 5000);
+    vitest.expect(table.isSuspected('x', 5000)).toBe(true);
+    table.heard('x', 5001);
+    vitest.expect(table.isSuspected('x', 5001)).toBe(false);
+  });
+
+  vitest.test('passes on suspicions and their withdrawal (guards against members that stay suspected)', () => {
+    const [first, second] = [new SuspicionTable(), new SuspicionTable()];
+    for (const atMs of [1000, 2000, 3000]) {
+      first.missed('x', atMs);
+    }
+    second.takeOver(first.passOn(3000), first.passOnWithdrawn(3000), 3010);
+    vitest.expect(second.isSuspected('x', 3010)).toBe(true);
+    first.heard('x', 3500);
+    vitest.expect(first.passOn(4000)).toEqual([]);
+    second.takeOver(first.passOn(4000), first.passOnWithdrawn(4000), 4010);
+    vitest.expect(second.isSuspected('x', 4010)).toBe(false);
+    // The second's old suspicion must not come back to the first.
+    first.takeOver(second.passOn(4020), second.passOnWithdrawn(4020), 4030);
+    vitest.expect(first.isSuspected('x', 4030)).toBe(false);
+  });
+});
+
+vitest.describe('neighboursOf', () => {
+  vitest.test('every member gets heartbeats of others (guards against a member that nobody watches)', () => {
+    const names = fastCheck.uniqueArray(fastCheck.string({ minLength: 1, maxLength: 4 }), {
+      minLength: 2,
+      maxLength: 20,
+    });
+    fastCheck.assert(
+      fastCheck.property(names, fastCheck.integer({ min: 0, max: 2 }), (members, failed) => {
+        const suspects = new Set([...members].sort().slice(0, Math.min(failed, members.length - 2)));
+        const watched = new Set(
+          members
+            .filter((member) => !suspects.has(member))
+            .flatMap((member) => neighboursOf(member, members, (other) => suspects.has(other))),
+        );
+        vitest.expect([...watched].sort()).toEqual([...members].sort());
+      }),
+    );
+  });
+});
