Count an append as read back only by its own records

An append whose callers had all given up counted as read back at the next poll, so a second one was started beside it and the circuit breaker saw a success. The new test sees three appends begun instead of two without the change.

--- a/packages/daemon/src/log/AppendQueue.ts
+++ b/packages/daemon/src/log/AppendQueue.ts
@@ -36,6 +36,7 @@
 /** Records on their way into one topic, in the order of their sequence numbers. Holds no timers or sockets. */
 export class AppendQueue<Body> {
   private readonly _pending = new Map<number, PendingAppend<Body>>();
+  private _readBackSequence = 0;
 
   public constructor(
     private readonly _incarnation: common.Incarnation,
@@ -99,9 +100,9 @@
     }
   }
 
-  /** Whether any record of a batch is not settled. */
-  public hasAny(batch: readonly decisions.RecordEnvelope<Body>[]): boolean {
-    return batch.some(({ id }) => this._pending.has(id.sequence));
+  /** Whether a batch has been read back. Records that were merely given up do not count. */
+  public isReadBack(batch: readonly decisions.RecordEnvelope<Body>[]): boolean {
+    return (batch.at(-1)?.id.sequence ?? 0) <= this._readBackSequence;
   }
 
   /** Whether a record waits to be sent or acknowledged. */
@@ -117,6 +118,7 @@
   /** Settles the append of a record that has been read back and replayed. */
   public settle(id: decisions.RecordId, offset: number, verdict: decisions.Verdict): void {
     if (id.incarnation === this._incarnation) {
+      this._readBackSequence = Math.max(this._readBackSequence, id.sequence);
       this._take(id.sequence)?.resolve(common.succeed({ offset, verdict }));
     }
   }
--- a/packages/daemon/src/log/TopicAppender.ts
+++ b/packages/daemon/src/log/TopicAppender.ts
@@ -121,7 +121,7 @@
     // Read-back proves that the append took effect, also when its acknowledgement is late or lost.
     const readBack = new Promise<common.Outcome<number, LogFailure>>((resolve) => {
       this._checkReadBack = () => {
-        if (!this._queue.hasAny(batch)) {
+        if (this._queue.isReadBack(batch)) {
           resolve(common.succeed(0));
         }
       };
--- a/packages/daemon/src/log/TopicReplica.test.ts
+++ b/packages/daemon/src/log/TopicReplica.test.ts
@@ -94,6 +94,22 @@
     vitest.expect(replica.state.values).toEqual([1, 3]);
   });
 
+  vitest.test('keeps one append in flight when callers give up (guards against appends that pile up)', async () => {
+    const { replica } = open('a');
+    await replica.append({ value: 1 }, 1000);
+    log.faults.appendDelayMs = 250;
+    const early = replica.append({ value: 2 }, 60);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    log.apply('numbers', [
+      { id: { incarnation: 'b', sequence: 1 }, clock: { wallMs: 0, counter: 0 }, body: { value: 9 } },
+    ]);
+    const late = replica.append({ value: 3 }, 2000);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    vitest.expect(log.started).toBe(2);
+    vitest.expect((await early).ok).toBe(false);
+    vitest.expect((await late).ok).toBe(true);
+  });
+
   vitest.test('notices a log that hangs (guards against appends that wait for their whole time)', async () => {
     const { replica } = open('a');
     await replica.append({ value: 1 }, 1000);
--- a/packages/daemon/src/log/testing/FakeLogClient.ts
+++ b/packages/daemon/src/log/testing/FakeLogClient.ts
@@ -16,6 +16,8 @@
   applyLateMs: number;
   /** Delays each answer. */
   delayMs: number;
+  /** Delays each append before it is applied. */
+  appendDelayMs: number;
 }
 
 interface FakeTopic {
@@ -25,7 +27,10 @@
 
 /** The log service in memory, shared by the clients of several replicas. */
 export class FakeLog {
+  /** Appends that were applied. */
   public appends = 0;
+  /** Appends that were begun. */
+  public started = 0;
   public readonly faults: LogFaults = {
     down: false,
     hanging: false,
@@ -33,6 +38,7 @@
     duplicate: false,
     applyLateMs: 0,
     delayMs: 0,
+    appendDelayMs: 0,
   };
   private readonly _topics = new Map<string, FakeTopic>();
   private readonly _changed = new common.Emitter<undefined>();
@@ -85,10 +91,14 @@
     values: readonly unknown[],
     timeoutMs: number,
   ): Promise<common.Outcome<number, LogFailure>> {
+    this._log.started += 1;
     const failure = await this._fault(timeoutMs);
     if (failure) {
       return failure;
     }
+    if (this._log.faults.appendDelayMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, this._log.faults.appendDelayMs));
+    }
     this._log.appends += 1;
     const { applyLateMs, duplicate, loseAcknowledgements } = this._log.faults;
     if (applyLateMs > 0) {
