Count a restarted daemon as its own successor only on the same port

Cause: replay took a newer incarnation of the same name as proof that the former process had ended. A second daemon with a reused name elsewhere would have settled the orders of a paused one. Only the same peer address proves it, because the operating system gives a port to one process. The test of succession restarts on the old port.

--- a/packages/daemon/src/ControlPlane.test.ts
+++ b/packages/daemon/src/ControlPlane.test.ts
@@ -9,6 +9,8 @@
   return plane.log.state.configuration.get(`solano/defaults/${field}`)?.value;
 }
 
+const anyPort = { host: '127.0.0.1', port: 0 };
+
 vitest.describe('control plane on the log stand-in', () => {
   let group: GroupFixture;
 
@@ -90,9 +92,11 @@
   vitest.test('a successor settles the old incarnation once, after the delivery time', async () => {
     const [first, second] = await group.startAll(names);
     const old = first?.incarnation ?? '';
+    const peers = first?.log.state.daemons.get(old)?.peers ?? { host: '127.0.0.1', port: 0 };
     await group.kill('a');
     const startedMs = performance.now();
-    await group.start('a');
+    // Only a process on the same port proves that the old one has ended.
+    await group.start('a', { listen: { callers: anyPort, peers, operators: anyPort } });
     await until('it is replaced', () => second?.log.state.daemons.get(old)?.state === 'replaced');
     await until('it is gone', () => second?.log.state.daemons.has(old) === false);
     vitest.expect(performance.now() - startedMs).toBeGreaterThan(1000);
--- a/packages/daemon/src/log/testing/support.ts
+++ b/packages/daemon/src/log/testing/support.ts
@@ -14,6 +14,7 @@
   name: string,
   logUrl: string,
   change: {
+    readonly listen?: DaemonSettings['listen'];
     readonly platform?: Partial<DaemonSettings['platform']>;
     readonly owner?: Partial<DaemonSettings['owner']>;
     readonly seedPeers?: DaemonSettings['seedPeers'];
@@ -22,7 +23,7 @@
   const local = { host: '127.0.0.1', port: 0 };
   return {
     daemon: { name, vm: `vm-${name}`, failureDomain: 'a', cell: 'main', logLevel: 'silent' },
-    listen: { callers: local, peers: local, operators: local },
+    listen: change.listen ?? { callers: local, peers: local, operators: local },
     platform: {
       logUrl,
       vmListUrl: '',
--- a/packages/proofs/src/tests/wholePath.test.ts
+++ b/packages/proofs/src/tests/wholePath.test.ts
@@ -35,6 +35,7 @@
         stream: true,
       });
       vitest.expect(result, cluster.errorOutput()).toMatchObject({ outcome: 'complete', status: 200 });
+      await cluster.observer.copy();
       vitest.expect(cluster.observer.replicaSpans('solano/walkthrough')).toHaveLength(1);
     },
   );
@@ -58,6 +59,7 @@
       const result = await cluster.callers.callService(daemon.callersUrl, call);
       vitest.expect(result, cluster.errorOutput()).toMatchObject({ status: 200 });
     }
+    await cluster.observer.copy();
     // Load polls of collectors carry no key.
     const payments = cluster.observer.serviceCalls('booking').filter((entry) => entry.key !== null);
     vitest.expect(payments).toHaveLength(1);
