--- a/packages/decisions/src/records/schemas.ts
+++ b/packages/decisions/src/records/schemas.ts
@@ -10,6 +10,8 @@
 
 const name = z.string().min(1).max(maximumNameLength);
 const text = z.string().max(maximumTextLength);
+// An engine's message may be long; it must not make the report invalid.
+const longText = z.string().transform((value) => value.slice(0, maximumTextLength));
 /** An offset of a record. */
 export const offsetSchema = z.int().min(0);
 const byteCounts = z.array(z.int().min(0)).max(64);
@@ -27,7 +29,9 @@
 });
 /** Fields that name one set of weights. */
 export const modelVersionFields = { partner: name, model: name, version: name };
-const reason = z.object({ rule: name, figures: z.record(z.string(), z.union([z.number(), z.string()])) });
+// JSON has no infinite numbers; a figure such as an unlimited keep-alive arrives as null.
+const figure = z.union([z.number(), z.string(), z.null().transform(() => 'none')]);
+const reason = z.object({ rule: name, figures: z.record(z.string(), figure) });
 const reading = { readAfter: offsetSchema.exactOptional() };
 const underClaim = { cell: name, claim: offsetSchema };
 
@@ -76,7 +80,7 @@
   }),
   fenceRaised: z.object({ kind: z.literal('fenceRaised'), target: name, claim: offsetSchema }),
   replicaReady: z.object({ kind: z.literal('replicaReady'), replica: offsetSchema }),
-  replicaFailed: z.object({ kind: z.literal('replicaFailed'), replica: offsetSchema, reason: text, ...reading }),
+  replicaFailed: z.object({ kind: z.literal('replicaFailed'), replica: offsetSchema, reason: longText, ...reading }),
   unloadDecided: z.object({ kind: z.literal('unloadDecided'), ...underClaim, replica: offsetSchema, reason }),
   replicaUnloaded: z.object({ kind: z.literal('replicaUnloaded'), replica: offsetSchema, ...reading }),
   adapterLoadDecided: z.object({
--- a/packages/decisions/src/replay/simulation.test.ts
+++ b/packages/decisions/src/replay/simulation.test.ts
@@ -10,6 +10,9 @@
       vitest.expect(Math.min(...free), `free memory of ${target.address}`).toBeGreaterThanOrEqual(0);
     }
   }
+  if (after.replicas.has(after.appliedOffset) && !before.replicas.has(after.appliedOffset)) {
+    vitest.expect(decisions.loadsInProgress(after)).toBeLessThanOrEqual(limits.maximumConcurrentLoads);
+  }
   for (const settings of decisions.allModels(after)) {
     const count = decisions.replicasOf(after, settings).length;
     // A maximum that was lowered, or a late load to a VM that was gone, leaves more; replay decides no further ones.
