--- a/packages/daemon/src/routing/Types.ts
+++ b/packages/daemon/src/routing/Types.ts
@@ -24,6 +24,7 @@
 export interface TargetLease {
   readonly target: common.TargetAddress;
   readonly replica: decisions.ReplicaId;
+  readonly vm: common.VmName;
   /** Ends the attempt. `failed` counts against the target's circuit breaker. */
   finish(result: 'answered' | 'failed' | 'neutral', nowMs: number): void;
 }
@@ -31,12 +32,16 @@
 /** How an attempt at an engine ended. */
 export type AttemptEnd =
   /** The whole answer was passed on. */
-  | { readonly kind: 'complete'; readonly body?: Buffer }
+  | { readonly kind: 'complete'; readonly body?: string }
   /** The engine did not run it; another target may. */
   | { readonly kind: 'notRun'; readonly type: 'model_not_loaded' | 'overloaded'; readonly retryAfterMs: number }
   /** The engine finds the request invalid. */
   | { readonly kind: 'rejected'; readonly status: number; readonly message: string }
-  | { readonly kind: 'failed'; readonly executed: common.Executed; readonly reason: string }
+  | { readonly kind: 'failed'; readonly reason: string }
+  /** The engine answered with a server error. A single request may cause that, so it does not count against it. */
+  | { readonly kind: 'serverError'; readonly reason: string }
+  /** A kept-alive connection was closed as the request was written, which says nothing about the target. */
+  | { readonly kind: 'staleConnection' }
   | { readonly kind: 'cancelled' };
 
 /** Answer of the waiting room. */
