--- a/packages/proofs/src/harness/Observer.ts
+++ b/packages/proofs/src/harness/Observer.ts
@@ -70,19 +70,19 @@
     await this._copying;
   }
 
-  /** Records of every engine process so far. */
+  /** Records of every engine process up to the last `copy`. */
   public engineRecords(): readonly { readonly engine: string; readonly records: standins.EngineRecordList }[] {
     return [...this._engines.values()].map(({ name, records }) => ({ engine: name, records }));
   }
 
-  /** Calls that services ran so far. */
+  /** Calls that services ran up to the last `copy`. */
   public serviceCalls(service?: string): readonly standins.ServiceCallRecord[] {
     return [...this._services.values()]
       .filter((copy) => service === undefined || copy.service === service)
       .flatMap((copy) => copy.records.calls);
   }
 
-  /** Requests that arrived at the engine of a VM after a time and were not refused, and calls that its service ran. */
+  /** Requests that a VM's engine took after a time, and calls that its service ran, up to the last `copy`. */
   public workAfter(vm: string, timeMs: number): number {
     const requests = [...this._engines.values()]
       .filter((copy) => copy.name === vm)
@@ -95,7 +95,7 @@
     return requests.length + calls.length;
   }
 
-  /** Spans in which engines held replicas of a model (`partner/model`), or of all models. */
+  /** Spans in which engines held replicas of a model (`partner/model`), or of all, up to the last `copy`. */
   public replicaSpans(model?: string): readonly ReplicaSpan[] {
     return [...this._engines]
       .flatMap(([process, { name, records }]) => replicaSpans(name, records.models, process.endedMs))
--- a/packages/proofs/src/harness/OperatorClient.ts
+++ b/packages/proofs/src/harness/OperatorClient.ts
@@ -1,7 +1,7 @@
 import type * as common from '@jayhaven/common';
 import { bearerKey } from './settingsFile.js';
 import { delay } from './ManagedProcess.js';
-import type { ModelConfiguration } from './Types.js';
+import type { ModelConfiguration, ServiceConfiguration } from './Types.js';
 
 /** Time for an answer of the operators' interface, milliseconds. */
 const operatorTimeoutMs = 15_000;
@@ -78,6 +78,15 @@
     });
   }
 
+  /** Configures a plain service for the partner; callers reach no other. */
+  public setService(service: string, configuration: ServiceConfiguration = {}): Promise<void> {
+    return this.set(`${this._partner}/services/${service}`, {
+      idempotentRoutes: ['GET /'],
+      deadlineMilliseconds: 10_000,
+      ...configuration,
+    });
+  }
+
   private async _request(method: 'GET' | 'POST', route: string, body?: unknown): Promise<EditAnswer> {
     const outcome = await this._client.request({
       method,
--- a/packages/proofs/src/harness/Types.ts
+++ b/packages/proofs/src/harness/Types.ts
@@ -36,7 +36,7 @@
   readonly log?: boolean;
   /** One proxy for each daemon's connections to the VM list. */
   readonly vmList?: boolean;
-  /** One proxy for the calls to each daemon from other daemons. Needs the setting `advertised_peers`. */
+  /** One proxy for the calls to each daemon from other daemons. */
   readonly peers?: boolean;
   /** One proxy for the connections to each target. */
   readonly targets?: boolean;
@@ -68,3 +68,10 @@
   readonly cacheBytes?: number;
   readonly expectedLoadMilliseconds?: number;
 }
+
+/** Value of the configuration key `partner/services/service`. */
+export interface ServiceConfiguration {
+  /** `METHOD /prefix` of calls that may be repeated. */
+  readonly idempotentRoutes?: readonly string[];
+  readonly deadlineMilliseconds?: number;
+}
