Answer load reports in the plain service, and copy records anew on each request of a test

Cause: the daemons' collectors poll GET /v2/load at services too, and the stand-in recorded each poll as a call that ran. Ruled out: a payment that ran twice; 60 keys at three daemons each ran once, and the surplus calls were GET /v2/load without a key.

--- a/packages/proofs/src/harness/Observer.ts
+++ b/packages/proofs/src/harness/Observer.ts
@@ -54,7 +54,9 @@
   /** Starts to copy records. */
   public start(): void {
     this._timer = setInterval(() => {
-      void this.copy();
+      if (!this._copying) {
+        void this.copy();
+      }
     }, copyIntervalMs);
   }
 
@@ -62,9 +64,13 @@
     clearInterval(this._timer);
   }
 
-  /** Copies the records of every target that answers. */
+  /** Copies the records of every target that answers, as they are after this call. */
   public async copy(): Promise<void> {
-    this._copying ??= this._copyAll().finally(() => {
+    // A copy under way may have read before the latest call.
+    while (this._copying) {
+      await this._copying;
+    }
+    this._copying = this._copyAll().finally(() => {
       this._copying = undefined;
     });
     await this._copying;
@@ -104,7 +110,6 @@
 
   /** Copies the records a last time, and returns every broken promise as a sentence. */
   public async violations(expectations: Expectations = {}): Promise<readonly string[]> {
-    await this._copying;
     await this.copy();
     return [
       ...this._replicaViolations(expectations),
--- a/packages/standins/src/commandLine.ts
+++ b/packages/standins/src/commandLine.ts
@@ -41,7 +41,7 @@
     start: async (values) => announce(await Engine.open(optionsOf(values))),
   },
   service: {
-    flags: ['name', 'answer-ms', 'seed'],
+    flags: ['name', 'answer-ms', 'slots', 'load-lag-ms', 'seed'],
     start: async (values) => announce(await PlainService.open(optionsOf(values))),
   },
   'fault-proxy': {
--- a/packages/standins/src/service/PlainService.test.ts
+++ b/packages/standins/src/service/PlainService.test.ts
@@ -21,6 +21,19 @@
     await service[Symbol.asyncDispose]();
   });
 
+  vitest.test('reports load without counting it as a call (guards against calls that nobody made)', async () => {
+    const service = await PlainService.open({ slots: 4, answerMs: 1500 });
+    vitest.expect((await call(service, 'GET', '/v2/load')).body).toMatchObject({ running: 0, slots: 4 });
+    const running = call(service, 'POST', '/pay');
+    await vitest.vi.waitFor(async () => {
+      vitest.expect((await call(service, 'GET', '/v2/load')).body).toMatchObject({ running: 1 });
+    }, 1400);
+    await running;
+    vitest.expect((await call(service, 'GET', '/v2/load')).body).toMatchObject({ running: 0 });
+    vitest.expect(service.calls).toHaveLength(1);
+    await service[Symbol.asyncDispose]();
+  });
+
   vitest.test('closes a kept connection after its answer (guards against a fault that does nothing)', async () => {
     const service = await PlainService.open();
     await call(service, 'POST', '/control', { closeKeepAlive: true });
--- a/packages/standins/src/service/PlainService.ts
+++ b/packages/standins/src/service/PlainService.ts
@@ -2,6 +2,7 @@
 import * as timers from 'node:timers/promises';
 import * as common from '@jayhaven/common';
 import * as zod from 'zod';
+import { LoadReports } from '../engine/LoadReports.js';
 import { FaultSwitch } from '../FaultSwitch.js';
 import { HttpStandIn, breakConnection, type Call } from '../http/HttpStandIn.js';
 import { RandomSource } from '../RandomSource.js';
@@ -13,6 +14,10 @@
   readonly name?: string;
   /** Time from the run of a call to its answer, milliseconds. */
   readonly answerMs?: number;
+  /** Calls that the service says it can run at once. */
+  readonly slots?: number;
+  /** Age of a load report, milliseconds. */
+  readonly loadLagMs?: number;
   readonly seed?: number;
 }
 
@@ -46,6 +51,8 @@
   private readonly _fail: FaultSwitch;
   private _answerMs: number;
   private readonly _sockets = new Set<net.Socket>();
+  private readonly _reports: LoadReports;
+  private _running = 0;
   private _silent = false;
 
   private constructor(private readonly _options: PlainServiceOptions) {
@@ -55,6 +62,8 @@
     this._closeKeepAlive = new FaultSwitch(random);
     this._fail = new FaultSwitch(random);
     this._answerMs = _options.answerMs ?? 0;
+    this._reports = new LoadReports(_options.loadLagMs ?? 0);
+    this._reportLoad(0);
   }
 
   /** Starts the service. */
@@ -84,11 +93,23 @@
     } else if (call.path === '/control/records') {
       const calls = this._calls.slice(Number(call.query.get('from') ?? 0));
       common.sendJson(call.response, 200, { calls, counts: Object.fromEntries(this._counts) });
+    } else if (call.path === '/v2/load' && call.method === 'GET') {
+      if (!this._silent) {
+        common.sendJson(call.response, 200, this._reports.current(Date.now()));
+      }
     } else {
+      this._reportLoad(1);
       await this._run(call);
+      this._reportLoad(-1);
     }
   }
 
+  private _reportLoad(change: number): void {
+    this._running += change;
+    const load = { running: this._running, waiting: 0, slots: this._options.slots ?? 64, free_bytes: [] };
+    this._reports.add(load, Date.now());
+  }
+
   private async _run(call: Call): Promise<void> {
     const record = this._record(call);
     if (this._answerMs > 0) {
