--- a/packages/proofs/src/harness/index.ts
+++ b/packages/proofs/src/harness/index.ts
@@ -5,7 +5,6 @@
 export type * from './Types.js';
 export { CallerClient, type CallResult, type CompletionCall, type ServiceCall } from './CallerClient.js';
 export { Cluster, type Target } from './Cluster.js';
-export { DaemonHandle, type DaemonIdentity, type DaemonProxies } from './DaemonHandle.js';
 export { findOwner } from './findOwner.js';
 export { DaemonHandle, workspaceDaemon, type DaemonIdentity, type DaemonProxies } from './DaemonHandle.js';
 export { freePort } from './freePorts.js';
