--- a/packages/proofs/src/harness/Observer.ts
+++ b/packages/proofs/src/harness/Observer.ts
@@ -54,7 +54,9 @@
   /** Starts to copy records. */
   public start(): void {
     this._timer = setInterval(() => {
-      void this.copy();
+      if (!this._copying) {
+        void this.copy();
+      }
     }, copyIntervalMs);
   }
 
@@ -62,27 +64,31 @@
     clearInterval(this._timer);
   }
 
-  /** Copies the records of every target that answers. */
+  /** Copies the records of every target that answers, as they are after this call. */
   public async copy(): Promise<void> {
-    this._copying ??= this._copyAll().finally(() => {
+    // A copy under way may have read before the latest call.
+    while (this._copying) {
+      await this._copying;
+    }
+    this._copying = this._copyAll().finally(() => {
       this._copying = undefined;
     });
     await this._copying;
   }
 
-  /** Records of every engine process so far. */
+  /** Records of every engine process up to the last `copy`. */
   public engineRecords(): readonly { readonly engine: string; readonly records: standins.EngineRecordList }[] {
     return [...this._engines.values()].map(({ name, records }) => ({ engine: name, records }));
   }
 
-  /** Calls that services ran so far. */
+  /** Calls that services ran up to the last `copy`. */
   public serviceCalls(service?: string): readonly standins.ServiceCallRecord[] {
     return [...this._services.values()]
       .filter((copy) => service === undefined || copy.service === service)
       .flatMap((copy) => copy.records.calls);
   }
 
-  /** Requests that arrived at the engine of a VM after a time and were not refused, and calls that its service ran. */
+  /** Requests that a VM's engine took after a time, and calls that its service ran, up to the last `copy`. */
   public workAfter(vm: string, timeMs: number): number {
     const requests = [...this._engines.values()]
       .filter((copy) => copy.name === vm)
@@ -95,7 +101,7 @@
     return requests.length + calls.length;
   }
 
-  /** Spans in which engines held replicas of a model (`partner/model`), or of all models. */
+  /** Spans in which engines held replicas of a model (`partner/model`), or of all, up to the last `copy`. */
   public replicaSpans(model?: string): readonly ReplicaSpan[] {
     return [...this._engines]
       .flatMap(([process, { name, records }]) => replicaSpans(name, records.models, process.endedMs))
@@ -104,7 +110,6 @@
 
   /** Copies the records a last time, and returns every broken promise as a sentence. */
   public async violations(expectations: Expectations = {}): Promise<readonly string[]> {
-    await this._copying;
     await this.copy();
     return [
       ...this._replicaViolations(expectations),
