--- a/packages/daemon/src/front/CompletionCall.test.ts
+++ b/packages/daemon/src/front/CompletionCall.test.ts
@@ -38,6 +38,23 @@
     vitest.expect(fixture.events.some(({ event }) => event === 'resumed')).toBe(true);
   });
 
+  vitest.test('finishes every request of an engine that dies (guards against losing what was in flight)', async () => {
+    await using fixture = await FrontFixture.open();
+    const dying = await fixture.addEngine('vm-1', true, { slots: 64, tokenMs: 10 });
+    const answers = Array.from({ length: 60 }, (_, index) =>
+      fixture.chat(`p${index}`, { stream: index % 2 === 0, tokens: 50 }),
+    );
+    await vitest.vi.waitFor(() => {
+      vitest.expect(dying.records.requests.filter(({ tokens }) => tokens > 3)).toHaveLength(60);
+    });
+    await fixture.addEngine('vm-2', true, { slots: 64 });
+    await dying[Symbol.asyncDispose]();
+    for (const [index, answer] of (await Promise.all(answers)).entries()) {
+      const text = index % 2 === 0 ? streamText(answer.text) : answer.text;
+      vitest.expect(text, `answer ${index}`).toContain(expectedText(`p${index}`, 50));
+    }
+  });
+
   vitest.test(
     'treats a cleanly ended stream without its end marker as broken (guards against a cut answer)',
     async () => {
