--- a/packages/daemon/src/front/Front.test.ts
+++ b/packages/daemon/src/front/Front.test.ts
@@ -40,4 +40,43 @@
     }
     vitest.expect(fixture.front.status().inFlight).toBe(0);
   });
+
+  vitest.test('reports usage, metrics and the steps of a request (guards against blind operation)', async () => {
+    await using fixture = await FrontFixture.open();
+    await fixture.addEngine('vm-1', true);
+    await fixture.chat('p', { headers: { 'x-request-id': 'r1' } });
+    const metrics = await fixture.send({ path: '/metrics' });
+    vitest.expect(metrics.text).toContain('jayhaven_requests_total{partner="solano",kind="completion",outcome="ok"} 1');
+    const steps = fixture.events.filter(({ request }) => request === 'r1');
+    vitest.expect(steps.map(({ event }) => event)).toEqual(['accepted', 'dispatched', 'finished']);
+    vitest.expect(steps[2]?.detail).toMatchObject({ outcome: 'ok' });
+    await vitest.vi.waitFor(
+      () => {
+        vitest.expect(fixture.usage.map(({ arrivals, inFlight }) => [arrivals, inFlight])).toEqual([
+          [1, 0],
+          [0, 0],
+        ]);
+      },
+      { timeout: 4_000 },
+    );
+  });
+
+  vitest.test('serves adapters by name (guards against answers of the base model)', async () => {
+    await using fixture = await FrontFixture.open();
+    const engine = await fixture.addEngine('vm-1', true);
+    fixture.plane.configure('solano/adapters/walk/tents', { bytes: 5 });
+    const order = { lora_name: 'solano/walk:tents', bytes: [5], fencing_token: 1 };
+    const loaded = await fetch(`http://127.0.0.1:${engine.port}/v1/load_lora_adapter`, {
+      method: 'POST',
+      body: JSON.stringify(order),
+    });
+    vitest.expect(loaded.status).toBe(200);
+    const adapter = { adapter: 'tents', order: 9, bytes: [5], state: 'ready' } as const;
+    fixture.plane.setReplica({ replica: 1, vm: 'vm-1', adapters: new Map([['tents', adapter]]) });
+    for (const model of ['walk:tents', 'solano/walk:tents']) {
+      const answer = await fixture.send({ path: '/v1/completions', body: { model, prompt: 'p' } });
+      vitest.expect(answer.status, answer.text).toBe(200);
+    }
+    vitest.expect(engine.records.requests.at(-1)?.model).toBe('solano/walk:tents');
+  });
 });
--- a/packages/daemon/src/routing/EngineAttempt.ts
+++ b/packages/daemon/src/routing/EngineAttempt.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import type * as common from '@jayhaven/common';
+import { describeError } from './refusals.js';
 import { StreamChecker } from './StreamChecker.js';
 import type { AttemptEnd } from './Types.js';
 
@@ -89,7 +90,7 @@
         if (outgoing.reusedSocket && !this._answer) {
           this._end({ kind: 'staleConnection' }, true);
         } else {
-          this._fail(error.message);
+          this._fail(describeError(error));
         }
       });
       outgoing.on('response', (answer) => {
--- a/packages/daemon/src/routing/ServiceAttempt.ts
+++ b/packages/daemon/src/routing/ServiceAttempt.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import type * as common from '@jayhaven/common';
+import { describeError } from './refusals.js';
 
 /** Largest answer of a plain service, bytes. */
 const maximumAnswerBytes = 8 * 1024 * 1024;
@@ -98,7 +99,7 @@
     }, connectTimeoutMs);
     socket.on('error', (error) => {
       clearTimeout(timer);
-      resolve(error.message);
+      resolve(describeError(error));
     });
     socket.once('connect', () => {
       clearTimeout(timer);
@@ -132,7 +133,7 @@
       breakOff(`no complete answer within ${Math.round(limitMs)} ms`);
     }, limitMs);
     outgoing.on('error', (error) => {
-      breakOff(error.message);
+      breakOff(describeError(error));
     });
     outgoing.on('response', (incoming) => {
       void readAnswer(incoming).then(finish);
@@ -154,7 +155,7 @@
       }
     }
   } catch (error) {
-    return { kind: 'broken', reason: String(error) };
+    return { kind: 'broken', reason: describeError(error) };
   }
   if (!incoming.complete) {
     return { kind: 'broken', reason: 'the connection broke before the answer was complete' };
