--- a/packages/standins/src/proxy/ProxiedConnection.ts
+++ b/packages/standins/src/proxy/ProxiedConnection.ts
@@ -1,22 +1,24 @@
 import * as net from 'node:net';
-import * as stream from 'node:stream';
+import { Gate, type FaultOf } from './Gate.js';
+import type { DirectionFault } from './Types.js';
 
-/** Fault of one direction. A dropped direction holds its bytes back, as TCP does until a path heals. */
-export interface DirectionFault {
-  readonly drop: boolean;
-  readonly delayMs: number;
-}
+/** Characters of the client's latest bytes that are searched; a request names its client near its start. */
+const clientTextLength = 8192;
 
 /** The faults that a connection asks for at each chunk. */
 export interface ConnectionFaults {
   readonly toTarget: () => DirectionFault;
   readonly toClient: () => DirectionFault;
+  /** Texts in the client's bytes that make the proxy drop both directions. */
+  readonly dropContaining: () => readonly string[];
 }
 
 /** One client connection and its connection to the target. */
 export class ProxiedConnection {
   private readonly _target: net.Socket;
   private readonly _lanes: readonly Lane[];
+  /** What the client has sent last. */
+  private _clientText = '';
 
   public constructor(
     private readonly _client: net.Socket,
@@ -25,10 +27,19 @@
     onClosed: () => void,
   ) {
     this._target = net.connect({ host: to.host, port: to.port, noDelay: true });
-    this._lanes = [
-      new Lane(this._client, this._target, faults.toTarget),
-      new Lane(this._target, this._client, faults.toClient),
-    ];
+    const dropped = (): boolean => faults.dropContaining().some((text) => this._clientText.includes(text));
+    const toTarget = (chunk?: Buffer): DirectionFault => {
+      this._clientText = (this._clientText + (chunk?.toString('latin1', 0, clientTextLength) ?? '')).slice(
+        -clientTextLength,
+      );
+      const fault = faults.toTarget();
+      return { ...fault, drop: fault.drop || dropped() };
+    };
+    const toClient = (): DirectionFault => {
+      const fault = faults.toClient();
+      return { ...fault, drop: fault.drop || dropped() };
+    };
+    this._lanes = [new Lane(this._client, this._target, toTarget), new Lane(this._target, this._client, toClient)];
     for (const socket of [this._client, this._target]) {
       socket.on('error', () => {
         this.close();
@@ -65,7 +76,7 @@
   public constructor(
     source: net.Socket,
     private readonly _destination: net.Socket,
-    fault: () => DirectionFault,
+    fault: FaultOf,
   ) {
     this._gate = new Gate(fault);
     source.pipe(this._gate).pipe(this._destination);
@@ -82,47 +93,3 @@
     this._gate.destroy();
   }
 }
-
-/** Passes chunks on in order, late or not at all while the direction is dropped. */
-class Gate extends stream.Transform {
-  private _held: (() => void) | undefined;
-  private _timer: NodeJS.Timeout | undefined;
-
-  public constructor(private readonly _fault: () => DirectionFault) {
-    super();
-  }
-
-  public override _transform(chunk: Buffer, _encoding: string, done: stream.TransformCallback): void {
-    this._pass(() => {
-      done(null, chunk);
-    });
-  }
-
-  public override _flush(done: stream.TransformCallback): void {
-    this._pass(done);
-  }
-
-  public override _destroy(error: Error | null, done: (error?: Error | null) => void): void {
-    clearTimeout(this._timer);
-    done(error);
-  }
-
-  public update(): void {
-    const held = this._held;
-    if (held && !this._fault().drop) {
-      this._held = undefined;
-      held();
-    }
-  }
-
-  private _pass(next: () => void): void {
-    const { drop, delayMs } = this._fault();
-    if (drop) {
-      this._held = next;
-    } else if (delayMs > 0) {
-      this._timer = setTimeout(next, delayMs);
-    } else {
-      next();
-    }
-  }
-}
