--- a/packages/daemon/src/front/BodyReader.ts
+++ b/packages/daemon/src/front/BodyReader.ts
@@ -5,6 +5,8 @@
 
 /** Request bodies held at once, bytes. With 128 MB for the process, more would leave too little for answers. */
 const maximumBufferedBytes = 48 * 1024 * 1024;
+/** Share of these bytes that one partner may hold, so that another can always send some. */
+const maximumPartnerShare = 0.75;
 /** Bytes discarded after a refusal before the connection is ended. */
 const discardFactor = 4;
 /** Time to receive a body, milliseconds. */
@@ -13,10 +15,12 @@
 /** Reads request bodies whole, bounded in size, time and total memory. */
 export class BodyReader {
   private _bufferedBytes = 0;
+  private readonly _byPartner = new Map<common.PartnerName, number>();
 
   public constructor(
     private readonly _maximumBytes: number,
     private readonly _timeoutMs: number = bodyTimeoutMs,
+    private readonly _heldBytesLimit: number = maximumBufferedBytes,
   ) {}
 
   /** Bytes of the bodies that are being held. */
@@ -24,8 +28,12 @@
     return this._bufferedBytes;
   }
 
-  /** Reads a body. The bytes count as held until `release` is called with the same number. */
-  public read(incoming: http.IncomingMessage, deadlineMs = Infinity): Promise<common.Outcome<Buffer, CallerError>> {
+  /** Reads a body. The bytes count as held by the partner until `release` is called with the same number. */
+  public read(
+    incoming: http.IncomingMessage,
+    partner: common.PartnerName,
+    deadlineMs = Infinity,
+  ): Promise<common.Outcome<Buffer, CallerError>> {
     const announced = Number(incoming.headers['content-length'] ?? 0);
     if (announced > this._maximumBytes) {
       this.discard(incoming);
@@ -39,17 +47,17 @@
         clearTimeout(timer);
         incoming.off('data', onData).off('end', onEnd).off('close', onClose);
         if (!outcome.ok) {
-          this.release(size);
+          this.release(partner, size);
           this.discard(incoming);
         }
         resolve(outcome);
       };
       const onData = (chunk: Buffer): void => {
         size += chunk.length;
-        this._bufferedBytes += chunk.length;
+        this._hold(partner, chunk.length);
         if (size > this._maximumBytes) {
           finish(common.fail(this._tooLarge()));
-        } else if (this._bufferedBytes > maximumBufferedBytes) {
+        } else if (!this._fits(partner)) {
           finish(common.fail(notRun(503, 'overloaded', 'too many request bodies are in progress', 1_000)));
         } else {
           chunks.push(chunk);
@@ -70,8 +78,18 @@
   }
 
   /** Counts bytes of a body as no longer held. */
-  public release(bytes: number): void {
-    this._bufferedBytes -= bytes;
+  public release(partner: common.PartnerName, bytes: number): void {
+    this._hold(partner, -bytes);
+  }
+
+  private _hold(partner: common.PartnerName, bytes: number): void {
+    this._bufferedBytes += bytes;
+    this._byPartner.set(partner, (this._byPartner.get(partner) ?? 0) + bytes);
+  }
+
+  private _fits(partner: common.PartnerName): boolean {
+    const own = this._byPartner.get(partner) ?? 0;
+    return this._bufferedBytes <= this._heldBytesLimit && own <= this._heldBytesLimit * maximumPartnerShare;
   }
 
   private _tooLarge(): CallerError {
--- a/packages/daemon/src/front/Front.ts
+++ b/packages/daemon/src/front/Front.ts
@@ -252,14 +252,14 @@
 
   private async _withBody(request: CallerRequest, run: (raw: Buffer) => Promise<string>): Promise<string> {
     const timeoutMs = request.deadlineMs === undefined ? undefined : answerTimeMs(request.deadlineMs);
-    const raw = await this._bodies.read(request.incoming, timeoutMs);
+    const raw = await this._bodies.read(request.incoming, request.caller.partner, timeoutMs);
     if (!raw.ok) {
       return this._refuse(request.incoming, request.response, raw.failure, request.requestId);
     }
     try {
       return await run(raw.value);
     } finally {
-      this._bodies.release(raw.value.length);
+      this._bodies.release(request.caller.partner, raw.value.length);
     }
   }
 
