--- a/packages/daemon/src/front/CallerDirectory.ts
+++ b/packages/daemon/src/front/CallerDirectory.ts
@@ -17,7 +17,7 @@
     if (!authorization?.startsWith('Bearer ') || authorization.length > maximumKeyLength) {
       return undefined;
     }
-    const hash = crypto.createHash('sha256').update(authorization.slice('Bearer '.length)).digest();
+    const hash = crypto.hash('sha256', authorization.slice('Bearer '.length), 'buffer');
     let found: Credential | undefined;
     for (const entry of this._entries) {
       if (entry.hash.length === hash.length && crypto.timingSafeEqual(entry.hash, hash)) {
