--- a/packages/daemon/src/log/TopicReplica.test.ts
+++ b/packages/daemon/src/log/TopicReplica.test.ts
@@ -33,6 +33,13 @@
     vitest.expect(rejected.ok && rejected.value.verdict.kind).toBe('rejected');
   });
 
+  vitest.test('reports a malformed record as rejected (guards against an edit that hangs)', async () => {
+    const { replica } = open('a');
+    const outcome = await replica.append({ value: Number.NaN }, 1000);
+    vitest.expect(outcome).toMatchObject({ ok: true, value: { verdict: { kind: 'rejected', rule: 'invalidRecord' } } });
+    vitest.expect((await replica.append({ value: 1 }, 1000)).ok).toBe(true);
+  });
+
   vitest.test('a burst goes into few appends in order (guards against one append per record)', async () => {
     const { replica } = open('a');
     const values = Array.from({ length: 1500 }, (_none, index) => index);
@@ -87,6 +94,22 @@
     vitest.expect(replica.state.values).toEqual([1, 3]);
   });
 
+  vitest.test('keeps one append in flight when callers give up (guards against appends that pile up)', async () => {
+    const { replica } = open('a');
+    await replica.append({ value: 1 }, 1000);
+    log.faults.appendDelayMs = 250;
+    const early = replica.append({ value: 2 }, 60);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    log.apply('numbers', [
+      { id: { incarnation: 'b', sequence: 1 }, clock: { wallMs: 0, counter: 0 }, body: { value: 9 } },
+    ]);
+    const late = replica.append({ value: 3 }, 2000);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    vitest.expect(log.started).toBe(2);
+    vitest.expect((await early).ok).toBe(false);
+    vitest.expect((await late).ok).toBe(true);
+  });
+
   vitest.test('notices a log that hangs (guards against appends that wait for their whole time)', async () => {
     const { replica } = open('a');
     await replica.append({ value: 1 }, 1000);
--- a/packages/daemon/src/operators/routes.ts
+++ b/packages/daemon/src/operators/routes.ts
@@ -28,7 +28,11 @@
     get('/v1/refusals', schemas.historyQuery, async ({ key, rule, limit = defaultHistoryLimit }) => {
       const refusals = readHistory(parts, key, rule).filter((entry) => entry.state === 'rejected');
       const cluster = await readStatus();
-      const daemons = cluster.answers.map(({ daemon, rejectedRecords }) => ({ daemon, rejectedRecords }));
+      const daemons = cluster.answers.map(({ daemon, rejectedRecords, refusedEdits }) => ({
+        daemon,
+        rejectedRecords,
+        refusedEdits,
+      }));
       return { byRule: countByRule(refusals), refusals: refusals.slice(-limit), daemons, silent: cluster.silent };
     }),
     get('/v1/replicas', schemas.noQuery, () => ({
@@ -51,7 +55,9 @@
       return { cells: views.viewOwners(log.state, cluster), silent: cluster.silent };
     }),
     get('/v1/timeline', schemas.timelineQuery, async (query) => {
-      const cluster = await readCluster(peers, 'timeline.read', query, schemas.timelineAnswer);
+      const fairShare = Math.floor(schemas.maximumEventsPerAnswer / Math.max(1, peers.members.length));
+      const limit = Math.max(1, Math.min(schemas.maximumEventsPerDaemon, fairShare));
+      const cluster = await readCluster(peers, 'timeline.read', { ...query, limit }, schemas.timelineAnswer);
       return {
         events: mergeEvents(cluster.answers.map((answer) => answer.events)),
         truncated: cluster.answers.filter((answer) => answer.truncated).map((answer) => answer.daemon),
--- a/packages/daemon/src/timeline/Timeline.test.ts
+++ b/packages/daemon/src/timeline/Timeline.test.ts
@@ -1,4 +1,5 @@
 import * as common from '@jayhaven/common';
+import * as fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { mergeEvents } from './mergeEvents.js';
 import { Timeline } from './Timeline.js';
@@ -32,6 +33,16 @@
     expect(timeline.exportLines({ replica: 4 }).trimEnd().split('\n')).toHaveLength(1);
   });
 
+  it('finds a model under all its names (guards against a trace without the router or the owner)', () => {
+    const { timeline } = createTimeline('a');
+    for (const model of ['p/m', 'p/m@1', 'p/m@1:knots', 'p/mm', 'p/m2@1']) {
+      timeline.record({ part: 'test', event: model, model });
+    }
+    const names = (model: string): string[] => timeline.read({ model }).map((e) => e.event);
+    expect(names('p/m')).toEqual(['p/m', 'p/m@1', 'p/m@1:knots']);
+    expect(names('p/m@1')).toEqual(['p/m@1', 'p/m@1:knots']);
+  });
+
   it('merges an effect after its cause on another daemon (guards against clocks that differ)', () => {
     const sender = createTimeline('z');
     const receiver = createTimeline('a');
@@ -41,4 +52,17 @@
     const merged = mergeEvents([receiver.timeline.read(), sender.timeline.read()]);
     expect(merged.map((event) => event.event)).toEqual(['sent', 'received']);
   });
+
+  it('keeps exactly the newest events for any capacity and count (guards against an off-by-one in the ring)', () => {
+    fc.assert(
+      fc.property(fc.integer({ min: 1, max: 9 }), fc.integer({ min: 0, max: 40 }), (capacity, count) => {
+        const { timeline } = createTimeline('a', capacity);
+        const names = Array.from({ length: count }, (_, index) => `event${index}`);
+        for (const event of names) {
+          timeline.record({ part: 'test', event });
+        }
+        expect(timeline.read().map((event) => event.event)).toEqual(names.slice(-capacity));
+      }),
+    );
+  });
 });
