Stop a daemon whose incarnation was recorded as gone

Cause: an incarnation never joins again, so a live daemon that the VM list lost for a while would run on without effect on the log. It now drains and exits, and its supervisor starts a new incarnation.

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -46,6 +46,11 @@
   const stopRequested = new common.Emitter<undefined>();
   const controlPlane = registry.register(await openControlPlane(context));
   const owner = registry.register(await openOwner(context, controlPlane));
+  controlPlane.onRemoved?.(() => {
+    // The group settled this incarnation's orders, and an incarnation never joins again.
+    logger.part('membership').error('Recorded as gone; stopping so that a new incarnation can start.');
+    stopRequested.fire(undefined);
+  });
   const front = registry.register(await openFront(context, controlPlane, owner.client, owner.loads));
   registry.register(
     await openOperators(context, {
