Keep the decisions of a stopped daemon in the time line

Cause: replica events were recorded by their author only, so the demonstration, which kills the owner, showed no loadDecided. Every daemon now records them as copies that name the author; the merge keeps the author's own event or, if the author did not answer, the first copy.

--- a/packages/daemon/src/operators/ControlEvents.ts
+++ b/packages/daemon/src/operators/ControlEvents.ts
@@ -1,20 +1,30 @@
 import type * as common from '@jayhaven/common';
 import type * as decisions from '@jayhaven/decisions';
+import { copiedFrom } from '../timeline/index.js';
 import type { ControlChange, ControlLog, TimelineRecorder } from '../Types.js';
 
 /** Replicas whose model is kept for events that come after their entry is gone. */
 const maximumReplicas = 4096;
 
-/** Kinds that every daemon records, because the time line of an author that has stopped is lost. */
-const sharedKinds: ReadonlySet<decisions.ControlRecordBody['kind']> = new Set([
+/** Membership. */
+const membershipKinds: ReadonlySet<decisions.ControlRecordBody['kind']> = new Set([
   'daemonJoined',
   'daemonLeft',
   'incarnationGone',
   'ownerReleased',
 ]);
 
-/** Kinds that their author records; the owner records its decisions itself, with their figures. */
-const authoredKinds: ReadonlySet<decisions.ControlRecordBody['kind']> = new Set([
+/** Decisions, which the owner records itself. */
+const decidedKinds: ReadonlySet<decisions.ControlRecordBody['kind']> = new Set([
+  'ownerClaimed',
+  'loadDecided',
+  'unloadDecided',
+  'adapterLoadDecided',
+  'adapterUnloadDecided',
+]);
+
+/** What became of decisions. */
+const reportedKinds: ReadonlySet<decisions.ControlRecordBody['kind']> = new Set([
   'orderAdopted',
   'orderSettled',
   'replicaReady',
@@ -25,8 +35,9 @@
 ]);
 
 /**
- * Records replayed control records in the time line. Configuration is recorded by every daemon, because operators ask
- * when an edit came into force at each, and so is membership; other records are recorded by their author only.
+ * Records replayed control records in the time line. Every daemon records them, because the time line of an author
+ * that has stopped is lost; a copy names its author, and `mergeEvents` leaves it out where the original is there.
+ * Configuration and membership have no copies: operators ask when each daemon learned of them.
  */
 export class ControlEvents {
   private readonly _models = new Map<decisions.ReplicaId, string>();
@@ -76,20 +87,22 @@
         offset,
         detail: { edit, partner, operator },
       });
-    } else if (sharedKinds.has(body.kind)) {
-      const detail = { author: id.incarnation, ...detailOf(body).detail };
+    } else if (membershipKinds.has(body.kind)) {
+      const detail = { author: id.incarnation, ...detailOf(body) };
       this._timeline.record({ part: 'log', event: body.kind, offset, detail });
-    } else if (isAuthor && authoredKinds.has(body.kind)) {
-      this._timeline.record({ part: 'log', event: body.kind, offset, ...this._replicaOf(body), ...detailOf(body) });
+    } else if (reportedKinds.has(body.kind) || (decidedKinds.has(body.kind) && !isAuthor)) {
+      const detail = { ...detailOf(body), ...(isAuthor ? {} : { [copiedFrom]: id.incarnation }) };
+      this._timeline.record({ part: 'log', event: body.kind, offset, ...this._replicaOf(body, offset), detail });
     }
   }
 
-  private _replicaOf(body: decisions.ControlRecordBody): { readonly replica?: number; readonly model?: string } {
-    if (!('replica' in body)) {
-      return {};
-    }
-    const model = this._models.get(body.replica);
-    return { replica: body.replica, ...(model === undefined ? {} : { model }) };
+  private _replicaOf(
+    body: decisions.ControlRecordBody,
+    offset: decisions.Offset,
+  ): { readonly replica?: number; readonly model?: string } {
+    const replica = body.kind === 'loadDecided' ? offset : 'replica' in body ? body.replica : undefined;
+    const model = replica === undefined ? undefined : this._models.get(replica);
+    return { ...(replica === undefined ? {} : { replica }), ...(model === undefined ? {} : { model }) };
   }
 
   private _remember(replica: decisions.ReplicaId, model: string): void {
@@ -101,17 +114,27 @@
   }
 }
 
-function detailOf(body: decisions.ControlRecordBody): { readonly detail?: Readonly<Record<string, string | number>> } {
+function detailOf(body: decisions.ControlRecordBody): Readonly<Record<string, string | number>> {
   switch (body.kind) {
     case 'incarnationGone':
-      return { detail: { incarnation: body.incarnation, evidence: body.evidence } };
+      return { incarnation: body.incarnation, evidence: body.evidence };
     case 'orderAdopted':
-      return { detail: { order: body.order, claim: body.claim } };
+      return { order: body.order, claim: body.claim };
     case 'orderSettled':
-      return { detail: { order: body.order, result: body.result } };
+      return { order: body.order, result: body.result };
     case 'replicaFailed':
-      return { detail: { reason: body.reason } };
+      return { reason: body.reason };
+    case 'loadDecided':
+      return { target: body.target, ordinal: body.ordinal, urgency: body.urgency, ...reasonOf(body) };
+    case 'unloadDecided':
+      return reasonOf(body);
     default:
       return {};
   }
 }
+
+function reasonOf({
+  reason,
+}: decisions.LoadDecided | decisions.UnloadDecided): Readonly<Record<string, string | number>> {
+  return { rule: reason.rule, ...reason.figures };
+}
--- a/packages/daemon/src/timeline/Timeline.test.ts
+++ b/packages/daemon/src/timeline/Timeline.test.ts
@@ -65,4 +65,16 @@
       }),
     );
   });
+
+  it('shows a record once, also when its author has stopped (guards against a lost decision and against noise)', () => {
+    const daemons = ['author', 'first', 'second'].map((name) => createTimeline(name).timeline);
+    daemons.forEach((timeline, index) => {
+      const detail = index === 0 ? {} : { copiedFrom: 'author#1' };
+      timeline.record({ part: 'log', event: 'loadDecided', offset: 7, detail });
+    });
+    const read = (parts: readonly Timeline[]): string[] =>
+      mergeEvents(parts.map((timeline) => timeline.read())).map((event) => event.daemon);
+    expect(read(daemons)).toEqual(['author']);
+    expect(read(daemons.slice(1))).toEqual(['first']);
+  });
 });
--- a/packages/daemon/src/timeline/mergeEvents.ts
+++ b/packages/daemon/src/timeline/mergeEvents.ts
@@ -1,11 +1,35 @@
 import * as common from '@jayhaven/common';
 
-/** Merges the events of several daemons into one order: hybrid time, then daemon name. */
+/** Member of `detail` that names the author of a control record which another daemon recorded. */
+export const copiedFrom = 'copiedFrom';
+
+/**
+ * Merges the events of several daemons into one order: hybrid time, then daemon name. Of an event that several daemons
+ * copied from the log, the author's own is kept, or the first copy if the author did not answer.
+ */
 export function mergeEvents(parts: readonly (readonly common.TimelineEvent[])[]): readonly common.TimelineEvent[] {
-  return parts.flat().sort(
+  const events = parts.flat().sort(
     // Two daemons may stamp the same time; the name makes the order the same at every reader.
     (first, second) => common.compareHybridTime(first.time, second.time) || compareText(first.daemon, second.daemon),
   );
+  const kept = new Set(events.filter((event) => !isCopy(event)).map(recordOf));
+  return events.filter((event) => {
+    if (!isCopy(event)) {
+      return true;
+    }
+    const record = recordOf(event);
+    const isFirst = !kept.has(record);
+    kept.add(record);
+    return isFirst;
+  });
+}
+
+function isCopy(event: common.TimelineEvent): boolean {
+  return event.offset !== undefined && event.detail?.[copiedFrom] !== undefined;
+}
+
+function recordOf(event: common.TimelineEvent): string {
+  return `${event.event}@${event.offset ?? ''}`;
 }
 
 function compareText(first: string, second: string): number {
