--- a/packages/daemon/src/owner/Planning.ts
+++ b/packages/daemon/src/owner/Planning.ts
@@ -79,10 +79,16 @@
   /** What placement works with now. */
   public view(nowMs: number, reservedFor?: string): decisions.PlacementView {
     const { state } = this._services.control.log;
+    const usages = new Map<string, decisions.ModelUsage>();
     return {
       state,
       policy: this.policy,
-      usageOf: (model) => this.usage.usageOf(model, nowMs),
+      usageOf: (model) => {
+        const key = Planning.keyOf(model);
+        const usage = usages.get(key) ?? this.usage.usageOf(model, nowMs);
+        usages.set(key, usage);
+        return usage;
+      },
       expectedLoadMs: (settings, target) => this.loadTimes.expectedMs(settings, target),
       readySinceMs: (replica) => this._readySinceMs.get(replica) ?? this._startedMs,
       blockedTargets: this._blockedTargets(state, nowMs, reservedFor),
--- a/packages/daemon/src/owner/openOwner.test.ts
+++ b/packages/daemon/src/owner/openOwner.test.ts
@@ -131,11 +131,20 @@
     async () => {
       await using fixture = await openCell();
       const { cell, engine, first } = fixture;
-      engine.failStatus = 500;
-      await cell.wake(first, 'm');
-      await until(() => cell.accepted('replicaFailed').length === 1);
-      vitest.expect(first.control.state.replicas.size).toBe(0);
-      vitest.expect(first.control.state.orders.size).toBe(0);
+      await using second = await ScriptedEngine.open('checked');
+      await using third = await ScriptedEngine.open('ignored');
+      await cell.addEngine(first.control, second, 'checked');
+      await cell.addEngine(first.control, third, 'ignored');
+      for (const failing of [engine, second, third]) {
+        failing.failStatus = 500;
+      }
+      for (const failures of [1, 2, 3]) {
+        vitest.expect(await cell.wake(first, 'm')).toMatchObject({ kind: 'expected' });
+        await until(() => cell.accepted('replicaFailed').length === failures);
+        vitest.expect(first.control.state.replicas.size).toBe(0);
+        vitest.expect(first.control.state.orders.size).toBe(0);
+      }
+      vitest.expect(await cell.wake(first, 'm')).toMatchObject({ kind: 'refused', type: 'model_load_failed' });
     },
   );
 
--- a/packages/daemon/src/owner/takeOver.test.ts
+++ b/packages/daemon/src/owner/takeOver.test.ts
@@ -43,6 +43,21 @@
   return [...daemon.control.state.replicas.values()].filter((replica) => replica.state === state);
 }
 
+/** Pauses a daemon when its first order is on the way, and holds the order until the returned function is called. */
+function pauseAtFirstOrder(engine: ScriptedEngine, daemon: TestDaemon): () => void {
+  let deliver = (): void => undefined;
+  engine.beforeOrder = () => {
+    daemon.control.paused = true;
+    engine.beforeOrder = () => undefined;
+    return new Promise((resolve) => {
+      deliver = resolve;
+    });
+  };
+  return () => {
+    deliver();
+  };
+}
+
 /** One replica is ready, the engine holds one model, and no more was decided than that. */
 async function expectOneReplica({ cell, engine, other }: Fixture): Promise<void> {
   await until(() => replicas(other, 'ready').length === 1);
@@ -109,19 +124,12 @@
   vitest.test('the owner is paused between its check and the send (guards the hazard of a late order)', async () => {
     await using fixture = await openCell(fencing);
     const { cell, owner, other, engine } = fixture;
-    let deliver = (): void => undefined;
-    engine.beforeOrder = (order) => {
-      if (order.startsWith('load') && !owner.control.paused && deliver.length === 0 && engine.orders.length === 0) {
-        owner.control.paused = true;
-        engine.beforeOrder = () => undefined;
-        return new Promise((resolve) => {
-          deliver = resolve;
-        });
-      }
-      return undefined;
-    };
+    const deliver = pauseAtFirstOrder(engine, owner);
+    // Long enough for many rounds of the driver, each of which must not adopt the order again.
+    engine.loadMs = 500;
     await cell.wake(other, 'm');
     await expectOneReplica(fixture);
+    vitest.expect(cell.accepted('orderAdopted')).toHaveLength(1);
     vitest.expect(other.control.state.orders.size).toBe(fencing === 'ignored' ? 1 : 0);
     deliver();
     owner.control.paused = false;
@@ -134,14 +142,7 @@
   vitest.test('a late order loads what was given up meanwhile (guards P2 against uncounted memory)', async () => {
     await using fixture = await openCell(fencing);
     const { cell, owner, other, engine } = fixture;
-    let deliver = (): void => undefined;
-    engine.beforeOrder = () => {
-      owner.control.paused = true;
-      engine.beforeOrder = () => undefined;
-      return new Promise((resolve) => {
-        deliver = resolve;
-      });
-    };
+    const deliver = pauseAtFirstOrder(engine, owner);
     await cell.wake(other, 'm');
     await until(() => replicas(other, 'ready').length === 1);
     engine.restart();
--- a/packages/daemon/src/owner/testing/ScriptedEngine.ts
+++ b/packages/daemon/src/owner/testing/ScriptedEngine.ts
@@ -25,6 +25,8 @@
   public readonly orders: string[] = [];
   public readonly models = new Map<string, LoadedModel>();
   public loadMs = 60;
+  /** Running requests that the load report shows. */
+  public running = 0;
   /** Answers with this status instead of obeying load orders. */
   public failStatus: number | undefined;
   /** Executes orders but breaks the connection before the answer. */
@@ -71,7 +73,13 @@
       common.sendJson(response, 200, [...this.models.values()]);
     } else if (path === '/v2/load') {
       this._sequence += 1;
-      common.sendJson(response, 200, { sequence: this._sequence, running: 0, waiting: 0, slots: 8, free_bytes: [] });
+      common.sendJson(response, 200, {
+        sequence: this._sequence,
+        running: this.running,
+        waiting: 0,
+        slots: 8,
+        free_bytes: [],
+      });
     } else {
       const status = await this._order(path, body);
       if (this.breakAnswers) {
--- a/packages/daemon/src/owner/testing/TestCell.ts
+++ b/packages/daemon/src/owner/testing/TestCell.ts
@@ -33,7 +33,10 @@
   public readonly daemons: TestDaemon[] = [];
   private readonly _registry = new common.DisposalRegistry();
 
-  public constructor(private readonly _timing: TestTiming = {}) {}
+  public constructor(
+    private readonly _timing: TestTiming = {},
+    private readonly _vmListUrl = 'http://127.0.0.1:1/vms',
+  ) {}
 
   /** Starts one daemon. */
   public async start(name: string): Promise<TestDaemon> {
@@ -100,7 +103,7 @@
     };
     const settings = {
       daemon: { name, vm: `vm-${name}`, failureDomain: 'a', cell: 'c', logLevel: 'silent' },
-      platform: { vmListUrl: 'http://127.0.0.1:1/vms', logTimeoutMs: 2_000 },
+      platform: { vmListUrl: this._vmListUrl, logTimeoutMs: 2_000 },
       owner,
     } as DaemonContext['settings'];
     return {
--- a/packages/decisions/src/placement/candidates.ts
+++ b/packages/decisions/src/placement/candidates.ts
@@ -1,4 +1,5 @@
 /** Lists the engines that may get a load. */
+import { isSameModel, isSameVersion } from '../queries/replicas.js';
 import type { CandidateTarget, PlacementView } from './Types.js';
 import type { ModelVersion } from '../Types.js';
 
@@ -23,17 +24,23 @@
   return engines;
 }
 
-/** Targets that hold the model already, in any version, or for which an order of it is unsettled. */
-export function targetsHolding(view: PlacementView, model: ModelVersion): ReadonlySet<string> {
-  const targets = new Set<string>();
-  for (const replica of view.state.replicas.values()) {
-    if (replica.partner === model.partner && replica.model === model.model) {
-      targets.add(replica.target);
+/**
+ * Targets that may not get the model version: they hold it, or an order about the model in any version is unsettled
+ * there. Another version of the model does not matter, as both are held during a swap.
+ */
+export function targetsHolding(
+  view: PlacementView,
+  version: ModelVersion,
+): ReadonlyMap<string, 'replica' | 'unsettledOrder'> {
+  const targets = new Map<string, 'replica' | 'unsettledOrder'>();
+  for (const order of view.state.orders.values()) {
+    if (order.adapter === undefined && isSameModel(order, version)) {
+      targets.set(order.target, 'unsettledOrder');
     }
   }
-  for (const order of view.state.orders.values()) {
-    if (order.partner === model.partner && order.model === model.model) {
-      targets.add(order.target);
+  for (const replica of view.state.replicas.values()) {
+    if (isSameVersion(replica, version)) {
+      targets.set(replica.target, 'replica');
     }
   }
   return targets;
@@ -43,7 +50,7 @@
 export function domainsHolding(view: PlacementView, model: ModelVersion): ReadonlySet<string> {
   const domains = new Set<string>();
   for (const replica of view.state.replicas.values()) {
-    if (replica.partner === model.partner && replica.model === model.model) {
+    if (isSameVersion(replica, model)) {
       const domain = view.state.vms.get(replica.vm)?.failureDomain;
       if (domain !== undefined) {
         domains.add(domain);
--- a/packages/decisions/src/placement/placeReplica.test.ts
+++ b/packages/decisions/src/placement/placeReplica.test.ts
@@ -157,6 +157,27 @@
     vitest.expect(world.place('solano/n', {}, { blockedTargets: new Set(['v1']) })).toMatchObject({ kind: 'wait' });
   });
 
+  vitest.test('loads a new version beside the old one, or in its place (guards a swap on the only target)', () => {
+    const world = new World();
+    world.engine('v1', 'a', [100]);
+    world.model('solano/m', [40]);
+    const old = world.load('solano/m');
+    const before = world.state.configuration.get('solano/models/m');
+    const value = { version: '2', weightBytes: [40], cacheBytes: 0, expectedLoadMilliseconds: 1_000 };
+    const names = { partner: 'solano', operator: 'o', key: 'solano/models/m', reason: 'r' };
+    const edited = world.add({ kind: 'configurationEdited', ...names, basedOn: before?.version ?? null, value });
+    vitest.expect(world.place('solano/m')).toMatchObject({ kind: 'load', target: 'v1', ordinal: 1 });
+    const large = { ...value, weightBytes: [70] };
+    world.add({ kind: 'configurationEdited', ...names, basedOn: edited, value: large });
+    vitest.expect(world.place('solano/m')).toMatchObject({ kind: 'evict', victims: [old] });
+    const reason = { rule: 'r', figures: {} };
+    const unload = world.add({ kind: 'unloadDecided', cell: 'c', claim: 1, replica: old, reason });
+    world.add({ kind: 'replicaUnloaded', replica: old });
+    vitest.expect(world.place('solano/m')).toMatchObject({ kind: 'wait', reason: { rule: 'orderUnsettled' } });
+    world.add({ kind: 'orderSettled', order: unload, result: 'sent' });
+    vitest.expect(world.place('solano/m')).toMatchObject({ kind: 'load' });
+  });
+
   vitest.test('evicts the cheapest idle replica (guards against evicting what is used or slow to reload)', () => {
     const world = new World();
     world.engine('v1', 'a', [100]);
--- a/packages/decisions/src/placement/placeReplica.ts
+++ b/packages/decisions/src/placement/placeReplica.ts
@@ -71,6 +71,9 @@
   if (open.some((engine) => planEviction(view, request, engine, 'ignoreUse') !== undefined)) {
     return waitForUse(view, request);
   }
+  if (large.some((engine) => holding.get(engine.address) === 'unsettledOrder')) {
+    return waitForOrder(view, request);
+  }
   return noRoom(request, large.length);
 }
 
@@ -193,6 +196,13 @@
   return { kind: 'wait', expectedMs, patienceMs: graceMs + inUsePatienceMs, reason };
 }
 
+/** An order about the model on the target is about to be settled, unless its sender is paused. */
+function waitForOrder(view: PlacementView, request: PlacementRequest): Placement {
+  const expectedMs = view.expectedLoadMs(request.settings) + unloadAllowanceMs;
+  const reason = { rule: 'orderUnsettled', figures: { patienceMs: inUsePatienceMs } };
+  return { kind: 'wait', expectedMs, patienceMs: inUsePatienceMs, reason };
+}
+
 function noRoom(request: PlacementRequest, candidates: number): Placement {
   const name = `${request.settings.partner}/${request.settings.model}`;
   return {
