--- a/packages/daemon/src/routing/EngineAttempt.ts
+++ b/packages/daemon/src/routing/EngineAttempt.ts
@@ -16,7 +16,8 @@
 export interface AttemptRequest {
   readonly target: common.TargetAddress;
   readonly path: string;
-  readonly body: Buffer;
+  /** A string is sent together with the headers in one write; a buffer would cost a second one. */
+  readonly body: string;
   readonly urgency: common.Urgency;
   /** Id for the engine, unique for this attempt. */
   readonly engineId: string;
@@ -37,11 +38,14 @@
   private _executed: common.Executed = 'no';
   private _resolve: (end: AttemptEnd) => void = () => undefined;
   private _ended = false;
+  private _lastHeardMs: number;
 
   public constructor(
     private readonly _request: AttemptRequest,
     private readonly _agent: http.Agent,
+    private readonly _now: () => number,
   ) {
+    this._lastHeardMs = _now();
     this._checker = new StreamChecker(_request.engineId, _request.publicId, _request.resumeFrom);
   }
 
@@ -50,6 +54,11 @@
     return this._executed;
   }
 
+  /** Monotonic time at which the target last sent anything, or at which the attempt began. */
+  public get lastHeardMs(): number {
+    return this._lastHeardMs;
+  }
+
   /** Index of the next token to deliver. */
   public get nextIndex(): number {
     return this._checker.nextIndex;
@@ -69,7 +78,7 @@
         agent: this._agent,
         headers: {
           'content-type': 'application/json',
-          'content-length': body.length,
+          'content-length': Buffer.byteLength(body),
           'x-request-id': engineId,
           'x-priority': urgency,
         },
@@ -77,7 +86,11 @@
       this._outgoing = outgoing;
       this._watchConnection(outgoing);
       outgoing.on('error', (error) => {
-        this._fail(error.message);
+        if (outgoing.reusedSocket && !this._answer) {
+          this._end({ kind: 'staleConnection' }, true);
+        } else {
+          this._fail(error.message);
+        }
       });
       outgoing.on('response', (answer) => {
         this._receive(answer);
@@ -91,8 +104,14 @@
     this._end({ kind: 'cancelled' }, true);
   }
 
+  /** Ends the attempt as failed. */
+  public giveUp(reason: string): void {
+    this._fail(reason);
+  }
+
   /** Continues after a pause. */
   public resume(): void {
+    this._lastHeardMs = this._now();
     this._answer?.resume();
   }
 
@@ -117,6 +136,7 @@
 
   private _receive(answer: http.IncomingMessage): void {
     this._answer = answer;
+    this._lastHeardMs = this._now();
     const status = answer.statusCode ?? 0;
     if (status !== 200) {
       this._collect(answer, maximumErrorBytes, (body) => {
@@ -139,6 +159,7 @@
       if (this._ended) {
         return;
       }
+      this._lastHeardMs = this._now();
       const checked = this._checker.push(chunk);
       if (checked.text !== '' && !this._request.write(checked.text)) {
         answer.pause();
@@ -155,7 +176,7 @@
     });
   }
 
-  private _collect(answer: http.IncomingMessage, maximumBytes: number, use: (body: Buffer) => void): void {
+  private _collect(answer: http.IncomingMessage, maximumBytes: number, use: (body: string) => void): void {
     const chunks: Buffer[] = [];
     let size = 0;
     answer.on('data', (chunk: Buffer) => {
@@ -167,7 +188,7 @@
     });
     answer.on('end', () => {
       if (answer.complete && !this._ended) {
-        use(Buffer.concat(chunks));
+        use(Buffer.concat(chunks).toString('utf8'));
       }
     });
     answer.on('error', () => undefined);
@@ -177,12 +198,17 @@
   }
 
   /** Passes a complete answer on if it is an answer to this attempt. */
-  private _receiveWhole(body: Buffer): void {
+  private _receiveWhole(body: string): void {
+    const { engineId, publicId } = this._request;
+    const expectedStart = `{"id":"${engineId}"`;
+    if (body.startsWith(expectedStart) && body.endsWith('}')) {
+      this._end({ kind: 'complete', body: `{"id":"${publicId}"${body.slice(expectedStart.length)}` }, false);
+      return;
+    }
     try {
-      const json: unknown = JSON.parse(body.toString('utf8'));
-      if (typeof json === 'object' && json !== null && 'id' in json && json.id === this._request.engineId) {
-        const publicBody = Buffer.from(JSON.stringify({ ...json, id: this._request.publicId }));
-        this._end({ kind: 'complete', body: publicBody }, false);
+      const json: unknown = JSON.parse(body);
+      if (typeof json === 'object' && json !== null && 'id' in json && json.id === engineId) {
+        this._end({ kind: 'complete', body: JSON.stringify({ ...json, id: publicId }) }, false);
         return;
       }
     } catch {
@@ -192,7 +218,7 @@
     this._fail('foreignAnswer');
   }
 
-  private _classify(status: number, answer: http.IncomingMessage, body: Buffer): AttemptEnd {
+  private _classify(status: number, answer: http.IncomingMessage, body: string): AttemptEnd {
     if (status === 404 || status === 503 || status === 429) {
       this._executed = 'no';
       const seconds = Number(answer.headers['retry-after'] ?? 0);
@@ -203,14 +229,14 @@
       this._executed = 'no';
       return { kind: 'rejected', status, message: readErrorMessage(body) };
     }
-    return { kind: 'failed', executed: 'unknown', reason: `the engine answered ${status}` };
+    return { kind: 'serverError', reason: `the engine answered ${status}` };
   }
 
   private _fail(reason: string): void {
     if (reason === 'foreignAnswer') {
       this._executed = 'unknown';
     }
-    this._end({ kind: 'failed', executed: this._executed, reason }, true);
+    this._end({ kind: 'failed', reason }, true);
   }
 
   private _end(end: AttemptEnd, closeConnection: boolean): void {
@@ -227,9 +253,9 @@
   }
 }
 
-function readErrorMessage(body: Buffer): string {
+function readErrorMessage(body: string): string {
   try {
-    const json = JSON.parse(body.toString('utf8')) as { readonly error?: { readonly message?: unknown } };
+    const json = JSON.parse(body) as { readonly error?: { readonly message?: unknown } };
     const message = json.error?.message;
     return typeof message === 'string' ? message.slice(0, 500) : 'the engine refused the request';
   } catch {
