Keep the owner while the log is slow

With appends of 2 s and a lease of 3 s, no renewal was read back within the lease: over 25 s the claim was superseded again and again, and cold requests were refused. The holder's lease now covers three times its last renewal, and a daemon asks the owner before it claims a lapsed lease.

--- a/packages/daemon/src/owner/Lease.ts
+++ b/packages/daemon/src/owner/Lease.ts
@@ -1,6 +1,7 @@
 import * as common from '@jayhaven/common';
 import * as decisions from '@jayhaven/decisions';
-import type { ControlChange, ControlPlane, DaemonContext } from '../Types.js';
+import type { ControlChange, ControlPlane, DaemonContext, PeerFailure } from '../Types.js';
+import { pingResultSchema } from './schemas.js';
 import type { LeaseView } from './Types.js';
 
 /** Interval of the checks, milliseconds. */
@@ -14,11 +15,23 @@
 const probeIntervalMs = 500;
 const probeTimeoutMs = 1_000;
 
+/** The lease lasts at least this multiple of the time that a renewal took, or a slow log would leave no owner. */
+const renewalsPerLease = 3;
+/** Longest lease on a slow log, milliseconds. */
+const longestLeaseMs = 60_000;
+/** Limit for the append of a claim or renewal, milliseconds; a slow one still counts. */
+const appendTimeoutMs = 20_000;
+/** An owner that answers and reads the log keeps the cell this many leases without a renewal. */
+const leasesOfGrace = 10;
+
 type LeaseMessage =
   | { readonly kind: 'tick' }
   | { readonly kind: 'changed'; readonly change: ControlChange }
   | { readonly kind: 'appended'; readonly sentAtMs: number; readonly ok: boolean }
-  | { readonly kind: 'probed'; readonly owner: common.Incarnation; readonly refused: boolean };
+  | { readonly kind: 'probed'; readonly owner: common.Incarnation; readonly result: ProbeResult };
+
+/** What a call to the owner showed. `working`: it holds the claim and reads the log. */
+type ProbeResult = 'working' | 'refused' | 'unknown';
 
 /**
  * Claims the cell when it has no owner and renews the claim. Saves work only: replay refuses decisions under a
@@ -33,6 +46,9 @@
   private _lastRenewalReadMs: number;
   /** When the latest renewal that was read back had been sent. */
   private _renewedFromMs = -Infinity;
+  private _leaseMs: number;
+  /** When the owner last showed that it works, although its renewals are late. */
+  private _workingAtMs = -Infinity;
   private _lastAttemptMs = -Infinity;
   private _lastProbeMs = -Infinity;
   private _refusals = 0;
@@ -47,6 +63,8 @@
     this._cell = _context.settings.daemon.cell;
     this._logger = _context.logger.part('lease');
     this._lastRenewalReadMs = _context.now();
+    this._leaseMs = _context.settings.owner.leaseMs;
+    _control.peers.handle('owner.ping', () => Promise.resolve({ working: this._isWorking }));
     this._unsubscribe = _control.log.onChange((change) => {
       const kind = change.record.body.kind;
       if (kind === 'ownerClaimed' || kind === 'ownerRenewed' || kind === 'ownerReleased') {
@@ -59,13 +77,13 @@
   public currentClaim(): decisions.ClaimOffset | undefined {
     const entry = this._entry;
     const holds = entry?.owner === this._control.incarnation && entry.claim !== null;
-    const inTime = this._context.now() < this._renewedFromMs + this._context.settings.owner.leaseMs;
+    const inTime = this._context.now() < this._renewedFromMs + this._leaseMs;
     return holds && inTime ? entry.claim : undefined;
   }
 
   /** Reports that a call to the owner found its port closed, or reached it. */
   public noteOwnerContact(owner: common.Incarnation, refused: boolean): void {
-    this.post({ kind: 'probed', owner, refused });
+    this.post({ kind: 'probed', owner, result: refused ? 'refused' : 'unknown' });
   }
 
   /** Gives up ownership, and claims no more. */
@@ -100,11 +118,14 @@
       case 'appended':
         this._appending = false;
         if (message.ok) {
+          const tookMs = this._context.now() - message.sentAtMs;
+          const { leaseMs } = this._context.settings.owner;
+          this._leaseMs = Math.max(leaseMs, Math.min(longestLeaseMs, tookMs * renewalsPerLease));
           this._renewedFromMs = Math.max(this._renewedFromMs, message.sentAtMs);
         }
         break;
       case 'probed':
-        this._probed(message.owner, message.refused);
+        this._probed(message.owner, message.result);
         break;
     }
   }
@@ -113,6 +134,13 @@
     return this._control.log.state.cells.get(this._cell);
   }
 
+  /** Whether this daemon owns the cell and reads the log, so that there is no need for another owner. */
+  private get _isWorking(): boolean {
+    const { state, lag } = this._control.log;
+    const owns = state.cells.get(this._cell)?.owner === this._control.incarnation;
+    return owns && lag.logAvailable && !lag.lagging && !this._released;
+  }
+
   private _tick(nowMs: number): void {
     if (this._appending || !this._control.log.lag.logAvailable) {
       return;
@@ -153,8 +181,10 @@
     if (entry?.owner == null || !this._control.log.state.daemons.has(entry.owner)) {
       return true;
     }
-    const passed = nowMs - this._lastRenewalReadMs > this._context.settings.owner.leaseMs;
-    return passed || this._refusals >= refusalsUntilGone;
+    const { leaseMs } = this._context.settings.owner;
+    const silentMs = nowMs - this._lastRenewalReadMs;
+    const works = nowMs - this._workingAtMs <= leaseMs && silentMs <= leasesOfGrace * leaseMs;
+    return (silentMs > leaseMs && !works) || this._refusals >= refusalsUntilGone;
   }
 
   /** Place of this daemon in the order in which daemons claim. */
@@ -169,18 +199,28 @@
 
   private _probe(entry: decisions.CellEntry | undefined, nowMs: number): void {
     const owner = entry?.owner;
-    if (owner == null || nowMs - this._lastProbeMs < probeIntervalMs || this._rank(entry) >= probers) {
+    if (owner == null || nowMs - this._lastProbeMs < probeIntervalMs || !this._probes(entry, nowMs)) {
       return;
     }
     this._lastProbeMs = nowMs;
     void this._control.peers.call(owner, 'owner.ping', {}, probeTimeoutMs).then((outcome) => {
-      this.noteOwnerContact(owner, !outcome.ok && outcome.failure.kind === 'refused');
+      this.post({ kind: 'probed', owner, result: probeResult(outcome) });
     });
   }
 
-  private _probed(owner: common.Incarnation, refused: boolean): void {
-    if (owner === this._entry?.owner) {
-      this._refusals = refused ? this._refusals + 1 : 0;
+  /** The first daemons in the order of claims watch the owner's port; every daemon asks before it claims. */
+  private _probes(entry: decisions.CellEntry | undefined, nowMs: number): boolean {
+    const late = nowMs - this._lastRenewalReadMs > this._context.settings.owner.leaseMs / 2;
+    return late || this._rank(entry) < probers;
+  }
+
+  private _probed(owner: common.Incarnation, result: ProbeResult): void {
+    if (owner !== this._entry?.owner) {
+      return;
+    }
+    this._refusals = result === 'refused' ? this._refusals + 1 : 0;
+    if (result === 'working') {
+      this._workingAtMs = this._context.now();
     }
   }
 
@@ -207,7 +247,7 @@
   private _append(body: decisions.ControlRecordBody, nowMs: number): void {
     this._appending = true;
     this._lastAttemptMs = nowMs;
-    void this._control.log.append(body, this._context.settings.platform.logTimeoutMs).then((outcome) => {
+    void this._control.log.append(body, appendTimeoutMs).then((outcome) => {
       if (!outcome.ok && outcome.failure.kind !== 'rejected') {
         this._logger.warn(`${body.kind} was not confirmed`, { failure: outcome.failure });
       }
@@ -215,3 +255,11 @@
     });
   }
 }
+
+function probeResult(outcome: common.Outcome<unknown, PeerFailure>): ProbeResult {
+  if (!outcome.ok) {
+    return outcome.failure.kind === 'refused' ? 'refused' : 'unknown';
+  }
+  const parsed = pingResultSchema.safeParse(outcome.value);
+  return parsed.success && parsed.data.working ? 'working' : 'unknown';
+}
--- a/packages/daemon/src/owner/openOwner.ts
+++ b/packages/daemon/src/owner/openOwner.ts
@@ -64,7 +64,6 @@
 }
 
 function registerHandlers({ control, planner, orders }: Parts): void {
-  control.peers.handle('owner.ping', () => Promise.resolve({}));
   control.peers.handle('owner.wake', async (parameters): Promise<WakeResult> => {
     const parsed = wakeRequestSchema.safeParse(parameters);
     if (!parsed.success) {
--- a/packages/daemon/src/owner/schemas.ts
+++ b/packages/daemon/src/owner/schemas.ts
@@ -27,6 +27,9 @@
 
 export type WakeResult = zod.infer<typeof wakeResultSchema>;
 
+/** Result of `owner.ping`. */
+export const pingResultSchema = zod.object({ working: zod.boolean() });
+
 /** Parameters of `owner.usage`. */
 export const usageReportSchema = zod.object({
   entries: zod
--- a/packages/daemon/src/owner/takeOver.test.ts
+++ b/packages/daemon/src/owner/takeOver.test.ts
@@ -66,6 +66,22 @@
   vitest.expect(cell.accepted('loadDecided')).toHaveLength(1);
 }
 
+vitest.describe('lease', () => {
+  vitest.test(
+    'a log slower than the lease keeps its owner (guards against claims that supersede each other)',
+    async () => {
+      await using fixture = await openCell('checked');
+      const { cell, owner, other } = fixture;
+      cell.log.delayMs = 900;
+      await new Promise((resolve) => setTimeout(resolve, 5_000));
+      vitest.expect(cell.accepted('ownerClaimed')).toHaveLength(1);
+      vitest.expect(owner.owner.status().isOwner).toBe(true);
+      vitest.expect(await cell.wake(other, 'm')).toMatchObject({ kind: 'expected' });
+      await expectOneReplica(fixture);
+    },
+  );
+});
+
 vitest.describe.each(kinds)('take-over at an engine whose fencing is %s', (fencing) => {
   vitest.test.each(['loadDecided', 'orderSettled', 'replicaReady'] as const)(
     'the owner is killed as it appends %s (guards against lost or doubled loads)',
--- a/packages/daemon/src/owner/testing/MemoryControl.ts
+++ b/packages/daemon/src/owner/testing/MemoryControl.ts
@@ -115,6 +115,8 @@
       };
       if (this._paused) {
         this._resumed.push(send);
+      } else if (this._memory.delayMs > 0) {
+        setTimeout(send, this._memory.delayMs);
       } else {
         send();
       }
--- a/packages/daemon/src/owner/testing/MemoryLog.ts
+++ b/packages/daemon/src/owner/testing/MemoryLog.ts
@@ -4,6 +4,8 @@
 export class MemoryLog {
   public readonly records: decisions.ControlRecord[] = [];
   public available = true;
+  /** Time before an append takes effect, milliseconds. */
+  public delayMs = 0;
   private readonly _readers = new Set<() => void>();
 
   /** Appends a record and lets every daemon read it. */
