--- a/packages/decisions/src/replay/membership.ts
+++ b/packages/decisions/src/replay/membership.ts
@@ -9,12 +9,14 @@
 /** Sequences of departed incarnations that are kept to recognise late duplicates of their records. */
 const maximumDepartedSequences = 256;
 
-/** A daemon joins; older incarnations of the same name count as replaced. */
+/** A daemon joins; older incarnations of the same name on the same port count as replaced. */
 export function replayJoined(state: types.ControlState, step: Step<types.DaemonJoined>): types.ReplayResult {
   const { daemon, vm, failureDomain, peers, operators } = step.body;
   const daemons = new Map(state.daemons);
   for (const [incarnation, entry] of daemons) {
-    if (entry.daemon === daemon && daemonLifecycle.next(entry.state, 'successorJoined') !== undefined) {
+    // Only a process that holds the same port proves that the former one has ended.
+    const holdsPort = entry.peers.host === peers.host && entry.peers.port === peers.port;
+    if (entry.daemon === daemon && holdsPort && daemonLifecycle.next(entry.state, 'successorJoined') !== undefined) {
       daemons.set(incarnation, { ...entry, state: 'replaced' });
     }
   }
