Load the replacement of a replica on a leaving VM before it goes

Ruled out: leaving it to operators to set maximumReplicas to 2, which would also double the replicas in ordinary times. Change: replay and placement do not count replicas on leaving VMs against maximumReplicas; the ordinal still counts every replica, so that one decision wins.

--- a/packages/decisions/src/placement/placeReplica.ts
+++ b/packages/decisions/src/placement/placeReplica.ts
@@ -35,8 +35,9 @@
   if (usable !== undefined && staying.length >= request.replicas) {
     return { kind: 'served', replica: usable.replica, state: usable.state === 'ready' ? 'ready' : 'loading' };
   }
-  if (existing.length >= settings.maximumReplicas) {
-    return waitForUnload(view, request, existing.length);
+  const slots = queries.slotReplicas(view.state, settings).length;
+  if (slots >= settings.maximumReplicas) {
+    return waitForUnload(view, request, slots);
   }
   return placeOnTarget(view, request, existing.length + 1);
 }
--- a/packages/decisions/src/placement/queries.ts
+++ b/packages/decisions/src/placement/queries.ts
@@ -1,6 +1,10 @@
 /** Queries of the replayed state that placement uses, with indexes that are built once per state. */
 import type * as common from '@jayhaven/common';
-import { replicasOf as findReplicas, type CountedReplica } from '../queries/replicas.js';
+import {
+  replicasOf as findReplicas,
+  slotReplicas as findSlotReplicas,
+  type CountedReplica,
+} from '../queries/replicas.js';
 import type { ControlState, ModelVersion, OrderEntry, OrderId, ReplicaEntry, ReplicaId } from '../Types.js';
 import { sumBytes } from './fitting.js';
 
@@ -36,6 +40,14 @@
   return model.counted;
 }
 
+/** Replicas that take a slot of `maximumReplicas`. */
+export function slotReplicas(state: ControlState, version: ModelVersion): readonly CountedReplica[] {
+  const model = indexOf(state).models.get(keyOf(version));
+  return model === undefined
+    ? []
+    : findSlotReplicas({ ...state, replicas: model.replicas, orders: model.orders }, version);
+}
+
 /** Replicas at a target, in any state. */
 export function replicasAt(state: ControlState, target: common.TargetAddress): readonly ReplicaEntry[] {
   return indexOf(state).targets.get(target) ?? [];
--- a/packages/decisions/src/placement/upkeep.ts
+++ b/packages/decisions/src/placement/upkeep.ts
@@ -54,11 +54,7 @@
   if (settings?.version !== replica.version) {
     return supersededReason(view, replica, settings);
   }
-  return (
-    leavingReason(view, replica, settings) ??
-    idleReason(view, replica, settings) ??
-    surplusReason(view, replica, settings)
-  );
+  return idleReason(view, replica, settings) ?? surplusReason(view, replica, settings);
 }
 
 /** Another version is configured: the old one goes once the new one is ready, or when it is no longer used. */
@@ -75,22 +71,6 @@
   return { rule: 'versionSuperseded', figures: { version: replica.version, configured: settings?.version ?? 'none' } };
 }
 
-/** A replica on a leaving VM blocks the slot of its replacement. */
-function leavingReason(
-  view: PlacementView,
-  replica: ReplicaEntry,
-  settings: ModelSettings,
-): DecisionReason | undefined {
-  if (!isLeaving(view, replica.replica) || !isWanted(view, settings)) {
-    return undefined;
-  }
-  const existing = queries.replicasOf(view.state, settings);
-  if (existing.length < settings.maximumReplicas || stayingReady(view, settings).length > 0) {
-    return undefined;
-  }
-  return { rule: 'vmLeaving', figures: { vm: replica.vm, replicas: existing.length } };
-}
-
 function idleReason(view: PlacementView, replica: ReplicaEntry, settings: ModelSettings): DecisionReason | undefined {
   if (!isEvictable(view, replica)) {
     return undefined;
@@ -150,7 +130,7 @@
 export function chooseLoads(view: PlacementView): readonly LoadWish[] {
   return queries.allModels(view.state).flatMap((settings) => {
     const existing = queries.replicasOf(view.state, settings);
-    if (existing.length >= settings.maximumReplicas) {
+    if (queries.slotReplicas(view.state, settings).length >= settings.maximumReplicas) {
       return [];
     }
     return (
--- a/packages/decisions/src/queries/replicas.ts
+++ b/packages/decisions/src/queries/replicas.ts
@@ -28,6 +28,16 @@
   return counted;
 }
 
+/**
+ * Counted replicas that take a slot of `maximumReplicas`. A replica on a leaving VM does not, so that its replacement
+ * can be loaded before it goes.
+ */
+export function slotReplicas(state: types.ControlState, version: types.ModelVersion): readonly CountedReplica[] {
+  return replicasOf(state, version).filter(
+    ({ entry }) => entry === undefined || state.vms.get(entry.vm)?.state !== 'leaving',
+  );
+}
+
 /** Whether two names denote the same weights. */
 export function isSameVersion(first: types.ModelVersion, second: types.ModelVersion): boolean {
   return isSameModel(first, second) && first.version === second.version;
--- a/packages/decisions/src/replay/loads.ts
+++ b/packages/decisions/src/replay/loads.ts
@@ -3,7 +3,7 @@
 import { modelSettings } from '../configuration/settings.js';
 import { replicaLifecycle } from '../lifecycle/Lifecycle.js';
 import { findTarget, freeBytes } from '../queries/memory.js';
-import { isSameModel, isSameVersion, loadsInProgress, replicasOf } from '../queries/replicas.js';
+import { isSameModel, isSameVersion, loadsInProgress, replicasOf, slotReplicas } from '../queries/replicas.js';
 import type * as types from '../Types.js';
 import { checkClaim, checkReporter } from './ownership.js';
 import { accept, reject, rejection, type Step } from './verdicts.js';
@@ -134,8 +134,9 @@
   if (body.ordinal !== expected) {
     return rejection('wrongOrdinal', `ordinal ${body.ordinal}, but the next one is ${expected}`);
   }
-  if (body.ordinal > settings.maximumReplicas) {
-    return rejection('maximumReplicas', `ordinal ${body.ordinal} exceeds maximumReplicas ${settings.maximumReplicas}`);
+  const slots = slotReplicas(state, body).length;
+  if (slots >= settings.maximumReplicas) {
+    return rejection('maximumReplicas', `${slots} replicas take all of maximumReplicas ${settings.maximumReplicas}`);
   }
   const { maximumConcurrentLoads } = state.limits;
   return loadsInProgress(state) < maximumConcurrentLoads
