Refuse waiting requests when no owner comes within two leases

Cause: a wake that found no owner was repeated until the deadline minus the retry time, so a request of a daemon that never reaches an owner was held although it had no prospect. A successor claims the cell within one lease and two seconds; after two leases the request is refused, executed "no", with a time to come back.

--- a/packages/daemon/src/front/testing/FrontFixture.ts
+++ b/packages/daemon/src/front/testing/FrontFixture.ts
@@ -46,9 +46,10 @@
   public static async open(
     limits: Partial<types.DaemonSettings['limits']> = {},
     stop: types.DaemonSettings['stop'] = { announceMs: 0, limitMs: 5_000 },
+    leaseMs = 6_000,
   ): Promise<FrontFixture> {
     const fixture = new FrontFixture();
-    const context = fixture._context(limits, stop);
+    const context = fixture._context(limits, stop, leaseMs);
     const client: types.OwnerClient = {
       wake: (request) => {
         fixture.wakes.push(request);
@@ -167,6 +168,7 @@
   private _context(
     limits: Partial<types.DaemonSettings['limits']>,
     stop: types.DaemonSettings['stop'],
+    leaseMs: number,
   ): types.DaemonContext {
     const anyPort = { host: '127.0.0.1', port: 0 };
     return {
@@ -182,7 +184,7 @@
           logTimeoutMs: 1,
         },
         owner: {
-          leaseMs: 6_000,
+          leaseMs,
           renewMs: 2_000,
           loadsPerSecond: 4,
           maximumConcurrentLoads: 4,
--- a/packages/daemon/src/routing/WaitingQueue.ts
+++ b/packages/daemon/src/routing/WaitingQueue.ts
@@ -18,6 +18,8 @@
   public asked: AskedWake | undefined;
   /** When the last wake was sent, monotonic milliseconds. */
   public lastAskedMs = -Infinity;
+  /** Since when no owner has answered, monotonic milliseconds. */
+  public ownerlessSinceMs: number | undefined;
   private _waiters: Waiter[] = [];
 
   public constructor(public readonly model: ResolvedModel) {}
--- a/packages/daemon/src/routing/WaitingRoom.test.ts
+++ b/packages/daemon/src/routing/WaitingRoom.test.ts
@@ -116,4 +116,21 @@
     vitest.expect((await fixture.chat('p', { headers })).status).toBe(504);
     vitest.expect(fixture.wakes.at(-1)).toMatchObject({ version: '2' });
   });
+
+  vitest.test('refuses when no owner comes (guards against holding a request until its deadline)', async () => {
+    await using fixture = await FrontFixture.open({}, undefined, 500);
+    fixture.answerWake = () =>
+      Promise.resolve({
+        ok: false,
+        failure: { kind: 'noOwner', message: 'no daemon owns the cell', retryAfterMs: 200 },
+      });
+    const startedMs = performance.now();
+    const answer = await fixture.chat('a', { headers: { 'x-deadline-ms': '20000' } });
+    vitest.expect(answer.status).toBe(503);
+    vitest.expect(answer.text).toContain('"type":"no_owner"');
+    vitest.expect(answer.text).toContain('"executed":"no"');
+    vitest.expect(answer.headers['retry-after']).toBeDefined();
+    // Two leases and one more wake.
+    vitest.expect(performance.now() - startedMs).toBeLessThan(3_500);
+  });
 });
--- a/packages/daemon/src/routing/WaitingRoom.ts
+++ b/packages/daemon/src/routing/WaitingRoom.ts
@@ -11,6 +11,8 @@
 const checkIntervalMs = 100;
 /** Age at which an unanswered wake is given up and sent again, milliseconds. */
 const wakeLostMs = 5_000;
+/** Lease times without an owner after which the waiting requests are refused. */
+const ownerlessLeases = 2;
 /** Messages besides arrivals that the mailbox must hold. */
 const spareMailboxCapacity = 512;
 
@@ -150,6 +152,9 @@
     }
     const nowMs = this._context.now();
     this._recordAnswer(queue, asked, answer, nowMs);
+    if (answer.ok) {
+      queue.ownerlessSinceMs = undefined;
+    }
     if (!answer.ok) {
       this._wakeFailed(queue, answer.failure, nowMs);
     } else if (answer.value.kind === 'expected') {
@@ -186,8 +191,11 @@
       failure.message,
       failure.retryAfterMs,
     );
-    // Without an owner there is a chance of a successor; without the log nothing can be loaded.
-    const givesUp = failure.kind === 'logUnavailable';
+    // A successor claims the cell soon after the lease; one that does not come by then is not waited for.
+    queue.ownerlessSinceMs ??= nowMs;
+    const patienceMs = ownerlessLeases * this._context.settings.owner.leaseMs;
+    // Without the log nothing can be loaded.
+    const givesUp = failure.kind === 'logUnavailable' || nowMs - queue.ownerlessSinceMs >= patienceMs;
     queue.refuse((waiter) => givesUp || waiter.deadlineMs - nowMs <= failure.retryAfterMs, error);
   }
 
