--- a/packages/daemon/src/owner/Planning.ts
+++ b/packages/daemon/src/owner/Planning.ts
@@ -18,12 +18,6 @@
 /** Callers are refused this long after the last failure. */
 const failurePauseMs = 5_000;
 
-/** Partners and what they give more weight; see section 1.3 of docs/design.md. */
-const partnerWeights: decisions.PartnerWeights = new Map([
-  ['solano', { coldStart: 0.8 }],
-  ['cascade', { coldStart: 0.3 }],
-]);
-
 interface Reservation {
   readonly model: string;
   readonly untilMs: number;
@@ -45,7 +39,7 @@
   public readonly queue = new decisions.LoadQueue();
   public readonly usage: decisions.UsageRecorder;
   public readonly bucket: decisions.TokenBucket;
-  public readonly policy: decisions.KeepAlivePolicy = new decisions.HistogramPolicy(partnerWeights);
+  public readonly policy: decisions.KeepAlivePolicy = new decisions.HistogramPolicy();
   /** Loads whose decision is on its way to the log: model to target. */
   public readonly pendingLoads = new Map<string, common.TargetAddress>();
   /** Unloads whose decision is on its way to the log. */
--- a/packages/decisions/src/Types.ts
+++ b/packages/decisions/src/Types.ts
@@ -446,6 +446,8 @@
   readonly deadlineMs: number;
   /** Waiting requests per daemon. */
   readonly queueLimit: number;
+  /** 0: only idle accelerator hours count; 1: only tail cold-start time counts. */
+  readonly coldStartWeight: number;
   /** Load time when nothing better is known. */
   readonly expectedLoadMs: number;
 }
--- a/packages/decisions/src/configuration/keys.ts
+++ b/packages/decisions/src/configuration/keys.ts
@@ -30,6 +30,7 @@
   'urgency',
   'deadlineMilliseconds',
   'queueLimit',
+  'coldStartWeight',
 ] as const;
 
 export type SettingField = (typeof settingFields)[number];
--- a/packages/decisions/src/configuration/settings.ts
+++ b/packages/decisions/src/configuration/settings.ts
@@ -18,6 +18,7 @@
   urgency: 'interactive',
   deadlineMilliseconds: 30_000,
   queueLimit: 200,
+  coldStartWeight: 0.5,
 };
 
 interface SettingsIndex {
@@ -107,6 +108,7 @@
     urgency: settings.urgency,
     deadlineMs: settings.deadlineMilliseconds,
     queueLimit: settings.queueLimit,
+    coldStartWeight: settings.coldStartWeight,
     expectedLoadMs: expectedLoadMilliseconds,
   };
 }
--- a/packages/decisions/src/configuration/values.ts
+++ b/packages/decisions/src/configuration/values.ts
@@ -26,6 +26,7 @@
   urgency: z.enum(['interactive', 'batch']),
   deadlineMilliseconds: milliseconds,
   queueLimit: z.int().min(0).max(100_000),
+  coldStartWeight: z.number().min(0).max(1),
 } satisfies Record<SettingField, z.ZodType>;
 
 export const modelSchema = z.strictObject({
--- a/packages/decisions/src/policy/HistogramPolicy.ts
+++ b/packages/decisions/src/policy/HistogramPolicy.ts
@@ -56,7 +56,7 @@
   }
 
   private _coveredShare(settings: ModelSettings): number {
-    const weight = this._weights.get(settings.partner)?.coldStart ?? 0.5;
+    const weight = this._weights.get(settings.partner)?.coldStart ?? settings.coldStartWeight;
     return lowestCoveredShare + (highestCoveredShare - lowestCoveredShare) * weight;
   }
 }
