Name the model in the last event of a request

Cause: the time line of a model showed requests that never ended, because finished and refused events carried no model.

--- a/packages/daemon/src/front/CallerAnswer.ts
+++ b/packages/daemon/src/front/CallerAnswer.ts
@@ -19,6 +19,8 @@
 
 /** What an answer needs from the call that produces it. */
 export interface AnswerSource {
+  /** Model of the request, for the time line. */
+  readonly model?: () => string | undefined;
   /** Whether the request has been run so far. */
   readonly executed: () => common.Executed;
   /** The caller reads again. */
@@ -159,10 +161,12 @@
   private _record(outcome: string, error: CallerError | undefined): void {
     const { arrivedMs, requestId } = this._request;
     const first = this._firstEventMs;
+    const model = this._source.model?.();
     this._context.timeline.record({
       part: 'front',
       event: eventName(outcome, error),
       request: requestId,
+      ...(model === undefined ? {} : { model }),
       detail: {
         outcome,
         totalMs: Math.round(this._context.now() - arrivedMs),
--- a/packages/daemon/src/front/CompletionCall.ts
+++ b/packages/daemon/src/front/CompletionCall.ts
@@ -53,6 +53,8 @@
   private _executed: common.Executed = 'no';
   private _attempt: EngineAttempt | undefined;
   private _interrupt: () => void = () => undefined;
+  /** Name of the model in the time line, once it is known. */
+  private _modelName: string | undefined;
 
   public constructor(
     private readonly _parts: CompletionParts,
@@ -61,6 +63,7 @@
     private readonly _body: CompletionBody,
   ) {
     this._answer = new CallerAnswer(_parts.context, _request, {
+      model: () => this._modelName,
       executed: () => this._executedSoFar(),
       onDrain: () => this._attempt?.resume(),
       onEnded: () => {
@@ -77,6 +80,7 @@
       this._answer.fail(notRun(404, 'model_not_found', `model ${JSON.stringify(this._body.model)} is not configured`));
       return this._answer.closed;
     }
+    this._modelName = model.queue;
     const { settings, retries, usage } = { settings: model.settings, ...this._parts };
     this._urgency = this._request.urgency ?? settings.urgency;
     this._deadlineMs = this._answer.setDeadline(this._request.deadlineMs ?? settings.deadlineMs);
