Measure what control costs each daemon

A benchmark on the cluster harness reads processor time and memory from /proc and counts socket bytes by port with a preloaded module. Engines share one process, so that the number of processes does not grow with targets. It fits lines to the series and writes docs/measurements/capacity.json.

--- /dev/null
+++ b/packages/proofs/src/capacity/LoadGenerator.ts
@@ -0,0 +1,102 @@
+import { bearerKey, type Cluster } from '../harness/index.js';
+import type { RunShape } from './Types.js';
+
+const callTokens = 8;
+
+/** What a generator has seen so far. */
+export interface LoadCounts {
+  readonly completed: number;
+  readonly failed: number;
+  readonly answerMs: readonly number[];
+}
+
+/** Sends requests, edits and claimed calls at steady rates, whether or not earlier ones are answered. */
+export class LoadGenerator {
+  private readonly _timers: NodeJS.Timeout[] = [];
+  private readonly _answerMs: number[] = [];
+  private readonly _versions = new Map<string, number>();
+  private _completed = 0;
+  private _failed = 0;
+  private _sent = 0;
+
+  public constructor(
+    private readonly _cluster: Cluster,
+    private readonly _shape: RunShape,
+  ) {
+    this._every(_shape.requestsPerSecond, () => this._complete());
+    this._every(_shape.editsPerMinute / 60, () => this._edit());
+    this._every(_shape.claimsPerSecond, () => this._claim());
+  }
+
+  /** Counts so far. */
+  public get counts(): LoadCounts {
+    return { completed: this._completed, failed: this._failed, answerMs: [...this._answerMs] };
+  }
+
+  /** Sends nothing more. */
+  public stop(): void {
+    for (const timer of this._timers) {
+      clearInterval(timer);
+    }
+  }
+
+  private _every(perSecond: number, run: () => Promise<boolean>): void {
+    if (perSecond <= 0) {
+      return;
+    }
+    const startedMs = performance.now();
+    let started = 0;
+    const tick = (): void => {
+      const due = Math.floor(((performance.now() - startedMs) / 1000) * perSecond);
+      for (; started < due; started += 1) {
+        void run().then((done) => {
+          this._completed += done ? 1 : 0;
+          this._failed += done ? 0 : 1;
+        });
+      }
+    };
+    this._timers.push(setInterval(tick, 5));
+  }
+
+  private async _complete(): Promise<boolean> {
+    const { daemons, loadedModels } = this._shape;
+    // Daemons and models vary independently, so that every daemon routes to every loaded model.
+    const index = this._sent++;
+    const daemon = this._cluster.daemon(index % daemons);
+    const model = `m${Math.floor(index / daemons) % loadedModels}`;
+    const call = { partner: 'solano', model, stream: true, maximumTokens: callTokens };
+    const result = await this._cluster.callers.complete(daemon.callersUrl, call);
+    return result.outcome === 'complete';
+  }
+
+  private async _edit(): Promise<boolean> {
+    const index = this._sent++;
+    const key = `solano/exceptions/m${index % 40}/keepAliveSeconds`;
+    const startedMs = performance.now();
+    const operator = this._cluster.operator('solano');
+    const answer = await operator.edit(key, 300 + index, this._versions.get(key) ?? null, 'capacity run');
+    this._answerMs.push(performance.now() - startedMs);
+    const version = (answer.body as { readonly version?: number } | undefined)?.version;
+    if (answer.status === 200 && version !== undefined) {
+      this._versions.set(key, version);
+    }
+    return answer.status === 200;
+  }
+
+  private async _claim(): Promise<boolean> {
+    const index = this._sent++;
+    const daemon = this._cluster.daemon(index % this._shape.daemons);
+    const startedMs = performance.now();
+    const response = await fetch(`${daemon.callersUrl}/services/booking/pay`, {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${bearerKey('caller', 'solano')}`,
+        'idempotency-key': `capacity-${process.pid}-${index}`,
+      },
+      body: '{"amount":1}',
+    }).catch(() => undefined);
+    await response?.text();
+    this._answerMs.push(performance.now() - startedMs);
+    return response?.status === 200;
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/capacity/Types.ts
@@ -0,0 +1,51 @@
+/** What a run varies. */
+export interface RunShape {
+  readonly series: string;
+  readonly daemons: number;
+  readonly targets: number;
+  /** Models in the configuration. */
+  readonly models: number;
+  /** Models that are loaded and that requests go to. */
+  readonly loadedModels: number;
+  readonly requestsPerSecond: number;
+  readonly editsPerMinute: number;
+  /** Calls per second with an idempotency key. */
+  readonly claimsPerSecond: number;
+}
+
+/** Bytes per second of a daemon, sent and received, HTTP headers included. */
+export interface ByteRates {
+  readonly peers: number;
+  readonly log: number;
+  readonly vmList: number;
+  /** Polls; under load also the requests that the daemon forwards. */
+  readonly targets: number;
+}
+
+/** One daemon in one run. */
+export interface DaemonSample {
+  readonly name: string;
+  readonly owner: boolean;
+  readonly watcher: boolean;
+  /** Targets that it exchanged bytes with; those it collects from, if the system is idle. */
+  readonly targets: number;
+  /** Share of one core, 0 to 1. */
+  readonly core: number;
+  readonly residentBytes: number;
+  readonly heapBytes: number;
+  readonly bytesPerSecond: ByteRates;
+}
+
+/** One measured run. */
+export interface RunResult {
+  readonly shape: RunShape;
+  readonly windowSeconds: number;
+  readonly daemons: readonly DaemonSample[];
+  readonly logAppendsPerSecond: number;
+  readonly logRecordsPerSecond: number;
+  readonly logAppendBytesPerSecond: number;
+  readonly completedPerSecond: number;
+  readonly failed: number;
+  /** Time to answer an edit or claimed call, milliseconds: median and largest. */
+  readonly answerMs: { readonly median: number; readonly largest: number } | null;
+}
--- /dev/null
+++ b/packages/proofs/src/capacity/fitLine.ts
@@ -0,0 +1,36 @@
+/** A point of a measured relation. */
+export interface Point {
+  readonly x: number;
+  readonly y: number;
+}
+
+/** A line through measured points, with how well it describes them. */
+export interface FittedLine {
+  readonly slope: number;
+  readonly intercept: number;
+  /** Root mean square of the differences between points and line, in units of y. */
+  readonly residual: number;
+  /** Standard error of the slope; null with fewer than three points. */
+  readonly slopeError: number | null;
+  readonly points: number;
+}
+
+/** Fits a line by least squares. Undefined if the points do not have two different x. */
+export function fitLine(points: readonly Point[]): FittedLine | undefined {
+  const count = points.length;
+  const meanX = sum(points.map(({ x }) => x)) / count;
+  const meanY = sum(points.map(({ y }) => y)) / count;
+  const spreadX = sum(points.map(({ x }) => (x - meanX) ** 2));
+  if (count < 2 || spreadX === 0) {
+    return undefined;
+  }
+  const slope = sum(points.map(({ x, y }) => (x - meanX) * (y - meanY))) / spreadX;
+  const intercept = meanY - slope * meanX;
+  const squares = sum(points.map(({ x, y }) => (y - intercept - slope * x) ** 2));
+  const slopeError = count > 2 ? Math.sqrt(squares / (count - 2) / spreadX) : null;
+  return { slope, intercept, residual: Math.sqrt(squares / count), slopeError, points: count };
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- /dev/null
+++ b/packages/proofs/src/capacity/main.ts
@@ -0,0 +1,63 @@
+/**
+ * Measures what the control of the system costs and writes `docs/measurements/capacity.json`.
+ * Usage: node main.js [part...]; parts: cluster, snapshot, proxy. Without one, all are measured.
+ */
+import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import { fitCollectors, fitSeries } from './fits.js';
+import { measureProxyCost } from './proxyCost.js';
+import { measureRun } from './measureRun.js';
+import { measureSnapshot } from './snapshotCost.js';
+import { runs } from './runs.js';
+import type { RunResult } from './Types.js';
+
+const times = { settleMs: 5_000, windowMs: 12_000 };
+const file = path.resolve(import.meta.dirname, '..', '..', '..', '..', 'docs', 'measurements', 'capacity.json');
+
+const parts: Readonly<Record<string, () => Promise<unknown>>> = {
+  cluster: measureCluster,
+  snapshot: () => Promise.resolve(measureSnapshot()),
+  proxy: measureProxyCost,
+};
+
+async function measureCluster(): Promise<unknown> {
+  const results: RunResult[] = [];
+  for (const shape of runs) {
+    const [load = 0] = os.loadavg();
+    try {
+      results.push(await measureRun(shape, times));
+      print(`${JSON.stringify(shape)} measured, load average ${load.toFixed(1)}`);
+    } catch (error) {
+      print(`${JSON.stringify(shape)} failed: ${String(error)}`);
+    }
+  }
+  return { times, runs: results, fits: [...fitSeries(results), ...fitCollectors(results)] };
+}
+
+function print(text: string): void {
+  process.stdout.write(`${new Date().toISOString()} ${text}\n`);
+}
+
+async function readMeasured(): Promise<Record<string, unknown>> {
+  return fs.readFile(file, 'utf8').then(
+    (text) => JSON.parse(text) as Record<string, unknown>,
+    () => ({}),
+  );
+}
+
+const chosen = process.argv.slice(2);
+for (const [name, measure] of Object.entries(parts)) {
+  if (chosen.length > 0 && !chosen.includes(name)) {
+    continue;
+  }
+  const [loadBefore = 0] = os.loadavg();
+  const measured = await measure();
+  const [loadAfter = 0] = os.loadavg();
+  const machine = { cores: os.availableParallelism(), node: process.version, loadBefore, loadAfter };
+  const all = { ...(await readMeasured()), [name]: { machine, measured } };
+  await fs.mkdir(path.dirname(file), { recursive: true });
+  await fs.writeFile(file, `${JSON.stringify(all, undefined, 1)}\n`);
+  print(`${name} is written`);
+}
+process.exit(0);
