Vary the gaps between calls in capacity runs, and split the runs into parts

With even gaps the load of a target stood still: at 240 requests/s the traffic between daemons was half of that at 120. Parts can be repeated on their own, and readings include the log stand-in and the benchmark itself.

--- a/packages/proofs/src/capacity/CapacityCluster.ts
+++ b/packages/proofs/src/capacity/CapacityCluster.ts
@@ -32,7 +32,7 @@
   public static async open(shape: RunShape): Promise<CapacityCluster> {
     const registry = new common.DisposalRegistry();
     try {
-      const fleet = registry.register(await EngineFleet.open(shape.targets, { tokenMs: 100 }));
+      const fleet = registry.register(await EngineFleet.open(shape.targets, { tokenMs: shape.tokenMs }));
       const probe = registry.register(await ProcessProbe.open());
       const services = shape.claimsPerSecond > 0 ? [{ name: 'booking' }] : [];
       const cluster = registry.register(await Cluster.start({ daemons: shape.daemons, services, settings }));
--- a/packages/proofs/src/capacity/LoadGenerator.ts
+++ b/packages/proofs/src/capacity/LoadGenerator.ts
@@ -1,8 +1,6 @@
 import { bearerKey, type Cluster } from '../harness/index.js';
 import type { RunShape } from './Types.js';
 
-const callTokens = 8;
-
 /** What a generator has seen so far. */
 export interface LoadCounts {
   readonly completed: number;
@@ -10,7 +8,7 @@
   readonly answerMs: readonly number[];
 }
 
-/** Sends requests, edits and claimed calls at steady rates, whether or not earlier ones are answered. */
+/** Sends requests, edits and claimed calls at mean rates, whether or not earlier ones are answered. */
 export class LoadGenerator {
   private readonly _timers: NodeJS.Timeout[] = [];
   private readonly _answerMs: number[] = [];
@@ -44,11 +42,10 @@
     if (perSecond <= 0) {
       return;
     }
-    const startedMs = performance.now();
-    let started = 0;
+    let dueMs = performance.now();
     const tick = (): void => {
-      const due = Math.floor(((performance.now() - startedMs) / 1000) * perSecond);
-      for (; started < due; started += 1) {
+      // Gaps vary as between independent callers. Even gaps hold the load of a target still, and so its digest.
+      for (; dueMs < performance.now(); dueMs += (-Math.log(1 - Math.random()) * 1000) / perSecond) {
         void run().then((done) => {
           this._completed += done ? 1 : 0;
           this._failed += done ? 0 : 1;
@@ -59,12 +56,12 @@
   }
 
   private async _complete(): Promise<boolean> {
-    const { daemons, loadedModels } = this._shape;
-    // Daemons and models vary independently, so that every daemon routes to every loaded model.
+    const { daemons, loadedModels, tokensPerRequest } = this._shape;
+    // Every daemon routes to every loaded model.
     const index = this._sent++;
     const daemon = this._cluster.daemon(index % daemons);
-    const model = `m${Math.floor(index / daemons) % loadedModels}`;
-    const call = { partner: 'solano', model, stream: true, maximumTokens: callTokens };
+    const model = `m${Math.floor(Math.random() * loadedModels)}`;
+    const call = { partner: 'solano', model, stream: true, maximumTokens: tokensPerRequest };
     const result = await this._cluster.callers.complete(daemon.callersUrl, call);
     return result.outcome === 'complete';
   }
--- a/packages/proofs/src/capacity/Types.ts
+++ b/packages/proofs/src/capacity/Types.ts
@@ -11,6 +11,9 @@
   readonly editsPerMinute: number;
   /** Calls per second with an idempotency key. */
   readonly claimsPerSecond: number;
+  readonly tokensPerRequest: number;
+  /** Time between the tokens of an engine, milliseconds. */
+  readonly tokenMs: number;
 }
 
 /** Bytes per second of a daemon, sent and received, HTTP headers included. */
@@ -44,6 +47,10 @@
   readonly logAppendsPerSecond: number;
   readonly logRecordsPerSecond: number;
   readonly logAppendBytesPerSecond: number;
+  /** Share of one core that the log stand-in used. */
+  readonly logServiceCore: number;
+  /** Share of one core that the benchmark used, with the engines and the load. */
+  readonly benchmarkCore: number;
   readonly completedPerSecond: number;
   readonly failed: number;
   /** Time to answer an edit or claimed call, milliseconds: median and largest. */
--- a/packages/proofs/src/capacity/fits.ts
+++ b/packages/proofs/src/capacity/fits.ts
@@ -39,6 +39,7 @@
   ['digestTargets', 'targets'],
   ['digestDaemons', 'daemons'],
   ['claims', 'claimsPerSecond'],
+  ['tokens', 'tokensPerRequest'],
 ];
 
 /** Fits every figure of every role against the size that each series varies. */
--- a/packages/proofs/src/capacity/main.ts
+++ b/packages/proofs/src/capacity/main.ts
@@ -1,6 +1,6 @@
 /**
  * Measures what the control of the system costs and writes `docs/measurements/capacity.json`.
- * Usage: node main.js [part...]; parts: cluster, snapshot, proxy. Without one, all are measured.
+ * Usage: node main.js [part...]; parts: idle, load, claims, tokens, snapshot, proxy. Without one, all are measured.
  */
 import * as fs from 'node:fs/promises';
 import * as os from 'node:os';
@@ -9,21 +9,24 @@
 import { measureProxyCost } from './proxyCost.js';
 import { measureRun } from './measureRun.js';
 import { measureSnapshot } from './snapshotCost.js';
-import { runs } from './runs.js';
-import type { RunResult } from './Types.js';
+import { claimRuns, idleRuns, loadRuns, tokenRuns } from './runs.js';
+import type { RunResult, RunShape } from './Types.js';
 
 const times = { settleMs: 5_000, windowMs: 12_000 };
 const file = path.resolve(import.meta.dirname, '..', '..', '..', '..', 'docs', 'measurements', 'capacity.json');
 
 const parts: Readonly<Record<string, () => Promise<unknown>>> = {
-  cluster: measureCluster,
+  idle: () => measureCluster(idleRuns),
+  load: () => measureCluster(loadRuns),
+  claims: () => measureCluster(claimRuns),
+  tokens: () => measureCluster(tokenRuns),
   snapshot: () => Promise.resolve(measureSnapshot()),
   proxy: measureProxyCost,
 };
 
-async function measureCluster(): Promise<unknown> {
+async function measureCluster(shapes: readonly RunShape[]): Promise<unknown> {
   const results: RunResult[] = [];
-  for (const shape of runs) {
+  for (const shape of shapes) {
     const [load = 0] = os.loadavg();
     try {
       results.push(await measureRun(shape, times));
--- a/packages/proofs/src/capacity/measureRun.ts
+++ b/packages/proofs/src/capacity/measureRun.ts
@@ -2,7 +2,7 @@
 import { delay } from '../harness/index.js';
 import { CapacityCluster } from './CapacityCluster.js';
 import { LoadGenerator, type LoadCounts } from './LoadGenerator.js';
-import type { ProcessReading, Traffic } from './ProcessProbe.js';
+import { readUsage, type ProcessReading, type Traffic } from './ProcessProbe.js';
 import type { ByteRates, DaemonSample, RunResult, RunShape } from './Types.js';
 
 /** Duration of the phases of a run, milliseconds. */
@@ -41,13 +41,17 @@
   readonly timeMs: number;
   readonly daemons: readonly ProcessReading[];
   readonly log: LogCounters;
+  readonly logServiceMs: number;
+  readonly benchmarkMs: number;
   readonly counts: LoadCounts;
 }
 
 async function readAll(capacity: CapacityCluster, load: LoadGenerator): Promise<Snapshot> {
   const daemons = await capacity.readDaemons();
   const log = (await capacity.cluster.log.control()) as LogCounters;
-  return { timeMs: performance.now(), daemons, log, counts: load.counts };
+  const [service, benchmark] = await Promise.all([readUsage(capacity.cluster.log.process.pid), readUsage(process.pid)]);
+  const usage = { logServiceMs: service.processorMs, benchmarkMs: benchmark.processorMs };
+  return { timeMs: performance.now(), daemons, log, ...usage, counts: load.counts };
 }
 
 function ratesOf(before: Snapshot, after: Snapshot): Omit<RunResult, 'shape' | 'daemons'> {
@@ -58,6 +62,8 @@
     logAppendsPerSecond: (after.log.appends - before.log.appends) / seconds,
     logRecordsPerSecond: (after.log.records - before.log.records) / seconds,
     logAppendBytesPerSecond: (after.log.bytes - before.log.bytes) / seconds,
+    logServiceCore: (after.logServiceMs - before.logServiceMs) / (seconds * 1000),
+    benchmarkCore: (after.benchmarkMs - before.benchmarkMs) / (seconds * 1000),
     completedPerSecond: (after.counts.completed - before.counts.completed) / seconds,
     failed: after.counts.failed,
     answerMs:
--- a/packages/proofs/src/capacity/runs.ts
+++ b/packages/proofs/src/capacity/runs.ts
@@ -10,18 +10,24 @@
   requestsPerSecond: 0,
   editsPerMinute: 0,
   claimsPerSecond: 0,
+  tokensPerRequest: 8,
+  tokenMs: 100,
 };
 
 function vary(series: string, changes: readonly Partial<RunShape>[], fixed: Partial<RunShape> = {}): RunShape[] {
   return changes.map((change) => ({ ...base, ...fixed, ...change, series }));
 }
 
-/** All runs in the order in which they are measured. */
-export const runs: readonly RunShape[] = [
+/** Sizes of the system without requests, and edits. */
+export const idleRuns: readonly RunShape[] = [
   ...vary('daemons', [{ daemons: 3 }, { daemons: 6 }, { daemons: 9 }, { daemons: 15 }]),
   ...vary('targets', [{ targets: 10 }, { targets: 40 }, { targets: 160 }]),
   ...vary('models', [{ models: 50 }, { models: 400 }, { models: 1600 }]),
   ...vary('edits', [{ editsPerMinute: 0 }, { editsPerMinute: 60 }, { editsPerMinute: 600 }]),
+];
+
+/** Requests, and the digests that they cause. */
+export const loadRuns: readonly RunShape[] = [
   ...vary('requests', [{ requestsPerSecond: 60 }, { requestsPerSecond: 120 }, { requestsPerSecond: 240 }], {
     loadedModels: 40,
   }),
@@ -35,5 +41,19 @@
     loadedModels: 40,
     requestsPerSecond: 120,
   }),
-  ...vary('claims', [{ claimsPerSecond: 20 }, { claimsPerSecond: 80 }, { claimsPerSecond: 240 }]),
 ];
+
+/** Runs that separate the cost of a request from the cost of a token. */
+export const tokenRuns: readonly RunShape[] = vary(
+  'tokens',
+  [{ tokensPerRequest: 8 }, { tokensPerRequest: 64 }, { tokensPerRequest: 256 }],
+  { daemons: 3, targets: 8, models: 8, loadedModels: 8, requestsPerSecond: 30, tokenMs: 10 },
+);
+
+/** Calls that need a claim. */
+export const claimRuns: readonly RunShape[] = vary('claims', [
+  { claimsPerSecond: 20 },
+  { claimsPerSecond: 80 },
+  { claimsPerSecond: 160 },
+  { claimsPerSecond: 240 },
+]);
--- a/packages/proofs/src/capacity/snapshotCost.ts
+++ b/packages/proofs/src/capacity/snapshotCost.ts
@@ -1,4 +1,6 @@
 /** Cost of a restart: size, encoding, decoding and replay of a control state at the target scale. */
+import * as v8 from 'node:v8';
+import * as vm from 'node:vm';
 import * as decisions from '@jayhaven/decisions';
 
 /** Sizes of a state. */
@@ -20,6 +22,8 @@
   readonly buildRecords: number;
   readonly rejected: number;
   readonly replayMicroseconds: number;
+  /** Mean of the records that load replicas, in the nearly complete state. */
+  readonly loadMicroseconds: number;
   readonly editMicroseconds: readonly number[];
   readonly renewMicroseconds: readonly number[];
   readonly heapBytes: number;
@@ -77,11 +81,14 @@
   }
 }
 
-function build(sizes: StateSizes): {
+interface BuiltState {
   readonly builder: StateBuilder;
-  readonly claim: number;
-  readonly editOffset: number;
-} {
+  readonly claim: decisions.Offset;
+  readonly loadMicroseconds: number;
+  readonly editOffset: decisions.Offset;
+}
+
+function build(sizes: StateSizes): BuiltState {
   const builder = new StateBuilder();
   for (let index = 0; index < sizes.daemons; index += 1) {
     const place = { vm: `vm-entry-${index}`, failureDomain: `fd-${index % 9}` };
@@ -103,10 +110,12 @@
     builder.append({ kind: 'vmObserved', ...place, state: 'live', targets: [target] });
   }
   configure(builder, sizes);
+  const before = { timeMs: performance.now(), records: builder.records };
   for (let index = 0; index < sizes.replicas; index += 1) {
     loadReplica(builder, sizes, claim, index);
   }
-  return { builder, claim, editOffset: edit(builder, 0, null) };
+  const loadMicroseconds = ((performance.now() - before.timeMs) * 1000) / (builder.records - before.records);
+  return { builder, claim, loadMicroseconds, editOffset: edit(builder, 0, null) };
 }
 
 function targetOf(index: number): string {
@@ -119,6 +128,10 @@
 
 function configure(builder: StateBuilder, sizes: StateSizes): void {
   const author = (partner: string) => ({ partner, operator: `${partner}-operator`, basedOn: null, reason: 'initial' });
+  for (const partner of partners) {
+    const key = `${partner}/defaults/maximumReplicas`;
+    builder.append({ kind: 'configurationEdited', ...author(partner), key, value: 4 });
+  }
   for (let index = 0; index < sizes.models; index += 1) {
     const { partner, model } = modelOf(index);
     const weightBytes = Array.from({ length: sizes.acceleratorsPerTarget }, () => 10e9);
@@ -154,7 +167,7 @@
 
 function measureState(sizes: StateSizes): SnapshotFigures {
   const startedMs = performance.now();
-  const { builder, claim, editOffset } = build(sizes);
+  const { builder, claim, loadMicroseconds, editOffset } = build(sizes);
   const buildMs = performance.now() - startedMs;
   const buildRecords = builder.records;
   let version = editOffset;
@@ -168,12 +181,12 @@
       builder.append({ kind: 'ownerRenewed', cell: 'cell-1', claim });
     }
   }).map((durationMs) => (durationMs * 1000) / timedRecords);
-  const heapBefore = process.memoryUsage().heapUsed;
   let text = '';
   const encodeMs = repeat(() => {
     text = JSON.stringify(decisions.encodeSnapshot(builder.state));
   });
   const states: unknown[] = [];
+  const heapBefore = usedHeap();
   const decodeMs = repeat(() => {
     const decoded = decisions.decodeSnapshot(JSON.parse(text));
     if (!decoded.ok) {
@@ -181,10 +194,16 @@
     }
     states.push(decoded.value);
   });
-  const heapBytes = Math.round((process.memoryUsage().heapUsed - heapBefore) / states.length);
+  const heapBytes = Math.round((usedHeap() - heapBefore) / states.length);
   return {
     ...{ sizes, bytes: Buffer.byteLength(text), encodeMs, decodeMs, buildRecords, rejected: builder.rejected },
-    ...{ replayMicroseconds: (buildMs * 1000) / buildRecords, editMicroseconds, renewMicroseconds, heapBytes },
+    ...{
+      replayMicroseconds: (buildMs * 1000) / buildRecords,
+      loadMicroseconds,
+      editMicroseconds,
+      renewMicroseconds,
+      heapBytes,
+    },
   };
 }
 
@@ -195,3 +214,11 @@
     return performance.now() - startedMs;
   });
 }
+
+/** Heap in use after a full collection. */
+function usedHeap(): number {
+  v8.setFlagsFromString('--expose-gc');
+  const collect = vm.runInNewContext('gc') as () => void;
+  collect();
+  return process.memoryUsage().heapUsed;
+}
