--- a/packages/daemon/src/targets/VmWatcher.ts
+++ b/packages/daemon/src/targets/VmWatcher.ts
@@ -77,8 +77,8 @@
       return;
     }
     this._polling = true;
-    const url = this._context.settings.platform.vmListUrl;
     const readAfter = this._control.log.state.appliedOffset;
+    const url = this._context.settings.platform.vmListUrl;
     void this._http.request({ method: 'GET', url, timeoutMs: pollTimeoutMs }).then((outcome) => {
       const ok = outcome.ok && outcome.value.status === 200;
       this.post({ kind: 'listed', vms: ok ? parseVmList(outcome.value.body) : undefined, readAfter });
@@ -96,9 +96,8 @@
     if (!usable) {
       return;
     }
-    this._leaving.add([...vms.values()].filter((vm) => vm.state === 'leaving').map((vm) => vm.vm));
-    const observed = [...this._changedVms(vms, known), ...this._goneVms(vms, known)];
-    const changes = observed.map((change) => ({ ...change, readAfter }));
+    this._leaving.setListed([...vms.values()].filter((vm) => vm.state === 'leaving').map((vm) => vm.vm));
+    const changes = [...this._changedVms(vms, known), ...this._goneVms(vms, known)];
     const changed = new Set(changes.map((change) => change.vm));
     for (const vm of this._noticedMs.keys()) {
       if (!changed.has(vm)) {
@@ -106,7 +105,7 @@
       }
     }
     for (const change of changes) {
-      this._write(change);
+      this._write({ ...change, readAfter });
     }
   }
 
@@ -133,8 +132,7 @@
       this._missing.set(entry.vm, lists);
       if (lists >= missingListsUntilGone) {
         const { vm, failureDomain } = entry;
-        const names = { kind: 'vmObserved', vm, failureDomain } as const;
-        gone.push({ ...names, state: 'gone', targets: [] });
+        gone.push({ kind: 'vmObserved', vm, failureDomain, state: 'gone', targets: [] });
       }
     }
     return gone;
