--- /dev/null
+++ b/packages/proofs/src/policy/Types.ts
@@ -0,0 +1,92 @@
+import type * as common from '@jayhaven/common';
+
+/** One request of the replayed list. Times are virtual milliseconds since the start of the day. */
+export interface Arrival {
+  readonly atMs: number;
+  readonly model: string;
+  readonly adapter?: string;
+  readonly urgency: common.Urgency;
+  /** Time from the start of the answer to its end. */
+  readonly serviceMs: number;
+  readonly deadlineMs: number;
+}
+
+/** How requests for a model come. */
+export type ArrivalPattern = 'popular' | 'sessions' | 'regular' | 'rare' | 'once';
+
+/** A configured model of a workload. */
+export interface ModelSpecification {
+  readonly model: string;
+  readonly pattern: ArrivalPattern;
+  readonly weightBytes: readonly number[];
+  readonly cacheBytes: number;
+  readonly adapters: readonly string[];
+}
+
+/** An engine with its accelerators. */
+export interface EngineSpecification {
+  readonly address: string;
+  readonly vm: string;
+  readonly failureDomain: string;
+  readonly acceleratorBytes: readonly number[];
+}
+
+/** What a partner runs, without the seeded part. */
+export interface PartnerSpecification {
+  readonly partner: common.PartnerName;
+  readonly models: Readonly<Record<ArrivalPattern, number>>;
+  readonly adapters: number;
+  /** Accelerators per engine. */
+  readonly engines: readonly number[];
+  readonly failureDomains: number;
+  /** Loads per second that the owner allows itself, and that the weight store allows. */
+  readonly ownerLoadsPerSecond: number;
+  readonly storeLoadsPerSecond: number;
+  /** Relative rate of requests for each hour of the day. */
+  readonly hourlyRates: readonly number[];
+  /** Share of sessions that are batch work at night. */
+  readonly batchShare: number;
+  /** Weight of tail cold-start time; the rest is the weight of idle accelerator hours. */
+  readonly coldStartWeight: number;
+}
+
+/** One seeded day of one partner. */
+export interface Workload {
+  readonly specification: PartnerSpecification;
+  readonly seed: number;
+  readonly models: readonly ModelSpecification[];
+  readonly engines: readonly EngineSpecification[];
+  readonly arrivals: readonly Arrival[];
+}
+
+/** Percentiles of a list of times, milliseconds. */
+export interface Percentiles {
+  readonly p95Ms: number;
+  readonly p99Ms: number;
+}
+
+/** Measures of one policy on one workload. */
+export interface PolicyMeasures {
+  readonly requests: number;
+  readonly coldRequests: number;
+  readonly refused: number;
+  readonly refusedShare: number;
+  /** Cold-start time over all requests; a refused one counts with its deadline. */
+  readonly all: Percentiles;
+  /** The same over the requests that found no ready replica. */
+  readonly cold: Percentiles;
+  /** Over served requests only. */
+  readonly served: Percentiles;
+  /** Mean over all requests; a refused one counts with its deadline. */
+  readonly meanMs: number;
+  /** Accelerators' worth of memory times hours in which a loaded model had no request in flight. */
+  readonly idleAcceleratorHours: number;
+  readonly loads: number;
+  readonly unloads: number;
+  /** Decisions by the name of their rule. */
+  readonly rules: Readonly<Record<string, number>>;
+  /** Records that replay rejected. */
+  readonly rejectedRecords: number;
+  /** Most memory in use on any accelerator, as a share of its size, by the engines' own count. */
+  readonly highestMemoryShare: number;
+}
--- /dev/null
+++ b/packages/proofs/src/policy/VirtualEngines.ts
@@ -0,0 +1,138 @@
+import * as decisions from '@jayhaven/decisions';
+import { RandomSource } from '@jayhaven/standins';
+import type { Workload } from './Types.js';
+
+type Tier = 'memory' | 'disk' | 'remote';
+
+/** Bytes per millisecond from each tier. */
+const speeds: Readonly<Record<Tier, number>> = { memory: 20e6, disk: 5e6, remote: 2e6 };
+/** Start of the engine's process for a model. */
+const startMs = 2_000;
+/** Checkpoints that a VM caches per accelerator, bytes. */
+const memoryCacheBytes = 100e9;
+const diskCacheBytes = 400e9;
+
+interface Loaded {
+  readonly target: string;
+  bytes: readonly number[];
+}
+
+/** Stands for the engines and the weight store: load times by checkpoint tier, and a count of memory of its own. */
+export class VirtualEngines {
+  /** Most memory in use on any accelerator, as a share of its size. */
+  public highestMemoryShare = 0;
+  private readonly _loaded = new Map<decisions.ReplicaId, Loaded>();
+  private readonly _capacity: ReadonlyMap<string, readonly number[]>;
+  private readonly _caches = new Map<
+    string,
+    { readonly memory: Map<string, number>; readonly disk: Map<string, number> }
+  >();
+  private readonly _random: RandomSource;
+  private _nextStoreStartMs = 0;
+
+  public constructor(private readonly _workload: Workload) {
+    this._random = new RandomSource(_workload.seed + 17);
+    this._capacity = new Map(_workload.engines.map((engine) => [engine.address, engine.acceleratorBytes]));
+    for (const engine of _workload.engines) {
+      this._caches.set(engine.address, { memory: new Map(), disk: new Map() });
+    }
+    this._cacheUnevenly();
+  }
+
+  /** Starts a load and returns its duration. */
+  public load(replica: decisions.ReplicaEntry, weightBytes: number, nowMs: number): number {
+    this._loaded.set(replica.replica, { target: replica.target, bytes: replica.bytes });
+    this._noteMemory(replica.target);
+    const tier = this._tierOf(replica.target, replica.model);
+    const waitMs = tier === 'remote' ? this._storeTurnMs(nowMs) : 0;
+    this._keep(replica.target, replica.model, weightBytes);
+    const variation = 0.95 + 0.1 * this._random.next();
+    return waitMs + (startMs + weightBytes / speeds[tier]) * variation;
+  }
+
+  /** Adds memory of an adapter, and returns the duration of its load. */
+  public loadAdapter(replica: decisions.ReplicaId, bytes: readonly number[]): number {
+    const loaded = this._loaded.get(replica);
+    if (loaded !== undefined) {
+      loaded.bytes = decisions.addBytes(loaded.bytes, bytes);
+      this._noteMemory(loaded.target);
+    }
+    return 5 + 5 * this._random.next();
+  }
+
+  /** Frees memory of an adapter. */
+  public unloadAdapter(replica: decisions.ReplicaId, bytes: readonly number[]): void {
+    const loaded = this._loaded.get(replica);
+    if (loaded !== undefined) {
+      loaded.bytes = loaded.bytes.map((taken, index) => taken - (bytes[index] ?? 0));
+    }
+  }
+
+  /** Frees the memory of a replica with its adapters. */
+  public unload(replica: decisions.ReplicaId): void {
+    this._loaded.delete(replica);
+  }
+
+  private _noteMemory(target: string): void {
+    const capacity = this._capacity.get(target) ?? [];
+    capacity.forEach((size, index) => {
+      let used = 0;
+      for (const loaded of this._loaded.values()) {
+        used += loaded.target === target ? (loaded.bytes[index] ?? 0) : 0;
+      }
+      this.highestMemoryShare = Math.max(this.highestMemoryShare, used / size);
+    });
+  }
+
+  /** Delay until the weight store starts one more load; up to one second's worth may start at once. */
+  private _storeTurnMs(nowMs: number): number {
+    const spacingMs = 1_000 / this._workload.specification.storeLoadsPerSecond;
+    const theoreticalMs = Math.max(nowMs, this._nextStoreStartMs);
+    this._nextStoreStartMs = theoreticalMs + spacingMs;
+    return Math.max(0, theoreticalMs - (1_000 - spacingMs) - nowMs);
+  }
+
+  private _tierOf(target: string, model: string): Tier {
+    const cache = this._caches.get(target);
+    if (cache?.memory.has(model)) {
+      return 'memory';
+    }
+    return cache?.disk.has(model) ? 'disk' : 'remote';
+  }
+
+  private _keep(target: string, model: string, bytes: number): void {
+    const cache = this._caches.get(target);
+    const accelerators = this._capacity.get(target)?.length ?? 1;
+    if (cache !== undefined) {
+      insertLatest(cache.memory, model, bytes, memoryCacheBytes * accelerators);
+      insertLatest(cache.disk, model, bytes, diskCacheBytes * accelerators);
+    }
+  }
+
+  /** Most models are on the disk of some VMs, a few in memory, the others only in the store. */
+  private _cacheUnevenly(): void {
+    for (const { model, weightBytes } of this._workload.models) {
+      const bytes = decisions.sumBytes(weightBytes);
+      for (const { address } of this._workload.engines) {
+        if (this._random.next() < 0.15) {
+          const cache = this._caches.get(address);
+          insertLatest(cache?.disk ?? new Map<string, number>(), model, bytes, diskCacheBytes);
+        }
+      }
+    }
+  }
+}
+
+/** Adds an entry as the latest one, and drops the oldest ones beyond the size. */
+function insertLatest(entries: Map<string, number>, name: string, bytes: number, sizeBytes: number): void {
+  entries.delete(name);
+  entries.set(name, bytes);
+  let used = [...entries.values()].reduce((sum, entry) => sum + entry, 0);
+  for (const [oldest, oldestBytes] of entries) {
+    if (used <= sizeBytes) {
+      break;
+    }
+    entries.delete(oldest);
+    used -= oldestBytes;
+  }
+}
