--- a/packages/proofs/src/policy/Measures.ts
+++ b/packages/proofs/src/policy/Measures.ts
@@ -83,7 +83,11 @@
   }
 
   /** Ends the day. */
-  public finish(endMs: number, rejectedRecords: number, highestMemoryShare: number): PolicyMeasures {
+  public finish(
+    endMs: number,
+    engines: Pick<PolicyMeasures, 'tiers' | 'highestMemoryShare'>,
+    rejectedRecords: number,
+  ): PolicyMeasures {
     for (const loaded of this._loaded.values()) {
       this._endIdle(loaded, endMs);
     }
@@ -99,9 +103,10 @@
       idleAcceleratorHours: this._idleByteMs / acceleratorBytes / hourMs,
       loads: this._loads,
       unloads: this._unloads,
+      tiers: engines.tiers,
       rules: Object.fromEntries([...this._rules].sort(([first], [second]) => (first < second ? -1 : 1))),
       rejectedRecords,
-      highestMemoryShare,
+      highestMemoryShare: engines.highestMemoryShare,
     };
   }
 
--- a/packages/proofs/src/policy/Types.ts
+++ b/packages/proofs/src/policy/Types.ts
@@ -65,6 +65,9 @@
   readonly p99Ms: number;
 }
 
+/** Where a target finds a checkpoint: its own memory or disk, or the weight store. */
+export type CheckpointTier = 'memory' | 'disk' | 'remote';
+
 /** Measures of one policy on one workload. */
 export interface PolicyMeasures {
   readonly requests: number;
@@ -83,6 +86,8 @@
   readonly idleAcceleratorHours: number;
   readonly loads: number;
   readonly unloads: number;
+  /** Loads by the tier that held the checkpoint. */
+  readonly tiers: Readonly<Record<CheckpointTier, number>>;
   /** Decisions by the name of their rule. */
   readonly rules: Readonly<Record<string, number>>;
   /** Records that replay rejected. */
--- a/packages/proofs/src/policy/VirtualDay.ts
+++ b/packages/proofs/src/policy/VirtualDay.ts
@@ -37,6 +37,7 @@
     private readonly _workload: Workload,
     policy: decisions.KeepAlivePolicy,
     keepAliveSeconds: number,
+    private readonly _durationMs: number,
   ) {
     this._log = new ControlLog(_workload, keepAliveSeconds);
     this._engines = new VirtualEngines(_workload);
@@ -54,9 +55,14 @@
     );
   }
 
-  /** Runs a workload from its first to its last second. */
-  public static run(workload: Workload, policy: decisions.KeepAlivePolicy, keepAliveSeconds: number): PolicyMeasures {
-    return new VirtualDay(workload, policy, keepAliveSeconds)._run();
+  /** Runs a workload from its first second to the last deadline. */
+  public static run(
+    workload: Workload,
+    policy: decisions.KeepAlivePolicy,
+    keepAliveSeconds: number,
+    durationMs = dayMs,
+  ): PolicyMeasures {
+    return new VirtualDay(workload, policy, keepAliveSeconds, durationMs)._run();
   }
 
   private _run(): PolicyMeasures {
@@ -70,8 +76,10 @@
       this._events.at(this._events.nowMs + upkeepIntervalMs, upkeep);
     };
     this._events.at(upkeepIntervalMs, upkeep);
-    this._events.runUntil(dayMs);
-    return this._measures.finish(dayMs, this._log.rejected, this._engines.highestMemoryShare);
+    // The last requests are answered or refused after midnight.
+    const endMs = this._durationMs + Math.max(...this._workload.arrivals.map((arrival) => arrival.deadlineMs));
+    this._events.runUntil(endMs);
+    return this._measures.finish(endMs, this._engines, this._log.rejected);
   }
 
   private _arrive(arrival: Arrival): void {
--- a/packages/proofs/src/policy/VirtualEngines.ts
+++ b/packages/proofs/src/policy/VirtualEngines.ts
@@ -1,11 +1,9 @@
 import * as decisions from '@jayhaven/decisions';
 import { RandomSource } from '@jayhaven/standins';
-import type { Workload } from './Types.js';
-
-type Tier = 'memory' | 'disk' | 'remote';
+import type { CheckpointTier, Workload } from './Types.js';
 
 /** Bytes per millisecond from each tier. */
-const speeds: Readonly<Record<Tier, number>> = { memory: 20e6, disk: 5e6, remote: 2e6 };
+const speeds: Readonly<Record<CheckpointTier, number>> = { memory: 20e6, disk: 5e6, remote: 2e6 };
 /** Start of the engine's process for a model. */
 const startMs = 2_000;
 /** Checkpoints that a VM caches per accelerator, bytes. */
@@ -21,6 +19,7 @@
 export class VirtualEngines {
   /** Most memory in use on any accelerator, as a share of its size. */
   public highestMemoryShare = 0;
+  public readonly tiers: Record<CheckpointTier, number> = { memory: 0, disk: 0, remote: 0 };
   private readonly _loaded = new Map<decisions.ReplicaId, Loaded>();
   private readonly _capacity: ReadonlyMap<string, readonly number[]>;
   private readonly _caches = new Map<
@@ -44,6 +43,7 @@
     this._loaded.set(replica.replica, { target: replica.target, bytes: replica.bytes });
     this._noteMemory(replica.target);
     const tier = this._tierOf(replica.target, replica.model);
+    this.tiers[tier] += 1;
     const waitMs = tier === 'remote' ? this._storeTurnMs(nowMs) : 0;
     this._keep(replica.target, replica.model, weightBytes);
     const variation = 0.95 + 0.1 * this._random.next();
@@ -92,7 +92,7 @@
     return Math.max(0, theoreticalMs - (1_000 - spacingMs) - nowMs);
   }
 
-  private _tierOf(target: string, model: string): Tier {
+  private _tierOf(target: string, model: string): CheckpointTier {
     const cache = this._caches.get(target);
     if (cache?.memory.has(model)) {
       return 'memory';
--- a/packages/proofs/src/policy/VirtualOwner.ts
+++ b/packages/proofs/src/policy/VirtualOwner.ts
@@ -248,10 +248,16 @@
 
   private _view(reservedFor?: decisions.ModelSettings): decisions.PlacementView {
     const { nowMs } = this._events;
+    const known = new Map<decisions.ModelVersion, decisions.ModelUsage>();
     return {
       state: this._log.state,
       policy: this._policy,
-      usageOf: (model) => this.usage.usageOf(model, nowMs),
+      usageOf: (model) => {
+        // Upkeep asks for the same settings several times; nothing changes within one view.
+        const usage = known.get(model) ?? this.usage.usageOf(model, nowMs);
+        known.set(model, usage);
+        return usage;
+      },
       expectedLoadMs: (settings, target) => this._loadTimes.expectedMs(settings, target),
       readySinceMs: (replica) => this._readySinceMs.get(replica) ?? 0,
       blockedTargets: this._blockedTargets(reservedFor),
--- a/packages/proofs/src/policy/buildWorkload.ts
+++ b/packages/proofs/src/policy/buildWorkload.ts
@@ -22,6 +22,8 @@
   { weightBytes: [28e9], cacheBytes: 10e9 },
   { weightBytes: [28e9], cacheBytes: 10e9 },
   { weightBytes: [36e9], cacheBytes: 12e9 },
+  { weightBytes: [36e9], cacheBytes: 12e9 },
+  { weightBytes: [16e9], cacheBytes: 8e9 },
   { weightBytes: [60e9], cacheBytes: 16e9 },
   { weightBytes: [40e9, 40e9], cacheBytes: 12e9 },
 ];
--- a/packages/proofs/src/policy/partners.ts
+++ b/packages/proofs/src/policy/partners.ts
@@ -22,7 +22,7 @@
   partner: 'cascade',
   models: { popular: 3, sessions: 11, regular: 7, rare: 5, once: 4 },
   adapters: 60,
-  engines: [1, 1, 1, 1, 1, 1, 2],
+  engines: [1, 1, 1, 1, 2, 2],
   failureDomains: 4,
   ownerLoadsPerSecond: 3,
   storeLoadsPerSecond: 4,
