Expect an uncached load on a target that never loaded the model

Cause: a target without history got the model's average load time, which cached loads keep short, so placement sent models to targets without their checkpoint.

Labels of the trade-off chart are placed so that none covers another.

--- a/packages/decisions/src/placement/LoadTimes.ts
+++ b/packages/decisions/src/placement/LoadTimes.ts
@@ -7,18 +7,32 @@
 /** Observed load times per model and target; a target that loaded a model before may still cache its checkpoint. */
 export class LoadTimes {
   private readonly _byModel = new Map<string, number>();
+  /** First loads on a target, which had no checkpoint of the model then, as a rule. */
+  private readonly _firstLoads = new Map<string, number>();
   private readonly _byTarget = new Map<string, number>();
 
   /** Takes over the duration of a finished load. */
   public record(model: ModelVersion, target: common.TargetAddress, durationMs: number): void {
-    blend(this._byModel, keyOf(model), durationMs);
-    blend(this._byTarget, `${keyOf(model)} ${target}`, durationMs);
+    const key = keyOf(model);
+    const onTarget = `${key} ${target}`;
+    if (!this._byTarget.has(onTarget)) {
+      blend(this._firstLoads, key, durationMs);
+    }
+    blend(this._byModel, key, durationMs);
+    blend(this._byTarget, onTarget, durationMs);
   }
 
-  /** Expected duration: of earlier loads on that target, else on any target, else as configured. */
+  /**
+   * Expected duration: of earlier loads on that target; for a target without any, of first loads on other targets;
+   * else as configured.
+   */
   public expectedMs(settings: ModelSettings, target?: common.TargetAddress): number {
-    const onTarget = target === undefined ? undefined : this._byTarget.get(`${keyOf(settings)} ${target}`);
-    return onTarget ?? this._byModel.get(keyOf(settings)) ?? settings.expectedLoadMs;
+    const key = keyOf(settings);
+    if (target === undefined) {
+      return this._byModel.get(key) ?? settings.expectedLoadMs;
+    }
+    // The average of all loads is too short for a target without the checkpoint: most loads come from a cache.
+    return this._byTarget.get(`${key} ${target}`) ?? this._firstLoads.get(key) ?? settings.expectedLoadMs;
   }
 }
 
--- a/packages/proofs/src/policy/drawChart.ts
+++ b/packages/proofs/src/policy/drawChart.ts
@@ -1,4 +1,5 @@
 /** Draws the trade-off between tail cold-start time and idle accelerator hours as an SVG. */
+import { placeLabels } from './placeLabels.js';
 import { tailRatio, type VariantSummary } from './summarize.js';
 import type { VariantFamily } from './variants.js';
 
@@ -10,7 +11,7 @@
 > = {
   never: { color: '#555555', label: 'never unload', dash: '' },
   fixed: { color: '#0b5fa5', label: 'fixed keep-alive', dash: '' },
-  leastRecentlyUsed: { color: '#a05a00', label: 'least recently used', dash: '' },
+  leastRecentlyUsed: { color: '#a05a00', label: 'least recently used (LRU)', dash: '' },
   histogram: { color: '#b3123f', label: 'histogram, by setting', dash: '' },
   histogramWeight: { color: '#2c7a3f', label: 'histogram, by weight', dash: '6 4' },
 };
@@ -40,6 +41,7 @@
     `<text x="${plot.left}" y="32" font-size="18">${title}</text>`,
     ...axes(range, x, y),
     ...[...points].flatMap(([family, list]) => (family === 'never' ? [] : series(family, list, x, y))),
+    ...labels(points, x, y),
     ...legend([...points.keys()], never),
     `<text x="${plot.left}" y="${height - 12}" font-size="12">Ratios to ${referenceName} on the same arrivals; lower left is better.</text>`,
   ];
@@ -55,23 +57,32 @@
 function series(family: VariantFamily, list: readonly Point[], x: Scale, y: Scale): string[] {
   const { color, dash } = styles[family];
   const path = list.map((point) => `${x(point.idle).toFixed(1)},${y(point.tail).toFixed(1)}`).join(' ');
-  const lines =
-    list.length > 1
-      ? [
-          `<polyline points="${path}" fill="none" stroke="${color}" stroke-width="2"${dash === '' ? '' : ` stroke-dasharray="${dash}"`}/>`,
-        ]
-      : [];
-  const below = family === 'histogram' || family === 'histogramWeight';
-  const marks = list.flatMap((point) => {
-    const [left, top] = [x(point.idle), y(point.tail)];
-    const label = point.name.replace(/^(fixed|histogram weight|histogram) /, family === 'histogramWeight' ? 'w ' : '');
-    const offset = family === 'histogramWeight' ? 30 : 17;
-    return [
-      `<circle cx="${left.toFixed(1)}" cy="${top.toFixed(1)}" r="4.5" fill="${color}"/>`,
-      `<text x="${left.toFixed(1)}" y="${(top + (below ? offset : -9)).toFixed(1)}" font-size="11" text-anchor="middle" fill="${color}">${label}</text>`,
-    ];
+  const dashes = dash === '' ? '' : ` stroke-dasharray="${dash}"`;
+  const line = `<polyline points="${path}" fill="none" stroke="${color}" stroke-width="2"${dashes}/>`;
+  const marks = list.map(
+    (point) => `<circle cx="${x(point.idle).toFixed(1)}" cy="${y(point.tail).toFixed(1)}" r="4.5" fill="${color}"/>`,
+  );
+  return list.length > 1 ? [line, ...marks] : marks;
+}
+
+function labels(points: ReadonlyMap<VariantFamily, readonly Point[]>, x: Scale, y: Scale): string[] {
+  const labelled = [...points].flatMap(([family, list]) =>
+    family === 'never'
+      ? []
+      : list.map((point) => ({ x: x(point.idle), y: y(point.tail), label: shortName(point.name), family })),
+  );
+  return placeLabels(labelled).map(({ label, labelX, labelY }, index) => {
+    const { color } = styles[labelled[index]?.family ?? 'never'];
+    const at = `x="${labelX.toFixed(1)}" y="${labelY.toFixed(1)}"`;
+    return `<text ${at} font-size="11" text-anchor="middle" fill="${color}">${label}</text>`;
   });
-  return [...lines, ...marks];
+}
+
+function shortName(name: string): string {
+  return name
+    .replace('least recently used', 'LRU')
+    .replace('histogram weight', 'weight')
+    .replace(/^(fixed|histogram) /, '');
 }
 
 function axes(range: { readonly idle: Range; readonly tail: Range }, x: Scale, y: Scale): string[] {
--- /dev/null
+++ b/packages/proofs/src/policy/placeLabels.ts
@@ -0,0 +1,71 @@
+/** Places the labels of a chart so that they cover neither each other nor a point. */
+
+/** A point of the chart with its label, in pixels. */
+export interface LabelledPoint {
+  readonly x: number;
+  readonly y: number;
+  readonly label: string;
+}
+
+/** Where the middle of a label's base line is. */
+export interface PlacedLabel extends LabelledPoint {
+  readonly labelX: number;
+  readonly labelY: number;
+}
+
+interface Box {
+  readonly left: number;
+  readonly right: number;
+  readonly top: number;
+  readonly bottom: number;
+}
+
+const characterWidth = 6.4;
+const labelHeight = 12;
+const pointRadius = 5;
+/** Distances from the point at which a label is tried. */
+const distances = [8, 18, 30, 44, 60];
+
+/** Tries places around each point, near ones first; the last resort is the place above it. */
+export function placeLabels(points: readonly LabelledPoint[]): readonly PlacedLabel[] {
+  const taken: Box[] = points.map(({ x, y }) => ({
+    left: x - pointRadius,
+    right: x + pointRadius,
+    top: y - pointRadius,
+    bottom: y + pointRadius,
+  }));
+  return points.map((point) => {
+    const places = candidatesOf(point);
+    const free = places.find((place) => !taken.some((box) => overlaps(box, boxOf(place))));
+    const chosen = free ?? { ...point, labelX: point.x, labelY: point.y - 9 };
+    taken.push(boxOf(chosen));
+    return chosen;
+  });
+}
+
+function candidatesOf(point: LabelledPoint): PlacedLabel[] {
+  const half = (point.label.length * characterWidth) / 2;
+  return distances.flatMap((distance) => {
+    const [above, below] = [point.y - distance, point.y + distance + labelHeight - 2];
+    const [left, right] = [point.x - distance - half, point.x + distance + half];
+    return [
+      { ...point, labelX: point.x, labelY: above },
+      { ...point, labelX: point.x, labelY: below },
+      { ...point, labelX: right, labelY: point.y + 4 },
+      { ...point, labelX: left, labelY: point.y + 4 },
+      { ...point, labelX: right, labelY: above },
+      { ...point, labelX: left, labelY: below },
+    ];
+  });
+}
+
+function boxOf({ label, labelX, labelY }: PlacedLabel): Box {
+  const half = (label.length * characterWidth) / 2;
+  return { left: labelX - half, right: labelX + half, top: labelY - labelHeight + 2, bottom: labelY + 2 };
+}
+
+function overlaps(first: Box, second: Box): boolean {
+  return (
+    first.left < second.right && second.left < first.right && first.top < second.bottom && second.top < first.bottom
+  );
+}
