Choose the keep-alive that would have cost least over the past gaps

Cause: the percentile of gaps that was covered lay above the operator's setting for most models, because the gaps between sessions last hours, so the policy kept nearly every model as long as the fixed one. The keep-alive now weighs the load time of the cold starts that it avoids against the idle time that it costs; the partner's weight sets the rate. The setting stays the upper bound. A replica that was loaded ahead is kept for its request.

--- a/packages/decisions/src/placement/upkeep.ts
+++ b/packages/decisions/src/placement/upkeep.ts
@@ -96,8 +96,11 @@
     return undefined;
   }
   const usage = view.usageOf(replica);
-  const idleMs = view.nowMs - Math.max(usage.lastUsedMs, view.readySinceMs(replica.replica));
-  const keepAliveMs = view.policy.keepAliveMs(settings, usage);
+  const readyMs = view.readySinceMs(replica.replica);
+  const idleMs = view.nowMs - Math.max(usage.lastUsedMs, readyMs);
+  const policyMs = view.policy.keepAliveMs(settings, usage, view.expectedLoadMs(settings, replica.target));
+  // A replica loaded ahead of its request has to wait for it; past gaps say nothing about that wait.
+  const keepAliveMs = readyMs > usage.lastUsedMs ? Math.max(settings.keepAliveMs, policyMs) : policyMs;
   if (idleMs < keepAliveMs) {
     return undefined;
   }
--- a/packages/decisions/src/policy/GapHistogram.ts
+++ b/packages/decisions/src/policy/GapHistogram.ts
@@ -9,6 +9,9 @@
 export const gapBinGrowth = 1.08;
 /** The last bin ends after about 16 h; longer gaps fall into it. */
 const binCount = 162;
+const upperBoundsMs = Float64Array.from({ length: binCount }, (_, bin) => firstBoundMs * gapBinGrowth ** bin);
+/** Usage reports come each second; a shorter keep-alive would unload between two requests of a burst. */
+const shortestKeepAliveMs = 10_000;
 /** Counts are halved at this total, so that old habits fade. */
 const maximumSamples = 512;
 
@@ -55,6 +58,30 @@
     }
     return above / this._samples;
   }
+
+  public cheapestKeepAliveMs(coldStartCostMs: number, longestMs: number): number {
+    let cheapestMs = Math.min(longestMs, shortestKeepAliveMs);
+    let cheapest = Infinity;
+    let within = 0;
+    let idleWithinMs = 0;
+    for (let bin = 0; bin < binCount; bin += 1) {
+      const count = this._bins[bin] ?? 0;
+      const keepMs = Math.min(longestMs, upperBoundMs(bin));
+      if (upperBoundMs(bin) <= longestMs) {
+        within += count;
+        idleWithinMs += count * upperBoundMs(bin);
+      }
+      const cost = idleWithinMs + (this._samples - within) * (keepMs + coldStartCostMs);
+      if (keepMs >= shortestKeepAliveMs && cost < cheapest) {
+        cheapest = cost;
+        cheapestMs = keepMs;
+      }
+      if (keepMs === longestMs) {
+        break;
+      }
+    }
+    return cheapestMs;
+  }
 }
 
 function binOf(gapMs: number): number {
@@ -63,5 +90,5 @@
 }
 
 function upperBoundMs(bin: number): number {
-  return firstBoundMs * gapBinGrowth ** bin;
+  return upperBoundsMs[bin] ?? Infinity;
 }
--- a/packages/decisions/src/policy/HistogramPolicy.ts
+++ b/packages/decisions/src/policy/HistogramPolicy.ts
@@ -5,18 +5,21 @@
 
 /** Fewer gaps than this say too little; the configured keep-alive applies. */
 const minimumSamples = 8;
-/** Share of gaps to cover for a partner that counts only idle accelerator hours. */
-const lowestCoveredShare = 0.75;
-/** Share of gaps to cover for a partner that counts only cold starts. */
-const highestCoveredShare = 0.99;
+/** Idle time that a partner which weighs both alike accepts for each unit of load time that it avoids. */
+const idlePerLoadTime = 20;
+/** Keeps the weights off their ends, where one measure would not count at all. */
+const smallestWeight = 0.02;
+/** Share of gaps that a prewarmed model has to be kept for. */
+const expectedArrivalShare = 0.95;
 /** Share of gaps shorter than the prewarming time, from the hybrid histogram policy (Shahrad et al. 2020). */
 const earlyArrivalShare = 0.05;
 /** Loads in advance by this multiple of the load time. */
 const prewarmLead = 1.5;
 
 /**
- * Keeps an idle model as long as a share of its past gaps lasted, at most the configured keep-alive. The operator's
- * setting is the bound, so an edit always shows; the weight of the partner sets the share.
+ * Keeps an idle model for the time that would have cost least over its past gaps, at most the configured keep-alive.
+ * The operator's setting is the bound, so an edit always shows. A cold start costs its load time, an idle replica its
+ * idle time; the weight of the partner sets the rate between the two.
  */
 export class HistogramPolicy extends KeepAlivePolicy {
   public override readonly name = 'histogram';
@@ -25,11 +28,15 @@
     super();
   }
 
-  public override keepAliveMs(settings: ModelSettings, usage: ModelUsage): number {
+  public override keepAliveMs(
+    settings: ModelSettings,
+    usage: ModelUsage,
+    loadMs: number = settings.expectedLoadMs,
+  ): number {
     if (usage.gaps.samples < minimumSamples) {
       return settings.keepAliveMs;
     }
-    return Math.min(settings.keepAliveMs, usage.gaps.percentileMs(this._coveredShare(settings)));
+    return usage.gaps.cheapestKeepAliveMs(loadMs * this._idlePerLoad(settings), settings.keepAliveMs);
   }
 
   public override prewarmAfterMs(settings: ModelSettings, usage: ModelUsage, loadMs: number): number | undefined {
@@ -40,8 +47,9 @@
     const earliestMs = usage.gaps.percentileMs(earlyArrivalShare) / gapBinGrowth;
     const startMs = earliestMs - prewarmLead * loadMs;
     // Only regular models gain: when the covered gaps end soon after the earliest one, little idle time is spent.
-    const latestMs = usage.gaps.percentileMs(this._coveredShare(settings));
-    const worthwhile = startMs > this.keepAliveMs(settings, usage) && latestMs - startMs <= settings.keepAliveMs;
+    const latestMs = usage.gaps.percentileMs(expectedArrivalShare);
+    const worthwhile =
+      latestMs - startMs <= settings.keepAliveMs && startMs > this.keepAliveMs(settings, usage, loadMs);
     return worthwhile ? startMs : undefined;
   }
 
@@ -57,8 +65,9 @@
     return 1 - usage.gaps.shareAbove(idleMs + horizonMs) / stillIdle;
   }
 
-  private _coveredShare(settings: ModelSettings): number {
+  private _idlePerLoad(settings: ModelSettings): number {
     const weight = this._weights.get(settings.partner)?.coldStart ?? 0.5;
-    return lowestCoveredShare + (highestCoveredShare - lowestCoveredShare) * weight;
+    const inner = Math.min(1 - smallestWeight, Math.max(smallestWeight, weight));
+    return (idlePerLoadTime * inner) / (1 - inner);
   }
 }
--- a/packages/decisions/src/policy/KeepAlivePolicy.ts
+++ b/packages/decisions/src/policy/KeepAlivePolicy.ts
@@ -6,8 +6,11 @@
   /** Name for reasons and the time line. */
   public abstract readonly name: string;
 
-  /** Idle time after which a replica is unloaded; `Infinity` keeps it until memory is needed. */
-  public abstract keepAliveMs(settings: ModelSettings, usage: ModelUsage): number;
+  /**
+   * Idle time after which a replica is unloaded; `Infinity` keeps it until memory is needed. Without a load time, the
+   * configured one applies.
+   */
+  public abstract keepAliveMs(settings: ModelSettings, usage: ModelUsage, loadMs?: number): number;
 
   /** Time since the last use at which to load the model again; undefined if it waits for a request. */
   public abstract prewarmAfterMs(settings: ModelSettings, usage: ModelUsage, loadMs: number): number | undefined;
--- a/packages/decisions/src/policy/Types.ts
+++ b/packages/decisions/src/policy/Types.ts
@@ -22,6 +22,11 @@
   percentileMs(share: number): number;
   /** Share of gaps longer than the given time, 0 to 1. */
   shareAbove(gapMs: number): number;
+  /**
+   * Keep-alive up to `longestMs` that would have cost least over the past gaps, milliseconds. Idle time costs its
+   * duration, a gap longer than the keep-alive costs `coldStartCostMs` in addition.
+   */
+  cheapestKeepAliveMs(coldStartCostMs: number, longestMs: number): number;
 }
 
 /** What a partner gives more weight. */
--- a/packages/proofs/src/policy/variants.ts
+++ b/packages/proofs/src/policy/variants.ts
@@ -17,7 +17,8 @@
 /** The keep-alive setting that the others are compared with: the built-in default. */
 export const defaultKeepAliveSeconds = 300;
 const keepAlivesSeconds = [60, 120, 300, 600, 1800];
-const weights = [0, 0.3, 0.6, 0.8, 1];
+const boundsSeconds = [120, 300, 600];
+const weights = [0, 0.5, 1];
 
 /** Name of the variant that is the reference of all ratios. */
 export const referenceName = `fixed ${defaultKeepAliveSeconds} s`;
@@ -31,7 +32,7 @@
     family: 'fixed',
     keepAliveSeconds: seconds,
   })),
-  ...keepAlivesSeconds.map((seconds): Variant => ({
+  ...boundsSeconds.map((seconds): Variant => ({
     name: `histogram ${seconds} s`,
     family: 'histogram',
     keepAliveSeconds: seconds,
@@ -39,7 +40,7 @@
   ...weights.map((weight): Variant => ({
     name: `histogram weight ${weight}`,
     family: 'histogramWeight',
-    keepAliveSeconds: 1800,
+    keepAliveSeconds: 600,
     coldStartWeight: weight,
   })),
 ];
