Take the limits of replay from the log instead of each daemon's settings

Cause: replay enforced concurrent loads, adapters in transit and the list of partners from the settings of each daemon, so daemons with different settings reached different verdicts on the same record.

Any daemon may set the first ones, because edits are possible before a cell has an owner; later only the owner of a cell may. A partner that has configuration cannot be left out, or one daemon's settings could end its say in shared keys.

--- a/packages/daemon/src/ControlPlane.ts
+++ b/packages/daemon/src/ControlPlane.ts
@@ -8,6 +8,7 @@
 import { ControlLogReplica, controlRules, type ControlReplica } from './log/ControlLogReplica.js';
 import { ControlPeerSource } from './log/ControlPeerSource.js';
 import type { LogClient } from './log/LogClient.js';
+import { LimitsKeeper } from './log/LimitsKeeper.js';
 import { LogHealth } from './log/LogHealth.js';
 import { OutageRecorder } from './log/OutageRecorder.js';
 import { RestLogClient } from './log/RestLogClient.js';
@@ -19,7 +20,7 @@
 import { Membership } from './peers/Membership.js';
 import { PeerGroup } from './peers/PeerGroup.js';
 import { PeerOffsets } from './peers/PeerOffsets.js';
-import type { ControlPlane, DaemonContext, DaemonSettings } from './Types.js';
+import type { ControlPlane, DaemonContext } from './Types.js';
 
 /** Longest time that a peer may make this daemon wait for records, milliseconds. */
 const longestPeerWaitMs = 1000;
@@ -62,7 +63,7 @@
   const source = new ControlPeerSource(group, offsets, () => heartbeats.askSeeds());
   const replica: ControlReplica = new TopicReplica(replicaContext, {
     topic,
-    rules: controlRules(limitsOf(settings)),
+    rules: controlRules(),
     client,
     health,
     peers: source,
@@ -88,6 +89,7 @@
   closing.register(replica);
   const membership = closing.register(new Membership(context, log, replica, group));
   closing.register(new OutageRecorder(context, replica));
+  const limits = closing.register(new LimitsKeeper(context, log));
   closing.register(new GoneReporter(context, log, group));
   closing.register(
     new SnapshotKeeper({
@@ -107,6 +109,7 @@
     new ClaimsRouter(context, group, () => log.state.daemons.get(incarnation)?.state === 'joined'),
   );
   await membership.opened(settings.platform.logTimeoutMs);
+  await limits.opened(settings.platform.logTimeoutMs);
   return {
     incarnation,
     log,
@@ -121,11 +124,6 @@
   };
 }
 
-function limitsOf(settings: DaemonSettings): decisions.ControlLimits {
-  const { maximumConcurrentLoads, maximumAdaptersInTransit } = settings.owner;
-  return { maximumConcurrentLoads, maximumAdaptersInTransit, partners: settings.partners };
-}
-
 function serveRecords(group: PeerGroup, replica: ControlReplica, topic: string): void {
   const schemas = recordSchemas(topic);
   group.handle('log.recordsAfter', (parameters) => {
--- a/packages/daemon/src/log/ControlLogReplica.ts
+++ b/packages/daemon/src/log/ControlLogReplica.ts
@@ -8,11 +8,9 @@
 export type ControlReplica = TopicReplica<decisions.ControlRecordBody, decisions.ControlState>;
 
 /** Replay of the control topic. */
-export function controlRules(
-  limits: decisions.ControlLimits,
-): TopicRules<decisions.ControlRecordBody, decisions.ControlState> {
+export function controlRules(): TopicRules<decisions.ControlRecordBody, decisions.ControlState> {
   return {
-    empty: decisions.emptyControlState(limits),
+    empty: decisions.emptyControlState(),
     parse: (value) => valueOf(decisions.parseControlRecord(value)),
     replay: (state, record) => decisions.replay(state, record),
     encode: (state) => decisions.encodeSnapshot(state),
--- a/packages/daemon/src/log/testing/support.ts
+++ b/packages/daemon/src/log/testing/support.ts
@@ -18,6 +18,7 @@
     readonly platform?: Partial<DaemonSettings['platform']>;
     readonly owner?: Partial<DaemonSettings['owner']>;
     readonly seedPeers?: DaemonSettings['seedPeers'];
+    readonly partners?: DaemonSettings['partners'];
   } = {},
 ): DaemonSettings {
   const local = { host: '127.0.0.1', port: 0 };
@@ -52,7 +53,7 @@
     },
     stop: { announceMs: 0, limitMs: 1000 },
     seedPeers: change.seedPeers ?? [],
-    partners: ['solano', 'cascade'],
+    partners: change.partners ?? ['solano', 'cascade'],
     callers: [],
     operators: [],
   };
--- a/packages/daemon/src/operators/EditService.ts
+++ b/packages/daemon/src/operators/EditService.ts
@@ -17,6 +17,9 @@
   shareExceeded: 422,
 };
 
+/** Retry time given while the first limits are on their way into the log, milliseconds. */
+const limitsRetryAfterMs = 500;
+
 interface EditFault {
   readonly status: number;
   readonly type: string;
@@ -45,6 +48,11 @@
     if (refusal) {
       return refusal;
     }
+    if (this._log.state.limits.partners.length === 0) {
+      // Replay would reject the edit for good, although it is valid once the first limits are set.
+      const message = 'the limits of the cell are not set yet';
+      return errorAnswer(503, 'log_unavailable', message, { retryAfterMs: limitsRetryAfterMs });
+    }
     const { key, value, basedOn, reason } = body;
     const outcome = await this._log.append(
       {
--- a/packages/decisions/src/Types.ts
+++ b/packages/decisions/src/Types.ts
@@ -219,6 +219,14 @@
 }
 
 /** Body of a record of the topic `control`. */
+/** Sets the limits that replay enforces. Any daemon may set the first ones; later only the owner of a cell may. */
+export interface LimitsSet {
+  readonly kind: 'limitsSet';
+  /** `ControlState.limitsSetAt` that the author saw, null if no limits were set. It must still be the latest. */
+  readonly basedOn: Offset | null;
+  readonly limits: ControlLimits;
+}
+
 export type ControlRecordBody =
   | DaemonJoined
   | DaemonLeft
@@ -240,7 +248,8 @@
   | AdapterUnloadDecided
   | AdapterUnloaded
   | ConfigurationEdited
-  | ConfigurationApproved;
+  | ConfigurationApproved
+  | LimitsSet;
 
 export type ControlRecord = LogRecord<ControlRecordBody>;
 
@@ -370,6 +379,8 @@
 /** The state that every daemon replays from the topic `control`. */
 export interface ControlState {
   readonly limits: ControlLimits;
+  /** Offset of the record that set the limits; absent while the built-in ones hold. */
+  readonly limitsSetAt?: Offset;
   /** Offset of the last applied record; -1 before the first. */
   readonly appliedOffset: Offset;
   readonly lastSequences: ReadonlyMap<common.Incarnation, number>;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,6 +11,7 @@
 export * from './queries/rendezvous.js';
 export * from './queries/replicas.js';
 export * from './records/parse.js';
+export { areSameLimits, defaultLimits } from './replay/limits.js';
 export { emptyControlState, replay, replayValue } from './replay/replay.js';
 export { maximumHistoryEntries } from './replay/configuration.js';
 export * from './snapshot/snapshot.js';
--- a/packages/decisions/src/records/schemas.ts
+++ b/packages/decisions/src/records/schemas.ts
@@ -16,6 +16,12 @@
 export const offsetSchema = z.int().min(0);
 const byteCounts = z.array(z.int().min(0)).max(64);
 
+/** Limits of replay. */
+export const limitsSchema = z.object({
+  maximumConcurrentLoads: z.int().min(0),
+  maximumAdaptersInTransit: z.int().min(0),
+  partners: z.array(name).max(256),
+});
 export const addressSchema = z.object({ host: name, port: z.int().min(0).max(65_535) });
 export const recordIdSchema = z.object({ incarnation: name, sequence: z.int().min(0) });
 export const hybridTimeSchema = z.object({ wallMs: z.number(), counter: z.number() });
@@ -118,6 +124,7 @@
     operator: name,
     edit: offsetSchema,
   }),
+  limitsSet: z.object({ kind: z.literal('limitsSet'), basedOn: offsetSchema.nullable(), limits: limitsSchema }),
 } satisfies { [Kind in types.ControlRecordBody['kind']]: z.ZodType<Extract<types.ControlRecordBody, { kind: Kind }>> };
 
 /** Schema of each record body by kind. */
--- /dev/null
+++ b/packages/decisions/src/replay/limits.ts
@@ -0,0 +1,49 @@
+/** Replay of the limits. They come from the log, so that daemons with different settings reach the same verdicts. */
+import type * as types from '../Types.js';
+import { checkReporter } from './ownership.js';
+import { accept, reject, type Step } from './verdicts.js';
+
+/** Limits in force before the first `limitsSet`. Without partners no edit is accepted. */
+export const defaultLimits: types.ControlLimits = {
+  maximumConcurrentLoads: 4,
+  maximumAdaptersInTransit: 30,
+  partners: [],
+};
+
+/** Whether two limits have the same effect. */
+export function areSameLimits(first: types.ControlLimits, second: types.ControlLimits): boolean {
+  return (
+    first.maximumConcurrentLoads === second.maximumConcurrentLoads &&
+    first.maximumAdaptersInTransit === second.maximumAdaptersInTransit &&
+    first.partners.length === second.partners.length &&
+    first.partners.every((partner) => second.partners.includes(partner))
+  );
+}
+
+/** The first limits may come from any daemon, because edits are possible before the cell has an owner. */
+export function replayLimitsSet(state: types.ControlState, step: Step<types.LimitsSet>): types.ReplayResult {
+  const { basedOn, limits } = step.body;
+  const latest = state.limitsSetAt ?? null;
+  if (basedOn !== latest) {
+    const message = `limits are based on ${basedOn ?? 'none'}, but ${latest ?? 'none'} is in force`;
+    return reject(state, 'wrongState', message, latest ?? undefined);
+  }
+  const refusal = latest === null ? undefined : checkReporter(state, step.author);
+  if (refusal !== undefined) {
+    return { state, verdict: refusal };
+  }
+  const dropped = state.limits.partners.find((partner) => !limits.partners.includes(partner));
+  if (dropped !== undefined && hasKeys(state, dropped)) {
+    // Otherwise the settings of one daemon could end the partner's say in shared keys.
+    return reject(state, 'wrongState', `partner ${dropped} has configuration, so it cannot be left out`);
+  }
+  return accept(state, { limits, limitsSetAt: step.offset });
+}
+
+function hasKeys(state: types.ControlState, partner: string): boolean {
+  const entries = [...state.configuration.values(), ...state.pendingEdits.values()];
+  return entries.some(
+    (entry) =>
+      entry.partner === partner || entry.key.startsWith(`${partner}/`) || entry.key === `shared/share/${partner}`,
+  );
+}
--- a/packages/decisions/src/replay/replay.ts
+++ b/packages/decisions/src/replay/replay.ts
@@ -3,6 +3,7 @@
 import type * as types from '../Types.js';
 import * as adapters from './adapters.js';
 import * as configuration from './configuration.js';
+import { defaultLimits, replayLimitsSet } from './limits.js';
 import * as loads from './loads.js';
 import * as membership from './membership.js';
 import * as orders from './orders.js';
@@ -11,7 +12,7 @@
 import * as vms from './vms.js';
 
 /** State before the first record. */
-export function emptyControlState(limits: types.ControlLimits): types.ControlState {
+export function emptyControlState(limits: types.ControlLimits = defaultLimits): types.ControlState {
   return {
     limits,
     appliedOffset: -1,
@@ -106,6 +107,8 @@
       return configuration.replayEdited(state, { ...step, body });
     case 'configurationApproved':
       return configuration.replayApproved(state, { ...step, body });
+    case 'limitsSet':
+      return replayLimitsSet(state, { ...step, body });
     default:
       return reject(state, 'unknownKind', 'record kind is not known');
   }
--- a/packages/decisions/src/snapshot/schemas.ts
+++ b/packages/decisions/src/snapshot/schemas.ts
@@ -3,6 +3,7 @@
 import {
   addressSchema,
   hybridTimeSchema,
+  limitsSchema,
   modelVersionFields,
   targetSchema,
   urgencySchema,
@@ -101,15 +102,10 @@
   pending: z.boolean().exactOptional(),
 });
 
-const limits = z.object({
-  maximumConcurrentLoads: z.int().min(0),
-  maximumAdaptersInTransit: z.int().min(0),
-  partners: z.array(text),
-});
-
 export const controlSnapshotSchema = z.object({
   format: z.literal(snapshotFormat),
-  limits,
+  limits: limitsSchema,
+  limitsSetAt: offset.exactOptional(),
   appliedOffset,
   lastSequences: sequences,
   daemons: z.array(daemon),
--- a/packages/decisions/src/snapshot/snapshot.ts
+++ b/packages/decisions/src/snapshot/snapshot.ts
@@ -15,6 +15,7 @@
   return {
     format: snapshotFormat,
     limits: { ...state.limits, partners: [...state.limits.partners] },
+    ...(state.limitsSetAt === undefined ? {} : { limitsSetAt: state.limitsSetAt }),
     appliedOffset: state.appliedOffset,
     lastSequences: [...state.lastSequences],
     daemons: [...state.daemons.values()],
@@ -38,6 +39,7 @@
   const snapshot = parsed.data;
   return common.succeed({
     limits: snapshot.limits,
+    ...(snapshot.limitsSetAt === undefined ? {} : { limitsSetAt: snapshot.limitsSetAt }),
     appliedOffset: snapshot.appliedOffset,
     lastSequences: new Map(snapshot.lastSequences),
     daemons: indexBy(snapshot.daemons, (entry) => entry.incarnation),
