--- /dev/null
+++ b/packages/proofs/src/tests/configuration/badLog.test.ts
@@ -0,0 +1,111 @@
+import * as standins from '@jayhaven/standins';
+import * as vitest from 'vitest';
+import * as harness from '../../harness/index.js';
+import { agreedConfiguration, configurationInLog, historyAt } from './support.js';
+
+const daemonCount = 3;
+const seeds = [11, 12, 13];
+/** Short, so that edits run into it while appends stall. */
+const logTimeoutMs = 1000;
+
+interface SentEdit {
+  readonly key: string;
+  readonly value: number;
+  readonly status: number;
+  readonly state?: string;
+  readonly version?: number;
+}
+
+/** Faults of the log, one after the other; the last one heals it. */
+function faultsOf(random: standins.RandomSource): readonly { readonly body: object; readonly durationMs: number }[] {
+  return [
+    { body: { loseAcknowledgements: 0.3 + random.next() * 0.4 }, durationMs: 1500 },
+    { body: { loseAcknowledgements: 0, appendDelayMs: 200 + random.next() * 300 }, durationMs: 1000 },
+    { body: { appendDelayMs: 0, stallAppends: true }, durationMs: 1500 + random.next() * 500 },
+    { body: { stallAppends: false, loseAcknowledgements: 2 }, durationMs: 500 },
+    { body: { outage: true }, durationMs: 500 + random.next() * 1000 },
+    { body: { outage: false, loseAcknowledgements: 0 }, durationMs: 1500 },
+  ];
+}
+
+/** Edits one of two keys again and again at one daemon until the end. */
+async function keepEditing(
+  cluster: harness.Cluster,
+  index: number,
+  random: standins.RandomSource,
+  isOver: () => boolean,
+): Promise<readonly SentEdit[]> {
+  const sent: SentEdit[] = [];
+  const operator = cluster.operator('solano', index);
+  for (let count = 0; !isOver(); count += 1) {
+    const key = random.next() < 0.5 ? 'solano/defaults/queueLimit' : 'solano/defaults/requestsPerReplica';
+    // Unique over all daemons, so that a value tells which edit is in force.
+    const value = (index + 1) * 100_000 + count;
+    const current = await operator.value(key);
+    const { status, body } = await operator.edit(key, value, current?.version ?? null);
+    const { state, version } = body as { readonly state?: string; readonly version?: number };
+    sent.push({ key, value, status, ...(state === undefined ? {} : { state }), ...(version ? { version } : {}) });
+    await harness.delay(10 + random.next() * 40);
+  }
+  return sent;
+}
+
+vitest.describe('edits while the log loses, delays, stalls and refuses appends', () => {
+  vitest.test.each(seeds)(
+    'an answer to an edit stays true, seed %i (guards P9 and truthful refusals)',
+    async (seed) => {
+      const cluster = await harness.Cluster.start({
+        ...{ daemons: daemonCount, seed, settings: { platform: { log_timeout_ms: logTimeoutMs } } },
+      });
+      try {
+        const random = new standins.RandomSource(seed);
+        let over = false;
+        const editing = cluster.daemons.map((_daemon, index) =>
+          keepEditing(cluster, index, new standins.RandomSource(seed * 10 + index), () => over),
+        );
+        for (const { body, durationMs } of faultsOf(random)) {
+          await cluster.log.control(body);
+          await harness.delay(durationMs);
+        }
+        over = true;
+        const sent = (await Promise.all(editing)).flat();
+        const agreed = await agreedConfiguration(cluster, 10_000);
+        const histories = await Promise.all(cluster.daemons.map((_daemon, index) => historyAt(cluster, index)));
+        const [history = []] = histories;
+        vitest.expect(histories.every((other) => JSON.stringify(other) === JSON.stringify(history))).toBe(true);
+        const accepted = history.filter((line) => line.state === 'accepted');
+        const isAccepted = (edit: SentEdit): boolean => accepted.some((line) => line.value === edit.value);
+
+        const report = `${cluster.errorOutput(3000)}\n${JSON.stringify(sent)}`;
+        const answeredAccepted = sent.filter((edit) => edit.status === 200);
+        const answeredRefused = sent.filter((edit) => edit.status >= 400);
+        const unconfirmed = sent.filter((edit) => edit.status < 200 || edit.status === 202);
+        vitest
+          .expect(
+            answeredAccepted.filter((edit) => !isAccepted(edit)),
+            report,
+          )
+          .toEqual([]);
+        vitest.expect(answeredRefused.filter(isAccepted), report).toEqual([]);
+        // A value is never accepted twice, which a repeated append could cause.
+        vitest.expect(new Set(accepted.map((line) => line.value)).size).toBe(accepted.length);
+        // Every fault was met: edits were accepted, refused in the outage, and unconfirmed in the stall.
+        vitest.expect(answeredAccepted.length).toBeGreaterThan(10);
+        vitest.expect(answeredRefused.some((edit) => edit.status === 503)).toBe(true);
+        vitest.expect(unconfirmed.length).toBeGreaterThan(0);
+        vitest
+          .expect(
+            unconfirmed.every((edit) => edit.state === 'unconfirmed'),
+            report,
+          )
+          .toBe(true);
+        vitest.expect(agreed).toEqual(await configurationInLog(cluster));
+        for (const { key, value } of agreed) {
+          vitest.expect(accepted.findLast((line) => line.key === key)?.value).toBe(value);
+        }
+      } finally {
+        await cluster[Symbol.asyncDispose]();
+      }
+    },
+  );
+});
--- /dev/null
+++ b/packages/proofs/src/tests/configuration/retention.test.ts
@@ -0,0 +1,89 @@
+import * as vitest from 'vitest';
+import * as harness from '../../harness/index.js';
+import { agreedConfiguration, configurationAt, inForceLimitMs, lagAt, logRange } from './support.js';
+
+const daemonCount = 4;
+/** The shortest that the settings take; the stand-in keeps records as long. */
+const retentionMs = 10_000;
+const keys = ['solano/defaults/queueLimit', 'solano/defaults/requestsPerReplica'] as const;
+
+function start(): Promise<harness.Cluster> {
+  return harness.Cluster.start({
+    ...{ daemons: daemonCount, log: { 'retention-ms': retentionMs } },
+    settings: { platform: { log_retention_ms: retentionMs, log_timeout_ms: 2000 }, stop: { announce_ms: 50 } },
+  });
+}
+
+/** Waits until the log has dropped everything up to an offset. */
+async function untilDropped(cluster: harness.Cluster, offset: number): Promise<void> {
+  await harness.until(`the log has dropped offset ${offset}`, retentionMs + 5000, async () => {
+    return (await logRange(cluster)).beginning > offset;
+  });
+}
+
+vitest.describe('retention of the log', () => {
+  vitest.test(
+    'edits outlive their records, an outage and every daemon (guards against configuration that reverts)',
+    async () => {
+      const cluster = await start();
+      try {
+        await cluster.operator('solano', 0).set(keys[0], 41);
+        await cluster.operator('solano', 1).set(keys[1], 7);
+        const before = await agreedConfiguration(cluster);
+        const last = Math.max(...before.map(({ version }) => version));
+        await cluster.log.control({ outage: true });
+        await harness.delay(retentionMs / 3 + 700);
+        await cluster.log.control({ outage: false });
+        await untilDropped(cluster, last);
+        for (const [index, daemon] of cluster.daemons.entries()) {
+          vitest.expect(await daemon.stop(), cluster.errorOutput()).toBe(0);
+          daemon.start();
+          await daemon.waitUntilReady();
+          await harness.until(`${daemon.name} shows the configuration`, inForceLimitMs, async () => {
+            return (await configurationAt(cluster, index)).length === before.length;
+          });
+          vitest.expect(await configurationAt(cluster, index), cluster.errorOutput()).toEqual(before);
+        }
+        vitest.expect(await agreedConfiguration(cluster)).toEqual(before);
+      } finally {
+        await cluster[Symbol.asyncDispose]();
+      }
+    },
+  );
+
+  vitest.test(
+    'a daemon paused for longer than the retention catches up (guards newer values against an old daemon)',
+    async () => {
+      const cluster = await start();
+      const paused = 3;
+      try {
+        await cluster.operator('solano', 0).set(keys[0], 41);
+        const old = (await agreedConfiguration(cluster)).find(({ key }) => key === keys[0]);
+        cluster.daemon(paused).pause();
+        await cluster.operator('solano', 0).set(keys[0], 42);
+        await cluster.operator('solano', 1).set(keys[1], 7);
+        const { end } = await logRange(cluster);
+        const pausedMs = Date.now();
+        await untilDropped(cluster, end - 1);
+        await harness.delay(Math.max(0, pausedMs + retentionMs + 500 - Date.now()));
+        const expected = await configurationAt(cluster, 0);
+        cluster.daemon(paused).resume();
+        const operator = cluster.operator('solano', paused);
+        const late = await operator.edit(keys[0], 43, old?.version ?? null);
+        vitest.expect([409, 503], JSON.stringify(late)).toContain(late.status);
+        const times = await cluster.timesUntilInForce('solano', keys[0], 42, inForceLimitMs);
+        vitest.expect(Math.max(...times)).toBeLessThan(inForceLimitMs);
+        vitest.expect(await agreedConfiguration(cluster), cluster.errorOutput()).toEqual(expected);
+        await harness.until('the daemon reads the log again', 5000, async () => {
+          const lag = await lagAt(cluster, paused);
+          return lag.source === 'log' && !lag.lagging && lag.logAvailable;
+        });
+        await operator.set(keys[0], 44);
+        await cluster.timesUntilInForce('solano', keys[0], 44, inForceLimitMs);
+      } finally {
+        cluster.daemon(paused).resume();
+        await cluster[Symbol.asyncDispose]();
+      }
+    },
+  );
+});
