--- /dev/null
+++ b/packages/proofs/src/tests/loads/ownerPaused.test.ts
@@ -0,0 +1,47 @@
+import * as vitest from 'vitest';
+import * as harness from '../../harness/index.js';
+import * as support from './loadCluster.js';
+
+/** Time within which the memory of a resumed owner's order is free again, milliseconds. */
+const settlingLimitMs = 12_000;
+
+vitest.describe('owner paused past its lease between read-back and send', () => {
+  vitest.test.each(['checked', 'ignored'] as const)(
+    'its late order overcommits nothing and adds no replica (tokens %s; guards P1 and P2 against a stale holder)',
+    async (fencing) => {
+      await using parts = await support.startLoadCluster(['first', 'second'], { engines: [{ fencing }] });
+      const { cluster, topic } = parts;
+      const engine = support.engineAt(cluster);
+      const owner = await harness.findOwner(cluster);
+      const other = support.otherDaemon(cluster, owner);
+      const claim = await topic.claim();
+      await support.proxyOf(engine).control({ dropContaining: [support.orderText(claim)] });
+      const first = support.request(cluster, other, 'first');
+      await topic.untilDecided('solano/first');
+      await harness.delay(100);
+      owner.process.pause();
+      await topic.untilClaimedAfter(claim);
+      // The successor adopts and sends the order itself.
+      vitest.expect(await first, cluster.errorOutput()).toMatchObject({ outcome: 'complete' });
+      // The memory is wanted for another model. An engine that ignores tokens may still get the first order.
+      const second = await support.request(cluster, other, 'second', 4_000);
+      vitest.expect(second, cluster.errorOutput()).toSatisfy(support.isAnsweredOrTrulyRefused);
+      if (fencing === 'checked') {
+        vitest.expect(second, cluster.errorOutput()).toMatchObject({ outcome: 'complete' });
+      }
+      await support.proxyOf(engine).control({ dropContaining: [] });
+      await harness.delay(300);
+      owner.process.resume();
+      await harness.until('the second model is served in the end', settlingLimitMs, async () => {
+        const result = await support.request(cluster, other, 'second', 3_000);
+        return result.outcome === 'complete';
+      });
+      vitest.expect(await cluster.observer.violations({ replicasPerModel: 1 })).toEqual([]);
+      const lateOrders = cluster.observer
+        .engineRecords()
+        .flatMap(({ records }) => records.orders)
+        .filter((order) => order.token === claim);
+      vitest.expect(lateOrders, 'the order of the paused owner reached the engine').not.toEqual([]);
+    },
+  );
+});
