--- /dev/null
+++ b/packages/proofs/src/tests/requests/Balancer.ts
@@ -0,0 +1,47 @@
+import * as harness from '../../harness/index.js';
+
+/** Interval between readiness checks, milliseconds; far below the time that a stopping daemon announces its stop. */
+const checkIntervalMs = 100;
+
+/** Sends callers to the daemons that say that they are ready, in turn, as the platform's balancer does. */
+export class Balancer implements AsyncDisposable {
+  private readonly _ready = new Set<harness.DaemonHandle>();
+  private readonly _checks: Promise<void>;
+  private _stopped = false;
+  private _next = 0;
+
+  public constructor(private readonly _cluster: harness.Cluster) {
+    for (const daemon of _cluster.daemons) {
+      this._ready.add(daemon);
+    }
+    this._checks = this._check();
+  }
+
+  /** Base URL of the next daemon in turn. */
+  public next(): string {
+    const ready = this._cluster.daemons.filter((daemon) => this._ready.has(daemon));
+    const candidates = ready.length > 0 ? ready : this._cluster.daemons;
+    this._next += 1;
+    return candidates[this._next % candidates.length]?.callersUrl ?? '';
+  }
+
+  public async [Symbol.asyncDispose](): Promise<void> {
+    this._stopped = true;
+    await this._checks;
+  }
+
+  private async _check(): Promise<void> {
+    while (!this._stopped) {
+      await Promise.all(
+        this._cluster.daemons.map(async (daemon) => {
+          if (await daemon.isReady()) {
+            this._ready.add(daemon);
+          } else {
+            this._ready.delete(daemon);
+          }
+        }),
+      );
+      await harness.delay(checkIntervalMs);
+    }
+  }
+}
