--- /dev/null
+++ b/packages/proofs/src/tests/requests/leaving.ts
@@ -0,0 +1,126 @@
+/** Time until no new work reaches targets whose VMs the VM list calls leaving. */
+import * as harness from '../../harness/index.js';
+import { SteadyLoad } from './SteadyLoad.js';
+
+const partner = 'solano';
+const model = 'walkthrough';
+const service = 'booking';
+/** Lag of the VM list behind the platform, milliseconds. */
+const listLagMs = 1_000;
+/** Longest time after the list shows a VM as leaving until its targets get no new work, milliseconds. */
+export const boundMs = 5_000;
+/** Load goes on for so long after the bound, so that late work is seen. */
+const watchMs = 1_000;
+
+/** What fails while a VM leaves. */
+export const leavingCases = ['none', 'oneDaemonCutOff', 'logDown'] as const;
+export type LeavingCase = (typeof leavingCases)[number];
+
+/** What was seen. */
+export interface LeavingOutcome {
+  /** From the list's change to the last new work of the target, milliseconds; 0 if there was none after it. */
+  readonly engineMs: number;
+  readonly serviceMs: number;
+  /** The same for each daemon's requests to the engine. */
+  readonly engineMsByDaemon: readonly number[];
+  readonly requests: number;
+  /** Requests that found the targets that stay; without them the target was not in use. */
+  readonly workBefore: number;
+  readonly failed: readonly harness.CallResult[];
+  readonly violations: readonly string[];
+}
+
+/** Starts three daemons, two engines that both hold the model, and two targets of a service. */
+export async function startLeavingCluster(): Promise<harness.Cluster> {
+  const cluster = await harness.Cluster.start({
+    daemons: 3,
+    engines: [{}, {}],
+    services: [{ name: service }, { name: service }],
+    partners: [partner],
+    engine: { 'token-ms': 2, slots: 64 },
+    vmList: { 'lag-ms': listLagMs },
+    weightStore: { 'bytes-per-second': 1e12 },
+    proxies: { log: true, vmList: true, peers: true },
+  });
+  const operator = cluster.operator(partner);
+  await operator.set(`${partner}/defaults/maximumReplicas`, 2);
+  await operator.set(`${partner}/defaults/minimumReplicas`, 2);
+  await operator.setModel(model, { weightBytes: [40e9] });
+  await operator.setService(service);
+  await harness.until('both engines serve the model for every daemon', 15_000, async () => {
+    const calls = cluster.daemons.flatMap((daemon) => [daemon, daemon, daemon, daemon]);
+    await Promise.all(calls.map((daemon) => cluster.callers.complete(daemon.callersUrl, { partner, model })));
+    await cluster.observer.copy();
+    const busy = cluster.observer
+      .engineRecords()
+      .filter(({ records }) => records.requests.some(({ tokens }) => tokens));
+    return busy.length === 2;
+  });
+  return cluster;
+}
+
+/** Lets the first engine and the first service leave under load. */
+export async function letVmsLeave(cluster: harness.Cluster, fault: LeavingCase): Promise<LeavingOutcome> {
+  const load = new SteadyLoad();
+  const daemonOf = new Map<string, number>();
+  for (const [index, daemon] of cluster.daemons.entries()) {
+    load.start(4, async () => {
+      const result = await cluster.callers.complete(daemon.callersUrl, { partner, model, maximumTokens: 4 });
+      daemonOf.set(result.promptHash ?? '', index);
+      return result;
+    });
+    load.start(2, () => cluster.callers.callService(daemon.callersUrl, { partner, service, method: 'GET' }));
+  }
+  await harness.delay(500);
+  await strike(cluster, fault);
+  const listedMs = Date.now() + listLagMs;
+  await Promise.all([cluster.setVmState('engine-1', 'leaving'), cluster.setVmState('service-1', 'leaving')]);
+  await harness.delay(listLagMs + boundMs + watchMs);
+  const results = await load.stop();
+  const violations = await cluster.observer.violations();
+  const arrivals = cluster.observer
+    .engineRecords()
+    .filter(({ engine }) => engine === 'engine-1')
+    .flatMap(({ records }) => records.requests)
+    .filter(({ outcome }) => outcome !== 'refused');
+  const after = (times: readonly number[]): number => Math.max(0, ...times.map((timeMs) => timeMs - listedMs));
+  const engineMsByDaemon = cluster.daemons.map((_daemon, index) =>
+    after(arrivals.filter(({ promptHash }) => daemonOf.get(promptHash) === index).map(({ arrivedMs }) => arrivedMs)),
+  );
+  return {
+    engineMs: after(arrivals.map(({ arrivedMs }) => arrivedMs)),
+    serviceMs: lastServiceWork(cluster, listedMs),
+    engineMsByDaemon,
+    requests: results.length,
+    workBefore: arrivals.filter(({ arrivedMs }) => arrivedMs < listedMs).length,
+    failed: results.filter(({ outcome }) => outcome !== 'complete'),
+    violations,
+  };
+}
+
+async function strike(cluster: harness.Cluster, fault: LeavingCase): Promise<void> {
+  if (fault === 'logDown') {
+    await cluster.log.control({ outage: true });
+  } else if (fault === 'oneDaemonCutOff') {
+    const { proxies } = cluster.daemon(2);
+    await Promise.all([proxies.log?.control({ cut: true }), proxies.vmList?.control({ cut: true })]);
+  }
+}
+
+/** Time from the list's change to the last call that the leaving service ran; found by narrowing the time down. */
+function lastServiceWork(cluster: harness.Cluster, listedMs: number): number {
+  let leastMs = 0;
+  let mostMs = listLagMs + boundMs + watchMs;
+  if (cluster.observer.workAfter('service-1', listedMs) === 0) {
+    return 0;
+  }
+  while (mostMs - leastMs > 1) {
+    const middleMs = Math.floor((leastMs + mostMs) / 2);
+    if (cluster.observer.workAfter('service-1', listedMs + middleMs) > 0) {
+      leastMs = middleMs;
+    } else {
+      mostMs = middleMs;
+    }
+  }
+  return mostMs;
+}
--- /dev/null
+++ b/packages/proofs/src/tests/requests/streams.test.ts
@@ -0,0 +1,161 @@
+import * as http from 'node:http';
+import * as standins from '@jayhaven/standins';
+import * as vitest from 'vitest';
+import * as harness from '../../harness/index.js';
+
+const partner = 'solano';
+const model = 'walkthrough';
+
+/** Starts three daemons and two engines that both hold the model. */
+async function startCluster(): Promise<harness.Cluster> {
+  const cluster = await harness.Cluster.start({
+    daemons: 3,
+    engines: [{}, {}],
+    partners: [partner],
+    engine: { 'token-ms': 5, slots: 64 },
+    weightStore: { 'bytes-per-second': 1e12 },
+  });
+  const operator = cluster.operator(partner);
+  await operator.set(`${partner}/defaults/maximumReplicas`, 2);
+  await operator.set(`${partner}/defaults/minimumReplicas`, 2);
+  await operator.setModel(model, { weightBytes: [40e9] });
+  await harness.until('both engines serve the model', 15_000, async () => {
+    const calls = cluster.daemons.flatMap((daemon) => [daemon, daemon, daemon, daemon]);
+    await Promise.all(calls.map((daemon) => cluster.callers.complete(daemon.callersUrl, { partner, model })));
+    await cluster.observer.copy();
+    const busy = cluster.observer
+      .engineRecords()
+      .filter(({ records }) => records.requests.some(({ tokens }) => tokens));
+    return busy.length === 2;
+  });
+  return cluster;
+}
+
+/** Sends requests to all daemons at once, every second one as a stream. */
+function sendMany(cluster: harness.Cluster, count: number, maximumTokens: number): Promise<harness.CallResult[]> {
+  return Promise.all(
+    Array.from({ length: count }, (_value, index) => {
+      const url = cluster.daemon(index % cluster.daemons.length).callersUrl;
+      return cluster.callers.complete(url, { partner, model, maximumTokens, stream: index % 2 === 0 });
+    }),
+  );
+}
+
+/** Answers that are neither whole nor an explicit error. */
+function unexplained(results: readonly harness.CallResult[]): readonly harness.CallResult[] {
+  return results.filter(
+    (result) =>
+      result.outcome !== 'complete' &&
+      !(result.outcome === 'refused' && result.error !== undefined) &&
+      !(result.outcome === 'incomplete' && (result.detail ?? '').startsWith('error event')),
+  );
+}
+
+/** Fault of one engine, or of both. */
+async function controlEngines(cluster: harness.Cluster, faults: unknown, engines = cluster.engines): Promise<void> {
+  await Promise.all(engines.map(({ standIn }) => standIn.control(faults)));
+}
+
+vitest.describe('answers under faults of engines', () => {
+  let cluster: harness.Cluster;
+
+  vitest.beforeAll(async () => {
+    cluster = await startCluster();
+  });
+
+  vitest.afterEach(async () => {
+    await controlEngines(cluster, { crossAnswers: false, truncateStreams: null, truncateCleanly: false });
+  });
+
+  vitest.afterAll(async () => {
+    await cluster[Symbol.asyncDispose]();
+  });
+
+  vitest.test.each([0.2, true])(
+    'no caller gets the answer to another request, crossed: %s (guards against answers bound by connection only)',
+    async (crossAnswers) => {
+      await controlEngines(cluster, { crossAnswers });
+      const results = await sendMany(cluster, 60, 10);
+      vitest.expect(unexplained(results), cluster.errorOutput(1_000)).toEqual([]);
+      vitest.expect(await cluster.observer.violations()).toEqual([]);
+      const crossed = cluster.observer
+        .engineRecords()
+        .flatMap(({ records }) => records.requests.filter((r) => r.crossed));
+      vitest.expect(crossed.length).toBeGreaterThan(0);
+    },
+  );
+
+  vitest.test.each([true, false])(
+    'a stream cut by one engine goes on at the other, clean end: %s (guards against a short success)',
+    async (truncateCleanly) => {
+      await controlEngines(cluster, { truncateStreams: 4, truncateCleanly }, cluster.engines.slice(0, 1));
+      const results = await sendMany(cluster, 30, 12);
+      const streams = results.filter((_result, index) => index % 2 === 0);
+      vitest.expect(streams.filter(({ outcome }) => outcome !== 'complete')).toEqual([]);
+      vitest.expect(unexplained(results), cluster.errorOutput(1_000)).toEqual([]);
+      vitest.expect(await cluster.observer.violations()).toEqual([]);
+    },
+  );
+
+  vitest.test.each([true, false])(
+    'a stream cut by every engine ends whole or as an error, clean end: %s (guards against a short success)',
+    async (truncateCleanly) => {
+      await controlEngines(cluster, { truncateStreams: 3, truncateCleanly });
+      const results = await sendMany(cluster, 30, 40);
+      vitest.expect(unexplained(results), cluster.errorOutput(1_000)).toEqual([]);
+      vitest.expect(results.filter(({ outcome }) => outcome === 'complete')).toEqual([]);
+      vitest.expect(await cluster.observer.violations()).toEqual([]);
+    },
+  );
+
+  vitest.test('a slow caller gets the whole answer (guards against a stream that overruns its reader)', async () => {
+    const maximumTokens = 400;
+    const prompt = 'slow caller';
+    const text = await readSlowly(cluster.daemon(0).callersUrl, prompt, maximumTokens);
+    vitest.expect(text).toBe(standins.answerText(prompt, maximumTokens));
+  });
+
+  // The last test of this file: the engine stays dead.
+  vitest.test('streams of a killed engine go on at the other one (guards against lost streams)', async () => {
+    const started = sendMany(cluster, 24, 200);
+    await harness.delay(400);
+    await cluster.engines[0]?.standIn.process.kill();
+    const results = await started;
+    const streams = results.filter((_result, index) => index % 2 === 0);
+    vitest.expect(streams.filter(({ outcome }) => outcome !== 'complete')).toEqual([]);
+    vitest.expect(unexplained(results), cluster.errorOutput(1_000)).toEqual([]);
+    vitest.expect(await cluster.observer.violations()).toEqual([]);
+  });
+});
+
+/** Reads a stream with a pause of one second after its first piece, and returns the text of its tokens. */
+function readSlowly(baseUrl: string, prompt: string, maximumTokens: number): Promise<string> {
+  const body = JSON.stringify({ model, stream: true, max_tokens: maximumTokens, prompt });
+  return new Promise((resolve, reject) => {
+    const headers = {
+      authorization: `Bearer ${harness.bearerKey('caller', partner)}`,
+      'content-type': 'application/json',
+    };
+    const request = http.request(`${baseUrl}/v1/completions`, { method: 'POST', headers }, (response) => {
+      let received = '';
+      response.setEncoding('utf8');
+      response.once('data', () => {
+        response.pause();
+        setTimeout(() => response.resume(), 1_000);
+      });
+      response.on('data', (piece: string) => {
+        received += piece;
+      });
+      response.on('error', reject);
+      response.on('end', () => {
+        const events = received.split('\n\n').filter((event) => event.startsWith('data: {'));
+        const chunks = events.map(
+          (event) => JSON.parse(event.slice('data: '.length)) as { choices: { text: string }[] },
+        );
+        resolve(received.includes('data: [DONE]') ? chunks.map((chunk) => chunk.choices[0]?.text ?? '').join('') : '');
+      });
+    });
+    request.on('error', reject);
+    request.end(body);
+  });
+}
