--- a/packages/proofs/src/capacity/main.ts
+++ b/packages/proofs/src/capacity/main.ts
@@ -1,10 +1,11 @@
 /**
  * Measures what the control of the system costs and writes `docs/measurements/capacity.json`.
- * Usage: node main.js [part...]; parts: idle, load, claims, tokens, snapshot, proxy. Without one, all are measured.
+ * Usage: node main.js [part...]; parts: idle, load, claims, tokens, claimsState, snapshot, proxy. Without one, all are measured.
  */
 import * as fs from 'node:fs/promises';
 import * as os from 'node:os';
 import * as path from 'node:path';
+import { measureClaimsState } from './claimsState.js';
 import { fitCollectors, fitSeries } from './fits.js';
 import { measureProxyCost } from './proxyCost.js';
 import { measureRun } from './measureRun.js';
@@ -20,6 +21,7 @@
   load: () => measureCluster(loadRuns),
   claims: () => measureCluster(claimRuns),
   tokens: () => measureCluster(tokenRuns),
+  claimsState: () => Promise.resolve(measureClaimsState()),
   snapshot: () => Promise.resolve(measureSnapshot()),
   proxy: measureProxyCost,
 };
--- a/packages/proofs/src/capacity/snapshotCost.ts
+++ b/packages/proofs/src/capacity/snapshotCost.ts
@@ -1,7 +1,6 @@
 /** Cost of a restart: size, encoding, decoding and replay of a control state at the target scale. */
-import * as v8 from 'node:v8';
-import * as vm from 'node:vm';
 import * as decisions from '@jayhaven/decisions';
+import { usedHeap } from './usedHeap.js';
 
 /** Sizes of a state. */
 export interface StateSizes {
@@ -11,7 +10,6 @@
   readonly models: number;
   readonly adapters: number;
   readonly replicas: number;
-  readonly history: number;
 }
 
 interface SnapshotFigures {
@@ -39,7 +37,6 @@
   models: 850,
   adapters: 2900,
   replicas: 1600,
-  history: 2800,
 };
 const cell: StateSizes = {
   daemons: 108,
@@ -48,7 +45,6 @@
   models: 850,
   adapters: 2900,
   replicas: 400,
-  history: 2800,
 };
 
 /** Measures a state of one cell and one of the whole system in a single cell. */
@@ -214,11 +210,3 @@
     return performance.now() - startedMs;
   });
 }
-
-/** Heap in use after a full collection. */
-function usedHeap(): number {
-  v8.setFlagsFromString('--expose-gc');
-  const collect = vm.runInNewContext('gc') as () => void;
-  collect();
-  return process.memoryUsage().heapUsed;
-}
