Count steady load in full, and send digests only for significant changes

Cause: a digest was sent on change only, while routers halved its weight every two seconds, so a steadily busy target looked empty after some seconds. Change: a busy target's digest is sent again every 4 s and counts in full up to 5 s; in between it is sent only if the load moves by an eighth of the slots or to zero, which also lowers the traffic. Ruled out: sending every report, which costs 415 bytes for each daemon and target (docs/CAPACITY.md).

--- a/packages/daemon/src/targets/LoadCollector.ts
+++ b/packages/daemon/src/targets/LoadCollector.ts
@@ -19,6 +19,10 @@
 /** Failures in a row after which a target counts as unreachable. */
 const failuresUntilUnreachable = 3;
 const sendTimeoutMs = 1_000;
+/** Part of the slots by which the load must move to be sent; smaller moves do not change a choice of two. */
+const significantShare = 1 / 8;
+/** A steady load is sent again after this time, because routers trust a digest less as it ages. */
+const refreshMs = 4_000;
 /** A subscription outlives one lost renewal. */
 const subscriptionMs = 2 * renewIntervalMs;
 
@@ -35,7 +39,9 @@
   | { readonly kind: 'sent'; readonly daemon: common.Incarnation };
 
 interface CollectedTarget {
+  /** The last digest that was sent. */
   digest: DigestMessage | undefined;
+  sentMs: number;
   failures: number;
   polling: boolean;
   polls: number;
@@ -161,7 +167,13 @@
   }
 
   private _start(target: common.TargetAddress): void {
-    const collected = this._targets.get(target) ?? { digest: undefined, failures: 0, polling: false, polls: 0 };
+    const collected = this._targets.get(target) ?? {
+      digest: undefined,
+      sentMs: -Infinity,
+      failures: 0,
+      polling: false,
+      polls: 0,
+    };
     this._targets.set(target, collected);
     if (collected.polling) {
       return;
@@ -215,13 +227,15 @@
       this._contradicted(target);
     }
     const digest = { target, ...report, reachable: true, restarted };
-    if (before === undefined || restarted || isChanged(before, digest)) {
+    const isDue = loadOf(digest) > 0 && this._now() - collected.sentMs >= refreshMs;
+    if (before === undefined || restarted || isDue || isChanged(before, digest)) {
       this._change(collected, digest);
     }
   }
 
   private _change(collected: CollectedTarget, digest: DigestMessage): void {
     collected.digest = digest;
+    collected.sentMs = this._now();
     for (const daemon of this._subscribers.get(digest.target)?.keys() ?? []) {
       const outbox = this._outbox.get(daemon) ?? new Map<common.TargetAddress, DigestMessage>();
       const waiting = outbox.get(digest.target);
@@ -264,14 +278,18 @@
 }
 
 function isChanged(before: DigestMessage, after: DigestMessage): boolean {
+  const moved = Math.abs(loadOf(after) - loadOf(before));
+  const emptied = loadOf(after) === 0 && moved > 0;
   return (
-    before.running !== after.running ||
-    before.waiting !== after.waiting ||
-    before.slots !== after.slots ||
-    !before.reachable
+    emptied || moved >= Math.max(1, after.slots * significantShare) || before.slots !== after.slots || !before.reachable
   );
 }
 
+/** Requests at a target. */
+function loadOf(digest: DigestMessage): number {
+  return digest.running + digest.waiting;
+}
+
 /** Whether a ready replica is missing, or a model is there that nothing accounts for. */
 function contradicts(
   state: decisions.ControlState,
--- a/packages/daemon/src/targets/targets.test.ts
+++ b/packages/daemon/src/targets/targets.test.ts
@@ -86,6 +86,11 @@
     engine.running = 5;
     await until(() => [first, second].every((daemon) => daemon.owner.loads.digest(target)?.running === 5));
     const before = first.owner.loads.digest(target)?.sequence ?? 0;
+    // A steady load is sent again, so that routers go on trusting it.
+    await until(() => (first.owner.loads.digest(target)?.sequence ?? 0) > before);
+    for (const daemon of [first, second]) {
+      daemon.owner.loads.subscribe(target);
+    }
     engine.restart();
     engine.running = 1;
     await until(() => [first, second].every((daemon) => daemon.owner.loads.digest(target)?.running === 1));
--- a/packages/decisions/src/routing/chooseTarget.test.ts
+++ b/packages/decisions/src/routing/chooseTarget.test.ts
@@ -22,6 +22,11 @@
     );
   });
 
+  vitest.test('counts a steady load in full between its reports (guards against flooding a busy target)', () => {
+    const steady = estimatedLoad(candidate('t', { reportedOthers: 8, reportAgeMs: 4_500 }));
+    vitest.expect(steady).toBe(1);
+  });
+
   vitest.test('counts a stale digest less (guards against acting on old load)', () => {
     const fresh = estimatedLoad(candidate('t', { reportedOthers: 8 }));
     const stale = estimatedLoad(candidate('t', { reportedOthers: 8, reportAgeMs: 20_000 }));
--- a/packages/decisions/src/routing/chooseTarget.ts
+++ b/packages/decisions/src/routing/chooseTarget.ts
@@ -1,7 +1,9 @@
 /** Routing choice: power of two choices with a preference for the target that holds the prompt's prefix. */
 import type { RouteCandidate } from './Types.js';
 
-/** Age at which a digest counts half. */
+/** A digest counts in full up to this age: a steady load is reported only every 4 s. */
+const digestTrustedMs = 5_000;
+/** Time beyond it in which the weight of a digest halves. */
 const digestHalfLifeMs = 2_000;
 /** Slots assumed for a target that has not reported any. */
 const assumedSlots = 8;
@@ -10,7 +12,7 @@
 
 /** Expected load of a target, in requests per slot. A stale digest counts less than a fresh one. */
 export function estimatedLoad(candidate: RouteCandidate): number {
-  const confidence = 0.5 ** (Math.max(0, candidate.reportAgeMs) / digestHalfLifeMs);
+  const confidence = 0.5 ** (Math.max(0, candidate.reportAgeMs - digestTrustedMs) / digestHalfLifeMs);
   const slots = candidate.slots > 0 ? candidate.slots : assumedSlots;
   return (candidate.inFlight + confidence * candidate.reportedOthers) / slots;
 }
