--- a/packages/proofs/src/policy/main.ts
+++ b/packages/proofs/src/policy/main.ts
@@ -28,5 +28,5 @@
   const chart = drawChart(`${partner}: cold starts against idle memory`, summary, referenceName);
   await fs.writeFile(new URL(`images/policy-${partner}.svg`, documentation), chart);
 }
-const figures = { seeds, reference: referenceName, summaries, runs: results };
+const figures = { seeds: seeds.join(', '), reference: referenceName, summaries, runs: results };
 await fs.writeFile(new URL('measurements/policy.json', documentation), `${JSON.stringify(figures, undefined, 2)}\n`);
