--- a/packages/daemon/src/front/CallerAnswer.ts
+++ b/packages/daemon/src/front/CallerAnswer.ts
@@ -19,6 +19,8 @@
 
 /** What an answer needs from the call that produces it. */
 export interface AnswerSource {
+  /** Model of the request, for the time line. */
+  readonly model?: () => string | undefined;
   /** Whether the request has been run so far. */
   readonly executed: () => common.Executed;
   /** The caller reads again. */
@@ -31,7 +33,7 @@
 export interface WholeAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[]>>;
-  readonly body: Buffer;
+  readonly body: Buffer | string;
 }
 
 /** The answer to one caller. It ends exactly once, at the latest at the deadline. */
@@ -121,7 +123,7 @@
     } else if (this._end('ok')) {
       this._response.writeHead(answer.status, {
         ...answer.headers,
-        'content-length': answer.body.length,
+        'content-length': Buffer.byteLength(answer.body),
         'x-request-id': this._request.requestId,
       });
       this._response.end(answer.body);
@@ -159,10 +161,12 @@
   private _record(outcome: string, error: CallerError | undefined): void {
     const { arrivedMs, requestId } = this._request;
     const first = this._firstEventMs;
+    const model = this._source.model?.();
     this._context.timeline.record({
       part: 'front',
       event: eventName(outcome, error),
       request: requestId,
+      ...(model === undefined ? {} : { model }),
       detail: {
         outcome,
         totalMs: Math.round(this._context.now() - arrivedMs),
--- a/packages/daemon/src/log/testing/support.ts
+++ b/packages/daemon/src/log/testing/support.ts
@@ -14,15 +14,17 @@
   name: string,
   logUrl: string,
   change: {
+    readonly listen?: DaemonSettings['listen'];
     readonly platform?: Partial<DaemonSettings['platform']>;
     readonly owner?: Partial<DaemonSettings['owner']>;
     readonly seedPeers?: DaemonSettings['seedPeers'];
+    readonly partners?: DaemonSettings['partners'];
   } = {},
 ): DaemonSettings {
   const local = { host: '127.0.0.1', port: 0 };
   return {
     daemon: { name, vm: `vm-${name}`, failureDomain: 'a', cell: 'main', logLevel: 'silent' },
-    listen: { callers: local, peers: local, operators: local },
+    listen: change.listen ?? { callers: local, peers: local, operators: local },
     platform: {
       logUrl,
       vmListUrl: '',
@@ -51,7 +53,7 @@
     },
     stop: { announceMs: 0, limitMs: 1000 },
     seedPeers: change.seedPeers ?? [],
-    partners: ['solano', 'cascade'],
+    partners: change.partners ?? ['solano', 'cascade'],
     callers: [],
     operators: [],
   };
--- a/packages/daemon/src/operators/MemberService.ts
+++ b/packages/daemon/src/operators/MemberService.ts
@@ -1,6 +1,7 @@
 import type { DaemonContext } from '../Types.js';
 import type { AppliedTimes } from './AppliedTimes.js';
-import { maximumEventsPerDaemon, statusParameters, timelineParameters } from './schemas.js';
+import type { EditService } from './EditService.js';
+import { statusParameters, timelineParameters } from './schemas.js';
 import type { DaemonStatus, OperatorParts, TimelineAnswer } from './Types.js';
 
 /** Serves `status.read` and `timeline.read` to the other daemons. */
@@ -9,6 +10,7 @@
     private readonly _context: DaemonContext,
     private readonly _parts: OperatorParts,
     private readonly _times: AppliedTimes,
+    private readonly _edits: EditService,
   ) {}
 
   /** Registers both methods. */
@@ -36,13 +38,14 @@
       owner: owner.status(),
       front: front.status(),
       rejectedRecords: this._times.rejectedRecords,
+      refusedEdits: this._edits.refusals,
       versionTimes: this._times.versionTimes(versions),
     };
   }
 
   /** The newest matching events of this daemon. */
   public timeline(parameters: unknown): TimelineAnswer {
-    const { request, model, replica, since } = timelineParameters.parse(parameters);
+    const { request, model, replica, since, limit } = timelineParameters.parse(parameters);
     const events = this._parts.timeline.read({
       ...(request === undefined ? {} : { request }),
       ...(model === undefined ? {} : { model }),
@@ -51,8 +54,8 @@
     });
     return {
       daemon: this._context.settings.daemon.name,
-      events: events.slice(-maximumEventsPerDaemon),
-      truncated: events.length > maximumEventsPerDaemon,
+      events: events.slice(-limit),
+      truncated: events.length > limit,
     };
   }
 }
--- a/packages/daemon/src/owner/Planning.ts
+++ b/packages/daemon/src/owner/Planning.ts
@@ -5,6 +5,10 @@
 
 /** Daemons report usage within this time after a change of owner; nothing is unloaded before. */
 const usageGraceMs = 3_000;
+/** Usage, pauses and hints change without a record, so a blocked load is tried again after this time. */
+const blockedRetryMs = 500;
+/** Daemons repeat their wakes each second, so each of them hears a refusal within this time. */
+const refusalMs = 1_500;
 /** A target gets no load for this time after one failed there, milliseconds. */
 const failedTargetPauseMs = 5_000;
 /** Room made for a load is kept for it this long. */
@@ -14,17 +18,17 @@
 /** Callers are refused this long after the last failure. */
 const failurePauseMs = 5_000;
 
-/** Partners and what they give more weight; see section 1.3 of docs/design.md. */
-const partnerWeights: decisions.PartnerWeights = new Map([
-  ['solano', { coldStart: 0.8 }],
-  ['cascade', { coldStart: 0.3 }],
-]);
-
 interface Reservation {
   readonly model: string;
   readonly untilMs: number;
 }
 
+/** State in which a load could not be placed. */
+interface Blocked {
+  readonly state: decisions.ControlState;
+  readonly atMs: number;
+}
+
 interface Failures {
   count: number;
   lastMs: number;
@@ -35,7 +39,7 @@
   public readonly queue = new decisions.LoadQueue();
   public readonly usage: decisions.UsageRecorder;
   public readonly bucket: decisions.TokenBucket;
-  public readonly policy: decisions.KeepAlivePolicy = new decisions.HistogramPolicy(partnerWeights);
+  public readonly policy: decisions.KeepAlivePolicy = new decisions.HistogramPolicy();
   /** Loads whose decision is on its way to the log: model to target. */
   public readonly pendingLoads = new Map<string, common.TargetAddress>();
   /** Unloads whose decision is on its way to the log. */
@@ -44,6 +48,8 @@
   private readonly _reservations = new Map<common.TargetAddress, Reservation>();
   private readonly _pausedTargets = new Map<common.TargetAddress, number>();
   private readonly _strays = new Set<common.TargetAddress>();
+  private readonly _blocked = new Map<string, Blocked>();
+  private readonly _refusedUntilMs = new Map<string, number>();
   private readonly _failures = new Map<string, Failures>();
   private readonly _readySinceMs = new Map<decisions.ReplicaId, number>();
   private readonly _loadingSinceMs = new Map<decisions.ReplicaId, number>();
@@ -67,10 +73,16 @@
   /** What placement works with now. */
   public view(nowMs: number, reservedFor?: string): decisions.PlacementView {
     const { state } = this._services.control.log;
+    const usages = new Map<string, decisions.ModelUsage>();
     return {
       state,
       policy: this.policy,
-      usageOf: (model) => this.usage.usageOf(model, nowMs),
+      usageOf: (model) => {
+        const key = Planning.keyOf(model);
+        const usage = usages.get(key) ?? this.usage.usageOf(model, nowMs);
+        usages.set(key, usage);
+        return usage;
+      },
       expectedLoadMs: (settings, target) => this.loadTimes.expectedMs(settings, target),
       readySinceMs: (replica) => this._readySinceMs.get(replica) ?? this._startedMs,
       blockedTargets: this._blockedTargets(state, nowMs, reservedFor),
@@ -129,6 +141,41 @@
     }
   }
 
+  /** Notes that a load waited for room in vain; the daemons hear it when they repeat their wakes. */
+  public noteRefused(settings: decisions.ModelSettings, nowMs: number): void {
+    this._refusedUntilMs.set(Planning.keyOf(settings), nowMs + refusalMs);
+  }
+
+  /** Whether a load waited for room in vain a moment ago. */
+  public isRefused(settings: decisions.ModelSettings, nowMs: number): boolean {
+    const key = Planning.keyOf(settings);
+    const refused = (this._refusedUntilMs.get(key) ?? -Infinity) > nowMs;
+    if (!refused) {
+      this._refusedUntilMs.delete(key);
+    }
+    return refused;
+  }
+
+  /** Notes that a load cannot be placed in this state. */
+  public noteBlocked(settings: decisions.ModelSettings, state: decisions.ControlState, nowMs: number): void {
+    this._blocked.set(Planning.keyOf(settings), { state, atMs: nowMs });
+  }
+
+  /** Whether a load was tried a moment ago, and neither replicas nor orders nor VMs have changed since. */
+  public isBlocked(settings: decisions.ModelSettings, state: decisions.ControlState, nowMs: number): boolean {
+    const key = Planning.keyOf(settings);
+    const blocked = this._blocked.get(key);
+    const same =
+      blocked?.state.replicas === state.replicas &&
+      blocked.state.orders === state.orders &&
+      blocked.state.vms === state.vms;
+    if (!same || nowMs - blocked.atMs > blockedRetryMs) {
+      this._blocked.delete(key);
+      return false;
+    }
+    return true;
+  }
+
   /** Learns from a finished load. */
   public noteLoaded(load: FinishedLoad): void {
     const { replica, durationMs } = load;
--- a/packages/daemon/src/owner/openOwner.ts
+++ b/packages/daemon/src/owner/openOwner.ts
@@ -64,7 +64,6 @@
 }
 
 function registerHandlers({ control, planner, orders }: Parts): void {
-  control.peers.handle('owner.ping', () => Promise.resolve({}));
   control.peers.handle('owner.wake', async (parameters): Promise<WakeResult> => {
     const parsed = wakeRequestSchema.safeParse(parameters);
     if (!parsed.success) {
@@ -105,7 +104,7 @@
   const limitMs = context.now() + releaseLimitMs;
   lease.stopClaiming();
   planner.stop();
-  while (orders.hasOwnOrders && context.now() < limitMs) {
+  while ((planner.isDeciding || orders.hasOwnOrders) && context.now() < limitMs) {
     await new Promise((resolve) => setTimeout(resolve, releaseCheckMs));
   }
   await lease.release();
--- a/packages/daemon/src/owner/testing/TestCell.ts
+++ b/packages/daemon/src/owner/testing/TestCell.ts
@@ -33,12 +33,15 @@
   public readonly daemons: TestDaemon[] = [];
   private readonly _registry = new common.DisposalRegistry();
 
-  public constructor(private readonly _timing: TestTiming = {}) {}
+  public constructor(
+    private readonly _timing: TestTiming = {},
+    private readonly _vmListUrl = 'http://127.0.0.1:1/vms',
+  ) {}
 
   /** Starts one daemon. */
   public async start(name: string): Promise<TestDaemon> {
     const control = new MemoryControl(`${name}#1`, this.log, this.group);
-    const owner = await openOwner(this._contextOf(name), control);
+    const owner = await openOwner(this._contextOf(name, control), control);
     this._registry.register(owner);
     const daemon = { control, owner };
     this.daemons.push(daemon);
@@ -89,7 +92,7 @@
     return this._registry[Symbol.asyncDispose]();
   }
 
-  private _contextOf(name: string): DaemonContext {
+  private _contextOf(name: string, control: MemoryControl): DaemonContext {
     const owner = {
       leaseMs: this._timing.leaseMs ?? 600,
       renewMs: this._timing.renewMs ?? 150,
@@ -100,7 +103,7 @@
     };
     const settings = {
       daemon: { name, vm: `vm-${name}`, failureDomain: 'a', cell: 'c', logLevel: 'silent' },
-      platform: { vmListUrl: 'http://127.0.0.1:1/vms', logTimeoutMs: 2_000 },
+      platform: { vmListUrl: this._vmListUrl, logTimeoutMs: 2_000 },
       owner,
     } as DaemonContext['settings'];
     return {
@@ -108,7 +111,8 @@
       logger: silent,
       timeline: { record: () => undefined },
       clock: new common.HybridClock(),
-      now: () => performance.now(),
+      // Without time no lease holds, so a killed or paused daemon of this process starts nothing new.
+      now: () => (control.killed || control.paused ? Infinity : performance.now()),
       wallNow: () => Date.now(),
     };
   }
--- a/packages/daemon/src/timeline/Timeline.test.ts
+++ b/packages/daemon/src/timeline/Timeline.test.ts
@@ -1,4 +1,5 @@
 import * as common from '@jayhaven/common';
+import * as fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { mergeEvents } from './mergeEvents.js';
 import { Timeline } from './Timeline.js';
@@ -26,10 +27,22 @@
     expect(names({ request: 'r1' })).toEqual(['mine', 'late']);
     expect(names({ request: 'r1', model: 'm' })).toEqual(['mine']);
     expect(names({ replica: 5 })).toEqual(['other']);
-    expect(names({ since: { wallMs: 1000, counter: 1 } })).toEqual(['late']);
+    timeline.record({ part: 'test', event: 'versioned', model: 'p/m@2' });
+    expect(names({ model: 'p/m' })).toEqual(['versioned']);
+    expect(names({ since: { wallMs: 1000, counter: 2 } })).toEqual(['versioned']);
     expect(timeline.exportLines({ replica: 4 }).trimEnd().split('\n')).toHaveLength(1);
   });
 
+  it('finds a model under all its names (guards against a trace without the router or the owner)', () => {
+    const { timeline } = createTimeline('a');
+    for (const model of ['p/m', 'p/m@1', 'p/m@1:knots', 'p/mm', 'p/m2@1']) {
+      timeline.record({ part: 'test', event: model, model });
+    }
+    const names = (model: string): string[] => timeline.read({ model }).map((e) => e.event);
+    expect(names('p/m')).toEqual(['p/m', 'p/m@1', 'p/m@1:knots']);
+    expect(names('p/m@1')).toEqual(['p/m@1', 'p/m@1:knots']);
+  });
+
   it('merges an effect after its cause on another daemon (guards against clocks that differ)', () => {
     const sender = createTimeline('z');
     const receiver = createTimeline('a');
@@ -39,4 +52,29 @@
     const merged = mergeEvents([receiver.timeline.read(), sender.timeline.read()]);
     expect(merged.map((event) => event.event)).toEqual(['sent', 'received']);
   });
+
+  it('keeps exactly the newest events for any capacity and count (guards against an off-by-one in the ring)', () => {
+    fc.assert(
+      fc.property(fc.integer({ min: 1, max: 9 }), fc.integer({ min: 0, max: 40 }), (capacity, count) => {
+        const { timeline } = createTimeline('a', capacity);
+        const names = Array.from({ length: count }, (_, index) => `event${index}`);
+        for (const event of names) {
+          timeline.record({ part: 'test', event });
+        }
+        expect(timeline.read().map((event) => event.event)).toEqual(names.slice(-capacity));
+      }),
+    );
+  });
+
+  it('shows a record once, also when its author has stopped (guards against a lost decision and against noise)', () => {
+    const daemons = ['author', 'first', 'second'].map((name) => createTimeline(name).timeline);
+    daemons.forEach((timeline, index) => {
+      const detail = index === 0 ? {} : { copiedFrom: 'author#1' };
+      timeline.record({ part: 'log', event: 'loadDecided', offset: 7, detail });
+    });
+    const read = (parts: readonly Timeline[]): string[] =>
+      mergeEvents(parts.map((timeline) => timeline.read())).map((event) => event.daemon);
+    expect(read(daemons)).toEqual(['author']);
+    expect(read(daemons.slice(1))).toEqual(['first']);
+  });
 });
--- a/packages/decisions/src/placement/evictions.ts
+++ b/packages/decisions/src/placement/evictions.ts
@@ -15,17 +15,22 @@
   readonly cost: number;
 }
 
-/** The cheapest set of victims on one target after which the load fits, or undefined. */
+/**
+ * The cheapest set of victims on one target after which the load fits, or undefined. With `ignoreUse` it tells whether
+ * the load could fit once requests in flight have ended.
+ */
 export function planEviction(
   view: PlacementView,
   request: PlacementRequest,
   target: CandidateTarget,
+  use: 'respectUse' | 'ignoreUse' = 'respectUse',
 ): EvictionPlan | undefined {
-  if (view.nowMs < view.evictAfterMs) {
+  if (use === 'respectUse' && view.nowMs < view.evictAfterMs) {
     return undefined;
   }
-  const candidates = [...view.state.replicas.values()]
-    .filter((replica) => replica.target === target.address && isEvictable(view, replica))
+  const candidates = queries
+    .replicasAt(view.state, target.address)
+    .filter((replica) => isEvictable(view, replica, use))
     .map((replica) => ({ replica, cost: evictionCost(view, replica) }))
     .filter((candidate) => Number.isFinite(candidate.cost))
     .sort((first, second) => first.cost - second.cost || first.replica.replica - second.replica.replica);
@@ -47,11 +52,15 @@
 }
 
 /** Whether a replica may be unloaded at all now. */
-export function isEvictable(view: PlacementView, replica: ReplicaEntry): boolean {
+export function isEvictable(
+  view: PlacementView,
+  replica: ReplicaEntry,
+  use: 'respectUse' | 'ignoreUse' = 'respectUse',
+): boolean {
   if (replica.state !== 'ready' || hasUnsettledOrder(view, replica)) {
     return false;
   }
-  if (view.usageOf(replica).inFlight > 0) {
+  if (use === 'respectUse' && view.usageOf(replica).inFlight > 0) {
     return false;
   }
   const settings = queries.modelSettings(view.state, replica.partner, replica.model);
@@ -63,7 +72,7 @@
 
 /** An unsettled order pins the memory, so an unload would free nothing. */
 export function hasUnsettledOrder(view: PlacementView, replica: ReplicaEntry): boolean {
-  return [...view.state.orders.values()].some((order) => order.replica === replica.replica);
+  return queries.hasOrder(view.state, replica.replica);
 }
 
 function readyCount(view: PlacementView, replica: ReplicaEntry): number {
@@ -92,25 +101,9 @@
     return true;
   }
   const evicted = [...victims, candidate].filter((replica) => replica.partner === partner);
-  const left = partnerBytes(view, partner) - evicted.reduce((sum, replica) => sum + sumBytes(replica.bytes), 0);
-  return left >= queries.shareOf(view.state, partner) * cellBytes(view);
-}
-
-/** Accelerator memory that the replicas of a partner take. */
-export function partnerBytes(view: PlacementView, partner: string): number {
-  return [...view.state.replicas.values()]
-    .filter((replica) => replica.partner === partner && replica.state !== 'unloading')
-    .reduce((sum, replica) => sum + sumBytes(replica.bytes), 0);
-}
-
-function cellBytes(view: PlacementView): number {
-  let total = 0;
-  for (const entry of view.state.vms.values()) {
-    for (const target of entry.targets) {
-      total += sumBytes(target.acceleratorBytes);
-    }
-  }
-  return total;
+  const left =
+    queries.partnerBytes(view.state, partner) - evicted.reduce((sum, replica) => sum + sumBytes(replica.bytes), 0);
+  return left >= queries.shareOf(view.state, partner) * queries.cellBytes(view.state);
 }
 
 /** Drops victims that turned out to be unnecessary once a larger one was added. */
--- a/packages/decisions/src/placement/placeReplica.ts
+++ b/packages/decisions/src/placement/placeReplica.ts
@@ -12,6 +12,8 @@
 const noRoomRetryMs = 10_000;
 /** When to come back for a model that no target can hold; only a change of the configuration or the VMs helps. */
 const neverFitsRetryMs = 60_000;
+/** Use is reported each second, so replicas that have become idle show within this time, milliseconds. */
+const inUsePatienceMs = 2_500;
 /** Allowance for an unload with drain before a load, milliseconds. */
 const unloadAllowanceMs = 500;
 
@@ -33,8 +35,9 @@
   if (usable !== undefined && staying.length >= request.replicas) {
     return { kind: 'served', replica: usable.replica, state: usable.state === 'ready' ? 'ready' : 'loading' };
   }
-  if (existing.length >= settings.maximumReplicas) {
-    return waitForUnload(view, request, existing.length);
+  const slots = queries.slotReplicas(view.state, settings).length;
+  if (slots >= settings.maximumReplicas) {
+    return waitForUnload(view, request, slots);
   }
   return placeOnTarget(view, request, existing.length + 1);
 }
@@ -66,6 +69,12 @@
   if (free.length > open.length || free.some((engine) => fitsAfterUnloads(view, settings, engine))) {
     return waitForRoom(view, request);
   }
+  if (open.some((engine) => planEviction(view, request, engine, 'ignoreUse') !== undefined)) {
+    return waitForUse(view, request);
+  }
+  if (large.some((engine) => holding.get(engine.address) === 'unsettledOrder')) {
+    return waitForOrder(view, request);
+  }
   return noRoom(request, large.length);
 }
 
@@ -180,6 +189,21 @@
   return { kind: 'wait', expectedMs, reason: { rule: 'roomExpected', figures: { allowanceMs: unloadAllowanceMs } } };
 }
 
+/** Replicas that are in use, or whose use is not known yet, may be idle in a moment. */
+function waitForUse(view: PlacementView, request: PlacementRequest): Placement {
+  const graceMs = Math.max(0, view.evictAfterMs - view.nowMs);
+  const expectedMs = view.expectedLoadMs(request.settings) + unloadAllowanceMs + graceMs;
+  const reason = { rule: 'replicasInUse', figures: { graceMs, patienceMs: inUsePatienceMs } };
+  return { kind: 'wait', expectedMs, patienceMs: graceMs + inUsePatienceMs, reason };
+}
+
+/** An order about the model on the target is about to be settled, unless its sender is paused. */
+function waitForOrder(view: PlacementView, request: PlacementRequest): Placement {
+  const expectedMs = view.expectedLoadMs(request.settings) + unloadAllowanceMs;
+  const reason = { rule: 'orderUnsettled', figures: { patienceMs: inUsePatienceMs } };
+  return { kind: 'wait', expectedMs, patienceMs: inUsePatienceMs, reason };
+}
+
 function noRoom(request: PlacementRequest, candidates: number): Placement {
   const name = `${request.settings.partner}/${request.settings.model}`;
   return {
--- a/packages/decisions/src/policy/HistogramPolicy.ts
+++ b/packages/decisions/src/policy/HistogramPolicy.ts
@@ -66,7 +66,7 @@
   }
 
   private _idlePerLoad(settings: ModelSettings): number {
-    const weight = this._weights.get(settings.partner)?.coldStart ?? 0.5;
+    const weight = this._weights.get(settings.partner)?.coldStart ?? settings.coldStartWeight;
     const inner = Math.min(1 - smallestWeight, Math.max(smallestWeight, weight));
     return (idlePerLoadTime * inner) / (1 - inner);
   }
--- a/packages/decisions/src/snapshot/snapshot.ts
+++ b/packages/decisions/src/snapshot/snapshot.ts
@@ -1,6 +1,7 @@
 /** Snapshots of the replayed states as JSON values. Maps become lists of values, in their order. */
 import * as common from '@jayhaven/common';
 import type { z } from 'zod';
+import { BucketMap } from '../collections/BucketMap.js';
 import type * as types from '../Types.js';
 import { claimsSnapshotSchema, controlSnapshotSchema, snapshotFormat } from './schemas.js';
 
@@ -14,6 +15,7 @@
   return {
     format: snapshotFormat,
     limits: { ...state.limits, partners: [...state.limits.partners] },
+    ...(state.limitsSetAt === undefined ? {} : { limitsSetAt: state.limitsSetAt }),
     appliedOffset: state.appliedOffset,
     lastSequences: [...state.lastSequences],
     daemons: [...state.daemons.values()],
@@ -37,6 +39,7 @@
   const snapshot = parsed.data;
   return common.succeed({
     limits: snapshot.limits,
+    ...(snapshot.limitsSetAt === undefined ? {} : { limitsSetAt: snapshot.limitsSetAt }),
     appliedOffset: snapshot.appliedOffset,
     lastSequences: new Map(snapshot.lastSequences),
     daemons: indexBy(snapshot.daemons, (entry) => entry.incarnation),
@@ -79,7 +82,7 @@
   return common.succeed({
     appliedOffset,
     lastSequences: new Map(lastSequences),
-    claims: indexBy(claims, (entry) => entry.key),
+    claims: BucketMap.from(claims.map((entry) => [entry.key, entry] as const)),
     ...(windowMs === undefined ? {} : { windowMs }),
   });
 }
--- a/packages/proofs/src/harness/Observer.ts
+++ b/packages/proofs/src/harness/Observer.ts
@@ -54,7 +54,9 @@
   /** Starts to copy records. */
   public start(): void {
     this._timer = setInterval(() => {
-      void this.copy();
+      if (!this._copying) {
+        void this.copy();
+      }
     }, copyIntervalMs);
   }
 
@@ -62,27 +64,44 @@
     clearInterval(this._timer);
   }
 
-  /** Copies the records of every target that answers. */
+  /** Copies the records of every target that answers, as they are after this call. */
   public async copy(): Promise<void> {
-    this._copying ??= this._copyAll().finally(() => {
+    // A copy under way may have read before the latest call.
+    while (this._copying) {
+      await this._copying;
+    }
+    this._copying = this._copyAll().finally(() => {
       this._copying = undefined;
     });
     await this._copying;
   }
 
-  /** Records of every engine process so far. */
+  /** Records of every engine process up to the last `copy`. */
   public engineRecords(): readonly { readonly engine: string; readonly records: standins.EngineRecordList }[] {
     return [...this._engines.values()].map(({ name, records }) => ({ engine: name, records }));
   }
 
-  /** Calls that services ran so far. */
+  /** Calls that services ran up to the last `copy`. */
   public serviceCalls(service?: string): readonly standins.ServiceCallRecord[] {
     return [...this._services.values()]
       .filter((copy) => service === undefined || copy.service === service)
       .flatMap((copy) => copy.records.calls);
   }
 
-  /** Spans in which engines held replicas of a model (`partner/model`), or of all models. */
+  /** Requests that a VM's engine took after a time, and calls that its service ran, up to the last `copy`. */
+  public workAfter(vm: string, timeMs: number): number {
+    const requests = [...this._engines.values()]
+      .filter((copy) => copy.name === vm)
+      .flatMap(({ records }) => records.requests)
+      .filter((request) => request.arrivedMs > timeMs && request.outcome !== 'refused');
+    const calls = [...this._services.values()]
+      .filter((copy) => copy.name === vm)
+      .flatMap(({ records }) => records.calls)
+      .filter((call) => call.timeMs > timeMs);
+    return requests.length + calls.length;
+  }
+
+  /** Spans in which engines held replicas of a model (`partner/model`), or of all, up to the last `copy`. */
   public replicaSpans(model?: string): readonly ReplicaSpan[] {
     return [...this._engines]
       .flatMap(([process, { name, records }]) => replicaSpans(name, records.models, process.endedMs))
@@ -91,7 +110,6 @@
 
   /** Copies the records a last time, and returns every broken promise as a sentence. */
   public async violations(expectations: Expectations = {}): Promise<readonly string[]> {
-    await this._copying;
     await this.copy();
     return [
       ...this._replicaViolations(expectations),
@@ -104,15 +122,20 @@
 
   private async _copyAll(): Promise<void> {
     const engines = this._cluster.engines.map(async ({ vm, standIn }) => {
-      const records = await readRecords<standins.EngineRecordList>(standIn);
+      const { process } = standIn;
+      const known = this._engines.get(process)?.records;
+      const ended = known?.requests.slice(0, known.endedRequests) ?? [];
+      const records = await readRecords<standins.EngineRecordList>(standIn, `?ended_from=${ended.length}`);
       if (records) {
-        this._engines.set(records.process, { name: vm, records: records.value });
+        this._engines.set(process, { name: vm, records: { ...records, requests: [...ended, ...records.requests] } });
       }
     });
     const services = this._cluster.services.map(async ({ vm, service, standIn }) => {
-      const records = await readRecords<ServiceRecords>(standIn);
+      const { process } = standIn;
+      const known = this._services.get(process)?.records.calls ?? [];
+      const records = await readRecords<ServiceRecords>(standIn, `?from=${known.length}`);
       if (records) {
-        this._services.set(records.process, { name: vm, service, records: records.value });
+        this._services.set(process, { name: vm, service, records: { calls: [...known, ...records.calls] } });
       }
     });
     await Promise.all([...engines, ...services]);
@@ -192,20 +215,15 @@
   return result.key === undefined ? undefined : `${result.service ?? ''} ${result.key}`;
 }
 
-interface ReadRecords<Records> {
-  readonly process: ManagedProcess;
-  readonly value: Records;
-}
-
 /** Reads the records of a target; `undefined` if it does not answer. */
-async function readRecords<Records>(standIn: StandInHandle): Promise<ReadRecords<Records> | undefined> {
+async function readRecords<Records>(standIn: StandInHandle, query: string): Promise<Records | undefined> {
   const { process } = standIn;
   if (process.endedMs !== undefined) {
     return undefined;
   }
   try {
-    const value = (await standIn.records()) as Records;
-    return standIn.process === process ? { process, value } : undefined;
+    const records = (await standIn.records(query)) as Records;
+    return standIn.process === process ? records : undefined;
   } catch {
     return undefined;
   }
