Prewarm regular models also with a short setting, and replay patience

Percentiles are compared with percentiles now.

The settings in policies.test.ts get the expectedLoadMs that every configured model has; the keep-alive now depends on it. No assertion changes.

--- a/packages/decisions/src/policy/HistogramPolicy.ts
+++ b/packages/decisions/src/policy/HistogramPolicy.ts
@@ -43,13 +43,13 @@
     if (usage.gaps.samples < minimumSamples) {
       return undefined;
     }
+    const earliestMs = usage.gaps.percentileMs(earlyArrivalShare);
+    const leadMs = prewarmLead * loadMs;
     // A percentile is the upper bound of its bin; the early gaps may lie at the lower one.
-    const earliestMs = usage.gaps.percentileMs(earlyArrivalShare) / gapBinGrowth;
-    const startMs = earliestMs - prewarmLead * loadMs;
+    const startMs = earliestMs / gapBinGrowth - leadMs;
     // Only regular models gain: when the covered gaps end soon after the earliest one, little idle time is spent.
-    const latestMs = usage.gaps.percentileMs(expectedArrivalShare);
-    const worthwhile =
-      latestMs - startMs <= settings.keepAliveMs && startMs > this.keepAliveMs(settings, usage, loadMs);
+    const waitMs = usage.gaps.percentileMs(expectedArrivalShare) - earliestMs + leadMs;
+    const worthwhile = waitMs <= settings.keepAliveMs && startMs > this.keepAliveMs(settings, usage, loadMs);
     return worthwhile ? startMs : undefined;
   }
 
--- a/packages/decisions/src/policy/policies.test.ts
+++ b/packages/decisions/src/policy/policies.test.ts
@@ -12,7 +12,8 @@
 const minuteMs = 60_000;
 
 function settingsOf(partner: string, keepAliveMs: number): ModelSettings {
-  return { partner, model: 'm', version: '1', keepAliveMs, coldStartWeight: 0.5 } as unknown as ModelSettings;
+  const settings = { partner, model: 'm', version: '1', keepAliveMs, coldStartWeight: 0.5, expectedLoadMs: 5_000 };
+  return settings as unknown as ModelSettings;
 }
 
 function usageOf(gapsMs: readonly number[], lastUsedMs = 0): ModelUsage {
--- a/packages/proofs/src/policy/VirtualOwner.ts
+++ b/packages/proofs/src/policy/VirtualOwner.ts
@@ -13,6 +13,8 @@
 const unloadMs = 300;
 /** Estimates vary; those who wait already are given up only beyond this multiple of their remaining time. */
 const tolerance = 1.25;
+/** Callers are refused this long after a load waited for room in vain. */
+const refusalMs = 1_500;
 /** Blocked loads are tried again at this interval while something is queued. */
 const retryIntervalMs = 100;
 
@@ -40,6 +42,7 @@
   private readonly _reservations = new Map<string, { readonly model: string; readonly untilMs: number }>();
   private readonly _readySinceMs = new Map<decisions.ReplicaId, number>();
   private readonly _loadingSinceMs = new Map<decisions.ReplicaId, number>();
+  private readonly _refusedUntilMs = new Map<string, number>();
   private _retryScheduled = false;
 
   public constructor(
@@ -116,8 +119,11 @@
   }
 
   private _answer(request: Wake): WakeAnswer {
-    const { settings, urgency, remainingMs, waiting } = request;
+    const { settings, urgency, remainingMs } = request;
     const { nowMs } = this._events;
+    if (this._queue.has(settings)) {
+      return this._answerQueued(request, this._loadTimes.expectedMs(settings));
+    }
     const placement = decisions.placeReplica(this._view(settings), { settings, urgency, remainingMs, replicas: 1 });
     if (placement.kind === 'refuse') {
       return { kind: 'refused', type: placement.type };
@@ -126,7 +132,17 @@
       const readyInMs = placement.state === 'ready' ? 0 : this._remainingLoadMs(settings, placement.replica);
       return inTime(readyInMs, remainingMs * tolerance);
     }
+    if ((this._refusedUntilMs.get(settings.model) ?? -Infinity) > nowMs) {
+      return { kind: 'refused', type: 'model_no_room' };
+    }
     const loadMs = placement.kind === 'evict' ? this._loadTimes.expectedMs(settings) + 500 : placement.expectedMs;
+    return this._answerQueued(request, loadMs);
+  }
+
+  /** Queues the model, or renews its place, and estimates when it is ready. */
+  private _answerQueued(request: Wake, loadMs: number): WakeAnswer {
+    const { settings, urgency, remainingMs, waiting } = request;
+    const { nowMs } = this._events;
     const queued = this._queue.has(settings);
     const waitMs = this._bucket.waitMs(this._queue.position(settings, nowMs), nowMs);
     const answer = inTime(waitMs + loadMs, queued ? remainingMs * tolerance : remainingMs);
@@ -172,6 +188,10 @@
         this._unreserve(settings);
         return true;
       case 'wait':
+        if (nowMs - entry.enqueuedMs > (placement.patienceMs ?? Infinity)) {
+          this._queue.remove(settings);
+          this._refusedUntilMs.set(settings.model, nowMs + refusalMs);
+        }
         return true;
       case 'evict':
         this._reservations.set(placement.target, { model: settings.model, untilMs: nowMs + reservationMs });
