--- a/packages/proofs/src/tests/configuration/retention.test.ts
+++ b/packages/proofs/src/tests/configuration/retention.test.ts
@@ -45,6 +45,13 @@
           vitest.expect(await configurationAt(cluster, index), cluster.errorOutput()).toEqual(before);
         }
         vitest.expect(await agreedConfiguration(cluster)).toEqual(before);
+        // No daemon is left that holds the state, so only a snapshot can bring it back.
+        await Promise.all(cluster.daemons.map((daemon) => daemon.kill()));
+        for (const daemon of cluster.daemons) {
+          daemon.start();
+        }
+        await Promise.all(cluster.daemons.map((daemon) => daemon.waitUntilReady()));
+        vitest.expect(await agreedConfiguration(cluster), cluster.errorOutput()).toEqual(before);
       } finally {
         await cluster[Symbol.asyncDispose]();
       }
