--- /dev/null
+++ b/packages/proofs/src/tests/requests/cuts.test.ts
@@ -0,0 +1,30 @@
+import * as vitest from 'vitest';
+import * as harness from '../../harness/index.js';
+import { sendMany, startLoadedCluster, unexplained } from './loadedCluster.js';
+
+const deadlineMs = 8_000;
+
+/** Ways in which the network to one target fails. */
+const cuts = {
+  cut: { cut: true },
+  answersLost: { toClient: { drop: true } },
+  requestsLost: { toTarget: { drop: true } },
+  refused: { refuse: true },
+} as const;
+
+vitest.describe('network between daemons and a target', () => {
+  vitest.test.each(Object.entries(cuts))(
+    '%s: every request is whole or an explicit error before its deadline (guards against hung requests)',
+    async (_name, fault) => {
+      await using cluster = await startLoadedCluster({ targets: true });
+      const early = sendMany(cluster, 18, 100, deadlineMs);
+      await harness.delay(200);
+      await cluster.engines[0]?.proxy?.control(fault);
+      const results = [...(await early), ...(await sendMany(cluster, 18, 10, deadlineMs))];
+      vitest.expect(unexplained(results), cluster.errorOutput(1_000)).toEqual([]);
+      vitest.expect(results.filter(({ error }) => error?.type === 'deadline_exceeded')).toEqual([]);
+      vitest.expect(results.filter(({ outcome }) => outcome === 'complete').length).toBeGreaterThan(18);
+      vitest.expect(await cluster.observer.violations()).toEqual([]);
+    },
+  );
+});
--- a/packages/proofs/src/tests/requests/streams.test.ts
+++ b/packages/proofs/src/tests/requests/streams.test.ts
@@ -2,59 +2,7 @@
 import * as standins from '@jayhaven/standins';
 import * as vitest from 'vitest';
 import * as harness from '../../harness/index.js';
-
-const partner = 'solano';
-const model = 'walkthrough';
-
-/** Starts three daemons and two engines that both hold the model. */
-async function startCluster(): Promise<harness.Cluster> {
-  const cluster = await harness.Cluster.start({
-    daemons: 3,
-    engines: [{}, {}],
-    partners: [partner],
-    engine: { 'token-ms': 5, slots: 64 },
-    weightStore: { 'bytes-per-second': 1e12 },
-  });
-  const operator = cluster.operator(partner);
-  await operator.set(`${partner}/defaults/maximumReplicas`, 2);
-  await operator.set(`${partner}/defaults/minimumReplicas`, 2);
-  await operator.setModel(model, { weightBytes: [40e9] });
-  await harness.until('both engines serve the model', 15_000, async () => {
-    const calls = cluster.daemons.flatMap((daemon) => [daemon, daemon, daemon, daemon]);
-    await Promise.all(calls.map((daemon) => cluster.callers.complete(daemon.callersUrl, { partner, model })));
-    await cluster.observer.copy();
-    const busy = cluster.observer
-      .engineRecords()
-      .filter(({ records }) => records.requests.some(({ tokens }) => tokens));
-    return busy.length === 2;
-  });
-  return cluster;
-}
-
-/** Sends requests to all daemons at once, every second one as a stream. */
-function sendMany(
-  cluster: harness.Cluster,
-  count: number,
-  maximumTokens: number,
-  deadlineMs = 10_000,
-): Promise<harness.CallResult[]> {
-  return Promise.all(
-    Array.from({ length: count }, (_value, index) => {
-      const url = cluster.daemon(index % cluster.daemons.length).callersUrl;
-      return cluster.callers.complete(url, { partner, model, maximumTokens, deadlineMs, stream: index % 2 === 0 });
-    }),
-  );
-}
-
-/** Answers that are neither whole nor an explicit error. */
-function unexplained(results: readonly harness.CallResult[]): readonly harness.CallResult[] {
-  return results.filter(
-    (result) =>
-      result.outcome !== 'complete' &&
-      !(result.outcome === 'refused' && result.error !== undefined) &&
-      !(result.outcome === 'incomplete' && (result.detail ?? '').startsWith('error event')),
-  );
-}
+import { model, partner, sendMany, startLoadedCluster, unexplained } from './loadedCluster.js';
 
 /** Fault of one engine, or of both. */
 async function controlEngines(cluster: harness.Cluster, faults: unknown, engines = cluster.engines): Promise<void> {
@@ -65,7 +13,7 @@
   let cluster: harness.Cluster;
 
   vitest.beforeAll(async () => {
-    cluster = await startCluster();
+    cluster = await startLoadedCluster();
   });
 
   vitest.beforeEach(async () => {
