--- a/packages/proofs/src/tests/requests/streams.test.ts
+++ b/packages/proofs/src/tests/requests/streams.test.ts
@@ -2,54 +2,7 @@
 import * as standins from '@jayhaven/standins';
 import * as vitest from 'vitest';
 import * as harness from '../../harness/index.js';
-
-const partner = 'solano';
-const model = 'walkthrough';
-
-/** Starts three daemons and two engines that both hold the model. */
-async function startCluster(): Promise<harness.Cluster> {
-  const cluster = await harness.Cluster.start({
-    daemons: 3,
-    engines: [{}, {}],
-    partners: [partner],
-    engine: { 'token-ms': 5, slots: 64 },
-    weightStore: { 'bytes-per-second': 1e12 },
-  });
-  const operator = cluster.operator(partner);
-  await operator.set(`${partner}/defaults/maximumReplicas`, 2);
-  await operator.set(`${partner}/defaults/minimumReplicas`, 2);
-  await operator.setModel(model, { weightBytes: [40e9] });
-  await harness.until('both engines serve the model', 15_000, async () => {
-    const calls = cluster.daemons.flatMap((daemon) => [daemon, daemon, daemon, daemon]);
-    await Promise.all(calls.map((daemon) => cluster.callers.complete(daemon.callersUrl, { partner, model })));
-    await cluster.observer.copy();
-    const busy = cluster.observer
-      .engineRecords()
-      .filter(({ records }) => records.requests.some(({ tokens }) => tokens));
-    return busy.length === 2;
-  });
-  return cluster;
-}
-
-/** Sends requests to all daemons at once, every second one as a stream. */
-function sendMany(cluster: harness.Cluster, count: number, maximumTokens: number): Promise<harness.CallResult[]> {
-  return Promise.all(
-    Array.from({ length: count }, (_value, index) => {
-      const url = cluster.daemon(index % cluster.daemons.length).callersUrl;
-      return cluster.callers.complete(url, { partner, model, maximumTokens, stream: index % 2 === 0 });
-    }),
-  );
-}
-
-/** Answers that are neither whole nor an explicit error. */
-function unexplained(results: readonly harness.CallResult[]): readonly harness.CallResult[] {
-  return results.filter(
-    (result) =>
-      result.outcome !== 'complete' &&
-      !(result.outcome === 'refused' && result.error !== undefined) &&
-      !(result.outcome === 'incomplete' && (result.detail ?? '').startsWith('error event')),
-  );
-}
+import { model, partner, sendMany, startLoadedCluster, unexplained } from './loadedCluster.js';
 
 /** Fault of one engine, or of both. */
 async function controlEngines(cluster: harness.Cluster, faults: unknown, engines = cluster.engines): Promise<void> {
@@ -60,10 +13,10 @@
   let cluster: harness.Cluster;
 
   vitest.beforeAll(async () => {
-    cluster = await startCluster();
+    cluster = await startLoadedCluster();
   });
 
-  vitest.afterEach(async () => {
+  vitest.beforeEach(async () => {
     await controlEngines(cluster, { crossAnswers: false, truncateStreams: null, truncateCleanly: false });
   });
 
@@ -75,7 +28,7 @@
     'no caller gets the answer to another request, crossed: %s (guards against answers bound by connection only)',
     async (crossAnswers) => {
       await controlEngines(cluster, { crossAnswers });
-      const results = await sendMany(cluster, 60, 10);
+      const results = await sendMany(cluster, 60, 10, 4_000);
       vitest.expect(unexplained(results), cluster.errorOutput(1_000)).toEqual([]);
       vitest.expect(await cluster.observer.violations()).toEqual([]);
       const crossed = cluster.observer
@@ -101,7 +54,7 @@
     'a stream cut by every engine ends whole or as an error, clean end: %s (guards against a short success)',
     async (truncateCleanly) => {
       await controlEngines(cluster, { truncateStreams: 3, truncateCleanly });
-      const results = await sendMany(cluster, 30, 40);
+      const results = await sendMany(cluster, 30, 40, 4_000);
       vitest.expect(unexplained(results), cluster.errorOutput(1_000)).toEqual([]);
       vitest.expect(results.filter(({ outcome }) => outcome === 'complete')).toEqual([]);
       vitest.expect(await cluster.observer.violations()).toEqual([]);
@@ -115,6 +68,15 @@
     vitest.expect(text).toBe(standins.answerText(prompt, maximumTokens));
   });
 
+  vitest.test(
+    'requests that every engine fails are answered before their deadline is near (guards against held requests)',
+    async () => {
+      await controlEngines(cluster, { crossAnswers: true });
+      const results = await sendMany(cluster, 60, 10, 10_000);
+      vitest.expect(results.filter(({ error }) => error?.type === 'deadline_exceeded')).toEqual([]);
+    },
+  );
+
   // The last test of this file: the engine stays dead.
   vitest.test('streams of a killed engine go on at the other one (guards against lost streams)', async () => {
     const started = sendMany(cluster, 24, 200);
