Test loads under outages, lost targets and a slow weight store

Cause: the owner's wait estimate ignores that all load slots are taken, and load times are learnt per model only. Ruled out: a lost wake, because wakes are repeated and answered each second.

--- /dev/null
+++ b/packages/proofs/src/tests/loads/platformFaults.test.ts
@@ -0,0 +1,195 @@
+import * as vitest from 'vitest';
+import * as harness from '../../harness/index.js';
+import * as support from './loadCluster.js';
+
+/** Time for a refusal of a cold model during an outage, milliseconds: at once, on a busy machine. */
+const refusalLimitMs = 2_000;
+/** Outage of the log in the suite, milliseconds. */
+const outageMs = 20_000;
+/** Bytes of a model of which an engine holds four. */
+const smallModelBytes = 20e9;
+
+vitest.describe('log outage', () => {
+  vitest.test(
+    'loaded models are served, cold ones refused at once (guards against a needless or a hidden outage)',
+    async () => {
+      await using parts = await support.startLoadCluster(['loaded', 'cold']);
+      const { cluster, topic } = parts;
+      const [daemon] = cluster.daemons;
+      vitest.assert(daemon);
+      await support.request(cluster, daemon, 'loaded');
+      await cluster.log.control({ outage: true });
+      // The first request after the start of an outage may be the one that finds it.
+      await harness.delay(1_000);
+      const endMs = Date.now() + outageMs;
+      while (Date.now() < endMs) {
+        for (const asked of cluster.daemons) {
+          const [served, refused] = await Promise.all([
+            support.request(cluster, asked, 'loaded'),
+            support.request(cluster, asked, 'cold'),
+          ]);
+          vitest.expect(served, cluster.errorOutput()).toMatchObject({ outcome: 'complete' });
+          vitest.expect(refused).toMatchObject({ outcome: 'refused', status: 503, error: { executed: 'no' } });
+          vitest.expect(refused.error?.retryAfterMs).toBeGreaterThan(0);
+          vitest.expect(refused.totalMs).toBeLessThan(refusalLimitMs);
+        }
+        await harness.delay(500);
+      }
+      await cluster.log.control({ outage: false });
+      vitest.expect(await topic.decidedLoads('solano/cold')).toEqual([]);
+      await harness.until('the cold model is served after the outage', 10_000, async () => {
+        return (await support.request(cluster, daemon, 'cold')).outcome === 'complete';
+      });
+      vitest.expect(await cluster.observer.violations({ replicasPerModel: 1 })).toEqual([]);
+    },
+  );
+
+  vitest.test('in the middle of a load adds no second replica (guards P1 over an outage)', async () => {
+    await using parts = await support.startLoadCluster(['first', 'second']);
+    const { cluster, topic } = parts;
+    const [daemon] = cluster.daemons;
+    vitest.assert(daemon);
+    const waiting = support.request(cluster, daemon, 'first');
+    await support.untilModelIs(cluster, 'solano/first', 'LOADING');
+    await cluster.log.control({ outage: true });
+    await support.untilModelIs(cluster, 'solano/first', 'READY');
+    vitest.expect(await waiting, cluster.errorOutput()).toSatisfy(support.isAnsweredOrTrulyRefused);
+    // Longer than the lease, so that ownership changes or is renewed after the outage.
+    await harness.delay(2 * support.leaseMs);
+    await cluster.log.control({ outage: false });
+    await harness.until('the model is served after the outage', 10_000, async () => {
+      return (await support.request(cluster, daemon, 'first')).outcome === 'complete';
+    });
+    vitest.expect(await topic.decidedLoads('solano/first')).toHaveLength(1);
+    vitest.expect(cluster.observer.replicaSpans('solano/first')).toHaveLength(1);
+    vitest.expect(await cluster.observer.violations({ replicasPerModel: 1 })).toEqual([]);
+  });
+});
+
+vitest.describe('target lost', () => {
+  const engines = [{}, { fencing: 'ignored' }] as const;
+
+  /** The engine that holds or loads a model. */
+  function holderOf(cluster: harness.Cluster, model: string): harness.Target {
+    const span = cluster.observer.replicaSpans(model).at(-1);
+    const holder = cluster.engines.find((engine) => engine.vm === span?.target);
+    vitest.assert(holder);
+    return holder;
+  }
+
+  vitest.test.each([0, 1])(
+    'engine %i restarts empty while its model is called ready: it is loaded once more (guards against a ghost replica)',
+    async (index) => {
+      await using parts = await support.startLoadCluster(['first'], { engines: [engines[index] ?? {}] });
+      const { cluster } = parts;
+      const [daemon] = cluster.daemons;
+      vitest.assert(daemon);
+      vitest.expect(await support.request(cluster, daemon, 'first')).toMatchObject({ outcome: 'complete' });
+      await cluster.observer.copy();
+      await holderOf(cluster, 'solano/first').standIn.restart();
+      await harness.until('the model is served again', 10_000, async () => {
+        const result = await support.request(cluster, daemon, 'first', 5_000);
+        vitest.expect(result).toSatisfy(support.isAnsweredOrTrulyRefused);
+        return result.outcome === 'complete';
+      });
+      vitest.expect(await cluster.observer.violations({ replicasPerModel: 1 })).toEqual([]);
+    },
+  );
+
+  vitest.test('VM reclaimed in the middle of a load: the load moves (guards against a lost waiter)', async () => {
+    const options = { engines, engine: { 'token-ms': 2, 'load-ms': 1_500 } };
+    await using parts = await support.startLoadCluster(['first'], options);
+    const { cluster, topic } = parts;
+    const [daemon] = cluster.daemons;
+    vitest.assert(daemon);
+    const waiting = support.request(cluster, daemon, 'first');
+    await support.untilModelIs(cluster, 'solano/first', 'LOADING');
+    const holder = holderOf(cluster, 'solano/first');
+    await holder.standIn.process.kill();
+    await cluster.setVmState(holder.vm, 'gone');
+    vitest.expect(await waiting, cluster.errorOutput()).toMatchObject({ outcome: 'complete' });
+    vitest.expect(await topic.decidedLoads('solano/first')).toHaveLength(2);
+    vitest.expect(await cluster.observer.violations({ replicasPerModel: 1 })).toEqual([]);
+  });
+
+  vitest.test('VM reclaimed while the owner is paused: one replica remains (guards P1 under two faults)', async () => {
+    const options = { engines, engine: { 'token-ms': 2, 'load-ms': 1_500 } };
+    await using parts = await support.startLoadCluster(['first'], options);
+    const { cluster } = parts;
+    const owner = await harness.findOwner(cluster);
+    const waiting = support.request(cluster, support.otherDaemon(cluster, owner), 'first');
+    await support.untilModelIs(cluster, 'solano/first', 'LOADING');
+    owner.process.pause();
+    const holder = holderOf(cluster, 'solano/first');
+    await holder.standIn.process.kill();
+    await cluster.setVmState(holder.vm, 'gone');
+    vitest.expect(await waiting, cluster.errorOutput()).toMatchObject({ outcome: 'complete' });
+    owner.process.resume();
+    await harness.delay(2_000);
+    vitest.expect(await cluster.observer.violations({ replicasPerModel: 1 })).toEqual([]);
+  });
+});
+
+vitest.describe('weight store ten times slower', () => {
+  const deadlineMs = 13_000;
+  let parts: support.LoadCluster;
+  let results: readonly harness.CallResult[];
+
+  vitest.beforeAll(async () => {
+    const models = Array.from({ length: 8 }, (_value, index) => `model-${index}`);
+    const weightStore = { 'bytes-per-second': 20e9 };
+    parts = await support.startLoadCluster([], { engines: [{}, {}], weightStore });
+    const { cluster } = parts;
+    for (const model of models) {
+      await cluster.operator('solano').setModel(model, { weightBytes: [smallModelBytes] });
+    }
+    await cluster.weightStore.control({ slowdown: 10 });
+    const calls = models.map((model, index) =>
+      support.request(cluster, cluster.daemon(index % cluster.daemons.length), model, deadlineMs),
+    );
+    results = await Promise.all(calls);
+  });
+
+  vitest.afterAll(async () => {
+    await parts[Symbol.asyncDispose]();
+  });
+
+  vitest.test('at most 4 loads run at once, and refusals are true (guards the store and P5)', async () => {
+    const { cluster } = parts;
+    for (const result of results) {
+      vitest.expect(result, cluster.errorOutput()).toSatisfy(support.isAnsweredOrTrulyRefused);
+    }
+    vitest.expect(results.some((result) => result.outcome === 'refused')).toBe(true);
+    const store = (await cluster.weightStore.control()) as { readonly mostInTransit: number };
+    vitest.expect(store.mostInTransit).toBeLessThanOrEqual(4);
+    vitest.expect(await cluster.observer.violations({ replicasPerModel: 1 })).toEqual([]);
+  });
+
+  vitest.test('no request is held until its deadline (guards P3 against a hopeless wait)', () => {
+    for (const result of results) {
+      vitest.expect(result.error?.type, JSON.stringify(result)).not.toBe('deadline_exceeded');
+      vitest.expect(result.totalMs).toBeLessThan(deadlineMs);
+    }
+  });
+});
+
+vitest.describe('log faults', () => {
+  vitest.test(
+    'owner killed while the log loses acknowledgements: one replica (guards P1 under two faults)',
+    async () => {
+      await using parts = await support.startLoadCluster(['first'], {
+        engines: [{}, { fencing: 'ignored' }],
+        engine: { 'token-ms': 2, 'load-ms': 1_500 },
+      });
+      const { cluster, topic } = parts;
+      const owner = await harness.findOwner(cluster);
+      await cluster.log.control({ loseAcknowledgements: 0.5 });
+      const waiting = support.request(cluster, support.otherDaemon(cluster, owner), 'first');
+      await support.untilModelIs(cluster, 'solano/first', 'LOADING');
+      await owner.process.kill();
+      vitest.expect(await waiting, cluster.errorOutput()).toMatchObject({ outcome: 'complete' });
+      vitest.expect(await topic.decidedLoads('solano/first')).toHaveLength(1);
+      vitest.expect(await cluster.observer.violations({ replicasPerModel: 1 })).toEqual([]);
+    },
+  );
+});
