Measure the time until the next load after an owner ends

An earlier start of the program failed because another process took a port between its choice and its use; results are now written after each run.

--- a/packages/proofs/src/measure/ownerFailover.ts
+++ b/packages/proofs/src/measure/ownerFailover.ts
@@ -43,13 +43,18 @@
   return (decided?.timeMs ?? Number.NaN) - endedMs;
 }
 
+/** Written after each run, so that a failed one does not lose the others. */
+async function writeResults(): Promise<void> {
+  await fs.mkdir(path.dirname(resultFile), { recursive: true });
+  const report = { measuredAt: new Date().toISOString(), processors: os.cpus().length, leaseMs: 6_000, runs: results };
+  await fs.writeFile(resultFile, `${JSON.stringify(report, null, 2)}\n`);
+}
+
 const results: { ending: Ending; seed: number; untilDecidedMs: number; loadAverage: number }[] = [];
 for (const ending of ['killed', 'paused'] as const) {
   for (let seed = 1; seed <= runs; seed += 1) {
     const loadAverage = Number((os.loadavg()[0] ?? Number.NaN).toFixed(1));
     results.push({ ending, seed, untilDecidedMs: await run(ending, seed), loadAverage });
+    await writeResults();
   }
 }
-await fs.mkdir(path.dirname(resultFile), { recursive: true });
-const report = { measuredAt: new Date().toISOString(), processors: os.cpus().length, leaseMs: 6_000, runs: results };
-await fs.writeFile(resultFile, `${JSON.stringify(report, null, 2)}\n`);
