Refuse requests while every target of a model fails its probes

Change: a request that has waited 2.5 s while every target fails its probes and none is being probed is refused with targets_failing and the time of the next probe.

--- a/packages/daemon/src/front/Front.ts
+++ b/packages/daemon/src/front/Front.ts
@@ -56,6 +56,7 @@
     const room = new WaitingRoom(_context, {
       client,
       isRoutable: (model, nowMs) => router.isRoutable(model, nowMs),
+      failingUntilMs: (model, nowMs) => router.failingUntilMs(model, nowMs),
       isCurrent: (model) => catalog.isCurrent(model),
     });
     this._callers = new CallerDirectory(settings.callers);
--- a/packages/daemon/src/routing/Router.ts
+++ b/packages/daemon/src/routing/Router.ts
@@ -40,6 +40,22 @@
     return this._catalog.readyReplicas(model).some((replica) => this._isUsable(replica, model, nowMs));
   }
 
+  /** When the next probe is due, if every target of the model fails and goes on failing its probes. */
+  public failingUntilMs(model: ResolvedModel, nowMs: number): number | undefined {
+    let earliestMs: number | undefined;
+    for (const replica of this._catalog.readyReplicas(model)) {
+      if (this._loads.isLeaving(replica.vm)) {
+        continue;
+      }
+      const untilMs = this._breakers.failingUntilMs(replica.target, nowMs);
+      if (untilMs === undefined) {
+        return undefined;
+      }
+      earliestMs = Math.min(earliestMs ?? untilMs, untilMs);
+    }
+    return earliestMs;
+  }
+
   /** Picks a target other than the excluded ones; undefined if there is none. */
   public choose(
     model: ResolvedModel,
--- a/packages/daemon/src/routing/TargetBreakers.ts
+++ b/packages/daemon/src/routing/TargetBreakers.ts
@@ -11,6 +11,9 @@
 interface TargetBreaker {
   readonly policy: cockatiel.CircuitBreakerPolicy;
   nextProbeMs: number;
+  probing: boolean;
+  /** Probes that failed since the breaker opened. */
+  failedProbes: number;
 }
 
 /** One circuit breaker per target that has failed lately. */
@@ -23,11 +26,22 @@
     return !breaker || breaker.policy.state === cockatiel.CircuitState.Closed || nowMs >= breaker.nextProbeMs;
   }
 
+  /**
+   * When the next probe of a target is due whose last probe failed too; undefined if it may be picked, if a probe is
+   * under way, or if it opened only now and a short fault may be over by the first probe.
+   */
+  public failingUntilMs(target: common.TargetAddress, nowMs: number): number | undefined {
+    const breaker = this._breakers.get(target);
+    const isFailing = breaker && breaker.failedProbes > 0 && !breaker.probing && !this.allows(target, nowMs);
+    return isFailing ? breaker.nextProbeMs : undefined;
+  }
+
   /** Tells that the target was picked, so that an open one gets a single probe. */
   public picked(target: common.TargetAddress, nowMs: number): void {
     const breaker = this._breakers.get(target);
     if (breaker && breaker.policy.state !== cockatiel.CircuitState.Closed) {
       breaker.nextProbeMs = nowMs + openMs;
+      breaker.probing = true;
     }
   }
 
@@ -39,6 +53,10 @@
   /** Counts a failure. */
   public failed(target: common.TargetAddress, nowMs: number): void {
     const breaker = this._breakers.get(target) ?? this._create(target);
+    if (breaker.probing) {
+      breaker.failedProbes += 1;
+      breaker.probing = false;
+    }
     // The policy wraps nothing here: an attempt is reported after it ended, because a stream outlives its start.
     breaker.policy.execute(throwFailure).catch(() => undefined);
     breaker.nextProbeMs = nowMs + openMs;
@@ -52,7 +70,7 @@
       halfOpenAfter: openMs,
       breaker: new cockatiel.ConsecutiveBreaker(failuresToOpen),
     });
-    const breaker = { policy, nextProbeMs: 0 };
+    const breaker = { policy, nextProbeMs: 0, probing: false, failedProbes: 0 };
     this._breakers.set(target, breaker);
     return breaker;
   }
--- a/packages/daemon/src/routing/WaitingRoom.ts
+++ b/packages/daemon/src/routing/WaitingRoom.ts
@@ -2,7 +2,7 @@
 import * as decisions from '@jayhaven/decisions';
 import type { DaemonContext, OwnerClient, WakeAnswer, WakeFailure } from '../Types.js';
 import { notRun } from './refusals.js';
-import type { ResolvedModel, Waiter } from './Types.js';
+import type { CallerError, ResolvedModel, Waiter } from './Types.js';
 import { isCoveredBy, WaitingQueue, type AskedWake } from './WaitingQueue.js';
 
 /** Interval between wakes of one model while requests wait, milliseconds. */
@@ -13,6 +13,8 @@
 const wakeLostMs = 5_000;
 /** Lease times without an owner after which the waiting requests are refused. */
 const ownerlessLeases = 2;
+/** A request waits this long for targets that all fail: a little more than one probe of each. */
+const failingPatienceMs = 2_500;
 /** Messages besides arrivals that the mailbox must hold. */
 const spareMailboxCapacity = 512;
 
@@ -30,6 +32,8 @@
 export interface WaitingRoomParts {
   readonly client: OwnerClient;
   readonly isRoutable: (model: ResolvedModel, nowMs: number) => boolean;
+  /** When targets that all fail are tried again; undefined unless all of them fail their probes. */
+  readonly failingUntilMs: (model: ResolvedModel, nowMs: number) => number | undefined;
   /** False once the configuration wants another version. */
   readonly isCurrent: (model: ResolvedModel) => boolean;
 }
@@ -199,9 +203,21 @@
     queue.refuse((waiter) => givesUp || waiter.deadlineMs - nowMs <= failure.retryAfterMs, error);
   }
 
+  /** The refusal while every target of a model fails: waiting requests would end at their deadlines. */
+  private _failing(model: ResolvedModel, nowMs: number): CallerError | undefined {
+    const untilMs = this._parts.failingUntilMs(model, nowMs);
+    return untilMs === undefined
+      ? undefined
+      : notRun(503, 'targets_failing', refusalMessages.targets_failing, Math.max(0, untilMs - nowMs));
+  }
+
   private _check(ownerChanged: boolean): void {
     const nowMs = this._context.now();
     for (const queue of this._queues.values()) {
+      const failing = this._failing(queue.model, nowMs);
+      if (failing) {
+        queue.refuse((waiter) => nowMs - waiter.arrivedMs >= failingPatienceMs, failing);
+      }
       if (!this._parts.isCurrent(queue.model) || this._parts.isRoutable(queue.model, nowMs)) {
         for (const waiter of queue.takeAll()) {
           waiter.settle({ kind: 'released' });
@@ -264,4 +280,5 @@
   deadline_unreachable: 'no replica of the model is expected to be ready before the deadline',
   queue_full: 'the waiting queue of the model is full',
   partner_queue_full: 'the waiting queue of the partner is full',
+  targets_failing: 'every target of the model fails; requests are tried again one at a time',
 } as const;
