Estimate the wait for a load slot, and refuse what cannot be ready in time

Cause: the owner's estimate for a queued load ignored that all slots of concurrent loads were taken and how late the loads in progress were. Change: the estimate adds the time until a slot is free and scales the load time by the slowest load in progress. Ruled out: expecting a late load to need as long again as it has taken, which would refuse the requests whose own replica is loading and will be ready in time. Also: a configuration value nested deeper than the stack is refused as too long instead of raising an error (the operators' interface answered 500).

--- a/packages/daemon/src/owner/Planning.ts
+++ b/packages/daemon/src/owner/Planning.ts
@@ -122,6 +122,28 @@
     return Math.max(this.loadTimes.expectedMs(settings, target) - elapsedMs, elapsedMs / 10, 10);
   }
 
+  /** How much longer than expected the slowest load in progress takes, at least 1. The weight store is shared. */
+  public slowdown(nowMs: number): number {
+    return this._loadingReplicas().reduce((slowest, { settings, replica }) => {
+      const elapsedMs = nowMs - (this._loadingSinceMs.get(replica.replica) ?? nowMs);
+      return Math.max(slowest, elapsedMs / Math.max(1, this.loadTimes.expectedMs(settings, replica.target)));
+    }, 1);
+  }
+
+  /** Time until a load at a place of the queue gets one of the slots of concurrent loads, milliseconds. */
+  public slotWaitMs(position: number, loadMs: number, nowMs: number): number {
+    const { maximumConcurrentLoads } = this._services.control.log.state.limits;
+    const remaining = this._loadingReplicas()
+      .map(({ settings, replica }) => this.remainingLoadMs(settings, replica.replica, nowMs))
+      .sort((first, second) => first - second);
+    const ahead = position - Math.max(0, maximumConcurrentLoads - remaining.length);
+    if (ahead < 0) {
+      return 0;
+    }
+    const rounds = Math.floor(ahead / maximumConcurrentLoads);
+    return (remaining[ahead % maximumConcurrentLoads] ?? 0) + rounds * loadMs;
+  }
+
   /** Keeps the room that evictions make on a target for one model. */
   public reserve(target: common.TargetAddress, settings: decisions.ModelSettings, nowMs: number): void {
     this._reservations.set(target, { model: Planning.keyOf(settings), untilMs: nowMs + reservationMs });
@@ -212,6 +234,17 @@
 
   private _leavingVms: ReadonlySet<common.VmName> = new Set();
 
+  private _loadingReplicas(): readonly {
+    readonly settings: decisions.ModelSettings;
+    readonly replica: decisions.ReplicaEntry;
+  }[] {
+    const { state } = this._services.control.log;
+    return [...state.replicas.values()].flatMap((replica) => {
+      const settings = decisions.modelSettings(state, replica.partner, replica.model);
+      return replica.state === 'loading' && settings !== undefined ? [{ settings, replica }] : [];
+    });
+  }
+
   private _blockedTargets(
     state: decisions.ControlState,
     nowMs: number,
--- a/packages/daemon/src/owner/WakeAnswers.ts
+++ b/packages/daemon/src/owner/WakeAnswers.ts
@@ -81,12 +81,15 @@
   planning: Planning,
   settings: decisions.ModelSettings,
   request: WakeRequest,
-  loadMs: number,
+  expectedLoadMs: number,
   nowMs: number,
 ): WakeAnswer {
   const { urgency, remainingMs, waiting } = request;
+  // A slow weight store shows in the loads in progress before the first of them has finished.
+  const loadMs = expectedLoadMs * planning.slowdown(nowMs);
   const queued = planning.queue.has(settings) || planning.pendingLoads.has(Planning.keyOf(settings));
-  const waitMs = planning.bucket.waitMs(planning.queue.position(settings, nowMs), nowMs);
+  const position = planning.queue.position(settings, nowMs);
+  const waitMs = Math.max(planning.bucket.waitMs(position, nowMs), planning.slotWaitMs(position, loadMs, nowMs));
   const answer = inTime(settings, waitMs + loadMs, queued ? remainingMs * tolerance : remainingMs);
   // A model whose load alone outlasts the deadline is loaded all the same: the caller may come back when it is ready.
   if (answer.kind === 'refused' && loadMs <= remainingMs) {
--- a/packages/decisions/src/configuration/values.ts
+++ b/packages/decisions/src/configuration/values.ts
@@ -60,7 +60,18 @@
 
 /** Whether a value is too large to be kept, also in the history. */
 export function isTooLong(value: unknown): boolean {
-  return value !== undefined && JSON.stringify(value).length > maximumValueLength;
+  if (value === undefined) {
+    return false;
+  }
+  try {
+    return JSON.stringify(value).length > maximumValueLength;
+  } catch (error) {
+    if (error instanceof RangeError) {
+      // The value is nested deeper than the stack.
+      return true;
+    }
+    throw error;
+  }
 }
 
 function schemaOf(key: ConfigurationKey): z.ZodType {
