--- a/packages/decisions/src/Types.ts
+++ b/packages/decisions/src/Types.ts
@@ -1,5 +1,8 @@
 import type * as common from '@jayhaven/common';
 
+export type * from './claims/Types.js';
+export type * from './records/Types.js';
+
 /** Name of a cell: the VMs that share one weight store and one control topic. */
 export type CellName = string;
 /** Offset of a record in its topic. */
@@ -63,196 +66,6 @@
   readonly figures: Readonly<Record<string, number | string>>;
 }
 
-export interface DaemonJoined {
-  readonly kind: 'daemonJoined';
-  readonly daemon: string;
-  readonly vm: common.VmName;
-  readonly failureDomain: common.FailureDomainName;
-  readonly peers: Address;
-  readonly operators: Address;
-}
-/** Written by a daemon that stopped in order; it sends nothing after this record. */
-export interface DaemonLeft {
-  readonly kind: 'daemonLeft';
-}
-/** Written by any daemon once the evidence is older than the longest delivery time of an order. */
-export interface IncarnationGone {
-  readonly kind: 'incarnationGone';
-  readonly incarnation: common.Incarnation;
-  readonly evidence: 'vmGone' | 'successorStarted';
-}
-export interface OwnerClaimed {
-  readonly kind: 'ownerClaimed';
-  readonly cell: CellName;
-  /** Claim that this one supersedes; null for the first. Replay rejects any other than the current one. */
-  readonly supersedes: ClaimOffset | null;
-}
-export interface OwnerRenewed {
-  readonly kind: 'ownerRenewed';
-  readonly cell: CellName;
-  readonly claim: ClaimOffset;
-}
-export interface OwnerReleased {
-  readonly kind: 'ownerReleased';
-  readonly cell: CellName;
-  readonly claim: ClaimOffset;
-}
-export interface VmObserved {
-  readonly kind: 'vmObserved';
-  readonly vm: common.VmName;
-  readonly failureDomain: common.FailureDomainName;
-  readonly state: 'live' | 'leaving' | 'gone';
-  readonly targets: readonly TargetDescription[];
-  /**
-   * Applied offset when the VM list was read. If given, replay rejects an observation that is older than the latest
-   * one, and `gone` if a replica was decided on the VM since. A watcher may have been paused after reading the list.
-   */
-  readonly readAfter?: Offset;
-  /** `VmEntry.observedAt` that the watcher saw, null if the VM was unknown. If given, it must still be the latest. */
-  readonly basedOn?: Offset | null;
-}
-export interface LoadDecided extends ModelVersion {
-  readonly kind: 'loadDecided';
-  readonly cell: CellName;
-  readonly claim: ClaimOffset;
-  readonly target: common.TargetAddress;
-  readonly bytes: AcceleratorBytes;
-  /** This is replica number `ordinal` of the model version, counted from 1. Replay rejects any but the next one. */
-  readonly ordinal: number;
-  readonly urgency: common.Urgency;
-  readonly reason: DecisionReason;
-}
-/** A new owner takes over an unsettled order and may send it too. */
-export interface OrderAdopted {
-  readonly kind: 'orderAdopted';
-  readonly cell: CellName;
-  readonly claim: ClaimOffset;
-  readonly order: OrderId;
-}
-/** An incarnation reports that it will not send the order (again). */
-export interface OrderSettled {
-  readonly kind: 'orderSettled';
-  readonly order: OrderId;
-  readonly result: 'sent' | 'notSent';
-}
-/** A checking engine confirmed the token: older claims can reach it no more. */
-export interface FenceRaised {
-  readonly kind: 'fenceRaised';
-  readonly target: common.TargetAddress;
-  readonly claim: ClaimOffset;
-}
-export interface ReplicaReady {
-  readonly kind: 'replicaReady';
-  readonly replica: ReplicaId;
-}
-/** Part of the reports that release memory. */
-export interface EngineReading {
-  /**
-   * Applied offset when the engine was asked. Replay rejects the report if a sender of the load order was settled
-   * later: its order may have reached the engine after the answer.
-   */
-  readonly readAfter?: Offset;
-}
-/** The engine confirmed that the replica is not loaded and not loading. */
-export interface ReplicaFailed extends EngineReading {
-  readonly kind: 'replicaFailed';
-  readonly replica: ReplicaId;
-  readonly reason: string;
-}
-export interface UnloadDecided {
-  readonly kind: 'unloadDecided';
-  readonly cell: CellName;
-  readonly claim: ClaimOffset;
-  readonly replica: ReplicaId;
-  readonly reason: DecisionReason;
-}
-/** The engine confirmed the unload. */
-export interface ReplicaUnloaded extends EngineReading {
-  readonly kind: 'replicaUnloaded';
-  readonly replica: ReplicaId;
-}
-export interface AdapterLoadDecided {
-  readonly kind: 'adapterLoadDecided';
-  readonly cell: CellName;
-  readonly claim: ClaimOffset;
-  readonly replica: ReplicaId;
-  readonly adapter: string;
-  readonly bytes: AcceleratorBytes;
-}
-export interface AdapterReady {
-  readonly kind: 'adapterReady';
-  readonly order: OrderId;
-}
-export interface AdapterUnloadDecided {
-  readonly kind: 'adapterUnloadDecided';
-  readonly cell: CellName;
-  readonly claim: ClaimOffset;
-  readonly replica: ReplicaId;
-  readonly adapter: string;
-}
-/** The engine confirmed that the adapter is not loaded (after an unload, or because its load failed). */
-export interface AdapterUnloaded extends EngineReading {
-  readonly kind: 'adapterUnloaded';
-  readonly replica: ReplicaId;
-  readonly adapter: string;
-}
-
-/** Keys of the configuration; see `ConfigurationKey` in the documentation of `configuration.ts`. */
-export interface ConfigurationEdited {
-  readonly kind: 'configurationEdited';
-  readonly partner: common.PartnerName;
-  readonly operator: string;
-  readonly key: string;
-  /** Offset of the edit that set the value this one is based on; null if the key was unset. */
-  readonly basedOn: Offset | null;
-  /** JSON value; null removes the key. */
-  readonly value: unknown;
-  /** Required for keys under `exceptions/`. */
-  readonly reason: string;
-}
-/** Another partner agrees to a pending edit of a shared key. */
-export interface ConfigurationApproved {
-  readonly kind: 'configurationApproved';
-  readonly partner: common.PartnerName;
-  readonly operator: string;
-  readonly edit: Offset;
-}
-
-/** Body of a record of the topic `control`. */
-/** Sets the limits that replay enforces. Any daemon may set the first ones; later only the owner of a cell may. */
-export interface LimitsSet {
-  readonly kind: 'limitsSet';
-  /** `ControlState.limitsSetAt` that the author saw, null if no limits were set. It must still be the latest. */
-  readonly basedOn: Offset | null;
-  readonly limits: ControlLimits;
-}
-
-export type ControlRecordBody =
-  | DaemonJoined
-  | DaemonLeft
-  | IncarnationGone
-  | OwnerClaimed
-  | OwnerRenewed
-  | OwnerReleased
-  | VmObserved
-  | LoadDecided
-  | OrderAdopted
-  | OrderSettled
-  | FenceRaised
-  | ReplicaReady
-  | ReplicaFailed
-  | UnloadDecided
-  | ReplicaUnloaded
-  | AdapterLoadDecided
-  | AdapterReady
-  | AdapterUnloadDecided
-  | AdapterUnloaded
-  | ConfigurationEdited
-  | ConfigurationApproved
-  | LimitsSet;
-
-export type ControlRecord = LogRecord<ControlRecordBody>;
-
 export interface DaemonEntry {
   readonly incarnation: common.Incarnation;
   readonly daemon: string;
@@ -436,11 +249,6 @@
   readonly verdict: Verdict;
 }
 
-export interface ClaimReplayResult {
-  readonly state: ClaimsState;
-  readonly verdict: Verdict;
-}
-
 /** Settings of one model after defaults and exceptions. Times in milliseconds, memory in bytes. */
 export interface ModelSettings extends ModelVersion {
   /** Weights per accelerator; the model needs as many accelerators as entries. */
@@ -477,61 +285,6 @@
   readonly deadlineMs: number;
 }
 
-/** Body of a record of a topic `claims-<n>`. */
-export type ClaimRecordBody =
-  | {
-      readonly kind: 'claimed';
-      readonly key: string;
-      readonly fingerprint: string;
-      /** Names the one attempt of one entry daemon that may send. */
-      readonly attempt: string;
-      readonly sender: common.Incarnation;
-    }
-  | {
-      readonly kind: 'completed';
-      readonly key: string;
-      readonly attempt: string;
-      readonly status: number;
-      /** Stored answer, base64; absent if larger than `maximumStoredAnswerBytes`. */
-      readonly answer?: StoredAnswer;
-    }
-  | { readonly kind: 'released'; readonly key: string; readonly attempt: string }
-  /** The attempt may have run; its outcome will never be known. */
-  | { readonly kind: 'abandoned'; readonly key: string; readonly attempt: string };
-
-export interface StoredAnswer {
-  readonly contentType: string;
-  readonly base64: string;
-}
-
-export interface ClaimEntry {
-  readonly key: string;
-  readonly fingerprint: string;
-  readonly attempt: string;
-  readonly sender: common.Incarnation;
-  readonly state: 'running' | 'completed' | 'abandoned';
-  readonly status?: number;
-  readonly answer?: StoredAnswer;
-  /** Wall clock of the claim, milliseconds; keys are forgotten after the window. */
-  readonly claimedAtMs: number;
-}
-
-export interface ClaimsState {
-  readonly appliedOffset: Offset;
-  readonly lastSequences: ReadonlyMap<common.Incarnation, number>;
-  readonly claims: ReadonlyMap<string, ClaimEntry>;
-  /** How long a key is remembered, milliseconds; the same in every daemon. */
-  readonly windowMs?: number;
-}
-
-/** Answer to an entry daemon that asks for a claim. */
-export type ClaimAnswer =
-  | { readonly kind: 'granted' }
-  | { readonly kind: 'running' }
-  | { readonly kind: 'completed'; readonly status: number; readonly answer?: StoredAnswer }
-  | { readonly kind: 'unknown' }
-  | { readonly kind: 'mismatch' };
-
 /** Load of a target as its engine reported it. */
 export interface LoadDigest {
   readonly target: common.TargetAddress;
