--- a/packages/proofs/src/harness/freePorts.ts
+++ b/packages/proofs/src/harness/freePorts.ts
@@ -2,15 +2,28 @@
 
 /** Ports below the ephemeral range, so that no outgoing connection takes one before its process binds it. */
 const lowestPort = 12_000;
-const highestPort = 30_000;
+const portsPerProcess = 1_000;
+/** Parts of the range for the workers of the test runner; later parts are for other processes. */
+const workerParts = 8;
+const otherParts = 10;
 const maximumAttempts = 200;
 
 const handedOut = new Set<number>();
 
+/**
+ * First port of this process. A port is bound only some time after it was picked, so processes that run at the same time
+ * pick from different parts of the range.
+ */
+function firstPort(): number {
+  const worker = Number(process.env.VITEST_POOL_ID ?? 0);
+  const part = worker > 0 ? (worker - 1) % workerParts : workerParts + (process.pid % otherParts);
+  return lowestPort + part * portsPerProcess;
+}
+
 /** Picks a port of 127.0.0.1 on which nothing listens. Never returns one twice in a process. */
 export async function freePort(): Promise<number> {
   for (let attempt = 0; attempt < maximumAttempts; attempt += 1) {
-    const port = lowestPort + Math.floor(Math.random() * (highestPort - lowestPort));
+    const port = firstPort() + Math.floor(Math.random() * portsPerProcess);
     if (!handedOut.has(port) && (await canListen(port))) {
       handedOut.add(port);
       return port;
