Read the rest of a broken request, so that its refusal arrives

The bytes that followed the first parse error raised a second one, which destroyed the connection before the refusal was read. Change: after a refusal the connection is read without parsing for at most 1 s and 4 MiB, and further errors of the same connection are ignored.

--- a/packages/daemon/src/front/CallerServer.ts
+++ b/packages/daemon/src/front/CallerServer.ts
@@ -13,6 +13,9 @@
 const requestTimeoutMs = 20_000;
 /** Idle time of a connection, milliseconds. Longer than the usual idle time of a balancer's connections. */
 const keepAliveTimeoutMs = 75_000;
+/** Time and bytes for a caller to finish sending after a refusal; closing earlier resets the connection. */
+const drainMs = 1_000;
+const maximumDrainedBytes = 4 * 1024 * 1024;
 /** Open connections of callers. */
 const maximumConnections = 10_000;
 
@@ -86,13 +89,21 @@
   refuseOnSocket(socket, refusal);
 }
 
+/** Connections that were refused; the rest of a broken request must not end them before the refusal is read. */
+const refusedSockets = new WeakSet<Duplex>();
+
 /** Answers without an `http.ServerResponse`, unless an answer has already begun on the connection. */
 function refuseOnSocket(socket: Duplex, refusal: CallerError): void {
+  if (refusedSockets.has(socket)) {
+    return;
+  }
   const pending = (socket as { readonly _httpMessage?: http.ServerResponse })._httpMessage;
   if (!socket.writable || pending?.headersSent) {
     socket.destroy();
     return;
   }
+  refusedSockets.add(socket);
+  discardRest(socket);
   const body = JSON.stringify(errorBody(refusal, newRequestId()));
   const reason = http.STATUS_CODES[refusal.status] ?? '';
   socket.end(
@@ -100,3 +111,22 @@
       `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
   );
 }
+
+/** Reads on without parsing: unread bytes at the close would reset the connection and lose the refusal. */
+function discardRest(socket: Duplex): void {
+  let discarded = 0;
+  const timer = setTimeout(() => {
+    socket.destroy();
+  }, drainMs);
+  socket.once('close', () => {
+    clearTimeout(timer);
+  });
+  socket.on('error', () => undefined);
+  socket.removeAllListeners('data');
+  socket.on('data', (piece: Buffer) => {
+    discarded += piece.length;
+    if (discarded > maximumDrainedBytes) {
+      socket.destroy();
+    }
+  });
+}
