--- a/packages/daemon/src/operators/openOperators.test.ts
+++ b/packages/daemon/src/operators/openOperators.test.ts
@@ -107,6 +107,10 @@
     });
   }
 
+  public get port(): number {
+    return this._part?.port ?? 0;
+  }
+
   public async close(): Promise<void> {
     await this._client[Symbol.asyncDispose]();
     await this._part?.[Symbol.asyncDispose]();
@@ -118,7 +122,7 @@
     body?: unknown,
     key = 'key-mara',
   ): Promise<common.JsonResponse> {
-    const url = `http://127.0.0.1:${this._part?.port ?? 0}${path}`;
+    const url = `http://127.0.0.1:${this.port}${path}`;
     const headers = { authorization: `Bearer ${key}` };
     const request = { method, url, headers, timeoutMs: 5000, ...(body === undefined ? {} : { body }) };
     return common.expectValue(await this._client.request(request), 'the interface answers');
@@ -346,6 +350,7 @@
 
   it('refuses what it does not know (guards against a misspelt filter that shows everything)', async () => {
     expect(await fixture.current.call('GET', '/v1/timeline?modell=x')).toMatchObject({ status: 400 });
+    expect(await fixture.current.call('GET', '/v1/history?limit=0')).toMatchObject({ status: 400 });
     expect(await fixture.current.call('GET', '/v1/nothing')).toMatchObject({ status: 404 });
     expect(await fixture.current.call('POST', '/v1/status', {})).toMatchObject({ status: 405 });
     expect(await fixture.current.call('POST', '/v1/edits', { ...edit, value: 'x'.repeat(70_000) })).toMatchObject({
@@ -354,6 +359,19 @@
   });
 });
 
+it('answers a body nested too deeply and goes on (guards against an operator who stops a daemon)', async () => {
+  // Sent as text, because serialising such a value overflows the stack of the client.
+  const value = '['.repeat(30_000) + ']'.repeat(30_000);
+  const response = await fetch(`http://127.0.0.1:${fixture.current.port}/v1/edits`, {
+    method: 'POST',
+    headers: { authorization: 'Bearer key-mara' },
+    body: `{"key":"${edit.key}","basedOn":7,"reason":"","value":${value}}`,
+  });
+  expect(response.status).toBeGreaterThanOrEqual(400);
+  expect(await fixture.current.call('GET', '/v1/status')).toMatchObject({ status: 200 });
+  expect(fixture.current.appended).toEqual([]);
+});
+
 it('starts a graceful stop of this daemon (guards against a drain that does nothing)', async () => {
   expect(await fixture.current.call('POST', '/v1/drain', { reason: 'new kernel' })).toMatchObject({ status: 202 });
   expect(fixture.current.drains).toBe(1);
--- a/packages/daemon/src/operators/schemas.ts
+++ b/packages/daemon/src/operators/schemas.ts
@@ -51,7 +51,7 @@
 export const historyQuery = z.strictObject({
   key: z.string().max(maximumKeyLength).optional(),
   rule: z.string().max(maximumKeyLength).optional(),
-  limit: queryNumber.optional(),
+  limit: queryNumber.refine((limit) => limit > 0, 'at least 1').optional(),
 });
 
 /** Query of `GET /v1/timeline`. */
