Share the set-up of two loaded engines, and flatten the waiting room's answers

Found when reading the whole change again: two test set-ups repeated the same steps, and the handling of a wake's answer asked twice whether it had succeeded.

--- a/packages/daemon/src/routing/WaitingRoom.ts
+++ b/packages/daemon/src/routing/WaitingRoom.ts
@@ -158,21 +158,25 @@
     this._recordAnswer(queue, asked, answer, nowMs);
     if (answer.ok) {
       queue.ownerlessSinceMs = undefined;
-    }
-    if (!answer.ok) {
-      this._wakeFailed(queue, answer.failure, nowMs);
-    } else if (answer.value.kind === 'expected') {
-      this._expect(queue, asked, nowMs + answer.value.readyInMs, nowMs);
+      this._ownerAnswered(queue, asked, answer.value, nowMs);
     } else {
-      const { type, message, retryAfterMs } = answer.value;
-      queue.refuse((waiter) => isCoveredBy(waiter, asked), notRun(503, type, message, retryAfterMs));
-      if (queue.waiters.length > 0) {
-        this._wake(queue, nowMs);
-      }
+      this._wakeFailed(queue, answer.failure, nowMs);
     }
     this._forgetIfEmpty(queue);
   }
 
+  private _ownerAnswered(queue: WaitingQueue, asked: AskedWake, answer: WakeAnswer, nowMs: number): void {
+    if (answer.kind === 'expected') {
+      this._expect(queue, asked, nowMs + answer.readyInMs, nowMs);
+      return;
+    }
+    const { type, message, retryAfterMs } = answer;
+    queue.refuse((waiter) => isCoveredBy(waiter, asked), notRun(503, type, message, retryAfterMs));
+    if (queue.waiters.length > 0) {
+      this._wake(queue, nowMs);
+    }
+  }
+
   private _expect(queue: WaitingQueue, asked: AskedWake, expectedReadyMs: number, nowMs: number): void {
     queue.expectedReadyMs = expectedReadyMs;
     const error = notRun(
--- a/packages/proofs/src/tests/requests/leaving.ts
+++ b/packages/proofs/src/tests/requests/leaving.ts
@@ -1,9 +1,8 @@
 /** Time until no new work reaches targets whose VMs the VM list calls leaving. */
 import * as harness from '../../harness/index.js';
+import { loadOnBothEngines, model, partner } from './loadedCluster.js';
 import { SteadyLoad } from './SteadyLoad.js';
 
-const partner = 'solano';
-const model = 'walkthrough';
 const service = 'booking';
 /** Lag of the VM list behind the platform, milliseconds. */
 const listLagMs = 1_000;
@@ -42,20 +41,8 @@
     weightStore: { 'bytes-per-second': 1e12 },
     proxies: { log: true, vmList: true, peers: true },
   });
-  const operator = cluster.operator(partner);
-  await operator.set(`${partner}/defaults/maximumReplicas`, 2);
-  await operator.set(`${partner}/defaults/minimumReplicas`, 2);
-  await operator.setModel(model, { weightBytes: [40e9] });
-  await operator.setService(service);
-  await harness.until('both engines serve the model for every daemon', 15_000, async () => {
-    const calls = cluster.daemons.flatMap((daemon) => [daemon, daemon, daemon, daemon]);
-    await Promise.all(calls.map((daemon) => cluster.callers.complete(daemon.callersUrl, { partner, model })));
-    await cluster.observer.copy();
-    const busy = cluster.observer
-      .engineRecords()
-      .filter(({ records }) => records.requests.some(({ tokens }) => tokens));
-    return busy.length === 2;
-  });
+  await cluster.operator(partner).setService(service);
+  await loadOnBothEngines(cluster);
   return cluster;
 }
 
--- a/packages/proofs/src/tests/requests/loadedCluster.ts
+++ b/packages/proofs/src/tests/requests/loadedCluster.ts
@@ -14,6 +14,12 @@
     engine: { 'token-ms': 5, slots: 64 },
     weightStore: { 'bytes-per-second': 1e12 },
   });
+  await loadOnBothEngines(cluster);
+  return cluster;
+}
+
+/** Configures the model with two replicas, and waits until every daemon has had answers and both engines give them. */
+export async function loadOnBothEngines(cluster: harness.Cluster): Promise<void> {
   const operator = cluster.operator(partner);
   await operator.set(`${partner}/defaults/maximumReplicas`, 2);
   await operator.set(`${partner}/defaults/minimumReplicas`, 2);
@@ -27,7 +33,6 @@
       .filter(({ records }) => records.requests.some(({ tokens }) => tokens));
     return busy.length === 2;
   });
-  return cluster;
 }
 
 /** Sends requests to all daemons at once, every second one as a stream. */
