Load adapters before models, and resynchronise a book that is ahead of its replica

Cause: an order that already held was counted as accepted, so the next order of that replica was refused for its sequence, and the report was then taken for older than the book for good. Adapters waited for it.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -145,7 +145,10 @@
     this._log.info('Stops.', { requests: this._callers.activeCount });
     void this._lease.release();
     const passedMs = (): number => this._clock.now().steadyMs - startedMs;
-    while (passedMs() < balancerNoticeMs || (this._callers.activeCount > 0 && passedMs() < this._settings.stopLimitMs)) {
+    while (
+      passedMs() < balancerNoticeMs ||
+      (this._callers.activeCount > 0 && passedMs() < this._settings.stopLimitMs)
+    ) {
       await new Promise((resolve) => setTimeout(resolve, stopCheckMs));
     }
     return { unfinished: this._callers.activeCount };
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -506,7 +506,9 @@
 
   private _promptParts(): readonly string[] {
     const caller = this._caller;
-    return caller?.target === undefined ? [] : caller.promptParts.map((part) => `${caller.target?.model ?? ''}:${part}`);
+    return caller?.target === undefined
+      ? []
+      : caller.promptParts.map((part) => `${caller.target?.model ?? ''}:${part}`);
   }
 
   private _nowMs(): number {
--- a/packages/gateway/src/forwarding/ReplicaAgent.ts
+++ b/packages/gateway/src/forwarding/ReplicaAgent.ts
@@ -46,8 +46,7 @@
     const idle = socket as IdleSocket;
     idle[spoil]?.();
     idle.setTimeout(0);
-    idle.ref();
-    request.reusedSocket = true;
+    super.reuseSocket(socket, request);
   }
 }
 
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -40,14 +40,7 @@
   readonly configurationVersion: number | undefined;
   readonly target: ModelReference | undefined;
   readonly outcome:
-    | 'delivered'
-    | 'replicaFailure'
-    | 'refused'
-    | 'timedOut'
-    | 'broken'
-    | 'callerLeft'
-    | 'invalidRequest'
-    | 'noRoute';
+    'delivered' | 'replicaFailure' | 'refused' | 'timedOut' | 'broken' | 'callerLeft' | 'invalidRequest' | 'noRoute';
   readonly status: number | undefined;
   /** Replicas that the request was sent to, in order. */
   readonly replicas: readonly string[];
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -20,6 +20,14 @@
 const pollMs = 200;
 /** An unload of an idle model is done after this time, milliseconds. */
 const idleUnloadMs = 15;
+/** A report may be this old; one that still differs after this time is right, milliseconds. */
+const reportLagMs = 600;
+/** Pause between two tries of an order that follows an unload, milliseconds. */
+const unloadPollMs = 60;
+/** An unload waits for running requests; after this time the replica's state is read instead, milliseconds. */
+const unloadPatienceMs = 3_000;
+/** Time without a new replica after which a new leader takes the list for complete, milliseconds. */
+const settleMs = 1_000;
 /** Pause after an order without answer before it is sent again, milliseconds. */
 const resendMs = 250;
 /** Pause after a refused order, milliseconds. */
@@ -37,6 +45,7 @@
   public readonly onHoldings = this._onHoldings.event;
   private _token: number | undefined;
   private _planQueued = false;
+  private _lastNewReplicaMs = 0;
 
   public constructor(
     private readonly _self: string,
@@ -132,16 +141,19 @@
       return;
     }
     const opened = new ReplicaBook(replica);
+    this._lastNewReplicaMs = this._clock.now().steadyMs;
     this._books.set(replica.id, opened);
     void this._sync(opened);
   }
 
   /** Reads the replica's state until a report is new enough. */
   private async _sync(book: ReplicaBook): Promise<void> {
+    const startedMs = this._clock.now().steadyMs;
     while (this._isCurrent(book)) {
       const outcome = await this._engines.readReport(book.replica);
       const { steadyMs } = this._clock.now();
-      if (outcome.ok && book.sync(outcome.value, steadyMs)) {
+      const isSettled = steadyMs - startedMs >= reportLagMs;
+      if (outcome.ok && book.sync(outcome.value, steadyMs, isSettled)) {
         book.quietUntilMs = outcome.value.orderInProgress ? steadyMs + pollMs : 0;
         this._tellHoldings(book);
         if (!outcome.value.orderInProgress) {
@@ -160,9 +172,10 @@
       return;
     }
     for (const input of this._inputs(now.steadyMs)) {
-      const modelOrders = planModels(input, now.steadyMs);
-      const taken = new Set(modelOrders.map((order) => order.replicaId));
-      for (const order of [...modelOrders, ...planAdapters(input, now.steadyMs, taken)]) {
+      // Adapters go first: they take some milliseconds, and no adapter can be loaded during the load of a model.
+      const adapterOrders = planAdapters(input, now.steadyMs);
+      const taken = new Set(adapterOrders.map((order) => order.replicaId));
+      for (const order of [...adapterOrders, ...planModels(input, now.steadyMs, taken)]) {
         const book = this._books.get(order.replicaId);
         if (book !== undefined) {
           void this._carryOut(book, order, input);
@@ -183,6 +196,10 @@
       models: engine.models,
       replicas: this._placed(service, engine, running, nowMs),
       demands: demands.filter((demand) => engine.models.has(demand.target.model)),
+      // Models that seem missing may be on replicas that have not been heard of yet.
+      mayCover:
+        nowMs - this._lastNewReplicaMs >= settleMs &&
+        [...this._books.values()].every((one) => one.sequence !== undefined),
       maximumStoreLoads: Math.min(this._pace.maximumLoads, Math.max(1, Math.floor(engine.storeLoadsPerSecond))),
     }));
   }
@@ -216,11 +233,11 @@
     const expectedMs = expectedDuration(order, input, book);
     const storeLoads = input.replicas.filter((one) => one.order?.tier === 'store').length + 1;
     book.order = { kind: order.kind, model: order.model, tier: order.tier, expectedDoneMs: startedMs + expectedMs };
-    book.clearingFor = order.clearingFor;
+    book.clearingFor = order.adapter === undefined ? order.clearingFor : book.clearingFor;
     if (order.kind === 'unload') {
       this._tellHoldings(book);
     }
-    const answer = await this._send(book, order);
+    const answer = await this._sendUntilTaken(book, order);
     this._logOrder(book, order, answer);
     if (answer === 'accepted' || answer === 'alreadyHolds') {
       await this._awaitEnd(book, order, expectedMs);
@@ -236,6 +253,18 @@
     this._planSoon();
   }
 
+  /** Sends an order; repeats it shortly while the unload before it goes on. */
+  private async _sendUntilTaken(book: ReplicaBook, order: PlannedOrder): Promise<OrderAnswer | 'notSent'> {
+    const untilMs = this._clock.now().steadyMs + (order.afterUnload ? unloadPatienceMs : 0);
+    for (;;) {
+      const answer = await this._send(book, order);
+      if (answer !== 'conflict' || this._clock.now().steadyMs >= untilMs) {
+        return answer;
+      }
+      await pause(unloadPollMs);
+    }
+  }
+
   /**
    * Sends an order until it has an answer. A lost order may be carried out seconds later; the same order with the same
    * expected sequence either replaces it or is refused, so that the two never both take effect.
@@ -256,7 +285,9 @@
         fencingToken,
       });
       if (outcome.ok) {
-        book.sequence += outcome.value === 'accepted' || adapter !== undefined ? 1 : 0;
+        // The unload of an idle adapter is answered as done, and counts as an order all the same.
+        const unloaded = outcome.value === 'alreadyHolds' && adapter !== undefined && kind === 'unload';
+        book.sequence += outcome.value === 'accepted' || unloaded ? 1 : 0;
         return outcome.value;
       }
       this._log.warn('An order has no answer.', { replica: book.replica.id, model, reason: outcome.failure.message });
--- a/packages/gateway/src/placement/ReplicaBook.ts
+++ b/packages/gateway/src/placement/ReplicaBook.ts
@@ -27,9 +27,10 @@
 
   public constructor(public replica: Replica) {}
 
-  /** Takes over a report unless it is older than the last accepted order. */
-  public sync(report: EngineReport, nowMs: number): boolean {
-    if (report.bornMs !== this.replica.bornMs || report.orderSequence < (this.sequence ?? 0)) {
+  /** Takes over a report unless it is older than the last accepted order; a settled one is right in any case. */
+  public sync(report: EngineReport, nowMs: number, isSettled: boolean): boolean {
+    const isOlder = report.orderSequence < (this.sequence ?? 0) && !isSettled;
+    if (report.bornMs !== this.replica.bornMs || isOlder) {
       return false;
     }
     const before = new Map(this._models);
--- a/packages/gateway/src/placement/Types.ts
+++ b/packages/gateway/src/placement/Types.ts
@@ -60,6 +60,8 @@
   readonly models: ReadonlyMap<string, ModelSpecification>;
   readonly replicas: readonly PlacedReplica[];
   readonly demands: readonly Demand[];
+  /** False while the list of replicas may be incomplete, so that no model can be said to be missing. */
+  readonly mayCover: boolean;
   /** Loads from the weight store that may run at once. */
   readonly maximumStoreLoads: number;
 }
@@ -72,6 +74,8 @@
   readonly adapter?: string;
   /** Model for which the replica is cleared by this unload. */
   readonly clearingFor?: string;
+  /** The replica may still be busy with the unload that made room for this load. */
+  readonly afterUnload?: boolean;
   readonly tier: WeightTier;
   readonly reason: 'waiting' | 'clearing' | 'coverage' | 'secondCopy' | 'adapter';
 }
--- a/packages/gateway/src/placement/planAdapters.ts
+++ b/packages/gateway/src/placement/planAdapters.ts
@@ -8,16 +8,13 @@
  * Decides which adapters to load and unload now: each adapter that requests wait for goes to the least busy replica
  * that holds its model; a full replica gives up the adapter that was not used for longest.
  */
-export function planAdapters(
-  input: PlacementInput,
-  nowMs: number,
-  taken: ReadonlySet<string>,
-): readonly PlannedOrder[] {
+export function planAdapters(input: PlacementInput, nowMs: number): readonly PlannedOrder[] {
   const orders: PlannedOrder[] = [];
-  const busy = new Set(taken);
+  const busy = new Set<string>();
   for (const demand of input.demands) {
     const { model, adapter } = demand.target;
-    if (adapter === undefined || demand.waiting === 0) {
+    // Reports of waiting requests lag a little behind an adapter that has just become ready.
+    if (adapter === undefined || demand.waiting === 0 || isPlaced(input, model, adapter)) {
       continue;
     }
     const replica = leastBusy(input.replicas.filter((one) => canTake(one, model, busy)));
@@ -33,8 +30,14 @@
   return orders;
 }
 
+function isPlaced(input: PlacementInput, model: string, adapter: string): boolean {
+  const holds = (held: PlacedModel): boolean =>
+    held.name === model && held.adapters.some((placed) => placed.name === adapter);
+  return input.replicas.some((replica) => replica.takesOrders && replica.models.some(holds));
+}
+
 function canTake(replica: PlacedReplica, model: string, busy: ReadonlySet<string>): boolean {
-  const isIdle = replica.takesOrders && replica.order === undefined && replica.clearingFor === undefined;
+  const isIdle = replica.takesOrders && replica.order === undefined;
   return isIdle && !busy.has(replica.id) && replica.models.some((held) => held.name === model);
 }
 
--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -19,6 +19,9 @@
 /** Time until an order in progress ends counts in full when another replica could start at once. */
 const clearingStepMs = 150;
 
+/** Cost of keeping a replica busy whose adapters are asked for once a second, milliseconds: their loads have to wait. */
+const adapterDelayCostMs = 200;
+
 interface Option {
   readonly replica: PlacedReplica;
   readonly tier: WeightTier;
@@ -31,20 +34,28 @@
  * are called often: a model that requests wait for is loaded where that is fastest and takes least away; the weight
  * store's few loads go to models that no replica has a copy of.
  */
-export function planModels(input: PlacementInput, nowMs: number): readonly PlannedOrder[] {
-  return new ModelPlan(input, nowMs).orders();
+export function planModels(
+  input: PlacementInput,
+  nowMs: number,
+  taken: ReadonlySet<string> = new Set(),
+): readonly PlannedOrder[] {
+  return new ModelPlan(input, nowMs, taken).orders();
 }
 
 class ModelPlan {
   private readonly _demand: ReadonlyMap<string, ModelDemand>;
   private readonly _orders: PlannedOrder[] = [];
-  private readonly _taken = new Set<string>();
+  private readonly _taken: Set<string>;
+  private readonly _adapterRates: ReadonlyMap<string, number>;
   private _storeLoads: number;
 
   public constructor(
     private readonly _input: PlacementInput,
     private readonly _nowMs: number,
+    taken: ReadonlySet<string>,
   ) {
+    this._taken = new Set(taken);
+    this._adapterRates = adapterRates(_input);
     this._demand = demandByModel(_input.demands);
     this._storeLoads = _input.replicas.filter(isLoadingFromStore).length;
   }
@@ -96,6 +107,9 @@
 
   /** Uses free loads of the weight store for models that no replica has in any tier. */
   private _coverMissing(): void {
+    if (!this._input.mayCover) {
+      return;
+    }
     const missing = [...this._input.models.keys()].filter((model) => !this._isAnywhere(model));
     missing.sort((first, second) => this._rate(second) - this._rate(first));
     for (const model of missing) {
@@ -139,7 +153,8 @@
     }
     const victim = victims[0];
     if (victim === undefined) {
-      this._orders.push({ replicaId: replica.id, kind: 'load', model: specification.name, tier, reason });
+      const afterUnload = replica.clearingFor !== undefined;
+      this._orders.push({ replicaId: replica.id, kind: 'load', model: specification.name, afterUnload, tier, reason });
       return;
     }
     const clearingFor = specification.name;
@@ -163,7 +178,9 @@
     }
     const tier = loadTier(replica, specification.name);
     const victimsCostMs = victims.reduce((sum, victim) => sum + this._costOf(victim) + clearingStepMs, 0);
-    return { replica, tier, victims, costMs: specification.loadMs[tier] + victimsCostMs };
+    const adapterRate = replica.models.reduce((sum, held) => sum + (this._adapterRates.get(held.name) ?? 0), 0);
+    const costMs = specification.loadMs[tier] + victimsCostMs + adapterRate * adapterDelayCostMs;
+    return { replica, tier, victims, costMs };
   }
 
   private _mayLeave(held: PlacedModel, replica: PlacedReplica): boolean {
@@ -218,6 +235,17 @@
   }
 }
 
+/** Requests a second for the adapters of each model. */
+function adapterRates(input: PlacementInput): ReadonlyMap<string, number> {
+  const rates = new Map<string, number>();
+  for (const { target, ratePerSecond } of input.demands) {
+    if (target.adapter !== undefined) {
+      rates.set(target.model, (rates.get(target.model) ?? 0) + ratePerSecond);
+    }
+  }
+  return rates;
+}
+
 function isLoadingFromStore(replica: PlacedReplica): boolean {
   return replica.order?.kind === 'load' && replica.order.tier === 'store';
 }
