Keep models in use until requests for another are about to be late

Cause: a quarter of the unloads waited 1.5 to 8.6 s for running requests, and the replica took no other order and the model no request meanwhile. Ruled out: slow loads (half of the swaps took 0.2 s). Interactive requests also waited past their caller's patience.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -248,7 +248,7 @@
     if (this._lease.isHolder || this._hub.peerCount > 0) {
       this._tellStatus();
     }
-    const hasNews = this._waitingRoom.size > 0 || this._arrivals.hasNews;
+    const hasNews = this._waitingRoom.size > 0 || this._arrivals.hasNews || this._loads.hasNews;
     if (hasNews || this._ticks % idleReportTicks === 0) {
       this._report();
     }
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -8,7 +8,7 @@
 import { readBody } from './readBody.js';
 import { EventBoundary } from './EventBoundary.js';
 import { type AttemptFailure, ReplicaAttempt } from './ReplicaAttempt.js';
-import { maySendAgain, silenceLimitMs, urgencyOf } from './sendAgain.js';
+import { callerPatienceMs, maySendAgain, silenceLimitMs, urgencyOf } from './sendAgain.js';
 import type { ExchangeContext, ExchangeResult } from './Types.js';
 
 /** Time before a request's deadline at which the final answer is sent, milliseconds. */
@@ -153,7 +153,7 @@
     const readyInMs = this._context.readyInMs(caller.target.model);
     const decision = decideWait({
       waitedMs: nowMs - this._waitingSinceMs,
-      timeLeftMs: this._dueMs - nowMs,
+      timeLeftMs: Math.min(this._dueMs, this._startedMs + callerPatienceMs(route)) - nowMs,
       latencyTargetMs: route.latencyTargetMs,
       ...(readyInMs !== undefined && { readyInMs }),
     });
--- a/packages/gateway/src/forwarding/sendAgain.ts
+++ b/packages/gateway/src/forwarding/sendAgain.ts
@@ -26,6 +26,17 @@
   return headSent ? gapMs : Math.max(gapMs, route.latencyTargetMs);
 }
 
+/** Callers give a stream up after the longest of these without an event. */
+const callerPatience = { minimumMs: 2_000, latencyTargets: 4, eventGaps: 8 } as const;
+
+/** Longest time that a caller waits for the first event of a stream, or for an answer of another kind, milliseconds. */
+export function callerPatienceMs(route: Route): number {
+  const { minimumMs, latencyTargets, eventGaps } = callerPatience;
+  return route.kind === 'stream'
+    ? Math.max(minimumMs, route.latencyTargetMs * latencyTargets, route.eventGapMs * eventGaps)
+    : route.timeoutMs;
+}
+
 /** Urgency that engines are told: interactive routes first, then by rank. */
 export function urgencyOf(route: Route): number {
   const urgency = route.priority * 2 + (route.latencyTargetMs <= interactiveTargetMs ? 0 : 1);
--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -4,6 +4,8 @@
 
 /** A model stays at least this long after its load, so that the requests that waited for it reach it. */
 const minimumResidenceMs = 600;
+/** Requests with less time than this until they are late may end the residence of a model in use, milliseconds. */
+const urgentSlackMs = 500;
 /** Longer latency targets than this leave time for a load from disk. */
 const patientTargetMs = 1_000;
 /** How much more a model counts whose requests are late if it has to be loaded first. */
@@ -166,7 +168,7 @@
   private _option(replica: PlacedReplica, specification: ModelSpecification): Option | undefined {
     const victims: PlacedModel[] = [];
     let free = freeMegabytes(replica, this._input.models);
-    const candidates = replica.models.filter((held) => this._mayLeave(held, replica));
+    const candidates = replica.models.filter((held) => this._mayLeave(held, replica, specification.name));
     candidates.sort((first, second) => this._costOf(first) - this._costOf(second));
     while (free < specification.weightMegabytes) {
       const victim = candidates.shift();
@@ -183,10 +185,18 @@
     return { replica, tier, victims, costMs };
   }
 
-  private _mayLeave(held: PlacedModel, replica: PlacedReplica): boolean {
-    const demand = this._demand.get(held.name);
-    const waitedFor = (demand?.waiting ?? 0) > 0 && !this._hasOtherCopy(held.name, replica);
-    return !waitedFor && this._nowMs - held.readySinceMs >= minimumResidenceMs;
+  /**
+   * An unload waits for the model's requests and keeps the replica from other orders meanwhile, so a model in use
+   * leaves only for requests that are about to be late; until then another model may become idle.
+   */
+  private _mayLeave(held: PlacedModel, replica: PlacedReplica, wanted: string): boolean {
+    const waitedFor = this._isWaitedFor(held.name) && !this._hasOtherCopy(held.name, replica);
+    const isIdle = held.running === 0 || (this._demand.get(wanted)?.slackMs ?? Infinity) < urgentSlackMs;
+    return isIdle && !waitedFor && this._nowMs - held.readySinceMs >= minimumResidenceMs;
+  }
+
+  private _isWaitedFor(model: string): boolean {
+    return (this._demand.get(model)?.waiting ?? 0) > 0;
   }
 
   private _costOf(held: PlacedModel): number {
--- a/packages/gateway/src/replicas/ReplicaDirectory.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.ts
@@ -85,8 +85,9 @@
     this._entries.set(record.key, { replica });
     const isNews = before === undefined || before.state !== replica.state || before.bornMs !== replica.bornMs;
     if (isNews) {
-      const { id, service, state, bornMs } = replica;
-      this._log.info('Replica changed.', { replica: id, service, state, bornMs, offset: record.offset });
+      const { id, service, state, bornMs, models, inMemory, onDisk } = replica;
+      const counts = { models: models.length, inMemory: inMemory.length, onDisk: onDisk.length };
+      this._log.info('Replica changed.', { replica: id, service, state, bornMs, ...counts, offset: record.offset });
     }
     this._onChanged.fire(record.key);
   }
--- a/packages/gateway/src/routing/ReplicaLoads.ts
+++ b/packages/gateway/src/routing/ReplicaLoads.ts
@@ -30,6 +30,12 @@
 /** What this daemon knows of the load and health of replicas, from its own sends and what others tell. */
 export class ReplicaLoads {
   private readonly _loads = new Map<string, Load>();
+  private _hasNews = false;
+
+  /** True if requests have started or ended since the last report. */
+  public get hasNews(): boolean {
+    return this._hasNews;
+  }
 
   public started(replicaId: string, target: ModelReference | undefined, parts: readonly string[]): void {
     const load = this._load(replicaId);
@@ -38,6 +44,7 @@
     entry.count += 1;
     load.own.set(key, entry);
     load.ownTotal += 1;
+    this._hasNews = true;
     this._rememberParts(load, parts);
   }
 
@@ -46,6 +53,7 @@
     const key = target === undefined ? '' : targetKey(target);
     const entry = load.own.get(key);
     load.ownTotal -= 1;
+    this._hasNews = true;
     if (entry !== undefined) {
       entry.count -= 1;
       if (entry.count === 0) {
@@ -89,6 +97,7 @@
 
   /** What runs, for the leader. */
   public report(): readonly RunningReport[] {
+    this._hasNews = false;
     return [...this._loads].flatMap(([replicaId, load]) =>
       [...load.own.values()].map(({ target, count }) => ({ replicaId, count, ...(target && { target }) })),
     );
--- a/packages/gateway/src/waiting/decideWait.ts
+++ b/packages/gateway/src/waiting/decideWait.ts
@@ -1,7 +1,7 @@
 /** What is known of a request that no replica can serve at this moment. */
 export interface WaitingSituation {
   readonly waitedMs: number;
-  /** Time until the request's final answer is due, milliseconds. */
+  /** Time until the caller gives up waiting for the first byte, milliseconds. */
   readonly timeLeftMs: number;
   readonly latencyTargetMs: number;
   /** Expected time until the model is ready; absent while no leader tells. */
@@ -12,8 +12,8 @@
 export type WaitDecision =
   { readonly kind: 'wait' } | { readonly kind: 'refuse'; readonly retryAfterMs: number; readonly reason: string };
 
-/** Time that a request needs at a replica after its model is ready, milliseconds. */
-const serviceReserveMs = 1_500;
+/** Time from a ready model until the first event reaches the caller, milliseconds. */
+const serviceReserveMs = 300;
 /** Waits without word from the leader end after this share of the time that a request has. */
 const blindWaitShare = 0.2;
 /** A new leader gives its first orders after about this time, milliseconds. */
