--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -7,6 +7,7 @@
 import { RequestLog } from './forwarding/RequestLog.js';
 import type { ExchangeContext } from './forwarding/Types.js';
 import type { LeaseTimes } from './leadership/Lease.js';
+import { PeerAssistedLeaseStore } from './leadership/LeaseStore.js';
 import { LeaseKeeper } from './leadership/LeaseKeeper.js';
 import type { PeerMessage } from './peers/PeerChannel.js';
 import { PeerHub } from './peers/PeerHub.js';
@@ -62,6 +63,7 @@
   private readonly _configurationTable: TableFollower;
   private readonly _replicaTable: TableFollower;
   private readonly _lease: LeaseKeeper;
+  private readonly _leaseStore: PeerAssistedLeaseStore;
   private readonly _hub: PeerHub;
   private readonly _link: PeerLink;
   private readonly _leader: PlacementLeader;
@@ -77,6 +79,7 @@
   private _ticks = 0;
   private _reportQueued = false;
   private _stopping = false;
+  private _stopStartedMs = 0;
 
   public constructor(
     private readonly _settings: GatewaySettings,
@@ -94,7 +97,8 @@
     this._replicaTable = this._followTable('replicas');
     const self = { holder: _settings.name, peerAddress: `${_settings.peers.host}:${_settings.peers.port}` };
     const heard = (): boolean => this._leaderIsHeard();
-    this._lease = new LeaseKeeper(store, self, _settings.lease, _clock, heard, _log.part('lease'));
+    this._leaseStore = new PeerAssistedLeaseStore(store, (call) => this._hub.sendToOne('leaseCall', call), _clock);
+    this._lease = new LeaseKeeper(this._leaseStore, self, _settings.lease, _clock, heard, _log.part('lease'));
     this._leader = new PlacementLeader(
       _settings.name,
       () => this._routes?.configuration,
@@ -141,6 +145,7 @@
   /** Stops without cutting requests: waits until the balancer has noticed and the requests have ended. */
   public async stop(): Promise<{ readonly unfinished: number }> {
     const startedMs = this._clock.now().steadyMs;
+    this._stopStartedMs = startedMs;
     this._stopping = true;
     this._log.info('Stops.', { requests: this._callers.activeCount });
     void this._lease.release();
@@ -161,7 +166,7 @@
   }
 
   private _followTable(table: 'configuration' | 'replicas'): TableFollower {
-    const heard = (): boolean => this._link.isHeard(this._nowMs());
+    const heard = (): boolean => this._link.isHeard(this._nowMs()) && this._status?.tellsChanges === true;
     const follower = new TableFollower(this._platform.store, table, this._clock, heard, this._log.part('store'));
     follower.onNews((news) => {
       this._applyNews(news);
@@ -181,8 +186,8 @@
       this._hub.broadcast('holdings', holdings);
       this._directory.applyHoldings(holdings);
     });
-    this._hub.onReport((report) => {
-      this._leader.applyReport(report);
+    this._hub.onMessage((message) => {
+      this._receiveAsHub(message);
     });
     this._hub.onJoined((channel) => {
       channel.send('table', wholeTable('configuration', this._configurationTable));
@@ -203,6 +208,20 @@
       this._directory.applyHoldings(message.params);
     } else if (message.method === 'status') {
       this._applyStatus(message.params);
+    } else if (message.method === 'leaseCall') {
+      void this._leaseStore.serve(message.params).then((reply) => {
+        this._link.send('leaseReply', reply);
+      });
+    }
+  }
+
+  private _receiveAsHub(message: PeerMessage): void {
+    if (message.method === 'report') {
+      this._leader.applyReport(message.params);
+    } else if (message.method === 'table') {
+      this._acceptTable(message.params);
+    } else if (message.method === 'leaseReply') {
+      this._leaseStore.accept(message.params);
     }
   }
 
@@ -222,7 +241,15 @@
       this._directory.apply(records, nowMs, isUnsteady ? lapsedRecordGraceMs : 0);
     }
     if (source === 'store') {
-      this._hub.broadcast('table', { table, records, end: 0, whole: false });
+      this._passOn({ table, records, end: 0, whole: false });
+    }
+  }
+
+  /** Passes news of the store on to the daemons that follow this one, and to a leader that does not reach the store. */
+  private _passOn(message: TableMessage): void {
+    this._hub.broadcast('table', message);
+    if (this._status?.tellsChanges === false) {
+      this._link.send('table', message);
     }
   }
 
@@ -256,7 +283,8 @@
   }
 
   private _tellStatus(): void {
-    const status = this._leader.status(this._hub.peerCount + 1);
+    const reachesStore = !this._replicaTable.failedWithin(unsteadyStoreMs, this._nowMs());
+    const status = this._leader.status(this._hub.peerCount + 1, reachesStore);
     this._hub.broadcast('status', status);
     if (status.leads) {
       this._applyStatus(status);
@@ -295,7 +323,7 @@
     if (this._lease.isHolder) {
       this._leader.applyReport(report);
     } else {
-      this._link.report(report);
+      this._link.send('report', report);
     }
   }
 
@@ -320,6 +348,7 @@
         this._reportSoon();
       },
       isStopping: () => this._stopping,
+      refusesLongRequests: () => this._stopping && this._nowMs() - this._stopStartedMs >= balancerNoticeMs,
     };
   }
 
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -19,6 +19,8 @@
 const refusedRetryAfterMs = 500;
 /** Time to come back while no configuration is known, milliseconds. */
 const unconfiguredRetryAfterMs = 1_000;
+/** Time to come back to another daemon while this one stops, milliseconds. */
+const stoppingRetryAfterMs = 50;
 /** Pause between two looks at whether a request should go on waiting, milliseconds. */
 const waitCheckMs = 100;
 
@@ -82,13 +84,12 @@
   }
 
   private _findRoute(): boolean {
-    const { codec, routes } = this._context;
-    this._caller = codec.readRequest(this._request);
+    this._caller = this._context.codec.readRequest(this._request);
     if (this._caller === undefined) {
       this._answer(400, 'invalidRequest', 'a required header is missing or malformed');
       return false;
     }
-    const table = routes();
+    const table = this._context.routes();
     if (table === undefined) {
       this._refuse('no configuration is known yet', unconfiguredRetryAfterMs);
       return false;
@@ -99,6 +100,10 @@
       this._answer(404, 'noRoute', 'no route matches');
       return false;
     }
+    if (this._context.refusesLongRequests() && this._route.kind === 'stream') {
+      this._refuse('this daemon stops', stoppingRetryAfterMs);
+      return false;
+    }
     this._service = pickService(this._route, Math.random());
     this._startDeadline(this._caller, this._route);
     this._context.budgets.recordRequest(this._service, this._startedMs);
@@ -234,6 +239,9 @@
         onFailure: (failure) => {
           this._attemptFailed(replica, failure);
         },
+        onBroken: (message) => {
+          this._relayBroken(message);
+        },
       },
     );
     this._watchSilence();
--- a/packages/gateway/src/forwarding/ReplicaAgent.ts
+++ b/packages/gateway/src/forwarding/ReplicaAgent.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import type * as stream from 'node:stream';
 
 /** Idle connections are closed after this time, well before replicas do, milliseconds. */
@@ -9,9 +9,7 @@
 
 const spoil = Symbol('spoil');
 
-interface IdleSocket extends net.Socket {
-  [spoil]?: () => void;
-}
+type IdleSocket = net.Socket & { [spoil]?: () => void };
 
 /**
  * Keeps connections to replicas open between requests. Any byte that arrives on an idle connection belongs to no
@@ -24,32 +22,39 @@
 
   /** Called by Node.js when a request has left a connection; false closes it. */
   public override keepSocketAlive(socket: stream.Duplex): boolean {
-    const idle = socket as IdleSocket;
-    const hint = keepAliveHintMs(idle);
+    if (!isSocket(socket)) {
+      return false;
+    }
+    const hint = keepAliveHintMs(socket);
     const idleMs = Math.min(maximumIdleMs, hint === undefined ? maximumIdleMs : hint - keepAliveMarginMs);
-    if (idleMs <= 0 || idle.destroyed || idle.readableLength > 0) {
+    if (idleMs <= 0 || socket.destroyed || socket.readableLength > 0) {
       return false;
     }
-    idle.setKeepAlive(true);
-    idle.unref();
-    idle.setTimeout(idleMs);
+    socket.setKeepAlive(true);
+    socket.unref();
+    socket.setTimeout(idleMs);
     const onData = (): void => {
-      idle.destroy();
+      socket.destroy();
     };
-    idle.on('data', onData);
-    idle[spoil] = () => idle.off('data', onData);
+    socket.on('data', onData);
+    socket[spoil] = () => socket.off('data', onData);
     return true;
   }
 
   /** Called by Node.js before a request takes a kept connection. */
   public override reuseSocket(socket: stream.Duplex, request: http.ClientRequest): void {
-    const idle = socket as IdleSocket;
-    idle[spoil]?.();
-    idle.setTimeout(0);
+    if (isSocket(socket)) {
+      socket[spoil]?.();
+      socket.setTimeout(0);
+    }
     super.reuseSocket(socket, request);
   }
 }
 
+function isSocket(socket: stream.Duplex): socket is IdleSocket {
+  return socket instanceof net.Socket;
+}
+
 function keepAliveHintMs(socket: net.Socket): number | undefined {
   const message = (socket as { _httpMessage?: { res?: http.IncomingMessage } })._httpMessage;
   const match = /timeout=(\d+)/.exec(String(message?.res?.headers['keep-alive'] ?? ''));
--- a/packages/gateway/src/forwarding/ReplicaAttempt.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.ts
@@ -28,6 +28,8 @@
 export interface AttemptListener {
   onHead(answer: ReplicaAnswer, response: http.IncomingMessage): void;
   onFailure(failure: AttemptFailure): void;
+  /** The connection failed after the head; the body is not complete, whatever its framing says. */
+  onBroken(message: string): void;
 }
 
 /** Sends a request to one replica and checks that the answer belongs to it. */
@@ -35,6 +37,7 @@
   private readonly _outgoing: http.ClientRequest;
   private _connected = false;
   private _ended = false;
+  private _headReceived = false;
   private _connectTimer: NodeJS.Timeout | undefined;
 
   public constructor(
@@ -50,7 +53,11 @@
       this._receiveHead(response);
     });
     this._outgoing.on('error', (error) => {
-      this._fail(this._connected ? 'broken' : 'notConnected', error.message);
+      if (this._headReceived) {
+        this._listener.onBroken(error.message);
+      } else {
+        this._fail(this._connected ? 'broken' : 'notConnected', error.message);
+      }
     });
   }
 
@@ -61,6 +68,7 @@
   /** Closes the connection, which makes the replica drop the request. */
   public cancel(): void {
     this._ended = true;
+    this._headReceived = false;
     clearTimeout(this._connectTimer);
     this._outgoing.destroy();
   }
@@ -97,6 +105,7 @@
       this._outgoing.destroy();
     } else if (!this._ended) {
       this._ended = true;
+      this._headReceived = true;
       this._listener.onHead(answer, response);
     }
   }
--- a/packages/gateway/src/leadership/LeaseKeeper.ts
+++ b/packages/gateway/src/leadership/LeaseKeeper.ts
@@ -1,6 +1,5 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from '../Clock.js';
-import type { MetadataStore } from '../contracts/MetadataStore.js';
 import type { Instant } from '../Types.js';
 import {
   decodeLease,
@@ -12,6 +11,7 @@
   type SeenLease,
   takeoverDelayMs,
 } from './Lease.js';
+import type { LeaseStore } from './LeaseStore.js';
 
 /** Largest random delay before a takeover, milliseconds: daemons that notice together should not all write. */
 const takeoverJitterMs = 250;
@@ -42,7 +42,7 @@
   private _stopped = false;
 
   public constructor(
-    private readonly _store: MetadataStore,
+    private readonly _store: LeaseStore,
     private readonly _self: LeaderLocation,
     private readonly _times: LeaseTimes,
     private readonly _clock: Clock,
--- /dev/null
+++ b/packages/gateway/src/leadership/LeaseStore.ts
@@ -0,0 +1,103 @@
+import * as common from '@jayhaven/common';
+import type { Clock } from '../Clock.js';
+import type { LeaseSnapshot, MetadataStore, StoreFailure } from '../contracts/MetadataStore.js';
+import type { LeaseCall, LeaseReply } from '../peers/Types.js';
+
+/** Longest wait for a peer that makes a call to the store, milliseconds. */
+const peerCallTimeoutMs = 500;
+/** After a failed call, peers are asked first for this long, milliseconds. */
+const peersFirstMs = 5_000;
+
+/** Where the lease is read and written. */
+export interface LeaseStore {
+  readLease(): Promise<common.Outcome<LeaseSnapshot, StoreFailure>>;
+  writeLease(expectedEnd: number, value: string): Promise<common.Outcome<number, StoreFailure>>;
+}
+
+/**
+ * Reads and writes the lease in the store, or by way of a peer while this daemon alone does not reach the store. Every
+ * write names the expected end, so a lost call and its repetition by a peer never both take effect.
+ */
+export class PeerAssistedLeaseStore implements LeaseStore {
+  private readonly _pending = new Map<number, (reply: LeaseReply) => void>();
+  private _nextCall = 0;
+  private _failedMs = Number.NEGATIVE_INFINITY;
+
+  public constructor(
+    private readonly _store: MetadataStore,
+    /** Sends a call to one peer; false if there is none. */
+    private readonly _sendToPeer: (call: LeaseCall) => boolean,
+    private readonly _clock: Clock,
+  ) {}
+
+  public async readLease(): Promise<common.Outcome<LeaseSnapshot, StoreFailure>> {
+    return this._call(
+      () => this._store.readLease(),
+      async () => {
+        const reply = await this._askPeer();
+        return reply?.snapshot === undefined ? peerFailure(reply) : common.succeed(reply.snapshot);
+      },
+    );
+  }
+
+  public async writeLease(expectedEnd: number, value: string): Promise<common.Outcome<number, StoreFailure>> {
+    return this._call(
+      () => this._store.writeLease(expectedEnd, value),
+      async () => {
+        const reply = await this._askPeer({ expectedEnd, value });
+        return reply?.offset === undefined ? peerFailure(reply) : common.succeed(reply.offset);
+      },
+    );
+  }
+
+  /** Takes a peer's reply. */
+  public accept(reply: LeaseReply): void {
+    this._pending.get(reply.call)?.(reply);
+  }
+
+  /** Makes a call for a peer. */
+  public async serve(call: LeaseCall): Promise<LeaseReply> {
+    if (call.write === undefined) {
+      const outcome = await this._store.readLease();
+      return outcome.ok ? { call: call.call, snapshot: outcome.value } : { call: call.call, failure: outcome.failure };
+    }
+    const outcome = await this._store.writeLease(call.write.expectedEnd, call.write.value);
+    return outcome.ok ? { call: call.call, offset: outcome.value } : { call: call.call, failure: outcome.failure };
+  }
+
+  private async _call<Value>(
+    own: () => Promise<common.Outcome<Value, StoreFailure>>,
+    byPeer: () => Promise<common.Outcome<Value, StoreFailure>>,
+  ): Promise<common.Outcome<Value, StoreFailure>> {
+    const peersFirst = this._clock.now().steadyMs - this._failedMs < peersFirstMs;
+    const first = peersFirst ? await byPeer() : await own();
+    if (first.ok || first.failure.kind !== 'unavailable') {
+      return first;
+    }
+    this._failedMs = peersFirst ? this._failedMs : this._clock.now().steadyMs;
+    return peersFirst ? own() : byPeer();
+  }
+
+  private async _askPeer(write?: LeaseCall['write']): Promise<LeaseReply | undefined> {
+    const call = this._nextCall;
+    this._nextCall += 1;
+    return new Promise((resolve) => {
+      const finish = (reply: LeaseReply | undefined): void => {
+        clearTimeout(timer);
+        this._pending.delete(call);
+        resolve(reply);
+      };
+      const timer = setTimeout(() => {
+        finish(undefined);
+      }, peerCallTimeoutMs);
+      this._pending.set(call, finish);
+      if (!this._sendToPeer({ call, ...(write && { write }) })) {
+        finish(undefined);
+      }
+    });
+  }
+}
+
+function peerFailure(reply: LeaseReply | undefined): common.Outcome<never, StoreFailure> {
+  return common.fail(reply?.failure ?? { kind: 'unavailable', message: 'no peer made the call' });
+}
--- a/packages/gateway/src/peers/PeerHub.ts
+++ b/packages/gateway/src/peers/PeerHub.ts
@@ -2,8 +2,8 @@
 import * as net from 'node:net';
 import type { Clock } from '../Clock.js';
 import type { Address } from '../Types.js';
-import { PeerChannel } from './PeerChannel.js';
-import type { DaemonReport, PeerMessages } from './Types.js';
+import { PeerChannel, type PeerMessage } from './PeerChannel.js';
+import type { PeerMessages } from './Types.js';
 
 /** A peer that is silent for this long is gone, milliseconds. Daemons report several times a second. */
 const silenceLimitMs = 2_000;
@@ -13,9 +13,10 @@
   private readonly _channels = new Set<PeerChannel>();
   private readonly _onJoined = new common.Emitter<PeerChannel>();
   public readonly onJoined = this._onJoined.event;
-  private readonly _onReport = new common.Emitter<DaemonReport>();
-  public readonly onReport = this._onReport.event;
+  private readonly _onMessage = new common.Emitter<PeerMessage>();
+  public readonly onMessage = this._onMessage.event;
   private readonly _server: net.Server;
+  private _nextPeer = 0;
 
   public constructor(
     private readonly _address: Address,
@@ -50,6 +51,15 @@
     }
   }
 
+  /** Sends a message to one peer, another one each time; false if there is none. */
+  public sendToOne<Method extends keyof PeerMessages>(method: Method, params: PeerMessages[Method]): boolean {
+    const channels = [...this._channels];
+    const channel = channels[this._nextPeer % Math.max(channels.length, 1)];
+    this._nextPeer += 1;
+    channel?.send(method, params);
+    return channel !== undefined;
+  }
+
   /** Closes channels whose peer has gone silent. */
   public dropSilent(nowMs: number): void {
     for (const channel of this._channels) {
@@ -70,9 +80,7 @@
     const channel = new PeerChannel(socket, this._clock);
     this._channels.add(channel);
     channel.onMessage((message) => {
-      if (message.method === 'report') {
-        this._onReport.fire(message.params);
-      }
+      this._onMessage.fire(message);
     });
     channel.onClosed((reason) => {
       this._channels.delete(channel);
--- a/packages/gateway/src/peers/PeerLink.ts
+++ b/packages/gateway/src/peers/PeerLink.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../Clock.js';
 import type { Address } from '../Types.js';
 import { PeerChannel, type PeerMessage } from './PeerChannel.js';
-import type { DaemonReport } from './Types.js';
+import type { PeerMessages } from './Types.js';
 
 /** A leader that is silent for this long counts as lost, milliseconds. It sends its status several times a second. */
 const silenceLimitMs = 1_200;
@@ -43,8 +43,8 @@
     }
   }
 
-  public report(report: DaemonReport): void {
-    this._channel?.send('report', report);
+  public send<Method extends keyof PeerMessages>(method: Method, params: PeerMessages[Method]): void {
+    this._channel?.send(method, params);
   }
 
   /** Drops a silent connection and connects anew where needed. `wanted` is false on the leader itself. */
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -1,4 +1,4 @@
-import type { TableName, TableRecord } from '../contracts/MetadataStore.js';
+import type { LeaseSnapshot, StoreFailure, TableName, TableRecord } from '../contracts/MetadataStore.js';
 import type { ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
 import type { ModelReference } from '../Types.js';
 
@@ -51,16 +51,35 @@
 export interface LeaderStatus {
   /** False once the sender no longer leads; its tables still count. */
   readonly leads: boolean;
+  /** False while the sender does not reach the store, so that it cannot tell of changes. */
+  readonly tellsChanges: boolean;
   readonly daemonCount: number;
   /** Requests that all daemons together run on a replica, by replica id. */
   readonly running: Readonly<Record<string, number>>;
   readonly estimates: readonly ReadyEstimate[];
 }
 
+/** A call about the lease that another daemon makes for one that does not reach the store. */
+export interface LeaseCall {
+  readonly call: number;
+  /** Absent for a read. */
+  readonly write?: { readonly expectedEnd: number; readonly value: string };
+}
+
+/** Result of a lease call. */
+export interface LeaseReply {
+  readonly call: number;
+  readonly snapshot?: LeaseSnapshot;
+  readonly offset?: number;
+  readonly failure?: StoreFailure;
+}
+
 /** Messages by method name. */
 export interface PeerMessages {
   readonly report: DaemonReport;
   readonly table: TableMessage;
   readonly holdings: ReplicaHoldings;
   readonly status: LeaderStatus;
+  readonly leaseCall: LeaseCall;
+  readonly leaseReply: LeaseReply;
 }
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -94,11 +94,11 @@
   }
 
   /** What the daemons need to know besides the holdings. */
-  public status(daemonCount: number): LeaderStatus {
+  public status(daemonCount: number, tellsChanges: boolean): LeaderStatus {
     const { steadyMs } = this._clock.now();
     const running = Object.fromEntries([...this._runningCounts()].map(([id, counts]) => [id, counts.total]));
     const estimates = this._inputs(steadyMs).flatMap((input) => estimateReady(input, steadyMs));
-    return { leads: this._token !== undefined, daemonCount, running, estimates };
+    return { leads: this._token !== undefined, tellsChanges, daemonCount, running, estimates };
   }
 
   private _stopLeading(): void {
@@ -146,24 +146,32 @@
     void this._sync(opened);
   }
 
-  /** Reads the replica's state until a report is new enough. */
+  /**
+   * Reads the replica's state until a report is new enough and shows no order in progress. Until then the replica gets
+   * no order: a load that a former leader began does not stand among the models yet and takes memory all the same.
+   */
   private async _sync(book: ReplicaBook): Promise<void> {
     const startedMs = this._clock.now().steadyMs;
-    while (this._isCurrent(book)) {
-      const outcome = await this._engines.readReport(book.replica);
-      const { steadyMs } = this._clock.now();
-      const isSettled = steadyMs - startedMs >= reportLagMs;
-      if (outcome.ok && book.sync(outcome.value, steadyMs, isSettled)) {
-        book.quietUntilMs = outcome.value.orderInProgress ? steadyMs + pollMs : 0;
-        this._tellHoldings(book);
-        if (!outcome.value.orderInProgress) {
-          return;
-        }
-      } else if (!outcome.ok) {
-        this._log.warn('Could not read a report.', { replica: book.replica.id, reason: outcome.failure.message });
-      }
+    book.isSyncing = true;
+    while (this._isCurrent(book) && !(await this._readState(book, startedMs))) {
       await pause(pollMs);
     }
+    book.isSyncing = false;
+  }
+
+  /** True once the book matches a report without an order in progress. */
+  private async _readState(book: ReplicaBook, startedMs: number): Promise<boolean> {
+    const outcome = await this._engines.readReport(book.replica);
+    if (!outcome.ok) {
+      this._log.warn('Could not read a report.', { replica: book.replica.id, reason: outcome.failure.message });
+      return false;
+    }
+    const { steadyMs } = this._clock.now();
+    const isTaken = book.sync(outcome.value, steadyMs, steadyMs - startedMs >= reportLagMs);
+    if (isTaken) {
+      this._tellHoldings(book);
+    }
+    return isTaken && !outcome.value.orderInProgress;
   }
 
   private _plan(): void {
@@ -291,6 +299,9 @@
         return outcome.value;
       }
       this._log.warn('An order has no answer.', { replica: book.replica.id, model, reason: outcome.failure.message });
+      if (!outcome.failure.mayHaveArrived) {
+        return 'notSent';
+      }
       await pause(resendMs);
     }
     return 'notSent';
--- a/packages/gateway/src/placement/ReplicaBook.ts
+++ b/packages/gateway/src/placement/ReplicaBook.ts
@@ -20,6 +20,8 @@
   private readonly _loadedHere = new Set<string>();
   /** Orders that the replica has accepted; undefined until its report has been read. */
   public sequence: number | undefined;
+  /** True while the replica's state is being read, an order of a former leader included. */
+  public isSyncing = false;
   public order: OrderInProgress | undefined;
   public clearingFor: string | undefined;
   /** No order is sent before this steady time. */
@@ -100,7 +102,7 @@
       id: replica.id,
       ...limits,
       slots: replica.slots,
-      takesOrders: replica.state === 'ready' && this.sequence !== undefined && nowMs >= this.quietUntilMs,
+      takesOrders: replica.state === 'ready' && this._isKnown && nowMs >= this.quietUntilMs,
       models,
       inMemory: new Set(replica.inMemory),
       onDisk: new Set([...replica.onDisk, ...this._loadedHere, ...this._models.keys()]),
@@ -110,6 +112,10 @@
     };
   }
 
+  private get _isKnown(): boolean {
+    return this.sequence !== undefined && !this.isSyncing;
+  }
+
   private _finishAdapter(kind: 'load' | 'unload', model: string, adapter: string, nowMs: number): void {
     const adapters = this._models.get(model)?.adapters;
     if (kind === 'load') {
--- a/packages/gateway/src/replicas/ReplicaDirectory.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.ts
@@ -83,7 +83,7 @@
   private _put(record: TableRecord, replica: Replica): void {
     const before = this._entries.get(record.key)?.replica;
     this._entries.set(record.key, { replica });
-    const isNews = before === undefined || before.state !== replica.state || before.bornMs !== replica.bornMs;
+    const isNews = before?.state !== replica.state || before.bornMs !== replica.bornMs;
     if (isNews) {
       const { id, service, state, bornMs, models, inMemory, onDisk } = replica;
       const counts = { models: models.length, inMemory: inMemory.length, onDisk: onDisk.length };
