See a reset behind the end of an unframed answer; let a stopping leader lead until its end

Cause of MIXED: when the last bytes and the reset arrive together, Node.js reports a regular end. Ruled out: a late error event (none follows).

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -148,7 +148,6 @@
     this._stopStartedMs = startedMs;
     this._stopping = true;
     this._log.info('Stops.', { requests: this._callers.activeCount });
-    void this._lease.release();
     const passedMs = (): number => this._clock.now().steadyMs - startedMs;
     while (
       passedMs() < balancerNoticeMs ||
@@ -156,6 +155,8 @@
     ) {
       await new Promise((resolve) => setTimeout(resolve, stopCheckMs));
     }
+    // Until now the leader went on, because it may be back on this VM before another one could give orders.
+    await this._lease.release();
     return { unfinished: this._callers.activeCount };
   }
 
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -332,7 +332,11 @@
   }
 
   private _relayEnd(answer: ReplicaAnswer, response: http.IncomingMessage): void {
-    if (this._finished || this._upstream !== response || !response.complete) {
+    if (this._finished || this._upstream !== response) {
+      return;
+    }
+    if (!(this._attempt?.isComplete(response) ?? false)) {
+      this._relayBroken('the replica reset the connection');
       return;
     }
     this._upstream = undefined;
--- a/packages/gateway/src/forwarding/ReplicaAttempt.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import type * as net from 'node:net';
 import type { CallerRequest, ReplicaAnswer, RequestCodec } from '../contracts/RequestCodec.js';
 import type { Replica } from '../Types.js';
 
@@ -39,6 +40,7 @@
   private _ended = false;
   private _headReceived = false;
   private _connectTimer: NodeJS.Timeout | undefined;
+  private _wasReset = false;
 
   public constructor(
     private readonly _request: AttemptRequest,
@@ -65,6 +67,13 @@
     return this._request.replica;
   }
 
+  /** True if an answer has arrived whole; asked when its body has ended. */
+  public isComplete(response: http.IncomingMessage): boolean {
+    const hasFraming =
+      response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
+    return response.complete && (hasFraming || !this._wasReset);
+  }
+
   /** Closes the connection, which makes the replica drop the request. */
   public cancel(): void {
     this._ended = true;
@@ -75,6 +84,7 @@
 
   private _watchConnection(): void {
     this._outgoing.on('socket', (socket) => {
+      this._watchReset(socket);
       if (!socket.connecting) {
         this._send();
         return;
@@ -90,6 +100,18 @@
     });
   }
 
+  /**
+   * Notices a reset that Node.js reports as a regular end: when the last bytes and the reset arrive together, only the
+   * missing address of the peer tells them apart. It matters for answers that end with their connection.
+   */
+  private _watchReset(socket: net.Socket): void {
+    const onEnd = (): void => {
+      this._wasReset = socket.remoteAddress === undefined;
+    };
+    socket.prependListener('end', onEnd);
+    this._outgoing.once('close', () => socket.off('end', onEnd));
+  }
+
   /** Nothing is written before the connection stands, so that a failure to connect proves that nothing ran. */
   private _send(): void {
     if (!this._ended) {
--- a/packages/gateway/src/leadership/Lease.ts
+++ b/packages/gateway/src/leadership/Lease.ts
@@ -7,6 +7,8 @@
   readonly renewMs: number;
   /** Least time between the last order of a holder on one VM and the first of the next on another VM. */
   readonly handoverMs: number;
+  /** A holder that released the lease at its stop may take it back for this long after its restart. */
+  readonly returnMs: number;
 }
 
 /** A record of the lease. */
@@ -42,11 +44,12 @@
 
 /** Time to wait before the lease may be taken over; 0 if it may be taken now. */
 export function takeoverDelayMs(seen: SeenLease | undefined, self: string, now: Instant, times: LeaseTimes): number {
-  if (seen === undefined || seen.record.released || seen.record.holder === self) {
+  if (seen === undefined || seen.record.holder === self) {
     return 0;
   }
   // The steady clock decides: a wall clock that jumps ahead must not end another VM's lease early.
-  return Math.max(0, times.validityMs - (now.steadyMs - seen.seenAt.steadyMs));
+  const limitMs = seen.record.released ? times.returnMs : times.validityMs;
+  return Math.max(0, limitMs - (now.steadyMs - seen.seenAt.steadyMs));
 }
 
 /**
@@ -63,7 +66,9 @@
     return 0;
   }
   if (former.record.holder !== self) {
-    return times.handoverMs;
+    // After a release there are no more orders; without one there may be some until the validity ends.
+    const sinceLastOrderMs = former.record.released ? now.steadyMs - former.seenAt.steadyMs : 0;
+    return Math.max(times.handoverMs - sinceLastOrderMs, 0);
   }
   return Math.min(Math.max(former.record.ordersFromWallMs - now.wallMs, 0), times.handoverMs);
 }
