--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -10,14 +10,16 @@
 const patientTargetMs = 1_000;
 /** How much more a model counts whose requests are late if it has to be loaded first. */
 const impatientWeight = 10;
-/** Cost of ending a residence while requests run on it, milliseconds: the unload waits for them. */
-const runningModelCostMs = 1_500;
+/** Mean time that a running request still takes, milliseconds. An unload waits for the last of them. */
+const meanRemainingRunMs = 1_200;
+/** Waiting requests count as much as this many requests a second each. */
+const waitingRate = 0.25;
+/** A model gives way to another one whose demand is at least this share of its own. */
+const displacingShare = 0.5;
 /** Cost in milliseconds of taking away a model that is asked for once a second. */
 const rateCostMs = 400;
 /** Share of a replica's slots above which a model gets another copy. */
 const secondCopyLoad = 0.6;
-/** Least rate of an impatient model that is worth a second copy, so that the loss of a replica does not stop it. */
-const secondCopyRatePerSecond = 3;
 /** Time until an order in progress ends counts in full when another replica could start at once. */
 const clearingStepMs = 150;
 
@@ -100,8 +102,7 @@
       const running = holders.reduce((sum, replica) => sum + replica.running, 0);
       const slots = holders.reduce((sum, replica) => sum + replica.slots, 0);
       const isImpatient = demand.latencyTargetMs < patientTargetMs;
-      const needsSpare = holders.length === 1 && isImpatient && demand.ratePerSecond >= secondCopyRatePerSecond;
-      if (needsSpare || (isImpatient && running > secondCopyLoad * slots && demand.ratePerSecond > 1)) {
+      if (isImpatient && running > secondCopyLoad * slots && demand.ratePerSecond > 1) {
         this._load(model, 'secondCopy', holders);
       }
     }
@@ -139,14 +140,19 @@
       .filter((option) => option !== undefined)
       .filter((option) => option.tier !== 'store' || this._mayUseStore(model))
       .filter((option) => reason !== 'secondCopy' || option.tier !== 'store');
-    const best = cheapest(options);
-    const rate = this._weightedRate(model);
-    const isWorthIt = best !== undefined && (reason === 'waiting' || this._lossOf(best.victims) <= rate);
-    if (isWorthIt || (best !== undefined && reason === 'coverage' && this._lossOf(best.victims) < impatientWeight)) {
+    const best = cheapest(options.filter((option) => this._isWorthIt(option, model, reason)));
+    if (best !== undefined) {
       this._order(best, specification, reason);
     }
   }
 
+  /** Compares the demand for a model with the demand for those that would give way to it. */
+  private _isWorthIt(option: Option, model: string, reason: PlannedOrder['reason']): boolean {
+    const loss = this._lossOf(option.victims);
+    const gain = this._weightedRate(model) + this._waitingWeight(model);
+    return reason === 'coverage' ? loss <= gain || loss < waitingRate : loss * displacingShare <= gain;
+  }
+
   private _order(option: Option, specification: ModelSpecification, reason: PlannedOrder['reason']): void {
     const { replica, tier, victims } = option;
     this._taken.add(replica.id);
@@ -200,8 +206,7 @@
   }
 
   private _costOf(held: PlacedModel): number {
-    const runningCostMs = held.running > 0 ? runningModelCostMs : 0;
-    return this._lossOf([held]) * rateCostMs + runningCostMs;
+    return this._lossOf([held]) * rateCostMs + drainMs(held.running);
   }
 
   /** Weighted requests a second that lose their only copy. */
@@ -219,9 +224,15 @@
   }
 
   private _weightedRate(model: string): number {
-    const demand = this._demand.get(model);
-    const weight = (demand?.latencyTargetMs ?? patientTargetMs) < patientTargetMs ? impatientWeight : 1;
-    return (demand?.ratePerSecond ?? 0) * weight;
+    return (this._demand.get(model)?.ratePerSecond ?? 0) * this._weight(model);
+  }
+
+  private _waitingWeight(model: string): number {
+    return (this._demand.get(model)?.waiting ?? 0) * waitingRate * this._weight(model);
+  }
+
+  private _weight(model: string): number {
+    return (this._demand.get(model)?.latencyTargetMs ?? patientTargetMs) < patientTargetMs ? impatientWeight : 1;
   }
 
   private _rate(model: string): number {
@@ -245,6 +256,15 @@
   }
 }
 
+/** Expected time until the last of several running requests ends, milliseconds. */
+function drainMs(running: number): number {
+  let harmonic = 0;
+  for (let index = 1; index <= running; index += 1) {
+    harmonic += 1 / index;
+  }
+  return harmonic * meanRemainingRunMs;
+}
+
 /** Requests a second for the adapters of each model. */
 function adapterRates(input: PlacementInput): ReadonlyMap<string, number> {
   const rates = new Map<string, number>();
