--- a/packages/daemon/src/front/CallerAnswer.ts
+++ b/packages/daemon/src/front/CallerAnswer.ts
@@ -3,18 +3,22 @@
 import type { CallerError } from '../routing/Types.js';
 import type { DaemonContext } from '../Types.js';
 import { errorBody, sendError } from './answers.js';
+import { processStalls } from './EventLoopStalls.js';
 import type { CallerRequest } from './Types.js';
 
 /** Time kept back from the deadline so that the final answer arrives before it, milliseconds. */
 const answerMarginMs = 25;
 /** Largest share of a short deadline that is kept back. */
-const answerMarginShare = 0.1;
+const answerMarginShare = 0.25;
 /** Time for a slow caller to read the end of an answer that ended at its deadline, milliseconds. */
 const lingerMs = 2_000;
 
-/** Time after which an answer must have ended to arrive before a deadline, milliseconds. */
-export function answerTimeMs(deadlineMs: number): number {
-  return deadlineMs - Math.min(answerMarginMs, deadlineMs * answerMarginShare);
+/**
+ * Time after which an answer must have ended to arrive before a deadline, milliseconds. A timer may fire as late as the
+ * event loop has recently been stalled.
+ */
+export function answerTimeMs(deadlineMs: number, stallMs: number): number {
+  return deadlineMs - Math.min(answerMarginMs + stallMs, deadlineMs * answerMarginShare);
 }
 
 /** What an answer needs from the call that produces it. */
@@ -77,7 +81,8 @@
   /** Starts the deadline timer. Returns the monotonic time by which the answer ends. */
   public setDeadline(deadlineMs: number): number {
     const limitedMs = Math.min(deadlineMs, this._context.settings.limits.maximumDeadlineMs);
-    this._limitMs = this._request.arrivedMs + answerTimeMs(limitedMs);
+    const stallMs = processStalls.recentMaximumMs(this._context.now());
+    this._limitMs = this._request.arrivedMs + answerTimeMs(limitedMs, stallMs);
     this._timer = setTimeout(
       () => {
         this.fail(this._deadlineExceeded());
--- a/packages/daemon/src/front/Front.ts
+++ b/packages/daemon/src/front/Front.ts
@@ -15,6 +15,7 @@
 import { sendError } from './answers.js';
 import { BodyReader } from './BodyReader.js';
 import { answerTimeMs } from './CallerAnswer.js';
+import { processStalls } from './EventLoopStalls.js';
 import { CallerDirectory } from './CallerDirectory.js';
 import { CallerServer } from './CallerServer.js';
 import { parseCompletionBody, type CompletionKind } from './completionBody.js';
@@ -252,7 +253,8 @@
   }
 
   private async _withBody(request: CallerRequest, run: (raw: Buffer) => Promise<string>): Promise<string> {
-    const timeoutMs = request.deadlineMs === undefined ? undefined : answerTimeMs(request.deadlineMs);
+    const stallMs = processStalls.recentMaximumMs(this._context.now());
+    const timeoutMs = request.deadlineMs === undefined ? undefined : answerTimeMs(request.deadlineMs, stallMs);
     const raw = await this._bodies.read(request.incoming, request.caller.partner, timeoutMs);
     if (!raw.ok) {
       return this._refuse(request.incoming, request.response, raw.failure, request.requestId);
--- /dev/null
+++ b/packages/gateway/src/forwarding/EventBoundary.test.ts
@@ -0,0 +1,38 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import { EventBoundary } from './EventBoundary.js';
+
+function event(id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`;
+}
+
+vitest.describe('boundaries of events', () => {
+  vitest.test(
+    'pass every byte on in order, however the stream is cut (guards against missing or doubled pieces)',
+    () => {
+      const cuts = fastCheck.array(fastCheck.integer({ min: 1, max: 30 }), { minLength: 1, maxLength: 20 });
+      fastCheck.assert(
+        fastCheck.property(fastCheck.integer({ min: 1, max: 20 }), cuts, (count, sizes) => {
+          const text = Array.from({ length: count }, (_none, index) => event(index + 1)).join('');
+          const boundary = new EventBoundary();
+          let passed = '';
+          for (let position = 0, cut = 0; position < text.length; cut += 1) {
+            const size = sizes[cut % sizes.length] ?? 1;
+            passed += boundary.push(Buffer.from(text.slice(position, position + size))).toString();
+            position += size;
+          }
+          vitest.expect(passed + boundary.flush().toString()).toBe(text);
+          vitest.expect(boundary.lastEventId).toBe(String(count));
+        }),
+      );
+    },
+  );
+
+  vitest.test('drop a partial event before the stream goes on elsewhere (guards against pieces of two runs)', () => {
+    const boundary = new EventBoundary();
+    boundary.push(Buffer.from(`${event(1)}id: 2\ndata: hal`));
+    boundary.dropPartial();
+    vitest.expect(boundary.lastEventId).toBe('1');
+    vitest.expect(boundary.push(Buffer.from(event(2))).toString()).toBe(event(2));
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/leadership/Lease.test.ts
@@ -0,0 +1,82 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import type { Instant } from '../Types.js';
+import {
+  decodeLease,
+  encodeLease,
+  firstOrderDelayMs,
+  leaseHolds,
+  type LeaseTimes,
+  type SeenLease,
+  takeoverDelayMs,
+} from './Lease.js';
+
+const times: LeaseTimes = { validityMs: 2_000, renewMs: 600, handoverMs: 3_300, returnMs: 1_500 };
+const start: Instant = { steadyMs: 10_000, wallMs: 1_000_000 };
+
+function later(milliseconds: number, wallJumpMs = 0): Instant {
+  return { steadyMs: start.steadyMs + milliseconds, wallMs: start.wallMs + milliseconds + wallJumpMs };
+}
+
+function seen(holder: string, released: boolean, ordersFromWallMs = start.wallMs): SeenLease {
+  const record = { holder, peerAddress: '127.0.0.1:1', term: 7, ordersFromWallMs, released };
+  return { offset: 7, record, seenAt: start };
+}
+
+vitest.describe('lease of the placement leader', () => {
+  vitest.test('ends when the wall clock alone has moved on (guards against orders of a VM that was suspended)', () => {
+    vitest.expect(leaseHolds(start, later(100), times)).toBe(true);
+    vitest.expect(leaseHolds(start, later(100, 5_000), times)).toBe(false);
+  });
+
+  vitest.test(
+    'is not proved by a wall clock that went back (guards against a clock step that hides a suspension)',
+    () => {
+      vitest.expect(leaseHolds(start, later(100, -2_000), times)).toBe(false);
+    },
+  );
+
+  vitest.test('is not taken over early when the wall clock jumps ahead (guards against two holders)', () => {
+    vitest.expect(takeoverDelayMs(seen('a', false), 'b', later(500, 60_000), times)).toBe(1_500);
+  });
+
+  vitest.test(
+    'stays free for a stopped holder that returns at once (guards against a handover at each restart)',
+    () => {
+      vitest.expect(takeoverDelayMs(seen('a', true), 'b', later(500), times)).toBe(1_000);
+      vitest.expect(takeoverDelayMs(seen('a', true), 'a', later(500), times)).toBe(0);
+    },
+  );
+
+  vitest.test('keeps a restarted holder to its wait (guards against orders right after the former holder)', () => {
+    const own = seen('a', false, start.wallMs + 3_000);
+    vitest.expect(firstOrderDelayMs(own, 'a', later(1_000), times)).toBe(2_000);
+    vitest.expect(firstOrderDelayMs(own, 'a', later(1_000, -60_000), times)).toBe(times.handoverMs);
+  });
+
+  vitest.test('never lets two VMs order within the handover (guards against holders that take turns)', () => {
+    const cases = fastCheck.tuple(
+      fastCheck.integer({ min: 0, max: 5_000 }),
+      fastCheck.boolean(),
+      fastCheck.integer({ min: -10_000, max: 10_000 }),
+    );
+    fastCheck.assert(
+      fastCheck.property(cases, ([lookMs, released, wallJumpMs]) => {
+        const former = seen('a', released);
+        const delayMs = takeoverDelayMs(former, 'b', later(lookMs, wallJumpMs), times);
+        const takenAtMs = lookMs + delayMs;
+        const firstOrderMs = takenAtMs + firstOrderDelayMs(former, 'b', later(takenAtMs, wallJumpMs), times);
+        // The former holder's last order comes at its release, or before its last renewal has run out.
+        const lastOrderMs = released ? 0 : times.validityMs;
+        return firstOrderMs - lastOrderMs >= times.handoverMs;
+      }),
+    );
+  });
+
+  vitest.test('is read back as written, and foreign text is none (guards against a foreign record)', () => {
+    const { record } = seen('a', false);
+    vitest.expect(decodeLease(encodeLease(record))).toEqual(record);
+    vitest.expect(decodeLease('{"holder":1}')).toBeUndefined();
+    vitest.expect(decodeLease('\u0000')).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/placement/planPlacement.test.ts
@@ -0,0 +1,158 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import type { ModelSpecification } from '../Types.js';
+import { planAdapters } from './planAdapters.js';
+import { planModels } from './planPlacement.js';
+import type { Demand, PlacedModel, PlacedReplica, PlacementInput } from './Types.js';
+import { adapterCount, freeMegabytes } from './weights.js';
+
+const nowMs = 100_000;
+const capacityMegabytes = 140_000;
+
+function specification(name: string, weightMegabytes = 60_000): ModelSpecification {
+  return { name, weightMegabytes, adapterMegabytes: 40, loadMs: { memory: 300, disk: 500, store: 6_000 } };
+}
+
+function held(name: string, running = 0, adapters: readonly string[] = []): PlacedModel {
+  return { name, running, readySinceMs: 0, adapters: adapters.map((adapter) => ({ name: adapter, lastUsedMs: 0 })) };
+}
+
+function replica(id: string, models: readonly PlacedModel[], onDisk: readonly string[] = []): PlacedReplica {
+  return {
+    id,
+    weightMegabytes: capacityMegabytes,
+    adapterSlots: 2,
+    slots: 16,
+    takesOrders: true,
+    models,
+    inMemory: new Set(),
+    onDisk: new Set(onDisk),
+    running: models.reduce((sum, model) => sum + model.running, 0),
+  };
+}
+
+function demand(model: string, options: Partial<Demand> & { readonly adapter?: string } = {}): Demand {
+  const { adapter, ...rest } = options;
+  const target = adapter === undefined ? { model } : { model, adapter };
+  return { target, waiting: 0, slackMs: Infinity, ratePerSecond: 0.2, latencyTargetMs: 2_000, ...rest };
+}
+
+function input(
+  replicas: readonly PlacedReplica[],
+  demands: readonly Demand[],
+  names: readonly string[],
+): PlacementInput {
+  const models = new Map(names.map((name) => [name, specification(name)]));
+  return { models, replicas, demands, mayCover: true, maximumStoreLoads: 4 };
+}
+
+vitest.describe('placement of models', () => {
+  vitest.test('takes the rare idle model, not the busy one that is idle for a moment', () => {
+    // Guards against unloading a model of 5 interactive requests a second for one patient request.
+    const replicas = [replica('r', [held('busy'), held('rare', 1)], ['busy', 'rare', 'wanted'])];
+    const demands = [
+      demand('busy', { ratePerSecond: 5, latencyTargetMs: 250 }),
+      demand('rare'),
+      demand('wanted', { waiting: 1, slackMs: 300 }),
+    ];
+    const orders = planModels(input(replicas, demands, ['busy', 'rare', 'wanted']), nowMs);
+    vitest.expect(orders).toMatchObject([{ kind: 'unload', model: 'rare', clearingFor: 'wanted' }]);
+  });
+
+  vitest.test(
+    'leaves a model in use alone while the waiting request has time (guards against blocked replicas)',
+    () => {
+      const replicas = [replica('r', [held('used', 2), held('used2', 1)], ['wanted'])];
+      const demands = [demand('used'), demand('used2'), demand('wanted', { waiting: 1, slackMs: 1_800 })];
+      vitest.expect(planModels(input(replicas, demands, ['used', 'used2', 'wanted']), nowMs)).toEqual([]);
+    },
+  );
+
+  vitest.test('waits for a replica with a copy instead of loading from the weight store', () => {
+    // Guards against loads of many seconds for a model that another replica could load in half a second.
+    const busy: PlacedReplica = {
+      ...replica('copy', [], ['wanted']),
+      order: { kind: 'load', model: 'other', tier: 'disk', expectedDoneMs: nowMs + 300 },
+    };
+    const demands = [demand('wanted', { waiting: 1, slackMs: 0 })];
+    vitest.expect(planModels(input([busy, replica('empty', [])], demands, ['other', 'wanted']), nowMs)).toEqual([]);
+  });
+
+  vitest.test(
+    'loads nothing as missing while the list of replicas may be incomplete (guards against double loads)',
+    () => {
+      const known = { ...input([replica('r', [])], [], ['missing']), mayCover: false };
+      vitest.expect(planModels(known, nowMs)).toEqual([]);
+      vitest.expect(planModels({ ...known, mayCover: true }, nowMs)).toMatchObject([{ kind: 'load', tier: 'store' }]);
+    },
+  );
+
+  vitest.test('never loads more than fits nor from the store beyond its limit (guards against oversold memory)', () => {
+    const names = ['a', 'b', 'c', 'd', 'e', 'f'];
+    const names$ = fastCheck.subarray(names, { maxLength: 2 });
+    const replicas$ = fastCheck.array(fastCheck.tuple(names$, names$, fastCheck.boolean()), { maxLength: 6 });
+    const demands$ = fastCheck.array(
+      fastCheck.record({
+        model: fastCheck.constantFrom(...names),
+        waiting: fastCheck.nat(3),
+        slackMs: fastCheck.nat(2_000),
+      }),
+      { maxLength: 8 },
+    );
+    fastCheck.assert(
+      fastCheck.property(replicas$, demands$, (shapes, wishes) => {
+        const replicas = shapes.map(([models, onDisk, takesOrders], index) => ({
+          ...replica(
+            String(index),
+            models.map((name) => held(name)),
+            onDisk,
+          ),
+          takesOrders,
+        }));
+        const demands = wishes.map(({ model, ...rest }) => demand(model, rest));
+        const state = input(replicas, demands, names);
+        const orders = planModels(state, nowMs);
+        const targets = orders.map((order) => order.replicaId);
+        vitest.expect(new Set(targets).size).toBe(targets.length);
+        vitest
+          .expect(orders.filter((order) => order.kind === 'load' && order.tier === 'store').length)
+          .toBeLessThanOrEqual(4);
+        for (const order of orders) {
+          const target = replicas.find((one) => one.id === order.replicaId);
+          vitest.expect(target?.takesOrders).toBe(true);
+          if (order.kind === 'load' && target !== undefined) {
+            vitest.expect(freeMegabytes(target, state.models)).toBeGreaterThanOrEqual(60_000);
+          }
+        }
+      }),
+    );
+  });
+});
+
+vitest.describe('placement of adapters', () => {
+  vitest.test('orders an adapter once (guards against an order for one that has just become ready)', () => {
+    const demands = [demand('m', { adapter: 'a1', waiting: 2, slackMs: 0 })];
+    const ready = replica('r', [held('m', 0, ['a1'])]);
+    vitest.expect(planAdapters(input([ready], demands, ['m']), nowMs)).toEqual([]);
+    const missing = replica('r', [held('m')]);
+    vitest
+      .expect(planAdapters(input([missing], demands, ['m']), nowMs))
+      .toMatchObject([{ kind: 'load', adapter: 'a1' }]);
+  });
+
+  vitest.test('gives up the adapter unused for longest when all places are taken (guards against a crash)', () => {
+    const full = replica('r', [
+      {
+        ...held('m'),
+        adapters: [
+          { name: 'a1', lastUsedMs: nowMs - 2_000 },
+          { name: 'a2', lastUsedMs: nowMs - 9_000 },
+        ],
+      },
+    ]);
+    const demands = [demand('m', { adapter: 'a3', waiting: 1, slackMs: 0 })];
+    const orders = planAdapters(input([full], demands, ['m']), nowMs);
+    vitest.expect(adapterCount(full)).toBe(full.adapterSlots);
+    vitest.expect(orders).toMatchObject([{ kind: 'unload', model: 'm', adapter: 'a2' }]);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/replicas/TableState.test.ts
@@ -0,0 +1,48 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import { TableState } from './TableState.js';
+
+vitest.describe('records of a table', () => {
+  vitest.test('refuse a table that is older than what is known (guards against stale reads after lost history)', () => {
+    const state = new TableState();
+    state.applyTable({ records: [{ key: 'a', offset: 9, value: 'new' }], end: 10 });
+    vitest.expect(state.applyTable({ records: [{ key: 'a', offset: 3, value: 'old' }], end: 4 })).toBeUndefined();
+    vitest.expect(state.records()).toEqual([{ key: 'a', offset: 9, value: 'new' }]);
+  });
+
+  vitest.test(
+    'drop a key that a newer table lacks (guards against replicas that left while history was dropped)',
+    () => {
+      const state = new TableState();
+      state.applyTable({ records: [{ key: 'a', offset: 1, value: 'x' }], end: 2 });
+      vitest.expect(state.applyTable({ records: [], end: 5 })).toMatchObject([{ key: 'a' }]);
+      vitest.expect(state.records()).toEqual([]);
+    },
+  );
+
+  vitest.test('end the same in whatever order they arrive (guards against a peer that takes a daemon back)', () => {
+    const record = fastCheck.record({
+      key: fastCheck.constantFrom('a', 'b'),
+      offset: fastCheck.nat(40),
+      value: fastCheck.option(fastCheck.constantFrom('x', 'y'), { nil: undefined }),
+    });
+    const series = fastCheck.uniqueArray(record, { selector: (one) => one.offset, maxLength: 12 });
+    fastCheck.assert(
+      fastCheck.property(series, fastCheck.infiniteStream(fastCheck.nat()), (records, order) => {
+        const inOrder = new TableState();
+        const shuffled = new TableState();
+        const sorted = [...records].sort((first, second) => first.offset - second.offset);
+        const mixed = [...records].sort(() => ((order.next().value ?? 0) % 2 === 0 ? 1 : -1));
+        for (const one of sorted) inOrder.applyChanges({ records: [clean(one)], end: one.offset + 1 });
+        for (const one of mixed) shuffled.applyChanges({ records: [clean(one)], end: one.offset + 1 });
+        const byKey = (first: { key: string }, second: { key: string }): number => first.key.localeCompare(second.key);
+        vitest.expect([...shuffled.records()].sort(byKey)).toEqual([...inOrder.records()].sort(byKey));
+      }),
+    );
+  });
+});
+
+function clean(record: { key: string; offset: number; value: string | undefined }) {
+  const { value, ...rest } = record;
+  return value === undefined ? rest : { ...rest, value };
+}
--- /dev/null
+++ b/packages/gateway/src/retries/RetryBudget.test.ts
@@ -0,0 +1,35 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import { RetryBudget } from './RetryBudget.js';
+
+const limits = { windowMs: 10_000, ratio: 0.2, slack: 56 };
+
+vitest.describe('retry budget', () => {
+  vitest.test('keeps all daemons together below the shared limit (guards against a storm of second sends)', () => {
+    const daemons = fastCheck.integer({ min: 1, max: 64 });
+    fastCheck.assert(
+      fastCheck.property(daemons, fastCheck.nat(300), (count, requestsEach) => {
+        const budgets = Array.from({ length: count }, () => new RetryBudget(limits));
+        let retries = 0;
+        for (const budget of budgets) {
+          for (let request = 0; request < requestsEach; request += 1) {
+            budget.recordRequest(0);
+          }
+          while (budget.tryTakeRetry(0, count)) {
+            retries += 1;
+          }
+        }
+        return retries <= limits.ratio * requestsEach * count + limits.slack;
+      }),
+    );
+  });
+
+  vitest.test('forgets what lies before the window (guards against a budget that is spent for good)', () => {
+    const budget = new RetryBudget(limits);
+    while (budget.tryTakeRetry(0, 1)) {
+      // Spend the share.
+    }
+    vitest.expect(budget.tryTakeRetry(5_000, 1)).toBe(false);
+    vitest.expect(budget.tryTakeRetry(10_500, 1)).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/waiting/decideWait.test.ts
@@ -0,0 +1,29 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import { decideWait } from './decideWait.js';
+
+vitest.describe('waiting for a model', () => {
+  vitest.test('goes on while the model is ready in time', () => {
+    const decision = decideWait({ waitedMs: 0, timeLeftMs: 8_000, latencyTargetMs: 2_000, readyInMs: 6_000 });
+    vitest.expect(decision.kind).toBe('wait');
+  });
+
+  vitest.test('ends at once when the model is not ready in time (guards against callers held in vain)', () => {
+    const decision = decideWait({ waitedMs: 0, timeLeftMs: 2_000, latencyTargetMs: 250, readyInMs: 6_000 });
+    vitest.expect(decision).toMatchObject({ kind: 'refuse', retryAfterMs: 6_000 });
+  });
+
+  vitest.test('ends without word from a leader (guards against callers held for a leader that is gone)', () => {
+    const situation = { waitedMs: 3_000, timeLeftMs: 5_000, latencyTargetMs: 250 };
+    vitest.expect(decideWait(situation).kind).toBe('refuse');
+  });
+
+  vitest.test('says a time to come back at which the model is ready (guards against second refusals)', () => {
+    fastCheck.assert(
+      fastCheck.property(fastCheck.nat(20_000), fastCheck.nat(20_000), (timeLeftMs, readyInMs) => {
+        const decision = decideWait({ waitedMs: 0, timeLeftMs, latencyTargetMs: 250, readyInMs });
+        return decision.kind === 'wait' || decision.retryAfterMs >= readyInMs;
+      }),
+    );
+  });
+});
