--- /dev/null
+++ b/packages/gateway/src/forwarding/Exchange.test.ts
@@ -0,0 +1,177 @@
+import type * as net from 'node:net';
+import * as vitest from 'vitest';
+import { ExchangeFixture, type ReplicaScript } from '../testing/ExchangeFixture.js';
+import type { Route } from '../Types.js';
+
+const ok = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\n';
+const events = (from: number, to: number): string =>
+  Array.from({ length: to - from + 1 }, (_none, index) => `id: ${from + index}\ndata: x\n\n`).join('');
+
+/** Answers whole and keeps the connection. */
+const answers: ReplicaScript = (socket) => {
+  socket.write(`${ok}Content-Length: 5\r\n\r\nwhole`);
+};
+
+async function withReplicas(
+  route: Partial<Route>,
+  scripts: readonly ReplicaScript[],
+  test: (fixture: ExchangeFixture) => Promise<void>,
+): Promise<void> {
+  await using fixture = new ExchangeFixture(route);
+  for (const script of scripts) {
+    await fixture.addReplica(script);
+  }
+  await fixture.open();
+  await test(fixture);
+}
+
+vitest.describe('exchange between a caller and a replica', () => {
+  vitest.test(
+    'does not complete an unframed answer that was reset (guards against short answers that look whole)',
+    async () => {
+      const resets: ReplicaScript = (socket) => {
+        socket.write(`${ok}Connection: close\r\n\r\nhalf`);
+        socket.resetAndDestroy();
+      };
+      await withReplicas({ kind: 'nonIdempotent' }, [resets], async (fixture) => {
+        for (let run = 0; run < 10; run += 1) {
+          const view = await fixture.call();
+          vitest.expect(view.status === 200 && view.complete, JSON.stringify(view)).toBe(false);
+        }
+      });
+    },
+  );
+
+  vitest.test('completes an unframed answer that ends with its connection', async () => {
+    const closes: ReplicaScript = (socket) => socket.end(`${ok}Connection: close\r\n\r\nwhole`);
+    await withReplicas({ kind: 'nonIdempotent' }, [closes], async (fixture) => {
+      vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: 'whole', complete: true });
+    });
+  });
+
+  vitest.test('never passes the answer of another request on (guards against crossed answers)', async () => {
+    const foreign: ReplicaScript = (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nx-attempt: other\r\nContent-Length: 5\r\n\r\nwrong');
+    };
+    await withReplicas({ kind: 'nonIdempotent' }, [foreign], async (fixture) => {
+      vitest.expect(await fixture.call()).toMatchObject({ status: 502 });
+    });
+  });
+
+  vitest.test('drops a connection with bytes after an answer (guards against answers to nobody)', async () => {
+    const extra: ReplicaScript = (socket) => {
+      socket.write(`${ok}Content-Length: 5\r\n\r\nwhole`);
+      setTimeout(() => {
+        if (!socket.destroyed) {
+          socket.write(`${ok}Content-Length: 5\r\n\r\nextra`);
+        }
+      }, 20);
+    };
+    await withReplicas({ kind: 'stream' }, [extra], async (fixture) => {
+      for (let run = 0; run < 3; run += 1) {
+        vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: 'whole' });
+        await new Promise((resolve) => setTimeout(resolve, 50));
+      }
+    });
+  });
+
+  vitest.test('sends a non-idempotent request once (guards against a payment that runs twice)', async () => {
+    const hangsUp: ReplicaScript = (socket) => socket.destroy();
+    await withReplicas({ kind: 'nonIdempotent' }, [hangsUp, hangsUp], async (fixture) => {
+      vitest.expect(await fixture.call()).toMatchObject({ status: 502 });
+      vitest.expect(fixture.heads.length).toBe(1);
+    });
+  });
+
+  vitest.test('sends a request that a replica refused to another one', async () => {
+    const refuses: ReplicaScript = (socket) => {
+      socket.write('HTTP/1.1 503 Full\r\nx-attempt: a1\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n');
+    };
+    await withReplicas({ kind: 'nonIdempotent' }, [refuses, answers], async (fixture) => {
+      vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: 'whole' });
+    });
+  });
+
+  vitest.test('gives a silent replica up where the request may be repeated (guards against late answers)', async () => {
+    const silent: ReplicaScript = () => undefined;
+    await withReplicas({ latencyTargetMs: 100 }, [silent, answers], async (fixture) => {
+      vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: 'whole' });
+    });
+  });
+
+  vitest.test(
+    'goes on with a resumable stream after its last whole event (guards against missing or doubled pieces)',
+    async () => {
+      const script: ReplicaScript = (socket, head) => {
+        const isResumed = /last-event-id: 2/.test(head);
+        socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n`);
+        sendChunk(socket, isResumed ? events(3, 4) : `${events(1, 2)}id: 3\nda`);
+        if (isResumed) {
+          socket.write('0\r\n\r\n');
+        } else {
+          setTimeout(() => socket.resetAndDestroy(), 20);
+        }
+      };
+      const route = { kind: 'stream', resumable: true } as const;
+      await withReplicas(route, [script, script], async (fixture) => {
+        vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: events(1, 4), complete: true });
+      });
+    },
+  );
+
+  vitest.test('cuts a stream that may not go on elsewhere (guards against streams that look complete)', async () => {
+    const breaks: ReplicaScript = (socket) => {
+      socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n`);
+      sendChunk(socket, events(1, 2));
+      setTimeout(() => socket.destroy(), 20);
+    };
+    await withReplicas({ kind: 'stream' }, [breaks, breaks], async (fixture) => {
+      vitest.expect(await fixture.call()).toMatchObject({ status: 200, complete: false });
+      vitest.expect(fixture.heads.length).toBe(1);
+    });
+  });
+
+  vitest.test('cancels at the replica when the caller leaves (guards against work for nobody)', async () => {
+    let closed = false;
+    const slow: ReplicaScript = (socket) => socket.once('close', () => (closed = true));
+    await withReplicas({ kind: 'nonIdempotent' }, [slow], async (fixture) => {
+      await fixture.call({}, 50);
+      await vitest.vi.waitFor(() => {
+        vitest.expect(closed).toBe(true);
+      });
+    });
+  });
+
+  vitest.test('refuses streams near the end of a stop (guards against streams cut at the stop limit)', async () => {
+    await withReplicas({ kind: 'stream' }, [answers], async (fixture) => {
+      fixture.stopping = true;
+      const view = await fixture.call();
+      vitest.expect(view).toMatchObject({ status: 503, headers: { 'retry-after': '0.05', connection: 'close' } });
+      vitest.expect(fixture.heads).toEqual([]);
+    });
+  });
+
+  vitest.test('answers at the timeout of the route (guards against callers held past it)', async () => {
+    const silent: ReplicaScript = () => undefined;
+    await withReplicas({ kind: 'nonIdempotent', timeoutMs: 200 }, [silent], async (fixture) => {
+      const startedMs = performance.now();
+      vitest.expect(await fixture.call()).toMatchObject({ status: 504 });
+      vitest.expect(performance.now() - startedMs).toBeLessThan(700);
+    });
+  });
+
+  vitest.test(
+    'refuses malformed and oversized requests (guards against callers that use memory without bound)',
+    async () => {
+      await withReplicas({}, [answers], async (fixture) => {
+        const long = { 'x-long': 'x'.repeat(3_000) };
+        vitest.expect(await fixture.call({ headers: long })).toMatchObject({ status: 431 });
+        vitest.expect(await fixture.call({ path: '/none/' })).toMatchObject({ status: 404 });
+      });
+    },
+  );
+});
+
+function sendChunk(socket: net.Socket, text: string): void {
+  socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+}
--- /dev/null
+++ b/packages/gateway/src/placement/PlacementLeader.test.ts
@@ -0,0 +1,172 @@
+import * as vitest from 'vitest';
+import type { TableRecord } from '../contracts/index.js';
+import type { DaemonReport } from '../peers/Types.js';
+import { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
+import { FakeEngine, FakeEngineClient } from '../testing/FakeEngines.js';
+import { silentLogger } from '../testing/SilentLogger.js';
+import type { Configuration, Replica } from '../Types.js';
+import { PlacementLeader } from './PlacementLeader.js';
+
+const tickMs = 100;
+const replica: Replica = {
+  id: 'r1',
+  service: 'models',
+  address: { host: '127.0.0.1', port: 1 },
+  failureDomain: 'a',
+  slots: 16,
+  state: 'ready',
+  bornMs: 5,
+  orderSequence: 0,
+  models: [],
+  inMemory: [],
+  onDisk: ['m1', 'm2', 'm3'],
+};
+const models = ['m1', 'm2', 'm3'].map((name) => ({
+  name,
+  weightMegabytes: 60,
+  adapterMegabytes: 1,
+  loadMs: { memory: 100, disk: 200, store: 6_000 },
+}));
+const configuration: Configuration = {
+  version: 1,
+  routes: [],
+  services: new Map([
+    [
+      'models',
+      {
+        name: 'models',
+        engine: {
+          weightMegabytes: 130,
+          adapterSlots: 2,
+          storeLoadsPerSecond: 4,
+          models: new Map(models.map((model) => [model.name, model])),
+        },
+      },
+    ],
+  ]),
+  callerLimits: { maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+/** A leader over one replica, on a clock that the test moves. */
+class LeaderFixture {
+  public readonly engine = new FakeEngine();
+  public token: number | undefined = 7;
+  public readonly leader: PlacementLeader;
+
+  public constructor() {
+    const engines = new FakeEngineClient();
+    engines.engines.set(replica.id, this.engine);
+    const directory = new ReplicaDirectory(() => replica, silentLogger);
+    const record: TableRecord = { key: replica.id, offset: 0, value: 'any' };
+    directory.apply([record], 0, 0);
+    const clock = { now: () => ({ steadyMs: Date.now(), wallMs: Date.now() }) };
+    const token = (): number | undefined => this.token;
+    const known = (): Configuration => configuration;
+    this.leader = new PlacementLeader('vm1', known, directory, engines, token, clock, silentLogger);
+  }
+
+  public async run(durationMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += tickMs) {
+      this.leader.tick();
+      await vitest.vi.advanceTimersByTimeAsync(tickMs);
+    }
+  }
+
+  public ask(model: string, adapter?: string): void {
+    const target = adapter === undefined ? { model } : { model, adapter };
+    const report: DaemonReport = {
+      daemon: 'vm1',
+      waiting: [{ target, count: 1, slackMs: 0 }],
+      arrivals: [{ target, count: 1, latencyTargetMs: 250 }],
+      running: [],
+    };
+    this.leader.applyReport(report);
+  }
+}
+
+vitest.describe('placement leader', () => {
+  vitest.beforeEach(() => {
+    vitest.vi.useFakeTimers();
+  });
+
+  vitest.afterEach(() => {
+    vitest.vi.useRealTimers();
+  });
+
+  vitest.test('gives no order while an order of a former leader goes on (guards against oversold memory)', async () => {
+    const fixture = new LeaderFixture();
+    fixture.engine.models = ['m1'];
+    fixture.engine.sequence = 3;
+    fixture.engine.orderInProgress = true;
+    for (let step = 0; step < 20; step += 1) {
+      fixture.ask('m3');
+      await fixture.run(tickMs);
+    }
+    vitest.expect(fixture.engine.orders).toEqual([]);
+
+    fixture.engine.models = ['m1', 'm2'];
+    fixture.engine.orderInProgress = false;
+    await fixture.run(500);
+    fixture.ask('m3');
+    await fixture.run(200);
+    vitest.expect(fixture.engine.orders[0]).toMatchObject({ kind: 'unload', expectedSequence: 3 });
+  });
+
+  vitest.test('gives no order without the lease (guards against two holders of a replica)', async () => {
+    const fixture = new LeaderFixture();
+    await fixture.run(300);
+    fixture.token = undefined;
+    fixture.ask('m1');
+    await fixture.run(1_000);
+    vitest.expect(fixture.engine.orders).toEqual([]);
+  });
+
+  vitest.test(
+    'repeats an order without answer under the same sequence (guards against a load carried out twice)',
+    async () => {
+      const fixture = new LeaderFixture();
+      await fixture.run(300);
+      fixture.engine.losesAnswers = 'dropped';
+      fixture.ask('m1');
+      await fixture.run(1_000);
+      vitest.expect(fixture.engine.orders.length).toBeGreaterThan(1);
+      vitest.expect(new Set(fixture.engine.orders.map((order) => order.expectedSequence))).toEqual(new Set([0]));
+      fixture.engine.losesAnswers = 'never';
+      await fixture.run(1_000);
+      vitest.expect(fixture.engine.models).toEqual(['m1']);
+    },
+  );
+
+  vitest.test(
+    'finds its way back after an order that took effect unanswered (guards against a stuck replica)',
+    async () => {
+      const fixture = new LeaderFixture();
+      await fixture.run(300);
+      fixture.engine.losesAnswers = 'carriedOut';
+      fixture.ask('m1');
+      await fixture.run(100);
+      fixture.engine.losesAnswers = 'never';
+      await fixture.run(1_500);
+      fixture.ask('m2');
+      await fixture.run(1_500);
+      vitest.expect(fixture.engine.models).toEqual(['m1', 'm2']);
+    },
+  );
+
+  vitest.test(
+    'recovers when its count is ahead of the replica (guards against adapters that are never loaded)',
+    async () => {
+      const fixture = new LeaderFixture();
+      fixture.engine.models = ['m1'];
+      fixture.engine.sequence = 4;
+      await fixture.run(300);
+      // The count falls behind as after an order that held already.
+      fixture.engine.sequence = 3;
+      fixture.ask('m1', 'a1');
+      await fixture.run(2_000);
+      fixture.ask('m1', 'a1');
+      await fixture.run(500);
+      vitest.expect(fixture.engine.adapters).toEqual(['a1']);
+    },
+  );
+});
--- /dev/null
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -0,0 +1,167 @@
+import * as http from 'node:http';
+import * as net from 'node:net';
+import { systemClock } from '../Clock.js';
+import { RouteTable } from '../configuration/RouteTable.js';
+import { CallerServer } from '../forwarding/CallerServer.js';
+import { ReplicaAgent } from '../forwarding/ReplicaAgent.js';
+import { RequestLog } from '../forwarding/RequestLog.js';
+import type { ExchangeContext } from '../forwarding/Types.js';
+import { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
+import { RetryBudgets } from '../retries/RetryBudgets.js';
+import { ReplicaLoads } from '../routing/ReplicaLoads.js';
+import type { Replica, Route } from '../Types.js';
+import { WaitingRoom } from '../waiting/WaitingRoom.js';
+import { FakeCodec } from './FakeCodec.js';
+import { silentLogger } from './SilentLogger.js';
+
+/** What a replica does with a connection after it has read the head of a request. */
+export type ReplicaScript = (socket: net.Socket, head: string) => void;
+
+/** What a caller saw. */
+export interface CallerView {
+  readonly status: number | undefined;
+  readonly body: string;
+  readonly complete: boolean;
+  readonly headers: http.IncomingHttpHeaders;
+}
+
+const callerLimits = {
+  maximumHeaderBytes: 2_000,
+  maximumBodyBytes: 100,
+  headerTimeoutMs: 1_000,
+  idleTimeoutMs: 1_000,
+};
+
+/** Callers, a caller server and scripted replicas on loopback. */
+export class ExchangeFixture implements AsyncDisposable {
+  public stopping = false;
+  public readonly heads: string[] = [];
+  private readonly _servers: net.Server[] = [];
+  private readonly _replicas: Replica[] = [];
+  private readonly _agent = new ReplicaAgent();
+  private _callers: CallerServer | undefined;
+  private _port = 0;
+
+  public constructor(private readonly _route: Partial<Route> = {}) {}
+
+  /** Adds a replica that follows a script for each connection. */
+  public async addReplica(script: ReplicaScript): Promise<void> {
+    const server = net.createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.on('data', (bytes) => {
+        this.heads.push(bytes.toString());
+        script(socket, bytes.toString());
+      });
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    this._servers.push(server);
+    const { port } = server.address() as net.AddressInfo;
+    this._replicas.push({
+      id: `r${this._replicas.length}`,
+      service: 's',
+      address: { host: '127.0.0.1', port },
+      failureDomain: 'a',
+      slots: 4,
+      state: 'ready',
+      bornMs: 1,
+      orderSequence: 0,
+      models: [{ name: 'm', adapters: [] }],
+      inMemory: [],
+      onDisk: [],
+    });
+  }
+
+  public async open(): Promise<void> {
+    const directory = new ReplicaDirectory((id) => this._replicas.find((replica) => replica.id === id), silentLogger);
+    directory.apply(
+      this._replicas.map((replica) => ({ key: replica.id, offset: 0, value: 'any' })),
+      0,
+      0,
+    );
+    const probe = net.createServer();
+    await new Promise<void>((resolve) => probe.listen(0, '127.0.0.1', resolve));
+    this._port = (probe.address() as net.AddressInfo).port;
+    await new Promise((resolve) => probe.close(resolve));
+    this._callers = new CallerServer(this._context(directory), { host: '127.0.0.1', port: this._port }, silentLogger);
+    this._callers.applyLimits(callerLimits);
+    await this._callers.open();
+  }
+
+  /** Sends a request and reads its answer to the end, whichever way it ends. */
+  public call(options: http.RequestOptions = {}, leaveAfterMs?: number): Promise<CallerView> {
+    return new Promise((resolve) => {
+      const view = { status: undefined as number | undefined, body: '', headers: {} as http.IncomingHttpHeaders };
+      const request = http.request({
+        port: this._port,
+        host: '127.0.0.1',
+        path: '/p/x',
+        agent: false,
+        ...options,
+        headers: { host: 'h', 'x-attempt': 'a1', ...(options.headers as Record<string, string> | undefined) },
+      });
+      const finish = (complete: boolean): void => {
+        resolve({ ...view, complete });
+      };
+      request.on('error', () => {
+        finish(false);
+      });
+      request.on('response', (response) => {
+        view.status = response.statusCode;
+        view.headers = response.headers;
+        response.setEncoding('utf8');
+        response.on('data', (text: string) => (view.body += text));
+        response.on('error', () => undefined);
+        response.on('close', () => {
+          finish(response.complete);
+        });
+      });
+      request.end();
+      if (leaveAfterMs !== undefined) {
+        setTimeout(() => request.destroy(), leaveAfterMs);
+      }
+    });
+  }
+
+  public async [Symbol.asyncDispose](): Promise<void> {
+    this._callers?.close();
+    this._agent.destroy();
+    await Promise.all(this._servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  }
+
+  private _context(directory: ReplicaDirectory): ExchangeContext {
+    const route: Route = {
+      name: 'route',
+      host: 'h',
+      pathPrefix: '/p/',
+      kind: 'idempotent',
+      timeoutMs: 5_000,
+      latencyTargetMs: 200,
+      maximumAttempts: 2,
+      priority: 0,
+      services: [{ service: 's', weight: 1 }],
+      resumable: false,
+      eventGapMs: 200,
+      ...this._route,
+    };
+    const routes = new RouteTable({ version: 1, routes: [route], services: new Map(), callerLimits });
+    const budgets = new RetryBudgets({ windowMs: 10_000, ratio: 0.2, slack: 1_000 });
+    return {
+      codec: new FakeCodec(),
+      clock: systemClock,
+      log: silentLogger,
+      requestLog: new RequestLog(silentLogger),
+      failureDomain: 'a',
+      directory,
+      loads: new ReplicaLoads(),
+      waitingRoom: new WaitingRoom(),
+      budgets,
+      agent: this._agent,
+      routes: () => routes,
+      readyInMs: () => undefined,
+      recordArrival: () => undefined,
+      waitingChanged: () => undefined,
+      isStopping: () => this.stopping,
+      refusesLongRequests: () => this.stopping,
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/testing/FakeCodec.ts
@@ -0,0 +1,47 @@
+import type * as http from 'node:http';
+import { type CallerRequest, type ForwardingFields, type ReplicaAnswer, RequestCodec } from '../contracts/index.js';
+
+/** A codec with header names of its own, so that tests of forwarding know no platform. */
+export class FakeCodec extends RequestCodec {
+  public readRequest(request: http.IncomingMessage): CallerRequest | undefined {
+    const attemptId = request.headers['x-attempt'];
+    const model = request.headers['x-model'];
+    if (typeof attemptId !== 'string') {
+      return undefined;
+    }
+    return {
+      attemptId,
+      host: request.headers.host ?? '',
+      deadlineMs: 5_000,
+      tokens: 0,
+      promptParts: [],
+      ...(typeof model === 'string' && { target: { model } }),
+    };
+  }
+
+  public forwardedHeaders(request: http.IncomingMessage, fields: ForwardingFields): string[] {
+    const headers = ['Host', request.headers.host ?? '', 'x-attempt', String(request.headers['x-attempt'])];
+    headers.push('x-replica', fields.replicaId, 'content-length', String(fields.bodyBytes));
+    return fields.lastEventId === undefined ? headers : [...headers, 'last-event-id', fields.lastEventId];
+  }
+
+  public readAnswer(response: http.IncomingMessage): ReplicaAnswer {
+    const attemptId = response.headers['x-attempt'];
+    return {
+      status: response.statusCode ?? 0,
+      notRun: response.headers['x-not-run'] !== undefined,
+      otherReplica: response.statusCode === 421,
+      encoded: false,
+      ...(typeof attemptId === 'string' && { attemptId }),
+    };
+  }
+
+  public returnedHeaders(response: http.IncomingMessage): string[] {
+    const length = response.headers['content-length'];
+    return length === undefined ? [] : ['Content-Length', length];
+  }
+
+  public ownHeaders(_attemptId: string | undefined, retryAfterMs: number | undefined): string[] {
+    return retryAfterMs === undefined ? [] : ['Retry-After', String(retryAfterMs / 1000)];
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/testing/FakeEngines.ts
@@ -0,0 +1,85 @@
+import * as common from '@jayhaven/common';
+import {
+  EngineClient,
+  type EngineFailure,
+  type EngineOrder,
+  type EngineReport,
+  type OrderAnswer,
+} from '../contracts/index.js';
+import type { Replica } from '../Types.js';
+
+/** A model replica in memory: keeps the sequence, and carries loads out when told. */
+export class FakeEngine {
+  public sequence = 0;
+  public models: string[] = [];
+  public adapters: string[] = [];
+  public orderInProgress = false;
+  public reports = 0;
+  public readonly orders: EngineOrder[] = [];
+  /** Orders from now on get no answer; they are carried out if true. */
+  public losesAnswers: 'never' | 'carriedOut' | 'dropped' = 'never';
+
+  public order(order: EngineOrder): common.Outcome<OrderAnswer, EngineFailure> {
+    this.orders.push(order);
+    if (this.losesAnswers === 'dropped') {
+      return common.fail({ message: 'no answer', mayHaveArrived: true });
+    }
+    const answer = this._carryOut(order);
+    return this.losesAnswers === 'carriedOut'
+      ? common.fail({ message: 'no answer', mayHaveArrived: true })
+      : common.succeed(answer);
+  }
+
+  private _carryOut(order: EngineOrder): OrderAnswer {
+    if (this.orderInProgress || order.expectedSequence !== this.sequence) {
+      return 'conflict';
+    }
+    const list = order.adapter === undefined ? this.models : this.adapters;
+    const name = order.adapter ?? order.model;
+    if (order.kind === 'load' && list.includes(name)) {
+      return 'alreadyHolds';
+    }
+    if (order.kind === 'load') {
+      list.push(name);
+    } else {
+      list.splice(list.indexOf(name), 1);
+    }
+    this.sequence += 1;
+    return 'accepted';
+  }
+}
+
+/** Engines by replica id. */
+export class FakeEngineClient extends EngineClient {
+  public readonly engines = new Map<string, FakeEngine>();
+
+  public sendOrder(replica: Replica, order: EngineOrder): Promise<common.Outcome<OrderAnswer, EngineFailure>> {
+    return Promise.resolve(this._engine(replica).order(order));
+  }
+
+  public readReport(replica: Replica): Promise<common.Outcome<EngineReport, EngineFailure>> {
+    const engine = this._engine(replica);
+    engine.reports += 1;
+    return Promise.resolve(
+      common.succeed({
+        models: engine.models.map((name) => ({ name, adapters: name === engine.models[0] ? engine.adapters : [] })),
+        arrivingAdapters: [],
+        orderInProgress: engine.orderInProgress,
+        orderSequence: engine.sequence,
+        bornMs: replica.bornMs,
+        running: 0,
+        queued: 0,
+      }),
+    );
+  }
+
+  public [Symbol.asyncDispose](): Promise<void> {
+    return Promise.resolve();
+  }
+
+  private _engine(replica: Replica): FakeEngine {
+    const engine = this.engines.get(replica.id) ?? new FakeEngine();
+    this.engines.set(replica.id, engine);
+    return engine;
+  }
+}
