--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -16,7 +16,7 @@
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
 import { ReplicaDirectory } from './replicas/ReplicaDirectory.js';
-import { TableFollower, type TableNews } from './replicas/TableFollower.js';
+import { type ReadPace, readPaces, TableFollower, type TableNews } from './replicas/TableFollower.js';
 import type { RetryBudgetLimits } from './retries/RetryBudget.js';
 import { RetryBudgets } from './retries/RetryBudgets.js';
 import { ReplicaLoads } from './routing/ReplicaLoads.js';
@@ -167,14 +167,21 @@
   }
 
   private _followTable(table: 'configuration' | 'replicas'): TableFollower {
-    const heard = (): boolean => this._link.isHeard(this._nowMs()) && this._status?.tellsChanges === true;
-    const follower = new TableFollower(this._platform.store, table, this._clock, heard, this._log.part('store'));
+    const pace = (): ReadPace => this._readPace();
+    const follower = new TableFollower(this._platform.store, table, this._clock, pace, this._log.part('store'));
     follower.onNews((news) => {
       this._applyNews(news);
     });
     return follower;
   }
 
+  private _readPace(): ReadPace {
+    if (this._link.isHeard(this._nowMs()) && this._status?.tellsChanges === true) {
+      return readPaces.assisted;
+    }
+    return this._hub.peerCount > 0 ? readPaces.forOthers : readPaces.alone;
+  }
+
   private _connectParts(): void {
     this._directory.onChanged(() => {
       this._waitingRoom.tryAll();
@@ -284,8 +291,9 @@
   }
 
   private _tellStatus(): void {
-    const reachesStore = !this._replicaTable.failedWithin(unsteadyStoreMs, this._nowMs());
-    const status = this._leader.status(this._hub.peerCount + 1, reachesStore);
+    const nowMs = this._nowMs();
+    const isCurrent = this._configurationTable.isCurrent(nowMs) && this._replicaTable.isCurrent(nowMs);
+    const status = this._leader.status(this._hub.peerCount + 1, isCurrent);
     this._hub.broadcast('status', status);
     if (status.leads) {
       this._applyStatus(status);
--- a/packages/gateway/src/forwarding/Exchange.test.ts
+++ b/packages/gateway/src/forwarding/Exchange.test.ts
@@ -103,7 +103,7 @@
     'goes on with a resumable stream after its last whole event (guards against missing or doubled pieces)',
     async () => {
       const script: ReplicaScript = (socket, head) => {
-        const isResumed = /last-event-id: 2/.test(head);
+        const isResumed = head.includes('last-event-id: 2');
         socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n`);
         sendChunk(socket, isResumed ? events(3, 4) : `${events(1, 2)}id: 3\nda`);
         if (isResumed) {
@@ -151,6 +151,15 @@
     });
   });
 
+  vitest.test('refuses a waiting stream before a stop ends (guards against requests without any answer)', async () => {
+    await withReplicas({ kind: 'stream', latencyTargetMs: 3_000 }, [answers], async (fixture) => {
+      const pending = fixture.call({ headers: { 'x-model': 'absent' } });
+      await new Promise((resolve) => setTimeout(resolve, 150));
+      fixture.stopping = true;
+      vitest.expect(await pending).toMatchObject({ status: 503, headers: { 'retry-after': '0.05' } });
+    });
+  });
+
   vitest.test('answers at the timeout of the route (guards against callers held past it)', async () => {
     const silent: ReplicaScript = () => undefined;
     await withReplicas({ kind: 'nonIdempotent', timeoutMs: 200 }, [silent], async (fixture) => {
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -100,10 +100,6 @@
       this._answer(404, 'noRoute', 'no route matches');
       return false;
     }
-    if (this._context.refusesLongRequests() && this._route.kind === 'stream') {
-      this._refuse('this daemon stops', stoppingRetryAfterMs);
-      return false;
-    }
     this._service = pickService(this._route, Math.random());
     this._startDeadline(this._caller, this._route);
     this._context.budgets.recordRequest(this._service, this._startedMs);
@@ -126,6 +122,12 @@
 
   /** Sends the request to the best replica, or lets it wait. Returns true if it no longer needs to wait. */
   private _dispatch(): boolean {
+    // A stream that is sent late in the stop would be cut at its end, and so would one that still waits.
+    if (this._context.refusesLongRequests() && this._route?.kind === 'stream' && this._runs === 0) {
+      this._stopWaiting();
+      this._refuse('this daemon stops', stoppingRetryAfterMs);
+      return true;
+    }
     const nowMs = this._nowMs();
     const target = this._caller?.target;
     const usable = this._context.directory.usable(this._service);
--- a/packages/gateway/src/replicas/TableFollower.ts
+++ b/packages/gateway/src/replicas/TableFollower.ts
@@ -3,12 +3,26 @@
 import type { MetadataStore, TableName, TableRecord, TableRecords } from '../contracts/MetadataStore.js';
 import { TableState } from './TableState.js';
 
-/** Longest wait of a read while a peer passes changes on, milliseconds. The store allows 30 s. */
-const relaxedWaitMs = 20_000;
-/** Longest wait of a read while nobody else tells of changes: a silent connection must show within 3 s. */
-const alertWaitMs = 2_000;
-/** Least time between two reads, so that a series of changes costs few calls. */
-const minimumReadIntervalMs = 400;
+/** How a table is read: longest wait of one read for a change, and least time between two reads, milliseconds. */
+export interface ReadPace {
+  readonly waitMs: number;
+  readonly intervalMs: number;
+}
+
+/** Paces by what other daemons do. A series of changes costs one read an interval. */
+export const readPaces = {
+  /** Another daemon passes changes on, so that one reader serves all. */
+  assisted: { waitMs: 20_000, intervalMs: 5_000 },
+  /** Nobody passes changes on: a silent connection must show within 3 s. */
+  alone: { waitMs: 2_000, intervalMs: 400 },
+  /** Other daemons rely on this one: they must hear within a second that it does not reach the store. */
+  forOthers: { waitMs: 600, intervalMs: 300 },
+} as const satisfies Readonly<Record<string, ReadPace>>;
+
+/** A read that is this late shows that the store may not be reached, milliseconds. The store answers in a few. */
+const lateReadMs = 300;
+/** Interval at which a pause between reads looks whether the pace has changed, milliseconds. */
+const pauseStepMs = 100;
 /** First and longest pause after a failed read, milliseconds. */
 const firstRetryMs = 150;
 const longestRetryMs = 800;
@@ -30,13 +44,14 @@
   private _stopped = false;
   private _lastFailureMs = Number.NEGATIVE_INFINITY;
   private _available = true;
+  private _readDueMs = Number.POSITIVE_INFINITY;
   private _wake: (() => void) | undefined;
 
   public constructor(
     private readonly _store: MetadataStore,
     private readonly _table: TableName,
     private readonly _clock: Clock,
-    private readonly _peerTellsChanges: () => boolean,
+    private readonly _pace: () => ReadPace,
     private readonly _log: common.Logger,
   ) {}
 
@@ -45,6 +60,11 @@
     return nowMs - this._lastFailureMs < spanMs;
   }
 
+  /** True if changes of the last second are known for certain, so that others may rely on this daemon. */
+  public isCurrent(nowMs: number): boolean {
+    return this._available && nowMs < this._readDueMs + lateReadMs;
+  }
+
   public start(): void {
     void this._run();
   }
@@ -78,7 +98,7 @@
       }
       tableNeeded = outcome === 'historyDropped';
       retryMs = firstRetryMs;
-      await this._pause(tableNeeded ? 0 : minimumReadIntervalMs);
+      await this._pauseBetweenReads(tableNeeded);
     }
   }
 
@@ -103,7 +123,8 @@
   }
 
   private async _readChanges(): Promise<ReadResult> {
-    const waitMs = this._peerTellsChanges() ? relaxedWaitMs : alertWaitMs;
+    const { waitMs } = this._pace();
+    this._readDueMs = this._clock.now().steadyMs + waitMs;
     const outcome = await this._store.readChanges(this._table, this.state.end, waitMs);
     if (outcome.ok) {
       this._recordSuccess();
@@ -139,6 +160,14 @@
     }
   }
 
+  private async _pauseBetweenReads(tableNeeded: boolean): Promise<void> {
+    const startedMs = this._clock.now().steadyMs;
+    this._readDueMs = startedMs + this._pace().intervalMs;
+    while (!tableNeeded && !this._stopped && this._clock.now().steadyMs - startedMs < this._pace().intervalMs) {
+      await this._pause(pauseStepMs);
+    }
+  }
+
   private async _pause(durationMs: number): Promise<void> {
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, durationMs);
