--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -248,15 +248,16 @@
       const isUnsteady = this._replicaTable.failedWithin(unsteadyStoreMs, nowMs);
       this._directory.apply(records, nowMs, isUnsteady ? lapsedRecordGraceMs : 0);
     }
-    if (source === 'store') {
-      this._passOn({ table, records, end: 0, whole: false });
-    }
+    this._passOn({ table, records, end: 0, whole: false }, source);
   }
 
-  /** Passes news of the store on to the daemons that follow this one, and to a leader that does not reach the store. */
-  private _passOn(message: TableMessage): void {
+  /**
+   * Passes news on to the daemons that follow this one, whoever told them, and news of the store to a leader that does
+   * not reach the store.
+   */
+  private _passOn(message: TableMessage, source: TableNews['source']): void {
     this._hub.broadcast('table', message);
-    if (this._status?.tellsChanges === false) {
+    if (source === 'store' && this._status?.tellsChanges === false) {
       this._link.send('table', message);
     }
   }
--- a/packages/gateway/src/forwarding/CallerServer.ts
+++ b/packages/gateway/src/forwarding/CallerServer.ts
@@ -45,6 +45,12 @@
     this._server.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
   }
 
+  /** Takes no further connection and closes the idle ones; requests in flight go on. */
+  public stopAccepting(): void {
+    this._server.close();
+    this._server.closeIdleConnections();
+  }
+
   public close(): void {
     this._server.close();
     this._server.closeAllConnections();
--- a/packages/gateway/src/placement/estimateReady.ts
+++ b/packages/gateway/src/placement/estimateReady.ts
@@ -1,6 +1,6 @@
 import type { ReadyEstimate } from '../peers/Types.js';
 import type { PlacementInput } from './Types.js';
-import { copies, demandByModel, loadTier } from './weights.js';
+import { copies, demandByModel, loadTier, waitingModels } from './weights.js';
 
 /** Expected time of a load from memory or disk with the unload before it, milliseconds. */
 const localSwapMs = 1_200;
@@ -12,13 +12,11 @@
 export function estimateReady(input: PlacementInput, nowMs: number): readonly ReadyEstimate[] {
   const estimates: ReadyEstimate[] = [];
   let queued = 0;
-  const waiting = [...demandByModel(input.demands)].filter(([, demand]) => demand.waiting > 0);
-  waiting.sort(([, first], [, second]) => first.slackMs - second.slackMs);
   const storeEnds = input.replicas
     .filter((replica) => replica.order?.kind === 'load' && replica.order.tier === 'store')
     .map((replica) => Math.max((replica.order?.expectedDoneMs ?? nowMs) - nowMs, 0))
     .sort((first, second) => first - second);
-  for (const [model] of waiting) {
+  for (const [model] of waitingModels(demandByModel(input.demands))) {
     const specification = input.models.get(model);
     const holders = copies(input, model);
     const loading = holders.find((replica) => replica.order?.kind === 'load' && replica.order.model === model);
--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -1,19 +1,29 @@
 import type { ModelSpecification, WeightTier } from '../Types.js';
 import type { PlacedModel, PlacedReplica, PlacementInput, PlannedOrder } from './Types.js';
-import { copies, demandByModel, freeMegabytes, heldMegabytes, loadTier, type ModelDemand } from './weights.js';
-
+import {
+  copies,
+  demandByModel,
+  freeMegabytes,
+  gainOf,
+  heldMegabytes,
+  loadTier,
+  type ModelDemand,
+  patientTargetMs,
+  requestWeight,
+  waitingModels,
+  waitingRate,
+} from './weights.js';
+
+/** Requests that are late by this much no longer wait for a replica with a copy to make room, milliseconds. */
+const copyPatienceMs = 4_000;
+/** The same for requests whose callers leave soon. */
+const impatientCopyPatienceMs = 500;
 /** A model stays at least this long after its load, so that the requests that waited for it reach it. */
 const minimumResidenceMs = 600;
 /** Requests with less time than this until they are late may end the residence of a model in use, milliseconds. */
 const urgentSlackMs = 500;
-/** Longer latency targets than this leave time for a load from disk. */
-const patientTargetMs = 1_000;
-/** How much more a model counts whose requests are late if it has to be loaded first. */
-const impatientWeight = 10;
 /** Mean time that a running request still takes, milliseconds. An unload waits for the last of them. */
 const meanRemainingRunMs = 1_200;
-/** Waiting requests count as much as this many requests a second each. */
-const waitingRate = 0.25;
 /** A model gives way to another one whose demand is at least this share of its own. */
 const displacingShare = 0.5;
 /** Cost in milliseconds of taking away a model that is asked for once a second. */
@@ -85,11 +95,20 @@
     }
   }
 
+  /**
+   * Loads from a replica's own copies in the order in which requests are late. The few loads of the weight store go to
+   * the models in most demand.
+   */
   private _serveWaiting(): void {
-    const waiting = [...this._demand.entries()].filter(([, demand]) => demand.waiting > 0);
-    waiting.sort(([, first], [, second]) => first.slackMs - second.slackMs || second.waiting - first.waiting);
+    const waiting = waitingModels(this._demand);
     for (const [model] of waiting) {
-      this._loadUnlessPresent(model, 'waiting');
+      this._loadUnlessPresent(model, ['memory', 'disk']);
+    }
+    const byGain = [...waiting].sort(([, first], [, second]) => gainOf(second) - gainOf(first));
+    for (const [model] of byGain) {
+      if (this._mayUseStore(model)) {
+        this._loadUnlessPresent(model, ['store']);
+      }
     }
   }
 
@@ -103,7 +122,7 @@
       const slots = holders.reduce((sum, replica) => sum + replica.slots, 0);
       const isImpatient = demand.latencyTargetMs < patientTargetMs;
       if (isImpatient && running > secondCopyLoad * slots && demand.ratePerSecond > 1) {
-        this._load(model, 'secondCopy', holders);
+        this._load(model, 'secondCopy', ['memory', 'disk']);
       }
     }
   }
@@ -119,28 +138,29 @@
       if (this._storeLoads >= this._input.maximumStoreLoads) {
         return;
       }
-      this._load(model, 'coverage', []);
+      this._load(model, 'coverage', ['store']);
     }
   }
 
-  private _loadUnlessPresent(model: string, reason: PlannedOrder['reason']): void {
-    if (copies(this._input, model).length === 0) {
-      this._load(model, reason, []);
+  private _loadUnlessPresent(model: string, tiers: readonly WeightTier[]): void {
+    const isOrdered = this._orders.some((order) => order.model === model || order.clearingFor === model);
+    if (!isOrdered && copies(this._input, model).length === 0) {
+      this._load(model, 'waiting', tiers);
     }
   }
 
-  private _load(model: string, reason: PlannedOrder['reason'], excluded: readonly PlacedReplica[]): void {
+  private _load(model: string, reason: PlannedOrder['reason'], tiers: readonly WeightTier[]): void {
     const specification = this._input.models.get(model);
     if (specification === undefined) {
       return;
     }
     const options = this._input.replicas
-      .filter((replica) => this._isFree(replica) && replica.clearingFor === undefined && !excluded.includes(replica))
+      .filter((replica) => this._isFree(replica) && replica.clearingFor === undefined)
+      .filter((replica) => !replica.models.some((held) => held.name === model))
       .map((replica) => this._option(replica, specification))
       .filter((option) => option !== undefined)
-      .filter((option) => option.tier !== 'store' || this._mayUseStore(model))
-      .filter((option) => reason !== 'secondCopy' || option.tier !== 'store');
-    const best = cheapest(options.filter((option) => this._isWorthIt(option, model, reason)));
+      .filter((option) => tiers.includes(option.tier) && this._isWorthIt(option, model, reason));
+    const best = cheapest(options);
     if (best !== undefined) {
       this._order(best, specification, reason);
     }
@@ -149,7 +169,7 @@
   /** Compares the demand for a model with the demand for those that would give way to it. */
   private _isWorthIt(option: Option, model: string, reason: PlannedOrder['reason']): boolean {
     const loss = this._lossOf(option.victims);
-    const gain = this._weightedRate(model) + this._waitingWeight(model);
+    const gain = gainOf(this._demand.get(model));
     return reason === 'coverage' ? loss <= gain || loss < waitingRate : loss * displacingShare <= gain;
   }
 
@@ -224,15 +244,8 @@
   }
 
   private _weightedRate(model: string): number {
-    return (this._demand.get(model)?.ratePerSecond ?? 0) * this._weight(model);
-  }
-
-  private _waitingWeight(model: string): number {
-    return (this._demand.get(model)?.waiting ?? 0) * waitingRate * this._weight(model);
-  }
-
-  private _weight(model: string): number {
-    return (this._demand.get(model)?.latencyTargetMs ?? patientTargetMs) < patientTargetMs ? impatientWeight : 1;
+    const demand = this._demand.get(model);
+    return (demand?.ratePerSecond ?? 0) * requestWeight(demand);
   }
 
   private _rate(model: string): number {
@@ -240,10 +253,16 @@
     return (demand?.ratePerSecond ?? 0) + (demand?.waiting ?? 0);
   }
 
-  /** A replica with a copy of the weights is worth waiting for: a load from the store takes many times as long. */
+  /**
+   * A replica that has a copy of the weights is worth waiting for, as a load from the store takes many times as long.
+   * One that makes no room for the model for long does not keep it from being loaded elsewhere.
+   */
   private _mayUseStore(model: string): boolean {
+    const demand = this._demand.get(model);
     const hasCopy = (replica: PlacedReplica): boolean => replica.takesOrders && loadTier(replica, model) !== 'store';
-    return this._storeLoads < this._input.maximumStoreLoads && !this._input.replicas.some(hasCopy);
+    const patienceMs = requestWeight(demand) > 1 ? impatientCopyPatienceMs : copyPatienceMs;
+    const isWorthWaiting = (demand?.slackMs ?? Infinity) > -patienceMs && this._input.replicas.some(hasCopy);
+    return this._storeLoads < this._input.maximumStoreLoads && !isWorthWaiting;
   }
 
   private _isAnywhere(model: string): boolean {
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -24,6 +24,29 @@
   return replica.models.reduce((sum, model) => sum + model.adapters.length, 0);
 }
 
+/** Longer latency targets than this leave time for a load from disk, milliseconds. */
+export const patientTargetMs = 1_000;
+/** How much more a request counts that is late if its model has to be loaded first. */
+const impatientWeight = 10;
+/** A waiting request counts as much as this many requests a second. */
+export const waitingRate = 0.25;
+
+/** Weight of a model's requests: those that cannot wait for a load count more. */
+export function requestWeight(demand: ModelDemand | undefined): number {
+  return (demand?.latencyTargetMs ?? patientTargetMs) < patientTargetMs ? impatientWeight : 1;
+}
+
+/** What it is worth to have a model ready, in weighted requests a second. */
+export function gainOf(demand: ModelDemand | undefined): number {
+  return ((demand?.ratePerSecond ?? 0) + (demand?.waiting ?? 0) * waitingRate) * requestWeight(demand);
+}
+
+/** Models that requests wait for, the one whose requests are late first in front. */
+export function waitingModels(demands: ReadonlyMap<string, ModelDemand>): readonly (readonly [string, ModelDemand])[] {
+  const waiting = [...demands].filter(([, demand]) => demand.waiting > 0);
+  return waiting.sort(([, first], [, second]) => first.slackMs - second.slackMs);
+}
+
 /** Fastest place from which a replica can load a model. */
 export function loadTier(replica: PlacedReplica, model: string): WeightTier {
   if (replica.inMemory.has(model)) {
