--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -4,6 +4,7 @@
 import { CheckCommand } from './CheckCommand.js';
 import { DrainCommand } from './DrainCommand.js';
 import { EditCommand } from './EditCommand.js';
+import { ExplainCommand } from './ExplainCommand.js';
 import { HistoryCommand } from './HistoryCommand.js';
 import { OwnersCommand } from './OwnersCommand.js';
 import { QueuesCommand } from './QueuesCommand.js';
@@ -21,6 +22,7 @@
   check: CheckCommand,
   drain: DrainCommand,
   edit: EditCommand,
+  explain: ExplainCommand,
   history: HistoryCommand,
   owners: OwnersCommand,
   queues: QueuesCommand,
--- /dev/null
+++ b/packages/cli/src/explain/explainRequest.test.ts
@@ -0,0 +1,49 @@
+import * as vitest from 'vitest';
+import { explainRequest, type LogLine, parseLogLine } from './explainRequest.js';
+
+function lines(...entries: readonly Readonly<Record<string, unknown>>[]): readonly LogLine[] {
+  return entries.flatMap((entry) => parseLogLine(JSON.stringify(entry)) ?? []);
+}
+
+const refused = {
+  time: 20_000,
+  attemptId: 'a1',
+  target: { model: 'm1' },
+  outcome: 'refused',
+  replicas: [],
+  msg: 'requests: Request.',
+};
+
+vitest.describe('explanation of a request', () => {
+  vitest.test('finds the order that took the model away (guards against a refusal without a cause)', () => {
+    const unload = {
+      time: 12_000,
+      replica: 'i-1',
+      kind: 'unload',
+      model: 'm1',
+      clearingFor: 'm2',
+      msg: 'placement: Order.',
+    };
+    const other = { time: 13_000, replica: 'i-2', kind: 'load', model: 'm9', msg: 'placement: Order.' };
+    const found = explainRequest(lines(refused, other, unload), 'a1');
+    vitest.expect(found.map((line) => line.timeMs)).toEqual([12_000, 20_000]);
+  });
+
+  vitest.test('finds the replica that failed (guards against a broken request without a cause)', () => {
+    const broken = { ...refused, outcome: 'broken', target: undefined, replicas: ['i-1'] };
+    const leaves = { time: 19_000, replica: 'i-1', reason: 'record removed', msg: 'replicas: Replica leaves.' };
+    vitest.expect(explainRequest(lines(leaves, broken), 'a1').map((line) => line.timeMs)).toEqual([19_000, 20_000]);
+  });
+
+  vitest.test('finds the lost lease behind a stale belief', () => {
+    const lost = { time: 18_000, term: 3, msg: 'lease: Lost the lease.' };
+    const old = { time: 1_000, term: 1, msg: 'lease: Lost the lease.' };
+    vitest.expect(explainRequest(lines(old, refused, lost), 'a1').map((line) => line.timeMs)).toEqual([18_000, 20_000]);
+  });
+
+  vitest.test('is empty for an unknown request, and passes over text that is no log line', () => {
+    vitest.expect(explainRequest(lines(refused), 'a2')).toEqual([]);
+    vitest.expect(parseLogLine('node: warning')).toBeUndefined();
+    vitest.expect(parseLogLine('  1.5 front-a {"time":5,"msg":"x"}')).toMatchObject({ timeMs: 5 });
+  });
+});
--- /dev/null
+++ b/packages/cli/src/explain/explainRequest.ts
@@ -0,0 +1,55 @@
+/** Collects from the logs of all daemons what decided the outcome of one request. */
+
+/** Lines this long before the request's end may have decided it, milliseconds. */
+const spanBeforeMs = 15_000;
+/** Parts whose lines concern every request. */
+const sharedParts = ['lease:', 'store:', 'main: Configuration', 'placement: Gives'];
+
+/** A parsed log line with its text. */
+export interface LogLine {
+  readonly timeMs: number;
+  readonly text: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Parses one line; undefined for text that is no log line. Text before the first brace is dropped. */
+export function parseLogLine(text: string): LogLine | undefined {
+  const start = text.indexOf('{');
+  try {
+    const fields = JSON.parse(text.slice(start)) as Record<string, unknown>;
+    return start >= 0 && typeof fields.time === 'number'
+      ? { timeMs: fields.time, text: text.slice(start), fields }
+      : undefined;
+  } catch {
+    // Other programs write to the same logs; the caller counts what it could not read.
+    return undefined;
+  }
+}
+
+/**
+ * Lines that lead to a request's outcome, in order of time: its own, those of its model and replicas, and those of the
+ * lease, the store and the configuration shortly before. Empty if no line names the request.
+ */
+export function explainRequest(lines: readonly LogLine[], attemptId: string): readonly LogLine[] {
+  const own = lines.filter((line) => line.fields.attemptId === attemptId);
+  const last = own.at(-1);
+  if (last === undefined) {
+    return [];
+  }
+  const untilMs = Math.max(...own.map((line) => line.timeMs));
+  const model = modelOf(last);
+  const replicas = Array.isArray(last.fields.replicas) ? last.fields.replicas : [];
+  const decides = (line: LogLine): boolean => {
+    const isNear = line.timeMs <= untilMs && line.timeMs >= untilMs - spanBeforeMs;
+    const isShared = sharedParts.some((part) => String(line.fields.msg).startsWith(part));
+    const isOrder = model !== undefined && (line.fields.model === model || line.fields.clearingFor === model);
+    return isNear && (isShared || isOrder || replicas.includes(line.fields.replica));
+  };
+  const found = lines.filter((line) => own.includes(line) || (line.fields.attemptId === undefined && decides(line)));
+  return found.sort((first, second) => first.timeMs - second.timeMs);
+}
+
+function modelOf(line: LogLine): unknown {
+  const target = line.fields.target as { readonly model?: unknown } | undefined;
+  return target?.model;
+}
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -51,6 +51,8 @@
   private _pendingHead: http.IncomingMessage | undefined;
   private _headSent = false;
   private _finished = false;
+  /** Estimate of the leader that a refusal rests on, milliseconds. */
+  private _readyInMs: number | undefined;
 
   public constructor(
     private readonly _context: ExchangeContext,
@@ -165,6 +167,7 @@
       ...(readyInMs !== undefined && { readyInMs }),
     });
     if (decision.kind === 'refuse') {
+      this._readyInMs = readyInMs;
       this._stopWaiting();
       this._refuse(decision.reason, decision.retryAfterMs);
       return true;
@@ -513,6 +516,7 @@
       waitedMs: this._waitedMs,
       durationMs: nowMs - this._startedMs,
       reason,
+      readyInMs: this._readyInMs,
       retryAfterMs,
     };
     this._context.requestLog.record(result, nowMs);
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -49,5 +49,7 @@
   readonly waitedMs: number;
   readonly durationMs: number;
   readonly reason: string | undefined;
+  /** Expected time until the model is ready, if a refusal rests on it. */
+  readonly readyInMs: number | undefined;
   readonly retryAfterMs: number | undefined;
 }
