--- /dev/null
+++ b/packages/gateway/src/forwarding/AnswerRelay.ts
@@ -0,0 +1,120 @@
+import type * as http from 'node:http';
+import type { RequestCodec } from '../contracts/RequestCodec.js';
+import { EventBoundary } from './EventBoundary.js';
+
+/** What the relay tells the exchange. */
+export interface RelayListener {
+  /** Bytes of the answer have come. */
+  onProgress(): void;
+  /** The answer has been passed on whole. */
+  onEnd(): void;
+  onBroken(message: string): void;
+}
+
+/** How an answer is passed on. */
+export interface RelayOptions {
+  /** The stream may go on at another replica, so only whole events are passed on. */
+  readonly resumable: boolean;
+  /** Asked at the end of the body: true if it is whole. */
+  readonly isComplete: () => boolean;
+}
+
+/** Passes replicas' answers on to one caller. The head goes with the first bytes of the body. */
+export class AnswerRelay {
+  private _upstream: http.IncomingMessage | undefined;
+  private _pendingHead: http.IncomingMessage | undefined;
+  private _events: EventBoundary | undefined;
+  private _headSent = false;
+
+  public constructor(
+    private readonly _response: http.ServerResponse,
+    private readonly _codec: RequestCodec,
+    private readonly _closesConnection: () => boolean,
+    private readonly _listener: RelayListener,
+  ) {}
+
+  /** True once the caller has the head of a replica's answer. */
+  public get headSent(): boolean {
+    return this._headSent;
+  }
+
+  /** Last whole event that was passed on. */
+  public get lastEventId(): string | undefined {
+    return this._events?.lastEventId;
+  }
+
+  /** Passes an answer on; after the first one, only its events. */
+  public start(upstream: http.IncomingMessage, options: RelayOptions): void {
+    this._upstream = upstream;
+    this._pendingHead = this._headSent ? undefined : upstream;
+    if (options.resumable) {
+      this._events ??= new EventBoundary();
+    }
+    upstream.on('data', (chunk: Buffer) => {
+      this._pass(chunk, upstream);
+    });
+    upstream.on('end', () => {
+      this._end(upstream, options.isComplete());
+    });
+    upstream.on('error', (error) => {
+      this.break(error.message);
+    });
+    upstream.on('close', () => {
+      this.break('the replica closed the connection');
+    });
+  }
+
+  /** Ends the present answer as broken; nothing happens if it has ended already. */
+  public break(message: string): void {
+    if (this._upstream !== undefined) {
+      this.detach();
+      this._listener.onBroken(message);
+    }
+  }
+
+  /** Takes nothing more from the present answer. A partial event is dropped. */
+  public detach(): void {
+    this._upstream = undefined;
+    this._events?.dropPartial();
+  }
+
+  private _pass(chunk: Buffer, upstream: http.IncomingMessage): void {
+    if (this._upstream !== upstream) {
+      return;
+    }
+    this._listener.onProgress();
+    const bytes = this._events === undefined ? chunk : this._events.push(chunk);
+    if (bytes.length === 0) {
+      return;
+    }
+    this._sendHead();
+    if (!this._response.write(bytes)) {
+      upstream.pause();
+      this._response.once('drain', () => upstream.resume());
+    }
+  }
+
+  private _end(upstream: http.IncomingMessage, isComplete: boolean): void {
+    if (this._upstream !== upstream) {
+      return;
+    }
+    if (!isComplete) {
+      this.break('the replica reset the connection');
+      return;
+    }
+    this._upstream = undefined;
+    this._sendHead();
+    this._response.end(this._events?.flush());
+    this._listener.onEnd();
+  }
+
+  private _sendHead(): void {
+    const head = this._pendingHead;
+    this._pendingHead = undefined;
+    if (head !== undefined) {
+      this._headSent = true;
+      this._response.shouldKeepAlive = this._response.shouldKeepAlive && !this._closesConnection();
+      this._response.writeHead(head.statusCode ?? 502, head.statusMessage, this._codec.returnedHeaders(head));
+    }
+  }
+}
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -1,12 +1,13 @@
 import type * as http from 'node:http';
-import { pickService } from '../configuration/RouteTable.js';
 import type { CallerRequest, ReplicaAnswer } from '../contracts/RequestCodec.js';
 import { chooseReplica, holdsTarget } from '../routing/chooseReplica.js';
-import type { Replica, Route } from '../Types.js';
+import type { ModelReference, Replica, Route } from '../Types.js';
 import { decideWait } from '../waiting/decideWait.js';
+import { ModelWait } from '../waiting/ModelWait.js';
 import type { Waiter } from '../waiting/WaitingRoom.js';
 import { readBody } from './readBody.js';
-import { EventBoundary } from './EventBoundary.js';
+import { admitRequest, type OwnAnswer } from './admitRequest.js';
+import { AnswerRelay } from './AnswerRelay.js';
 import { type AttemptFailure, ReplicaAttempt } from './ReplicaAttempt.js';
 import { callerPatienceMs, maySendAgain, silenceLimitMs, urgencyOf } from './sendAgain.js';
 import type { ExchangeContext, ExchangeResult } from './Types.js';
@@ -17,12 +18,8 @@
 const defaultTimeoutMs = 30_000;
 /** Time to come back after replicas refused or could not be reached, milliseconds. */
 const refusedRetryAfterMs = 500;
-/** Time to come back while no configuration is known, milliseconds. */
-const unconfiguredRetryAfterMs = 1_000;
 /** Time to come back to another daemon while this one stops, milliseconds. */
 const stoppingRetryAfterMs = 50;
-/** Pause between two looks at whether a request should go on waiting, milliseconds. */
-const waitCheckMs = 100;
 
 /** One request of a caller: finds a replica or waits for one, sends the request, and passes the answer on. */
 export class Exchange {
@@ -35,21 +32,16 @@
   private _dueMs = Number.POSITIVE_INFINITY;
   private _dueTimer: NodeJS.Timeout | undefined;
   private _silenceTimer: NodeJS.Timeout | undefined;
-  private _waitTimer: NodeJS.Timeout | undefined;
-  private _waiter: Waiter | undefined;
-  private _waitingSinceMs: number | undefined;
-  private _waitedMs = 0;
+  private readonly _wait: ModelWait;
+  private readonly _relay: AnswerRelay;
   private _attempt: ReplicaAttempt | undefined;
-  private _upstream: http.IncomingMessage | undefined;
   private readonly _tried: string[] = [];
   /** Replicas that are passed over, because they have just failed this request. */
   private readonly _excluded = new Set<string>();
   /** Replicas that may have run the request. */
   private _runs = 0;
-  private _events: EventBoundary | undefined;
-  /** Answer whose head goes with the first bytes of its body. */
-  private _pendingHead: http.IncomingMessage | undefined;
-  private _headSent = false;
+  /** Status of the answer that is being passed on. */
+  private _answerStatus = 0;
   private _finished = false;
   /** Estimate of the leader that a refusal rests on, milliseconds. */
   private _readyInMs: number | undefined;
@@ -60,6 +52,16 @@
     private readonly _response: http.ServerResponse,
   ) {
     this._startedMs = this._nowMs();
+    this._wait = new ModelWait(_context.waitingRoom);
+    this._relay = new AnswerRelay(_response, _context.codec, () => _context.isStopping(), {
+      onProgress: () => this._silenceTimer?.refresh(),
+      onEnd: () => {
+        this._answerEnded();
+      },
+      onBroken: (message) => {
+        this._answerBroken(message);
+      },
+    });
     _response.sendDate = false;
     _response.on('close', () => {
       this._callerLeft();
@@ -68,7 +70,7 @@
 
   /** Starts the exchange. */
   public begin(): void {
-    if (!this._findRoute()) {
+    if (!this._admit()) {
       return;
     }
     const maximumBytes = this._context.routes()?.configuration.callerLimits.maximumBodyBytes ?? 0;
@@ -77,7 +79,8 @@
         return;
       }
       if (outcome === 'tooLarge') {
-        this._answer(413, 'invalidRequest', 'body is larger than the operators allow');
+        const reason = 'body is larger than the operators allow';
+        this._answer({ status: 413, outcome: 'invalidRequest', reason });
       } else if (outcome !== 'broken') {
         this._body = outcome;
         this._dispatch();
@@ -85,28 +88,23 @@
     });
   }
 
-  private _findRoute(): boolean {
-    this._caller = this._context.codec.readRequest(this._request);
-    if (this._caller === undefined) {
-      this._answer(400, 'invalidRequest', 'a required header is missing or malformed');
-      return false;
-    }
-    const table = this._context.routes();
-    if (table === undefined) {
-      this._refuse('no configuration is known yet', unconfiguredRetryAfterMs);
-      return false;
-    }
-    this._configurationVersion = table.configuration.version;
-    this._route = table.find(this._caller.host, this._request.url ?? '/');
-    if (this._route === undefined) {
-      this._answer(404, 'noRoute', 'no route matches');
+  private _admit(): boolean {
+    const { codec, budgets } = this._context;
+    const admission = admitRequest(this._request, codec, this._context.routes(), Math.random());
+    if (admission.kind === 'rejected') {
+      this._caller = admission.caller;
+      this._answer(admission.answer);
       return false;
     }
-    this._service = pickService(this._route, Math.random());
-    this._startDeadline(this._caller, this._route);
-    this._context.budgets.recordRequest(this._service, this._startedMs);
-    if (this._caller.target !== undefined) {
-      this._context.recordArrival(this._caller.target, this._route);
+    const { caller, route, service, configurationVersion } = admission.request;
+    this._caller = caller;
+    this._route = route;
+    this._service = service;
+    this._configurationVersion = configurationVersion;
+    this._startDeadline(caller, route);
+    budgets.recordRequest(service, this._startedMs);
+    if (caller.target !== undefined) {
+      this._context.recordArrival(caller.target, route);
     }
     return true;
   }
@@ -126,7 +124,6 @@
   private _dispatch(): boolean {
     // A stream that is sent late in the stop would be cut at its end, and so would one that still waits.
     if (this._context.refusesLongRequests() && this._route?.kind === 'stream' && this._runs === 0) {
-      this._stopWaiting();
       this._refuse('this daemon stops', stoppingRetryAfterMs);
       return true;
     }
@@ -141,71 +138,46 @@
     );
     const chosen = chooseReplica(candidates, this._context.failureDomain);
     if (chosen !== undefined) {
-      this._stopWaiting();
+      this._wait.stop(nowMs);
       this._send(chosen.replica);
       return true;
     }
-    if (target === undefined) {
+    if (target === undefined || this._route === undefined) {
       this._refuse('no replica of the service is known', refusedRetryAfterMs);
       return true;
     }
-    return this._wait();
+    return this._waitOrRefuse(target, this._route);
   }
 
-  private _wait(): boolean {
+  /** Lets the request wait for its model, or refuses it. Returns true if it no longer needs to wait. */
+  private _waitOrRefuse(target: ModelReference, route: Route): boolean {
     const nowMs = this._nowMs();
-    const { _caller: caller, _route: route } = this;
-    if (caller?.target === undefined || route === undefined) {
-      return true;
-    }
-    this._waitingSinceMs ??= nowMs;
-    const readyInMs = this._context.readyInMs(caller.target.model);
+    const readyInMs = this._context.readyInMs(target.model);
     const decision = decideWait({
-      waitedMs: nowMs - this._waitingSinceMs,
+      waitedMs: this._wait.waitedMs(nowMs),
       timeLeftMs: Math.min(this._dueMs, this._startedMs + callerPatienceMs(route)) - nowMs,
       latencyTargetMs: route.latencyTargetMs,
       ...(readyInMs !== undefined && { readyInMs }),
     });
     if (decision.kind === 'refuse') {
       this._readyInMs = readyInMs;
-      this._stopWaiting();
       this._refuse(decision.reason, decision.retryAfterMs);
       return true;
     }
-    if (this._waiter === undefined) {
-      this._startWaiting(caller, route);
-    }
-    return false;
-  }
-
-  private _startWaiting(caller: CallerRequest, route: Route): void {
-    if (caller.target === undefined) {
-      return;
-    }
-    this._waiter = {
-      target: caller.target,
+    const makeWaiter = (): Waiter => ({
+      target,
       urgency: urgencyOf(route),
       lateAtMs: this._startedMs + route.latencyTargetMs,
       tryAgain: () => this._finished || this._dispatch(),
-    };
-    this._context.waitingRoom.add(this._waiter);
-    this._context.waitingChanged();
-    this._waitTimer = setInterval(() => {
+    });
+    const check = (): void => {
       this._excluded.clear();
       this._dispatch();
-    }, waitCheckMs);
-  }
-
-  private _stopWaiting(): void {
-    clearInterval(this._waitTimer);
-    if (this._waiter !== undefined) {
-      this._context.waitingRoom.remove(this._waiter);
-      this._waiter = undefined;
-    }
-    if (this._waitingSinceMs !== undefined) {
-      this._waitedMs += this._nowMs() - this._waitingSinceMs;
-      this._waitingSinceMs = undefined;
+    };
+    if (this._wait.start(makeWaiter, check, nowMs)) {
+      this._context.waitingChanged();
     }
+    return false;
   }
 
   private _send(replica: Replica): void {
@@ -217,7 +189,7 @@
     this._tried.push(replica.id);
     this._excluded.add(replica.id);
     this._context.loads.started(replica.id, caller.target, this._promptParts());
-    const lastEventId = this._events?.lastEventId;
+    const { lastEventId } = this._relay;
     const headers = this._context.codec.forwardedHeaders(this._request, {
       replicaId: replica.id,
       deadlineMs: Math.max(Math.floor(this._dueMs - nowMs), 1),
@@ -245,7 +217,7 @@
           this._attemptFailed(replica, failure);
         },
         onBroken: (message) => {
-          this._relayBroken(message);
+          this._relay.break(message);
         },
       },
     );
@@ -259,7 +231,7 @@
     }
     if ((answer.notRun && answer.status !== 400) || answer.otherReplica) {
       response.resume();
-      this._endAttempt(false);
+      this._endAttempt('refused');
       this._sendAgainOr(false, () => {
         this._refuse(`replica refused with ${answer.status}`, refusedRetryAfterMs);
       });
@@ -267,100 +239,49 @@
     }
     this._runs += 1;
     const isFailure = answer.status >= 500;
-    if (isFailure && !this._headSent && this._mayRunAgain()) {
+    if (isFailure && !this._relay.headSent && this._mayRunAgain()) {
       response.resume();
-      this._endAttempt(false);
+      this._endAttempt('failed');
       this._sendAgainOr(true, () => {
         this._breakOff('no replica gave a good answer');
       });
       return;
     }
-    if (this._headSent && answer.status !== 200) {
+    if (this._relay.headSent && answer.status !== 200) {
       response.destroy();
-      this._endAttempt(false);
+      this._endAttempt('failed');
       this._breakOff(`the stream could not be resumed: status ${answer.status}`);
       return;
     }
-    this._relay(answer, response);
+    this._passOn(answer, response);
   }
 
-  /** Passes the replica's answer on. The head goes with the first bytes of the body. */
-  private _relay(answer: ReplicaAnswer, response: http.IncomingMessage): void {
-    this._upstream = response;
-    this._pendingHead = this._headSent ? undefined : response;
+  private _passOn(answer: ReplicaAnswer, response: http.IncomingMessage): void {
+    const attempt = this._attempt;
     const isEventStream = this._route?.kind === 'stream' && answer.status === 200;
-    if (isEventStream && this._route?.resumable) {
-      this._events ??= new EventBoundary();
-    }
+    this._answerStatus = answer.status;
+    this._relay.start(response, {
+      resumable: isEventStream && this._route?.resumable === true,
+      isComplete: () => attempt?.isComplete(response) ?? false,
+    });
     if (isEventStream) {
       this._watchSilence();
     }
-    response.on('data', (chunk: Buffer) => {
-      this._relayChunk(chunk, response);
-    });
-    response.on('end', () => {
-      this._relayEnd(answer, response);
-    });
-    response.on('error', (error) => {
-      this._relayBroken(error.message);
-    });
-    response.on('close', () => {
-      this._relayBroken('the replica closed the connection');
-    });
   }
 
-  private _relayChunk(chunk: Buffer, response: http.IncomingMessage): void {
-    if (this._finished || this._upstream !== response) {
-      return;
-    }
-    this._silenceTimer?.refresh();
-    const bytes = this._events === undefined ? chunk : this._events.push(chunk);
-    if (bytes.length === 0) {
-      return;
-    }
-    this._sendHead();
-    if (!this._response.write(bytes)) {
-      response.pause();
-      this._response.once('drain', () => response.resume());
-    }
-  }
-
-  private _sendHead(): void {
-    const head = this._pendingHead;
-    this._pendingHead = undefined;
-    if (head !== undefined) {
-      this._headSent = true;
-      this._response.shouldKeepAlive = this._response.shouldKeepAlive && !this._context.isStopping();
-      const headers = this._context.codec.returnedHeaders(head);
-      this._response.writeHead(head.statusCode ?? 502, head.statusMessage, headers);
-    }
+  private _answerEnded(): void {
+    const isGood = this._answerStatus < 500;
+    this._endAttempt(isGood ? 'succeeded' : 'failed');
+    this._finish(isGood ? 'delivered' : 'replicaFailure', this._answerStatus);
   }
 
-  private _relayEnd(answer: ReplicaAnswer, response: http.IncomingMessage): void {
-    if (this._finished || this._upstream !== response) {
-      return;
-    }
-    if (!(this._attempt?.isComplete(response) ?? false)) {
-      this._relayBroken('the replica reset the connection');
-      return;
-    }
-    this._upstream = undefined;
-    this._endAttempt(answer.status < 500);
-    this._sendHead();
-    this._response.end(this._events?.flush());
-    this._finish(answer.status < 500 ? 'delivered' : 'replicaFailure', answer.status);
-  }
-
-  private _relayBroken(message: string): void {
-    if (this._finished || this._upstream === undefined) {
-      return;
+  private _answerBroken(message: string): void {
+    if (!this._finished) {
+      this._endAttempt('failed');
+      this._sendAgainOr(true, () => {
+        this._breakOff(message);
+      });
     }
-    this._upstream = undefined;
-    this._endAttempt(false);
-    this._events?.dropPartial();
-    this._sendAgainOr(true, () => {
-      this._breakOff(message);
-    });
   }
 
   private _attemptFailed(replica: Replica, failure: AttemptFailure): void {
@@ -369,9 +290,9 @@
       this._context.loads.recordUnreachable(replica.id, this._nowMs());
     }
     this._runs += failure.mayHaveRun ? 1 : 0;
-    this._endAttempt(false);
+    this._endAttempt('failed');
     this._sendAgainOr(failure.mayHaveRun, () => {
-      if (failure.mayHaveRun || this._headSent || this._runs > 0) {
+      if (failure.mayHaveRun || this._relay.headSent || this._runs > 0) {
         this._breakOff(failure.message);
       } else {
         this._refuse(failure.message, refusedRetryAfterMs);
@@ -391,20 +312,20 @@
   }
 
   private _mayRunAgain(): boolean {
-    return this._route !== undefined && maySendAgain(this._route, this._runs, this._headSent);
+    return this._route !== undefined && maySendAgain(this._route, this._runs, this._relay.headSent);
   }
 
   /** Gives a silent replica up where the request may run elsewhere. */
   private _watchSilence(): void {
     clearTimeout(this._silenceTimer);
-    if (this._route === undefined || !maySendAgain(this._route, this._runs + 1, this._headSent)) {
+    if (this._route === undefined || !maySendAgain(this._route, this._runs + 1, this._relay.headSent)) {
       return;
     }
     this._silenceTimer = setTimeout(
       () => {
         this._replicaSilent();
       },
-      silenceLimitMs(this._route, this._headSent),
+      silenceLimitMs(this._route, this._relay.headSent),
     );
   }
 
@@ -417,21 +338,23 @@
     if (!this._context.budgets.tryTakeRetry(this._service, nowMs)) {
       return;
     }
-    this._upstream = undefined;
+    this._relay.detach();
     this._runs += 1;
     attempt.cancel();
-    this._endAttempt(false);
-    this._events?.dropPartial();
+    this._endAttempt('failed');
     this._dispatch();
   }
 
-  private _endAttempt(succeeded: boolean): void {
+  private _endAttempt(outcome: 'succeeded' | 'failed' | 'refused'): void {
     clearTimeout(this._silenceTimer);
     const attempt = this._attempt;
     if (attempt !== undefined) {
       this._attempt = undefined;
       this._context.loads.ended(attempt.replica.id, this._caller?.target);
-      this._context.loads.recordOutcome(attempt.replica.id, succeeded, this._nowMs());
+      // A refusal says that the replica is busy or lacks the model, not that it is ill.
+      if (outcome !== 'refused') {
+        this._context.loads.recordOutcome(attempt.replica.id, outcome === 'succeeded', this._nowMs());
+      }
     }
   }
 
@@ -446,25 +369,25 @@
   /** Ends a request that a replica may have run: by a failure that promises nothing, or by a cut if bytes were sent. */
   private _breakOff(reason: string, status = 502): void {
     this._cancelAttempt();
-    if (this._headSent) {
+    if (this._relay.headSent) {
       this._finish(status === 504 ? 'timedOut' : 'broken', undefined, reason);
       this._response.socket?.resetAndDestroy();
     } else {
-      this._answer(status, status === 504 ? 'timedOut' : 'broken', reason);
+      this._answer({ status, outcome: status === 504 ? 'timedOut' : 'broken', reason });
     }
   }
 
   /** Refuses a request that has not run and never will. */
   private _refuse(reason: string, retryAfterMs: number): void {
-    if (this._headSent || this._runs > 0) {
+    if (this._relay.headSent || this._runs > 0) {
       this._breakOff(reason);
       return;
     }
     this._cancelAttempt();
-    this._answer(503, 'refused', reason, retryAfterMs);
+    this._answer({ status: 503, outcome: 'refused', reason, retryAfterMs });
   }
 
-  private _answer(status: number, outcome: ExchangeResult['outcome'], reason: string, retryAfterMs?: number): void {
+  private _answer({ status, outcome, reason, retryAfterMs }: OwnAnswer): void {
     if (this._finished) {
       return;
     }
@@ -485,7 +408,7 @@
   }
 
   private _cancelAttempt(): void {
-    this._upstream = undefined;
+    this._relay.detach();
     const attempt = this._attempt;
     if (attempt !== undefined) {
       this._attempt = undefined;
@@ -503,8 +426,8 @@
     this._finished = true;
     clearTimeout(this._dueTimer);
     clearTimeout(this._silenceTimer);
-    this._stopWaiting();
     const nowMs = this._nowMs();
+    this._wait.stop(nowMs);
     const result: ExchangeResult = {
       attemptId: this._caller?.attemptId,
       route: this._route?.name,
@@ -513,7 +436,7 @@
       outcome,
       status,
       replicas: this._tried,
-      waitedMs: this._waitedMs,
+      waitedMs: this._wait.waitedMs(nowMs),
       durationMs: nowMs - this._startedMs,
       reason,
       readyInMs: this._readyInMs,
--- /dev/null
+++ b/packages/gateway/src/forwarding/admitRequest.ts
@@ -0,0 +1,57 @@
+import type * as http from 'node:http';
+import { pickService, type RouteTable } from '../configuration/RouteTable.js';
+import type { CallerRequest, RequestCodec } from '../contracts/RequestCodec.js';
+import type { Route } from '../Types.js';
+import type { ExchangeResult } from './Types.js';
+
+/** Time to come back while no configuration is known, milliseconds. */
+const unconfiguredRetryAfterMs = 1_000;
+
+/** A request with its route and service. */
+export interface AdmittedRequest {
+  readonly caller: CallerRequest;
+  readonly route: Route;
+  readonly service: string;
+  readonly configurationVersion: number;
+}
+
+/** An answer of the gateway's own. */
+export interface OwnAnswer {
+  readonly status: number;
+  readonly outcome: ExchangeResult['outcome'];
+  readonly reason: string;
+  readonly retryAfterMs?: number;
+}
+
+/** Result of reading a request's head; what is known of a rejected one goes to the log. */
+export type Admission =
+  | { readonly kind: 'admitted'; readonly request: AdmittedRequest }
+  | { readonly kind: 'rejected'; readonly caller: CallerRequest | undefined; readonly answer: OwnAnswer };
+
+/** Reads the head of a request and finds its route. `random` is at least 0 and below 1 and picks among services. */
+export function admitRequest(
+  request: http.IncomingMessage,
+  codec: RequestCodec,
+  routes: RouteTable | undefined,
+  random: number,
+): Admission {
+  const caller = codec.readRequest(request);
+  if (caller === undefined) {
+    const reason = 'a required header is missing or malformed';
+    return { kind: 'rejected', caller, answer: { status: 400, outcome: 'invalidRequest', reason } };
+  }
+  if (routes === undefined) {
+    const reason = 'no configuration is known yet';
+    const retryAfterMs = unconfiguredRetryAfterMs;
+    return { kind: 'rejected', caller, answer: { status: 503, outcome: 'refused', reason, retryAfterMs } };
+  }
+  const route = routes.find(caller.host, request.url ?? '/');
+  if (route === undefined) {
+    return { kind: 'rejected', caller, answer: { status: 404, outcome: 'noRoute', reason: 'no route matches' } };
+  }
+  const configurationVersion = routes.configuration.version;
+  return {
+    kind: 'admitted',
+    request: { caller, route, service: pickService(route, random), configurationVersion },
+  };
+}
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -29,7 +29,7 @@
 /** Time without a new replica after which a new leader takes the list for complete, milliseconds. */
 const settleMs = 1_000;
 /** Pause after an order without answer before it is sent again, milliseconds. */
-const resendMs = 250;
+const resendMs = 50;
 /** Pause after a refused order, milliseconds. */
 const refusedQuietMs = 1_000;
 /** Longest time that an order may take beyond its expected end before its replica's state is read anew. */
@@ -334,7 +334,8 @@
 
   /** After a refused order: another order is in progress, or the replica's state is not what the book says. */
   private async _recover(book: ReplicaBook, answer: OrderAnswer | 'notSent'): Promise<void> {
-    book.clearingFor = answer === 'conflict' ? book.clearingFor : undefined;
+    // The demand may have moved on before the replica's state is known again.
+    book.clearingFor = undefined;
     if (answer === 'conflict') {
       await pause(pollMs / 2);
       await this._sync(book);
--- a/packages/gateway/src/placement/planPlacement.test.ts
+++ b/packages/gateway/src/placement/planPlacement.test.ts
@@ -78,6 +78,38 @@
     vitest.expect(planModels(input([busy, replica('empty', [])], demands, ['other', 'wanted']), nowMs)).toEqual([]);
   });
 
+  vitest.test('keeps the only copy that requests wait for while another replica is cleared for the model', () => {
+    // Guards against counting a replica that is being cleared as a copy, which unloaded a busy model for 5 s.
+    const models = [held('x', 1), held('y', 1)];
+    const cleared: PlacedReplica = { ...replica('other', models), clearingFor: 'busy', takesOrders: false };
+    const replicas = [cleared, replica('copy', [held('busy'), held('x', 1)], ['wanted'])];
+    const demands = [
+      demand('busy', { waiting: 2, slackMs: 0 }),
+      demand('wanted', { waiting: 3, slackMs: 300, ratePerSecond: 5, latencyTargetMs: 250 }),
+    ];
+    const orders = planModels(input(replicas, demands, ['x', 'y', 'busy', 'wanted']), nowMs);
+    vitest.expect(orders.map((order) => order.model)).not.toContain('busy');
+  });
+
+  vitest.test('loads from the store when the replica with a copy can make no room', () => {
+    // Guards against a model that is never loaded because its only copy lies on a full replica.
+    const replicas = [replica('copy', [held('hot', 2), held('hot2', 2)], ['wanted']), replica('empty', [])];
+    const hot = { ratePerSecond: 20, latencyTargetMs: 250 };
+    const demands = [demand('hot', hot), demand('hot2', hot), demand('wanted', { waiting: 1, slackMs: -4_200 })];
+    const orders = planModels(input(replicas, demands, ['hot', 'hot2', 'wanted']), nowMs);
+    vitest.expect(orders).toMatchObject([{ replicaId: 'empty', kind: 'load', model: 'wanted', tier: 'store' }]);
+  });
+
+  vitest.test('gives a load of the store to the model in most demand', () => {
+    // Guards against a busy model that waits behind rare ones.
+    const demands = [
+      demand('rare', { waiting: 1, slackMs: -6_000 }),
+      demand('busy', { waiting: 4, slackMs: -500, ratePerSecond: 5, latencyTargetMs: 250 }),
+    ];
+    const state = { ...input([replica('r', []), replica('s', [])], demands, ['rare', 'busy']), maximumStoreLoads: 1 };
+    vitest.expect(planModels(state, nowMs)).toMatchObject([{ kind: 'load', model: 'busy' }]);
+  });
+
   vitest.test(
     'loads nothing as missing while the list of replicas may be incomplete (guards against double loads)',
     () => {
--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -9,6 +9,7 @@
   loadTier,
   type ModelDemand,
   patientTargetMs,
+  readyCopies,
   requestWeight,
   waitingModels,
   waitingRate,
@@ -236,11 +237,11 @@
 
   private _copyCount(model: string): number {
     // A further copy still carries part of the load, but its loss makes no request wait for a load.
-    return Math.max(copies(this._input, model).length, 1) ** 2;
+    return Math.max(readyCopies(this._input, model).length, 1) ** 2;
   }
 
   private _hasOtherCopy(model: string, replica: PlacedReplica): boolean {
-    return copies(this._input, model).some((other) => other !== replica);
+    return readyCopies(this._input, model).some((other) => other !== replica);
   }
 
   private _weightedRate(model: string): number {
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -78,13 +78,22 @@
   return sums;
 }
 
-/** Replicas that hold a model or are loading it. */
+/** Replicas that hold a model and are not about to unload it. */
+export function readyCopies(input: PlacementInput, model: string): readonly PlacedReplica[] {
+  return input.replicas.filter((replica) => holds(replica, model));
+}
+
+/** Replicas that hold a model, load it, or are being cleared for it. */
 export function copies(input: PlacementInput, model: string): readonly PlacedReplica[] {
   return input.replicas.filter((replica) => holdsOrLoads(replica, model));
 }
 
 function holdsOrLoads(replica: PlacedReplica, model: string): boolean {
-  const unloading = replica.order?.kind === 'unload' && replica.order.model === model;
-  const loading = replica.order?.kind === 'load' && replica.order.model === model;
-  return loading || replica.clearingFor === model || (!unloading && replica.models.some((held) => held.name === model));
+  const isLoading = replica.order?.kind === 'load' && replica.order.model === model;
+  return isLoading || replica.clearingFor === model || holds(replica, model);
+}
+
+function holds(replica: PlacedReplica, model: string): boolean {
+  const isUnloading = replica.order?.kind === 'unload' && replica.order.model === model;
+  return !isUnloading && replica.models.some((held) => held.name === model);
 }
