Hear a leader only by its messages, and count silent replicas as failed

Ruled out: the store (reachable), the validity (long over). 43 callers left one silent replica in vain, because a caller that leaves told nothing about the replica.

--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -402,11 +402,21 @@
 
   private _callerLeft(): void {
     if (!this._finished) {
+      this._recordSilence();
       this._cancelAttempt();
       this._finish('callerLeft', undefined);
     }
   }
 
+  /** A replica that let its caller wait in vain counts as failed, so that others are tried first. */
+  private _recordSilence(): void {
+    const patienceMs = this._route === undefined ? Number.POSITIVE_INFINITY : callerPatienceMs(this._route);
+    const isOverdue = this._nowMs() - this._startedMs > patienceMs / 2;
+    if (this._attempt !== undefined && !this._relay.headSent && isOverdue) {
+      this._context.loads.recordOutcome(this._attempt.replica.id, false, this._nowMs());
+    }
+  }
+
   private _cancelAttempt(): void {
     this._relay.detach();
     const attempt = this._attempt;
--- a/packages/gateway/src/peers/PeerLink.ts
+++ b/packages/gateway/src/peers/PeerLink.ts
@@ -21,6 +21,8 @@
   private _connecting = false;
   private _nextAttemptMs = 0;
   private _nextSeed = 0;
+  /** When a message came last, steady milliseconds. */
+  private _heardMs = Number.NEGATIVE_INFINITY;
 
   public constructor(
     private readonly _seeds: readonly Address[],
@@ -28,9 +30,12 @@
     private readonly _log: common.Logger,
   ) {}
 
-  /** True while the leader has been heard recently. */
+  /**
+   * True while the leader has been heard recently. A connection alone proves nothing: the kernel of a suspended VM
+   * accepts it.
+   */
   public isHeard(nowMs: number): boolean {
-    return this._channel !== undefined && nowMs - this._channel.lastHeardMs < silenceLimitMs;
+    return this._channel !== undefined && nowMs - this._heardMs < silenceLimitMs;
   }
 
   /** Sets where the leader is; undefined if this daemon leads. */
@@ -49,7 +54,8 @@
 
   /** Drops a silent connection and connects anew where needed. `wanted` is false on the leader itself. */
   public keepUp(nowMs: number, wanted: boolean): void {
-    if (this._channel !== undefined && !this.isHeard(nowMs)) {
+    // The channel counts as heard from its start, so that a new one has time for the first message.
+    if (this._channel !== undefined && nowMs - this._channel.lastHeardMs > silenceLimitMs) {
       this._channel.close('the leader is silent');
     }
     const address = this._leader ?? this._seeds[this._nextSeed % Math.max(this._seeds.length, 1)];
@@ -89,6 +95,7 @@
     this._channel = channel;
     this._log.info('Connected to a peer.', { host: address.host, port: address.port });
     channel.onMessage((message) => {
+      this._heardMs = this._clock.now().steadyMs;
       this._onMessage.fire(message);
     });
     channel.onClosed((reason) => {
