--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -77,6 +77,7 @@
   private _reportQueued = false;
   private _stopping = false;
   private _stopStartedMs = 0;
+  private _ending = false;
 
   public constructor(
     private readonly _settings: GatewaySettings,
@@ -354,6 +355,7 @@
         this._reportSoon();
       },
       isStopping: () => this._stopping,
+      refusesAllRequests: () => this._ending,
       refusesLongRequests: () => this._stopping && this._nowMs() - this._stopStartedMs >= balancerNoticeMs,
     };
   }
--- a/packages/gateway/src/forwarding/Exchange.test.ts
+++ b/packages/gateway/src/forwarding/Exchange.test.ts
@@ -160,6 +160,14 @@
     });
   });
 
+  vitest.test('passes nothing on once the process ends (guards against a payment cut by its end)', async () => {
+    await withReplicas({ kind: 'nonIdempotent' }, [answers], async (fixture) => {
+      fixture.ending = true;
+      vitest.expect(await fixture.call()).toMatchObject({ status: 503 });
+      vitest.expect(fixture.heads).toEqual([]);
+    });
+  });
+
   vitest.test('answers at the timeout of the route (guards against callers held past it)', async () => {
     const silent: ReplicaScript = () => undefined;
     await withReplicas({ kind: 'nonIdempotent', timeoutMs: 200 }, [silent], async (fixture) => {
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -123,7 +123,8 @@
   /** Sends the request to the best replica, or lets it wait. Returns true if it no longer needs to wait. */
   private _dispatch(): boolean {
     // A stream that is sent late in the stop would be cut at its end, and so would one that still waits.
-    if (this._context.refusesLongRequests() && this._route?.kind === 'stream' && this._runs === 0) {
+    const isLate = this._context.refusesLongRequests() && this._route?.kind === 'stream';
+    if ((isLate || this._context.refusesAllRequests()) && this._runs === 0) {
       this._refuse('this daemon stops', stoppingRetryAfterMs);
       return true;
     }
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -31,6 +31,8 @@
   waitingChanged(): void;
   /** True once the daemon stops; answers then close their connections. */
   isStopping(): boolean;
+  /** True once the process is about to end. */
+  refusesAllRequests(): boolean;
   /** True once too little is left of the stop for a request that may take seconds. */
   refusesLongRequests(): boolean;
 }
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -35,6 +35,7 @@
 /** Callers, a caller server and scripted replicas on loopback. */
 export class ExchangeFixture implements AsyncDisposable {
   public stopping = false;
+  public ending = false;
   public readonly heads: string[] = [];
   private readonly _servers: net.Server[] = [];
   private readonly _replicas: Replica[] = [];
@@ -162,6 +163,7 @@
       waitingChanged: () => undefined,
       isStopping: () => this.stopping,
       refusesLongRequests: () => this.stopping,
+      refusesAllRequests: () => this.ending,
     };
   }
 }
