--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -9,6 +9,7 @@
 import type { LeaseTimes } from './leadership/Lease.js';
 import { PeerAssistedLeaseStore } from './leadership/LeaseStore.js';
 import { LeaseKeeper } from './leadership/LeaseKeeper.js';
+import { pause } from './pause.js';
 import type { PeerMessage } from './peers/PeerChannel.js';
 import { PeerHub } from './peers/PeerHub.js';
 import { PeerLink } from './peers/PeerLink.js';
@@ -151,7 +152,7 @@
       passedMs() < balancerNoticeMs ||
       (this._callers.activeCount > 0 && passedMs() < this._settings.stopLimitMs)
     ) {
-      await new Promise((resolve) => setTimeout(resolve, stopCheckMs));
+      await pause(stopCheckMs);
     }
     // Until now the leader went on, because it may be back on this VM before another one could give orders.
     await this._lease.release();
@@ -186,7 +187,7 @@
     });
     this._lease.onLeader(({ holder, peerAddress }) => {
       const isSelf = holder === this._settings.name;
-      this._link.follow(isSelf ? undefined : parseAddress(peerAddress));
+      this._link.follow(isSelf ? undefined : common.settings.parseAddress(peerAddress));
     });
     this._leader.onHoldings((holdings) => {
       this._hub.broadcast('holdings', holdings);
@@ -379,10 +380,6 @@
   return settings.seeds.filter((seed) => seed.host !== settings.peers.host);
 }
 
-function parseAddress(text: string): Address | undefined {
-  return common.settings.parseAddress(text);
-}
-
 function wholeTable(table: 'configuration' | 'replicas', follower: TableFollower): TableMessage {
   return { table, records: follower.state.records(), end: follower.state.end, whole: true };
 }
--- a/packages/gateway/src/leadership/LeaseKeeper.ts
+++ b/packages/gateway/src/leadership/LeaseKeeper.ts
@@ -12,6 +12,7 @@
   takeoverDelayMs,
 } from './Lease.js';
 import type { LeaseStore } from './LeaseStore.js';
+import { pause } from '../pause.js';
 
 /** Largest random delay before a takeover, milliseconds: daemons that notice together should not all write. */
 const takeoverJitterMs = 250;
@@ -186,7 +187,3 @@
     return true;
   }
 }
-
-async function pause(durationMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -3,6 +3,7 @@
 import type { EngineClient, OrderAnswer } from '../contracts/EngineClient.js';
 import type { DaemonReport, LeaderStatus } from '../peers/Types.js';
 import type { ReplicaDirectory, ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
+import { pause } from '../pause.js';
 import type { Configuration, EngineSpecification, Instant, Replica } from '../Types.js';
 import { DemandBook } from './DemandBook.js';
 import { estimateReady } from './estimateReady.js';
@@ -384,7 +385,3 @@
   const statedMs = input.models.get(order.model)?.loadMs[order.tier] ?? 0;
   return order.tier === 'store' ? statedMs : statedMs + localLoadMarginMs;
 }
-
-async function pause(durationMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, durationMs));
-}
