--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -22,6 +22,7 @@
 import type { RetryBudgetLimits } from './retries/RetryBudget.js';
 import { RetryBudgets } from './retries/RetryBudgets.js';
 import { ReplicaLoads } from './routing/ReplicaLoads.js';
+import { StopSchedule } from './StopSchedule.js';
 import type { Address } from './Types.js';
 import { WaitingRoom } from './waiting/WaitingRoom.js';
 
@@ -29,8 +30,6 @@
 const tickMs = 100;
 /** A report without news is sent at every so many ticks, so that the leader hears the daemon. */
 const idleReportTicks = 5;
-/** The balancer takes a daemon out after two status checks, one a second. */
-const balancerNoticeMs = 2_600;
 /** Interval at which a stopping daemon looks whether its requests have ended. */
 const stopCheckMs = 50;
 
@@ -76,9 +75,7 @@
   private _status: LeaderStatus | undefined;
   private _ticks = 0;
   private _reportQueued = false;
-  private _stopping = false;
-  private _stopStartedMs = 0;
-  private _ending = false;
+  private readonly _stop: StopSchedule;
 
   public constructor(
     private readonly _settings: GatewaySettings,
@@ -89,6 +86,7 @@
     const { store, engines } = _platform;
     this._directory = new ReplicaDirectory((id, text) => store.decodeReplica(id, text), _log.part('replicas'));
     this._budgets = new RetryBudgets(_settings.retryBudget);
+    this._stop = new StopSchedule(_settings.stopLimitMs);
     this._requestLog = new RequestLog(_log.part('requests'));
     this._hub = new PeerHub(_settings.peers, _clock, _log.part('peers'));
     this._link = new PeerLink(otherSeeds(_settings), _clock, _log.part('peers'));
@@ -133,7 +131,7 @@
 
   /** True if new callers should come here. */
   public get isReady(): boolean {
-    return !this._stopping && this._routes !== undefined && this._directory.size > 0;
+    return !this._stop.isStopping && this._routes !== undefined && this._directory.size > 0;
   }
 
   /** Metrics in the text format of Prometheus. */
@@ -143,22 +141,23 @@
 
   /** Stops without cutting requests: waits until the balancer has noticed and the requests have ended. */
   public async stop(): Promise<{ readonly unfinished: number }> {
-    const startedMs = this._clock.now().steadyMs;
-    this._stopStartedMs = startedMs;
-    this._stopping = true;
+    this._stop.start(this._nowMs());
     this._log.info('Stops.', { requests: this._callers.activeCount });
-    const passedMs = (): number => this._clock.now().steadyMs - startedMs;
-    while (
-      passedMs() < balancerNoticeMs ||
-      (this._callers.activeCount > 0 && passedMs() < this._settings.stopLimitMs)
-    ) {
-      await pause(stopCheckMs);
-    }
+    await this._requestsEnded();
+    this._stop.end();
+    this._callers.stopAccepting();
+    await this._requestsEnded();
     // Until now the leader went on, because it may be back on this VM before another one could give orders.
     await this._lease.release();
     return { unfinished: this._callers.activeCount };
   }
 
+  private async _requestsEnded(): Promise<void> {
+    while (this._stop.goesOn(this._callers.activeCount, this._nowMs())) {
+      await pause(stopCheckMs);
+    }
+  }
+
   public async [Symbol.asyncDispose](): Promise<void> {
     this._callers.close();
     this._agent.destroy();
@@ -355,9 +354,8 @@
       waitingChanged: () => {
         this._reportSoon();
       },
-      isStopping: () => this._stopping,
-      refusesAllRequests: () => this._ending,
-      refusesLongRequests: () => this._stopping && this._nowMs() - this._stopStartedMs >= balancerNoticeMs,
+      isStopping: () => this._stop.isStopping,
+      longestRequestMs: (nowMs) => this._stop.longestRequestMs(nowMs),
     };
   }
 
--- a/packages/gateway/src/forwarding/Exchange.test.ts
+++ b/packages/gateway/src/forwarding/Exchange.test.ts
@@ -145,6 +145,7 @@
   vitest.test('refuses streams near the end of a stop (guards against streams cut at the stop limit)', async () => {
     await withReplicas({ kind: 'stream' }, [answers], async (fixture) => {
       fixture.stopping = true;
+      fixture.longestRequestMs = 4_000;
       const view = await fixture.call();
       vitest.expect(view).toMatchObject({ status: 503, headers: { 'retry-after': '0.05', connection: 'close' } });
       vitest.expect(fixture.heads).toEqual([]);
@@ -155,14 +156,14 @@
     await withReplicas({ kind: 'stream', latencyTargetMs: 3_000 }, [answers], async (fixture) => {
       const pending = fixture.call({ headers: { 'x-model': 'absent' } });
       await new Promise((resolve) => setTimeout(resolve, 150));
-      fixture.stopping = true;
+      fixture.longestRequestMs = 4_000;
       vitest.expect(await pending).toMatchObject({ status: 503, headers: { 'retry-after': '0.05' } });
     });
   });
 
   vitest.test('passes nothing on once the process ends (guards against a payment cut by its end)', async () => {
     await withReplicas({ kind: 'nonIdempotent' }, [answers], async (fixture) => {
-      fixture.ending = true;
+      fixture.longestRequestMs = 0;
       vitest.expect(await fixture.call()).toMatchObject({ status: 503 });
       vitest.expect(fixture.heads).toEqual([]);
     });
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -122,13 +122,11 @@
 
   /** Sends the request to the best replica, or lets it wait. Returns true if it no longer needs to wait. */
   private _dispatch(): boolean {
-    // A stream that is sent late in the stop would be cut at its end, and so would one that still waits.
-    const isLate = this._context.refusesLongRequests() && this._route?.kind === 'stream';
-    if ((isLate || this._context.refusesAllRequests()) && this._runs === 0) {
+    const nowMs = this._nowMs();
+    if (this._runs === 0 && this._dueMs - nowMs > this._context.longestRequestMs(nowMs)) {
       this._refuse('this daemon stops', stoppingRetryAfterMs);
       return true;
     }
-    const nowMs = this._nowMs();
     const target = this._caller?.target;
     const usable = this._context.directory.usable(this._service);
     const holders = usable.filter((replica) => holdsTarget(replica, target));
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -31,10 +31,8 @@
   waitingChanged(): void;
   /** True once the daemon stops; answers then close their connections. */
   isStopping(): boolean;
-  /** True once the process is about to end. */
-  refusesAllRequests(): boolean;
-  /** True once too little is left of the stop for a request that may take seconds. */
-  refusesLongRequests(): boolean;
+  /** Longest time that a request may take which is accepted now, milliseconds; limited while the daemon stops. */
+  longestRequestMs(nowMs: number): number;
 }
 
 /** How an exchange ended, for the log and the metrics. */
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -35,7 +35,7 @@
 /** Callers, a caller server and scripted replicas on loopback. */
 export class ExchangeFixture implements AsyncDisposable {
   public stopping = false;
-  public ending = false;
+  public longestRequestMs = Number.POSITIVE_INFINITY;
   public readonly heads: string[] = [];
   private readonly _servers: net.Server[] = [];
   private readonly _replicas: Replica[] = [];
@@ -162,8 +162,7 @@
       recordArrival: () => undefined,
       waitingChanged: () => undefined,
       isStopping: () => this.stopping,
-      refusesLongRequests: () => this.stopping,
-      refusesAllRequests: () => this.ending,
+      longestRequestMs: () => this.longestRequestMs,
     };
   }
 }
