Pass only those replica records to peers that change how a replica is used

Cause: each record of a replica was passed to every daemon, though most of them tell only of models, which the leader announces itself.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -237,15 +237,18 @@
   }
 
   private _applyNews({ table, records, source }: TableNews): void {
+    const nowMs = this._nowMs();
+    let forPeers = records;
     if (table === 'configuration') {
       for (const record of records) {
         this._applyConfiguration(record.value, record.offset, source);
       }
     } else {
-      const nowMs = this._nowMs();
-      this._directory.apply(records, nowMs, removalGraceMs(this._replicaTable.lastFailureMs, nowMs));
+      forPeers = this._directory.apply(records, nowMs, removalGraceMs(this._replicaTable.lastFailureMs, nowMs));
+    }
+    if (forPeers.length > 0) {
+      this._passOn({ table, records: forPeers, end: 0, whole: false }, source);
     }
-    this._passOn({ table, records, end: 0, whole: false }, source);
   }
 
   /**
--- a/packages/gateway/src/replicas/ReplicaDirectory.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.ts
@@ -30,17 +30,14 @@
 
   /**
    * Applies records of the replica table. `removalGraceMs` keeps a removed replica in use for a while: after an outage
-   * of the store, records that lapsed meanwhile are written again.
+   * of the store, records that lapsed meanwhile are written again. Returns the records after which a replica came,
+   * went, or is used otherwise; the others tell only of models, which the placement leader announces itself.
    */
-  public apply(records: readonly TableRecord[], nowMs: number, removalGraceMs: number): void {
-    for (const record of records) {
+  public apply(records: readonly TableRecord[], nowMs: number, removalGraceMs: number): readonly TableRecord[] {
+    return records.filter((record) => {
       const replica = record.value === undefined ? undefined : this._decode(record.key, record.value);
-      if (replica === undefined) {
-        this._remove(record, nowMs, removalGraceMs);
-      } else {
-        this._put(record, replica);
-      }
-    }
+      return replica === undefined ? this._remove(record, nowMs, removalGraceMs) : this._put(record, replica);
+    });
   }
 
   /** Takes over what the placement leader knows of a replica's models. */
@@ -80,31 +77,35 @@
     return this._entries.size;
   }
 
-  private _put(record: TableRecord, replica: Replica): void {
-    const before = this._entries.get(record.key)?.replica;
+  /** Returns true if the replica is used otherwise from now on. */
+  private _put(record: TableRecord, replica: Replica): boolean {
+    const before = this._entries.get(record.key);
     this._entries.set(record.key, { replica });
-    const isNews = before?.state !== replica.state || before.bornMs !== replica.bornMs;
+    const isNews = before === undefined || before.dropAtMs !== undefined || isUsedOtherwise(before.replica, replica);
     if (isNews) {
       const { id, service, state, bornMs, models, inMemory, onDisk } = replica;
       const counts = { models: models.length, inMemory: inMemory.length, onDisk: onDisk.length };
       this._log.info('Replica changed.', { replica: id, service, state, bornMs, ...counts, offset: record.offset });
     }
     this._onChanged.fire(record.key);
+    return isNews;
   }
 
-  private _remove(record: TableRecord, nowMs: number, removalGraceMs: number): void {
+  /** Returns true if the replica was known. */
+  private _remove(record: TableRecord, nowMs: number, removalGraceMs: number): boolean {
     const entry = this._entries.get(record.key);
     if (entry === undefined) {
-      return;
+      return false;
     }
     const reason = record.value === undefined ? 'record removed' : 'record unreadable';
     this._log.info('Replica leaves.', { replica: record.key, reason, offset: record.offset, graceMs: removalGraceMs });
     if (removalGraceMs > 0) {
       this._entries.set(record.key, { ...entry, dropAtMs: nowMs + removalGraceMs });
-      return;
+      return true;
     }
     this._entries.delete(record.key);
     this._onChanged.fire(record.key);
+    return true;
   }
 
   private _withHoldings(replica: Replica): Replica {
@@ -112,3 +113,14 @@
     return holdings?.bornMs === replica.bornMs ? { ...replica, models: holdings.models } : replica;
   }
 }
+
+function isUsedOtherwise(before: Replica, after: Replica): boolean {
+  return (
+    before.state !== after.state ||
+    before.bornMs !== after.bornMs ||
+    before.service !== after.service ||
+    before.slots !== after.slots ||
+    before.address.host !== after.address.host ||
+    before.address.port !== after.address.port
+  );
+}
