Let models retire before they are unloaded, and count the whole wait before turning to the store

The unload of a model in use waits for its streams and keeps the replica from all other orders; after 3 s the plan was given up and begun anew elsewhere, so that most replicas were blocked most of the time. A model's requests were refused before they were late by 0.5 s, so the patience with a replica that has a copy never ran out. The second unload of a pair was sent once, met the first one, and the reservation was lost. Now a model in use first takes no new requests; its unload is sent once its requests have ended. The reservation ends when the demand has gone, when another replica can begin at once, or when the retiring model is in more demand. The time that a model has been waited for counts refused requests too.

--- /dev/null
+++ b/packages/gateway/src/placement/DemandBook.test.ts
@@ -0,0 +1,35 @@
+import * as vitest from 'vitest';
+import type { DaemonReport } from '../peers/Types.js';
+import { DemandBook } from './DemandBook.js';
+
+const target = { model: 'm' };
+
+function report(waiting: number): DaemonReport {
+  return {
+    daemon: 'vm1',
+    waiting: waiting === 0 ? [] : [{ target, count: waiting, slackMs: 100 }],
+    arrivals: [{ target, count: 1, latencyTargetMs: 250 }],
+    running: [],
+  };
+}
+
+vitest.describe('demand for models', () => {
+  vitest.test('counts the wait over refused requests (guards against a model that always seems new)', () => {
+    const book = new DemandBook();
+    for (let nowMs = 0; nowMs <= 3_000; nowMs += 500) {
+      book.apply(report(nowMs % 1_000 === 0 ? 2 : 0), nowMs);
+      book.demands(nowMs);
+    }
+    vitest.expect(book.demands(3_000)).toMatchObject([{ target, waiting: 2, unservedMs: 3_000 }]);
+  });
+
+  vitest.test('begins anew once nobody has waited for a while', () => {
+    const book = new DemandBook();
+    book.apply(report(1), 0);
+    book.demands(0);
+    book.apply(report(0), 100);
+    book.demands(2_500);
+    book.apply(report(1), 3_000);
+    vitest.expect(book.demands(3_000)).toMatchObject([{ waiting: 1, unservedMs: 0 }]);
+  });
+});
--- a/packages/gateway/src/placement/DemandBook.ts
+++ b/packages/gateway/src/placement/DemandBook.ts
@@ -9,6 +9,15 @@
 /** A rate below this is forgotten, requests a second. */
 const negligibleRate = 0.01;
 
+/** Refused requests come back; a target is waited for until nobody has waited for this long, milliseconds. */
+const waitGapMs = 2_000;
+
+/** Time in which requests wait for a target, steady milliseconds. */
+interface WaitPeriod {
+  readonly sinceMs: number;
+  readonly lastMs: number;
+}
+
 interface Rate {
   readonly target: ModelReference;
   perSecond: number;
@@ -25,6 +34,7 @@
 export class DemandBook {
   private readonly _reports = new Map<string, StoredReport>();
   private readonly _rates = new Map<string, Rate>();
+  private readonly _waits = new Map<string, WaitPeriod>();
 
   public apply(report: DaemonReport, nowMs: number): void {
     this._reports.set(report.daemon, { report, receivedMs: nowMs });
@@ -39,13 +49,15 @@
   public demands(nowMs: number): readonly Demand[] {
     this._forgetOld(nowMs);
     const waiting = this._waiting(nowMs);
-    for (const entry of waiting.values()) {
+    for (const [key, entry] of waiting) {
       this._rate(entry.target, nowMs);
+      this._waits.set(key, { sinceMs: this._waits.get(key)?.sinceMs ?? nowMs, lastMs: nowMs });
     }
     return [...this._rates.entries()].map(([key, rate]) => ({
       target: rate.target,
       waiting: waiting.get(key)?.count ?? 0,
       slackMs: waiting.get(key)?.slackMs ?? Number.POSITIVE_INFINITY,
+      unservedMs: nowMs - (this._waits.get(key)?.sinceMs ?? nowMs),
       ratePerSecond: decayed(rate, nowMs),
       latencyTargetMs: rate.latencyTargetMs,
     }));
@@ -84,6 +96,11 @@
         this._reports.delete(daemon);
       }
     }
+    for (const [key, wait] of this._waits) {
+      if (nowMs - wait.lastMs > waitGapMs) {
+        this._waits.delete(key);
+      }
+    }
     for (const [key, rate] of this._rates) {
       if (decayed(rate, nowMs) < negligibleRate) {
         this._rates.delete(key);
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -11,7 +11,7 @@
 import { planModels } from './planPlacement.js';
 import { ReplicaBook, type RunningCounts } from './ReplicaBook.js';
 import { StorePace } from './StorePace.js';
-import type { PlacedReplica, PlacementInput, PlannedOrder } from './Types.js';
+import type { PlacedReplica, PlacementInput, PlacementPlan, PlannedOrder } from './Types.js';
 
 /** Time after an accepted order for an adapter until it is ready, milliseconds. Loads take up to 10 ms. */
 const adapterReadyMs = 14;
@@ -184,7 +184,9 @@
       // Adapters go first: they take some milliseconds, and no adapter can be loaded during the load of a model.
       const adapterOrders = planAdapters(input, now.steadyMs);
       const taken = new Set(adapterOrders.map((order) => order.replicaId));
-      for (const order of [...adapterOrders, ...planModels(input, now.steadyMs, taken)]) {
+      const plan = planModels(input, now.steadyMs, taken);
+      this._applyClearings(plan, now.steadyMs);
+      for (const order of [...adapterOrders, ...plan.orders]) {
         const book = this._books.get(order.replicaId);
         if (book !== undefined) {
           void this._carryOut(book, order, input);
@@ -193,6 +195,25 @@
     }
   }
 
+  private _applyClearings(plan: PlacementPlan, nowMs: number): void {
+    for (const replicaId of plan.releases) {
+      this._clear(replicaId, undefined, [], nowMs);
+    }
+    for (const { replicaId, clearingFor, retiring } of plan.clearings) {
+      this._clear(replicaId, clearingFor, retiring, nowMs);
+    }
+  }
+
+  private _clear(replicaId: string, model: string | undefined, retiring: readonly string[], nowMs: number): void {
+    const book = this._books.get(replicaId);
+    if (book !== undefined) {
+      const before = book.clearingFor;
+      book.clearFor(model, retiring, nowMs);
+      this._log.info('Clearing.', { replica: replicaId, clearingFor: model, before, retiring });
+      this._tellHoldings(book);
+    }
+  }
+
   private _engineServices(): ReadonlyMap<string, EngineSpecification> {
     const services = [...(this._configuration()?.services.values() ?? [])];
     return new Map(services.flatMap(({ name, engine }) => (engine === undefined ? [] : [[name, engine]])));
@@ -242,7 +263,9 @@
     const expectedMs = expectedDuration(order, input, book);
     const storeLoads = input.replicas.filter((one) => one.order?.tier === 'store').length + 1;
     book.order = { kind: order.kind, model: order.model, tier: order.tier, expectedDoneMs: startedMs + expectedMs };
-    book.clearingFor = order.adapter === undefined ? order.clearingFor : book.clearingFor;
+    if (order.adapter === undefined) {
+      book.clearFor(order.clearingFor, [], startedMs);
+    }
     if (order.kind === 'unload') {
       this._tellHoldings(book);
     }
@@ -336,7 +359,7 @@
   /** After a refused order: another order is in progress, or the replica's state is not what the book says. */
   private async _recover(book: ReplicaBook, answer: OrderAnswer | 'notSent'): Promise<void> {
     // The demand may have moved on before the replica's state is known again.
-    book.clearingFor = undefined;
+    book.clearFor(undefined, [], this._clock.now().steadyMs);
     if (answer === 'conflict') {
       await pause(pollMs / 2);
       await this._sync(book);
--- a/packages/gateway/src/placement/ReplicaBook.ts
+++ b/packages/gateway/src/placement/ReplicaBook.ts
@@ -23,7 +23,9 @@
   /** True while the replica's state is being read, an order of a former leader included. */
   public isSyncing = false;
   public order: OrderInProgress | undefined;
-  public clearingFor: string | undefined;
+  private _clearingFor: string | undefined;
+  /** Models that take no new requests, with the steady time since when. */
+  private readonly _retiringSinceMs = new Map<string, number>();
   /** No order is sent before this steady time. */
   public quietUntilMs = 0;
 
@@ -56,12 +58,29 @@
       this._finishAdapter(order.kind, order.model, order.adapter, nowMs);
     } else if (order.kind === 'unload') {
       this._models.delete(order.model);
+      this._retiringSinceMs.delete(order.model);
     } else {
       this._models.set(order.model, { adapters: new Map(), readySinceMs: nowMs });
       this._loadedHere.add(order.model);
     }
   }
 
+  /** Reserves the replica for a model. The retiring ones take no new requests until the clearing ends. */
+  public clearFor(model: string | undefined, retiring: readonly string[], nowMs: number): void {
+    if (model !== this._clearingFor) {
+      this._retiringSinceMs.clear();
+    }
+    this._clearingFor = model;
+    for (const name of retiring) {
+      this._retiringSinceMs.set(name, this._retiringSinceMs.get(name) ?? nowMs);
+    }
+  }
+
+  /** Model that the replica is being cleared for. */
+  public get clearingFor(): string | undefined {
+    return this._clearingFor;
+  }
+
   /** Notes that requests use an adapter. */
   public touchAdapter(model: string, adapter: string, nowMs: number): void {
     const adapters = this._models.get(model)?.adapters;
@@ -74,10 +93,10 @@
     return this._models.has(model);
   }
 
-  /** What the other daemons may use: a model that is being unloaded takes no new requests. */
+  /** What the other daemons may use: a model that is being unloaded or retires takes no new requests. */
   public holdings(): ReplicaHoldings {
     const leaving = this.order?.kind === 'unload' ? this.order.model : undefined;
-    const models = [...this._models].filter(([name]) => name !== leaving);
+    const models = [...this._models].filter(([name]) => name !== leaving && !this._retiringSinceMs.has(name));
     return {
       replicaId: this.replica.id,
       bornMs: this.replica.bornMs,
@@ -92,12 +111,7 @@
     nowMs: number,
   ): PlacedReplica {
     const { replica } = this;
-    const models = [...this._models].map(([name, model]): PlacedModel => ({
-      name,
-      adapters: [...model.adapters].map(([adapter, lastUsedMs]) => ({ name: adapter, lastUsedMs })),
-      running: running?.byModel.get(name) ?? 0,
-      readySinceMs: model.readySinceMs,
-    }));
+    const models = [...this._models].map(([name, model]) => this._placedModel(name, model, running));
     return {
       id: replica.id,
       ...limits,
@@ -108,7 +122,18 @@
       onDisk: new Set([...replica.onDisk, ...this._loadedHere, ...this._models.keys()]),
       running: running?.total ?? 0,
       ...(this.order && { order: this.order }),
-      ...(this.clearingFor !== undefined && { clearingFor: this.clearingFor }),
+      ...(this._clearingFor !== undefined && { clearingFor: this._clearingFor }),
+    };
+  }
+
+  private _placedModel(name: string, model: BookedModel, running: RunningCounts | undefined): PlacedModel {
+    const retiringSinceMs = this._retiringSinceMs.get(name);
+    return {
+      name,
+      adapters: [...model.adapters].map(([adapter, lastUsedMs]) => ({ name: adapter, lastUsedMs })),
+      running: running?.byModel.get(name) ?? 0,
+      readySinceMs: model.readySinceMs,
+      ...(retiringSinceMs !== undefined && { retiringSinceMs }),
     };
   }
 
--- a/packages/gateway/src/placement/Types.ts
+++ b/packages/gateway/src/placement/Types.ts
@@ -7,6 +7,8 @@
   readonly waiting: number;
   /** Least time that a waiting request has left until it is late, milliseconds. */
   readonly slackMs: number;
+  /** For how long requests have been waiting for the target, those refused meanwhile included, milliseconds. */
+  readonly unservedMs: number;
   /** Requests a second, recently. */
   readonly ratePerSecond: number;
   /** Smallest latency target of the requests, milliseconds. */
@@ -27,6 +29,8 @@
   readonly running: number;
   /** When the model became ready, steady milliseconds. */
   readonly readySinceMs: number;
+  /** Since when the model takes no new requests, as it gives way to another one, steady milliseconds. */
+  readonly retiringSinceMs?: number;
 }
 
 /** An order that a replica carries out, or that may still reach it. */
@@ -50,7 +54,7 @@
   readonly models: readonly PlacedModel[];
   readonly inMemory: ReadonlySet<string>;
   readonly onDisk: ReadonlySet<string>;
-  /** Model for which the replica is being cleared. */
+  /** Model for which the replica is being cleared: its retiring models are unloaded once their requests have ended. */
   readonly clearingFor?: string;
   readonly running: number;
 }
@@ -79,3 +83,18 @@
   readonly tier: WeightTier;
   readonly reason: 'waiting' | 'clearing' | 'coverage' | 'secondCopy' | 'adapter';
 }
+
+/** Models of a replica that take no new requests from now on, so that another one can be loaded once they are idle. */
+export interface PlannedClearing {
+  readonly replicaId: string;
+  readonly clearingFor: string;
+  readonly retiring: readonly string[];
+}
+
+/** What to do now. */
+export interface PlacementPlan {
+  readonly orders: readonly PlannedOrder[];
+  readonly clearings: readonly PlannedClearing[];
+  /** Replicas whose clearing is given up; their retiring models take requests again. */
+  readonly releases: readonly string[];
+}
--- a/packages/gateway/src/placement/planPlacement.test.ts
+++ b/packages/gateway/src/placement/planPlacement.test.ts
@@ -34,7 +34,7 @@
 function demand(model: string, options: Partial<Demand> & { readonly adapter?: string } = {}): Demand {
   const { adapter, ...rest } = options;
   const target = adapter === undefined ? { model } : { model, adapter };
-  return { target, waiting: 0, slackMs: Infinity, ratePerSecond: 0.2, latencyTargetMs: 2_000, ...rest };
+  return { target, waiting: 0, slackMs: Infinity, unservedMs: 0, ratePerSecond: 0.2, latencyTargetMs: 2_000, ...rest };
 }
 
 function input(
@@ -55,8 +55,8 @@
       demand('rare'),
       demand('wanted', { waiting: 1, slackMs: 300 }),
     ];
-    const orders = planModels(input(replicas, demands, ['busy', 'rare', 'wanted']), nowMs);
-    vitest.expect(orders).toMatchObject([{ kind: 'unload', model: 'rare', clearingFor: 'wanted' }]);
+    const plan = planModels(input(replicas, demands, ['busy', 'rare', 'wanted']), nowMs);
+    vitest.expect(plan).toMatchObject({ orders: [], clearings: [{ clearingFor: 'wanted', retiring: ['rare'] }] });
   });
 
   vitest.test(
@@ -64,7 +64,7 @@
     () => {
       const replicas = [replica('r', [held('used', 2), held('used2', 1)], ['wanted'])];
       const demands = [demand('used'), demand('used2'), demand('wanted', { waiting: 1, slackMs: 1_800 })];
-      vitest.expect(planModels(input(replicas, demands, ['used', 'used2', 'wanted']), nowMs)).toEqual([]);
+      vitest.expect(planModels(input(replicas, demands, ['used', 'used2', 'wanted']), nowMs).orders).toEqual([]);
     },
   );
 
@@ -75,7 +75,9 @@
       order: { kind: 'load', model: 'other', tier: 'disk', expectedDoneMs: nowMs + 300 },
     };
     const demands = [demand('wanted', { waiting: 1, slackMs: 0 })];
-    vitest.expect(planModels(input([busy, replica('empty', [])], demands, ['other', 'wanted']), nowMs)).toEqual([]);
+    vitest
+      .expect(planModels(input([busy, replica('empty', [])], demands, ['other', 'wanted']), nowMs).orders)
+      .toEqual([]);
   });
 
   vitest.test('keeps the only copy that requests wait for while another replica is cleared for the model', () => {
@@ -87,7 +89,7 @@
       demand('busy', { waiting: 2, slackMs: 0 }),
       demand('wanted', { waiting: 3, slackMs: 300, ratePerSecond: 5, latencyTargetMs: 250 }),
     ];
-    const orders = planModels(input(replicas, demands, ['x', 'y', 'busy', 'wanted']), nowMs);
+    const orders = planModels(input(replicas, demands, ['x', 'y', 'busy', 'wanted']), nowMs).orders;
     vitest.expect(orders.map((order) => order.model)).not.toContain('busy');
   });
 
@@ -95,27 +97,43 @@
     // Guards against a model that is never loaded because its only copy lies on a full replica.
     const replicas = [replica('copy', [held('hot', 2), held('hot2', 2)], ['wanted']), replica('empty', [])];
     const hot = { ratePerSecond: 20, latencyTargetMs: 250 };
-    const demands = [demand('hot', hot), demand('hot2', hot), demand('wanted', { waiting: 1, slackMs: -4_200 })];
-    const orders = planModels(input(replicas, demands, ['hot', 'hot2', 'wanted']), nowMs);
+    const demands = [
+      demand('hot', hot),
+      demand('hot2', hot),
+      demand('wanted', { waiting: 1, slackMs: -4_200, unservedMs: 6_200 }),
+    ];
+    const orders = planModels(input(replicas, demands, ['hot', 'hot2', 'wanted']), nowMs).orders;
     vitest.expect(orders).toMatchObject([{ replicaId: 'empty', kind: 'load', model: 'wanted', tier: 'store' }]);
   });
 
+  vitest.test('counts the time of refused requests when it turns to the store', () => {
+    // Guards against a busy model that is never loaded, because each of its requests is refused before it is late.
+    const busy: PlacedReplica = {
+      ...replica('copy', [], ['hot']),
+      order: { kind: 'load', model: 'other', tier: 'store', expectedDoneMs: nowMs + 6_000 },
+    };
+    const hot = demand('hot', { waiting: 3, slackMs: -200, unservedMs: 800, ratePerSecond: 10, latencyTargetMs: 250 });
+    const orders = planModels(input([busy, replica('empty', [])], [hot], ['other', 'hot']), nowMs).orders;
+    vitest.expect(orders).toMatchObject([{ replicaId: 'empty', kind: 'load', model: 'hot', tier: 'store' }]);
+  });
+
   vitest.test('gives a load of the store to the model in most demand', () => {
     // Guards against a busy model that waits behind rare ones.
     const demands = [
-      demand('rare', { waiting: 1, slackMs: -6_000 }),
-      demand('busy', { waiting: 4, slackMs: -500, ratePerSecond: 5, latencyTargetMs: 250 }),
+      demand('rare', { waiting: 1, slackMs: -6_000, unservedMs: 8_000 }),
+      demand('busy', { waiting: 4, slackMs: -500, unservedMs: 750, ratePerSecond: 5, latencyTargetMs: 250 }),
     ];
     const state = { ...input([replica('r', []), replica('s', [])], demands, ['rare', 'busy']), maximumStoreLoads: 1 };
-    vitest.expect(planModels(state, nowMs)).toMatchObject([{ kind: 'load', model: 'busy' }]);
+    vitest.expect(planModels(state, nowMs).orders).toMatchObject([{ kind: 'load', model: 'busy' }]);
   });
 
   vitest.test(
     'loads nothing as missing while the list of replicas may be incomplete (guards against double loads)',
     () => {
       const known = { ...input([replica('r', [])], [], ['missing']), mayCover: false };
-      vitest.expect(planModels(known, nowMs)).toEqual([]);
-      vitest.expect(planModels({ ...known, mayCover: true }, nowMs)).toMatchObject([{ kind: 'load', tier: 'store' }]);
+      vitest.expect(planModels(known, nowMs).orders).toEqual([]);
+      const covered = planModels({ ...known, mayCover: true }, nowMs).orders;
+      vitest.expect(covered).toMatchObject([{ kind: 'load', tier: 'store' }]);
     },
   );
 
@@ -143,7 +161,7 @@
         }));
         const demands = wishes.map(({ model, ...rest }) => demand(model, rest));
         const state = input(replicas, demands, names);
-        const orders = planModels(state, nowMs);
+        const orders = planModels(state, nowMs).orders;
         const targets = orders.map((order) => order.replicaId);
         vitest.expect(new Set(targets).size).toBe(targets.length);
         vitest
@@ -161,6 +179,43 @@
   });
 });
 
+vitest.describe('clearing of a replica', () => {
+  const wanted = demand('wanted', { waiting: 1, slackMs: -100, latencyTargetMs: 250 });
+  const names = ['old', 'other', 'wanted'];
+  const clearing = (running: number, retiringSinceMs: number): PlacedReplica => ({
+    ...replica('r', [{ ...held('old', running), retiringSinceMs }, held('other', 1)], ['old', 'wanted']),
+    clearingFor: 'wanted',
+  });
+
+  vitest.test('orders no unload while requests run (guards against a replica that takes no orders for seconds)', () => {
+    const plan = planModels(input([clearing(1, 0)], [wanted], names), nowMs);
+    vitest.expect(plan).toEqual({ orders: [], clearings: [], releases: [] });
+  });
+
+  vitest.test('waits for reports of the requests that were on their way (guards against unloads that wait)', () => {
+    const plan = planModels(input([clearing(0, nowMs - 100)], [wanted], names), nowMs);
+    vitest.expect(plan.orders).toEqual([]);
+    const later = planModels(input([clearing(0, nowMs - 300)], [wanted], names), nowMs);
+    vitest.expect(later.orders).toMatchObject([{ kind: 'unload', model: 'old', clearingFor: 'wanted' }]);
+  });
+
+  vitest.test('ends when the demand has gone (guards against a replica that stays reserved)', () => {
+    const demands = [{ ...wanted, waiting: 0, ratePerSecond: 0.05 }];
+    vitest.expect(planModels(input([clearing(1, 0)], demands, names), nowMs).releases).toEqual(['r']);
+  });
+
+  vitest.test('ends when another replica can begin at once (guards against waiting for long streams)', () => {
+    const free = replica('free', [], ['wanted']);
+    const plan = planModels(input([clearing(1, 0), free], [wanted], names), nowMs);
+    vitest.expect(plan).toMatchObject({ orders: [{ replicaId: 'free', kind: 'load' }], releases: ['r'] });
+  });
+
+  vitest.test('ends when the retiring model is in more demand (guards against giving up a busy model)', () => {
+    const busy = demand('old', { waiting: 5, ratePerSecond: 9, latencyTargetMs: 250 });
+    vitest.expect(planModels(input([clearing(1, 0)], [wanted, busy], names), nowMs).releases).toEqual(['r']);
+  });
+});
+
 vitest.describe('placement of adapters', () => {
   vitest.test('orders an adapter once (guards against an order for one that has just become ready)', () => {
     const demands = [demand('m', { adapter: 'a1', waiting: 2, slackMs: 0 })];
--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -1,5 +1,12 @@
 import type { ModelSpecification, WeightTier } from '../Types.js';
-import type { PlacedModel, PlacedReplica, PlacementInput, PlannedOrder } from './Types.js';
+import type {
+  PlacedModel,
+  PlacedReplica,
+  PlacementInput,
+  PlacementPlan,
+  PlannedClearing,
+  PlannedOrder,
+} from './Types.js';
 import {
   copies,
   demandByModel,
@@ -34,6 +41,10 @@
 /** Time until an order in progress ends counts in full when another replica could start at once. */
 const clearingStepMs = 150;
 
+/** Requests that daemons sent before they knew that a model retires are reported within this time, milliseconds. */
+const reportSettleMs = 250;
+/** A replica is no longer cleared for a model that nobody waits for and that is asked for less often, requests a second. */
+const forgottenRate = 0.1;
 /** Cost of keeping a replica busy whose adapters are asked for once a second, milliseconds: their loads have to wait. */
 const adapterDelayCostMs = 200;
 
@@ -53,13 +64,15 @@
   input: PlacementInput,
   nowMs: number,
   taken: ReadonlySet<string> = new Set(),
-): readonly PlannedOrder[] {
-  return new ModelPlan(input, nowMs, taken).orders();
+): PlacementPlan {
+  return new ModelPlan(input, nowMs, taken).make();
 }
 
 class ModelPlan {
   private readonly _demand: ReadonlyMap<string, ModelDemand>;
   private readonly _orders: PlannedOrder[] = [];
+  private readonly _clearings: PlannedClearing[] = [];
+  private readonly _releases: string[] = [];
   private readonly _taken: Set<string>;
   private readonly _adapterRates: ReadonlyMap<string, number>;
   private _storeLoads: number;
@@ -75,27 +88,63 @@
     this._storeLoads = _input.replicas.filter(isLoadingFromStore).length;
   }
 
-  public orders(): readonly PlannedOrder[] {
-    this._continueClearing();
+  public make(): PlacementPlan {
+    for (const replica of this._input.replicas) {
+      if (replica.clearingFor !== undefined && this._isFree(replica)) {
+        this._continueClearing(replica, replica.clearingFor);
+      }
+    }
     this._serveWaiting();
     this._addSecondCopies();
     this._coverMissing();
-    return this._orders;
+    return { orders: this._orders, clearings: this._clearings, releases: this._releases };
   }
 
-  /** Goes on with replicas that were being cleared for a model. */
-  private _continueClearing(): void {
-    for (const replica of this._input.replicas) {
-      const specification = this._input.models.get(replica.clearingFor ?? '');
-      if (specification !== undefined && this._isFree(replica)) {
-        const option = this._option(replica, specification);
-        if (option !== undefined) {
-          this._order(option, specification, 'waiting');
-        }
+  /** Goes on with a replica that is being cleared for a model: unloads what has become idle, and loads at last. */
+  private _continueClearing(replica: PlacedReplica, model: string): void {
+    const specification = this._input.models.get(model);
+    if (specification === undefined || this._isForgotten(model) || this._isWantedBack(replica, model)) {
+      this._release(replica);
+      return;
+    }
+    const retiring = replica.models.filter((held) => held.retiringSinceMs !== undefined);
+    if (retiring.length === 0) {
+      const option = this._option(replica, specification);
+      if (option === undefined) {
+        this._release(replica);
+      } else {
+        this._order(option, specification, 'waiting');
       }
+    } else if (retiring.every((held) => this._isDrained(held))) {
+      this._order({ replica, tier: loadTier(replica, model), victims: retiring, costMs: 0 }, specification, 'waiting');
     }
   }
 
+  private _release(replica: PlacedReplica): void {
+    this._releases.push(replica.id);
+    this._taken.add(replica.id);
+  }
+
+  private _isForgotten(model: string): boolean {
+    const demand = this._demand.get(model);
+    return (demand?.waiting ?? 0) === 0 && (demand?.ratePerSecond ?? 0) < forgottenRate;
+  }
+
+  /** True if a retiring model of a replica is in more demand by now than the model it gives way to. */
+  private _isWantedBack(replica: PlacedReplica, model: string): boolean {
+    const gain = gainOf(this._demand.get(model));
+    const isWanted = (held: PlacedModel): boolean =>
+      held.retiringSinceMs !== undefined &&
+      this._isWaitedFor(held.name) &&
+      readyCopies(this._input, held.name).length === 0 &&
+      gainOf(this._demand.get(held.name)) * displacingShare > gain;
+    return replica.models.some(isWanted);
+  }
+
+  private _isDrained(held: PlacedModel): boolean {
+    return held.running === 0 && this._nowMs - (held.retiringSinceMs ?? this._nowMs) >= reportSettleMs;
+  }
+
   /**
    * Loads from a replica's own copies in the order in which requests are late. The few loads of the weight store go to
    * the models in most demand.
@@ -144,27 +193,46 @@
   }
 
   private _loadUnlessPresent(model: string, tiers: readonly WeightTier[]): void {
-    const isOrdered = this._orders.some((order) => order.model === model || order.clearingFor === model);
-    if (!isOrdered && copies(this._input, model).length === 0) {
+    const isPlanned =
+      this._orders.some((order) => order.model === model || order.clearingFor === model) ||
+      this._clearings.some((clearing) => clearing.clearingFor === model);
+    const holders = copies(this._input, model);
+    if (isPlanned || !holders.every((replica) => this._isDraining(replica, model))) {
+      return;
+    }
+    const [draining] = holders;
+    if (draining === undefined) {
       this._load(model, 'waiting', tiers);
+    } else if (this._load(model, 'waiting', tiers, true)) {
+      // Another replica can begin at once.
+      this._release(draining);
     }
   }
 
-  private _load(model: string, reason: PlannedOrder['reason'], tiers: readonly WeightTier[]): void {
+  /** True if a replica waits for the requests of other models to end before it can load a model. */
+  private _isDraining(replica: PlacedReplica, model: string): boolean {
+    const isWaiting = replica.models.some((held) => held.retiringSinceMs !== undefined);
+    return replica.clearingFor === model && replica.order === undefined && isWaiting;
+  }
+
+  /** Orders a load, or what has to go before it. Returns false if no replica can make room. */
+  private _load(model: string, reason: PlannedOrder['reason'], tiers: readonly WeightTier[], atOnce = false): boolean {
     const specification = this._input.models.get(model);
     if (specification === undefined) {
-      return;
+      return false;
     }
     const options = this._input.replicas
       .filter((replica) => this._isFree(replica) && replica.clearingFor === undefined)
       .filter((replica) => !replica.models.some((held) => held.name === model))
       .map((replica) => this._option(replica, specification))
       .filter((option) => option !== undefined)
+      .filter((option) => !atOnce || option.victims.every((victim) => victim.running === 0))
       .filter((option) => tiers.includes(option.tier) && this._isWorthIt(option, model, reason));
     const best = cheapest(options);
     if (best !== undefined) {
       this._order(best, specification, reason);
     }
+    return best !== undefined;
   }
 
   /** Compares the demand for a model with the demand for those that would give way to it. */
@@ -180,15 +248,20 @@
     if (tier === 'store') {
       this._storeLoads += 1;
     }
+    const afterUnload = replica.clearingFor !== undefined;
     const victim = victims[0];
     if (victim === undefined) {
-      const afterUnload = replica.clearingFor !== undefined;
       this._orders.push({ replicaId: replica.id, kind: 'load', model: specification.name, afterUnload, tier, reason });
       return;
     }
     const clearingFor = specification.name;
-    const name = victim.name;
-    this._orders.push({ replicaId: replica.id, kind: 'unload', model: name, clearingFor, tier, reason: 'clearing' });
+    if (victims.some((held) => held.running > 0)) {
+      this._clearings.push({ replicaId: replica.id, clearingFor, retiring: victims.map((held) => held.name) });
+      return;
+    }
+    const model = victim.name;
+    const id = replica.id;
+    this._orders.push({ replicaId: id, kind: 'unload', model, clearingFor, afterUnload, tier, reason: 'clearing' });
   }
 
   /** How a replica could load a model; undefined if it may not give up enough. */
@@ -213,8 +286,8 @@
   }
 
   /**
-   * An unload waits for the model's requests and keeps the replica from other orders meanwhile, so a model in use
-   * leaves only for requests that are about to be late; until then another model may become idle.
+   * A model in use leaves only for requests that are about to be late; until then another model may become idle. It
+   * retires first, because an unload waits for the model's requests and keeps the replica from other orders meanwhile.
    */
   private _mayLeave(held: PlacedModel, replica: PlacedReplica, wanted: string): boolean {
     const waitedFor = this._isWaitedFor(held.name) && !this._hasOtherCopy(held.name, replica);
@@ -262,7 +335,8 @@
     const demand = this._demand.get(model);
     const hasCopy = (replica: PlacedReplica): boolean => replica.takesOrders && loadTier(replica, model) !== 'store';
     const patienceMs = requestWeight(demand) > 1 ? impatientCopyPatienceMs : copyPatienceMs;
-    const isWorthWaiting = (demand?.slackMs ?? Infinity) > -patienceMs && this._input.replicas.some(hasCopy);
+    const lateByMs = (demand?.unservedMs ?? 0) - (demand?.latencyTargetMs ?? 0);
+    const isWorthWaiting = lateByMs < patienceMs && this._input.replicas.some(hasCopy);
     return this._storeLoads < this._input.maximumStoreLoads && !isWorthWaiting;
   }
 
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -59,6 +59,7 @@
 export interface ModelDemand {
   readonly waiting: number;
   readonly slackMs: number;
+  readonly unservedMs: number;
   readonly ratePerSecond: number;
   readonly latencyTargetMs: number;
 }
@@ -71,6 +72,7 @@
     sums.set(demand.target.model, {
       waiting: (sum?.waiting ?? 0) + demand.waiting,
       slackMs: Math.min(sum?.slackMs ?? Number.POSITIVE_INFINITY, demand.slackMs),
+      unservedMs: Math.max(sum?.unservedMs ?? 0, demand.unservedMs),
       ratePerSecond: (sum?.ratePerSecond ?? 0) + demand.ratePerSecond,
       latencyTargetMs: Math.min(sum?.latencyTargetMs ?? Number.POSITIVE_INFINITY, demand.latencyTargetMs),
     });
@@ -78,7 +80,7 @@
   return sums;
 }
 
-/** Replicas that hold a model and are not about to unload it. */
+/** Replicas that hold a model and neither unload nor retire it. */
 export function readyCopies(input: PlacementInput, model: string): readonly PlacedReplica[] {
   return input.replicas.filter((replica) => holds(replica, model));
 }
@@ -95,5 +97,5 @@
 
 function holds(replica: PlacedReplica, model: string): boolean {
   const isUnloading = replica.order?.kind === 'unload' && replica.order.model === model;
-  return !isUnloading && replica.models.some((held) => held.name === model);
+  return !isUnloading && replica.models.some((held) => held.name === model && held.retiringSinceMs === undefined);
 }
