--- a/packages/gateway/src/placement/ReplicaBook.ts
+++ b/packages/gateway/src/placement/ReplicaBook.ts
@@ -111,12 +111,14 @@
     nowMs: number,
   ): PlacedReplica {
     const { replica } = this;
+    const takesRequests = replica.state === 'ready';
     const models = [...this._models].map(([name, model]) => this._placedModel(name, model, running));
     return {
       id: replica.id,
       ...limits,
       slots: replica.slots,
-      takesOrders: replica.state === 'ready' && this._isKnown && nowMs >= this.quietUntilMs,
+      takesRequests,
+      takesOrders: takesRequests && this._isKnown && nowMs >= this.quietUntilMs,
       models,
       inMemory: new Set(replica.inMemory),
       onDisk: new Set([...replica.onDisk, ...this._loadedHere, ...this._models.keys()]),
--- a/packages/gateway/src/placement/Types.ts
+++ b/packages/gateway/src/placement/Types.ts
@@ -48,7 +48,9 @@
   readonly weightMegabytes: number;
   readonly adapterSlots: number;
   readonly slots: number;
-  /** False while the replica's state is unknown or it is leaving. */
+  /** False if the replica is leaving or cannot be reached: its models serve no new request. */
+  readonly takesRequests: boolean;
+  /** False while the replica's state is unknown or it takes no requests. */
   readonly takesOrders: boolean;
   readonly order?: OrderInProgress;
   readonly models: readonly PlacedModel[];
--- a/packages/gateway/src/placement/planPlacement.test.ts
+++ b/packages/gateway/src/placement/planPlacement.test.ts
@@ -23,6 +23,7 @@
     weightMegabytes: capacityMegabytes,
     adapterSlots: 2,
     slots: 16,
+    takesRequests: true,
     takesOrders: true,
     models,
     inMemory: new Set(),
@@ -117,6 +118,13 @@
     vitest.expect(orders).toMatchObject([{ replicaId: 'empty', kind: 'load', model: 'hot', tier: 'store' }]);
   });
 
+  vitest.test('loads the models of a leaving replica elsewhere (guards against a model that waits for its end)', () => {
+    const leaving = { ...replica('leaving', [held('wanted', 2)]), takesRequests: false, takesOrders: false };
+    const demands = [demand('wanted', { waiting: 2, slackMs: 100, latencyTargetMs: 250 })];
+    const orders = planModels(input([leaving, replica('r', [], ['wanted'])], demands, ['wanted']), nowMs).orders;
+    vitest.expect(orders).toMatchObject([{ replicaId: 'r', kind: 'load', model: 'wanted' }]);
+  });
+
   vitest.test('gives a load of the store to the model in most demand', () => {
     // Guards against a busy model that waits behind rare ones.
     const demands = [
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -91,11 +91,18 @@
 }
 
 function holdsOrLoads(replica: PlacedReplica, model: string): boolean {
+  if (!replica.takesRequests) {
+    return false;
+  }
   const isLoading = replica.order?.kind === 'load' && replica.order.model === model;
   return isLoading || replica.clearingFor === model || holds(replica, model);
 }
 
 function holds(replica: PlacedReplica, model: string): boolean {
   const isUnloading = replica.order?.kind === 'unload' && replica.order.model === model;
-  return !isUnloading && replica.models.some((held) => held.name === model && held.retiringSinceMs === undefined);
+  return (
+    replica.takesRequests &&
+    !isUnloading &&
+    replica.models.some((held) => held.name === model && held.retiringSinceMs === undefined)
+  );
 }
