Tell the leader of dead replicas, and keep the retry budget for requests that arrived

Daemons now report replicas they cannot connect to; with the word of two of them the leader loads those models elsewhere, and a request for such a model waits instead of trying in vain. Ruled out: the order client, which already notices refused connections, but only when it has an order to send.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -324,11 +324,13 @@
   }
 
   private _report(): void {
+    const nowMs = this._nowMs();
     const report: DaemonReport = {
       daemon: this._settings.name,
-      waiting: this._waitingRoom.report(this._nowMs()),
+      waiting: this._waitingRoom.report(nowMs),
       arrivals: this._arrivals.take(),
       running: this._loads.report(),
+      unreachable: this._loads.unreachable(nowMs),
     };
     if (this._lease.isHolder) {
       this._leader.applyReport(report);
--- a/packages/gateway/src/forwarding/Exchange.test.ts
+++ b/packages/gateway/src/forwarding/Exchange.test.ts
@@ -92,6 +92,34 @@
     });
   });
 
+  vitest.test(
+    'goes on past a dead replica without the retry budget (guards against refusals after a crash)',
+    async () => {
+      for (const headers of [{}, { 'x-model': 'm' }]) {
+        await using fixture = new ExchangeFixture({ kind: 'nonIdempotent' });
+        fixture.retrySlack = 0;
+        await fixture.addDeadReplica();
+        await fixture.addReplica(answers);
+        await fixture.open();
+        for (let run = 0; run < 3; run += 1) {
+          vitest.expect(await fixture.call({ headers })).toMatchObject({ status: 200, body: 'whole' });
+        }
+      }
+    },
+  );
+
+  vitest.test(
+    'lets a request wait while its model is on a dead replica (guards against refusals at once)',
+    async () => {
+      await using fixture = new ExchangeFixture({ kind: 'stream', latencyTargetMs: 400 });
+      await fixture.addDeadReplica();
+      await fixture.open();
+      const startedMs = performance.now();
+      vitest.expect(await fixture.call({ headers: { 'x-model': 'm' } })).toMatchObject({ status: 503 });
+      vitest.expect(performance.now() - startedMs).toBeGreaterThan(300);
+    },
+  );
+
   vitest.test('gives a silent replica up where the request may be repeated (guards against late answers)', async () => {
     const silent: ReplicaScript = () => undefined;
     await withReplicas({ latencyTargetMs: 100 }, [silent, answers], async (fixture) => {
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -135,7 +135,9 @@
     const candidates = (fresh.length > 0 || target !== undefined ? fresh : holders).map((replica) =>
       this._context.loads.candidate(replica, parts, nowMs),
     );
-    const chosen = chooseReplica(candidates, this._context.failureDomain);
+    // A model may be loaded on another replica; until then a request for it waits rather than try in vain.
+    const reachable = target === undefined ? candidates : candidates.filter((candidate) => !candidate.isUnreachable);
+    const chosen = chooseReplica(reachable, this._context.failureDomain);
     if (chosen !== undefined) {
       this._wait.stop(nowMs);
       this._send(chosen.replica);
@@ -287,6 +289,9 @@
     clearTimeout(this._silenceTimer);
     if (failure.kind === 'notConnected') {
       this._context.loads.recordUnreachable(replica.id, this._nowMs());
+      this._endAttempt('failed');
+      this._sendElsewhere(failure.message);
+      return;
     }
     this._runs += failure.mayHaveRun ? 1 : 0;
     this._endAttempt('failed');
@@ -299,6 +304,19 @@
     });
   }
 
+  /** Goes on after a connection that was not made. Nothing has arrived, so this takes nothing of the retry budget. */
+  private _sendElsewhere(message: string): void {
+    const usable = this._context.directory.usable(this._service);
+    const mayGoOn = this._caller?.target !== undefined || usable.some((replica) => !this._excluded.has(replica.id));
+    if (mayGoOn && this._dueMs > this._nowMs()) {
+      this._dispatch();
+    } else if (this._relay.headSent || this._runs > 0) {
+      this._breakOff(message);
+    } else {
+      this._refuse(message, refusedRetryAfterMs);
+    }
+  }
+
   /** Sends the request once more if that is allowed, else gives it up. */
   private _sendAgainOr(mayHaveRun: boolean, giveUp: () => void): void {
     const nowMs = this._nowMs();
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -30,6 +30,8 @@
   readonly waiting: readonly WaitingReport[];
   readonly arrivals: readonly ArrivalReport[];
   readonly running: readonly RunningReport[];
+  /** Replicas that the daemon could not connect to a moment ago. */
+  readonly unreachable: readonly string[];
 }
 
 /** Records of a table that a peer has read. */
--- a/packages/gateway/src/placement/DemandBook.test.ts
+++ b/packages/gateway/src/placement/DemandBook.test.ts
@@ -4,12 +4,13 @@
 
 const target = { model: 'm' };
 
-function report(waiting: number): DaemonReport {
+function report(waiting: number, daemon = 'vm1', unreachable: readonly string[] = []): DaemonReport {
   return {
-    daemon: 'vm1',
+    daemon,
     waiting: waiting === 0 ? [] : [{ target, count: waiting, slackMs: 100 }],
     arrivals: [{ target, count: 1, latencyTargetMs: 250 }],
     running: [],
+    unreachable,
   };
 }
 
@@ -32,4 +33,14 @@
     book.apply(report(1), 3_000);
     vitest.expect(book.demands(3_000)).toMatchObject([{ waiting: 1, unservedMs: 0 }]);
   });
+
+  vitest.test('takes the word of two daemons for a dead replica (guards against a daemon that is cut off)', () => {
+    const book = new DemandBook();
+    book.apply(report(0, 'vm1', ['r1']), 0);
+    vitest.expect([...book.unreachable()]).toEqual(['r1']);
+    book.apply(report(0, 'vm2'), 0);
+    vitest.expect([...book.unreachable()]).toEqual([]);
+    book.apply(report(0, 'vm3', ['r1']), 0);
+    vitest.expect([...book.unreachable()]).toEqual(['r1']);
+  });
 });
--- a/packages/gateway/src/placement/DemandBook.ts
+++ b/packages/gateway/src/placement/DemandBook.ts
@@ -12,6 +12,9 @@
 /** Refused requests come back; a target is waited for until nobody has waited for this long, milliseconds. */
 const waitGapMs = 2_000;
 
+/** Daemons that have to find a replica unreachable before its models are loaded elsewhere. */
+const unreachableVotes = 2;
+
 /** Time in which requests wait for a target, steady milliseconds. */
 interface WaitPeriod {
   readonly sinceMs: number;
@@ -68,6 +71,20 @@
     return [...this._reports.values()].flatMap(({ report }) => report.running);
   }
 
+  /**
+   * Replicas that several daemons could not connect to. The word of a single one counts only if no other reports,
+   * because that daemon may be cut off itself.
+   */
+  public unreachable(): ReadonlySet<string> {
+    const reports = [...this._reports.values()].map(({ report }) => report);
+    const votes = new Map<string, number>();
+    for (const id of reports.flatMap((report) => report.unreachable)) {
+      votes.set(id, (votes.get(id) ?? 0) + 1);
+    }
+    const neededVotes = Math.min(unreachableVotes, reports.length);
+    return new Set([...votes].filter(([, count]) => count >= neededVotes).map(([id]) => id));
+  }
+
   private _waiting(nowMs: number): ReadonlyMap<string, WaitingReport> {
     const sums = new Map<string, WaitingReport>();
     for (const { report, receivedMs } of this._reports.values()) {
--- a/packages/gateway/src/placement/PlacementLeader.test.ts
+++ b/packages/gateway/src/placement/PlacementLeader.test.ts
@@ -79,6 +79,7 @@
       waiting: [{ target, count: 1, slackMs: 0 }],
       arrivals: [{ target, count: 1, latencyTargetMs: 250 }],
       running: [],
+      unreachable: [],
     };
     this.leader.applyReport(report);
   }
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -240,9 +240,10 @@
     running: ReadonlyMap<string, RunningCounts>,
     nowMs: number,
   ): readonly PlacedReplica[] {
+    const unreachable = this._demand.unreachable();
     return [...this._books.values()]
       .filter((book) => book.replica.service === service)
-      .map((book) => book.placed(engine, running.get(book.replica.id), nowMs));
+      .map((book) => book.placed(engine, running.get(book.replica.id), unreachable.has(book.replica.id), nowMs));
   }
 
   private _runningCounts(): ReadonlyMap<string, RunningCounts> {
--- a/packages/gateway/src/placement/ReplicaBook.ts
+++ b/packages/gateway/src/placement/ReplicaBook.ts
@@ -108,10 +108,11 @@
   public placed(
     limits: { readonly weightMegabytes: number; readonly adapterSlots: number },
     running: RunningCounts | undefined,
+    isUnreachable: boolean,
     nowMs: number,
   ): PlacedReplica {
     const { replica } = this;
-    const takesRequests = replica.state === 'ready';
+    const takesRequests = replica.state === 'ready' && !isUnreachable;
     const models = [...this._models].map(([name, model]) => this._placedModel(name, model, running));
     return {
       id: replica.id,
--- a/packages/gateway/src/routing/ReplicaLoads.ts
+++ b/packages/gateway/src/routing/ReplicaLoads.ts
@@ -8,7 +8,7 @@
 /** Time constant in which old failures are forgiven, milliseconds. */
 const forgivenessMs = 3_000;
 /** A replica whose connection failed is tried again after this time, milliseconds. */
-const unreachableMs = 1_500;
+const unreachableMs = 800;
 /** A load that another daemon or the replica told is used for this long, milliseconds. */
 const toldLoadLifetimeMs = 1_500;
 /** Prompt parts that are remembered for a replica. */
@@ -95,6 +95,11 @@
     };
   }
 
+  /** Replicas that could not be connected to a moment ago. */
+  public unreachable(nowMs: number): readonly string[] {
+    return [...this._loads].filter(([, load]) => nowMs < load.unreachableUntilMs).map(([id]) => id);
+  }
+
   /** What runs, for the leader. */
   public report(): readonly RunningReport[] {
     this._hasNews = false;
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -36,6 +36,8 @@
 export class ExchangeFixture implements AsyncDisposable {
   public stopping = false;
   public longestRequestMs = Number.POSITIVE_INFINITY;
+  /** Second sends that the retry budget allows besides its share of the requests. */
+  public retrySlack = 1_000;
   public readonly heads: string[] = [];
   private readonly _servers: net.Server[] = [];
   private readonly _replicas: Replica[] = [];
@@ -56,7 +58,15 @@
     });
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
     this._servers.push(server);
-    const { port } = server.address() as net.AddressInfo;
+    this._addRecord((server.address() as net.AddressInfo).port);
+  }
+
+  /** Adds a replica whose process is gone. */
+  public async addDeadReplica(): Promise<void> {
+    this._addRecord(await unusedPort());
+  }
+
+  private _addRecord(port: number): void {
     this._replicas.push({
       id: `r${this._replicas.length}`,
       service: 's',
@@ -79,10 +89,7 @@
       0,
       0,
     );
-    const probe = net.createServer();
-    await new Promise<void>((resolve) => probe.listen(0, '127.0.0.1', resolve));
-    this._port = (probe.address() as net.AddressInfo).port;
-    await new Promise((resolve) => probe.close(resolve));
+    this._port = await unusedPort();
     this._callers = new CallerServer(this._context(directory), { host: '127.0.0.1', port: this._port }, silentLogger);
     this._callers.applyLimits(callerLimits);
     await this._callers.open();
@@ -145,7 +152,7 @@
       ...this._route,
     };
     const routes = new RouteTable({ version: 1, routes: [route], services: new Map(), callerLimits });
-    const budgets = new RetryBudgets({ windowMs: 10_000, ratio: 0.2, slack: 1_000 });
+    const budgets = new RetryBudgets({ windowMs: 10_000, ratio: 0.2, slack: this.retrySlack });
     return {
       codec: new FakeCodec(),
       clock: systemClock,
@@ -166,3 +173,11 @@
     };
   }
 }
+
+async function unusedPort(): Promise<number> {
+  const probe = net.createServer();
+  await new Promise<void>((resolve) => probe.listen(0, '127.0.0.1', resolve));
+  const { port } = probe.address() as net.AddressInfo;
+  await new Promise((resolve) => probe.close(resolve));
+  return port;
+}
