Load a model from a copy although a load from the store is under way

The patience with busy replicas that have a copy grows from 0.5 to 1 s, as a load from the store no longer closes the faster way.

--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -25,7 +25,7 @@
 /** Requests that are late by this much no longer wait for a replica with a copy to make room, milliseconds. */
 const copyPatienceMs = 4_000;
 /** The same for requests whose callers leave soon. */
-const impatientCopyPatienceMs = 500;
+const impatientCopyPatienceMs = 1_000;
 /** A model stays at least this long after its load, so that the requests that waited for it reach it. */
 const minimumResidenceMs = 600;
 /** Requests with less time than this until they are late may end the residence of a model in use, milliseconds. */
@@ -41,6 +41,8 @@
 /** Time until an order in progress ends counts in full when another replica could start at once. */
 const clearingStepMs = 150;
 
+/** A load from the store that takes longer than this does not keep a model from being loaded from a copy, milliseconds. */
+const distantLoadMs = 1_500;
 /** Requests that daemons sent before they knew that a model retires are reported within this time, milliseconds. */
 const reportSettleMs = 250;
 /** A replica is no longer cleared for a model that nobody waits for and that is asked for less often, requests a second. */
@@ -193,22 +195,37 @@
   }
 
   private _loadUnlessPresent(model: string, tiers: readonly WeightTier[]): void {
-    const isPlanned =
-      this._orders.some((order) => order.model === model || order.clearingFor === model) ||
-      this._clearings.some((clearing) => clearing.clearingFor === model);
-    const holders = copies(this._input, model);
-    if (isPlanned || !holders.every((replica) => this._isDraining(replica, model))) {
+    if (this._isPlanned(model)) {
       return;
     }
-    const [draining] = holders;
-    if (draining === undefined) {
-      this._load(model, 'waiting', tiers);
-    } else if (this._load(model, 'waiting', tiers, true)) {
+    const holders = copies(this._input, model);
+    const draining = holders.filter((replica) => this._isDraining(replica, model));
+    const distant = tiers.includes('store') ? [] : holders.filter((replica) => this._isDistant(replica, model));
+    if (
+      holders.length === draining.length + distant.length &&
+      this._load(model, 'waiting', tiers, draining.length > 0)
+    ) {
       // Another replica can begin at once.
-      this._release(draining);
+      draining.forEach((replica) => {
+        this._release(replica);
+      });
     }
   }
 
+  private _isPlanned(model: string): boolean {
+    return (
+      this._orders.some((order) => order.model === model || order.clearingFor === model) ||
+      this._clearings.some((clearing) => clearing.clearingFor === model)
+    );
+  }
+
+  /** True if a replica is in the middle of a load from the store that takes longer than one from another's copy. */
+  private _isDistant(replica: PlacedReplica, model: string): boolean {
+    const order = replica.order;
+    const isStoreLoad = order?.kind === 'load' && order.model === model && order.tier === 'store';
+    return isStoreLoad && order.expectedDoneMs - this._nowMs > distantLoadMs;
+  }
+
   /** True if a replica waits for the requests of other models to end before it can load a model. */
   private _isDraining(replica: PlacedReplica, model: string): boolean {
     const isWaiting = replica.models.some((held) => held.retiringSinceMs !== undefined);
