--- a/packages/gateway/src/replicas/TableFollower.ts
+++ b/packages/gateway/src/replicas/TableFollower.ts
@@ -12,7 +12,7 @@
 /** Paces by what other daemons do. A series of changes costs one read an interval. */
 export const readPaces = {
   /** Another daemon passes changes on, so that one reader serves all. */
-  assisted: { waitMs: 20_000, intervalMs: 5_000 },
+  assisted: { waitMs: 20_000, intervalMs: 12_000 },
   /** Nobody passes changes on: a silent connection must show within 3 s. */
   alone: { waitMs: 2_000, intervalMs: 400 },
   /** Other daemons rely on this one: they must hear within a second that it does not reach the store. */
