--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -1,6 +1,6 @@
 import type * as http from 'node:http';
 import type { CallerRequest, ReplicaAnswer } from '../contracts/RequestCodec.js';
-import { chooseReplica, holdsTarget } from '../routing/chooseReplica.js';
+import { selectReplica } from '../routing/selectReplica.js';
 import type { ModelReference, Replica, Route } from '../Types.js';
 import { decideWait } from '../waiting/decideWait.js';
 import { ModelWait } from '../waiting/ModelWait.js';
@@ -9,13 +9,11 @@
 import { admitRequest, type OwnAnswer } from './admitRequest.js';
 import { AnswerRelay } from './AnswerRelay.js';
 import { type AttemptFailure, ReplicaAttempt } from './ReplicaAttempt.js';
-import { callerPatienceMs, maySendAgain, silenceLimitMs, urgencyOf } from './sendAgain.js';
+import { Deadline } from './Deadline.js';
+import { callerPatienceMs, maySendAgain, urgencyOf } from './sendAgain.js';
+import { SilenceWatch } from './SilenceWatch.js';
 import type { ExchangeContext, ExchangeResult } from './Types.js';
 
-/** Time before a request's deadline at which the final answer is sent, milliseconds. */
-const answerReserveMs = 10;
-/** Time limit of a request whose caller and route state none, milliseconds. */
-const defaultTimeoutMs = 30_000;
 /** Time to come back after replicas refused or could not be reached, milliseconds. */
 const refusedRetryAfterMs = 500;
 /** Time to come back to another daemon while this one stops, milliseconds. */
@@ -29,9 +27,12 @@
   private _configurationVersion: number | undefined;
   private _service = '';
   private _body: Buffer = Buffer.alloc(0);
-  private _dueMs = Number.POSITIVE_INFINITY;
-  private _dueTimer: NodeJS.Timeout | undefined;
-  private _silenceTimer: NodeJS.Timeout | undefined;
+  private readonly _deadline = new Deadline(() => {
+    this._timedOut();
+  });
+  private readonly _silence = new SilenceWatch(() => {
+    this._replicaSilent();
+  });
   private readonly _wait: ModelWait;
   private readonly _relay: AnswerRelay;
   private _attempt: ReplicaAttempt | undefined;
@@ -54,7 +55,9 @@
     this._startedMs = this._nowMs();
     this._wait = new ModelWait(_context.waitingRoom);
     this._relay = new AnswerRelay(_response, _context.codec, () => _context.isStopping(), {
-      onProgress: () => this._silenceTimer?.refresh(),
+      onProgress: () => {
+        this._silence.refresh();
+      },
       onEnd: () => {
         this._answerEnded();
       },
@@ -101,7 +104,7 @@
     this._route = route;
     this._service = service;
     this._configurationVersion = configurationVersion;
-    this._startDeadline(caller, route);
+    this._deadline.start(this._startedMs, caller.deadlineMs, route.timeoutMs);
     budgets.recordRequest(service, this._startedMs);
     if (caller.target !== undefined) {
       this._context.recordArrival(caller.target, route);
@@ -109,38 +112,25 @@
     return true;
   }
 
-  private _startDeadline(caller: CallerRequest, route: Route): void {
-    const limitMs = Math.min(caller.deadlineMs ?? defaultTimeoutMs, route.timeoutMs);
-    this._dueMs = this._startedMs + limitMs;
-    this._dueTimer = setTimeout(
-      () => {
-        this._timedOut();
-      },
-      Math.max(limitMs - answerReserveMs, 0),
-    );
-  }
-
   /** Sends the request to the best replica, or lets it wait. Returns true if it no longer needs to wait. */
   private _dispatch(): boolean {
     const nowMs = this._nowMs();
-    if (this._runs === 0 && this._dueMs - nowMs > this._context.longestRequestMs(nowMs)) {
+    if (this._runs === 0 && this._deadline.leftMs(nowMs) > this._context.longestRequestMs(nowMs)) {
       this._refuse('this daemon stops', stoppingRetryAfterMs);
       return true;
     }
     const target = this._caller?.target;
-    const usable = this._context.directory.usable(this._service);
-    const holders = usable.filter((replica) => holdsTarget(replica, target));
-    const fresh = holders.filter((replica) => !this._excluded.has(replica.id));
-    const parts = this._promptParts();
-    const candidates = (fresh.length > 0 || target !== undefined ? fresh : holders).map((replica) =>
-      this._context.loads.candidate(replica, parts, nowMs),
-    );
-    // A model may be loaded on another replica; until then a request for it waits rather than try in vain.
-    const reachable = target === undefined ? candidates : candidates.filter((candidate) => !candidate.isUnreachable);
-    const chosen = chooseReplica(reachable, this._context.failureDomain);
-    if (chosen !== undefined) {
+    const selection = {
+      usable: this._context.directory.usable(this._service),
+      target,
+      promptParts: this._promptParts(),
+      excluded: this._excluded,
+      failureDomain: this._context.failureDomain,
+    };
+    const replica = selectReplica(selection, this._context.loads, nowMs);
+    if (replica !== undefined) {
       this._wait.stop(nowMs);
-      this._send(chosen.replica);
+      this._send(replica);
       return true;
     }
     if (target === undefined || this._route === undefined) {
@@ -156,7 +146,7 @@
     const readyInMs = this._context.readyInMs(target.model);
     const decision = decideWait({
       waitedMs: this._wait.waitedMs(nowMs),
-      timeLeftMs: Math.min(this._dueMs, this._startedMs + callerPatienceMs(route)) - nowMs,
+      timeLeftMs: Math.min(this._deadline.leftMs(nowMs), this._startedMs + callerPatienceMs(route) - nowMs),
       latencyTargetMs: route.latencyTargetMs,
       ...(readyInMs !== undefined && { readyInMs }),
     });
@@ -193,7 +183,7 @@
     const { lastEventId } = this._relay;
     const headers = this._context.codec.forwardedHeaders(this._request, {
       replicaId: replica.id,
-      deadlineMs: Math.max(Math.floor(this._dueMs - nowMs), 1),
+      deadlineMs: Math.max(Math.floor(this._deadline.leftMs(nowMs)), 1),
       bodyBytes: this._body.length,
       ...(caller.target !== undefined && { urgency: urgencyOf(route) }),
       ...(lastEventId !== undefined && { lastEventId }),
@@ -226,7 +216,7 @@
   }
 
   private _receiveHead(replica: Replica, answer: ReplicaAnswer, response: http.IncomingMessage): void {
-    clearTimeout(this._silenceTimer);
+    this._silence.stop();
     if (answer.load !== undefined) {
       this._context.loads.recordTotal(replica.id, answer.load.running + answer.load.waiting, this._nowMs());
     }
@@ -286,7 +276,7 @@
   }
 
   private _attemptFailed(replica: Replica, failure: AttemptFailure): void {
-    clearTimeout(this._silenceTimer);
+    this._silence.stop();
     if (failure.kind === 'notConnected') {
       this._context.loads.recordUnreachable(replica.id, this._nowMs());
       this._endAttempt('failed');
@@ -308,7 +298,7 @@
   private _sendElsewhere(message: string): void {
     const usable = this._context.directory.usable(this._service);
     const mayGoOn = this._caller?.target !== undefined || usable.some((replica) => !this._excluded.has(replica.id));
-    if (mayGoOn && this._dueMs > this._nowMs()) {
+    if (mayGoOn && this._deadline.leftMs(this._nowMs()) > 0) {
       this._dispatch();
     } else if (this._relay.headSent || this._runs > 0) {
       this._breakOff(message);
@@ -321,7 +311,7 @@
   private _sendAgainOr(mayHaveRun: boolean, giveUp: () => void): void {
     const nowMs = this._nowMs();
     const allowed = !mayHaveRun || this._mayRunAgain();
-    if (allowed && this._dueMs > nowMs && this._context.budgets.tryTakeRetry(this._service, nowMs)) {
+    if (allowed && this._deadline.leftMs(nowMs) > 0 && this._context.budgets.tryTakeRetry(this._service, nowMs)) {
       this._dispatch();
     } else {
       giveUp();
@@ -332,20 +322,11 @@
     return this._route !== undefined && maySendAgain(this._route, this._runs, this._relay.headSent);
   }
 
-  /** Gives a silent replica up where the request may run elsewhere. */
   private _watchSilence(): void {
-    clearTimeout(this._silenceTimer);
-    if (this._route === undefined || !maySendAgain(this._route, this._runs + 1, this._relay.headSent)) {
-      return;
-    }
-    this._silenceTimer = setTimeout(
-      () => {
-        this._replicaSilent();
-      },
-      silenceLimitMs(this._route, this._relay.headSent),
-    );
+    this._silence.start(this._route, this._runs, this._relay.headSent);
   }
 
+  /** Gives a silent replica up; the request runs elsewhere. */
   private _replicaSilent(): void {
     const attempt = this._attempt;
     if (this._finished || attempt === undefined) {
@@ -363,7 +344,7 @@
   }
 
   private _endAttempt(outcome: 'succeeded' | 'failed' | 'refused'): void {
-    clearTimeout(this._silenceTimer);
+    this._silence.stop();
     const attempt = this._attempt;
     if (attempt !== undefined) {
       this._attempt = undefined;
@@ -451,8 +432,8 @@
     retryAfterMs?: number,
   ): void {
     this._finished = true;
-    clearTimeout(this._dueTimer);
-    clearTimeout(this._silenceTimer);
+    this._deadline.stop();
+    this._silence.stop();
     const nowMs = this._nowMs();
     this._wait.stop(nowMs);
     const result: ExchangeResult = {
--- /dev/null
+++ b/packages/gateway/src/forwarding/SilenceWatch.ts
@@ -0,0 +1,27 @@
+import type { Route } from '../Types.js';
+import { maySendAgain, silenceLimitMs } from './sendAgain.js';
+
+/** Notices a replica that stays silent, where the request may run elsewhere. */
+export class SilenceWatch {
+  private _timer: NodeJS.Timeout | undefined;
+
+  public constructor(private readonly _onSilent: () => void) {}
+
+  /** Starts anew. `runs` counts the replicas that may have run the request before. */
+  public start(route: Route | undefined, runs: number, headSent: boolean): void {
+    this.stop();
+    if (route !== undefined && maySendAgain(route, runs + 1, headSent)) {
+      this._timer = setTimeout(this._onSilent, silenceLimitMs(route, headSent));
+    }
+  }
+
+  /** The replica was heard. */
+  public refresh(): void {
+    this._timer?.refresh();
+  }
+
+  public stop(): void {
+    clearTimeout(this._timer);
+    this._timer = undefined;
+  }
+}
