Send the load of replicas to the daemons every 300 ms, other news at once

Cause: the leader sent its whole status to every daemon ten times a second; most of it were counts of requests on replicas, and these bytes were about half of all between failure domains.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -13,6 +13,7 @@
 import type { PeerMessage } from './peers/PeerChannel.js';
 import { PeerHub } from './peers/PeerHub.js';
 import { PeerLink } from './peers/PeerLink.js';
+import { StatusPacer } from './peers/StatusPacer.js';
 import type { DaemonReport, LeaderStatus, TableMessage } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
@@ -64,6 +65,7 @@
   private readonly _hub: PeerHub;
   private readonly _link: PeerLink;
   private readonly _leader: PlacementLeader;
+  private readonly _statusPacer = new StatusPacer();
   private readonly _loads = new ReplicaLoads();
   private readonly _waitingRoom = new WaitingRoom();
   private readonly _arrivals = new ArrivalCounter();
@@ -295,7 +297,10 @@
     const nowMs = this._nowMs();
     const isCurrent = this._configurationTable.isCurrent(nowMs) && this._replicaTable.isCurrent(nowMs);
     const status = this._leader.status(this._hub.peerCount + 1, isCurrent);
-    this._hub.broadcast('status', status);
+    const message = this._statusPacer.next(status, nowMs);
+    if (message !== undefined) {
+      this._hub.broadcast('status', message);
+    }
     if (status.leads) {
       this._applyStatus(status);
     }
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -56,7 +56,7 @@
   /** False while the sender does not reach the store, so that it cannot tell of changes. */
   readonly tellsChanges: boolean;
   readonly daemonCount: number;
-  /** Requests that all daemons together run on a replica, by replica id. */
+  /** Requests that all daemons together run on a replica, by replica id; those that the message leaves out are unchanged. */
   readonly running: Readonly<Record<string, number>>;
   readonly estimates: readonly ReadyEstimate[];
 }
