Remove the import circles

Four circles (owner EngineClient and Types; decisions Types, claims and records; settings and its collector; request log and Types of the gateway) end by moving shared types to files of their own.

--- a/packages/daemon/src/owner/AdapterPlanner.ts
+++ b/packages/daemon/src/owner/AdapterPlanner.ts
@@ -1,7 +1,7 @@
 import type * as common from '@jayhaven/common';
 import * as decisions from '@jayhaven/decisions';
 import type { Planning } from './Planning.js';
-import type { OwnerServices } from './Types.js';
+import type { OwnerServices } from './OwnerServices.js';
 
 /** A wish that nobody renewed within this time is dropped. */
 const wishLifetimeMs = 5_000;
--- a/packages/daemon/src/owner/Lease.ts
+++ b/packages/daemon/src/owner/Lease.ts
@@ -2,7 +2,7 @@
 import * as decisions from '@jayhaven/decisions';
 import type { ControlChange, ControlPlane, DaemonContext, PeerFailure } from '../Types.js';
 import { pingResultSchema } from './schemas.js';
-import type { LeaseView } from './Types.js';
+import type { LeaseView } from './OwnerServices.js';
 
 /** Interval of the checks, milliseconds. */
 const tickMs = 100;
--- a/packages/daemon/src/owner/LoadPlanner.ts
+++ b/packages/daemon/src/owner/LoadPlanner.ts
@@ -2,7 +2,7 @@
 import * as decisions from '@jayhaven/decisions';
 import { EngineClient } from './EngineClient.js';
 import { Planning } from './Planning.js';
-import type { OwnerServices } from './Types.js';
+import type { OwnerServices } from './OwnerServices.js';
 
 /** Decides the loads in the queue and the unloads that make room for them. */
 export class LoadPlanner {
--- a/packages/daemon/src/owner/OrderSender.ts
+++ b/packages/daemon/src/owner/OrderSender.ts
@@ -1,7 +1,8 @@
 import * as decisions from '@jayhaven/decisions';
 import { EngineClient } from './EngineClient.js';
 import type { Reports } from './Reports.js';
-import type { OrderAnswer, OwnerServices } from './Types.js';
+import type { OwnerServices } from './OwnerServices.js';
+import type { OrderAnswer } from './Types.js';
 
 /** Pause before an order is sent again, milliseconds; doubled each time up to the longest pause. */
 const firstRetryMs = 50;
--- a/packages/daemon/src/owner/Orders.ts
+++ b/packages/daemon/src/owner/Orders.ts
@@ -2,7 +2,7 @@
 import type { DriverEvents } from './TargetDriver.js';
 import { TargetDriver } from './TargetDriver.js';
 import type { Reports } from './Reports.js';
-import type { OwnerServices } from './Types.js';
+import type { OwnerServices } from './OwnerServices.js';
 
 /** Interval of a look at all targets, milliseconds; changes of the state are looked at when they come. */
 const scanIntervalMs = 500;
--- a/packages/daemon/src/owner/Planner.ts
+++ b/packages/daemon/src/owner/Planner.ts
@@ -5,7 +5,8 @@
 import { LoadPlanner } from './LoadPlanner.js';
 import { Planning } from './Planning.js';
 import type { WakeResult } from './schemas.js';
-import type { FailedLoad, FinishedLoad, OwnerServices } from './Types.js';
+import type { OwnerServices } from './OwnerServices.js';
+import type { FailedLoad, FinishedLoad } from './Types.js';
 import { answerWake } from './WakeAnswers.js';
 
 /** Interval of the rules that look at every model, milliseconds; use is reported no more often. */
--- a/packages/daemon/src/owner/Planning.ts
+++ b/packages/daemon/src/owner/Planning.ts
@@ -1,7 +1,8 @@
 import type * as common from '@jayhaven/common';
 import * as decisions from '@jayhaven/decisions';
 import { hasOlderSender, isAdoptable } from './targetState.js';
-import type { FailedLoad, FinishedLoad, OwnerServices } from './Types.js';
+import type { OwnerServices } from './OwnerServices.js';
+import type { FailedLoad, FinishedLoad } from './Types.js';
 
 /** Daemons report usage within this time after a change of owner; nothing is unloaded before. */
 const usageGraceMs = 3_000;
--- a/packages/daemon/src/owner/TargetDriver.ts
+++ b/packages/daemon/src/owner/TargetDriver.ts
@@ -13,7 +13,8 @@
   ordersAt,
   replicasAt,
 } from './targetState.js';
-import type { EngineModel, FailedLoad, FinishedLoad, OwnerServices } from './Types.js';
+import type { OwnerServices } from './OwnerServices.js';
+import type { EngineModel, FailedLoad, FinishedLoad } from './Types.js';
 
 /** Interval of index reads while something is in progress, milliseconds: its half is what a cold start loses. */
 const busyIntervalMs = 20;
--- a/packages/daemon/src/owner/WakeAnswers.ts
+++ b/packages/daemon/src/owner/WakeAnswers.ts
@@ -3,7 +3,7 @@
 import type { WakeAnswer, WakeRequest } from '../Types.js';
 import type { AdapterPlanner } from './AdapterPlanner.js';
 import { Planning } from './Planning.js';
-import type { OwnerServices } from './Types.js';
+import type { OwnerServices } from './OwnerServices.js';
 
 /** Expected load time of an adapter, milliseconds. */
 const adapterLoadMs = 20;
--- a/packages/daemon/src/owner/openOwner.ts
+++ b/packages/daemon/src/owner/openOwner.ts
@@ -12,7 +12,7 @@
 import { Planner } from './Planner.js';
 import { Reports } from './Reports.js';
 import { usageReportSchema, verifySchema, wakeRequestSchema, type WakeResult } from './schemas.js';
-import type { OwnerServices } from './Types.js';
+import type { OwnerServices } from './OwnerServices.js';
 
 /** Time to settle own orders before ownership is released; the rest is settled when the lease is taken over. */
 const releaseLimitMs = 5_000;
--- a/packages/decisions/src/claims/Types.ts
+++ b/packages/decisions/src/claims/Types.ts
@@ -1,6 +1,6 @@
 /** Records and state of the topics `claims-<n>`. */
 import type * as common from '@jayhaven/common';
-import type { Offset, Verdict } from '../Types.js';
+import type { Offset, Verdict } from '../state/Types.js';
 
 /** Body of a record of a topic `claims-<n>`. */
 export type ClaimRecordBody =
--- a/packages/decisions/src/configuration/SettingsCollector.ts
+++ b/packages/decisions/src/configuration/SettingsCollector.ts
@@ -2,8 +2,7 @@
 import type { z } from 'zod';
 import type * as types from '../Types.js';
 import type { ConfigurationKey } from './keys.js';
-import type { SettingValues } from './settings.js';
-import type { adapterSchema, serviceSchema } from './values.js';
+import type { adapterSchema, serviceSchema, SettingValues } from './values.js';
 
 type PartialSettings = Partial<SettingValues>;
 
--- a/packages/decisions/src/configuration/settings.ts
+++ b/packages/decisions/src/configuration/settings.ts
@@ -2,12 +2,9 @@
 import type * as common from '@jayhaven/common';
 import type { z } from 'zod';
 import type * as types from '../Types.js';
-import { parseConfigurationKey, type SettingField } from './keys.js';
+import { parseConfigurationKey } from './keys.js';
 import { SettingsCollector } from './SettingsCollector.js';
-import type { modelSchema, settingSchemas } from './values.js';
-
-/** Values of the fields that have a default. */
-export type SettingValues = { readonly [Field in SettingField]: z.infer<(typeof settingSchemas)[Field]> };
+import type { modelSchema, SettingValues } from './values.js';
 
 /** Values that apply where a partner has set no default. */
 export const builtInDefaults: SettingValues = {
--- a/packages/decisions/src/configuration/values.ts
+++ b/packages/decisions/src/configuration/values.ts
@@ -89,3 +89,6 @@
       return shareSchema;
   }
 }
+
+/** Values of the fields that have a default. */
+export type SettingValues = { readonly [Field in SettingField]: z.infer<(typeof settingSchemas)[Field]> };
--- a/packages/decisions/src/records/Types.ts
+++ b/packages/decisions/src/records/Types.ts
@@ -13,7 +13,7 @@
   OrderId,
   ReplicaId,
   TargetDescription,
-} from '../Types.js';
+} from '../state/Types.js';
 
 export interface DaemonJoined {
   readonly kind: 'daemonJoined';
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -12,7 +12,8 @@
 import { Deadline } from './Deadline.js';
 import { callerPatienceMs, maySendAgain, urgencyOf } from './sendAgain.js';
 import { SilenceWatch } from './SilenceWatch.js';
-import type { ExchangeContext, ExchangeResult } from './Types.js';
+import type { ExchangeResult } from './ExchangeResult.js';
+import type { ExchangeContext } from './Types.js';
 
 /** Time to come back after replicas refused or could not be reached, milliseconds. */
 const refusedRetryAfterMs = 500;
--- /dev/null
+++ b/packages/gateway/src/forwarding/ExchangeResult.ts
@@ -0,0 +1,20 @@
+import type { ModelReference } from '../Types.js';
+
+/** How an exchange ended, for the log and the metrics. */
+export interface ExchangeResult {
+  readonly attemptId: string | undefined;
+  readonly route: string | undefined;
+  readonly configurationVersion: number | undefined;
+  readonly target: ModelReference | undefined;
+  readonly outcome:
+    'delivered' | 'replicaFailure' | 'refused' | 'timedOut' | 'broken' | 'callerLeft' | 'invalidRequest' | 'noRoute';
+  readonly status: number | undefined;
+  /** Replicas that the request was sent to, in order. */
+  readonly replicas: readonly string[];
+  readonly waitedMs: number;
+  readonly durationMs: number;
+  readonly reason: string | undefined;
+  /** Expected time until the model is ready, if a refusal rests on it. */
+  readonly readyInMs: number | undefined;
+  readonly retryAfterMs: number | undefined;
+}
--- a/packages/gateway/src/forwarding/RequestLog.ts
+++ b/packages/gateway/src/forwarding/RequestLog.ts
@@ -1,6 +1,6 @@
 import type * as common from '@jayhaven/common';
 import * as metrics from 'prom-client';
-import type { ExchangeResult } from './Types.js';
+import type { ExchangeResult } from './ExchangeResult.js';
 
 /** Lines a second for requests that went well. Failures have a bound of their own, so that they always show. */
 const maximumRoutineLines = 100;
--- a/packages/gateway/src/forwarding/admitRequest.ts
+++ b/packages/gateway/src/forwarding/admitRequest.ts
@@ -2,7 +2,7 @@
 import { pickService, type RouteTable } from '../configuration/RouteTable.js';
 import type { CallerRequest, RequestCodec } from '../contracts/RequestCodec.js';
 import type { Route } from '../Types.js';
-import type { ExchangeResult } from './Types.js';
+import type { ExchangeResult } from './ExchangeResult.js';
 
 /** Time to come back while no configuration is known, milliseconds. */
 const unconfiguredRetryAfterMs = 1_000;
