--- a/packages/cli/src/explain/explainRequest.test.ts
+++ b/packages/cli/src/explain/explainRequest.test.ts
@@ -29,6 +29,14 @@
     vitest.expect(found.map((line) => line.timeMs)).toEqual([12_000, 20_000]);
   });
 
+  vitest.test('finds since when the model retired (guards against a refusal without a cause)', () => {
+    const message = 'placement: Clearing.';
+    const clearing = { time: 11_000, replica: 'i-1', clearingFor: 'm2', retiring: ['m1'], msg: message };
+    const other = { time: 12_000, replica: 'i-2', clearingFor: 'm3', retiring: ['m4'], msg: message };
+    const found = explainRequest(lines(refused, other, clearing), 'a1');
+    vitest.expect(found.map((line) => line.timeMs)).toEqual([11_000, 20_000]);
+  });
+
   vitest.test('finds the replica that failed (guards against a broken request without a cause)', () => {
     const broken = { ...refused, outcome: 'broken', target: undefined, replicas: ['i-1'] };
     const leaves = { time: 19_000, replica: 'i-1', reason: 'record removed', msg: 'replicas: Replica leaves.' };
--- a/packages/cli/src/explain/explainRequest.ts
+++ b/packages/cli/src/explain/explainRequest.ts
@@ -42,7 +42,7 @@
   const decides = (line: LogLine): boolean => {
     const isNear = line.timeMs <= untilMs && line.timeMs >= untilMs - spanBeforeMs;
     const isShared = sharedParts.some((part) => String(line.fields.msg).startsWith(part));
-    const isOrder = model !== undefined && (line.fields.model === model || line.fields.clearingFor === model);
+    const isOrder = model !== undefined && concernsModel(line.fields, model);
     return isNear && (isShared || isOrder || replicas.includes(line.fields.replica));
   };
   const found = lines.filter((line) => own.includes(line) || (line.fields.attemptId === undefined && decides(line)));
@@ -53,3 +53,10 @@
   const target = line.fields.target as { readonly model?: unknown } | undefined;
   return target?.model;
 }
+
+/** True if a line tells of an order for a model, or of room that it makes or is made for it. */
+function concernsModel(fields: Readonly<Record<string, unknown>>, model: unknown): boolean {
+  const { retiring } = fields;
+  const isRetiring = Array.isArray(retiring) && retiring.includes(model);
+  return fields.model === model || fields.clearingFor === model || fields.before === model || isRetiring;
+}
