--- a/packages/proofs/src/policy/VirtualEngines.ts
+++ b/packages/proofs/src/policy/VirtualEngines.ts
@@ -1,5 +1,5 @@
 import * as decisions from '@jayhaven/decisions';
-import { RandomSource } from '@jayhaven/standins';
+import * as standins from '@jayhaven/standins';
 import type { CheckpointTier, Workload } from './Types.js';
 
 /** Bytes per millisecond from each tier. */
@@ -26,11 +26,11 @@
     string,
     { readonly memory: Map<string, number>; readonly disk: Map<string, number> }
   >();
-  private readonly _random: RandomSource;
+  private readonly _random: standins.RandomSource;
   private _nextStoreStartMs = 0;
 
   public constructor(private readonly _workload: Workload) {
-    this._random = new RandomSource(_workload.seed + 17);
+    this._random = new standins.RandomSource(_workload.seed + 17);
     this._capacity = new Map(_workload.engines.map((engine) => [engine.address, engine.acceleratorBytes]));
     for (const engine of _workload.engines) {
       this._caches.set(engine.address, { memory: new Map(), disk: new Map() });
@@ -104,8 +104,8 @@
     const cache = this._caches.get(target);
     const accelerators = this._capacity.get(target)?.length ?? 1;
     if (cache !== undefined) {
-      insertLatest(cache.memory, model, bytes, memoryCacheBytes * accelerators);
-      insertLatest(cache.disk, model, bytes, diskCacheBytes * accelerators);
+      standins.insertLatest(cache.memory, model, bytes, memoryCacheBytes * accelerators);
+      standins.insertLatest(cache.disk, model, bytes, diskCacheBytes * accelerators);
     }
   }
 
@@ -116,23 +116,9 @@
       for (const { address } of this._workload.engines) {
         if (this._random.next() < 0.15) {
           const cache = this._caches.get(address);
-          insertLatest(cache?.disk ?? new Map<string, number>(), model, bytes, diskCacheBytes);
+          standins.insertLatest(cache?.disk ?? new Map<string, number>(), model, bytes, diskCacheBytes);
         }
       }
     }
   }
 }
-
-/** Adds an entry as the latest one, and drops the oldest ones beyond the size. */
-function insertLatest(entries: Map<string, number>, name: string, bytes: number, sizeBytes: number): void {
-  entries.delete(name);
-  entries.set(name, bytes);
-  let used = [...entries.values()].reduce((sum, entry) => sum + entry, 0);
-  for (const [oldest, oldestBytes] of entries) {
-    if (used <= sizeBytes) {
-      break;
-    }
-    entries.delete(oldest);
-    used -= oldestBytes;
-  }
-}
--- a/packages/standins/src/engine/CheckpointCache.ts
+++ b/packages/standins/src/engine/CheckpointCache.ts
@@ -1,3 +1,4 @@
+import { insertLatest } from './insertLatest.js';
 import type { CheckpointTier } from './Types.js';
 
 /** Checkpoints on the target VM: the latest in memory, older ones on disk, the rest only in the weight store. */
@@ -19,8 +20,8 @@
 
   /** Keeps a checkpoint that was loaded. */
   public keep(checkpoint: string, bytes: number): void {
-    insert(this._memory, checkpoint, bytes, this._memoryBytes);
-    insert(this._disk, checkpoint, bytes, this._diskBytes);
+    insertLatest(this._memory, checkpoint, bytes, this._memoryBytes);
+    insertLatest(this._disk, checkpoint, bytes, this._diskBytes);
   }
 
   /** Puts a checkpoint into a tier, for a test. */
@@ -32,17 +33,3 @@
     }
   }
 }
-
-/** Adds an entry as the latest one, and drops the oldest ones beyond the size. */
-function insert(entries: Map<string, number>, checkpoint: string, bytes: number, sizeBytes: number): void {
-  entries.delete(checkpoint);
-  entries.set(checkpoint, bytes);
-  let used = [...entries.values()].reduce((sum, entry) => sum + entry, 0);
-  for (const [oldest, oldestBytes] of entries) {
-    if (used <= sizeBytes) {
-      break;
-    }
-    entries.delete(oldest);
-    used -= oldestBytes;
-  }
-}
--- /dev/null
+++ b/packages/standins/src/engine/insertLatest.ts
@@ -0,0 +1,13 @@
+/** Adds an entry as the latest one, and drops the oldest ones beyond the size. */
+export function insertLatest(entries: Map<string, number>, name: string, bytes: number, sizeBytes: number): void {
+  entries.delete(name);
+  entries.set(name, bytes);
+  let used = [...entries.values()].reduce((sum, entry) => sum + entry, 0);
+  for (const [oldest, oldestBytes] of entries) {
+    if (used <= sizeBytes) {
+      break;
+    }
+    entries.delete(oldest);
+    used -= oldestBytes;
+  }
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -3,6 +3,7 @@
 export type { LoadReport } from './engine/LoadReports.js';
 export type { CacheEvent } from './engine/PrefixCache.js';
 export { Engine } from './engine/Engine.js';
+export { insertLatest } from './engine/insertLatest.js';
 export { answerText, promptHash, tokenText } from './engine/tokens.js';
 export { LogService, type LogOptions } from './log/LogService.js';
 export { FaultProxy, type FaultProxyOptions } from './proxy/FaultProxy.js';
