Tell a peer that joins only what it lacks

A peer now says how far it has read the store, and gets the changes since; the whole table only if it has read nothing.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,7 +1,7 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from './Clock.js';
 import { RouteTable } from './configuration/RouteTable.js';
-import type { EngineClient, MetadataStore, RequestCodec } from './contracts/index.js';
+import type { EngineClient, MetadataStore, RequestCodec, TableName } from './contracts/index.js';
 import { CallerServer } from './forwarding/CallerServer.js';
 import { ReplicaAgent } from './forwarding/ReplicaAgent.js';
 import { RequestLog } from './forwarding/RequestLog.js';
@@ -10,11 +10,11 @@
 import { PeerAssistedLeaseStore } from './leadership/LeaseStore.js';
 import { LeaseKeeper } from './leadership/LeaseKeeper.js';
 import { pause } from './pause.js';
-import type { PeerMessage } from './peers/PeerChannel.js';
-import { PeerHub } from './peers/PeerHub.js';
+import type { PeerChannel, PeerMessage } from './peers/PeerChannel.js';
+import { PeerHub, type PeerNews } from './peers/PeerHub.js';
 import { PeerLink } from './peers/PeerLink.js';
 import { StatusPacer } from './peers/StatusPacer.js';
-import type { DaemonReport, LeaderStatus, TableMessage } from './peers/Types.js';
+import type { DaemonReport, KnownTables, LeaderStatus, TableMessage } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
 import { removalGraceMs } from './replicas/removalGrace.js';
@@ -194,12 +194,10 @@
       this._hub.broadcast('holdings', holdings);
       this._directory.applyHoldings(holdings);
     });
-    this._hub.onMessage((message) => {
-      this._receiveAsHub(message);
+    this._hub.onMessage((news) => {
+      this._receiveAsHub(news);
     });
     this._hub.onJoined((channel) => {
-      channel.send('table', wholeTable('configuration', this._configurationTable));
-      channel.send('table', wholeTable('replicas', this._replicaTable));
       for (const holdings of this._leader.holdings()) {
         channel.send('holdings', holdings);
       }
@@ -207,6 +205,12 @@
     this._link.onMessage((message) => {
       this._receive(message);
     });
+    this._link.onConnected((channel) => {
+      channel.send('known', {
+        configuration: this._configurationTable.state.end,
+        replicas: this._replicaTable.state.end,
+      });
+    });
   }
 
   private _receive(message: PeerMessage): void {
@@ -223,9 +227,12 @@
     }
   }
 
-  private _receiveAsHub(message: PeerMessage): void {
+  private _receiveAsHub({ channel, message }: PeerNews): void {
     if (message.method === 'report') {
       this._leader.applyReport(message.params);
+    } else if (message.method === 'known') {
+      tellUnknown(channel, 'configuration', this._configurationTable, message.params);
+      tellUnknown(channel, 'replicas', this._replicaTable, message.params);
     } else if (message.method === 'table') {
       this._acceptTable(message.params);
     } else if (message.method === 'leaseReply') {
@@ -388,6 +395,15 @@
   return settings.seeds.filter((seed) => seed.host !== settings.peers.host);
 }
 
-function wholeTable(table: 'configuration' | 'replicas', follower: TableFollower): TableMessage {
-  return { table, records: follower.state.records(), end: follower.state.end, whole: true };
+/**
+ * Tells a peer what it lacks of a table. Whole tables for every daemon that joins would fill a small link for seconds, so
+ * one that has read the store gets only the changes since.
+ */
+function tellUnknown(channel: PeerChannel, table: TableName, follower: TableFollower, known: KnownTables): void {
+  const { state } = follower;
+  const whole = known[table] === 0;
+  const records = whole ? state.records() : state.recordsSince(known[table]);
+  if (records.length > 0) {
+    channel.send('table', { table, records, end: state.end, whole });
+  }
 }
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -14,7 +14,15 @@
   readonly [Method in keyof PeerMessages]: { readonly method: Method; readonly params: PeerMessages[Method] };
 }[keyof PeerMessages];
 
-const methods: readonly (keyof PeerMessages)[] = ['report', 'table', 'holdings', 'status', 'leaseCall', 'leaseReply'];
+const methods: readonly (keyof PeerMessages)[] = [
+  'report',
+  'known',
+  'table',
+  'holdings',
+  'status',
+  'leaseCall',
+  'leaseReply',
+];
 
 /** JSON-RPC notifications over a TCP connection between two daemons, one a line. */
 export class PeerChannel {
--- a/packages/gateway/src/peers/PeerHub.ts
+++ b/packages/gateway/src/peers/PeerHub.ts
@@ -5,6 +5,12 @@
 import { PeerChannel, type PeerMessage } from './PeerChannel.js';
 import type { PeerMessages } from './Types.js';
 
+/** A message with the peer that sent it. */
+export interface PeerNews {
+  readonly channel: PeerChannel;
+  readonly message: PeerMessage;
+}
+
 /** A peer that is silent for this long is gone, milliseconds. Daemons report several times a second. */
 const silenceLimitMs = 2_000;
 
@@ -13,7 +19,7 @@
   private readonly _channels = new Set<PeerChannel>();
   private readonly _onJoined = new common.Emitter<PeerChannel>();
   public readonly onJoined = this._onJoined.event;
-  private readonly _onMessage = new common.Emitter<PeerMessage>();
+  private readonly _onMessage = new common.Emitter<PeerNews>();
   public readonly onMessage = this._onMessage.event;
   private readonly _server: net.Server;
   private _nextPeer = 0;
@@ -80,7 +86,7 @@
     const channel = new PeerChannel(socket, this._clock);
     this._channels.add(channel);
     channel.onMessage((message) => {
-      this._onMessage.fire(message);
+      this._onMessage.fire({ channel, message });
     });
     channel.onClosed((reason) => {
       this._channels.delete(channel);
--- a/packages/gateway/src/peers/PeerLink.ts
+++ b/packages/gateway/src/peers/PeerLink.ts
@@ -14,6 +14,9 @@
 
 /** The connection to the placement leader, or to any daemon that is known while the leader is not. */
 export class PeerLink implements AsyncDisposable {
+  private readonly _onConnected = new common.Emitter<PeerChannel>();
+  /** Fires with each new connection. */
+  public readonly onConnected = this._onConnected.event;
   private readonly _onMessage = new common.Emitter<PeerMessage>();
   public readonly onMessage = this._onMessage.event;
   private _leader: Address | undefined;
@@ -102,5 +105,6 @@
       this._log.warn('Lost the peer.', { host: address.host, port: address.port, reason });
       this._channel = this._channel === channel ? undefined : this._channel;
     });
+    this._onConnected.fire(channel);
   }
 }
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -43,6 +43,9 @@
   readonly whole: boolean;
 }
 
+/** How far a daemon knows the tables from the store itself: the offsets from which it lacks changes. */
+export type KnownTables = Readonly<Record<TableName, number>>;
+
 /** Expected time until a model that requests wait for is ready. */
 export interface ReadyEstimate {
   readonly model: string;
@@ -79,6 +82,7 @@
 /** Messages by method name. */
 export interface PeerMessages {
   readonly report: DaemonReport;
+  readonly known: KnownTables;
   readonly table: TableMessage;
   readonly holdings: ReplicaHoldings;
   readonly status: LeaderStatus;
--- a/packages/gateway/src/replicas/TableState.test.ts
+++ b/packages/gateway/src/replicas/TableState.test.ts
@@ -20,6 +20,20 @@
     },
   );
 
+  vitest.test('tell what a peer lacks, removals included (guards against whole tables over small links)', () => {
+    const state = new TableState();
+    state.applyTable({
+      records: [
+        { key: 'a', offset: 1, value: 'x' },
+        { key: 'b', offset: 2, value: 'y' },
+      ],
+      end: 3,
+    });
+    state.applyChanges({ records: [{ key: 'a', offset: 3 }], end: 4 });
+    vitest.expect(state.recordsSince(3)).toEqual([{ key: 'a', offset: 3 }]);
+    vitest.expect(state.recordsSince(4)).toEqual([]);
+  });
+
   vitest.test('end the same in whatever order they arrive (guards against a peer that takes a daemon back)', () => {
     const record = fastCheck.record({
       key: fastCheck.constantFrom('a', 'b'),
--- a/packages/gateway/src/replicas/TableState.ts
+++ b/packages/gateway/src/replicas/TableState.ts
@@ -21,6 +21,11 @@
     return [...this._records.values()].filter((record) => record.value !== undefined);
   }
 
+  /** Newest records from an offset on, removals included. */
+  public recordsSince(offset: number): readonly TableRecord[] {
+    return [...this._records.values()].filter((record) => record.offset >= offset);
+  }
+
   /** Applies records that follow each other; returns those that are news. */
   public applyChanges(changes: TableRecords): readonly TableRecord[] {
     this._end = Math.max(this._end, changes.end);
