--- a/packages/daemon/src/front/CompletionCall.test.ts
+++ b/packages/daemon/src/front/CompletionCall.test.ts
@@ -30,12 +30,14 @@
     const first = await fixture.addEngine('vm-1', true);
     await fixture.control(first, { truncateStreams: 7 });
     await fixture.addEngine('vm-2', true);
-    for (let index = 0; index < 6; index += 1) {
+    const isResumed = (): boolean => fixture.events.some(({ event }) => event === 'resumed');
+    // The router draws one of two idle engines, so six requests may all miss the one that breaks.
+    for (let index = 0; index < 6 || (!isResumed() && index < 60); index += 1) {
       const answer = await fixture.chat(`p${index}`, { stream: true, tokens: 30 });
       vitest.expect(streamText(answer.text)).toBe(expectedText(`p${index}`, 30));
       vitest.expect(answer.text.match(/\[DONE\]/g)).toHaveLength(1);
     }
-    vitest.expect(fixture.events.some(({ event }) => event === 'resumed')).toBe(true);
+    vitest.expect(isResumed()).toBe(true);
   });
 
   vitest.test('finishes every request of an engine that dies (guards against losing what was in flight)', async () => {
