--- a/packages/proofs/src/harness/Cluster.ts
+++ b/packages/proofs/src/harness/Cluster.ts
@@ -5,7 +5,7 @@
 import type * as standins from '@jayhaven/standins';
 import { CallerClient } from './CallerClient.js';
 import { DaemonHandle, type DaemonProxies } from './DaemonHandle.js';
-import { freePort } from './freePorts.js';
+import { freePort } from '@jayhaven/standins';
 import { Observer } from './Observer.js';
 import { until } from './ManagedProcess.js';
 import { OperatorClient } from './OperatorClient.js';
--- a/packages/proofs/src/harness/index.ts
+++ b/packages/proofs/src/harness/index.ts
@@ -7,7 +7,7 @@
 export { Cluster, type Target } from './Cluster.js';
 export { findOwner } from './findOwner.js';
 export { DaemonHandle, workspaceDaemon, type DaemonIdentity, type DaemonProxies } from './DaemonHandle.js';
-export { freePort } from './freePorts.js';
+export { freePort } from '@jayhaven/standins';
 export { delay, ManagedProcess, until } from './ManagedProcess.js';
 export { Observer, type Expectations } from './Observer.js';
 export { OperatorClient, type ConfigurationValue, type EditAnswer } from './OperatorClient.js';
--- a/packages/proofs/src/harness/freePorts.ts
+++ b/packages/standins/src/freePort.ts
@@ -20,11 +20,11 @@
   return lowestPort + part * portsPerProcess;
 }
 
-/** Picks a port of 127.0.0.1 on which nothing listens. Never returns one twice in a process. */
-export async function freePort(): Promise<number> {
+/** Picks a port of a loopback address on which nothing listens. Never returns one twice in a process. */
+export async function freePort(host = '127.0.0.1'): Promise<number> {
   for (let attempt = 0; attempt < maximumAttempts; attempt += 1) {
     const port = firstPort() + Math.floor(Math.random() * portsPerProcess);
-    if (!handedOut.has(port) && (await canListen(port))) {
+    if (!handedOut.has(port) && (await canListen(host, port))) {
       handedOut.add(port);
       return port;
     }
@@ -32,13 +32,13 @@
   throw new Error(`no free port found in ${maximumAttempts} attempts`);
 }
 
-function canListen(port: number): Promise<boolean> {
+function canListen(host: string, port: number): Promise<boolean> {
   return new Promise((resolve) => {
     const server = net.createServer();
     server.once('error', () => {
       resolve(false);
     });
-    server.listen(port, '127.0.0.1', () => {
+    server.listen(port, host, () => {
       server.close(() => {
         resolve(true);
       });
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -10,4 +10,5 @@
 export { PlainService, type PlainServiceOptions, type ServiceCallRecord } from './service/PlainService.js';
 export { VmList, type VmEntry, type VmListOptions } from './vms/VmList.js';
 export { WeightStore, type WeightStoreOptions } from './weights/WeightStore.js';
+export { freePort } from './freePort.js';
 export { RandomSource } from './RandomSource.js';
