--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,7 +1,7 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from './Clock.js';
 import { RouteTable } from './configuration/RouteTable.js';
-import type { EngineClient, MetadataStore, RequestCodec, TableName } from './contracts/index.js';
+import type { EngineClient, MetadataStore, RequestCodec } from './contracts/index.js';
 import { CallerServer } from './forwarding/CallerServer.js';
 import { ReplicaAgent } from './forwarding/ReplicaAgent.js';
 import { RequestLog } from './forwarding/RequestLog.js';
@@ -10,11 +10,12 @@
 import { PeerAssistedLeaseStore } from './leadership/LeaseStore.js';
 import { LeaseKeeper } from './leadership/LeaseKeeper.js';
 import { pause } from './pause.js';
-import type { PeerChannel, PeerMessage } from './peers/PeerChannel.js';
+import type { PeerMessage } from './peers/PeerChannel.js';
 import { PeerHub, type PeerNews } from './peers/PeerHub.js';
 import { PeerLink } from './peers/PeerLink.js';
 import { StatusPacer } from './peers/StatusPacer.js';
-import type { DaemonReport, KnownTables, LeaderStatus, TableMessage } from './peers/Types.js';
+import { tellUnknown } from './peers/tellUnknown.js';
+import type { DaemonReport, LeaderStatus, TableMessage } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
 import { removalGraceMs } from './replicas/removalGrace.js';
@@ -231,8 +232,8 @@
     if (message.method === 'report') {
       this._leader.applyReport(message.params);
     } else if (message.method === 'known') {
-      tellUnknown(channel, 'configuration', this._configurationTable, message.params);
-      tellUnknown(channel, 'replicas', this._replicaTable, message.params);
+      tellUnknown(channel, 'configuration', this._configurationTable.state, message.params);
+      tellUnknown(channel, 'replicas', this._replicaTable.state, message.params);
     } else if (message.method === 'table') {
       this._acceptTable(message.params);
     } else if (message.method === 'leaseReply') {
@@ -382,8 +383,7 @@
   }
 
   private _leaderIsHeard(): boolean {
-    const leads = this._lease.isHolder || this._status?.leads === true;
-    return this._lease.isHolder || (leads && this._link.isHeard(this._nowMs()));
+    return this._lease.isHolder || (this._status?.leads === true && this._link.isHeard(this._nowMs()));
   }
 
   private _nowMs(): number {
@@ -394,16 +394,3 @@
 function otherSeeds(settings: GatewaySettings): readonly Address[] {
   return settings.seeds.filter((seed) => seed.host !== settings.peers.host);
 }
-
-/**
- * Tells a peer what it lacks of a table. Whole tables for every daemon that joins would fill a small link for seconds, so
- * one that has read the store gets only the changes since.
- */
-function tellUnknown(channel: PeerChannel, table: TableName, follower: TableFollower, known: KnownTables): void {
-  const { state } = follower;
-  const whole = known[table] === 0;
-  const records = whole ? state.records() : state.recordsSince(known[table]);
-  if (records.length > 0) {
-    channel.send('table', { table, records, end: state.end, whole });
-  }
-}
--- /dev/null
+++ b/packages/gateway/src/peers/tellUnknown.ts
@@ -0,0 +1,21 @@
+import type { TableName } from '../contracts/MetadataStore.js';
+import type { TableState } from '../replicas/TableState.js';
+import type { PeerChannel } from './PeerChannel.js';
+import type { KnownTables } from './Types.js';
+
+/**
+ * Tells a peer what it lacks of a table. Whole tables for every daemon that joins would fill a small link for seconds, so
+ * one that has read the store gets only the changes since.
+ */
+export function tellUnknown(
+  channel: Pick<PeerChannel, 'send'>,
+  table: TableName,
+  state: TableState,
+  known: KnownTables,
+): void {
+  const whole = known[table] === 0;
+  const records = whole ? state.records() : state.recordsSince(known[table]);
+  if (records.length > 0) {
+    channel.send('table', { table, records, end: state.end, whole });
+  }
+}
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -7,20 +7,15 @@
 import type { Configuration, EngineSpecification, Instant, Replica } from '../Types.js';
 import { DemandBook } from './DemandBook.js';
 import { estimateReady } from './estimateReady.js';
+import { expectedDuration } from './expectedDuration.js';
 import { planAdapters } from './planAdapters.js';
 import { planModels } from './planPlacement.js';
 import { ReplicaBook, type RunningCounts } from './ReplicaBook.js';
 import { StorePace } from './StorePace.js';
 import type { PlacedReplica, PlacementInput, PlacementPlan, PlannedOrder } from './Types.js';
 
-/** Time after an accepted order for an adapter until it is ready, milliseconds. Loads take up to 10 ms. */
-const adapterReadyMs = 14;
-/** Added to the stated time of a load from memory or disk before the model counts as ready, milliseconds. */
-const localLoadMarginMs = 40;
 /** Pause between two looks at a replica whose order is not done yet, milliseconds. */
 const pollMs = 200;
-/** An unload of an idle model is done after this time, milliseconds. */
-const idleUnloadMs = 15;
 /** A report may be this old; one that still differs after this time is right, milliseconds. */
 const reportLagMs = 600;
 /** Pause between two tries of an order that follows an unload, milliseconds. */
@@ -261,7 +256,7 @@
 
   private async _carryOut(book: ReplicaBook, order: PlannedOrder, input: PlacementInput): Promise<void> {
     const startedMs = this._clock.now().steadyMs;
-    const expectedMs = expectedDuration(order, input, book);
+    const expectedMs = expectedDuration(order, input);
     const storeLoads = input.replicas.filter((one) => one.order?.tier === 'store').length + 1;
     book.order = { kind: order.kind, model: order.model, tier: order.tier, expectedDoneMs: startedMs + expectedMs };
     if (order.adapter === undefined) {
@@ -395,17 +390,3 @@
     });
   }
 }
-
-/** Time from an order's acceptance until it is done, milliseconds. */
-function expectedDuration(order: PlannedOrder, input: PlacementInput, book: ReplicaBook): number {
-  if (order.adapter !== undefined) {
-    return order.kind === 'load' ? adapterReadyMs : 0;
-  }
-  if (order.kind === 'unload') {
-    const placed = input.replicas.find((replica) => replica.id === book.replica.id);
-    const isRunning = placed?.models.some((held) => held.name === order.model && held.running > 0) ?? false;
-    return isRunning ? pollMs : idleUnloadMs;
-  }
-  const statedMs = input.models.get(order.model)?.loadMs[order.tier] ?? 0;
-  return order.tier === 'store' ? statedMs : statedMs + localLoadMarginMs;
-}
