Drop what nothing reads, and checks that stood twice in the gateway

The exchange asked before a refusal what the refusal asks itself, in two places. Loads from the weight store were recognised in three places and now in one.

--- a/packages/gateway/src/contracts/EngineClient.ts
+++ b/packages/gateway/src/contracts/EngineClient.ts
@@ -29,8 +29,6 @@
   readonly orderInProgress: boolean;
   readonly orderSequence: number;
   readonly bornMs: number;
-  readonly running: number;
-  readonly queued: number;
 }
 
 /** Client for orders to model replicas. */
--- a/packages/gateway/src/contracts/RequestCodec.ts
+++ b/packages/gateway/src/contracts/RequestCodec.ts
@@ -8,11 +8,8 @@
   /** Time that the caller waits, milliseconds. */
   readonly deadlineMs?: number;
   readonly target?: ModelReference;
-  /** Prompt tokens plus the most output tokens. */
-  readonly tokens: number;
   /** Identifiers of the shared parts of the prompt, in order. */
   readonly promptParts: readonly string[];
-  readonly lastEventId?: string;
 }
 
 /** Headers that the gateway sets on the way to a replica. */
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -287,11 +287,7 @@
     this._runs += failure.mayHaveRun ? 1 : 0;
     this._endAttempt('failed');
     this._sendAgainOr(failure.mayHaveRun, () => {
-      if (failure.mayHaveRun || this._relay.headSent || this._runs > 0) {
-        this._breakOff(failure.message);
-      } else {
-        this._refuse(failure.message, refusedRetryAfterMs);
-      }
+      this._refuse(failure.message, refusedRetryAfterMs);
     });
   }
 
@@ -301,8 +297,6 @@
     const mayGoOn = this._caller?.target !== undefined || usable.some((replica) => !this._excluded.has(replica.id));
     if (mayGoOn && this._deadline.leftMs(this._nowMs()) > 0) {
       this._dispatch();
-    } else if (this._relay.headSent || this._runs > 0) {
-      this._breakOff(message);
     } else {
       this._refuse(message, refusedRetryAfterMs);
     }
@@ -376,7 +370,7 @@
     }
   }
 
-  /** Refuses a request that has not run and never will. */
+  /** Refuses a request if it has not run and never will; breaks it off if a replica may have run it. */
   private _refuse(reason: string, retryAfterMs: number): void {
     if (this._relay.headSent || this._runs > 0) {
       this._breakOff(reason);
--- a/packages/gateway/src/placement/estimateReady.ts
+++ b/packages/gateway/src/placement/estimateReady.ts
@@ -1,6 +1,6 @@
 import type { ReadyEstimate } from '../peers/Types.js';
 import type { PlacementInput } from './Types.js';
-import { copies, demandByModel, loadTier, waitingModels } from './weights.js';
+import { copies, demandByModel, isLoadingFromStore, loadTier, waitingModels } from './weights.js';
 
 /** Expected time of a load from memory or disk with the unload before it, milliseconds. */
 const localSwapMs = 1_200;
@@ -13,7 +13,7 @@
   const estimates: ReadyEstimate[] = [];
   let queued = 0;
   const storeEnds = input.replicas
-    .filter((replica) => replica.order?.kind === 'load' && replica.order.tier === 'store')
+    .filter(isLoadingFromStore)
     .map((replica) => Math.max((replica.order?.expectedDoneMs ?? nowMs) - nowMs, 0))
     .sort((first, second) => first - second);
   for (const [model] of waitingModels(demandByModel(input.demands))) {
--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -13,6 +13,7 @@
   freeMegabytes,
   gainOf,
   heldMegabytes,
+  isLoadingFromStore,
   loadTier,
   type ModelDemand,
   patientTargetMs,
@@ -221,9 +222,8 @@
 
   /** True if a replica is in the middle of a load from the store that takes longer than one from another's copy. */
   private _isDistant(replica: PlacedReplica, model: string): boolean {
-    const order = replica.order;
-    const isStoreLoad = order?.kind === 'load' && order.model === model && order.tier === 'store';
-    return isStoreLoad && order.expectedDoneMs - this._nowMs > distantLoadMs;
+    const { order } = replica;
+    return isLoadingFromStore(replica) && order?.model === model && order.expectedDoneMs - this._nowMs > distantLoadMs;
   }
 
   /** True if a replica waits for the requests of other models to end before it can load a model. */
@@ -387,10 +387,6 @@
   return rates;
 }
 
-function isLoadingFromStore(replica: PlacedReplica): boolean {
-  return replica.order?.kind === 'load' && replica.order.tier === 'store';
-}
-
 function cheapest(options: readonly Option[]): Option | undefined {
   return options.reduce<Option | undefined>(
     (best, option) => (best === undefined || option.costMs < best.costMs ? option : best),
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -80,6 +80,11 @@
   return sums;
 }
 
+/** True if a replica loads a model from the weight store. */
+export function isLoadingFromStore(replica: PlacedReplica): boolean {
+  return replica.order?.kind === 'load' && replica.order.tier === 'store';
+}
+
 /** Replicas that hold a model and neither unload nor retire it. */
 export function readyCopies(input: PlacementInput, model: string): readonly PlacedReplica[] {
   return input.replicas.filter((replica) => holds(replica, model));
--- a/packages/gateway/src/replicas/TableState.ts
+++ b/packages/gateway/src/replicas/TableState.ts
@@ -4,18 +4,12 @@
 export class TableState {
   private readonly _records = new Map<string, TableRecord>();
   private _end = 0;
-  private _known = false;
 
   /** Offset from which changes have to be read. */
   public get end(): number {
     return this._end;
   }
 
-  /** True once a whole table has been read. */
-  public get isKnown(): boolean {
-    return this._known;
-  }
-
   /** All present records. */
   public records(): readonly TableRecord[] {
     return [...this._records.values()].filter((record) => record.value !== undefined);
@@ -44,7 +38,6 @@
     const removed = this.records()
       .filter((record) => !present.has(record.key) && record.offset < table.end)
       .map((record) => ({ key: record.key, offset: table.end - 1 }));
-    this._known = true;
     return this.applyChanges({ records: [...table.records, ...removed], end: table.end });
   }
 
--- a/packages/gateway/src/testing/FakeCodec.ts
+++ b/packages/gateway/src/testing/FakeCodec.ts
@@ -13,7 +13,6 @@
       attemptId,
       host: request.headers.host ?? '',
       deadlineMs: 5_000,
-      tokens: 0,
       promptParts: [],
       ...(typeof model === 'string' && { target: { model } }),
     };
--- a/packages/gateway/src/testing/FakeEngines.ts
+++ b/packages/gateway/src/testing/FakeEngines.ts
@@ -67,8 +67,6 @@
         orderInProgress: engine.orderInProgress,
         orderSequence: engine.sequence,
         bornMs: replica.bornMs,
-        running: 0,
-        queued: 0,
       }),
     );
   }
