--- a/packages/common/src/settings/fields.ts
+++ b/packages/common/src/settings/fields.ts
@@ -13,12 +13,12 @@
     .refine((value) => value >= minimum && value <= maximum, expected);
 }
 
-/** A decimal number between two bounds. */
+/** A decimal number between two bounds, in any form in which programs print numbers: 35.833333333333336, 1e-05. */
 export function decimalNumber(unit: string, minimum: number, maximum: number): z.ZodType<number, string> {
   const expected = `${unit} from ${minimum} to ${maximum}`;
   return z
     .string()
-    .regex(/^\d{1,9}(\.\d{1,9})?$/, expected)
+    .regex(/^\d{1,15}(\.\d+)?(e[+-]?\d{1,3})?$/i, expected)
     .transform(Number)
     .refine((value) => value >= minimum && value <= maximum, expected);
 }
