Pace the leader's messages by the number of daemons and index copies for planning

Cause: the leader told every daemon the running count of every replica each 300 ms and all estimates at each change, encoded once for each peer, and planned anew for every report with a waiting request, searching all replicas for each model. Ruled out: work of the callers' requests (2.3 a second and daemon). Change: a message to all is encoded once; loads go out as the largest changes, at an interval that grows with the daemons; estimates go only to daemons whose requests wait for the model; changes of models are gathered; reports are paced; a plan answers all reports of 25 ms and uses an index of copies (benchmark: 1,600 replicas, 850 models under 100 ms). A daemon that has caught up with the leader takes over its read position and reads the store each 30 s; the next leader reads it whole.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,7 +1,7 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from './Clock.js';
 import { RouteTable } from './configuration/RouteTable.js';
-import type { EngineClient, MetadataStore, RequestCodec } from './contracts/index.js';
+import type { EngineClient, MetadataStore, RequestCodec, TableName } from './contracts/index.js';
 import { CallerServer } from './forwarding/CallerServer.js';
 import { ReplicaAgent } from './forwarding/ReplicaAgent.js';
 import { RequestLog } from './forwarding/RequestLog.js';
@@ -13,14 +13,17 @@
 import type { PeerMessage } from './peers/PeerChannel.js';
 import { PeerHub, type PeerNews } from './peers/PeerHub.js';
 import { PeerLink } from './peers/PeerLink.js';
-import { StatusPacer } from './peers/StatusPacer.js';
+import { LeaderMessages } from './peers/LeaderMessages.js';
+import { LeaderView } from './peers/LeaderView.js';
+import { messagePaces } from './peers/messagePaces.js';
+import { ReportPacer } from './peers/ReportPacer.js';
 import { tellUnknown } from './peers/tellUnknown.js';
-import type { DaemonReport, LeaderStatus, TableMessage } from './peers/Types.js';
+import type { DaemonReport, KnownTables, LeaderStatus, TableMessage } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
 import { removalGraceMs } from './replicas/removalGrace.js';
 import { ReplicaDirectory } from './replicas/ReplicaDirectory.js';
-import { type ReadPace, readPaces, TableFollower, type TableNews } from './replicas/TableFollower.js';
+import { readPace, TableFollower, type TableNews } from './replicas/TableFollower.js';
 import type { RetryBudgetLimits } from './retries/RetryBudget.js';
 import { RetryBudgets } from './retries/RetryBudgets.js';
 import { ReplicaLoads } from './routing/ReplicaLoads.js';
@@ -30,8 +33,6 @@
 
 /** Interval of the daemon's periodic work: reports, placement, silent peers. */
 const tickMs = 100;
-/** A report without news is sent at every so many ticks, so that the leader hears the daemon. */
-const idleReportTicks = 5;
 /** Interval at which a stopping daemon looks whether its requests have ended. */
 const stopCheckMs = 50;
 
@@ -66,7 +67,9 @@
   private readonly _hub: PeerHub;
   private readonly _link: PeerLink;
   private readonly _leader: PlacementLeader;
-  private readonly _statusPacer = new StatusPacer();
+  private readonly _leaderMessages: LeaderMessages;
+  private readonly _leaderView = new LeaderView();
+  private readonly _reportPacer = new ReportPacer();
   private readonly _loads = new ReplicaLoads();
   private readonly _waitingRoom = new WaitingRoom();
   private readonly _arrivals = new ArrivalCounter();
@@ -75,9 +78,9 @@
   private readonly _agent = new ReplicaAgent();
   private readonly _callers: CallerServer;
   private _routes: RouteTable | undefined;
-  private _status: LeaderStatus | undefined;
-  private _ticks = 0;
-  private _reportQueued = false;
+  private _reportTimer: NodeJS.Timeout | undefined;
+  /** Tables of which the present peer has told everything that this daemon lacked. */
+  private _caughtUp = new Set<TableName>();
   private readonly _stop: StopSchedule;
 
   public constructor(
@@ -108,13 +111,15 @@
       _clock,
       _log.part('placement'),
     );
+    this._leaderMessages = new LeaderMessages(this._hub, this._leader, _clock);
     this._callers = new CallerServer(this._exchangeContext(), _settings.callers, _log.part('callers'));
     this._connectParts();
   }
 
   /** Starts serving. */
   public async open(): Promise<void> {
-    for (const part of [this._hub, this._link, this._lease, this._configurationTable, this._replicaTable]) {
+    const tables = [this._configurationTable, this._replicaTable];
+    for (const part of [this._hub, this._link, this._lease, this._leaderMessages, ...tables]) {
       this._resources.register(part);
     }
     this._resources.register(this._platform.store);
@@ -128,6 +133,7 @@
     }, tickMs);
     this._resources.register(() => {
       clearInterval(timer);
+      clearTimeout(this._reportTimer);
     });
     await this._callers.open();
   }
@@ -167,20 +173,24 @@
     await this._resources[Symbol.asyncDispose]();
   }
 
-  private _followTable(table: 'configuration' | 'replicas'): TableFollower {
-    const pace = (): ReadPace => this._readPace();
-    const follower = new TableFollower(this._platform.store, table, this._clock, pace, this._log.part('store'));
+  private _followTable(table: TableName): TableFollower {
+    const follower = new TableFollower(this._platform.store, table, this._clock, this._log.part('store'));
     follower.onNews((news) => {
       this._applyNews(news);
     });
     return follower;
   }
 
-  private _readPace(): ReadPace {
-    if (this._link.isHeard(this._nowMs()) && this._status?.tellsChanges === true) {
-      return readPaces.assisted;
-    }
-    return this._hub.peerCount > 0 ? readPaces.forOthers : readPaces.alone;
+  /** Sets how often this daemon reads the store, by what the others do. */
+  private _setReadPaces(nowMs: number): void {
+    const isAssisted = this._link.isHeard(nowMs) && this._leaderView.tellsChanges === true;
+    const pace = readPace({
+      isAssisted,
+      hasFollowers: this._hub.peerCount > 0,
+      aloneIntervalMs: messagePaces(this._leaderView.daemonCount).aloneReadMs,
+    });
+    this._configurationTable.setPace(pace);
+    this._replicaTable.setPace(pace);
   }
 
   private _connectParts(): void {
@@ -189,38 +199,42 @@
     });
     this._lease.onLeader(({ holder, peerAddress }) => {
       const isSelf = holder === this._settings.name;
+      if (isSelf) {
+        this._replicaTable.readWhole();
+      }
       this._link.follow(isSelf ? undefined : common.settings.parseAddress(peerAddress));
     });
+    this._leader.onPlanned(() => {
+      this._leaderView.applyEstimates(this._leader.estimates(), this._nowMs());
+    });
     this._leader.onHoldings((holdings) => {
-      this._hub.broadcast('holdings', holdings);
       this._directory.applyHoldings(holdings);
     });
     this._hub.onMessage((news) => {
       this._receiveAsHub(news);
     });
-    this._hub.onJoined((channel) => {
-      for (const holdings of this._leader.holdings()) {
-        channel.send('holdings', holdings);
-      }
-    });
     this._link.onMessage((message) => {
       this._receive(message);
     });
     this._link.onConnected((channel) => {
-      channel.send('known', {
-        configuration: this._configurationTable.state.end,
-        replicas: this._replicaTable.state.end,
-      });
+      this._caughtUp = new Set();
+      channel.send('known', this._tableEnds());
     });
   }
 
   private _receive(message: PeerMessage): void {
     if (message.method === 'table') {
-      this._acceptTable(message.params);
+      this._catchUp(message.params);
     } else if (message.method === 'holdings') {
-      this._directory.applyHoldings(message.params);
+      for (const holdings of message.params.replicas) {
+        this._directory.applyHoldings(holdings);
+      }
     } else if (message.method === 'status') {
       this._applyStatus(message.params);
+    } else if (message.method === 'loads') {
+      this._applyLoads(new Map(Object.entries(message.params.running)));
+    } else if (message.method === 'estimates') {
+      this._leaderView.applyEstimates(message.params.estimates, this._nowMs());
     } else if (message.method === 'leaseCall') {
       void this._leaseStore.serve(message.params).then((reply) => {
         this._link.send('leaseReply', reply);
@@ -230,7 +244,7 @@
 
   private _receiveAsHub({ channel, message }: PeerNews): void {
     if (message.method === 'report') {
-      this._leader.applyReport(message.params);
+      this._leaderMessages.applyReport(channel, message.params);
     } else if (message.method === 'known') {
       tellUnknown(channel, 'configuration', this._configurationTable.state, message.params);
       tellUnknown(channel, 'replicas', this._replicaTable.state, message.params);
@@ -243,7 +257,19 @@
 
   private _acceptTable(message: TableMessage): void {
     const follower = message.table === 'configuration' ? this._configurationTable : this._replicaTable;
-    follower.acceptFromPeer(message, message.whole);
+    follower.acceptFromPeer(message);
+  }
+
+  /** Takes over a table message of the peer that this daemon follows. */
+  private _catchUp(message: TableMessage): void {
+    this._acceptTable(message);
+    if (message.end > 0) {
+      this._caughtUp.add(message.table);
+    }
+  }
+
+  private _tableEnds(): KnownTables {
+    return { configuration: this._configurationTable.state.end, replicas: this._replicaTable.state.end };
   }
 
   private _applyNews({ table, records, source }: TableNews): void {
@@ -267,7 +293,7 @@
    */
   private _passOn(message: TableMessage, source: TableNews['source']): void {
     this._hub.broadcast('table', message);
-    if (source === 'store' && this._status?.tellsChanges === false) {
+    if (source === 'store' && this._leaderView.tellsChanges === false) {
       this._link.send('table', message);
     }
   }
@@ -286,54 +312,68 @@
 
   private _tick(): void {
     const nowMs = this._nowMs();
-    this._ticks += 1;
     this._directory.dropExpired(nowMs);
     this._hub.dropSilent(nowMs);
     this._link.keepUp(nowMs, !this._lease.isHolder);
+    this._setReadPaces(nowMs);
     this._leader.tick();
     if (this._lease.isHolder || this._hub.peerCount > 0) {
-      this._tellStatus();
+      this._tellStatus(nowMs);
     }
     const hasNews = this._waitingRoom.size > 0 || this._arrivals.hasNews || this._loads.hasNews;
-    if (hasNews || this._ticks % idleReportTicks === 0) {
+    if (this._reportPacer.isDue(hasNews, messagePaces(this._leaderView.daemonCount), nowMs)) {
       this._report();
     }
     this._loads.retain((id) => this._directory.get(id) !== undefined);
   }
 
-  private _tellStatus(): void {
-    const nowMs = this._nowMs();
+  private _tellStatus(nowMs: number): void {
     const isCurrent = this._configurationTable.isCurrent(nowMs) && this._replicaTable.isCurrent(nowMs);
-    const status = this._leader.status(this._hub.peerCount + 1, isCurrent);
-    const message = this._statusPacer.next(status, nowMs);
-    if (message !== undefined) {
-      this._hub.broadcast('status', message);
-    }
+    const status = this._leaderMessages.tell(isCurrent, this._tableEnds());
     if (status.leads) {
       this._applyStatus(status);
+      this._applyLoads(this._leader.runningTotals());
     }
   }
 
   private _applyStatus(status: LeaderStatus): void {
-    this._status = status;
-    if (!status.leads) {
-      return;
+    this._leaderView.applyStatus(status);
+    if (status.leads) {
+      this._loads.leaderHeard(this._nowMs());
+      this._budgets.setDaemonCount(status.daemonCount);
+    }
+    if (status.tellsChanges) {
+      this._advance('configuration', this._configurationTable, status.ends);
+      this._advance('replicas', this._replicaTable, status.ends);
+    }
+  }
+
+  /** The leader tells all changes that matter, so those before its own position need not be read. */
+  private _advance(table: TableName, follower: TableFollower, ends: KnownTables): void {
+    if (this._caughtUp.has(table)) {
+      follower.state.advanceTo(ends[table]);
     }
+  }
+
+  private _applyLoads(running: ReadonlyMap<string, number>): void {
     const nowMs = this._nowMs();
-    this._budgets.setDaemonCount(status.daemonCount);
-    for (const [replicaId, total] of Object.entries(status.running)) {
-      this._loads.recordTotal(replicaId, total, nowMs);
+    for (const [replicaId, total] of running) {
+      this._loads.recordLeaderTotal(replicaId, total);
     }
+    this._loads.leaderHeard(nowMs);
   }
 
+  /** Reports that requests have begun to wait, without a report for each of them. */
   private _reportSoon(): void {
-    if (!this._reportQueued) {
-      this._reportQueued = true;
-      setImmediate(() => {
-        this._reportQueued = false;
+    const nowMs = this._nowMs();
+    const paces = messagePaces(this._leaderView.daemonCount);
+    this._reportTimer ??= setTimeout(
+      () => {
+        this._reportTimer = undefined;
         this._report();
-      });
-    }
+      },
+      this._reportPacer.urgentDelayMs(paces, nowMs),
+    );
   }
 
   private _report(): void {
@@ -345,6 +385,7 @@
       running: this._loads.report(),
       unreachable: this._loads.unreachable(nowMs),
     };
+    this._reportPacer.reported(nowMs);
     if (this._lease.isHolder) {
       this._leader.applyReport(report);
     } else {
@@ -378,12 +419,11 @@
   }
 
   private _readyInMs(model: string): number | undefined {
-    const isTold = this._status?.leads === true && this._leaderIsHeard();
-    return isTold ? this._status?.estimates.find((estimate) => estimate.model === model)?.readyInMs : undefined;
+    return this._leaderIsHeard() ? this._leaderView.readyInMs(model, this._nowMs()) : undefined;
   }
 
   private _leaderIsHeard(): boolean {
-    return this._lease.isHolder || (this._status?.leads === true && this._link.isHeard(this._nowMs()));
+    return this._lease.isHolder || (this._leaderView.leads && this._link.isHeard(this._nowMs()));
   }
 
   private _nowMs(): number {
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -20,10 +20,18 @@
   'table',
   'holdings',
   'status',
+  'loads',
+  'estimates',
+  'leaving',
   'leaseCall',
   'leaseReply',
 ];
 
+/** Text of a message. A message to many peers is encoded once. */
+export function encodeMessage<Method extends keyof PeerMessages>(method: Method, params: PeerMessages[Method]): string {
+  return JSON.stringify(rpc.createJSONRPCNotification(method, params));
+}
+
 /** JSON-RPC notifications over a TCP connection between two daemons, one a line. */
 export class PeerChannel {
   private readonly _onMessage = new common.Emitter<PeerMessage>();
@@ -31,7 +39,6 @@
   private readonly _onClosed = new common.Emitter<string>();
   /** Fires once with the reason. */
   public readonly onClosed = this._onClosed.event;
-  private readonly _client: rpc.JSONRPCClient;
   private readonly _server = new rpc.JSONRPCServer();
   private _unread = '';
   private _lastHeardMs: number;
@@ -41,9 +48,6 @@
     private readonly _clock: Clock,
   ) {
     this._lastHeardMs = _clock.now().steadyMs;
-    this._client = new rpc.JSONRPCClient((message) => {
-      this._write(JSON.stringify(message));
-    });
     for (const method of methods) {
       this._server.addMethod(method, (params: PeerMessages[typeof method]) => {
         this._onMessage.fire({ method, params } as PeerMessage);
@@ -58,7 +62,18 @@
   }
 
   public send<Method extends keyof PeerMessages>(method: Method, params: PeerMessages[Method]): void {
-    this._client.notify(method, params);
+    this.sendEncoded(encodeMessage(method, params));
+  }
+
+  /** Sends the text of a message. */
+  public sendEncoded(line: string): void {
+    if (this._socket.destroyed) {
+      return;
+    }
+    this._socket.write(`${line}\n`);
+    if (this._socket.writableLength > maximumUnsentBytes) {
+      this.close('the peer does not read');
+    }
   }
 
   public close(reason: string): void {
@@ -82,16 +97,6 @@
     });
   }
 
-  private _write(line: string): void {
-    if (this._socket.destroyed) {
-      return;
-    }
-    this._socket.write(`${line}\n`);
-    if (this._socket.writableLength > maximumUnsentBytes) {
-      this.close('the peer does not read');
-    }
-  }
-
   private _receive(text: string): void {
     this._lastHeardMs = this._clock.now().steadyMs;
     const lines = (this._unread + text).split('\n');
--- a/packages/gateway/src/peers/PeerHub.ts
+++ b/packages/gateway/src/peers/PeerHub.ts
@@ -2,7 +2,7 @@
 import * as net from 'node:net';
 import type { Clock } from '../Clock.js';
 import type { Address } from '../Types.js';
-import { PeerChannel, type PeerMessage } from './PeerChannel.js';
+import { encodeMessage, PeerChannel, type PeerMessage } from './PeerChannel.js';
 import type { PeerMessages } from './Types.js';
 
 /** A message with the peer that sent it. */
@@ -11,14 +11,16 @@
   readonly message: PeerMessage;
 }
 
-/** A peer that is silent for this long is gone, milliseconds. Daemons report several times a second. */
-const silenceLimitMs = 2_000;
+/** A peer that is silent for this long is gone, milliseconds. Daemons report at least once a second. */
+const silenceLimitMs = 3_000;
 
 /** Accepts the other daemons, tells them what the store and the placement leader say, and takes their reports. */
 export class PeerHub implements AsyncDisposable {
   private readonly _channels = new Set<PeerChannel>();
   private readonly _onJoined = new common.Emitter<PeerChannel>();
   public readonly onJoined = this._onJoined.event;
+  private readonly _onLeft = new common.Emitter<PeerChannel>();
+  public readonly onLeft = this._onLeft.event;
   private readonly _onMessage = new common.Emitter<PeerNews>();
   public readonly onMessage = this._onMessage.event;
   private readonly _server: net.Server;
@@ -52,8 +54,12 @@
   }
 
   public broadcast<Method extends keyof PeerMessages>(method: Method, params: PeerMessages[Method]): void {
+    if (this._channels.size === 0) {
+      return;
+    }
+    const line = encodeMessage(method, params);
     for (const channel of this._channels) {
-      channel.send(method, params);
+      channel.sendEncoded(line);
     }
   }
 
@@ -90,6 +96,7 @@
     });
     channel.onClosed((reason) => {
       this._channels.delete(channel);
+      this._onLeft.fire(channel);
       this._log.info('A peer left.', { address: socket.remoteAddress, reason, peers: this._channels.size });
     });
     this._onJoined.fire(channel);
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -38,6 +38,10 @@
 export interface TableMessage {
   readonly table: TableName;
   readonly records: readonly TableRecord[];
+  /**
+   * Offset before which the receiver then knows all changes that matter to it, in answer to what it said it knows; 0 for
+   * single changes.
+   */
   readonly end: number;
   /** True for a whole table, false for changes. */
   readonly whole: boolean;
@@ -59,11 +63,32 @@
   /** False while the sender does not reach the store, so that it cannot tell of changes. */
   readonly tellsChanges: boolean;
   readonly daemonCount: number;
-  /** Requests that all daemons together run on a replica, by replica id; those that the message leaves out are unchanged. */
+  /** Offsets before which the sender has told all changes of the tables to peers that have caught up with it. */
+  readonly ends: KnownTables;
+}
+
+/** Requests that all daemons together run on replicas, by replica id. Replicas that are left out are unchanged. */
+export interface LoadsMessage {
   readonly running: Readonly<Record<string, number>>;
+}
+
+/** Expected times for the models that the receiver's requests wait for; models that are left out are not expected. */
+export interface EstimatesMessage {
   readonly estimates: readonly ReadyEstimate[];
 }
 
+/** Models of replicas as the leader knows them. */
+export interface HoldingsMessage {
+  readonly replicas: readonly ReplicaHoldings[];
+}
+
+/** A replica has said in an answer that it leaves. */
+export interface LeavingMessage {
+  readonly replicaId: string;
+  /** Start of the replica that leaves; a later start under the same id does not. */
+  readonly bornMs: number;
+}
+
 /** A call about the lease that another daemon makes for one that does not reach the store. */
 export interface LeaseCall {
   readonly call: number;
@@ -84,8 +109,11 @@
   readonly report: DaemonReport;
   readonly known: KnownTables;
   readonly table: TableMessage;
-  readonly holdings: ReplicaHoldings;
+  readonly holdings: HoldingsMessage;
   readonly status: LeaderStatus;
+  readonly loads: LoadsMessage;
+  readonly estimates: EstimatesMessage;
+  readonly leaving: LeavingMessage;
   readonly leaseCall: LeaseCall;
   readonly leaseReply: LeaseReply;
 }
--- /dev/null
+++ b/packages/gateway/src/peers/WaitingPeers.test.ts
@@ -0,0 +1,50 @@
+import * as vitest from 'vitest';
+import type { DaemonReport, EstimatesMessage } from './Types.js';
+import { WaitingPeers } from './WaitingPeers.js';
+
+class FakePeer {
+  public readonly messages: EstimatesMessage[] = [];
+
+  public send(_method: 'estimates', message: EstimatesMessage): void {
+    this.messages.push(message);
+  }
+}
+
+function report(...models: readonly string[]): DaemonReport {
+  const waiting = models.map((model) => ({ target: { model }, count: 1, slackMs: 0 }));
+  return { daemon: 'vm', waiting, arrivals: [], running: [], unreachable: [] };
+}
+
+vitest.describe('peers whose requests wait', () => {
+  vitest.test('are told of their own models only (guards against bytes to every daemon)', () => {
+    const peers = new WaitingPeers<FakePeer>();
+    const waits = new FakePeer();
+    const idle = new FakePeer();
+    peers.applyReport(waits, report('m1'));
+    peers.applyReport(idle, report());
+    const estimates = [
+      { model: 'm1', readyInMs: 900 },
+      { model: 'm2', readyInMs: 100 },
+    ];
+    peers.tell(estimates, 0);
+    vitest.expect(waits.messages).toEqual([{ estimates: [estimates[0]] }]);
+    vitest.expect(idle.messages).toEqual([]);
+    vitest.expect(peers.waitingFor(new Set(['m1', 'm9']))).toEqual([waits]);
+    vitest.expect(peers.waitingFor(new Set(['m2']))).toEqual([]);
+  });
+
+  vitest.test('are told again when an estimate has moved, and at intervals (guards against stale refusals)', () => {
+    const peers = new WaitingPeers<FakePeer>();
+    const peer = new FakePeer();
+    peers.applyReport(peer, report('m1'));
+    peers.tell([{ model: 'm1', readyInMs: 900 }], 0);
+    peers.tell([{ model: 'm1', readyInMs: 800 }], 100);
+    vitest.expect(peer.messages.length).toBe(1);
+    peers.tell([{ model: 'm1', readyInMs: 700 }], 200);
+    vitest.expect(peer.messages.length).toBe(2);
+    peers.tell([{ model: 'm1', readyInMs: 700 }], 600);
+    vitest.expect(peer.messages.length).toBe(3);
+    peers.tell([], 700);
+    vitest.expect(peer.messages.at(-1)).toEqual({ estimates: [] });
+  });
+});
--- a/packages/gateway/src/peers/tellUnknown.ts
+++ b/packages/gateway/src/peers/tellUnknown.ts
@@ -5,7 +5,8 @@
 
 /**
  * Tells a peer what it lacks of a table. Whole tables for every daemon that joins would fill a small link for seconds, so
- * one that has read the store gets only the changes since.
+ * one that has read the store gets only the changes since. The message goes out without changes as well, because the
+ * peer then knows that it has caught up.
  */
 export function tellUnknown(
   channel: Pick<PeerChannel, 'send'>,
@@ -15,7 +16,5 @@
 ): void {
   const whole = known[table] === 0;
   const records = whole ? state.records() : state.recordsSince(known[table]);
-  if (records.length > 0) {
-    channel.send('table', { table, records, end: state.end, whole });
-  }
+  channel.send('table', { table, records, end: state.end, whole });
 }
--- /dev/null
+++ b/packages/gateway/src/placement/CopyIndex.test.ts
@@ -0,0 +1,81 @@
+import * as vitest from 'vitest';
+import { CopyIndex } from './CopyIndex.js';
+import { planModels } from './planPlacement.js';
+import type { PlacedReplica, PlacementInput } from './Types.js';
+
+function replica(id: string, changes: Partial<PlacedReplica> = {}): PlacedReplica {
+  return {
+    id,
+    weightMegabytes: 200_000,
+    adapterSlots: 8,
+    slots: 12,
+    takesRequests: true,
+    takesOrders: true,
+    models: [],
+    inMemory: new Set(),
+    onDisk: new Set(),
+    running: 0,
+    ...changes,
+  };
+}
+
+const held = { name: 'm', adapters: [], running: 0, readySinceMs: 0 };
+const order = { model: 'm', tier: 'disk', expectedDoneMs: 0 } as const;
+
+function ids(replicas: readonly PlacedReplica[]): readonly string[] {
+  return replicas.map(({ id }) => id);
+}
+
+vitest.describe('index of copies', () => {
+  vitest.test('tells a ready copy from one that comes or goes (guards against two loads of a model)', () => {
+    const index = new CopyIndex([
+      replica('ready', { models: [held] }),
+      replica('loads', { order: { ...order, kind: 'load' } }),
+      replica('cleared', { clearingFor: 'm' }),
+      replica('unloads', { models: [held], order: { ...order, kind: 'unload' } }),
+      replica('retires', { models: [{ ...held, retiringSinceMs: 1 }] }),
+      replica('leaves', { models: [held], takesRequests: false }),
+      replica('disk', { onDisk: new Set(['m']), inMemory: new Set(['m']) }),
+    ]);
+    vitest.expect(ids(index.ready('m'))).toEqual(['ready']);
+    vitest.expect(ids(index.present('m'))).toEqual(['ready', 'loads', 'cleared']);
+    vitest.expect(ids(index.atHand('m'))).toEqual(['disk']);
+    vitest.expect(index.present('other')).toEqual([]);
+  });
+
+  vitest.test('keeps a plan at the target size short (guards against a leader that plans all the time)', () => {
+    const names = Array.from({ length: 850 }, (_none, index) => `m${index}`);
+    const specification = (name: string) => ({
+      name,
+      weightMegabytes: 60_000,
+      adapterMegabytes: 40,
+      loadMs: { memory: 300, disk: 500, store: 13_200 },
+    });
+    const nameOf = (index: number): string => names[index % names.length] ?? '';
+    const replicas = Array.from({ length: 1_600 }, (_none, index) =>
+      replica(`r${index}`, {
+        models: [0, 1, 2].map((step) => ({ ...held, name: nameOf(index * 3 + step), running: 2 })),
+        onDisk: new Set([0, 1, 2, 3, 4].map((step) => nameOf(index * 3 + step * 97))),
+      }),
+    );
+    const input: PlacementInput = {
+      models: new Map(names.map((name) => [name, specification(name)])),
+      replicas,
+      demands: names.map((model, index) => ({
+        target: { model },
+        waiting: index % 20 === 0 ? 1 : 0,
+        slackMs: 1_000,
+        unservedMs: 0,
+        ratePerSecond: 1,
+        latencyTargetMs: 2_000,
+      })),
+      mayCover: true,
+      maximumStoreLoads: 4,
+    };
+    const planLimitMs = 100;
+    planModels(input, 100_000);
+    const startedMs = performance.now();
+    planModels(input, 100_000);
+    vitest.expect(performance.now() - startedMs).toBeLessThan(planLimitMs);
+  });
+});
--- a/packages/gateway/src/placement/DemandBook.ts
+++ b/packages/gateway/src/placement/DemandBook.ts
@@ -4,8 +4,8 @@
 
 /** Time constant of the request rates, milliseconds: short enough to follow demand that moves within seconds. */
 const rateTimeConstantMs = 4_000;
-/** A daemon that has not reported for this long has stopped; its requests no longer count. */
-const reportLifetimeMs = 2_000;
+/** A daemon that has not reported for this long has stopped; its requests no longer count. Daemons report each second. */
+const reportLifetimeMs = 3_000;
 /** A rate below this is forgotten, requests a second. */
 const negligibleRate = 0.01;
 
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -1,7 +1,7 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from '../Clock.js';
 import type { EngineClient, OrderAnswer } from '../contracts/EngineClient.js';
-import type { DaemonReport, LeaderStatus } from '../peers/Types.js';
+import type { DaemonReport, ReadyEstimate } from '../peers/Types.js';
 import type { ReplicaDirectory, ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
 import { pause } from '../pause.js';
 import type { Configuration, EngineSpecification, Instant, Replica } from '../Types.js';
@@ -28,6 +28,8 @@
 const resendMs = 50;
 /** Pause after a refused order, milliseconds. */
 const refusedQuietMs = 1_000;
+/** Least time between two plans, milliseconds. One plan answers all reports that came meanwhile. */
+const planGapMs = 25;
 /** Longest time that an order may take beyond its expected end before its replica's state is read anew. */
 const orderPatienceMs = 30_000;
 
@@ -40,7 +42,12 @@
   /** Fires when the usable models of a replica change. */
   public readonly onHoldings = this._onHoldings.event;
   private _token: number | undefined;
-  private _planQueued = false;
+  private readonly _onPlanned = new common.Emitter<undefined>();
+  /** Fires after each plan, with new estimates. */
+  public readonly onPlanned = this._onPlanned.event;
+  private _planTimer: NodeJS.Timeout | undefined;
+  private _plannedMs = Number.NEGATIVE_INFINITY;
+  private _estimates: readonly ReadyEstimate[] = [];
   private _lastNewReplicaMs = 0;
 
   public constructor(
@@ -89,12 +96,19 @@
     return [...this._books.values()].filter((book) => book.sequence !== undefined).map((book) => book.holdings());
   }
 
-  /** What the daemons need to know besides the holdings. */
-  public status(daemonCount: number, tellsChanges: boolean): LeaderStatus {
-    const { steadyMs } = this._clock.now();
-    const running = Object.fromEntries([...this._runningCounts()].map(([id, counts]) => [id, counts.total]));
-    const estimates = this._inputs(steadyMs).flatMap((input) => estimateReady(input, steadyMs));
-    return { leads: this._token !== undefined, tellsChanges, daemonCount, running, estimates };
+  /** True while this daemon gives orders. */
+  public get leads(): boolean {
+    return this._token !== undefined;
+  }
+
+  /** Expected times for the models that requests wait for, as of the last plan. */
+  public estimates(): readonly ReadyEstimate[] {
+    return this._estimates;
+  }
+
+  /** Requests that all daemons together run, by replica id. */
+  public runningTotals(): ReadonlyMap<string, number> {
+    return new Map([...this._runningCounts()].map(([id, counts]) => [id, counts.total]));
   }
 
   private _stopLeading(): void {
@@ -102,18 +116,19 @@
       this._log.warn('Gives no orders any more.', { term: this._token });
       this._token = undefined;
       this._books.clear();
+      this._estimates = [];
     }
   }
 
   private _planSoon(): void {
-    if (this._token === undefined || this._planQueued) {
+    if (this._token === undefined || this._planTimer !== undefined) {
       return;
     }
-    this._planQueued = true;
-    setImmediate(() => {
-      this._planQueued = false;
+    const delayMs = Math.max(this._plannedMs + planGapMs - this._clock.now().steadyMs, 0);
+    this._planTimer = setTimeout(() => {
+      this._planTimer = undefined;
       this._plan();
-    });
+    }, delayMs);
   }
 
   private _followDirectory(): void {
@@ -175,17 +190,25 @@
     if (this._orderToken(now) === undefined) {
       return;
     }
-    for (const input of this._inputs(now.steadyMs)) {
-      // Adapters go first: they take some milliseconds, and no adapter can be loaded during the load of a model.
-      const adapterOrders = planAdapters(input, now.steadyMs);
-      const taken = new Set(adapterOrders.map((order) => order.replicaId));
-      const plan = planModels(input, now.steadyMs, taken);
-      this._applyClearings(plan, now.steadyMs);
-      for (const order of [...adapterOrders, ...plan.orders]) {
-        const book = this._books.get(order.replicaId);
-        if (book !== undefined) {
-          void this._carryOut(book, order, input);
-        }
+    this._plannedMs = now.steadyMs;
+    const inputs = this._inputs(now.steadyMs);
+    for (const input of inputs) {
+      this._planService(input, now.steadyMs);
+    }
+    this._estimates = inputs.flatMap((input) => estimateReady(input, now.steadyMs));
+    this._onPlanned.fire(undefined);
+  }
+
+  private _planService(input: PlacementInput, nowMs: number): void {
+    // Adapters go first: they take some milliseconds, and no adapter can be loaded during the load of a model.
+    const adapterOrders = planAdapters(input, nowMs);
+    const taken = new Set(adapterOrders.map((order) => order.replicaId));
+    const plan = planModels(input, nowMs, taken);
+    this._applyClearings(plan, nowMs);
+    for (const order of [...adapterOrders, ...plan.orders]) {
+      const book = this._books.get(order.replicaId);
+      if (book !== undefined) {
+        void this._carryOut(book, order, input);
       }
     }
   }
--- a/packages/gateway/src/placement/estimateReady.ts
+++ b/packages/gateway/src/placement/estimateReady.ts
@@ -1,6 +1,7 @@
 import type { ReadyEstimate } from '../peers/Types.js';
+import { CopyIndex } from './CopyIndex.js';
 import type { PlacementInput } from './Types.js';
-import { copies, demandByModel, isLoadingFromStore, loadTier, waitingModels } from './weights.js';
+import { demandByModel, isLoadingFromStore, waitingModels } from './weights.js';
 
 /** Expected time of a load from memory or disk with the unload before it, milliseconds. */
 const localSwapMs = 1_200;
@@ -11,6 +12,7 @@
  */
 export function estimateReady(input: PlacementInput, nowMs: number): readonly ReadyEstimate[] {
   const estimates: ReadyEstimate[] = [];
+  const copies = new CopyIndex(input.replicas);
   let queued = 0;
   const storeEnds = input.replicas
     .filter(isLoadingFromStore)
@@ -18,11 +20,11 @@
     .sort((first, second) => first - second);
   for (const [model] of waitingModels(demandByModel(input.demands))) {
     const specification = input.models.get(model);
-    const holders = copies(input, model);
+    const holders = copies.present(model);
     const loading = holders.find((replica) => replica.order?.kind === 'load' && replica.order.model === model);
     if (loading?.order !== undefined) {
       estimates.push({ model, readyInMs: Math.max(loading.order.expectedDoneMs - nowMs, 0) });
-    } else if (holders.length > 0 || input.replicas.some((replica) => loadTier(replica, model) !== 'store')) {
+    } else if (holders.length > 0 || copies.atHand(model).length > 0) {
       estimates.push({ model, readyInMs: localSwapMs });
     } else if (specification !== undefined) {
       const slot = queued % input.maximumStoreLoads;
--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -7,8 +7,8 @@
   PlannedClearing,
   PlannedOrder,
 } from './Types.js';
+import { CopyIndex } from './CopyIndex.js';
 import {
-  copies,
   demandByModel,
   freeMegabytes,
   gainOf,
@@ -17,7 +17,6 @@
   loadTier,
   type ModelDemand,
   patientTargetMs,
-  readyCopies,
   requestWeight,
   waitingModels,
   waitingRate,
@@ -78,6 +77,9 @@
   private readonly _releases: string[] = [];
   private readonly _taken: Set<string>;
   private readonly _adapterRates: ReadonlyMap<string, number>;
+  private readonly _copies: CopyIndex;
+  /** Models of a replica, the one that costs least to give up first. */
+  private readonly _byCost = new Map<string, readonly PlacedModel[]>();
   private _storeLoads: number;
 
   public constructor(
@@ -87,6 +89,7 @@
   ) {
     this._taken = new Set(taken);
     this._adapterRates = adapterRates(_input);
+    this._copies = new CopyIndex(_input.replicas);
     this._demand = demandByModel(_input.demands);
     this._storeLoads = _input.replicas.filter(isLoadingFromStore).length;
   }
@@ -139,7 +142,7 @@
     const isWanted = (held: PlacedModel): boolean =>
       held.retiringSinceMs !== undefined &&
       this._isWaitedFor(held.name) &&
-      readyCopies(this._input, held.name).length === 0 &&
+      this._copies.ready(held.name).length === 0 &&
       gainOf(this._demand.get(held.name)) * displacingShare > gain;
     return replica.models.some(isWanted);
   }
@@ -167,7 +170,7 @@
 
   private _addSecondCopies(): void {
     for (const [model, demand] of this._demand) {
-      const holders = copies(this._input, model);
+      const holders = this._copies.present(model);
       if (holders.length === 0 || holders.some((replica) => replica.order?.model === model)) {
         continue;
       }
@@ -199,7 +202,7 @@
     if (this._isPlanned(model)) {
       return;
     }
-    const holders = copies(this._input, model);
+    const holders = this._copies.present(model);
     const draining = holders.filter((replica) => this._isDraining(replica, model));
     const distant = tiers.includes('store') ? [] : holders.filter((replica) => this._isDistant(replica, model));
     if (
@@ -285,8 +288,7 @@
   private _option(replica: PlacedReplica, specification: ModelSpecification): Option | undefined {
     const victims: PlacedModel[] = [];
     let free = freeMegabytes(replica, this._input.models);
-    const candidates = replica.models.filter((held) => this._mayLeave(held, replica, specification.name));
-    candidates.sort((first, second) => this._costOf(first) - this._costOf(second));
+    const candidates = this._modelsByCost(replica).filter((held) => this._mayLeave(held, replica, specification.name));
     while (free < specification.weightMegabytes) {
       const victim = candidates.shift();
       if (victim === undefined) {
@@ -302,6 +304,18 @@
     return { replica, tier, victims, costMs };
   }
 
+  private _modelsByCost(replica: PlacedReplica): readonly PlacedModel[] {
+    const known = this._byCost.get(replica.id);
+    if (known !== undefined) {
+      return known;
+    }
+    const costs = replica.models.map((held) => ({ held, cost: this._costOf(held) }));
+    costs.sort((first, second) => first.cost - second.cost);
+    const models = costs.map(({ held }) => held);
+    this._byCost.set(replica.id, models);
+    return models;
+  }
+
   /**
    * A model in use leaves only for requests that are about to be late; until then another model may become idle. It
    * retires first, because an unload waits for the model's requests and keeps the replica from other orders meanwhile.
@@ -327,11 +341,11 @@
 
   private _copyCount(model: string): number {
     // A further copy still carries part of the load, but its loss makes no request wait for a load.
-    return Math.max(readyCopies(this._input, model).length, 1) ** 2;
+    return Math.max(this._copies.ready(model).length, 1) ** 2;
   }
 
   private _hasOtherCopy(model: string, replica: PlacedReplica): boolean {
-    return readyCopies(this._input, model).some((other) => other !== replica);
+    return this._copies.ready(model).some((other) => other !== replica);
   }
 
   private _weightedRate(model: string): number {
@@ -350,16 +364,15 @@
    */
   private _mayUseStore(model: string): boolean {
     const demand = this._demand.get(model);
-    const hasCopy = (replica: PlacedReplica): boolean => replica.takesOrders && loadTier(replica, model) !== 'store';
+    const hasCopy = this._copies.atHand(model).some((replica) => replica.takesOrders);
     const patienceMs = requestWeight(demand) > 1 ? impatientCopyPatienceMs : copyPatienceMs;
     const lateByMs = (demand?.unservedMs ?? 0) - (demand?.latencyTargetMs ?? 0);
-    const isWorthWaiting = lateByMs < patienceMs && this._input.replicas.some(hasCopy);
+    const isWorthWaiting = lateByMs < patienceMs && hasCopy;
     return this._storeLoads < this._input.maximumStoreLoads && !isWorthWaiting;
   }
 
   private _isAnywhere(model: string): boolean {
-    const { replicas } = this._input;
-    return copies(this._input, model).length > 0 || replicas.some((replica) => loadTier(replica, model) !== 'store');
+    return this._copies.present(model).length > 0 || this._copies.atHand(model).length > 0;
   }
 
   private _isFree(replica: PlacedReplica): boolean {
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -1,5 +1,5 @@
 import type { ModelSpecification, WeightTier } from '../Types.js';
-import type { Demand, PlacedModel, PlacedReplica, PlacementInput } from './Types.js';
+import type { Demand, PlacedModel, PlacedReplica } from './Types.js';
 
 /** Memory of a held model with its adapters, megabytes. */
 export function heldMegabytes(model: PlacedModel, models: ReadonlyMap<string, ModelSpecification>): number {
@@ -84,30 +84,3 @@
 export function isLoadingFromStore(replica: PlacedReplica): boolean {
   return replica.order?.kind === 'load' && replica.order.tier === 'store';
 }
-
-/** Replicas that hold a model and neither unload nor retire it. */
-export function readyCopies(input: PlacementInput, model: string): readonly PlacedReplica[] {
-  return input.replicas.filter((replica) => holds(replica, model));
-}
-
-/** Replicas that hold a model, load it, or are being cleared for it. */
-export function copies(input: PlacementInput, model: string): readonly PlacedReplica[] {
-  return input.replicas.filter((replica) => holdsOrLoads(replica, model));
-}
-
-function holdsOrLoads(replica: PlacedReplica, model: string): boolean {
-  if (!replica.takesRequests) {
-    return false;
-  }
-  const isLoading = replica.order?.kind === 'load' && replica.order.model === model;
-  return isLoading || replica.clearingFor === model || holds(replica, model);
-}
-
-function holds(replica: PlacedReplica, model: string): boolean {
-  const isUnloading = replica.order?.kind === 'unload' && replica.order.model === model;
-  return (
-    replica.takesRequests &&
-    !isUnloading &&
-    replica.models.some((held) => held.name === model && held.retiringSinceMs === undefined)
-  );
-}
--- a/packages/gateway/src/replicas/ReplicaDirectory.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.ts
@@ -19,6 +19,8 @@
 export class ReplicaDirectory {
   private readonly _entries = new Map<string, Entry>();
   private readonly _holdings = new Map<string, ReplicaHoldings>();
+  /** Replicas with their newest known models, by service; built when first asked for after a change. */
+  private _byService: ReadonlyMap<string, readonly Replica[]> | undefined;
   private readonly _onChanged = new common.Emitter<string>();
   /** Fires with the id of a replica that changed. */
   public readonly onChanged = this._onChanged.event;
@@ -43,7 +45,7 @@
   /** Takes over what the placement leader knows of a replica's models. */
   public applyHoldings(holdings: ReplicaHoldings): void {
     this._holdings.set(holdings.replicaId, holdings);
-    this._onChanged.fire(holdings.replicaId);
+    this._changed(holdings.replicaId);
   }
 
   /** Drops removed replicas whose grace has ended. */
@@ -52,7 +54,7 @@
       if (entry.dropAtMs !== undefined && nowMs >= entry.dropAtMs) {
         this._entries.delete(id);
         this._log.info('Dropped a replica whose record is gone.', { replica: id });
-        this._onChanged.fire(id);
+        this._changed(id);
       }
     }
   }
@@ -70,7 +72,8 @@
 
   /** Replicas of a service that take new work. */
   public usable(service: string): readonly Replica[] {
-    return this.all().filter((replica) => replica.service === service && replica.state === 'ready');
+    this._byService ??= groupByService(this.all().filter((replica) => replica.state === 'ready'));
+    return this._byService.get(service) ?? [];
   }
 
   public get size(): number {
@@ -87,7 +90,7 @@
       const counts = { models: models.length, inMemory: inMemory.length, onDisk: onDisk.length };
       this._log.info('Replica changed.', { replica: id, service, state, bornMs, ...counts, offset: record.offset });
     }
-    this._onChanged.fire(record.key);
+    this._changed(record.key);
     return isNews;
   }
 
@@ -104,16 +107,31 @@
       return true;
     }
     this._entries.delete(record.key);
-    this._onChanged.fire(record.key);
+    this._changed(record.key);
     return true;
   }
 
+  private _changed(id: string): void {
+    this._byService = undefined;
+    this._onChanged.fire(id);
+  }
+
   private _withHoldings(replica: Replica): Replica {
     const holdings = this._holdings.get(replica.id);
     return holdings?.bornMs === replica.bornMs ? { ...replica, models: holdings.models } : replica;
   }
 }
 
+function groupByService(replicas: readonly Replica[]): ReadonlyMap<string, readonly Replica[]> {
+  const groups = new Map<string, Replica[]>();
+  for (const replica of replicas) {
+    const group = groups.get(replica.service) ?? [];
+    group.push(replica);
+    groups.set(replica.service, group);
+  }
+  return groups;
+}
+
 function isUsedOtherwise(before: Replica, after: Replica): boolean {
   return (
     before.state !== after.state ||
--- a/packages/gateway/src/replicas/TableFollower.ts
+++ b/packages/gateway/src/replicas/TableFollower.ts
@@ -1,6 +1,7 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from '../Clock.js';
-import type { MetadataStore, TableName, TableRecord, TableRecords } from '../contracts/MetadataStore.js';
+import type { MetadataStore, TableName, TableRecord } from '../contracts/MetadataStore.js';
+import type { TableMessage } from '../peers/Types.js';
 import { TableState } from './TableState.js';
 
 /** How a table is read: longest wait of one read for a change, and least time between two reads, milliseconds. */
@@ -9,25 +10,37 @@
   readonly intervalMs: number;
 }
 
-/** Paces by what other daemons do. A series of changes costs one read an interval. */
-export const readPaces = {
-  /** Another daemon passes changes on, so that one reader serves all. */
-  assisted: { waitMs: 20_000, intervalMs: 12_000 },
-  /** Nobody passes changes on: a silent connection must show within 3 s. */
-  alone: { waitMs: 2_000, intervalMs: 400 },
-  /** Other daemons rely on this one: they must hear within a second that it does not reach the store. */
-  forOthers: { waitMs: 600, intervalMs: 300 },
-} as const satisfies Readonly<Record<string, ReadPace>>;
+/** Pace while another daemon passes changes on, so that one reader serves all. */
+const assistedPace: ReadPace = { waitMs: 2_000, intervalMs: 30_000 };
+/** Longest wait while nobody passes changes on: a silent connection must show within 3 s, milliseconds. */
+const aloneWaitMs = 2_000;
+/** Pace while others rely on this daemon: they must hear within a second that it does not reach the store. */
+const paceForOthers: ReadPace = { waitMs: 600, intervalMs: 300 };
+
+/** What other daemons do for this one, and it for them. */
+export interface ReadSituation {
+  /** Another daemon passes changes on. */
+  readonly isAssisted: boolean;
+  readonly hasFollowers: boolean;
+  /** Least time between two reads of a daemon on its own, milliseconds. */
+  readonly aloneIntervalMs: number;
+}
+
+/** How the tables are read in a situation. */
+export function readPace({ isAssisted, hasFollowers, aloneIntervalMs }: ReadSituation): ReadPace {
+  if (isAssisted) {
+    return assistedPace;
+  }
+  return hasFollowers ? paceForOthers : { waitMs: aloneWaitMs, intervalMs: aloneIntervalMs };
+}
 
 /** A read that is this late shows that the store may not be reached, milliseconds. The store answers in a few. */
 const lateReadMs = 300;
-/** Interval at which a pause between reads looks whether the pace has changed, milliseconds. */
-const pauseStepMs = 100;
 /** First and longest pause after a failed read, milliseconds. */
 const firstRetryMs = 150;
 const longestRetryMs = 800;
 
-type ReadResult = 'done' | 'failed' | 'stale' | 'historyDropped';
+type ReadResult = 'done' | 'failed' | 'stale';
 
 /** News of a table with where they came from. */
 export interface TableNews {
@@ -46,12 +59,13 @@
   private _available = true;
   private _readDueMs = Number.POSITIVE_INFINITY;
   private _wake: (() => void) | undefined;
+  private _pace: ReadPace = { waitMs: aloneWaitMs, intervalMs: 0 };
+  private _wholeNeeded = true;
 
   public constructor(
     private readonly _store: MetadataStore,
     private readonly _table: TableName,
     private readonly _clock: Clock,
-    private readonly _pace: () => ReadPace,
     private readonly _log: common.Logger,
   ) {}
 
@@ -69,9 +83,23 @@
     void this._run();
   }
 
+  /** Sets how the table is read from now on; a pause that the new pace shortens ends. */
+  public setPace(pace: ReadPace): void {
+    if (pace.waitMs !== this._pace.waitMs || pace.intervalMs !== this._pace.intervalMs) {
+      this._pace = pace;
+      this._wake?.();
+    }
+  }
+
+  /** Reads the whole table soon. Peers pass only those changes on that matter to routing. */
+  public readWhole(): void {
+    this._wholeNeeded = true;
+    this._wake?.();
+  }
+
   /** Takes over records that a peer has read. */
-  public acceptFromPeer(table: TableRecords, whole: boolean): void {
-    const news = whole ? this.state.applyTable(table) : this._changesFromPeer(table);
+  public acceptFromPeer(message: TableMessage): void {
+    const news = message.whole ? this.state.applyTable(message) : this.state.applyChanges(message);
     this._tell(news ?? [], 'peer');
   }
 
@@ -81,30 +109,25 @@
     return Promise.resolve();
   }
 
-  /** Changes of a peer may leave a gap to what is known here, so they never move the read position. */
-  private _changesFromPeer(table: TableRecords): readonly TableRecord[] {
-    return this.state.applyChanges({ records: table.records, end: this.state.end });
-  }
-
   private async _run(): Promise<void> {
     let retryMs = firstRetryMs;
-    let tableNeeded = true;
     while (!this._stopped) {
-      const outcome: ReadResult = tableNeeded ? await this._readTable() : await this._readChanges();
+      const outcome: ReadResult = this._wholeNeeded ? await this._readTable() : await this._readChanges();
       if (outcome === 'failed' || outcome === 'stale') {
         await this._pause(retryMs);
         retryMs = Math.min(retryMs * 2, longestRetryMs);
         continue;
       }
-      tableNeeded = outcome === 'historyDropped';
       retryMs = firstRetryMs;
-      await this._pauseBetweenReads(tableNeeded);
+      await this._pauseBetweenReads();
     }
   }
 
   private async _readTable(): Promise<ReadResult> {
+    this._wholeNeeded = false;
     const outcome = await this._store.readTable(this._table);
     if (!outcome.ok) {
+      this._wholeNeeded = true;
       this._recordFailure(outcome.failure.message);
       return 'failed';
     }
@@ -116,6 +139,7 @@
         end: outcome.value.end,
         knownEnd: this.state.end,
       });
+      this._wholeNeeded = true;
       return 'stale';
     }
     this._tell(news, 'store');
@@ -123,7 +147,7 @@
   }
 
   private async _readChanges(): Promise<ReadResult> {
-    const { waitMs } = this._pace();
+    const { waitMs } = this._pace;
     this._readDueMs = this._clock.now().steadyMs + waitMs;
     const outcome = await this._store.readChanges(this._table, this.state.end, waitMs);
     if (outcome.ok) {
@@ -133,7 +157,8 @@
     }
     if (outcome.failure.kind === 'historyDropped') {
       this._log.warn('History of the table was dropped; reading it whole.', { table: this._table });
-      return 'historyDropped';
+      this._wholeNeeded = true;
+      return 'done';
     }
     this._recordFailure(outcome.failure.message);
     return 'failed';
@@ -160,11 +185,15 @@
     }
   }
 
-  private async _pauseBetweenReads(tableNeeded: boolean): Promise<void> {
+  private async _pauseBetweenReads(): Promise<void> {
     const startedMs = this._clock.now().steadyMs;
-    this._readDueMs = startedMs + this._pace().intervalMs;
-    while (!tableNeeded && !this._stopped && this._clock.now().steadyMs - startedMs < this._pace().intervalMs) {
-      await this._pause(pauseStepMs);
+    for (;;) {
+      this._readDueMs = startedMs + this._pace.intervalMs;
+      const leftMs = this._readDueMs - this._clock.now().steadyMs;
+      if (this._wholeNeeded || this._stopped || leftMs <= 0) {
+        return;
+      }
+      await this._pause(leftMs);
     }
   }
 
--- a/packages/gateway/src/replicas/TableState.ts
+++ b/packages/gateway/src/replicas/TableState.ts
@@ -20,9 +20,14 @@
     return [...this._records.values()].filter((record) => record.offset >= offset);
   }
 
+  /** Notes that all changes before an offset are known. */
+  public advanceTo(end: number): void {
+    this._end = Math.max(this._end, end);
+  }
+
   /** Applies records that follow each other; returns those that are news. */
   public applyChanges(changes: TableRecords): readonly TableRecord[] {
-    this._end = Math.max(this._end, changes.end);
+    this.advanceTo(changes.end);
     return changes.records.filter((record) => this._apply(record));
   }
 
--- a/packages/gateway/src/routing/ReplicaLoads.ts
+++ b/packages/gateway/src/routing/ReplicaLoads.ts
@@ -9,7 +9,7 @@
 const forgivenessMs = 3_000;
 /** A replica whose connection failed is tried again after this time, milliseconds. */
 const unreachableMs = 800;
-/** A load that another daemon or the replica told is used for this long, milliseconds. */
+/** A load that a replica told is used for this long, and those of a leader for this long after its last word, milliseconds. */
 const toldLoadLifetimeMs = 1_500;
 /** Prompt parts that are remembered for a replica. */
 const rememberedParts = 256;
@@ -18,9 +18,11 @@
   /** Requests of this daemon by target. */
   readonly own: Map<string, { readonly target: ModelReference | undefined; count: number }>;
   ownTotal: number;
-  /** Requests of all daemons as told, and how many were this daemon's then. */
-  toldOthers: number;
-  toldMs: number;
+  /** Requests of other daemons as the replica said in its last answer. */
+  answerOthers: number;
+  answerMs: number;
+  /** Requests of other daemons as the leader told last. */
+  leaderOthers: number;
   failureShare: number;
   failureMs: number;
   unreachableUntilMs: number;
@@ -31,6 +33,7 @@
 export class ReplicaLoads {
   private readonly _loads = new Map<string, Load>();
   private _hasNews = false;
+  private _leaderHeardMs = Number.NEGATIVE_INFINITY;
 
   /** True if requests have started or ended since the last report. */
   public get hasNews(): boolean {
@@ -76,19 +79,29 @@
     this._load(replicaId).unreachableUntilMs = nowMs + unreachableMs;
   }
 
-  /** Takes over the number of requests that all daemons run on a replica. */
+  /** Takes over the number of requests that a replica said it has. */
   public recordTotal(replicaId: string, total: number, nowMs: number): void {
     const load = this._load(replicaId);
-    load.toldOthers = Math.max(total - load.ownTotal, 0);
-    load.toldMs = nowMs;
+    load.answerOthers = Math.max(total - load.ownTotal, 0);
+    load.answerMs = nowMs;
+  }
+
+  /** Takes over the number of requests that all daemons run on a replica, as the leader tells it after a change. */
+  public recordLeaderTotal(replicaId: string, total: number): void {
+    const load = this._load(replicaId);
+    load.leaderOthers = Math.max(total - load.ownTotal, 0);
+  }
+
+  /** Notes that the leader tells of loads, so that those it does not mention are unchanged. */
+  public leaderHeard(nowMs: number): void {
+    this._leaderHeardMs = nowMs;
   }
 
   public candidate(replica: Replica, parts: readonly string[], nowMs: number): Candidate {
     const load = this._load(replica.id);
-    const others = nowMs - load.toldMs < toldLoadLifetimeMs ? load.toldOthers : 0;
     return {
       replica,
-      running: load.ownTotal + others,
+      running: load.ownTotal + this._others(load, nowMs),
       failureShare: forgiven(load, nowMs),
       isUnreachable: nowMs < load.unreachableUntilMs,
       hasPromptParts: parts.length > 0 && parts.every((part) => load.parts.has(part)),
@@ -117,6 +130,13 @@
     }
   }
 
+  private _others(load: Load, nowMs: number): number {
+    if (nowMs - load.answerMs < toldLoadLifetimeMs) {
+      return load.answerOthers;
+    }
+    return nowMs - this._leaderHeardMs < toldLoadLifetimeMs ? load.leaderOthers : 0;
+  }
+
   private _rememberParts(load: Load, parts: readonly string[]): void {
     for (const part of parts) {
       load.parts.delete(part);
@@ -138,8 +158,9 @@
     const load: Load = {
       own: new Map(),
       ownTotal: 0,
-      toldOthers: 0,
-      toldMs: Number.NEGATIVE_INFINITY,
+      answerOthers: 0,
+      answerMs: Number.NEGATIVE_INFINITY,
+      leaderOthers: 0,
       failureShare: 0,
       failureMs: 0,
       unreachableUntilMs: 0,
