Heed replicas that leave or turn requests away, and bound bytes without end

A stalled stream with attempts = 2 was never moved, because the running attempt was counted twice, and any byte of a partial event counted as progress. Ruled out: crossed and doubled answers, which tests of reused connections keep out already. Change: a leaving replica takes no new work of any daemon from its first such answer on, until a new start; a replica that turns a request away gets nothing until its time is over, which is also what a refusal says; each read has a bound in bytes and time. Tests play each case against sockets; each failed before its change or without its guard.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -6,7 +6,7 @@
 import { ReplicaAgent } from './forwarding/ReplicaAgent.js';
 import { RequestLog } from './forwarding/RequestLog.js';
 import type { ExchangeContext } from './forwarding/Types.js';
-import type { LeaseTimes } from './leadership/Lease.js';
+import { type LeaseTimes, takeoverReluctanceMs } from './leadership/Lease.js';
 import { PeerAssistedLeaseStore } from './leadership/LeaseStore.js';
 import { LeaseKeeper } from './leadership/LeaseKeeper.js';
 import { pause } from './pause.js';
@@ -18,7 +18,7 @@
 import { messagePaces } from './peers/messagePaces.js';
 import { ReportPacer } from './peers/ReportPacer.js';
 import { tellUnknown } from './peers/tellUnknown.js';
-import type { DaemonReport, KnownTables, LeaderStatus, TableMessage } from './peers/Types.js';
+import type { DaemonReport, KnownTables, LeaderStatus, LeavingMessage, TableMessage } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
 import { removalGraceMs } from './replicas/removalGrace.js';
@@ -26,13 +26,14 @@
 import { readPace, TableFollower, type TableNews } from './replicas/TableFollower.js';
 import type { RetryBudgetLimits } from './retries/RetryBudget.js';
 import { RetryBudgets } from './retries/RetryBudgets.js';
+import { spreadSlots } from './routing/chooseReplica.js';
 import { ReplicaLoads } from './routing/ReplicaLoads.js';
 import { StopSchedule } from './StopSchedule.js';
 import type { Address } from './Types.js';
 import { WaitingRoom } from './waiting/WaitingRoom.js';
 
-/** Interval of the daemon's periodic work: reports, placement, silent peers. */
-const tickMs = 100;
+/** Time between two steps of the periodic work of a daemon that leads, milliseconds. */
+const leaderTickMs = 100;
 /** Interval at which a stopping daemon looks whether its requests have ended. */
 const stopCheckMs = 50;
 
@@ -43,6 +44,8 @@
   readonly callers: Address;
   readonly peers: Address;
   readonly seeds: readonly Address[];
+  /** Processor time that this VM has a second, seconds. A VM with little leaves the lead to others. */
+  readonly processorShare: number;
   readonly retryBudget: RetryBudgetLimits;
   readonly lease: LeaseTimes;
   /** Longest time that a stop may take, milliseconds. */
@@ -78,6 +81,7 @@
   private readonly _agent = new ReplicaAgent();
   private readonly _callers: CallerServer;
   private _routes: RouteTable | undefined;
+  private _tickTimer: NodeJS.Timeout | undefined;
   private _reportTimer: NodeJS.Timeout | undefined;
   /** Tables of which the present peer has told everything that this daemon lacked. */
   private _caughtUp = new Set<TableName>();
@@ -98,10 +102,21 @@
     this._link = new PeerLink(otherSeeds(_settings), _clock, _log.part('peers'));
     this._configurationTable = this._followTable('configuration');
     this._replicaTable = this._followTable('replicas');
-    const self = { holder: _settings.name, peerAddress: `${_settings.peers.host}:${_settings.peers.port}` };
+    const self = {
+      holder: _settings.name,
+      peerAddress: `${_settings.peers.host}:${_settings.peers.port}`,
+    };
     const heard = (): boolean => this._leaderIsHeard();
     this._leaseStore = new PeerAssistedLeaseStore(store, (call) => this._hub.sendToOne('leaseCall', call), _clock);
-    this._lease = new LeaseKeeper(this._leaseStore, self, _settings.lease, _clock, heard, _log.part('lease'));
+    this._lease = new LeaseKeeper(
+      this._leaseStore,
+      self,
+      _settings.lease,
+      takeoverReluctanceMs(_settings.processorShare),
+      _clock,
+      heard,
+      _log.part('lease'),
+    );
     this._leader = new PlacementLeader(
       _settings.name,
       () => this._routes?.configuration,
@@ -128,11 +143,9 @@
     this._configurationTable.start();
     this._replicaTable.start();
     this._lease.start();
-    const timer = setInterval(() => {
-      this._tick();
-    }, tickMs);
+    this._tickLater();
     this._resources.register(() => {
-      clearInterval(timer);
+      clearTimeout(this._tickTimer);
       clearTimeout(this._reportTimer);
     });
     await this._callers.open();
@@ -183,11 +196,12 @@
 
   /** Sets how often this daemon reads the store, by what the others do. */
   private _setReadPaces(nowMs: number): void {
-    const isAssisted = this._link.isHeard(nowMs) && this._leaderView.tellsChanges === true;
+    const isHeard = this._link.isHeard(nowMs) && this._leaderView.tellsChanges !== undefined;
+    const heard = this._leaderView.tellsChanges === true ? 'current' : 'cutOff';
     const pace = readPace({
-      isAssisted,
+      leader: isHeard ? heard : 'unheard',
       hasFollowers: this._hub.peerCount > 0,
-      aloneIntervalMs: messagePaces(this._leaderView.daemonCount).aloneReadMs,
+      paces: messagePaces(this._leaderView.daemonCount),
     });
     this._configurationTable.setPace(pace);
     this._replicaTable.setPace(pace);
@@ -213,6 +227,11 @@
     this._hub.onMessage((news) => {
       this._receiveAsHub(news);
     });
+    this._hub.onJoined((channel) => {
+      for (const [replicaId, bornMs] of this._directory.leaving()) {
+        channel.send('leaving', { replicaId, bornMs });
+      }
+    });
     this._link.onMessage((message) => {
       this._receive(message);
     });
@@ -235,6 +254,8 @@
       this._applyLoads(new Map(Object.entries(message.params.running)));
     } else if (message.method === 'estimates') {
       this._leaderView.applyEstimates(message.params.estimates, this._nowMs());
+    } else if (message.method === 'leaving') {
+      this._markLeaving(message.params);
     } else if (message.method === 'leaseCall') {
       void this._leaseStore.serve(message.params).then((reply) => {
         this._link.send('leaseReply', reply);
@@ -250,6 +271,8 @@
       tellUnknown(channel, 'replicas', this._replicaTable.state, message.params);
     } else if (message.method === 'table') {
       this._acceptTable(message.params);
+    } else if (message.method === 'leaving') {
+      this._markLeaving(message.params);
     } else if (message.method === 'leaseReply') {
       this._leaseStore.accept(message.params);
     }
@@ -268,6 +291,14 @@
     }
   }
 
+  /** Takes a replica out of use that has said that it leaves, and passes the word on. */
+  private _markLeaving(message: LeavingMessage): void {
+    if (this._directory.markLeaving(message.replicaId, message.bornMs)) {
+      this._hub.broadcast('leaving', message);
+      this._link.send('leaving', message);
+    }
+  }
+
   private _tableEnds(): KnownTables {
     return { configuration: this._configurationTable.state.end, replicas: this._replicaTable.state.end };
   }
@@ -310,6 +341,18 @@
     }
   }
 
+  /** Does the periodic work, reports, placement and silent peers, and does it again later. */
+  private _tickLater(): void {
+    const { tickMs } = messagePaces(this._leaderView.daemonCount);
+    this._tickTimer = setTimeout(
+      () => {
+        this._tick();
+        this._tickLater();
+      },
+      this._lease.isHolder ? leaderTickMs : tickMs,
+    );
+  }
+
   private _tick(): void {
     const nowMs = this._nowMs();
     this._directory.dropExpired(nowMs);
@@ -324,7 +367,7 @@
     if (this._reportPacer.isDue(hasNews, messagePaces(this._leaderView.daemonCount), nowMs)) {
       this._report();
     }
-    this._loads.retain((id) => this._directory.get(id) !== undefined);
+    this._loads.retain((id) => this._directory.get(id) !== undefined, nowMs);
   }
 
   private _tellStatus(nowMs: number): void {
@@ -407,6 +450,10 @@
       agent: this._agent,
       routes: () => this._routes,
       readyInMs: (model) => this._readyInMs(model),
+      randomSlots: () => Math.random() * spreadSlots(this._leaderView.daemonCount),
+      replicaLeaves: ({ id, bornMs }) => {
+        this._markLeaving({ replicaId: id, bornMs });
+      },
       recordArrival: (target, route) => {
         this._arrivals.record(target, route.latencyTargetMs);
       },
--- a/packages/gateway/src/contracts/RequestCodec.ts
+++ b/packages/gateway/src/contracts/RequestCodec.ts
@@ -31,6 +31,10 @@
   /** The answer comes from another replica than the expected one. */
   readonly otherReplica: boolean;
   readonly load?: { readonly running: number; readonly waiting: number; readonly slots: number };
+  /** The replica says that it leaves and takes no further requests. */
+  readonly leaving: boolean;
+  /** Time for which a replica that turned the request away wants none, milliseconds. */
+  readonly retryAfterMs?: number;
   /** The answer is encoded and so not the replica's own body. */
   readonly encoded: boolean;
 }
--- a/packages/gateway/src/forwarding/AnswerRelay.ts
+++ b/packages/gateway/src/forwarding/AnswerRelay.ts
@@ -2,9 +2,12 @@
 import type { RequestCodec } from '../contracts/RequestCodec.js';
 import { EventBoundary } from './EventBoundary.js';
 
+/** Longest answer, bytes. A replica in trouble may send bytes without end. */
+const maximumAnswerBytes = 64 * 1024 * 1024;
+
 /** What the relay tells the exchange. */
 export interface RelayListener {
-  /** Bytes of the answer have come. */
+  /** More of the answer has come: bytes, or a whole event of a stream that may go on elsewhere. */
   onProgress(): void;
   /** The answer has been passed on whole. */
   onEnd(): void;
@@ -25,6 +28,7 @@
   private _pendingHead: http.IncomingMessage | undefined;
   private _events: EventBoundary | undefined;
   private _headSent = false;
+  private _receivedBytes = 0;
 
   public constructor(
     private readonly _response: http.ServerResponse,
@@ -82,11 +86,17 @@
     if (this._upstream !== upstream) {
       return;
     }
-    this._listener.onProgress();
+    this._receivedBytes += chunk.length;
     const bytes = this._events === undefined ? chunk : this._events.push(chunk);
+    if (this._receivedBytes > maximumAnswerBytes || this._events?.isOverlong === true) {
+      this.break('the answer has no end');
+      upstream.destroy();
+      return;
+    }
     if (bytes.length === 0) {
       return;
     }
+    this._listener.onProgress();
     this._sendHead();
     if (!this._response.write(bytes)) {
       upstream.pause();
--- a/packages/gateway/src/forwarding/EventBoundary.ts
+++ b/packages/gateway/src/forwarding/EventBoundary.ts
@@ -1,6 +1,6 @@
 /** Events end with an empty line. */
 const eventEnd = Buffer.from('\n\n');
-/** Longest event that is kept until its end arrives, bytes. */
+/** Longest event, bytes. A longer one is no event, and its bytes may have no end. */
 const maximumEventBytes = 1024 * 1024;
 
 /** Cuts a stream of server-sent events into whole events and remembers the last identifier. */
@@ -13,12 +13,17 @@
     return this._lastEventId;
   }
 
+  /** True once an event has grown too long. */
+  public get isOverlong(): boolean {
+    return this._rest.length > maximumEventBytes;
+  }
+
   /** Returns the whole events that a chunk completes; empty if it completes none. */
   public push(chunk: Buffer): Buffer {
     const bytes = this._rest.length === 0 ? chunk : Buffer.concat([this._rest, chunk]);
     const end = bytes.lastIndexOf(eventEnd);
     if (end < 0) {
-      this._rest = bytes.subarray(0, maximumEventBytes);
+      this._rest = bytes;
       return Buffer.alloc(0);
     }
     const whole = bytes.subarray(0, end + eventEnd.length);
--- a/packages/gateway/src/forwarding/Exchange.test.ts
+++ b/packages/gateway/src/forwarding/Exchange.test.ts
@@ -221,3 +221,180 @@
 function sendChunk(socket: net.Socket, text: string): void {
   socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
 }
+
+const notRun = 'HTTP/1.1 503 Full\r\nx-attempt: a1\r\nx-not-run: 1\r\n';
+
+vitest.describe('replicas that want no more requests', () => {
+  vitest.test(
+    'get nothing after an answer that says that they leave (guards against work for a leaving VM)',
+    async () => {
+      const leaves: ReplicaScript = (socket) => {
+        socket.write(`${ok}x-leaving: 1\r\nContent-Length: 5\r\n\r\nwhole`);
+      };
+      await withReplicas({ kind: 'nonIdempotent' }, [leaves], async (fixture) => {
+        vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: 'whole' });
+        vitest.expect(await fixture.call()).toMatchObject({ status: 503 });
+        vitest.expect(fixture.heads.length).toBe(1);
+      });
+    },
+  );
+
+  vitest.test(
+    'get nothing until the time that they asked for is over (guards against pressure on a full replica)',
+    async () => {
+      const turnsAway: ReplicaScript = (socket) => {
+        socket.write(`${notRun}Retry-After: 1.2\r\nContent-Length: 0\r\n\r\n`);
+      };
+      await withReplicas({ kind: 'idempotent' }, [turnsAway], async (fixture) => {
+        const first = await fixture.call();
+        vitest.expect(first.status).toBe(503);
+        vitest.expect(Number(first.headers['retry-after'])).toBeCloseTo(1.2, 1);
+        await new Promise((resolve) => setTimeout(resolve, 600));
+        for (let run = 0; run < 5; run += 1) {
+          const { status, headers } = await fixture.call();
+          vitest.expect(status).toBe(503);
+          vitest.expect(Number(headers['retry-after'])).toBeLessThan(0.65);
+        }
+        vitest.expect(fixture.heads.length).toBe(1);
+        await new Promise((resolve) => setTimeout(resolve, 700));
+        await fixture.call();
+        vitest.expect(fixture.heads.length).toBe(2);
+      });
+    },
+  );
+
+  vitest.test('are left out in favour of others', async () => {
+    const turnsAway: ReplicaScript = (socket) => {
+      socket.write(`${notRun}Retry-After: 5\r\nContent-Length: 0\r\n\r\n`);
+    };
+    await withReplicas({ kind: 'nonIdempotent' }, [turnsAway, answers], async (fixture) => {
+      for (let run = 0; run < 4; run += 1) {
+        vitest.expect(await fixture.call()).toMatchObject({ status: 200 });
+      }
+      vitest.expect(fixture.heads.filter((head) => head.includes('x-replica: r0')).length).toBe(1);
+    });
+  });
+});
+
+/** Writes a text again and again until the other side closes; resolves then. */
+function writeWithoutEnd(socket: net.Socket, text: string): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setInterval(() => socket.write(text), 5);
+    socket.once('close', () => {
+      clearInterval(timer);
+      resolve();
+    });
+  });
+}
+
+vitest.describe('bytes without end (guards against connections, memory and callers that are held for good)', () => {
+  const endless: readonly (readonly [string, string, string])[] = [
+    ['that are no answer', '', 'garbage'],
+    ['in the head of an answer', ok, `x-more: ${'x'.repeat(2_000)}\r\n`],
+    ['in interim answers', '', 'HTTP/1.1 100 Continue\r\n\r\n'],
+  ];
+  for (const [where, start, more] of endless) {
+    vitest.test(`${where} end the attempt and its connection`, async () => {
+      const closed: Promise<void>[] = [];
+      const script: ReplicaScript = (socket) => {
+        socket.write(start);
+        closed.push(writeWithoutEnd(socket, more));
+      };
+      await withReplicas({ kind: 'nonIdempotent' }, [script], async (fixture) => {
+        vitest.expect(await fixture.call()).toMatchObject({ status: 502, complete: true });
+        await Promise.all(closed);
+        vitest.expect(closed.length).toBe(1);
+      });
+    });
+  }
+
+  vitest.test('in the body of a refusal cost the connection, not the request', async () => {
+    const closed: Promise<void>[] = [];
+    const refuses: ReplicaScript = (socket) => {
+      socket.write(`${notRun}Transfer-Encoding: chunked\r\n\r\n`);
+      closed.push(writeWithoutEnd(socket, `1000\r\n${'x'.repeat(4_096)}\r\n`));
+    };
+    await withReplicas({ kind: 'nonIdempotent' }, [refuses, answers], async (fixture) => {
+      vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: 'whole' });
+      await Promise.all(closed);
+      vitest.expect(closed.length).toBe(1);
+    });
+  });
+
+  vitest.test('in an event of a stream move the stream to another replica', async () => {
+    const closed: Promise<void>[] = [];
+    const script: ReplicaScript = (socket) => {
+      socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n`);
+      closed.push(writeWithoutEnd(socket, `40000\r\n${'x'.repeat(0x40000)}\r\n`));
+    };
+    const good: ReplicaScript = (socket) => {
+      const body = events(1, 3);
+      socket.write(`${ok}Content-Length: ${body.length}\r\n\r\n${body}`);
+    };
+    const route = { kind: 'stream', resumable: true, eventGapMs: 600 } as const;
+    await withReplicas(route, [script, good], async (fixture) => {
+      vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: events(1, 3), complete: true });
+      await Promise.all(closed);
+    });
+  });
+
+  vitest.test('in a request are read for a while after its answer, then cut', async () => {
+    await withReplicas({ kind: 'idempotent' }, [answers], async (fixture) => {
+      const socket = fixture.connect();
+      socket.write('POST /p/x HTTP/1.1\r\nhost: h\r\nx-attempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n');
+      let answer = '';
+      socket.on('data', (bytes) => (answer += bytes.toString()));
+      socket.on('error', () => undefined);
+      await writeWithoutEnd(socket, `40\r\n${'x'.repeat(64)}\r\n`);
+      vitest.expect(answer).toContain('413');
+      vitest.expect(fixture.heads).toEqual([]);
+    });
+  });
+});
+
+vitest.describe('slow and stalled streams', () => {
+  const route = { kind: 'stream', resumable: true, eventGapMs: 60, latencyTargetMs: 200 } as const;
+
+  vitest.test(
+    'move on if whole events stop, though a byte comes now and then (guards against endless stalls)',
+    async () => {
+      const trickles: ReplicaScript = (socket) => {
+        socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n${chunk(events(1, 1))}`);
+        void writeWithoutEnd(socket, chunk('x'));
+      };
+      const resumes: ReplicaScript = (socket) => {
+        const body = events(2, 3);
+        socket.write(`${ok}Content-Length: ${body.length}\r\n\r\n${body}`);
+      };
+      await withReplicas(route, [trickles, resumes], async (fixture) => {
+        vitest.expect(await fixture.call()).toMatchObject({ body: events(1, 3), complete: true });
+        vitest.expect(fixture.heads[1]).toContain('last-event-id: 1');
+      });
+    },
+  );
+
+  vitest.test(
+    'are not cut while events come within the allowed silence (guards against cut sound streams)',
+    async () => {
+      const slow: ReplicaScript = (socket) => {
+        socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n`);
+        let id = 0;
+        const timer = setInterval(() => {
+          id += 1;
+          socket.write(id <= 8 ? chunk(events(id, id)) : '0\r\n\r\n');
+          if (id > 8) {
+            clearInterval(timer);
+          }
+        }, 250);
+      };
+      await withReplicas(route, [slow, slow], async (fixture) => {
+        vitest.expect(await fixture.call()).toMatchObject({ body: events(1, 8), complete: true });
+        vitest.expect(fixture.heads.length).toBe(1);
+      });
+    },
+  );
+});
+
+function chunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -1,10 +1,11 @@
 import type * as http from 'node:http';
 import type { CallerRequest, ReplicaAnswer } from '../contracts/RequestCodec.js';
-import { selectReplica } from '../routing/selectReplica.js';
+import { selectReplica, turnedAwayMs } from '../routing/selectReplica.js';
 import type { ModelReference, Replica, Route } from '../Types.js';
 import { decideWait } from '../waiting/decideWait.js';
 import { ModelWait } from '../waiting/ModelWait.js';
 import type { Waiter } from '../waiting/WaitingRoom.js';
+import { discardBody } from './discardBody.js';
 import { readBody } from './readBody.js';
 import { admitRequest, type OwnAnswer } from './admitRequest.js';
 import { AnswerRelay } from './AnswerRelay.js';
@@ -17,6 +18,8 @@
 
 /** Time to come back after replicas refused or could not be reached, milliseconds. */
 const refusedRetryAfterMs = 500;
+/** Longest time that the rest of a request is read after its answer, milliseconds. */
+const unreadRequestMs = 1_000;
 /** Time to come back to another daemon while this one stops, milliseconds. */
 const stoppingRetryAfterMs = 50;
 
@@ -42,6 +45,8 @@
   private readonly _excluded = new Set<string>();
   /** Replicas that may have run the request. */
   private _runs = 0;
+  /** True once the present attempt is one of these. */
+  private _attemptCounted = false;
   /** Status of the answer that is being passed on. */
   private _answerStatus = 0;
   private _finished = false;
@@ -127,6 +132,7 @@
       promptParts: this._promptParts(),
       excluded: this._excluded,
       failureDomain: this._context.failureDomain,
+      randomSlots: () => this._context.randomSlots(),
     };
     const replica = selectReplica(selection, this._context.loads, nowMs);
     if (replica !== undefined) {
@@ -134,17 +140,22 @@
       this._send(replica);
       return true;
     }
+    const freeInMs = turnedAwayMs(selection, this._context.loads, nowMs);
     if (target === undefined || this._route === undefined) {
-      this._refuse('no replica of the service is known', refusedRetryAfterMs);
+      const reason = freeInMs === undefined ? 'no replica of the service is known' : 'all replicas turn requests away';
+      this._refuse(reason, freeInMs ?? refusedRetryAfterMs);
       return true;
     }
-    return this._waitOrRefuse(target, this._route);
+    return this._waitOrRefuse(target, this._route, freeInMs);
   }
 
-  /** Lets the request wait for its model, or refuses it. Returns true if it no longer needs to wait. */
-  private _waitOrRefuse(target: ModelReference, route: Route): boolean {
+  /**
+   * Lets the request wait for its model, or refuses it. `freeInMs` is the time until a replica that holds the model takes
+   * requests again. Returns true if it no longer needs to wait.
+   */
+  private _waitOrRefuse(target: ModelReference, route: Route, freeInMs: number | undefined): boolean {
     const nowMs = this._nowMs();
-    const readyInMs = this._context.readyInMs(target.model);
+    const readyInMs = freeInMs ?? this._context.readyInMs(target.model);
     const decision = decideWait({
       waitedMs: this._wait.waitedMs(nowMs),
       timeLeftMs: Math.min(this._deadline.leftMs(nowMs), this._startedMs + callerPatienceMs(route) - nowMs),
@@ -180,6 +191,7 @@
     const nowMs = this._nowMs();
     this._tried.push(replica.id);
     this._excluded.add(replica.id);
+    this._attemptCounted = false;
     this._context.loads.started(replica.id, caller.target, this._promptParts());
     const { lastEventId } = this._relay;
     const headers = this._context.codec.forwardedHeaders(this._request, {
@@ -221,18 +233,19 @@
     if (answer.load !== undefined) {
       this._context.loads.recordTotal(replica.id, answer.load.running + answer.load.waiting, this._nowMs());
     }
+    this._noteWishes(replica, answer);
     if ((answer.notRun && answer.status !== 400) || answer.otherReplica) {
-      response.resume();
+      discardBody(response);
       this._endAttempt('refused');
       this._sendAgainOr(false, () => {
-        this._refuse(`replica refused with ${answer.status}`, refusedRetryAfterMs);
+        this._refuse(`replica refused with ${answer.status}`, answer.retryAfterMs ?? refusedRetryAfterMs);
       });
       return;
     }
-    this._runs += 1;
+    this._countRun();
     const isFailure = answer.status >= 500;
     if (isFailure && !this._relay.headSent && this._mayRunAgain()) {
-      response.resume();
+      discardBody(response);
       this._endAttempt('failed');
       this._sendAgainOr(true, () => {
         this._breakOff('no replica gave a good answer');
@@ -248,6 +261,16 @@
     this._passOn(answer, response);
   }
 
+  /** Notes what an answer says of further requests to its replica. */
+  private _noteWishes(replica: Replica, answer: ReplicaAnswer): void {
+    if (answer.leaving && !answer.otherReplica) {
+      this._context.replicaLeaves(replica);
+    }
+    if (answer.status === 503 && answer.retryAfterMs !== undefined) {
+      this._context.loads.recordTurnedAway(replica.id, answer.retryAfterMs, this._nowMs());
+    }
+  }
+
   private _passOn(answer: ReplicaAnswer, response: http.IncomingMessage): void {
     const attempt = this._attempt;
     const isEventStream = this._route?.kind === 'stream' && answer.status === 200;
@@ -284,7 +307,9 @@
       this._sendElsewhere(failure.message);
       return;
     }
-    this._runs += failure.mayHaveRun ? 1 : 0;
+    if (failure.mayHaveRun) {
+      this._countRun();
+    }
     this._endAttempt('failed');
     this._sendAgainOr(failure.mayHaveRun, () => {
       this._refuse(failure.message, refusedRetryAfterMs);
@@ -318,7 +343,16 @@
   }
 
   private _watchSilence(): void {
-    this._silence.start(this._route, this._runs, this._relay.headSent);
+    const earlierRuns = this._runs - (this._attemptCounted ? 1 : 0);
+    this._silence.start(this._route, earlierRuns, this._relay.headSent);
+  }
+
+  /** Notes that the replica of the present attempt may have run the request. */
+  private _countRun(): void {
+    if (!this._attemptCounted) {
+      this._attemptCounted = true;
+      this._runs += 1;
+    }
   }
 
   /** Gives a silent replica up; the request runs elsewhere. */
@@ -332,7 +366,7 @@
       return;
     }
     this._relay.detach();
-    this._runs += 1;
+    this._countRun();
     attempt.cancel();
     this._endAttempt('failed');
     this._dispatch();
@@ -390,7 +424,18 @@
     this._response.shouldKeepAlive = this._response.shouldKeepAlive && !this._context.isStopping();
     this._response.writeHead(status, [...headers, 'Content-Length', String(body.length)]);
     this._response.end(body);
+    this._discardRequest();
+  }
+
+  /** Reads the rest of a request, so that its answer is not lost to a reset; one without end loses its connection. */
+  private _discardRequest(): void {
     this._request.resume();
+    if (!this._request.complete) {
+      const timer = setTimeout(() => this._request.socket.destroy(), unreadRequestMs);
+      this._request.once('end', () => {
+        clearTimeout(timer);
+      });
+    }
   }
 
   private _callerLeft(): void {
--- a/packages/gateway/src/forwarding/ReplicaAttempt.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.ts
@@ -6,6 +6,9 @@
 /** Longest time to connect to a replica, milliseconds. A connection takes a few. */
 const connectTimeoutMs = 300;
 
+/** Interim answers (1xx) before the final one. A replica in trouble may send them without end. */
+const maximumInterimAnswers = 8;
+
 /** One send of a request to a replica. */
 export interface AttemptRequest {
   readonly method: string;
@@ -41,6 +44,7 @@
   private _headReceived = false;
   private _connectTimer: NodeJS.Timeout | undefined;
   private _wasReset = false;
+  private _interimAnswers = 0;
 
   public constructor(
     private readonly _request: AttemptRequest,
@@ -54,6 +58,12 @@
     this._outgoing.on('response', (response) => {
       this._receiveHead(response);
     });
+    this._outgoing.on('information', () => {
+      this._interimAnswers += 1;
+      if (this._interimAnswers > maximumInterimAnswers) {
+        this._outgoing.destroy(new Error('interim answers without end'));
+      }
+    });
     this._outgoing.on('error', (error) => {
       if (this._headReceived) {
         this._listener.onBroken(error.message);
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -6,7 +6,7 @@
 import type { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
 import type { RetryBudgets } from '../retries/RetryBudgets.js';
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
-import type { ModelReference, Route } from '../Types.js';
+import type { ModelReference, Replica, Route } from '../Types.js';
 import type { WaitingRoom } from '../waiting/WaitingRoom.js';
 import type { RequestLog } from './RequestLog.js';
 
@@ -25,6 +25,10 @@
   routes(): RouteTable | undefined;
   /** Expected time until a model is ready; undefined while no leader tells. */
   readyInMs(model: string): number | undefined;
+  /** Random part of a replica's cost when it is chosen, slots. */
+  randomSlots(): number;
+  /** Says that a replica leaves, as it said in an answer. */
+  replicaLeaves(replica: Replica): void;
   /** Counts a request for the leader. */
   recordArrival(target: ModelReference, route: Route): void;
   /** Says that a request began to wait. */
--- a/packages/gateway/src/leadership/Lease.ts
+++ b/packages/gateway/src/leadership/Lease.ts
@@ -42,6 +42,17 @@
   return wallElapsedMs >= 0 && elapsedMs(renewedAt, now) < times.validityMs;
 }
 
+/** Longest wait by which a VM with little processor time leaves the lead to others, milliseconds. */
+const maximumReluctanceMs = 800;
+
+/**
+ * Time that a VM waits before it takes a free lease, milliseconds. The leader hears all daemons, so VMs with more
+ * processor time go first. `processorShare` is in seconds a second.
+ */
+export function takeoverReluctanceMs(processorShare: number): number {
+  return Math.max(1 - processorShare, 0) * maximumReluctanceMs;
+}
+
 /** Time to wait before the lease may be taken over; 0 if it may be taken now. */
 export function takeoverDelayMs(seen: SeenLease | undefined, self: string, now: Instant, times: LeaseTimes): number {
   if (seen === undefined || seen.record.holder === self) {
--- a/packages/gateway/src/leadership/LeaseKeeper.ts
+++ b/packages/gateway/src/leadership/LeaseKeeper.ts
@@ -46,6 +46,8 @@
     private readonly _store: LeaseStore,
     private readonly _self: LeaderLocation,
     private readonly _times: LeaseTimes,
+    /** Time that this VM waits before it takes a free lease from another VM, milliseconds. */
+    private readonly _reluctanceMs: number,
     private readonly _clock: Clock,
     /** True while the leader is heard over a peer connection, so that its record need not be read. */
     private readonly _leaderIsHeard: () => boolean,
@@ -100,10 +102,21 @@
     }
     const delayMs = takeoverDelayMs(this._seen, this._self.holder, this._clock.now(), this._times);
     if (delayMs > 0) {
-      return Math.min(delayMs, this._times.renewMs) + Math.random() * takeoverJitterMs;
+      // A VM that would take the lease over late need not watch it closely.
+      const pauseMs = this._reluctanceMs > 0 ? delayMs : Math.min(delayMs, this._times.renewMs);
+      return pauseMs + Math.random() * takeoverJitterMs;
     }
-    await pause(this._seen?.record.holder === this._self.holder ? 0 : Math.random() * takeoverJitterMs);
-    return this._takeOver();
+    return (await this._letOthersGoFirst()) ? this._takeOver() : this._times.renewMs;
+  }
+
+  /** Waits before a takeover, so that few daemons write at once; false if another VM has taken the lease meanwhile. */
+  private async _letOthersGoFirst(): Promise<boolean> {
+    if (this._seen?.record.holder === this._self.holder) {
+      return true;
+    }
+    const offset = this._seen?.offset;
+    await pause(this._reluctanceMs + Math.random() * takeoverJitterMs);
+    return !this._leaderIsHeard() && (await this._readLease()) && this._seen?.offset === offset;
   }
 
   private async _takeOver(): Promise<number> {
--- a/packages/gateway/src/peers/LeaderMessages.ts
+++ b/packages/gateway/src/peers/LeaderMessages.ts
@@ -56,12 +56,13 @@
     const nowMs = this._nowMs();
     const { daemonCount } = this;
     const status = { leads: this._leader.leads, tellsChanges, daemonCount, ends };
-    const message = this._statusPacer.next(status, nowMs);
+    const paces = messagePaces(daemonCount);
+    const message = this._statusPacer.next(status, paces.heartbeatMs, nowMs);
     if (message !== undefined) {
       this._hub.broadcast('status', message);
     }
     if (status.leads) {
-      const loads = this._loadPacer.next(this._leader.runningTotals(), messagePaces(daemonCount).loadsMs, nowMs);
+      const loads = this._loadPacer.next(this._leader.runningTotals(), paces.loadsMs, nowMs);
       if (loads !== undefined) {
         this._hub.broadcast('loads', loads);
       }
--- a/packages/gateway/src/peers/StatusPacer.test.ts
+++ b/packages/gateway/src/peers/StatusPacer.test.ts
@@ -2,6 +2,7 @@
 import { StatusPacer } from './StatusPacer.js';
 import type { LeaderStatus } from './Types.js';
 
+const heartbeatMs = 300;
 const ends = { configuration: 1, replicas: 1 };
 const status: LeaderStatus = { leads: true, tellsChanges: true, daemonCount: 3, ends };
 
@@ -9,17 +10,17 @@
   vitest.test('sends what changes all the time only at intervals (guards against bytes to every daemon)', () => {
     const pacer = new StatusPacer();
     const later = { ...status, ends: { ...ends, replicas: 9 } };
-    vitest.expect(pacer.next(status, 0)).toEqual(status);
-    vitest.expect(pacer.next(later, 100)).toBeUndefined();
-    vitest.expect(pacer.next(later, 300)).toEqual(later);
+    vitest.expect(pacer.next(status, heartbeatMs, 0)).toEqual(status);
+    vitest.expect(pacer.next(later, heartbeatMs, 100)).toBeUndefined();
+    vitest.expect(pacer.next(later, heartbeatMs, 300)).toEqual(later);
   });
 
   vitest.test('sends everything else at once (guards against late words of a lost store)', () => {
     for (const change of [{ leads: false }, { tellsChanges: false }, { daemonCount: 2 }]) {
       const pacer = new StatusPacer();
-      pacer.next(status, 0);
-      vitest.expect(pacer.next({ ...status, ...change }, 100)).toEqual({ ...status, ...change });
-      vitest.expect(pacer.next({ ...status, ...change }, 200)).toBeUndefined();
+      pacer.next(status, heartbeatMs, 0);
+      vitest.expect(pacer.next({ ...status, ...change }, heartbeatMs, 100)).toEqual({ ...status, ...change });
+      vitest.expect(pacer.next({ ...status, ...change }, heartbeatMs, 200)).toBeUndefined();
     }
   });
 });
--- a/packages/gateway/src/peers/StatusPacer.ts
+++ b/packages/gateway/src/peers/StatusPacer.ts
@@ -1,15 +1,12 @@
 import type { LeaderStatus } from './Types.js';
 
-/** Longest pause between two messages, milliseconds. A leader that is silent for some of these counts as lost. */
-const heartbeatMs = 300;
-
 /** Chooses when the followers are sent the leader's status: at intervals, and at once when it means something new. */
 export class StatusPacer {
   private _sent: LeaderStatus | undefined;
   private _sentMs = Number.NEGATIVE_INFINITY;
 
-  /** Returns the message to send now; undefined if the followers know enough. */
-  public next(status: LeaderStatus, nowMs: number): LeaderStatus | undefined {
+  /** Returns the message to send now; undefined if the followers know enough. `heartbeatMs` is in milliseconds. */
+  public next(status: LeaderStatus, heartbeatMs: number, nowMs: number): LeaderStatus | undefined {
     const isDue = nowMs - this._sentMs >= heartbeatMs;
     if (!isDue && this._sent !== undefined && !isNews(this._sent, status)) {
       return undefined;
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -294,7 +294,10 @@
       await this._awaitEnd(book, order, expectedMs);
       if (order.kind === 'load' && order.tier === 'store' && order.adapter === undefined) {
         const statedMs = input.models.get(order.model)?.loadMs.store ?? 0;
-        this._pace.recordLoad(statedMs, this._clock.now().steadyMs - startedMs, storeLoads);
+        const takenMs = this._clock.now().steadyMs - startedMs;
+        this._pace.recordLoad(statedMs, takenMs, storeLoads);
+        const { maximumLoads } = this._pace;
+        this._log.info('Loaded from the store.', { model: order.model, statedMs, takenMs, storeLoads, maximumLoads });
       }
     } else {
       await this._recover(book, answer);
--- a/packages/gateway/src/replicas/ReplicaDirectory.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.ts
@@ -9,6 +9,9 @@
   readonly models: readonly HeldModel[];
 }
 
+/** Leaving replicas that are remembered, beyond the end of their records. */
+const rememberedLeaving = 4_096;
+
 interface Entry {
   readonly replica: Replica;
   /** Steady time at which a removed replica is dropped; absent while its record stands. */
@@ -19,6 +22,8 @@
 export class ReplicaDirectory {
   private readonly _entries = new Map<string, Entry>();
   private readonly _holdings = new Map<string, ReplicaHoldings>();
+  /** Starts of replicas that have said in an answer that they leave, by replica id. */
+  private readonly _leaving = new Map<string, number>();
   /** Replicas with their newest known models, by service; built when first asked for after a change. */
   private _byService: ReadonlyMap<string, readonly Replica[]> | undefined;
   private readonly _onChanged = new common.Emitter<string>();
@@ -48,6 +53,26 @@
     this._changed(holdings.replicaId);
   }
 
+  /**
+   * Notes that a replica has said in an answer that it leaves. From now on it takes no new work, whatever its record or a
+   * peer says; only a new start under its id does. Returns false if that was known.
+   */
+  public markLeaving(replicaId: string, bornMs: number): boolean {
+    if (this._leaving.get(replicaId) === bornMs) {
+      return false;
+    }
+    this._leaving.set(replicaId, bornMs);
+    forgetOldest(this._leaving, rememberedLeaving);
+    this._log.info('Replica says that it leaves.', { replica: replicaId, bornMs });
+    this._changed(replicaId);
+    return true;
+  }
+
+  /** Replicas that have said that they leave, with their starts. */
+  public leaving(): Iterable<readonly [string, number]> {
+    return this._leaving;
+  }
+
   /** Drops removed replicas whose grace has ended. */
   public dropExpired(nowMs: number): void {
     for (const [id, entry] of this._entries) {
@@ -118,7 +143,17 @@
 
   private _withHoldings(replica: Replica): Replica {
     const holdings = this._holdings.get(replica.id);
-    return holdings?.bornMs === replica.bornMs ? { ...replica, models: holdings.models } : replica;
+    const known = holdings?.bornMs === replica.bornMs ? { ...replica, models: holdings.models } : replica;
+    return this._leaving.get(replica.id) === replica.bornMs ? { ...known, state: 'draining' } : known;
+  }
+}
+
+function forgetOldest(entries: Map<string, unknown>, limit: number): void {
+  for (const key of entries.keys()) {
+    if (entries.size <= limit) {
+      return;
+    }
+    entries.delete(key);
   }
 }
 
--- a/packages/gateway/src/replicas/TableFollower.ts
+++ b/packages/gateway/src/replicas/TableFollower.ts
@@ -1,44 +1,54 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from '../Clock.js';
 import type { MetadataStore, TableName, TableRecord } from '../contracts/MetadataStore.js';
+import type { MessagePaces } from '../peers/messagePaces.js';
 import type { TableMessage } from '../peers/Types.js';
 import { TableState } from './TableState.js';
 
-/** How a table is read: longest wait of one read for a change, and least time between two reads, milliseconds. */
+/** How a table is read, milliseconds. */
 export interface ReadPace {
+  /** Longest wait of one read for a change. */
   readonly waitMs: number;
+  /** Least time between two reads. */
   readonly intervalMs: number;
+  /** Longest pause after a failed read. */
+  readonly retryMs: number;
 }
 
 /** Pace while another daemon passes changes on, so that one reader serves all. */
-const assistedPace: ReadPace = { waitMs: 2_000, intervalMs: 30_000 };
+const assistedPace: ReadPace = { waitMs: 2_000, intervalMs: 30_000, retryMs: 3_000 };
 /** Longest wait while nobody passes changes on: a silent connection must show within 3 s, milliseconds. */
 const aloneWaitMs = 2_000;
 /** Pace while others rely on this daemon: they must hear within a second that it does not reach the store. */
-const paceForOthers: ReadPace = { waitMs: 600, intervalMs: 300 };
+const paceForOthers: ReadPace = { waitMs: 600, intervalMs: 300, retryMs: 800 };
 
 /** What other daemons do for this one, and it for them. */
 export interface ReadSituation {
-  /** Another daemon passes changes on. */
-  readonly isAssisted: boolean;
+  /** `current`: a leader is heard and tells all changes. `cutOff`: it is heard, but does not reach the store. */
+  readonly leader: 'current' | 'cutOff' | 'unheard';
   readonly hasFollowers: boolean;
-  /** Least time between two reads of a daemon on its own, milliseconds. */
-  readonly aloneIntervalMs: number;
+  readonly paces: MessagePaces;
 }
 
-/** How the tables are read in a situation. */
-export function readPace({ isAssisted, hasFollowers, aloneIntervalMs }: ReadSituation): ReadPace {
-  if (isAssisted) {
+/**
+ * How the tables are read in a situation. While a leader that is heard does not reach the store, all daemons read in turn
+ * and pass the news on by way of the leader, so the calls of all together stay bounded.
+ */
+export function readPace({ leader, hasFollowers, paces }: ReadSituation): ReadPace {
+  if (leader === 'current') {
     return assistedPace;
   }
-  return hasFollowers ? paceForOthers : { waitMs: aloneWaitMs, intervalMs: aloneIntervalMs };
+  if (hasFollowers) {
+    return paceForOthers;
+  }
+  const intervalMs = leader === 'cutOff' ? paces.sharedReadMs : paces.aloneReadMs;
+  return { waitMs: aloneWaitMs, intervalMs, retryMs: Math.max(intervalMs, firstRetryMs) };
 }
 
 /** A read that is this late shows that the store may not be reached, milliseconds. The store answers in a few. */
 const lateReadMs = 300;
-/** First and longest pause after a failed read, milliseconds. */
+/** First pause after a failed read, milliseconds; each further one is twice as long. */
 const firstRetryMs = 150;
-const longestRetryMs = 800;
 
 type ReadResult = 'done' | 'failed' | 'stale';
 
@@ -59,7 +69,7 @@
   private _available = true;
   private _readDueMs = Number.POSITIVE_INFINITY;
   private _wake: (() => void) | undefined;
-  private _pace: ReadPace = { waitMs: aloneWaitMs, intervalMs: 0 };
+  private _pace: ReadPace = { waitMs: aloneWaitMs, intervalMs: 0, retryMs: firstRetryMs };
   private _wholeNeeded = true;
 
   public constructor(
@@ -115,7 +125,7 @@
       const outcome: ReadResult = this._wholeNeeded ? await this._readTable() : await this._readChanges();
       if (outcome === 'failed' || outcome === 'stale') {
         await this._pause(retryMs);
-        retryMs = Math.min(retryMs * 2, longestRetryMs);
+        retryMs = Math.min(retryMs * 2, this._pace.retryMs);
         continue;
       }
       retryMs = firstRetryMs;
--- a/packages/gateway/src/routing/ReplicaLoads.ts
+++ b/packages/gateway/src/routing/ReplicaLoads.ts
@@ -26,6 +26,8 @@
   failureShare: number;
   failureMs: number;
   unreachableUntilMs: number;
+  /** The replica wants no request of this daemon before this time, steady milliseconds. */
+  turnedAwayUntilMs: number;
   readonly parts: Set<string>;
 }
 
@@ -79,6 +81,17 @@
     this._load(replicaId).unreachableUntilMs = nowMs + unreachableMs;
   }
 
+  /** Notes that a replica wants no request of this daemon for a time, milliseconds. */
+  public recordTurnedAway(replicaId: string, durationMs: number, nowMs: number): void {
+    const load = this._load(replicaId);
+    load.turnedAwayUntilMs = Math.max(load.turnedAwayUntilMs, nowMs + durationMs);
+  }
+
+  /** Time for which a replica wants no request of this daemon, milliseconds; 0 if it takes them. */
+  public turnedAwayMs(replicaId: string, nowMs: number): number {
+    return Math.max((this._loads.get(replicaId)?.turnedAwayUntilMs ?? 0) - nowMs, 0);
+  }
+
   /** Takes over the number of requests that a replica said it has. */
   public recordTotal(replicaId: string, total: number, nowMs: number): void {
     const load = this._load(replicaId);
@@ -121,10 +134,10 @@
     );
   }
 
-  /** Forgets replicas that are gone and run nothing of this daemon. */
-  public retain(known: (replicaId: string) => boolean): void {
+  /** Forgets replicas that are gone, run nothing of this daemon and have not turned it away. */
+  public retain(known: (replicaId: string) => boolean, nowMs: number): void {
     for (const [id, load] of this._loads) {
-      if (load.ownTotal === 0 && !known(id)) {
+      if (load.ownTotal === 0 && nowMs >= load.turnedAwayUntilMs && !known(id)) {
         this._loads.delete(id);
       }
     }
@@ -164,6 +177,7 @@
       failureShare: 0,
       failureMs: 0,
       unreachableUntilMs: 0,
+      turnedAwayUntilMs: 0,
       parts: new Set(),
     };
     this._loads.set(replicaId, load);
--- a/packages/gateway/src/routing/chooseReplica.ts
+++ b/packages/gateway/src/routing/chooseReplica.ts
@@ -22,6 +22,17 @@
 /** Slots of load that another failure domain is put back by, for the bytes between domains are priced. */
 const otherDomainCostSlots = 1.5;
 
+/** Slots of random cost for each daemon beyond the first few, and at most. */
+const spread = { slotsPerDaemon: 0.02, maximumSlots: 4 } as const;
+
+/**
+ * Slots of random cost by which daemons spread their choices. Answers many daemons that choose by the same loads, some
+ * hundred milliseconds old: without it all of them send to the replica that was least busy then.
+ */
+export function spreadSlots(daemonCount: number): number {
+  return Math.min(daemonCount * spread.slotsPerDaemon, spread.maximumSlots);
+}
+
 /** True if a replica holds the model and adapter of a request. */
 export function holdsTarget(replica: Replica, target: ModelReference | undefined): boolean {
   if (target === undefined) {
@@ -33,13 +44,18 @@
 
 /**
  * Chooses the replica of a request: the least loaded share of slots, put back by failures and distance. Answers the
- * usual load and grey failures, where a replica answers its status checks and fails requests.
+ * usual load and grey failures, where a replica answers its status checks and fails requests. `randomSlots` gives the
+ * random part of a cost.
  */
-export function chooseReplica(candidates: readonly Candidate[], failureDomain: string): Candidate | undefined {
+export function chooseReplica(
+  candidates: readonly Candidate[],
+  failureDomain: string,
+  randomSlots: () => number,
+): Candidate | undefined {
   let best: Candidate | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
-    const cost = costOf(candidate, failureDomain);
+    const cost = costOf(candidate, failureDomain) + randomSlots();
     if (cost < bestCost) {
       best = candidate;
       bestCost = cost;
--- a/packages/gateway/src/routing/selectReplica.ts
+++ b/packages/gateway/src/routing/selectReplica.ts
@@ -11,18 +11,37 @@
   /** Replicas that have just failed it. */
   readonly excluded: ReadonlySet<string>;
   readonly failureDomain: string;
+  /** Random part of a replica's cost, slots; larger where many daemons choose by the same loads. */
+  readonly randomSlots: () => number;
 }
 
 /**
  * Selects the replica of a request; undefined if none will do. A request for a model waits rather than go where it has
  * just failed or where no connection can be made, as the model may be loaded elsewhere; another request goes anywhere.
+ * No request goes to a replica that has turned this daemon away for a time.
  */
 export function selectReplica(selection: Selection, loads: ReplicaLoads, nowMs: number): Replica | undefined {
-  const { usable, target, promptParts, excluded, failureDomain } = selection;
-  const holders = usable.filter((replica) => holdsTarget(replica, target));
+  const { usable, target, promptParts, excluded, failureDomain, randomSlots } = selection;
+  const holders = usable.filter(
+    (replica) => holdsTarget(replica, target) && loads.turnedAwayMs(replica.id, nowMs) === 0,
+  );
   const fresh = holders.filter((replica) => !excluded.has(replica.id));
   const eligible = fresh.length > 0 || target !== undefined ? fresh : holders;
   const candidates = eligible.map((replica) => loads.candidate(replica, promptParts, nowMs));
   const reachable = target === undefined ? candidates : candidates.filter((candidate) => !candidate.isUnreachable);
-  return chooseReplica(reachable, failureDomain)?.replica;
+  return chooseReplica(reachable, failureDomain, randomSlots)?.replica;
+}
+
+/**
+ * Time until the first replica takes requests again that holds what a request needs and has turned this daemon away,
+ * milliseconds; undefined if there is none.
+ */
+export function turnedAwayMs(
+  { usable, target }: Pick<Selection, 'usable' | 'target'>,
+  loads: ReplicaLoads,
+  nowMs: number,
+): number | undefined {
+  const holders = usable.filter((replica) => holdsTarget(replica, target));
+  const times = holders.map((replica) => loads.turnedAwayMs(replica.id, nowMs)).filter((timeMs) => timeMs > 0);
+  return times.length === 0 ? undefined : Math.min(...times);
 }
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -130,6 +130,11 @@
     });
   }
 
+  /** Opens a connection as a caller. */
+  public connect(): net.Socket {
+    return net.connect(this._port, '127.0.0.1');
+  }
+
   public async [Symbol.asyncDispose](): Promise<void> {
     this._callers?.close();
     this._agent.destroy();
@@ -166,6 +171,10 @@
       agent: this._agent,
       routes: () => routes,
       readyInMs: () => undefined,
+      randomSlots: () => 0,
+      replicaLeaves: ({ id, bornMs }) => {
+        directory.markLeaving(id, bornMs);
+      },
       recordArrival: () => undefined,
       waitingChanged: () => undefined,
       isStopping: () => this.stopping,
--- a/packages/gateway/src/testing/FakeCodec.ts
+++ b/packages/gateway/src/testing/FakeCodec.ts
@@ -26,8 +26,11 @@
 
   public readAnswer(response: http.IncomingMessage): ReplicaAnswer {
     const attemptId = response.headers['x-attempt'];
+    const retryAfter = response.headers['retry-after'];
     return {
       status: response.statusCode ?? 0,
+      leaving: response.headers['x-leaving'] !== undefined,
+      ...(retryAfter !== undefined && { retryAfterMs: Number(retryAfter) * 1000 }),
       notRun: response.headers['x-not-run'] !== undefined,
       otherReplica: response.statusCode === 421,
       encoded: false,
