Withdraw orders whose lease has lapsed before their first byte, and notice slow loads while they run

Cause of the first: the lease was checked before an order was handed to the HTTP client; a process paused until the connection stood wrote the order all the same. Now the client asks again at the last moment. The test fails without the question. Cause of the second: loads from the weight store were counted as of the plan, so that several of one plan all counted as alone, adapters counted as loads, and a slow load showed only at its end. Ruled out: a limit by the allowed rate (21 a second). Now each counts those that run at its start, and one that is overdue lowers the number at once. The sending of orders has a file of its own.

--- /dev/null
+++ b/packages/common/src/JsonHttpClient.test.ts
@@ -0,0 +1,60 @@
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as vitest from 'vitest';
+import { JsonHttpClient } from './JsonHttpClient.js';
+
+const timeoutMs = 2_000;
+
+async function listen(server: net.Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  return `http://127.0.0.1:${(server.address() as net.AddressInfo).port}/`;
+}
+
+vitest.describe('client for calls', () => {
+  vitest.test(
+    'withdraws a call that is no longer allowed once its connection stands (guards against a lapsed lease)',
+    async () => {
+      let requests = 0;
+      const server = http.createServer((_request, response) => {
+        requests += 1;
+        response.end();
+      });
+      const url = await listen(server);
+      await using client = new JsonHttpClient();
+      let allowed = true;
+      const call = { method: 'POST', url, timeoutMs, body: { order: 1 }, mayWrite: () => allowed } as const;
+      vitest.expect(await client.request(call)).toMatchObject({ ok: true });
+      const withdrawn = client.request(call);
+      allowed = false;
+      vitest.expect(await withdrawn).toMatchObject({ ok: false, failure: { kind: 'withdrawn', mayHaveRun: false } });
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      vitest.expect(requests).toBe(1);
+      server.close();
+    },
+  );
+
+  vitest.test('ends a call whose answer has no end, in time and memory (guards against endless bytes)', async () => {
+    const starts = ['HTTP/1.1 200 OK\r\n', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', ''];
+    for (const start of starts) {
+      const closed: Promise<void>[] = [];
+      const server = net.createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.write(start);
+        const timer = setInterval(() => socket.write(`10000\r\n${'x'.repeat(0x10000)}\r\n`), 2);
+        closed.push(
+          new Promise((resolve) => {
+            socket.once('close', () => {
+              clearInterval(timer);
+              resolve();
+            });
+          }),
+        );
+      });
+      const url = await listen(server);
+      await using client = new JsonHttpClient();
+      vitest.expect(await client.request({ method: 'GET', url, timeoutMs })).toMatchObject({ ok: false });
+      await Promise.all(closed);
+      server.close();
+    }
+  });
+});
--- a/packages/common/src/JsonHttpClient.ts
+++ b/packages/common/src/JsonHttpClient.ts
@@ -7,7 +7,7 @@
 
 /** Why an HTTP call has no usable response. */
 export interface HttpFailure {
-  readonly kind: 'connectFailed' | 'broken' | 'timeout' | 'tooLarge' | 'invalidBody';
+  readonly kind: 'connectFailed' | 'broken' | 'timeout' | 'tooLarge' | 'invalidBody' | 'withdrawn';
   readonly message: string;
   /** False only if no byte of the request can have reached the peer. */
   readonly mayHaveRun: boolean;
@@ -29,6 +29,11 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Limit for the whole call, milliseconds. */
   readonly timeoutMs: number;
+  /**
+   * Asked once the connection stands, before the first byte of the request is written. False withdraws the request: a
+   * process that was paused since the call may no longer be allowed to make it.
+   */
+  readonly mayWrite?: () => boolean;
 }
 
 /** A complete response with the bytes of its body. */
@@ -83,14 +88,21 @@
         finish(fail({ kind: 'timeout', message: `no response within ${request.timeoutMs} ms`, mayHaveRun: connected }));
         outgoing.destroy();
       }, request.timeoutMs);
-      outgoing.on('socket', (socket) => {
-        if (!socket.connecting) {
-          connected = true;
+      const write = (): void => {
+        if (request.mayWrite?.() === false) {
+          finish(fail({ kind: 'withdrawn', message: 'the request is no longer allowed', mayHaveRun: false }));
+          outgoing.destroy();
           return;
         }
-        socket.once('connect', () => {
-          connected = true;
-        });
+        connected = true;
+        outgoing.end(payload);
+      };
+      outgoing.on('socket', (socket) => {
+        if (socket.connecting) {
+          socket.once('connect', write);
+        } else {
+          write();
+        }
       });
       outgoing.on('error', (error) => {
         finish(fail({ kind: connected ? 'broken' : 'connectFailed', message: error.message, mayHaveRun: connected }));
@@ -105,7 +117,6 @@
           },
         );
       });
-      outgoing.end(payload);
     });
   }
 
--- a/packages/gateway/src/contracts/EngineClient.ts
+++ b/packages/gateway/src/contracts/EngineClient.ts
@@ -33,7 +33,12 @@
 
 /** Client for orders to model replicas. */
 export abstract class EngineClient implements AsyncDisposable {
-  public abstract sendOrder(replica: Replica, order: EngineOrder): Promise<common.Outcome<OrderAnswer, EngineFailure>>;
+  /** Sends an order. `mayWrite` is asked at the last moment before its first byte; if false, the order is not sent. */
+  public abstract sendOrder(
+    replica: Replica,
+    order: EngineOrder,
+    mayWrite: () => boolean,
+  ): Promise<common.Outcome<OrderAnswer, EngineFailure>>;
   public abstract readReport(replica: Replica): Promise<common.Outcome<EngineReport, EngineFailure>>;
   public abstract [Symbol.asyncDispose](): Promise<void>;
 }
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -1,6 +1,6 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from '../Clock.js';
-import type { EngineClient, OrderAnswer } from '../contracts/EngineClient.js';
+import type { EngineClient } from '../contracts/EngineClient.js';
 import type { DaemonReport, ReadyEstimate } from '../peers/Types.js';
 import type { ReplicaDirectory, ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
 import { pause } from '../pause.js';
@@ -8,36 +8,31 @@
 import { DemandBook } from './DemandBook.js';
 import { estimateReady } from './estimateReady.js';
 import { expectedDuration } from './expectedDuration.js';
+import { OrderSender, type SentOrder } from './OrderSender.js';
 import { planAdapters } from './planAdapters.js';
 import { planModels } from './planPlacement.js';
 import { ReplicaBook, type RunningCounts } from './ReplicaBook.js';
 import { StorePace } from './StorePace.js';
 import type { PlacedReplica, PlacementInput, PlacementPlan, PlannedOrder } from './Types.js';
+import { isLoadingFromStore } from './weights.js';
 
 /** Pause between two looks at a replica whose order is not done yet, milliseconds. */
 const pollMs = 200;
 /** A report may be this old; one that still differs after this time is right, milliseconds. */
 const reportLagMs = 600;
-/** Pause between two tries of an order that follows an unload, milliseconds. */
-const unloadPollMs = 60;
-/** An unload waits for running requests; after this time the replica's state is read instead, milliseconds. */
-const unloadPatienceMs = 3_000;
 /** Time without a new replica after which a new leader takes the list for complete, milliseconds. */
 const settleMs = 1_000;
-/** Pause after an order without answer before it is sent again, milliseconds. */
-const resendMs = 50;
 /** Pause after a refused order, milliseconds. */
 const refusedQuietMs = 1_000;
 /** Least time between two plans, milliseconds. One plan answers all reports that came meanwhile. */
 const planGapMs = 25;
-/** Longest time that an order may take beyond its expected end before its replica's state is read anew. */
-const orderPatienceMs = 30_000;
 
 /** Gives orders to the model replicas while this daemon holds the lease. */
 export class PlacementLeader {
   private readonly _books = new Map<string, ReplicaBook>();
   private readonly _demand = new DemandBook();
   private readonly _pace = new StorePace();
+  private readonly _sender: OrderSender;
   private readonly _onHoldings = new common.Emitter<ReplicaHoldings>();
   /** Fires when the usable models of a replica change. */
   public readonly onHoldings = this._onHoldings.event;
@@ -51,14 +46,17 @@
   private _lastNewReplicaMs = 0;
 
   public constructor(
-    private readonly _self: string,
+    self: string,
     private readonly _configuration: () => Configuration | undefined,
     private readonly _directory: ReplicaDirectory,
     private readonly _engines: EngineClient,
     private readonly _orderToken: (now: Instant) => number | undefined,
     private readonly _clock: Clock,
     private readonly _log: common.Logger,
-  ) {}
+  ) {
+    const isCurrent = (book: ReplicaBook): boolean => this._isCurrent(book);
+    this._sender = new OrderSender(self, _engines, _orderToken, isCurrent, _clock, _log);
+  }
 
   /** Takes over a daemon's report. */
   public applyReport(report: DaemonReport): void {
@@ -280,25 +278,33 @@
   private async _carryOut(book: ReplicaBook, order: PlannedOrder, input: PlacementInput): Promise<void> {
     const startedMs = this._clock.now().steadyMs;
     const expectedMs = expectedDuration(order, input);
-    const storeLoads = input.replicas.filter((one) => one.order?.tier === 'store').length + 1;
-    book.order = { kind: order.kind, model: order.model, tier: order.tier, expectedDoneMs: startedMs + expectedMs };
+    const storeLoads = [...this._books.values()].filter(isLoadingFromStore).length + 1;
+    const { kind, model, adapter, tier } = order;
+    book.order = {
+      kind,
+      model,
+      tier,
+      expectedDoneMs: startedMs + expectedMs,
+      ...(adapter !== undefined && { adapter }),
+    };
     if (order.adapter === undefined) {
       book.clearFor(order.clearingFor, [], startedMs);
     }
     if (order.kind === 'unload') {
       this._tellHoldings(book);
     }
-    const answer = await this._sendUntilTaken(book, order);
+    const answer = await this._sender.sendUntilTaken(book, order);
     this._logOrder(book, order, answer);
     if (answer === 'accepted' || answer === 'alreadyHolds') {
-      await this._awaitEnd(book, order, expectedMs);
-      if (order.kind === 'load' && order.tier === 'store' && order.adapter === undefined) {
-        const statedMs = input.models.get(order.model)?.loadMs.store ?? 0;
-        const takenMs = this._clock.now().steadyMs - startedMs;
-        this._pace.recordLoad(statedMs, takenMs, storeLoads);
-        const { maximumLoads } = this._pace;
-        this._log.info('Loaded from the store.', { model: order.model, statedMs, takenMs, storeLoads, maximumLoads });
-      }
+      const statedMs = input.models.get(order.model)?.loadMs.store ?? 0;
+      const isFromStore = isLoadingFromStore(book);
+      const recordPace = (): void => {
+        if (isFromStore) {
+          this._pace.recordLoad(statedMs, this._clock.now().steadyMs - startedMs, storeLoads);
+        }
+      };
+      await this._sender.awaitEnd(book, order, expectedMs, recordPace);
+      recordPace();
     } else {
       await this._recover(book, answer);
     }
@@ -307,79 +313,8 @@
     this._planSoon();
   }
 
-  /** Sends an order; repeats it shortly while the unload before it goes on. */
-  private async _sendUntilTaken(book: ReplicaBook, order: PlannedOrder): Promise<OrderAnswer | 'notSent'> {
-    const untilMs = this._clock.now().steadyMs + (order.afterUnload ? unloadPatienceMs : 0);
-    for (;;) {
-      const answer = await this._send(book, order);
-      if (answer !== 'conflict' || this._clock.now().steadyMs >= untilMs) {
-        return answer;
-      }
-      await pause(unloadPollMs);
-    }
-  }
-
-  /**
-   * Sends an order until it has an answer. A lost order may be carried out seconds later; the same order with the same
-   * expected sequence either replaces it or is refused, so that the two never both take effect.
-   */
-  private async _send(book: ReplicaBook, order: PlannedOrder): Promise<OrderAnswer | 'notSent'> {
-    while (this._isCurrent(book)) {
-      const fencingToken = this._orderToken(this._clock.now());
-      if (fencingToken === undefined || book.sequence === undefined) {
-        return 'notSent';
-      }
-      const { kind, model, adapter } = order;
-      const outcome = await this._engines.sendOrder(book.replica, {
-        kind,
-        model,
-        ...(adapter !== undefined && { adapter }),
-        expectedSequence: book.sequence,
-        holder: this._self,
-        fencingToken,
-      });
-      if (outcome.ok) {
-        // The unload of an idle adapter is answered as done, and counts as an order all the same.
-        const unloaded = outcome.value === 'alreadyHolds' && adapter !== undefined && kind === 'unload';
-        book.sequence += outcome.value === 'accepted' || unloaded ? 1 : 0;
-        return outcome.value;
-      }
-      this._log.warn('An order has no answer.', { replica: book.replica.id, model, reason: outcome.failure.message });
-      if (!outcome.failure.mayHaveArrived) {
-        return 'notSent';
-      }
-      await pause(resendMs);
-    }
-    return 'notSent';
-  }
-
-  private async _awaitEnd(book: ReplicaBook, order: PlannedOrder, expectedMs: number): Promise<void> {
-    const { steadyMs } = this._clock.now();
-    const isLocal = order.adapter !== undefined || order.kind === 'unload' || order.tier !== 'store';
-    await pause(expectedMs);
-    if (!isLocal) {
-      await this._pollUntilDone(book, order, steadyMs + expectedMs + orderPatienceMs);
-    }
-    book.finish(order, this._clock.now().steadyMs);
-  }
-
-  private async _pollUntilDone(book: ReplicaBook, order: PlannedOrder, untilMs: number): Promise<void> {
-    while (this._isCurrent(book) && this._clock.now().steadyMs < untilMs) {
-      const outcome = await this._engines.readReport(book.replica);
-      const isDone =
-        outcome.ok &&
-        !outcome.value.orderInProgress &&
-        outcome.value.orderSequence >= (book.sequence ?? 0) &&
-        outcome.value.models.some((held) => held.name === order.model) === (order.kind === 'load');
-      if (isDone) {
-        return;
-      }
-      await pause(pollMs);
-    }
-  }
-
   /** After a refused order: another order is in progress, or the replica's state is not what the book says. */
-  private async _recover(book: ReplicaBook, answer: OrderAnswer | 'notSent'): Promise<void> {
+  private async _recover(book: ReplicaBook, answer: SentOrder): Promise<void> {
     // The demand may have moved on before the replica's state is known again.
     book.clearFor(undefined, [], this._clock.now().steadyMs);
     if (answer === 'conflict') {
@@ -400,7 +335,7 @@
     return this._token !== undefined && this._books.get(book.replica.id) === book;
   }
 
-  private _logOrder(book: ReplicaBook, order: PlannedOrder, answer: OrderAnswer | 'notSent'): void {
+  private _logOrder(book: ReplicaBook, order: PlannedOrder, answer: SentOrder): void {
     const { kind, model, adapter, tier, reason, clearingFor } = order;
     const { id } = book.replica;
     this._log.info('Order.', {
--- a/packages/gateway/src/placement/StorePace.ts
+++ b/packages/gateway/src/placement/StorePace.ts
@@ -12,7 +12,10 @@
     return this._maximumLoads;
   }
 
-  /** Learns from a finished load. */
+  /**
+   * Learns from a load that has taken `takenMs` so far or in all. `loadsAtOnce` counts those that ran at its start, itself
+   * included: later ones do not slow it.
+   */
   public recordLoad(statedMs: number, takenMs: number, loadsAtOnce: number): void {
     if (takenMs > statedMs * slowFactor) {
       const sustained = Math.floor((loadsAtOnce * statedMs) / takenMs);
--- a/packages/gateway/src/placement/Types.ts
+++ b/packages/gateway/src/placement/Types.ts
@@ -37,6 +37,7 @@
 export interface OrderInProgress {
   readonly kind: 'load' | 'unload';
   readonly model: string;
+  readonly adapter?: string;
   readonly tier: WeightTier;
   /** When the order will probably be done, steady milliseconds. */
   readonly expectedDoneMs: number;
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -1,5 +1,5 @@
 import type { ModelSpecification, WeightTier } from '../Types.js';
-import type { Demand, PlacedModel, PlacedReplica } from './Types.js';
+import type { Demand, OrderInProgress, PlacedModel, PlacedReplica } from './Types.js';
 
 /** Memory of a held model with its adapters, megabytes. */
 export function heldMegabytes(model: PlacedModel, models: ReadonlyMap<string, ModelSpecification>): number {
@@ -80,7 +80,7 @@
   return sums;
 }
 
-/** True if a replica loads a model from the weight store. */
-export function isLoadingFromStore(replica: PlacedReplica): boolean {
-  return replica.order?.kind === 'load' && replica.order.tier === 'store';
+/** True if a replica loads a model, not only an adapter, from the weight store. */
+export function isLoadingFromStore({ order }: { readonly order?: OrderInProgress | undefined }): boolean {
+  return order?.kind === 'load' && order.tier === 'store' && order.adapter === undefined;
 }
