--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,14 +1,14 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from './Clock.js';
 import { RouteTable } from './configuration/RouteTable.js';
-import type { EngineClient, MetadataStore, RequestCodec, TableName } from './contracts/index.js';
 import { CallerServer } from './forwarding/CallerServer.js';
 import { ReplicaAgent } from './forwarding/ReplicaAgent.js';
 import { RequestLog } from './forwarding/RequestLog.js';
 import type { ExchangeContext } from './forwarding/Types.js';
-import { type LeaseTimes, takeoverReluctanceMs } from './leadership/Lease.js';
+import { takeoverReluctanceMs } from './leadership/Lease.js';
 import { PeerAssistedLeaseStore } from './leadership/LeaseStore.js';
 import { LeaseKeeper } from './leadership/LeaseKeeper.js';
+import type { GatewayPlatform, GatewaySettings } from './GatewayTypes.js';
 import { pause } from './pause.js';
 import type { PeerMessage } from './peers/PeerChannel.js';
 import { PeerHub, type PeerNews } from './peers/PeerHub.js';
@@ -16,15 +16,14 @@
 import { LeaderMessages } from './peers/LeaderMessages.js';
 import { LeaderView } from './peers/LeaderView.js';
 import { messagePaces } from './peers/messagePaces.js';
-import { ReportPacer } from './peers/ReportPacer.js';
-import { tellUnknown } from './peers/tellUnknown.js';
-import type { DaemonReport, KnownTables, LeaderStatus, LeavingMessage, TableMessage } from './peers/Types.js';
+import { Reporter } from './peers/Reporter.js';
+import type { DaemonReport, LeaderStatus, LeavingMessage, TableMessage } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
 import { removalGraceMs } from './replicas/removalGrace.js';
 import { ReplicaDirectory } from './replicas/ReplicaDirectory.js';
-import { readPace, TableFollower, type TableNews } from './replicas/TableFollower.js';
-import type { RetryBudgetLimits } from './retries/RetryBudget.js';
+import { StoreTables } from './replicas/StoreTables.js';
+import { readPace, type TableNews } from './replicas/TableFollower.js';
 import { RetryBudgets } from './retries/RetryBudgets.js';
 import { spreadSlots } from './routing/chooseReplica.js';
 import { ReplicaLoads } from './routing/ReplicaLoads.js';
@@ -37,34 +36,11 @@
 /** Interval at which a stopping daemon looks whether its requests have ended. */
 const stopCheckMs = 50;
 
-/** What a gateway daemon needs to know of its installation. */
-export interface GatewaySettings {
-  readonly name: string;
-  readonly failureDomain: string;
-  readonly callers: Address;
-  readonly peers: Address;
-  readonly seeds: readonly Address[];
-  /** Processor time that this VM has a second, seconds. A VM with little leaves the lead to others. */
-  readonly processorShare: number;
-  readonly retryBudget: RetryBudgetLimits;
-  readonly lease: LeaseTimes;
-  /** Longest time that a stop may take, milliseconds. */
-  readonly stopLimitMs: number;
-}
-
-/** The parts of a gateway that depend on the installation's platform. */
-export interface GatewayPlatform {
-  readonly store: MetadataStore;
-  readonly engines: EngineClient;
-  readonly codec: RequestCodec;
-}
-
 /** One gateway daemon: serves callers, follows the store, and leads placement while it holds the lease. */
 export class Gateway implements AsyncDisposable {
   private readonly _resources = new common.DisposalRegistry();
   private readonly _directory: ReplicaDirectory;
-  private readonly _configurationTable: TableFollower;
-  private readonly _replicaTable: TableFollower;
+  private readonly _tables: StoreTables;
   private readonly _lease: LeaseKeeper;
   private readonly _leaseStore: PeerAssistedLeaseStore;
   private readonly _hub: PeerHub;
@@ -72,7 +48,7 @@
   private readonly _leader: PlacementLeader;
   private readonly _leaderMessages: LeaderMessages;
   private readonly _leaderView = new LeaderView();
-  private readonly _reportPacer = new ReportPacer();
+  private readonly _reporter: Reporter;
   private readonly _loads = new ReplicaLoads();
   private readonly _waitingRoom = new WaitingRoom();
   private readonly _arrivals = new ArrivalCounter();
@@ -82,9 +58,6 @@
   private readonly _callers: CallerServer;
   private _routes: RouteTable | undefined;
   private _tickTimer: NodeJS.Timeout | undefined;
-  private _reportTimer: NodeJS.Timeout | undefined;
-  /** Tables of which the present peer has told everything that this daemon lacked. */
-  private _caughtUp = new Set<TableName>();
   private readonly _stop: StopSchedule;
 
   public constructor(
@@ -100,8 +73,7 @@
     this._requestLog = new RequestLog(_log.part('requests'));
     this._hub = new PeerHub(_settings.peers, _clock, _log.part('peers'));
     this._link = new PeerLink(otherSeeds(_settings), _clock, _log.part('peers'));
-    this._configurationTable = this._followTable('configuration');
-    this._replicaTable = this._followTable('replicas');
+    this._tables = new StoreTables(store, _clock, _log.part('store'));
     const self = {
       holder: _settings.name,
       peerAddress: `${_settings.peers.host}:${_settings.peers.port}`,
@@ -127,26 +99,32 @@
       _log.part('placement'),
     );
     this._leaderMessages = new LeaderMessages(this._hub, this._leader, _clock);
+    this._reporter = new Reporter(
+      _settings.name,
+      { waitingRoom: this._waitingRoom, arrivals: this._arrivals, loads: this._loads },
+      (report) => {
+        this._deliverReport(report);
+      },
+      () => this._leaderView.daemonCount,
+      _clock,
+    );
     this._callers = new CallerServer(this._exchangeContext(), _settings.callers, _log.part('callers'));
     this._connectParts();
   }
 
   /** Starts serving. */
   public async open(): Promise<void> {
-    const tables = [this._configurationTable, this._replicaTable];
-    for (const part of [this._hub, this._link, this._lease, this._leaderMessages, ...tables]) {
+    for (const part of [this._hub, this._link, this._lease, this._leaderMessages, this._reporter, this._tables]) {
       this._resources.register(part);
     }
     this._resources.register(this._platform.store);
     this._resources.register(this._platform.engines);
     await this._hub.open();
-    this._configurationTable.start();
-    this._replicaTable.start();
+    this._tables.start();
     this._lease.start();
     this._tickLater();
     this._resources.register(() => {
       clearTimeout(this._tickTimer);
-      clearTimeout(this._reportTimer);
     });
     await this._callers.open();
   }
@@ -186,14 +164,6 @@
     await this._resources[Symbol.asyncDispose]();
   }
 
-  private _followTable(table: TableName): TableFollower {
-    const follower = new TableFollower(this._platform.store, table, this._clock, this._log.part('store'));
-    follower.onNews((news) => {
-      this._applyNews(news);
-    });
-    return follower;
-  }
-
   /** Sets how often this daemon reads the store, by what the others do. */
   private _setReadPaces(nowMs: number): void {
     const isHeard = this._link.isHeard(nowMs) && this._leaderView.tellsChanges !== undefined;
@@ -203,18 +173,20 @@
       hasFollowers: this._hub.peerCount > 0,
       paces: messagePaces(this._leaderView.daemonCount),
     });
-    this._configurationTable.setPace(pace);
-    this._replicaTable.setPace(pace);
+    this._tables.setPace(pace);
   }
 
   private _connectParts(): void {
+    this._tables.onNews((news) => {
+      this._applyNews(news);
+    });
     this._directory.onChanged(() => {
       this._waitingRoom.tryAll();
     });
     this._lease.onLeader(({ holder, peerAddress }) => {
       const isSelf = holder === this._settings.name;
       if (isSelf) {
-        this._replicaTable.readWhole();
+        this._tables.readReplicasWhole();
       }
       this._link.follow(isSelf ? undefined : common.settings.parseAddress(peerAddress));
     });
@@ -236,14 +208,13 @@
       this._receive(message);
     });
     this._link.onConnected((channel) => {
-      this._caughtUp = new Set();
-      channel.send('known', this._tableEnds());
+      this._tables.followPeer(channel);
     });
   }
 
   private _receive(message: PeerMessage): void {
     if (message.method === 'table') {
-      this._catchUp(message.params);
+      this._tables.catchUp(message.params);
     } else if (message.method === 'holdings') {
       for (const holdings of message.params.replicas) {
         this._directory.applyHoldings(holdings);
@@ -267,10 +238,9 @@
     if (message.method === 'report') {
       this._leaderMessages.applyReport(channel, message.params);
     } else if (message.method === 'known') {
-      tellUnknown(channel, 'configuration', this._configurationTable.state, message.params);
-      tellUnknown(channel, 'replicas', this._replicaTable.state, message.params);
+      this._tables.tellUnknown(channel, message.params);
     } else if (message.method === 'table') {
-      this._acceptTable(message.params);
+      this._tables.accept(message.params);
     } else if (message.method === 'leaving') {
       this._markLeaving(message.params);
     } else if (message.method === 'leaseReply') {
@@ -278,19 +248,6 @@
     }
   }
 
-  private _acceptTable(message: TableMessage): void {
-    const follower = message.table === 'configuration' ? this._configurationTable : this._replicaTable;
-    follower.acceptFromPeer(message);
-  }
-
-  /** Takes over a table message of the peer that this daemon follows. */
-  private _catchUp(message: TableMessage): void {
-    this._acceptTable(message);
-    if (message.end > 0) {
-      this._caughtUp.add(message.table);
-    }
-  }
-
   /** Takes a replica out of use that has said that it leaves, and passes the word on. */
   private _markLeaving(message: LeavingMessage): void {
     if (this._directory.markLeaving(message.replicaId, message.bornMs)) {
@@ -299,10 +256,6 @@
     }
   }
 
-  private _tableEnds(): KnownTables {
-    return { configuration: this._configurationTable.state.end, replicas: this._replicaTable.state.end };
-  }
-
   private _applyNews({ table, records, source }: TableNews): void {
     const nowMs = this._nowMs();
     let forPeers = records;
@@ -311,7 +264,7 @@
         this._applyConfiguration(record.value, record.offset, source);
       }
     } else {
-      forPeers = this._directory.apply(records, nowMs, removalGraceMs(this._replicaTable.lastFailureMs, nowMs));
+      forPeers = this._directory.apply(records, nowMs, removalGraceMs(this._tables.lastReplicaFailureMs, nowMs));
     }
     if (forPeers.length > 0) {
       this._passOn({ table, records: forPeers, end: 0, whole: false }, source);
@@ -363,16 +316,12 @@
     if (this._lease.isHolder || this._hub.peerCount > 0) {
       this._tellStatus(nowMs);
     }
-    const hasNews = this._waitingRoom.size > 0 || this._arrivals.hasNews || this._loads.hasNews;
-    if (this._reportPacer.isDue(hasNews, messagePaces(this._leaderView.daemonCount), nowMs)) {
-      this._report();
-    }
+    this._reporter.reportIfDue();
     this._loads.retain((id) => this._directory.get(id) !== undefined, nowMs);
   }
 
   private _tellStatus(nowMs: number): void {
-    const isCurrent = this._configurationTable.isCurrent(nowMs) && this._replicaTable.isCurrent(nowMs);
-    const status = this._leaderMessages.tell(isCurrent, this._tableEnds());
+    const status = this._leaderMessages.tell(this._tables.isCurrent(nowMs), this._tables.ends());
     if (status.leads) {
       this._applyStatus(status);
       this._applyLoads(this._leader.runningTotals());
@@ -386,15 +335,7 @@
       this._budgets.setDaemonCount(status.daemonCount);
     }
     if (status.tellsChanges) {
-      this._advance('configuration', this._configurationTable, status.ends);
-      this._advance('replicas', this._replicaTable, status.ends);
-    }
-  }
-
-  /** The leader tells all changes that matter, so those before its own position need not be read. */
-  private _advance(table: TableName, follower: TableFollower, ends: KnownTables): void {
-    if (this._caughtUp.has(table)) {
-      follower.state.advanceTo(ends[table]);
+      this._tables.advance(status.ends);
     }
   }
 
@@ -406,29 +347,7 @@
     this._loads.leaderHeard(nowMs);
   }
 
-  /** Reports that requests have begun to wait, without a report for each of them. */
-  private _reportSoon(): void {
-    const nowMs = this._nowMs();
-    const paces = messagePaces(this._leaderView.daemonCount);
-    this._reportTimer ??= setTimeout(
-      () => {
-        this._reportTimer = undefined;
-        this._report();
-      },
-      this._reportPacer.urgentDelayMs(paces, nowMs),
-    );
-  }
-
-  private _report(): void {
-    const nowMs = this._nowMs();
-    const report: DaemonReport = {
-      daemon: this._settings.name,
-      waiting: this._waitingRoom.report(nowMs),
-      arrivals: this._arrivals.take(),
-      running: this._loads.report(),
-      unreachable: this._loads.unreachable(nowMs),
-    };
-    this._reportPacer.reported(nowMs);
+  private _deliverReport(report: DaemonReport): void {
     if (this._lease.isHolder) {
       this._leader.applyReport(report);
     } else {
@@ -458,7 +377,7 @@
         this._arrivals.record(target, route.latencyTargetMs);
       },
       waitingChanged: () => {
-        this._reportSoon();
+        this._reporter.reportSoon();
       },
       isStopping: () => this._stop.isStopping,
       longestRequestMs: (nowMs) => this._stop.longestRequestMs(nowMs),
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -6,20 +6,21 @@
 import { ModelWait } from '../waiting/ModelWait.js';
 import type { Waiter } from '../waiting/WaitingRoom.js';
 import { discardBody } from './discardBody.js';
+import { noteAnswer } from './noteAnswer.js';
 import { readBody } from './readBody.js';
 import { admitRequest, type OwnAnswer } from './admitRequest.js';
 import { AnswerRelay } from './AnswerRelay.js';
 import { type AttemptFailure, ReplicaAttempt } from './ReplicaAttempt.js';
 import { Deadline } from './Deadline.js';
 import { callerPatienceMs, maySendAgain, urgencyOf } from './sendAgain.js';
+import { SendHistory } from './SendHistory.js';
+import { sendOwnAnswer } from './sendOwnAnswer.js';
 import { SilenceWatch } from './SilenceWatch.js';
 import type { ExchangeResult } from './ExchangeResult.js';
 import type { ExchangeContext } from './Types.js';
 
 /** Time to come back after replicas refused or could not be reached, milliseconds. */
 const refusedRetryAfterMs = 500;
-/** Longest time that the rest of a request is read after its answer, milliseconds. */
-const unreadRequestMs = 1_000;
 /** Time to come back to another daemon while this one stops, milliseconds. */
 const stoppingRetryAfterMs = 50;
 
@@ -40,13 +41,7 @@
   private readonly _wait: ModelWait;
   private readonly _relay: AnswerRelay;
   private _attempt: ReplicaAttempt | undefined;
-  private readonly _tried: string[] = [];
-  /** Replicas that are passed over, because they have just failed this request. */
-  private readonly _excluded = new Set<string>();
-  /** Replicas that may have run the request. */
-  private _runs = 0;
-  /** True once the present attempt is one of these. */
-  private _attemptCounted = false;
+  private readonly _history = new SendHistory();
   /** Status of the answer that is being passed on. */
   private _answerStatus = 0;
   private _finished = false;
@@ -121,7 +116,7 @@
   /** Sends the request to the best replica, or lets it wait. Returns true if it no longer needs to wait. */
   private _dispatch(): boolean {
     const nowMs = this._nowMs();
-    if (this._runs === 0 && this._deadline.leftMs(nowMs) > this._context.longestRequestMs(nowMs)) {
+    if (this._history.runs === 0 && this._deadline.leftMs(nowMs) > this._context.longestRequestMs(nowMs)) {
       this._refuse('this daemon stops', stoppingRetryAfterMs);
       return true;
     }
@@ -130,7 +125,7 @@
       usable: this._context.directory.usable(this._service),
       target,
       promptParts: this._promptParts(),
-      excluded: this._excluded,
+      excluded: this._history.excluded,
       failureDomain: this._context.failureDomain,
       randomSlots: () => this._context.randomSlots(),
     };
@@ -174,7 +169,7 @@
       tryAgain: () => this._finished || this._dispatch(),
     });
     const check = (): void => {
-      this._excluded.clear();
+      this._history.forgiveAll();
       this._dispatch();
     };
     if (this._wait.start(makeWaiter, check, nowMs)) {
@@ -189,9 +184,7 @@
       return;
     }
     const nowMs = this._nowMs();
-    this._tried.push(replica.id);
-    this._excluded.add(replica.id);
-    this._attemptCounted = false;
+    this._history.send(replica.id);
     this._context.loads.started(replica.id, caller.target, this._promptParts());
     const { lastEventId } = this._relay;
     const headers = this._context.codec.forwardedHeaders(this._request, {
@@ -230,10 +223,7 @@
 
   private _receiveHead(replica: Replica, answer: ReplicaAnswer, response: http.IncomingMessage): void {
     this._silence.stop();
-    if (answer.load !== undefined) {
-      this._context.loads.recordTotal(replica.id, answer.load.running + answer.load.waiting, this._nowMs());
-    }
-    this._noteWishes(replica, answer);
+    noteAnswer(this._context, replica, answer, this._nowMs());
     if ((answer.notRun && answer.status !== 400) || answer.otherReplica) {
       discardBody(response);
       this._endAttempt('refused');
@@ -242,7 +232,7 @@
       });
       return;
     }
-    this._countRun();
+    this._history.countRun();
     const isFailure = answer.status >= 500;
     if (isFailure && !this._relay.headSent && this._mayRunAgain()) {
       discardBody(response);
@@ -261,16 +251,6 @@
     this._passOn(answer, response);
   }
 
-  /** Notes what an answer says of further requests to its replica. */
-  private _noteWishes(replica: Replica, answer: ReplicaAnswer): void {
-    if (answer.leaving && !answer.otherReplica) {
-      this._context.replicaLeaves(replica);
-    }
-    if (answer.status === 503 && answer.retryAfterMs !== undefined) {
-      this._context.loads.recordTurnedAway(replica.id, answer.retryAfterMs, this._nowMs());
-    }
-  }
-
   private _passOn(answer: ReplicaAnswer, response: http.IncomingMessage): void {
     const attempt = this._attempt;
     const isEventStream = this._route?.kind === 'stream' && answer.status === 200;
@@ -308,7 +288,7 @@
       return;
     }
     if (failure.mayHaveRun) {
-      this._countRun();
+      this._history.countRun();
     }
     this._endAttempt('failed');
     this._sendAgainOr(failure.mayHaveRun, () => {
@@ -319,7 +299,8 @@
   /** Goes on after a connection that was not made. Nothing has arrived, so this takes nothing of the retry budget. */
   private _sendElsewhere(message: string): void {
     const usable = this._context.directory.usable(this._service);
-    const mayGoOn = this._caller?.target !== undefined || usable.some((replica) => !this._excluded.has(replica.id));
+    const mayGoOn =
+      this._caller?.target !== undefined || usable.some((replica) => !this._history.excluded.has(replica.id));
     if (mayGoOn && this._deadline.leftMs(this._nowMs()) > 0) {
       this._dispatch();
     } else {
@@ -339,20 +320,11 @@
   }
 
   private _mayRunAgain(): boolean {
-    return this._route !== undefined && maySendAgain(this._route, this._runs, this._relay.headSent);
+    return this._route !== undefined && maySendAgain(this._route, this._history.runs, this._relay.headSent);
   }
 
   private _watchSilence(): void {
-    const earlierRuns = this._runs - (this._attemptCounted ? 1 : 0);
-    this._silence.start(this._route, earlierRuns, this._relay.headSent);
-  }
-
-  /** Notes that the replica of the present attempt may have run the request. */
-  private _countRun(): void {
-    if (!this._attemptCounted) {
-      this._attemptCounted = true;
-      this._runs += 1;
-    }
+    this._silence.start(this._route, this._history.earlierRuns, this._relay.headSent);
   }
 
   /** Gives a silent replica up; the request runs elsewhere. */
@@ -366,7 +338,7 @@
       return;
     }
     this._relay.detach();
-    this._countRun();
+    this._history.countRun();
     attempt.cancel();
     this._endAttempt('failed');
     this._dispatch();
@@ -386,7 +358,7 @@
   }
 
   private _timedOut(): void {
-    if (this._attempt === undefined && this._runs === 0) {
+    if (this._attempt === undefined && this._history.runs === 0) {
       this._refuse('time is up before a replica could be used', refusedRetryAfterMs);
     } else {
       this._breakOff('time is up', 504);
@@ -406,7 +378,7 @@
 
   /** Refuses a request if it has not run and never will; breaks it off if a replica may have run it. */
   private _refuse(reason: string, retryAfterMs: number): void {
-    if (this._relay.headSent || this._runs > 0) {
+    if (this._relay.headSent || this._history.runs > 0) {
       this._breakOff(reason);
       return;
     }
@@ -419,23 +391,13 @@
       return;
     }
     this._finish(outcome, status, reason, retryAfterMs);
-    const body = Buffer.from(`${reason}\n`);
-    const headers = this._context.codec.ownHeaders(this._caller?.attemptId, retryAfterMs);
-    this._response.shouldKeepAlive = this._response.shouldKeepAlive && !this._context.isStopping();
-    this._response.writeHead(status, [...headers, 'Content-Length', String(body.length)]);
-    this._response.end(body);
-    this._discardRequest();
-  }
-
-  /** Reads the rest of a request, so that its answer is not lost to a reset; one without end loses its connection. */
-  private _discardRequest(): void {
-    this._request.resume();
-    if (!this._request.complete) {
-      const timer = setTimeout(() => this._request.socket.destroy(), unreadRequestMs);
-      this._request.once('end', () => {
-        clearTimeout(timer);
-      });
-    }
+    sendOwnAnswer(this._request, this._response, this._context.codec, {
+      status,
+      reason,
+      retryAfterMs,
+      attemptId: this._caller?.attemptId,
+      closesConnection: this._context.isStopping(),
+    });
   }
 
   private _callerLeft(): void {
@@ -483,7 +445,7 @@
       target: this._caller?.target,
       outcome,
       status,
-      replicas: this._tried,
+      replicas: this._history.tried,
       waitedMs: this._wait.waitedMs(nowMs),
       durationMs: nowMs - this._startedMs,
       reason,
--- /dev/null
+++ b/packages/gateway/src/peers/Reporter.test.ts
@@ -0,0 +1,63 @@
+import * as vitest from 'vitest';
+import { ArrivalCounter } from '../placement/ArrivalCounter.js';
+import { ReplicaLoads } from '../routing/ReplicaLoads.js';
+import { WaitingRoom } from '../waiting/WaitingRoom.js';
+import { Reporter } from './Reporter.js';
+import type { DaemonReport } from './Types.js';
+
+class ReporterFixture {
+  public readonly reports: DaemonReport[] = [];
+  public readonly waitingRoom = new WaitingRoom();
+  public readonly arrivals = new ArrivalCounter();
+  public readonly reporter: Reporter;
+
+  public constructor(daemonCount: number) {
+    const sources = { waitingRoom: this.waitingRoom, arrivals: this.arrivals, loads: new ReplicaLoads() };
+    const clock = { now: () => ({ steadyMs: Date.now(), wallMs: Date.now() }) };
+    const deliver = (report: DaemonReport): void => {
+      this.reports.push(report);
+    };
+    this.reporter = new Reporter('vm', sources, deliver, () => daemonCount, clock);
+  }
+
+  /** Runs for a second with news at each step. */
+  public async runBusy(): Promise<void> {
+    for (let step = 0; step < 100; step += 1) {
+      this.arrivals.record({ model: 'm' }, 250);
+      this.reporter.reportIfDue();
+      await vitest.vi.advanceTimersByTimeAsync(10);
+    }
+  }
+}
+
+vitest.describe('reports of a daemon', () => {
+  vitest.beforeEach(() => {
+    vitest.vi.useFakeTimers();
+  });
+  vitest.afterEach(() => {
+    vitest.vi.useRealTimers();
+  });
+
+  vitest.test('get fewer as daemons get more (guards against a leader that only reads reports)', async () => {
+    const small = new ReporterFixture(9);
+    const large = new ReporterFixture(430);
+    await small.runBusy();
+    await large.runBusy();
+    vitest.expect(small.reports.length).toBe(10);
+    vitest.expect(large.reports.length).toBe(1);
+  });
+
+  vitest.test('go out at once when requests begin to wait, one for many (guards against late loads)', async () => {
+    const fixture = new ReporterFixture(195);
+    await fixture.runBusy();
+    const before = fixture.reports.length;
+    const waiter = { target: { model: 'm' }, urgency: 0, lateAtMs: 0, tryAgain: () => false };
+    for (let index = 0; index < 20; index += 1) {
+      fixture.waitingRoom.add({ ...waiter });
+      fixture.reporter.reportSoon();
+    }
+    await vitest.vi.advanceTimersByTimeAsync(60);
+    vitest.expect(fixture.reports.length).toBe(before + 1);
+    vitest.expect(fixture.reports.at(-1)?.waiting).toMatchObject([{ target: { model: 'm' }, count: 20 }]);
+  });
+});
