Refuse at once what a replica's queue cannot serve in time, and add copies of overloaded models

A second copy was made only from a copy at hand. Ruled out: reach of the replica (it answered others), and the wait in the daemon (0 ms). Change: a request joins a queue only if its turn comes within the caller's patience, by the mean time of runs there, else it is refused with the time at which there is room; an overloaded model may take a load of the weight store; an overdue load is expected to be late by as much again, and the store's slowdown counts in the estimate.

--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -1,5 +1,7 @@
 import type * as http from 'node:http';
 import type { CallerRequest, ReplicaAnswer } from '../contracts/RequestCodec.js';
+import type { Candidate } from '../routing/chooseReplica.js';
+import { decideAdmission } from '../routing/decideAdmission.js';
 import { selectReplica, turnedAwayMs } from '../routing/selectReplica.js';
 import type { ModelReference, Replica, Route } from '../Types.js';
 import { decideWait } from '../waiting/decideWait.js';
@@ -44,6 +46,8 @@
   private readonly _history = new SendHistory();
   /** Status of the answer that is being passed on. */
   private _answerStatus = 0;
+  /** When this answer began, steady milliseconds. */
+  private _answerBeganMs = 0;
   private _finished = false;
   /** Estimate of the leader that a refusal rests on, milliseconds. */
   private _readyInMs: number | undefined;
@@ -129,10 +133,10 @@
       failureDomain: this._context.failureDomain,
       randomSlots: () => this._context.randomSlots(),
     };
-    const replica = selectReplica(selection, this._context.loads, nowMs);
-    if (replica !== undefined) {
+    const candidate = selectReplica(selection, this._context.loads, nowMs);
+    if (candidate !== undefined) {
       this._wait.stop(nowMs);
-      this._send(replica);
+      this._sendOrRefuse(candidate);
       return true;
     }
     const freeInMs = turnedAwayMs(selection, this._context.loads, nowMs);
@@ -153,7 +157,7 @@
     const readyInMs = freeInMs ?? this._context.readyInMs(target.model);
     const decision = decideWait({
       waitedMs: this._wait.waitedMs(nowMs),
-      timeLeftMs: Math.min(this._deadline.leftMs(nowMs), this._startedMs + callerPatienceMs(route) - nowMs),
+      timeLeftMs: this._patienceLeftMs(route),
       latencyTargetMs: route.latencyTargetMs,
       ...(readyInMs !== undefined && { readyInMs }),
     });
@@ -178,6 +182,26 @@
     return false;
   }
 
+  /** Sends a request, unless it would wait in the replica's queue until its caller leaves. */
+  private _sendOrRefuse(candidate: Candidate): void {
+    const route = this._route;
+    const isModelRequest = this._caller?.target !== undefined && route !== undefined;
+    const decision = isModelRequest
+      ? decideAdmission({ candidate, patienceMs: this._patienceLeftMs(route) })
+      : { kind: 'send' as const };
+    if (decision.kind === 'refuse' && this._history.runs === 0) {
+      this._refuse('the queue of every replica is too long', decision.retryAfterMs);
+    } else {
+      this._send(candidate.replica);
+    }
+  }
+
+  /** Time until the caller leaves if it has no first byte, milliseconds. */
+  private _patienceLeftMs(route: Route): number {
+    const nowMs = this._nowMs();
+    return Math.min(this._deadline.leftMs(nowMs), this._startedMs + callerPatienceMs(route) - nowMs);
+  }
+
   private _send(replica: Replica): void {
     const { _caller: caller, _route: route } = this;
     if (caller === undefined || route === undefined) {
@@ -253,6 +277,7 @@
 
   private _passOn(answer: ReplicaAnswer, response: http.IncomingMessage): void {
     const attempt = this._attempt;
+    this._answerBeganMs = this._nowMs();
     const isEventStream = this._route?.kind === 'stream' && answer.status === 200;
     this._answerStatus = answer.status;
     this._relay.start(response, {
@@ -266,6 +291,9 @@
 
   private _answerEnded(): void {
     const isGood = this._answerStatus < 500;
+    if (isGood && this._attempt !== undefined) {
+      this._context.loads.recordRun(this._attempt.replica.id, this._nowMs() - this._answerBeganMs);
+    }
     this._endAttempt(isGood ? 'succeeded' : 'failed');
     this._finish(isGood ? 'delivered' : 'replicaFailure', this._answerStatus);
   }
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -277,8 +277,8 @@
 
   private async _carryOut(book: ReplicaBook, order: PlannedOrder, input: PlacementInput): Promise<void> {
     const startedMs = this._clock.now().steadyMs;
-    const expectedMs = expectedDuration(order, input);
     const storeLoads = [...this._books.values()].filter(isLoadingFromStore).length + 1;
+    const expectedMs = expectedDuration(order, input) * this._pace.slowdown(order, storeLoads);
     const { kind, model, adapter, tier } = order;
     book.order = {
       kind,
--- a/packages/gateway/src/placement/StorePace.ts
+++ b/packages/gateway/src/placement/StorePace.ts
@@ -1,3 +1,5 @@
+import type { PlannedOrder } from './Types.js';
+
 /** Loads from the weight store that run at once before anything is known of its speed. */
 const initialLoads = 4;
 /** A load that takes this many times its stated time shows that too many ran at once. */
@@ -12,6 +14,12 @@
     return this._maximumLoads;
   }
 
+  /** Factor by which an order takes longer than stated, if so many loads from the store run with it, itself included. */
+  public slowdown(order: Pick<PlannedOrder, 'kind' | 'tier' | 'adapter'>, loadsAtOnce: number): number {
+    const isFromStore = order.kind === 'load' && order.tier === 'store' && order.adapter === undefined;
+    return isFromStore ? Math.max(loadsAtOnce / this._maximumLoads, 1) : 1;
+  }
+
   /**
    * Learns from a load that has taken `takenMs` so far or in all. `loadsAtOnce` counts those that ran at its start, itself
    * included: later ones do not slow it.
--- /dev/null
+++ b/packages/gateway/src/placement/estimateReady.test.ts
@@ -0,0 +1,86 @@
+import * as vitest from 'vitest';
+import { estimateReady } from './estimateReady.js';
+import { planModels } from './planPlacement.js';
+import { StorePace } from './StorePace.js';
+import type { Demand, OrderInProgress, PlacedReplica, PlacementInput } from './Types.js';
+
+const nowMs = 100_000;
+const loadMs = { memory: 300, disk: 500, store: 13_200 } as const;
+
+function replica(id: string, changes: Partial<PlacedReplica> = {}): PlacedReplica {
+  return {
+    id,
+    weightMegabytes: 140_000,
+    adapterSlots: 8,
+    slots: 12,
+    takesRequests: true,
+    takesOrders: true,
+    models: [],
+    inMemory: new Set(),
+    onDisk: new Set(),
+    running: 0,
+    ...changes,
+  };
+}
+
+function input(replicas: readonly PlacedReplica[], demand: Partial<Demand> = {}): PlacementInput {
+  const specification = { name: 'm', weightMegabytes: 60_000, adapterMegabytes: 40, loadMs };
+  const asked: Demand = {
+    target: { model: 'm' },
+    waiting: 1,
+    slackMs: 1_000,
+    unservedMs: 0,
+    ratePerSecond: 5,
+    latencyTargetMs: 250,
+    ...demand,
+  };
+  return {
+    models: new Map([['m', specification]]),
+    replicas,
+    demands: [asked],
+    mayCover: true,
+    maximumStoreLoads: 4,
+  };
+}
+
+function loading(expectedDoneMs: number): PlacedReplica {
+  const order: OrderInProgress = { kind: 'load', model: 'm', tier: 'store', expectedDoneMs };
+  return replica('r', { order });
+}
+
+vitest.describe('estimate of a load', () => {
+  vitest.test('counts down to its end', () => {
+    vitest.expect(estimateReady(input([loading(nowMs + 4_000)]), nowMs)).toEqual([{ model: 'm', readyInMs: 4_000 }]);
+  });
+
+  vitest.test(
+    'grows again once it is overdue (guards against requests that are held for a load that never ends)',
+    () => {
+      vitest.expect(estimateReady(input([loading(nowMs - 9_000)]), nowMs)).toEqual([{ model: 'm', readyInMs: 9_000 }]);
+    },
+  );
+
+  vitest.test('counts the loads that the weight store runs at once', () => {
+    const pace = new StorePace();
+    const order = { kind: 'load', tier: 'store' } as const;
+    vitest.expect(pace.slowdown(order, 3)).toBe(1);
+    pace.recordLoad(loadMs.store, 2 * loadMs.store, 2);
+    vitest.expect(pace.slowdown(order, 3)).toBe(3);
+    vitest.expect(pace.slowdown({ ...order, adapter: 'a' }, 3)).toBe(1);
+  });
+});
+
+vitest.describe('demand beyond the copies of a model', () => {
+  const held = { name: 'm', adapters: [], readySinceMs: 0 };
+
+  vitest.test('takes a load of the weight store (guards against a queue on the only copy for good)', () => {
+    const replicas = [replica('full', { models: [{ ...held, running: 20 }], running: 20 }), replica('empty')];
+    const plan = planModels(input(replicas, { waiting: 0 }), nowMs);
+    vitest.expect(plan.orders).toMatchObject([{ replicaId: 'empty', model: 'm', tier: 'store', reason: 'secondCopy' }]);
+  });
+
+  vitest.test('takes none while the copy has free slots', () => {
+    const replicas = [replica('busy', { models: [{ ...held, running: 9 }], running: 9 }), replica('empty')];
+    vitest.expect(planModels(input(replicas, { waiting: 0 }), nowMs).orders).toEqual([]);
+  });
+});
--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -50,6 +50,8 @@
 /** Cost of keeping a replica busy whose adapters are asked for once a second, milliseconds: their loads have to wait. */
 const adapterDelayCostMs = 200;
 
+type WaitingModel = readonly [string, ModelDemand];
+
 interface Option {
   readonly replica: PlacedReplica;
   readonly tier: WeightTier;
@@ -100,8 +102,10 @@
         this._continueClearing(replica, replica.clearingFor);
       }
     }
-    this._serveWaiting();
+    const waiting = waitingModels(this._demand);
+    this._serveFromCopies(waiting);
     this._addSecondCopies();
+    this._serveFromStore(waiting);
     this._coverMissing();
     return { orders: this._orders, clearings: this._clearings, releases: this._releases };
   }
@@ -151,15 +155,15 @@
     return held.running === 0 && this._nowMs - (held.retiringSinceMs ?? this._nowMs) >= reportSettleMs;
   }
 
-  /**
-   * Loads from a replica's own copies in the order in which requests are late. The few loads of the weight store go to
-   * the models in most demand.
-   */
-  private _serveWaiting(): void {
-    const waiting = waitingModels(this._demand);
+  /** Loads from a replica's own copies in the order in which requests are late. */
+  private _serveFromCopies(waiting: readonly WaitingModel[]): void {
     for (const [model] of waiting) {
       this._loadUnlessPresent(model, ['memory', 'disk']);
     }
+  }
+
+  /** The few loads of the weight store go to the models in most demand. */
+  private _serveFromStore(waiting: readonly WaitingModel[]): void {
     const byGain = [...waiting].sort(([, first], [, second]) => gainOf(second) - gainOf(first));
     for (const [model] of byGain) {
       if (this._mayUseStore(model)) {
@@ -168,6 +172,10 @@
     }
   }
 
+  /**
+   * Answers demand that moves to a model with few copies. The weight store is used only where the copies have more
+   * requests than they can run at once, since its loads take long and are few.
+   */
   private _addSecondCopies(): void {
     for (const [model, demand] of this._demand) {
       const holders = this._copies.present(model);
@@ -178,7 +186,8 @@
       const slots = holders.reduce((sum, replica) => sum + replica.slots, 0);
       const isImpatient = demand.latencyTargetMs < patientTargetMs;
       if (isImpatient && running > secondCopyLoad * slots && demand.ratePerSecond > 1) {
-        this._load(model, 'secondCopy', ['memory', 'disk']);
+        const isOverloaded = running > slots && this._storeLoads < this._input.maximumStoreLoads;
+        this._load(model, 'secondCopy', isOverloaded ? ['memory', 'disk', 'store'] : ['memory', 'disk']);
       }
     }
   }
--- a/packages/gateway/src/routing/ReplicaLoads.ts
+++ b/packages/gateway/src/routing/ReplicaLoads.ts
@@ -11,6 +11,9 @@
 const unreachableMs = 800;
 /** A load that a replica told is used for this long, and those of a leader for this long after its last word, milliseconds. */
 const toldLoadLifetimeMs = 1_500;
+/** Time of a run before any has been seen, milliseconds, and weight of the newest one in the mean. */
+const initialRunMs = 1_000;
+const runWeight = 0.1;
 /** Prompt parts that are remembered for a replica. */
 const rememberedParts = 256;
 
@@ -23,6 +26,8 @@
   answerMs: number;
   /** Requests of other daemons as the leader told last. */
   leaderOthers: number;
+  /** Mean time from the first byte of an answer to its end, milliseconds. */
+  runMs: number;
   failureShare: number;
   failureMs: number;
   unreachableUntilMs: number;
@@ -77,6 +82,12 @@
     }
   }
 
+  /** Notes how long a run took from its first byte to its end, milliseconds. */
+  public recordRun(replicaId: string, durationMs: number): void {
+    const load = this._load(replicaId);
+    load.runMs += (durationMs - load.runMs) * runWeight;
+  }
+
   public recordUnreachable(replicaId: string, nowMs: number): void {
     this._load(replicaId).unreachableUntilMs = nowMs + unreachableMs;
   }
@@ -114,6 +125,7 @@
     const load = this._load(replica.id);
     return {
       replica,
+      runMs: load.runMs,
       running: load.ownTotal + this._others(load, nowMs),
       failureShare: forgiven(load, nowMs),
       isUnreachable: nowMs < load.unreachableUntilMs,
@@ -174,6 +186,7 @@
       answerOthers: 0,
       answerMs: Number.NEGATIVE_INFINITY,
       leaderOthers: 0,
+      runMs: initialRunMs,
       failureShare: 0,
       failureMs: 0,
       unreachableUntilMs: 0,
--- a/packages/gateway/src/routing/chooseReplica.ts
+++ b/packages/gateway/src/routing/chooseReplica.ts
@@ -5,6 +5,8 @@
   readonly replica: Replica;
   /** Requests on the replica, those of other daemons included as far as known. */
   readonly running: number;
+  /** Mean time of a run on the replica, milliseconds. */
+  readonly runMs: number;
   /** Recent share of failed sends, 0 to 1. */
   readonly failureShare: number;
   /** True after a connection could not be made, until the replica answers again. */
--- a/packages/gateway/src/routing/selectReplica.ts
+++ b/packages/gateway/src/routing/selectReplica.ts
@@ -1,5 +1,5 @@
 import type { ModelReference, Replica } from '../Types.js';
-import { chooseReplica, holdsTarget } from './chooseReplica.js';
+import { type Candidate, chooseReplica, holdsTarget } from './chooseReplica.js';
 import type { ReplicaLoads } from './ReplicaLoads.js';
 
 /** A request that needs a replica. */
@@ -16,11 +16,11 @@
 }
 
 /**
- * Selects the replica of a request; undefined if none will do. A request for a model waits rather than go where it has
+ * Selects the replica of a request with its load; undefined if none will do. A request for a model waits rather than go where it has
  * just failed or where no connection can be made, as the model may be loaded elsewhere; another request goes anywhere.
  * No request goes to a replica that has turned this daemon away for a time.
  */
-export function selectReplica(selection: Selection, loads: ReplicaLoads, nowMs: number): Replica | undefined {
+export function selectReplica(selection: Selection, loads: ReplicaLoads, nowMs: number): Candidate | undefined {
   const { usable, target, promptParts, excluded, failureDomain, randomSlots } = selection;
   const holders = usable.filter(
     (replica) => holdsTarget(replica, target) && loads.turnedAwayMs(replica.id, nowMs) === 0,
@@ -29,7 +29,7 @@
   const eligible = fresh.length > 0 || target !== undefined ? fresh : holders;
   const candidates = eligible.map((replica) => loads.candidate(replica, promptParts, nowMs));
   const reachable = target === undefined ? candidates : candidates.filter((candidate) => !candidate.isUnreachable);
-  return chooseReplica(reachable, failureDomain, randomSlots)?.replica;
+  return chooseReplica(reachable, failureDomain, randomSlots);
 }
 
 /**
