Keep the shared retry budget while daemons restart or join a new leader

Cause, by reading: each daemon takes the slack divided by the number of daemons that the leader has told. A new leader counts only those that have joined it, and a restarted daemon assumed 16, so that 195 daemons together could take 430 / 16 x 0.7 x 195 second sends, twelve times the limit, in the seconds after a loss of the leader or of all. Change: the largest number of the window holds, and the largest fleet is assumed until one is told.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -331,8 +331,9 @@
   private _applyStatus(status: LeaderStatus): void {
     this._leaderView.applyStatus(status);
     if (status.leads) {
-      this._loads.leaderHeard(this._nowMs());
-      this._budgets.setDaemonCount(status.daemonCount);
+      const nowMs = this._nowMs();
+      this._loads.leaderHeard(nowMs);
+      this._budgets.setDaemonCount(status.daemonCount, nowMs);
     }
     if (status.tellsChanges) {
       this._tables.advance(status.ends);
--- a/packages/gateway/src/retries/RetryBudgets.ts
+++ b/packages/gateway/src/retries/RetryBudgets.ts
@@ -1,18 +1,28 @@
 import { RetryBudget, type RetryBudgetLimits } from './RetryBudget.js';
 
-/** Daemons that are assumed while no leader tells how many there are. */
-const assumedDaemonCount = 16;
+/** Daemons that are assumed while no leader tells how many there are: the largest fleet that the design is meant for. */
+const assumedDaemonCount = 430;
+
+interface CountOfDaemons {
+  readonly count: number;
+  readonly toldMs: number;
+}
 
 /** The retry budgets of all services. */
 export class RetryBudgets {
   private readonly _budgets = new Map<string, RetryBudget>();
-  private _daemonCount = assumedDaemonCount;
+  /** Numbers of daemons that were told within the window, oldest first. */
+  private _counts: readonly CountOfDaemons[] = [];
 
   public constructor(private readonly _limits: RetryBudgetLimits) {}
 
-  /** Takes over the number of daemons that share the budgets. */
-  public setDaemonCount(count: number): void {
-    this._daemonCount = Math.max(count, 1);
+  /**
+   * Takes over the number of daemons that share the budgets. A new leader counts only those that have joined it, so the
+   * largest number of the window holds.
+   */
+  public setDaemonCount(count: number, nowMs: number): void {
+    const recent = this._counts.filter((one) => nowMs - one.toldMs < this._limits.windowMs);
+    this._counts = [...recent.filter((one) => one.count > count), { count, toldMs: nowMs }];
   }
 
   public recordRequest(service: string, nowMs: number): void {
@@ -20,7 +30,11 @@
   }
 
   public tryTakeRetry(service: string, nowMs: number): boolean {
-    return this._budget(service).tryTakeRetry(nowMs, this._daemonCount);
+    return this._budget(service).tryTakeRetry(nowMs, this._daemonCount());
+  }
+
+  private _daemonCount(): number {
+    return this._counts[0]?.count ?? assumedDaemonCount;
   }
 
   private _budget(service: string): RetryBudget {
