Choose by the newer load count, and expect slow loads to end as the store runs them

Cause of the first: since the leader sends only changed counts, a replica's own count was used for 1.5 s even when the leader's was newer. Cause of the second: the estimate that doubled for an overdue load refused patient requests that a load would have served. The doubling is taken back with its test; instead a load that is overdue moves its expected end by the slowdown that the store has shown.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -345,7 +345,7 @@
     for (const [replicaId, total] of running) {
       this._loads.recordLeaderTotal(replicaId, total);
     }
-    this._loads.leaderHeard(nowMs);
+    this._loads.leaderTold(nowMs);
   }
 
   private _deliverReport(report: DaemonReport): void {
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -301,6 +301,8 @@
       const recordPace = (): void => {
         if (isFromStore) {
           this._pace.recordLoad(statedMs, this._clock.now().steadyMs - startedMs, storeLoads);
+          const totalMs = expectedDuration(order, input) * this._pace.slowdown(order, storeLoads);
+          book.order = book.order && { ...book.order, expectedDoneMs: startedMs + totalMs };
         }
       };
       await this._sender.awaitEnd(book, order, expectedMs, recordPace);
--- a/packages/gateway/src/placement/estimateReady.ts
+++ b/packages/gateway/src/placement/estimateReady.ts
@@ -1,6 +1,6 @@
 import type { ReadyEstimate } from '../peers/Types.js';
 import { CopyIndex } from './CopyIndex.js';
-import type { OrderInProgress, PlacementInput } from './Types.js';
+import type { PlacementInput } from './Types.js';
 import { demandByModel, isLoadingFromStore, waitingModels } from './weights.js';
 
 /** Expected time of a load from memory or disk with the unload before it, milliseconds. */
@@ -23,7 +23,7 @@
     const holders = copies.present(model);
     const loading = holders.find((replica) => replica.order?.kind === 'load' && replica.order.model === model);
     if (loading?.order !== undefined) {
-      estimates.push({ model, readyInMs: untilDoneMs(loading.order, nowMs) });
+      estimates.push({ model, readyInMs: Math.max(loading.order.expectedDoneMs - nowMs, 0) });
     } else if (holders.length > 0 || copies.atHand(model).length > 0) {
       estimates.push({ model, readyInMs: localSwapMs });
     } else if (specification !== undefined) {
@@ -36,8 +36,3 @@
   }
   return estimates;
 }
-
-/** A load that is overdue is expected to be late by as much again: an estimate of nothing would hold requests in vain. */
-function untilDoneMs({ expectedDoneMs }: OrderInProgress, nowMs: number): number {
-  return Math.abs(expectedDoneMs - nowMs);
-}
--- a/packages/gateway/src/routing/ReplicaLoads.ts
+++ b/packages/gateway/src/routing/ReplicaLoads.ts
@@ -41,6 +41,7 @@
   private readonly _loads = new Map<string, Load>();
   private _hasNews = false;
   private _leaderHeardMs = Number.NEGATIVE_INFINITY;
+  private _leaderToldMs = Number.NEGATIVE_INFINITY;
 
   /** True if requests have started or ended since the last report. */
   public get hasNews(): boolean {
@@ -116,7 +117,13 @@
     load.leaderOthers = Math.max(total - load.ownTotal, 0);
   }
 
-  /** Notes that the leader tells of loads, so that those it does not mention are unchanged. */
+  /** Notes that the leader has told the loads that have changed; its others still hold. */
+  public leaderTold(nowMs: number): void {
+    this._leaderToldMs = nowMs;
+    this._leaderHeardMs = nowMs;
+  }
+
+  /** Notes that the leader is heard, so that the loads that it told last still count. */
   public leaderHeard(nowMs: number): void {
     this._leaderHeardMs = nowMs;
   }
@@ -155,8 +162,10 @@
     }
   }
 
+  /** Requests of other daemons: the newer of what the replica and the leader told. */
   private _others(load: Load, nowMs: number): number {
-    if (nowMs - load.answerMs < toldLoadLifetimeMs) {
+    const isAnswerNewer = load.answerMs > this._leaderToldMs;
+    if (isAnswerNewer && nowMs - load.answerMs < toldLoadLifetimeMs) {
       return load.answerOthers;
     }
     return nowMs - this._leaderHeardMs < toldLoadLifetimeMs ? load.leaderOthers : 0;
