--- a/packages/gateway/src/forwarding/Exchange.test.ts
+++ b/packages/gateway/src/forwarding/Exchange.test.ts
@@ -58,6 +58,24 @@
     });
   });
 
+  vitest.test(
+    'keeps a late second copy of an answer from the next caller on its connection (guards against crossed answers)',
+    async () => {
+      let requests = 0;
+      const repeatsLate: ReplicaScript = (socket) => {
+        requests += 1;
+        // The second request on the connection meets the copy of the first answer, which comes just then.
+        socket.write(`${ok}Content-Length: 5\r\n\r\n${requests === 1 ? 'first' : 'copy!'}`);
+      };
+      await withReplicas({ kind: 'stream' }, [repeatsLate], async (fixture) => {
+        vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: 'first' });
+        const next = await fixture.call({ headers: { 'x-attempt': 'a2' } });
+        vitest.expect(next).toMatchObject({ status: 502, complete: true });
+        vitest.expect(next.body).not.toContain('copy');
+      });
+    },
+  );
+
   vitest.test('drops a connection with bytes after an answer (guards against answers to nobody)', async () => {
     const extra: ReplicaScript = (socket) => {
       socket.write(`${ok}Content-Length: 5\r\n\r\nwhole`);
@@ -373,6 +391,23 @@
     },
   );
 
+  vitest.test(
+    'go on while the record of their replica is gone (guards against work given up for silence)',
+    async () => {
+      const slow: ReplicaScript = (socket) => {
+        socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n${chunk(events(1, 1))}`);
+        setTimeout(() => socket.write(`${chunk(events(2, 2))}0\r\n\r\n`), 250);
+      };
+      await withReplicas(route, [slow], async (fixture) => {
+        const answer = fixture.call();
+        await new Promise((resolve) => setTimeout(resolve, 100));
+        fixture.removeRecords();
+        vitest.expect(await answer).toMatchObject({ status: 200, body: events(1, 2), complete: true });
+        vitest.expect(fixture.heads.length).toBe(1);
+      });
+    },
+  );
+
   vitest.test(
     'are not cut while events come within the allowed silence (guards against cut sound streams)',
     async () => {
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -42,6 +42,10 @@
   private readonly _servers: net.Server[] = [];
   private readonly _replicas: Replica[] = [];
   private readonly _agent = new ReplicaAgent();
+  private readonly _directory = new ReplicaDirectory(
+    (id) => this._replicas.find((replica) => replica.id === id),
+    silentLogger,
+  );
   private _callers: CallerServer | undefined;
   private _port = 0;
 
@@ -82,8 +86,14 @@
     });
   }
 
+  /** Removes the records of all replicas, as after an outage of the store. */
+  public removeRecords(): void {
+    const removed = this._replicas.map((replica) => ({ key: replica.id, offset: 1 }));
+    this._directory.apply(removed, 0, 0);
+  }
+
   public async open(): Promise<void> {
-    const directory = new ReplicaDirectory((id) => this._replicas.find((replica) => replica.id === id), silentLogger);
+    const directory = this._directory;
     directory.apply(
       this._replicas.map((replica) => ({ key: replica.id, offset: 0, value: 'any' })),
       0,
