--- a/packages/gateway/src/placement/CopyIndex.test.ts
+++ b/packages/gateway/src/placement/CopyIndex.test.ts
@@ -1,24 +1,9 @@
 import * as vitest from 'vitest';
+import { placedReplica } from '../testing/placedReplica.js';
 import { CopyIndex } from './CopyIndex.js';
 import { planModels } from './planPlacement.js';
 import type { PlacedReplica, PlacementInput } from './Types.js';
 
-function replica(id: string, changes: Partial<PlacedReplica> = {}): PlacedReplica {
-  return {
-    id,
-    weightMegabytes: 200_000,
-    adapterSlots: 8,
-    slots: 12,
-    takesRequests: true,
-    takesOrders: true,
-    models: [],
-    inMemory: new Set(),
-    onDisk: new Set(),
-    running: 0,
-    ...changes,
-  };
-}
-
 const held = { name: 'm', adapters: [], running: 0, readySinceMs: 0 };
 const order = { model: 'm', tier: 'disk', expectedDoneMs: 0 } as const;
 
@@ -29,13 +14,13 @@
 vitest.describe('index of copies', () => {
   vitest.test('tells a ready copy from one that comes or goes (guards against two loads of a model)', () => {
     const index = new CopyIndex([
-      replica('ready', { models: [held] }),
-      replica('loads', { order: { ...order, kind: 'load' } }),
-      replica('cleared', { clearingFor: 'm' }),
-      replica('unloads', { models: [held], order: { ...order, kind: 'unload' } }),
-      replica('retires', { models: [{ ...held, retiringSinceMs: 1 }] }),
-      replica('leaves', { models: [held], takesRequests: false }),
-      replica('disk', { onDisk: new Set(['m']), inMemory: new Set(['m']) }),
+      placedReplica('ready', { models: [held] }),
+      placedReplica('loads', { order: { ...order, kind: 'load' } }),
+      placedReplica('cleared', { clearingFor: 'm' }),
+      placedReplica('unloads', { models: [held], order: { ...order, kind: 'unload' } }),
+      placedReplica('retires', { models: [{ ...held, retiringSinceMs: 1 }] }),
+      placedReplica('leaves', { models: [held], takesRequests: false }),
+      placedReplica('disk', { onDisk: new Set(['m']), inMemory: new Set(['m']) }),
     ]);
     vitest.expect(ids(index.ready('m'))).toEqual(['ready']);
     vitest.expect(ids(index.present('m'))).toEqual(['ready', 'loads', 'cleared']);
@@ -53,7 +38,7 @@
     });
     const nameOf = (index: number): string => names[index % names.length] ?? '';
     const replicas = Array.from({ length: 1_600 }, (_none, index) =>
-      replica(`r${index}`, {
+      placedReplica(`r${index}`, {
         models: [0, 1, 2].map((step) => ({ ...held, name: nameOf(index * 3 + step), running: 2 })),
         onDisk: new Set([0, 1, 2, 3, 4].map((step) => nameOf(index * 3 + step * 97))),
       }),
--- a/packages/gateway/src/placement/estimateReady.test.ts
+++ b/packages/gateway/src/placement/estimateReady.test.ts
@@ -1,4 +1,5 @@
 import * as vitest from 'vitest';
+import { placedReplica } from '../testing/placedReplica.js';
 import { estimateReady } from './estimateReady.js';
 import { planModels } from './planPlacement.js';
 import { StorePace } from './StorePace.js';
@@ -7,22 +8,6 @@
 const nowMs = 100_000;
 const loadMs = { memory: 300, disk: 500, store: 13_200 } as const;
 
-function replica(id: string, changes: Partial<PlacedReplica> = {}): PlacedReplica {
-  return {
-    id,
-    weightMegabytes: 140_000,
-    adapterSlots: 8,
-    slots: 12,
-    takesRequests: true,
-    takesOrders: true,
-    models: [],
-    inMemory: new Set(),
-    onDisk: new Set(),
-    running: 0,
-    ...changes,
-  };
-}
-
 function input(replicas: readonly PlacedReplica[], demand: Partial<Demand> = {}): PlacementInput {
   const specification = { name: 'm', weightMegabytes: 60_000, adapterMegabytes: 40, loadMs };
   const asked: Demand = {
@@ -45,7 +30,7 @@
 
 function loading(expectedDoneMs: number): PlacedReplica {
   const order: OrderInProgress = { kind: 'load', model: 'm', tier: 'store', expectedDoneMs };
-  return replica('r', { order });
+  return placedReplica('r', { order });
 }
 
 vitest.describe('estimate of a load', () => {
@@ -67,13 +52,16 @@
   const held = { name: 'm', adapters: [], readySinceMs: 0 };
 
   vitest.test('takes a load of the weight store (guards against a queue on the only copy for good)', () => {
-    const replicas = [replica('full', { models: [{ ...held, running: 20 }], running: 20 }), replica('empty')];
+    const replicas = [
+      placedReplica('full', { models: [{ ...held, running: 20 }], running: 20 }),
+      placedReplica('empty'),
+    ];
     const plan = planModels(input(replicas, { waiting: 0 }), nowMs);
     vitest.expect(plan.orders).toMatchObject([{ replicaId: 'empty', model: 'm', tier: 'store', reason: 'secondCopy' }]);
   });
 
   vitest.test('takes none while the copy has free slots', () => {
-    const replicas = [replica('busy', { models: [{ ...held, running: 9 }], running: 9 }), replica('empty')];
+    const replicas = [placedReplica('busy', { models: [{ ...held, running: 9 }], running: 9 }), placedReplica('empty')];
     vitest.expect(planModels(input(replicas, { waiting: 0 }), nowMs).orders).toEqual([]);
   });
 });
