--- a/packages/gateway/src/peers/messagePaces.ts
+++ b/packages/gateway/src/peers/messagePaces.ts
@@ -23,22 +23,46 @@
   readonly sharedReadMs: number;
 }
 
+/** An interval that grows with the number of daemons between two bounds, milliseconds. */
+interface GrowingInterval {
+  readonly perDaemonMs: number;
+  readonly leastMs: number;
+  readonly mostMs: number;
+}
+
+const intervals = {
+  tick: { perDaemonMs: 2, leastMs: 100, mostMs: 300 },
+  // A leader that misses three counts as lost.
+  heartbeat: { perDaemonMs: 2, leastMs: 300, mostMs: 400 },
+  // At most 200 reports a second reach the leader, up to 200 daemons.
+  report: { perDaemonMs: 5, leastMs: 100, mostMs: 1_000 },
+  urgentReport: { perDaemonMs: 0.25, leastMs: 5, mostMs: 100 },
+  loads: { perDaemonMs: 5, leastMs: 300, mostMs: 1_000 },
+  holdings: { perDaemonMs: 1, leastMs: 10, mostMs: 200 },
+  aloneRead: { perDaemonMs: 10, leastMs: 400, mostMs: 2_000 },
+  // Some 25 reads a second of all daemons together; a change is in force 3 s after it at the latest.
+  sharedRead: { perDaemonMs: 40, leastMs: 400, mostMs: 3_000 },
+} as const satisfies Readonly<Record<string, GrowingInterval>>;
+
+/** Least of the longest times between two reports: the leader takes a daemon that is silent for 3 s for gone. */
+const leastIdleReportMs = 500;
+
 /** Paces at a number of daemons. */
 export function messagePaces(daemonCount: number): MessagePaces {
-  const reportMs = clamp(daemonCount * 5, 100, 1_000);
+  const reportMs = intervalMs(intervals.report, daemonCount);
   return {
-    tickMs: clamp(daemonCount * 2, 100, 300),
-    heartbeatMs: clamp(daemonCount * 2, 300, 400),
+    tickMs: intervalMs(intervals.tick, daemonCount),
+    heartbeatMs: intervalMs(intervals.heartbeat, daemonCount),
     reportMs,
-    idleReportMs: Math.max(reportMs, 500),
-    urgentReportMs: clamp(daemonCount / 4, 5, 100),
-    loadsMs: clamp(daemonCount * 5, 300, 1_000),
-    holdingsMs: clamp(daemonCount, 10, 200),
-    aloneReadMs: clamp(daemonCount * 10, 400, 2_000),
-    sharedReadMs: clamp(daemonCount * 40, 400, 3_000),
+    idleReportMs: Math.max(reportMs, leastIdleReportMs),
+    urgentReportMs: intervalMs(intervals.urgentReport, daemonCount),
+    loadsMs: intervalMs(intervals.loads, daemonCount),
+    holdingsMs: intervalMs(intervals.holdings, daemonCount),
+    aloneReadMs: intervalMs(intervals.aloneRead, daemonCount),
+    sharedReadMs: intervalMs(intervals.sharedRead, daemonCount),
   };
 }
 
-function clamp(value: number, minimum: number, maximum: number): number {
-  return Math.min(Math.max(value, minimum), maximum);
+function intervalMs({ perDaemonMs, leastMs, mostMs }: GrowingInterval, daemonCount: number): number {
+  return Math.min(Math.max(daemonCount * perDaemonMs, leastMs), mostMs);
 }
