--- a/packages/gateway/src/peers/messagePaces.ts
+++ b/packages/gateway/src/peers/messagePaces.ts
@@ -34,7 +34,7 @@
   tick: { perDaemonMs: 2, leastMs: 100, mostMs: 300 },
   // A leader that misses three counts as lost.
   heartbeat: { perDaemonMs: 2, leastMs: 300, mostMs: 400 },
-  // At most 200 reports a second reach the leader, up to 200 daemons.
+  // Up to 200 daemons, at most 200 reports a second reach the leader besides the urgent ones.
   report: { perDaemonMs: 5, leastMs: 100, mostMs: 1_000 },
   urgentReport: { perDaemonMs: 0.25, leastMs: 5, mostMs: 100 },
   loads: { perDaemonMs: 5, leastMs: 300, mostMs: 1_000 },
