Count running requests once a tick, and share one condition for loads from the store

The leader summed the running requests twice a tick; the condition for a load from the weight store stood in StorePace and weights, the expected time of an order and a pause of the placement twice, and the sample replica in three tests. Behaviour stays; the tests keep their assertions.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -321,10 +321,11 @@
   }
 
   private _tellStatus(nowMs: number): void {
-    const status = this._leaderMessages.tell(this._tables.isCurrent(nowMs), this._tables.ends());
+    const running = this._leader.runningTotals();
+    const status = this._leaderMessages.tell(this._tables.isCurrent(nowMs), this._tables.ends(), running);
     if (status.leads) {
       this._applyStatus(status);
-      this._applyLoads(this._leader.runningTotals());
+      this._applyLoads(running);
     }
   }
 
--- a/packages/gateway/src/peers/LeaderMessages.ts
+++ b/packages/gateway/src/peers/LeaderMessages.ts
@@ -51,8 +51,11 @@
     this._leader.applyReport(report);
   }
 
-  /** Sends the status and the loads if they are due. Called several times a second; returns the present status. */
-  public tell(tellsChanges: boolean, ends: KnownTables): LeaderStatus {
+  /**
+   * Sends the status and the loads if they are due. `running` counts the requests that all daemons run, by replica id.
+   * Called several times a second; returns the present status.
+   */
+  public tell(tellsChanges: boolean, ends: KnownTables, running: ReadonlyMap<string, number>): LeaderStatus {
     const nowMs = this._nowMs();
     const { daemonCount } = this;
     const status = { leads: this._leader.leads, tellsChanges, daemonCount, ends };
@@ -62,7 +65,7 @@
       this._hub.broadcast('status', message);
     }
     if (status.leads) {
-      const loads = this._loadPacer.next(this._leader.runningTotals(), paces.loadsMs, nowMs);
+      const loads = this._loadPacer.next(running, paces.loadsMs, nowMs);
       if (loads !== undefined) {
         this._hub.broadcast('loads', loads);
       }
--- a/packages/gateway/src/placement/OrderSender.ts
+++ b/packages/gateway/src/placement/OrderSender.ts
@@ -7,7 +7,7 @@
 import type { PlannedOrder } from './Types.js';
 
 /** Pause between two looks at a replica whose order is not done yet, milliseconds. */
-const pollMs = 200;
+export const pollMs = 200;
 /** Pause between two tries of an order that follows an unload, milliseconds. */
 const unloadPollMs = 60;
 /** An unload waits for running requests; after this time the replica's state is read instead, milliseconds. */
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -8,16 +8,14 @@
 import { DemandBook } from './DemandBook.js';
 import { estimateReady } from './estimateReady.js';
 import { expectedDuration } from './expectedDuration.js';
-import { OrderSender, type SentOrder } from './OrderSender.js';
+import { OrderSender, pollMs, type SentOrder } from './OrderSender.js';
 import { planAdapters } from './planAdapters.js';
 import { planModels } from './planPlacement.js';
 import { ReplicaBook, type RunningCounts } from './ReplicaBook.js';
 import { StorePace } from './StorePace.js';
 import type { PlacedReplica, PlacementInput, PlacementPlan, PlannedOrder } from './Types.js';
-import { isLoadingFromStore } from './weights.js';
+import { isLoadingFromStore, isStoreLoad } from './weights.js';
 
-/** Pause between two looks at a replica whose order is not done yet, milliseconds. */
-const pollMs = 200;
 /** A report may be this old; one that still differs after this time is right, milliseconds. */
 const reportLagMs = 600;
 /** Time without a new replica after which a new leader takes the list for complete, milliseconds. */
@@ -278,7 +276,8 @@
   private async _carryOut(book: ReplicaBook, order: PlannedOrder, input: PlacementInput): Promise<void> {
     const startedMs = this._clock.now().steadyMs;
     const storeLoads = [...this._books.values()].filter(isLoadingFromStore).length + 1;
-    const expectedMs = expectedDuration(order, input) * this._pace.slowdown(order, storeLoads);
+    const expectMs = (): number => expectedDuration(order, input) * this._pace.slowdown(order, storeLoads);
+    const expectedMs = expectMs();
     const { kind, model, adapter, tier } = order;
     book.order = {
       kind,
@@ -297,12 +296,11 @@
     this._logOrder(book, order, answer);
     if (answer === 'accepted' || answer === 'alreadyHolds') {
       const statedMs = input.models.get(order.model)?.loadMs.store ?? 0;
-      const isFromStore = isLoadingFromStore(book);
+      const isFromStore = isStoreLoad(order);
       const recordPace = (): void => {
         if (isFromStore) {
           this._pace.recordLoad(statedMs, this._clock.now().steadyMs - startedMs, storeLoads);
-          const totalMs = expectedDuration(order, input) * this._pace.slowdown(order, storeLoads);
-          book.order = book.order && { ...book.order, expectedDoneMs: startedMs + totalMs };
+          book.order = book.order && { ...book.order, expectedDoneMs: startedMs + expectMs() };
         }
       };
       await this._sender.awaitEnd(book, order, expectedMs, recordPace);
--- a/packages/gateway/src/placement/ReplicaBook.test.ts
+++ b/packages/gateway/src/placement/ReplicaBook.test.ts
@@ -1,20 +1,8 @@
 import * as vitest from 'vitest';
-import type { Replica } from '../Types.js';
+import { sampleReplica } from '../testing/sampleReplica.js';
 import { ReplicaBook } from './ReplicaBook.js';
 
-const replica: Replica = {
-  id: 'r1',
-  service: 's',
-  address: { host: '127.0.0.1', port: 1 },
-  failureDomain: 'a',
-  slots: 4,
-  state: 'ready',
-  bornMs: 1,
-  orderSequence: 0,
-  models: [],
-  inMemory: [],
-  onDisk: [],
-};
+const replica = sampleReplica();
 const limits = { weightMegabytes: 100, adapterSlots: 2 };
 
 function openBook(): ReplicaBook {
--- a/packages/gateway/src/placement/StorePace.ts
+++ b/packages/gateway/src/placement/StorePace.ts
@@ -1,4 +1,5 @@
 import type { PlannedOrder } from './Types.js';
+import { isStoreLoad } from './weights.js';
 
 /** Loads from the weight store that run at once before anything is known of its speed. */
 const initialLoads = 4;
@@ -16,8 +17,7 @@
 
   /** Factor by which an order takes longer than stated, if so many loads from the store run with it, itself included. */
   public slowdown(order: Pick<PlannedOrder, 'kind' | 'tier' | 'adapter'>, loadsAtOnce: number): number {
-    const isFromStore = order.kind === 'load' && order.tier === 'store' && order.adapter === undefined;
-    return isFromStore ? Math.max(loadsAtOnce / this._maximumLoads, 1) : 1;
+    return isStoreLoad(order) ? Math.max(loadsAtOnce / this._maximumLoads, 1) : 1;
   }
 
   /**
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -82,5 +82,10 @@
 
 /** True if a replica loads a model, not only an adapter, from the weight store. */
 export function isLoadingFromStore({ order }: { readonly order?: OrderInProgress | undefined }): boolean {
-  return order?.kind === 'load' && order.tier === 'store' && order.adapter === undefined;
+  return order !== undefined && isStoreLoad(order);
+}
+
+/** True if an order loads a model, not only an adapter, from the weight store. */
+export function isStoreLoad({ kind, tier, adapter }: Pick<OrderInProgress, 'kind' | 'tier' | 'adapter'>): boolean {
+  return kind === 'load' && tier === 'store' && adapter === undefined;
 }
--- a/packages/gateway/src/replicas/ReplicaDirectory.test.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.test.ts
@@ -1,28 +1,12 @@
 import * as vitest from 'vitest';
 import type { TableRecord } from '../contracts/MetadataStore.js';
+import { sampleReplica } from '../testing/sampleReplica.js';
 import { silentLogger } from '../testing/SilentLogger.js';
 import type { Replica } from '../Types.js';
 import { ReplicaDirectory } from './ReplicaDirectory.js';
 
 const graceMs = 1_000;
 
-function replica(changes: Partial<Replica> = {}): Replica {
-  return {
-    id: 'r1',
-    service: 's',
-    address: { host: '10.0.0.1', port: 80 },
-    failureDomain: 'a',
-    slots: 4,
-    state: 'ready',
-    bornMs: 1,
-    orderSequence: 0,
-    models: [],
-    inMemory: [],
-    onDisk: [],
-    ...changes,
-  };
-}
-
 function record(value: Replica | undefined, offset: number): TableRecord {
   return { key: 'r1', offset, ...(value !== undefined && { value: JSON.stringify(value) }) };
 }
@@ -42,24 +26,24 @@
     ];
     for (const change of changes) {
       const directory = openDirectory();
-      vitest.expect(directory.apply([record(replica(), 1)], 0, 0).length).toBe(1);
-      vitest.expect(directory.apply([record(replica(change), 2)], 0, 0).length, JSON.stringify(change)).toBe(1);
+      vitest.expect(directory.apply([record(sampleReplica(), 1)], 0, 0).length).toBe(1);
+      vitest.expect(directory.apply([record(sampleReplica(change), 2)], 0, 0).length, JSON.stringify(change)).toBe(1);
     }
   });
 
   vitest.test('leaves out records that tell only of models (guards against bytes that no peer needs)', () => {
     const directory = openDirectory();
-    directory.apply([record(replica(), 1)], 0, 0);
-    const told = replica({ models: [{ name: 'm', adapters: [] }], onDisk: ['m'], orderSequence: 3 });
+    directory.apply([record(sampleReplica(), 1)], 0, 0);
+    const told = sampleReplica({ models: [{ name: 'm', adapters: [] }], onDisk: ['m'], orderSequence: 3 });
     vitest.expect(directory.apply([record(told, 2)], 0, 0)).toEqual([]);
     vitest.expect(directory.get('r1')?.onDisk).toEqual(['m']);
   });
 
   vitest.test('names the return of a replica whose record had lapsed (guards against peers that drop it)', () => {
     const directory = openDirectory();
-    directory.apply([record(replica(), 1)], 0, 0);
+    directory.apply([record(sampleReplica(), 1)], 0, 0);
     vitest.expect(directory.apply([record(undefined, 2)], 0, graceMs).length).toBe(1);
-    vitest.expect(directory.apply([record(replica(), 3)], graceMs / 2, graceMs).length).toBe(1);
+    vitest.expect(directory.apply([record(sampleReplica(), 3)], graceMs / 2, graceMs).length).toBe(1);
     directory.dropExpired(2 * graceMs);
     vitest.expect(directory.get('r1')).toBeDefined();
   });
--- a/packages/gateway/src/routing/ReplicaLoads.test.ts
+++ b/packages/gateway/src/routing/ReplicaLoads.test.ts
@@ -1,20 +1,8 @@
 import * as vitest from 'vitest';
-import type { Replica } from '../Types.js';
+import { sampleReplica } from '../testing/sampleReplica.js';
 import { ReplicaLoads } from './ReplicaLoads.js';
 
-const replica: Replica = {
-  id: 'r1',
-  service: 's',
-  address: { host: '127.0.0.1', port: 1 },
-  failureDomain: 'a',
-  slots: 12,
-  state: 'ready',
-  bornMs: 1,
-  orderSequence: 0,
-  models: [],
-  inMemory: [],
-  onDisk: [],
-};
+const replica = sampleReplica({ slots: 12 });
 
 function running(loads: ReplicaLoads, nowMs: number): number {
   return loads.candidate(replica, [], nowMs).running;
--- /dev/null
+++ b/packages/gateway/src/testing/sampleReplica.ts
@@ -0,0 +1,19 @@
+import type { Replica } from '../Types.js';
+
+/** A ready replica without models, unless told otherwise. */
+export function sampleReplica(changes: Partial<Replica> = {}): Replica {
+  return {
+    id: 'r1',
+    service: 's',
+    address: { host: '10.0.0.1', port: 80 },
+    failureDomain: 'a',
+    slots: 4,
+    state: 'ready',
+    bornMs: 1,
+    orderSequence: 0,
+    models: [],
+    inMemory: [],
+    onDisk: [],
+    ...changes,
+  };
+}
