Give up a connection under way when another leader is named

Cause: a daemon that was connecting to a seed when it read who leads adopted that connection although the leader was another one, and never turned to the leader, since its address was already known. Ruled out: a failed read of the lease (failed reads are logged now, the first of several), weak VMs that look late, a leader that does not answer. Change: PeerLink keeps the socket of a connection under way and ends it when it is to follow another daemon.

--- a/packages/gateway/src/leadership/LeaseKeeper.ts
+++ b/packages/gateway/src/leadership/LeaseKeeper.ts
@@ -1,5 +1,6 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from '../Clock.js';
+import type { StoreFailure } from '../contracts/MetadataStore.js';
 import type { Instant } from '../Types.js';
 import {
   decodeLease,
@@ -41,6 +42,7 @@
   private _end = 0;
   private _term: Term | undefined;
   private _stopped = false;
+  private _isReadable = true;
 
   public constructor(
     private readonly _store: LeaseStore,
@@ -180,6 +182,7 @@
 
   private async _readLease(): Promise<boolean> {
     const outcome = await this._store.readLease();
+    this._logReadability(outcome);
     if (!outcome.ok) {
       return false;
     }
@@ -199,4 +202,17 @@
     }
     return true;
   }
+
+  /** Logs the first failed read of several and the first successful one after them. */
+  private _logReadability(outcome: common.Outcome<unknown, StoreFailure>): void {
+    if (outcome.ok === this._isReadable) {
+      return;
+    }
+    this._isReadable = outcome.ok;
+    if (outcome.ok) {
+      this._log.info('The lease can be read again.');
+    } else {
+      this._log.warn('Could not read the lease.', { reason: outcome.failure.kind, message: outcome.failure.message });
+    }
+  }
 }
--- a/packages/gateway/src/peers/PeerLink.test.ts
+++ b/packages/gateway/src/peers/PeerLink.test.ts
@@ -27,6 +27,23 @@
     },
   );
 
+  vitest.test(
+    'turns from a connection under way to a leader that is named meanwhile (guards against following no leader for good)',
+    async () => {
+      await using seed = new PeerHub({ host, port: 0 }, systemClock, silentLogger);
+      await seed.open();
+      await using leader = new PeerHub({ host, port: 0 }, systemClock, silentLogger);
+      await leader.open();
+      await using link = new PeerLink([{ host, port: seed.port }], systemClock, silentLogger);
+      link.keepUp(systemClock.now().steadyMs, true);
+      link.follow({ host, port: leader.port });
+      await vitest.vi.waitFor(() => {
+        link.keepUp(systemClock.now().steadyMs, true);
+        vitest.expect([seed.peerCount, leader.peerCount]).toEqual([0, 1]);
+      });
+    },
+  );
+
   vitest.test('hears a leader that tells its status', async () => {
     await using hub = new PeerHub({ host, port: 0 }, systemClock, silentLogger);
     await hub.open();
--- a/packages/gateway/src/peers/PeerLink.ts
+++ b/packages/gateway/src/peers/PeerLink.ts
@@ -21,7 +21,8 @@
   public readonly onMessage = this._onMessage.event;
   private _leader: Address | undefined;
   private _channel: PeerChannel | undefined;
-  private _connecting = false;
+  /** Connection under way. */
+  private _connecting: net.Socket | undefined;
   private _nextAttemptMs = 0;
   private _nextSeed = 0;
   /** When a message came last, steady milliseconds. */
@@ -47,6 +48,8 @@
     this._leader = leader;
     if (!same || leader === undefined) {
       this._channel?.close('another leader');
+      this._connecting?.destroy();
+      this._connecting = undefined;
       this._nextAttemptMs = 0;
     }
   }
@@ -62,7 +65,7 @@
       this._channel.close('the leader is silent');
     }
     const address = this._leader ?? this._seeds[this._nextSeed % Math.max(this._seeds.length, 1)];
-    const isIdle = this._channel === undefined && !this._connecting;
+    const isIdle = this._channel === undefined && this._connecting === undefined;
     if (wanted && isIdle && address !== undefined && nowMs >= this._nextAttemptMs) {
       this._nextSeed += 1;
       this._nextAttemptMs = nowMs + reconnectMs;
@@ -71,25 +74,26 @@
   }
 
   public [Symbol.asyncDispose](): Promise<void> {
+    this._connecting?.destroy();
     this._channel?.close('this daemon stops');
     return Promise.resolve();
   }
 
   private _connect(address: Address): void {
-    this._connecting = true;
     const socket = net.connect(address.port, address.host);
+    this._connecting = socket;
     const timer = setTimeout(() => {
       socket.destroy(new Error('connection timed out'));
     }, connectTimeoutMs);
-    socket.once('close', () => {
+    const end = (): void => {
       clearTimeout(timer);
-      this._connecting = false;
-    });
+      this._connecting = this._connecting === socket ? undefined : this._connecting;
+    };
+    socket.once('close', end);
     // The channel logs why it closes; a failed attempt is retried and shows as a leader that is not heard.
     socket.on('error', () => undefined);
     socket.once('connect', () => {
-      clearTimeout(timer);
-      this._connecting = false;
+      end();
       this._adopt(new PeerChannel(socket, this._clock), address);
     });
   }
