Load from the weight store by demand, one long load at a time

Cause: on sites whose store runs one load of 13.2 s at full speed, four loads of models that nobody asked for started before the traffic and bound the store until second 43; models that became hot without a copy (110 and 85 requests in 25 s, none served) came after them. Requests for such models are refused at once, so nothing waited for them, and the store went to models with a single patient request. A further copy of an overloaded model could go before both. Ruled out: copies that were overlooked: all 46 models that were never served by second 22 had none on any replica. Plans read only replicas with a copy where the store is not used.

--- a/packages/gateway/src/placement/CopyIndex.ts
+++ b/packages/gateway/src/placement/CopyIndex.ts
@@ -30,6 +30,11 @@
     return this._atHand.get(model) ?? [];
   }
 
+  /** True if a replica holds or loads a model, or can load it from its own memory or disk. */
+  public isAnywhere(model: string): boolean {
+    return this._atHand.has(model) || this._present.has(model);
+  }
+
   private _addAtHand(replica: PlacedReplica): void {
     for (const model of new Set([...replica.inMemory, ...replica.onDisk])) {
       append(this._atHand, model, replica);
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -244,10 +244,19 @@
       mayCover:
         nowMs - this._lastNewReplicaMs >= settleMs &&
         [...this._books.values()].every((one) => one.sequence !== undefined),
-      maximumStoreLoads: Math.min(this._pace.maximumLoads, Math.max(1, Math.floor(engine.storeLoadsPerSecond))),
+      ...this._storeLimits(engine),
     }));
   }
 
+  private _storeLimits(engine: EngineSpecification): Pick<PlacementInput, 'maximumStoreLoads' | 'triedStoreLoads'> {
+    const longestLoadMs = Math.max(...[...engine.models.values()].map(({ loadMs }) => loadMs.store));
+    const allowed = Math.max(1, Math.floor(engine.storeLoadsPerSecond));
+    return {
+      maximumStoreLoads: Math.min(this._pace.maximumLoads(longestLoadMs), allowed),
+      triedStoreLoads: Math.min(this._pace.triedLoads(longestLoadMs), allowed),
+    };
+  }
+
   private _placed(
     service: string,
     engine: EngineSpecification,
@@ -297,14 +306,17 @@
     if (answer === 'accepted' || answer === 'alreadyHolds') {
       const statedMs = input.models.get(order.model)?.loadMs.store ?? 0;
       const isFromStore = isStoreLoad(order);
-      const recordPace = (): void => {
+      const recordPace = (hasEnded: boolean): void => {
         if (isFromStore) {
-          this._pace.recordLoad(statedMs, this._clock.now().steadyMs - startedMs, storeLoads);
+          const takenMs = this._clock.now().steadyMs - startedMs;
+          this._pace.recordLoad({ statedMs, takenMs, loadsAtOnce: storeLoads, hasEnded });
           book.order = book.order && { ...book.order, expectedDoneMs: startedMs + expectMs() };
         }
       };
-      await this._sender.awaitEnd(book, order, expectedMs, recordPace);
-      recordPace();
+      const isDone = await this._sender.awaitEnd(book, order, expectedMs, () => {
+        recordPace(false);
+      });
+      recordPace(isDone && answer === 'accepted');
     } else {
       await this._recover(book, answer);
     }
--- a/packages/gateway/src/placement/StorePace.test.ts
+++ b/packages/gateway/src/placement/StorePace.test.ts
@@ -1,25 +1,40 @@
 import * as vitest from 'vitest';
 import { StorePace } from './StorePace.js';
 
-const statedMs = 13_200;
+const longLoadMs = 13_200;
+const shortLoadMs = 6_000;
+
+function ended(statedMs: number, takenMs: number, loadsAtOnce: number): Parameters<StorePace['recordLoad']>[0] {
+  return { statedMs, takenMs, loadsAtOnce, hasEnded: true };
+}
 
 vitest.describe('pace of loads from the weight store', () => {
   vitest.test('falls to what the store sustains (guards against loads that hold replicas for most of a minute)', () => {
     const pace = new StorePace();
-    const initial = pace.maximumLoads;
-    pace.recordLoad(statedMs, statedMs + 200, 1);
-    vitest.expect(pace.maximumLoads).toBe(initial);
+    pace.recordLoad(ended(longLoadMs, longLoadMs + 200, 1));
+    vitest.expect(pace.triedLoads(longLoadMs)).toBe(2);
     // The store runs one load at full speed; the second one takes twice as long.
-    pace.recordLoad(statedMs, 2 * statedMs, 2);
-    vitest.expect(pace.maximumLoads).toBe(1);
+    pace.recordLoad({ ...ended(longLoadMs, 1.4 * longLoadMs, 2), hasEnded: false });
+    vitest.expect(pace.triedLoads(longLoadMs)).toBe(1);
+  });
+
+  vitest.test('starts a single long load blindly (guards against a store that is busy when demand moves)', () => {
+    vitest.expect(new StorePace().maximumLoads(longLoadMs)).toBe(1);
+    vitest.expect(new StorePace().maximumLoads(shortLoadMs)).toBe(4);
   });
 
-  vitest.test('stays where several loads run at full speed', () => {
+  vitest.test('rises where several loads run at full speed', () => {
     const pace = new StorePace();
-    const initial = pace.maximumLoads;
-    for (let loads = 1; loads <= initial; loads += 1) {
-      pace.recordLoad(statedMs, statedMs, loads);
+    for (const loads of [1, 2, 4]) {
+      pace.recordLoad(ended(longLoadMs, longLoadMs, loads));
+      vitest.expect(pace.maximumLoads(longLoadMs)).toBe(loads);
+      vitest.expect(pace.triedLoads(longLoadMs)).toBe(Math.min(2 * loads, 4));
     }
-    vitest.expect(pace.maximumLoads).toBe(initial);
+  });
+
+  vitest.test('does not rise for a load that is still under way', () => {
+    const pace = new StorePace();
+    pace.recordLoad({ ...ended(longLoadMs, longLoadMs, 2), hasEnded: false });
+    vitest.expect(pace.maximumLoads(longLoadMs)).toBe(1);
   });
 });
--- a/packages/gateway/src/placement/estimateReady.test.ts
+++ b/packages/gateway/src/placement/estimateReady.test.ts
@@ -8,23 +8,24 @@
 const nowMs = 100_000;
 const loadMs = { memory: 300, disk: 500, store: 13_200 } as const;
 
+const specification = { name: 'm', weightMegabytes: 60_000, adapterMegabytes: 40, loadMs };
+const asked: Demand = {
+  target: { model: 'm' },
+  waiting: 1,
+  slackMs: 1_000,
+  unservedMs: 0,
+  ratePerSecond: 5,
+  latencyTargetMs: 250,
+};
+
 function input(replicas: readonly PlacedReplica[], demand: Partial<Demand> = {}): PlacementInput {
-  const specification = { name: 'm', weightMegabytes: 60_000, adapterMegabytes: 40, loadMs };
-  const asked: Demand = {
-    target: { model: 'm' },
-    waiting: 1,
-    slackMs: 1_000,
-    unservedMs: 0,
-    ratePerSecond: 5,
-    latencyTargetMs: 250,
-    ...demand,
-  };
   return {
     models: new Map([['m', specification]]),
     replicas,
-    demands: [asked],
+    demands: [{ ...asked, ...demand }],
     mayCover: true,
     maximumStoreLoads: 4,
+    triedStoreLoads: 4,
   };
 }
 
@@ -38,11 +39,22 @@
     vitest.expect(estimateReady(input([loading(nowMs + 4_000)]), nowMs)).toEqual([{ model: 'm', readyInMs: 4_000 }]);
   });
 
+  vitest.test(
+    'ranks missing models as the store loads them (guards against times to come back that are untrue)',
+    () => {
+      const state = input([placedReplica('r')]);
+      const hot: Demand = { ...asked, target: { model: 'hot' }, waiting: 0, ratePerSecond: 50 };
+      const models = new Map([...state.models, ['hot', { ...specification, name: 'hot' }]]);
+      const both = { ...state, models, demands: [asked, hot], maximumStoreLoads: 1, triedStoreLoads: 1 };
+      vitest.expect(estimateReady(both, nowMs)).toEqual([{ model: 'm', readyInMs: 2 * loadMs.store }]);
+    },
+  );
+
   vitest.test('counts the loads that the weight store runs at once', () => {
     const pace = new StorePace();
     const order = { kind: 'load', tier: 'store' } as const;
     vitest.expect(pace.slowdown(order, 3)).toBe(1);
-    pace.recordLoad(loadMs.store, 2 * loadMs.store, 2);
+    pace.recordLoad({ statedMs: loadMs.store, takenMs: 2 * loadMs.store, loadsAtOnce: 2, hasEnded: true });
     vitest.expect(pace.slowdown(order, 3)).toBe(3);
     vitest.expect(pace.slowdown({ ...order, adapter: 'a' }, 3)).toBe(1);
   });
--- a/packages/gateway/src/placement/estimateReady.ts
+++ b/packages/gateway/src/placement/estimateReady.ts
@@ -1,7 +1,7 @@
 import type { ReadyEstimate } from '../peers/Types.js';
 import { CopyIndex } from './CopyIndex.js';
 import type { PlacementInput } from './Types.js';
-import { demandByModel, isLoadingFromStore, waitingModels } from './weights.js';
+import { demandByModel, isLoadingFromStore, storeCandidates, waitingModels } from './weights.js';
 
 /** Expected time of a load from memory or disk with the unload before it, milliseconds. */
 const localSwapMs = 1_200;
@@ -13,12 +13,14 @@
 export function estimateReady(input: PlacementInput, nowMs: number): readonly ReadyEstimate[] {
   const estimates: ReadyEstimate[] = [];
   const copies = new CopyIndex(input.replicas);
-  let queued = 0;
+  const demands = demandByModel(input.demands);
+  const missing = storeCandidates(demands, copies).filter(([model]) => !copies.isAnywhere(model));
+  const ranks = new Map(missing.map(([model], index) => [model, index]));
   const storeEnds = input.replicas
     .filter(isLoadingFromStore)
     .map((replica) => Math.max((replica.order?.expectedDoneMs ?? nowMs) - nowMs, 0))
     .sort((first, second) => first - second);
-  for (const [model] of waitingModels(demandByModel(input.demands))) {
+  for (const [model] of waitingModels(demands)) {
     const specification = input.models.get(model);
     const holders = copies.present(model);
     const loading = holders.find((replica) => replica.order?.kind === 'load' && replica.order.model === model);
@@ -27,9 +29,9 @@
     } else if (holders.length > 0 || copies.atHand(model).length > 0) {
       estimates.push({ model, readyInMs: localSwapMs });
     } else if (specification !== undefined) {
+      const queued = ranks.get(model) ?? 0;
       const slot = queued % input.maximumStoreLoads;
       const rounds = Math.floor(queued / input.maximumStoreLoads) + 1;
-      queued += 1;
       const startInMs = storeEnds.length < input.maximumStoreLoads ? 0 : (storeEnds[slot] ?? 0);
       estimates.push({ model, readyInMs: startInMs + rounds * specification.loadMs.store });
     }
--- a/packages/gateway/src/placement/planPlacement.test.ts
+++ b/packages/gateway/src/placement/planPlacement.test.ts
@@ -44,7 +44,7 @@
   names: readonly string[],
 ): PlacementInput {
   const models = new Map(names.map((name) => [name, specification(name)]));
-  return { models, replicas, demands, mayCover: true, maximumStoreLoads: 4 };
+  return { models, replicas, demands, mayCover: true, maximumStoreLoads: 4, triedStoreLoads: 4 };
 }
 
 vitest.describe('placement of models', () => {
@@ -148,10 +148,26 @@
       demand('rare', { waiting: 1, slackMs: -6_000, unservedMs: 8_000 }),
       demand('busy', { waiting: 4, slackMs: -500, unservedMs: 1_300, ratePerSecond: 5, latencyTargetMs: 250 }),
     ];
-    const state = { ...input([replica('r', []), replica('s', [])], demands, ['rare', 'busy']), maximumStoreLoads: 1 };
+    const state = {
+      ...input([replica('r', []), replica('s', [])], demands, ['rare', 'busy']),
+      maximumStoreLoads: 1,
+      triedStoreLoads: 1,
+    };
     vitest.expect(planModels(state, nowMs).orders).toMatchObject([{ kind: 'load', model: 'busy' }]);
   });
 
+  vitest.test('gives it to a missing model in demand although nothing waits for it', () => {
+    // Guards against a hot model without a copy: its requests are refused at once, so that only those of others wait.
+    const demands = [demand('rare', { waiting: 1, unservedMs: 8_000 }), demand('hot', { ratePerSecond: 5 })];
+    const state = {
+      ...input([replica('r', []), replica('s', [])], demands, ['rare', 'hot']),
+      maximumStoreLoads: 1,
+      triedStoreLoads: 1,
+    };
+    vitest.expect(planModels(state, nowMs).orders).toMatchObject([{ kind: 'load', model: 'hot', tier: 'store' }]);
+    vitest.expect(planModels({ ...state, mayCover: false }, nowMs).orders).toMatchObject([{ model: 'rare' }]);
+  });
+
   vitest.test(
     'loads nothing as missing while the list of replicas may be incomplete (guards against double loads)',
     () => {
--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -8,16 +8,16 @@
   PlannedOrder,
 } from './Types.js';
 import { CopyIndex } from './CopyIndex.js';
+import { type LoadOption, LoadOptions } from './LoadOptions.js';
 import {
   demandByModel,
-  freeMegabytes,
   gainOf,
-  heldMegabytes,
   isLoadingFromStore,
   loadTier,
   type ModelDemand,
   patientTargetMs,
   requestWeight,
+  storeCandidates,
   waitingModels,
   waitingRate,
 } from './weights.js';
@@ -26,20 +26,12 @@
 const copyPatienceMs = 4_000;
 /** The same for requests whose callers leave soon. */
 const impatientCopyPatienceMs = 1_000;
-/** A model stays at least this long after its load, so that the requests that waited for it reach it. */
-const minimumResidenceMs = 600;
-/** Requests with less time than this until they are late may end the residence of a model in use, milliseconds. */
-const urgentSlackMs = 500;
-/** Mean time that a running request still takes, milliseconds. An unload waits for the last of them. */
-const meanRemainingRunMs = 1_200;
 /** A model gives way to another one whose demand is at least this share of its own. */
 const displacingShare = 0.5;
-/** Cost in milliseconds of taking away a model that is asked for once a second. */
-const rateCostMs = 400;
 /** Share of a replica's slots above which a model gets another copy. */
 const secondCopyLoad = 0.6;
-/** Time until an order in progress ends counts in full when another replica could start at once. */
-const clearingStepMs = 150;
+/** A model that is asked for more often than this is hot, requests a second. */
+const hotRate = 1;
 
 /** A load from the store that takes longer than this does not keep a model from being loaded from a copy, milliseconds. */
 const distantLoadMs = 1_500;
@@ -47,16 +39,15 @@
 const reportSettleMs = 250;
 /** A replica is no longer cleared for a model that nobody waits for and that is asked for less often, requests a second. */
 const forgottenRate = 0.1;
-/** Cost of keeping a replica busy whose adapters are asked for once a second, milliseconds: their loads have to wait. */
-const adapterDelayCostMs = 200;
 
 type WaitingModel = readonly [string, ModelDemand];
 
-interface Option {
-  readonly replica: PlacedReplica;
-  readonly tier: WeightTier;
-  readonly victims: readonly PlacedModel[];
-  readonly costMs: number;
+interface StoreCandidate {
+  readonly model: string;
+  readonly demand: ModelDemand;
+  /** What a load is worth, in weighted requests a second. */
+  readonly gain: number;
+  readonly reason: 'waiting' | 'secondCopy';
 }
 
 /**
@@ -78,10 +69,8 @@
   private readonly _clearings: PlannedClearing[] = [];
   private readonly _releases: string[] = [];
   private readonly _taken: Set<string>;
-  private readonly _adapterRates: ReadonlyMap<string, number>;
   private readonly _copies: CopyIndex;
-  /** Models of a replica, the one that costs least to give up first. */
-  private readonly _byCost = new Map<string, readonly PlacedModel[]>();
+  private readonly _options: LoadOptions;
   private _storeLoads: number;
 
   public constructor(
@@ -90,9 +79,9 @@
     taken: ReadonlySet<string>,
   ) {
     this._taken = new Set(taken);
-    this._adapterRates = adapterRates(_input);
     this._copies = new CopyIndex(_input.replicas);
     this._demand = demandByModel(_input.demands);
+    this._options = new LoadOptions(_input, this._demand, this._copies, _nowMs);
     this._storeLoads = _input.replicas.filter(isLoadingFromStore).length;
   }
 
@@ -105,7 +94,7 @@
     const waiting = waitingModels(this._demand);
     this._serveFromCopies(waiting);
     this._addSecondCopies();
-    this._serveFromStore(waiting);
+    this._serveFromStore();
     this._coverMissing();
     return { orders: this._orders, clearings: this._clearings, releases: this._releases };
   }
@@ -119,7 +108,7 @@
     }
     const retiring = replica.models.filter((held) => held.retiringSinceMs !== undefined);
     if (retiring.length === 0) {
-      const option = this._option(replica, specification);
+      const option = this._options.option(replica, specification);
       if (option === undefined) {
         this._release(replica);
       } else {
@@ -145,7 +134,7 @@
     const gain = gainOf(this._demand.get(model));
     const isWanted = (held: PlacedModel): boolean =>
       held.retiringSinceMs !== undefined &&
-      this._isWaitedFor(held.name) &&
+      this._options.isWaitedFor(held.name) &&
       this._copies.ready(held.name).length === 0 &&
       gainOf(this._demand.get(held.name)) * displacingShare > gain;
     return replica.models.some(isWanted);
@@ -162,42 +151,74 @@
     }
   }
 
-  /** The few loads of the weight store go to the models in most demand. */
-  private _serveFromStore(waiting: readonly WaitingModel[]): void {
-    const byGain = [...waiting].sort(([, first], [, second]) => gainOf(second) - gainOf(first));
-    for (const [model] of byGain) {
-      if (this._mayUseStore(model)) {
+  /**
+   * The few loads of the weight store go to the models in most demand: to those without a copy, and to those whose copies
+   * have more requests than they can run at once.
+   */
+  private _serveFromStore(): void {
+    const missing = storeCandidates(this._demand, this._copies).map(([model, demand]) => ({
+      model,
+      demand,
+      gain: gainOf(demand),
+      reason: 'waiting' as const,
+    }));
+    const candidates: readonly StoreCandidate[] = [...missing, ...this._overloaded()];
+    for (const { model, demand, reason } of [...candidates].sort((one, other) => other.gain - one.gain)) {
+      if (reason === 'secondCopy') {
+        this._loadFurtherCopy(model, demand);
+      } else if ((demand.waiting > 0 || this._input.mayCover) && this._mayUseStore(model)) {
         this._loadUnlessPresent(model, ['store']);
       }
     }
   }
 
-  /**
-   * Answers demand that moves to a model with few copies. The weight store is used only where the copies have more
-   * requests than they can run at once, since its loads take long and are few.
-   */
+  private _loadFurtherCopy(model: string, demand: ModelDemand): void {
+    if (!this._isPlanned(model) && this._storeIsFreeFor(demand)) {
+      this._load(model, 'secondCopy', ['store']);
+    }
+  }
+
+  /** Models whose copies cannot run all their requests at once, with what the requests beyond that are worth. */
+  private _overloaded(): readonly StoreCandidate[] {
+    return [...this._demand].flatMap(([model, demand]) => {
+      const { running, slots } = this._copyLoad(model);
+      return running > slots && this._wantsFurtherCopy(model, demand)
+        ? [{ model, demand, gain: gainOf(demand) * (1 - slots / running), reason: 'secondCopy' as const }]
+        : [];
+    });
+  }
+
+  /** Answers demand that moves to a model with few copies, from copies in memory or on disk. */
   private _addSecondCopies(): void {
     for (const [model, demand] of this._demand) {
-      const holders = this._copies.present(model);
-      if (holders.length === 0 || holders.some((replica) => replica.order?.model === model)) {
-        continue;
-      }
-      const running = holders.reduce((sum, replica) => sum + replica.running, 0);
-      const slots = holders.reduce((sum, replica) => sum + replica.slots, 0);
-      const isImpatient = demand.latencyTargetMs < patientTargetMs;
-      if (isImpatient && running > secondCopyLoad * slots && demand.ratePerSecond > 1) {
-        const isOverloaded = running > slots && this._storeLoads < this._input.maximumStoreLoads;
-        this._load(model, 'secondCopy', isOverloaded ? ['memory', 'disk', 'store'] : ['memory', 'disk']);
+      const { running, slots } = this._copyLoad(model);
+      if (running > secondCopyLoad * slots && this._wantsFurtherCopy(model, demand)) {
+        this._load(model, 'secondCopy', ['memory', 'disk']);
       }
     }
   }
 
+  private _wantsFurtherCopy(model: string, demand: ModelDemand): boolean {
+    const holders = this._copies.present(model);
+    const isBeingLoaded = holders.some((replica) => replica.order?.model === model);
+    const isImpatient = demand.latencyTargetMs < patientTargetMs;
+    return holders.length > 0 && !isBeingLoaded && isImpatient && demand.ratePerSecond > hotRate;
+  }
+
+  private _copyLoad(model: string): { readonly running: number; readonly slots: number } {
+    const holders = this._copies.present(model);
+    return {
+      running: holders.reduce((sum, replica) => sum + replica.running, 0),
+      slots: holders.reduce((sum, replica) => sum + replica.slots, 0),
+    };
+  }
+
   /** Uses free loads of the weight store for models that no replica has in any tier. */
   private _coverMissing(): void {
     if (!this._input.mayCover) {
       return;
     }
-    const missing = [...this._input.models.keys()].filter((model) => !this._isAnywhere(model));
+    const missing = [...this._input.models.keys()].filter((model) => !this._copies.isAnywhere(model));
     missing.sort((first, second) => this._rate(second) - this._rate(first));
     for (const model of missing) {
       if (this._storeLoads >= this._input.maximumStoreLoads) {
@@ -250,10 +271,11 @@
     if (specification === undefined) {
       return false;
     }
-    const options = this._input.replicas
+    const able = tiers.includes('store') ? this._input.replicas : this._copies.atHand(model);
+    const options = able
       .filter((replica) => this._isFree(replica) && replica.clearingFor === undefined)
       .filter((replica) => !replica.models.some((held) => held.name === model))
-      .map((replica) => this._option(replica, specification))
+      .map((replica) => this._options.option(replica, specification))
       .filter((option) => option !== undefined)
       .filter((option) => !atOnce || option.victims.every((victim) => victim.running === 0))
       .filter((option) => tiers.includes(option.tier) && this._isWorthIt(option, model, reason));
@@ -265,13 +287,13 @@
   }
 
   /** Compares the demand for a model with the demand for those that would give way to it. */
-  private _isWorthIt(option: Option, model: string, reason: PlannedOrder['reason']): boolean {
-    const loss = this._lossOf(option.victims);
+  private _isWorthIt(option: LoadOption, model: string, reason: PlannedOrder['reason']): boolean {
+    const loss = this._options.lossOf(option.victims);
     const gain = gainOf(this._demand.get(model));
     return reason === 'coverage' ? loss <= gain || loss < waitingRate : loss * displacingShare <= gain;
   }
 
-  private _order(option: Option, specification: ModelSpecification, reason: PlannedOrder['reason']): void {
+  private _order(option: LoadOption, specification: ModelSpecification, reason: PlannedOrder['reason']): void {
     const { replica, tier, victims } = option;
     this._taken.add(replica.id);
     if (tier === 'store') {
@@ -293,75 +315,6 @@
     this._orders.push({ replicaId: id, kind: 'unload', model, clearingFor, afterUnload, tier, reason: 'clearing' });
   }
 
-  /** How a replica could load a model; undefined if it may not give up enough. */
-  private _option(replica: PlacedReplica, specification: ModelSpecification): Option | undefined {
-    const victims: PlacedModel[] = [];
-    let free = freeMegabytes(replica, this._input.models);
-    const candidates = this._modelsByCost(replica).filter((held) => this._mayLeave(held, replica, specification.name));
-    while (free < specification.weightMegabytes) {
-      const victim = candidates.shift();
-      if (victim === undefined) {
-        return undefined;
-      }
-      victims.push(victim);
-      free += heldMegabytes(victim, this._input.models);
-    }
-    const tier = loadTier(replica, specification.name);
-    const victimsCostMs = victims.reduce((sum, victim) => sum + this._costOf(victim) + clearingStepMs, 0);
-    const adapterRate = replica.models.reduce((sum, held) => sum + (this._adapterRates.get(held.name) ?? 0), 0);
-    const costMs = specification.loadMs[tier] + victimsCostMs + adapterRate * adapterDelayCostMs;
-    return { replica, tier, victims, costMs };
-  }
-
-  private _modelsByCost(replica: PlacedReplica): readonly PlacedModel[] {
-    const known = this._byCost.get(replica.id);
-    if (known !== undefined) {
-      return known;
-    }
-    const costs = replica.models.map((held) => ({ held, cost: this._costOf(held) }));
-    costs.sort((first, second) => first.cost - second.cost);
-    const models = costs.map(({ held }) => held);
-    this._byCost.set(replica.id, models);
-    return models;
-  }
-
-  /**
-   * A model in use leaves only for requests that are about to be late; until then another model may become idle. It
-   * retires first, because an unload waits for the model's requests and keeps the replica from other orders meanwhile.
-   */
-  private _mayLeave(held: PlacedModel, replica: PlacedReplica, wanted: string): boolean {
-    const waitedFor = this._isWaitedFor(held.name) && !this._hasOtherCopy(held.name, replica);
-    const isIdle = held.running === 0 || (this._demand.get(wanted)?.slackMs ?? Infinity) < urgentSlackMs;
-    return isIdle && !waitedFor && this._nowMs - held.readySinceMs >= minimumResidenceMs;
-  }
-
-  private _isWaitedFor(model: string): boolean {
-    return (this._demand.get(model)?.waiting ?? 0) > 0;
-  }
-
-  private _costOf(held: PlacedModel): number {
-    return this._lossOf([held]) * rateCostMs + drainMs(held.running);
-  }
-
-  /** Weighted requests a second that lose their only copy. */
-  private _lossOf(victims: readonly PlacedModel[]): number {
-    return victims.reduce((sum, victim) => sum + this._weightedRate(victim.name) / this._copyCount(victim.name), 0);
-  }
-
-  private _copyCount(model: string): number {
-    // A further copy still carries part of the load, but its loss makes no request wait for a load.
-    return Math.max(this._copies.ready(model).length, 1) ** 2;
-  }
-
-  private _hasOtherCopy(model: string, replica: PlacedReplica): boolean {
-    return this._copies.ready(model).some((other) => other !== replica);
-  }
-
-  private _weightedRate(model: string): number {
-    const demand = this._demand.get(model);
-    return (demand?.ratePerSecond ?? 0) * requestWeight(demand);
-  }
-
   private _rate(model: string): number {
     const demand = this._demand.get(model);
     return (demand?.ratePerSecond ?? 0) + (demand?.waiting ?? 0);
@@ -377,11 +330,14 @@
     const patienceMs = requestWeight(demand) > 1 ? impatientCopyPatienceMs : copyPatienceMs;
     const lateByMs = (demand?.unservedMs ?? 0) - (demand?.latencyTargetMs ?? 0);
     const isWorthWaiting = lateByMs < patienceMs && hasCopy;
-    return this._storeLoads < this._input.maximumStoreLoads && !isWorthWaiting;
+    return this._storeIsFreeFor(demand) && !isWorthWaiting;
   }
 
-  private _isAnywhere(model: string): boolean {
-    return this._copies.present(model).length > 0 || this._copies.atHand(model).length > 0;
+  /** Only a model in much demand is loaded beside as many loads as the store is known to run at full speed. */
+  private _storeIsFreeFor(demand: ModelDemand | undefined): boolean {
+    const { maximumStoreLoads, triedStoreLoads } = this._input;
+    const isHot = (demand?.ratePerSecond ?? 0) > hotRate;
+    return this._storeLoads < (isHot ? triedStoreLoads : maximumStoreLoads);
   }
 
   private _isFree(replica: PlacedReplica): boolean {
@@ -389,28 +345,8 @@
   }
 }
 
-/** Expected time until the last of several running requests ends, milliseconds. */
-function drainMs(running: number): number {
-  let harmonic = 0;
-  for (let index = 1; index <= running; index += 1) {
-    harmonic += 1 / index;
-  }
-  return harmonic * meanRemainingRunMs;
-}
-
-/** Requests a second for the adapters of each model. */
-function adapterRates(input: PlacementInput): ReadonlyMap<string, number> {
-  const rates = new Map<string, number>();
-  for (const { target, ratePerSecond } of input.demands) {
-    if (target.adapter !== undefined) {
-      rates.set(target.model, (rates.get(target.model) ?? 0) + ratePerSecond);
-    }
-  }
-  return rates;
-}
-
-function cheapest(options: readonly Option[]): Option | undefined {
-  return options.reduce<Option | undefined>(
+function cheapest(options: readonly LoadOption[]): LoadOption | undefined {
+  return options.reduce<LoadOption | undefined>(
     (best, option) => (best === undefined || option.costMs < best.costMs ? option : best),
     undefined,
   );
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -1,3 +1,4 @@
+import type { CopyIndex } from './CopyIndex.js';
 import type { ModelSpecification, WeightTier } from '../Types.js';
 import type { Demand, OrderInProgress, PlacedModel, PlacedReplica } from './Types.js';
 
@@ -47,6 +48,18 @@
   return waiting.sort(([, first], [, second]) => first.slackMs - second.slackMs);
 }
 
+/**
+ * Models in the order in which they deserve a load from the weight store: those that requests wait for and those that
+ * are asked for but that no replica has. Requests for the latter are often refused at once, so nothing may wait.
+ */
+export function storeCandidates(
+  demands: ReadonlyMap<string, ModelDemand>,
+  copies: CopyIndex,
+): readonly (readonly [string, ModelDemand])[] {
+  const candidates = [...demands].filter(([model, demand]) => demand.waiting > 0 || !copies.isAnywhere(model));
+  return candidates.sort(([, first], [, second]) => gainOf(second) - gainOf(first));
+}
+
 /** Fastest place from which a replica can load a model. */
 export function loadTier(replica: PlacedReplica, model: string): WeightTier {
   if (replica.inMemory.has(model)) {
