Let patient callers wait until the next leader tells when their model is ready

Cause: without word from a leader a request for a rare model waited for a fifth of its time or its latency target, 3 s for patient callers, and was then refused with 4 s to come back, although the next leader gives orders after some 4 s. Change: where twice that time is left, the wait outlasts a change of the leader by one second.

--- a/packages/gateway/src/waiting/decideWait.test.ts
+++ b/packages/gateway/src/waiting/decideWait.test.ts
@@ -18,6 +18,16 @@
     vitest.expect(decideWait(situation).kind).toBe('refuse');
   });
 
+  vitest.test(
+    'outlasts a change of the leader for a patient caller (guards against refusals just before its end)',
+    () => {
+      const patient = { waitedMs: 4_500, timeLeftMs: 7_500, latencyTargetMs: 3_000 };
+      vitest.expect(decideWait(patient).kind).toBe('wait');
+      vitest.expect(decideWait({ ...patient, waitedMs: 5_500, timeLeftMs: 6_500 }).kind).toBe('refuse');
+      vitest.expect(decideWait({ waitedMs: 1_000, timeLeftMs: 1_500, latencyTargetMs: 600 }).kind).toBe('refuse');
+    },
+  );
+
   vitest.test('says a time to come back at which the model is ready (guards against second refusals)', () => {
     fastCheck.assert(
       fastCheck.property(fastCheck.nat(20_000), fastCheck.nat(20_000), (timeLeftMs, readyInMs) => {
--- a/packages/gateway/src/waiting/decideWait.ts
+++ b/packages/gateway/src/waiting/decideWait.ts
@@ -18,6 +18,10 @@
 const blindWaitShare = 0.2;
 /** A new leader gives its first orders after about this time, milliseconds. */
 const leaderChangeMs = 4_000;
+/** Waits without word from the leader outlast a change of the leader by this much, if the caller's time allows, milliseconds. */
+const leaderSettlesMs = 1_000;
+/** Share of the time that a request has which a wait for a new leader may take. */
+const leaderChangeShare = 0.5;
 
 /**
  * Decides whether a request for a model that is not ready goes on waiting. Answers bursts of rare models and changes
@@ -30,8 +34,14 @@
       ? { kind: 'wait' }
       : { kind: 'refuse', retryAfterMs: readyInMs, reason: 'model is not ready in time' };
   }
-  const blindLimitMs = Math.max(latencyTargetMs, (waitedMs + timeLeftMs) * blindWaitShare);
-  return waitedMs < blindLimitMs
+  return waitedMs < blindLimitMs(waitedMs + timeLeftMs, latencyTargetMs)
     ? { kind: 'wait' }
     : { kind: 'refuse', retryAfterMs: leaderChangeMs, reason: 'no leader tells when the model is ready' };
 }
+
+/** Longest wait without word from the leader, milliseconds. Patient callers get the models of the next leader. */
+function blindLimitMs(patienceMs: number, latencyTargetMs: number): number {
+  const nextLeaderMs = leaderChangeMs + leaderSettlesMs;
+  const isPatient = nextLeaderMs <= patienceMs * leaderChangeShare;
+  return Math.max(latencyTargetMs, patienceMs * blindWaitShare, isPatient ? nextLeaderMs : 0);
+}
