--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -13,6 +13,7 @@
 import { admitRequest, type OwnAnswer } from './admitRequest.js';
 import { AnswerRelay } from './AnswerRelay.js';
 import { type AttemptFailure, ReplicaAttempt } from './ReplicaAttempt.js';
+import { type AttemptOutcome, CurrentAttempt } from './CurrentAttempt.js';
 import { Deadline } from './Deadline.js';
 import { callerPatienceMs, maySendAgain, urgencyOf } from './sendAgain.js';
 import { SendHistory } from './SendHistory.js';
@@ -42,7 +43,7 @@
   });
   private readonly _wait: ModelWait;
   private readonly _relay: AnswerRelay;
-  private _attempt: ReplicaAttempt | undefined;
+  private readonly _attempt: CurrentAttempt;
   private readonly _history = new SendHistory();
   /** Status of the answer that is being passed on. */
   private _answerStatus = 0;
@@ -59,6 +60,7 @@
   ) {
     this._startedMs = this._nowMs();
     this._wait = new ModelWait(_context.waitingRoom);
+    this._attempt = new CurrentAttempt(_context.loads);
     this._relay = new AnswerRelay(_response, _context.codec, () => _context.isStopping(), {
       onProgress: () => {
         this._silence.refresh();
@@ -209,7 +211,6 @@
     }
     const nowMs = this._nowMs();
     this._history.send(replica.id);
-    this._context.loads.started(replica.id, caller.target, this._promptParts());
     const { lastEventId } = this._relay;
     const headers = this._context.codec.forwardedHeaders(this._request, {
       replicaId: replica.id,
@@ -218,7 +219,7 @@
       ...(caller.target !== undefined && { urgency: urgencyOf(route) }),
       ...(lastEventId !== undefined && { lastEventId }),
     });
-    this._attempt = new ReplicaAttempt(
+    const attempt = new ReplicaAttempt(
       {
         method: this._request.method ?? 'GET',
         path: this._request.url ?? '/',
@@ -242,6 +243,7 @@
         },
       },
     );
+    this._attempt.start(attempt, caller.target, this._promptParts());
     this._watchSilence();
   }
 
@@ -276,13 +278,12 @@
   }
 
   private _passOn(answer: ReplicaAnswer, response: http.IncomingMessage): void {
-    const attempt = this._attempt;
     this._answerBeganMs = this._nowMs();
     const isEventStream = this._route?.kind === 'stream' && answer.status === 200;
     this._answerStatus = answer.status;
     this._relay.start(response, {
       resumable: isEventStream && this._route?.resumable === true,
-      isComplete: () => attempt?.isComplete(response) ?? false,
+      isComplete: () => this._attempt.isComplete(response),
     });
     if (isEventStream) {
       this._watchSilence();
@@ -291,8 +292,8 @@
 
   private _answerEnded(): void {
     const isGood = this._answerStatus < 500;
-    if (isGood && this._attempt !== undefined) {
-      this._context.loads.recordRun(this._attempt.replica.id, this._nowMs() - this._answerBeganMs);
+    if (isGood) {
+      this._attempt.recordRun(this._nowMs() - this._answerBeganMs);
     }
     this._endAttempt(isGood ? 'succeeded' : 'failed');
     this._finish(isGood ? 'delivered' : 'replicaFailure', this._answerStatus);
@@ -357,8 +358,7 @@
 
   /** Gives a silent replica up; the request runs elsewhere. */
   private _replicaSilent(): void {
-    const attempt = this._attempt;
-    if (this._finished || attempt === undefined) {
+    if (this._finished || !this._attempt.isRunning) {
       return;
     }
     const nowMs = this._nowMs();
@@ -367,26 +367,19 @@
     }
     this._relay.detach();
     this._history.countRun();
-    attempt.cancel();
-    this._endAttempt('failed');
+    this._attempt.recordSilence(nowMs);
+    this._silence.stop();
+    this._attempt.cancel();
     this._dispatch();
   }
 
-  private _endAttempt(outcome: 'succeeded' | 'failed' | 'refused'): void {
+  private _endAttempt(outcome: AttemptOutcome): void {
     this._silence.stop();
-    const attempt = this._attempt;
-    if (attempt !== undefined) {
-      this._attempt = undefined;
-      this._context.loads.ended(attempt.replica.id, this._caller?.target);
-      // A refusal says that the replica is busy or lacks the model, not that it is ill.
-      if (outcome !== 'refused') {
-        this._context.loads.recordOutcome(attempt.replica.id, outcome === 'succeeded', this._nowMs());
-      }
-    }
+    this._attempt.end(outcome, this._nowMs());
   }
 
   private _timedOut(): void {
-    if (this._attempt === undefined && this._history.runs === 0) {
+    if (!this._attempt.isRunning && this._history.runs === 0) {
       this._refuse('time is up before a replica could be used', refusedRetryAfterMs);
     } else {
       this._breakOff('time is up', 504);
@@ -439,20 +432,15 @@
   /** A replica that let its caller wait in vain counts as failed, so that others are tried first. */
   private _recordSilence(): void {
     const patienceMs = this._route === undefined ? Number.POSITIVE_INFINITY : callerPatienceMs(this._route);
-    const isOverdue = this._nowMs() - this._startedMs > patienceMs / 2;
-    if (this._attempt !== undefined && !this._relay.headSent && isOverdue) {
-      this._context.loads.recordOutcome(this._attempt.replica.id, false, this._nowMs());
+    const nowMs = this._nowMs();
+    if (!this._relay.headSent && nowMs - this._startedMs > patienceMs / 2) {
+      this._attempt.recordSilence(nowMs);
     }
   }
 
   private _cancelAttempt(): void {
     this._relay.detach();
-    const attempt = this._attempt;
-    if (attempt !== undefined) {
-      this._attempt = undefined;
-      this._context.loads.ended(attempt.replica.id, this._caller?.target);
-      attempt.cancel();
-    }
+    this._attempt.cancel();
   }
 
   private _finish(
