Load hot models without a copy before further copies, and one long load at a time

Loads tried beside another one take twice as long on such a store, and were lost or late when demand moved or power was lost; further copies of overloaded models went first, as queues make their gain look large; and a new leader gave the store to the first request that waited, while replicas that it could not reach kept missing models from being covered. Change: no tries beside a long load; requests beyond the copies of a model count 0.3; the store waits 1 s for a new leader to hear what is asked for; a replica that cannot be read keeps missing models from being covered for 3 s at most.

--- a/packages/gateway/src/placement/OrderSender.ts
+++ b/packages/gateway/src/placement/OrderSender.ts
@@ -84,18 +84,14 @@
   }
 
   /** `onLate` is called again and again while the order takes longer than expected. */
-  public async awaitEnd(
-    book: ReplicaBook,
-    order: PlannedOrder,
-    expectedMs: number,
-    onLate: () => void,
-  ): Promise<boolean> {
+  public async awaitEnd(book: ReplicaBook, order: PlannedOrder, expectedMs: number, onLate: () => void): Promise<void> {
     const { steadyMs } = this._clock.now();
     const isLocal = order.adapter !== undefined || order.kind === 'unload' || order.tier !== 'store';
     await pause(expectedMs);
-    const isDone = isLocal || (await this._pollUntilDone(book, order, steadyMs + expectedMs + orderPatienceMs, onLate));
+    if (!isLocal) {
+      await this._pollUntilDone(book, order, steadyMs + expectedMs + orderPatienceMs, onLate);
+    }
     book.finish(order, this._clock.now().steadyMs);
-    return isDone;
   }
 
   private async _pollUntilDone(
@@ -103,7 +99,7 @@
     order: PlannedOrder,
     untilMs: number,
     onLate: () => void,
-  ): Promise<boolean> {
+  ): Promise<void> {
     while (this._isCurrent(book) && this._clock.now().steadyMs < untilMs) {
       const outcome = await this._engines.readReport(book.replica);
       const isDone =
@@ -112,11 +108,10 @@
         outcome.value.orderSequence >= (book.sequence ?? 0) &&
         outcome.value.models.some((held) => held.name === order.model) === (order.kind === 'load');
       if (isDone) {
-        return true;
+        return;
       }
       onLate();
       await pause(pollMs);
     }
-    return false;
   }
 }
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -18,8 +18,10 @@
 
 /** A report may be this old; one that still differs after this time is right, milliseconds. */
 const reportLagMs = 600;
-/** Time without a new replica after which a new leader takes the list for complete, milliseconds. */
+/** Time in which a new leader hears of the replicas and of what is asked for, milliseconds. */
 const settleMs = 1_000;
+/** A replica whose state cannot be read for this long does not keep the models that seem missing from being loaded, milliseconds. */
+const syncPatienceMs = 3_000;
 /** Pause after a refused order, milliseconds. */
 const refusedQuietMs = 1_000;
 /** Least time between two plans, milliseconds. One plan answers all reports that came meanwhile. */
@@ -42,6 +44,7 @@
   private _plannedMs = Number.NEGATIVE_INFINITY;
   private _estimates: readonly ReadyEstimate[] = [];
   private _lastNewReplicaMs = 0;
+  private _ledSinceMs = 0;
 
   public constructor(
     self: string,
@@ -80,6 +83,7 @@
     }
     if (token !== this._token) {
       this._token = token;
+      this._ledSinceMs = this._clock.now().steadyMs;
       this._books.clear();
       this._log.info('Gives orders from now on.', { term: token });
     }
@@ -240,21 +244,21 @@
       models: engine.models,
       replicas: this._placed(service, engine, running, nowMs),
       demands: demands.filter((demand) => engine.models.has(demand.target.model)),
-      // Models that seem missing may be on replicas that have not been heard of yet.
-      mayCover:
-        nowMs - this._lastNewReplicaMs >= settleMs &&
-        [...this._books.values()].every((one) => one.sequence !== undefined),
-      ...this._storeLimits(engine),
+      mayCover: this._mayCover(nowMs),
+      maximumStoreLoads: this._maximumStoreLoads(engine),
     }));
   }
 
-  private _storeLimits(engine: EngineSpecification): Pick<PlacementInput, 'maximumStoreLoads' | 'triedStoreLoads'> {
+  /** False while models that seem missing may be on replicas that have not been heard of yet. */
+  private _mayCover(nowMs: number): boolean {
+    const areSynced = [...this._books.values()].every((book) => book.sequence !== undefined);
+    return nowMs - this._ledSinceMs >= settleMs && (areSynced || nowMs - this._lastNewReplicaMs >= syncPatienceMs);
+  }
+
+  private _maximumStoreLoads(engine: EngineSpecification): number {
     const longestLoadMs = Math.max(...[...engine.models.values()].map(({ loadMs }) => loadMs.store));
     const allowed = Math.max(1, Math.floor(engine.storeLoadsPerSecond));
-    return {
-      maximumStoreLoads: Math.min(this._pace.maximumLoads(longestLoadMs), allowed),
-      triedStoreLoads: Math.min(this._pace.triedLoads(longestLoadMs), allowed),
-    };
+    return Math.min(this._pace.maximumLoads(longestLoadMs), allowed);
   }
 
   private _placed(
@@ -306,17 +310,14 @@
     if (answer === 'accepted' || answer === 'alreadyHolds') {
       const statedMs = input.models.get(order.model)?.loadMs.store ?? 0;
       const isFromStore = isStoreLoad(order);
-      const recordPace = (hasEnded: boolean): void => {
+      const recordPace = (): void => {
         if (isFromStore) {
-          const takenMs = this._clock.now().steadyMs - startedMs;
-          this._pace.recordLoad({ statedMs, takenMs, loadsAtOnce: storeLoads, hasEnded });
+          this._pace.recordLoad(statedMs, this._clock.now().steadyMs - startedMs, storeLoads);
           book.order = book.order && { ...book.order, expectedDoneMs: startedMs + expectMs() };
         }
       };
-      const isDone = await this._sender.awaitEnd(book, order, expectedMs, () => {
-        recordPace(false);
-      });
-      recordPace(isDone && answer === 'accepted');
+      await this._sender.awaitEnd(book, order, expectedMs, recordPace);
+      recordPace();
     } else {
       await this._recover(book, answer);
     }
--- a/packages/gateway/src/placement/StorePace.ts
+++ b/packages/gateway/src/placement/StorePace.ts
@@ -3,41 +3,26 @@
 
 /** Loads from the weight store that run at once at most. */
 const mostLoads = 4;
-/** Loads started at once before anything is known end within this time even if the store runs them one by one, milliseconds. */
+/**
+ * Loads that are started at once before anything is known end within this time even if the store runs them one by one,
+ * milliseconds.
+ */
 const blindLoadMs = 24_000;
 /** A load that takes this many times its stated time shows that too many ran at once. */
 const slowFactor = 1.3;
 
-/** A load from the weight store. */
-export interface ObservedLoad {
-  /** Time that the configuration states, milliseconds. */
-  readonly statedMs: number;
-  /** Time since its start, or until its end, milliseconds. */
-  readonly takenMs: number;
-  /** Loads that ran at its start, itself included: later ones do not slow it. */
-  readonly loadsAtOnce: number;
-  readonly hasEnded: boolean;
-}
-
 /**
  * Adapts the number of loads that run at once to the speed of the weight store. Answers demand that moves during long
  * loads: loads that were started too many at once keep the store from the models that are asked for later.
  */
 export class StorePace {
-  /** Most loads at once that were seen to run at full speed. */
-  private _fullSpeedLoads = 0;
-  /** Loads at once that the store sustains, once a slow load has shown it. */
+  /** Loads at once that the store sustains, as far as slow loads have shown. */
   private _sustainedLoads = mostLoads;
 
   /** Loads of models with this stated time, milliseconds, that may run at once. */
   public maximumLoads(statedMs: number): number {
     const blindLoads = Math.max(Math.floor(blindLoadMs / statedMs), 1);
-    return Math.min(Math.max(blindLoads, this._fullSpeedLoads), this._sustainedLoads);
-  }
-
-  /** Loads that may run at once to find out whether the store runs more at full speed than is known. */
-  public triedLoads(statedMs: number): number {
-    return Math.min(2 * this.maximumLoads(statedMs), this._sustainedLoads);
+    return Math.min(blindLoads, this._sustainedLoads);
   }
 
   /** Factor by which an order takes longer than stated, if so many loads from the store run with it, itself included. */
@@ -45,13 +30,14 @@
     return isStoreLoad(order) ? Math.max(loadsAtOnce / this._sustainedLoads, 1) : 1;
   }
 
-  /** Learns from a load that has ended or is still under way. */
-  public recordLoad({ statedMs, takenMs, loadsAtOnce, hasEnded }: ObservedLoad): void {
+  /**
+   * Learns from a load that has taken `takenMs` so far or in all. `loadsAtOnce` counts those that ran at its start, itself
+   * included: later ones do not slow it.
+   */
+  public recordLoad(statedMs: number, takenMs: number, loadsAtOnce: number): void {
     if (takenMs > statedMs * slowFactor) {
       const sustained = Math.floor((loadsAtOnce * statedMs) / takenMs);
       this._sustainedLoads = Math.max(1, Math.min(this._sustainedLoads, sustained));
-    } else if (hasEnded) {
-      this._fullSpeedLoads = Math.max(this._fullSpeedLoads, loadsAtOnce);
     }
   }
 }
--- a/packages/gateway/src/placement/Types.ts
+++ b/packages/gateway/src/placement/Types.ts
@@ -71,8 +71,6 @@
   readonly mayCover: boolean;
   /** Loads from the weight store that may run at once. */
   readonly maximumStoreLoads: number;
-  /** The same for models in much demand; the store may turn out to run so many at full speed. */
-  readonly triedStoreLoads: number;
 }
 
 /** An order to send, with the reason for the log. */
--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -30,6 +30,8 @@
 const displacingShare = 0.5;
 /** Share of a replica's slots above which a model gets another copy. */
 const secondCopyLoad = 0.6;
+/** Requests beyond what the copies of a model run at once count this much: they may be served late, those without a copy never. */
+const furtherCopyShare = 0.3;
 /** A model that is asked for more often than this is hot, requests a second. */
 const hotRate = 1;
 
@@ -44,7 +46,6 @@
 
 interface StoreCandidate {
   readonly model: string;
-  readonly demand: ModelDemand;
   /** What a load is worth, in weighted requests a second. */
   readonly gain: number;
   readonly reason: 'waiting' | 'secondCopy';
@@ -156,34 +157,37 @@
    * have more requests than they can run at once.
    */
   private _serveFromStore(): void {
+    if (!this._input.mayCover) {
+      return;
+    }
     const missing = storeCandidates(this._demand, this._copies).map(([model, demand]) => ({
       model,
-      demand,
       gain: gainOf(demand),
       reason: 'waiting' as const,
     }));
     const candidates: readonly StoreCandidate[] = [...missing, ...this._overloaded()];
-    for (const { model, demand, reason } of [...candidates].sort((one, other) => other.gain - one.gain)) {
+    for (const { model, reason } of [...candidates].sort((one, other) => other.gain - one.gain)) {
       if (reason === 'secondCopy') {
-        this._loadFurtherCopy(model, demand);
-      } else if ((demand.waiting > 0 || this._input.mayCover) && this._mayUseStore(model)) {
+        this._loadFurtherCopy(model);
+      } else if (this._mayUseStore(model)) {
         this._loadUnlessPresent(model, ['store']);
       }
     }
   }
 
-  private _loadFurtherCopy(model: string, demand: ModelDemand): void {
-    if (!this._isPlanned(model) && this._storeIsFreeFor(demand)) {
+  private _loadFurtherCopy(model: string): void {
+    if (!this._isPlanned(model) && this._storeIsFree()) {
       this._load(model, 'secondCopy', ['store']);
     }
   }
 
-  /** Models whose copies cannot run all their requests at once, with what the requests beyond that are worth. */
+  /** Models whose copies cannot run all their requests at once. */
   private _overloaded(): readonly StoreCandidate[] {
     return [...this._demand].flatMap(([model, demand]) => {
       const { running, slots } = this._copyLoad(model);
+      const gain = gainOf(demand) * (1 - slots / Math.max(running, 1)) * furtherCopyShare;
       return running > slots && this._wantsFurtherCopy(model, demand)
-        ? [{ model, demand, gain: gainOf(demand) * (1 - slots / running), reason: 'secondCopy' as const }]
+        ? [{ model, gain, reason: 'secondCopy' as const }]
         : [];
     });
   }
@@ -221,7 +225,7 @@
     const missing = [...this._input.models.keys()].filter((model) => !this._copies.isAnywhere(model));
     missing.sort((first, second) => this._rate(second) - this._rate(first));
     for (const model of missing) {
-      if (this._storeLoads >= this._input.maximumStoreLoads) {
+      if (!this._storeIsFree()) {
         return;
       }
       this._load(model, 'coverage', ['store']);
@@ -330,14 +334,11 @@
     const patienceMs = requestWeight(demand) > 1 ? impatientCopyPatienceMs : copyPatienceMs;
     const lateByMs = (demand?.unservedMs ?? 0) - (demand?.latencyTargetMs ?? 0);
     const isWorthWaiting = lateByMs < patienceMs && hasCopy;
-    return this._storeIsFreeFor(demand) && !isWorthWaiting;
+    return this._storeIsFree() && !isWorthWaiting;
   }
 
-  /** Only a model in much demand is loaded beside as many loads as the store is known to run at full speed. */
-  private _storeIsFreeFor(demand: ModelDemand | undefined): boolean {
-    const { maximumStoreLoads, triedStoreLoads } = this._input;
-    const isHot = (demand?.ratePerSecond ?? 0) > hotRate;
-    return this._storeLoads < (isHot ? triedStoreLoads : maximumStoreLoads);
+  private _storeIsFree(): boolean {
+    return this._storeLoads < this._input.maximumStoreLoads;
   }
 
   private _isFree(replica: PlacedReplica): boolean {
