--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -1,10 +1,6 @@
 import type * as http from 'node:http';
 import type { CallerRequest, ReplicaAnswer } from '../contracts/RequestCodec.js';
-import type { Candidate } from '../routing/chooseReplica.js';
-import { decideAdmission } from '../routing/decideAdmission.js';
-import { selectReplica, turnedAwayMs } from '../routing/selectReplica.js';
 import type { ModelReference, Replica, Route } from '../Types.js';
-import { decideWait } from '../waiting/decideWait.js';
 import { ModelWait } from '../waiting/ModelWait.js';
 import type { Waiter } from '../waiting/WaitingRoom.js';
 import { discardBody } from './discardBody.js';
@@ -15,6 +11,7 @@
 import { type AttemptFailure, ReplicaAttempt } from './ReplicaAttempt.js';
 import { type AttemptOutcome, CurrentAttempt } from './CurrentAttempt.js';
 import { Deadline } from './Deadline.js';
+import { decideDispatch, type DispatchSituation, refusedRetryAfterMs } from './decideDispatch.js';
 import { callerPatienceMs, maySendAgain, urgencyOf } from './sendAgain.js';
 import { SendHistory } from './SendHistory.js';
 import { sendOwnAnswer } from './sendOwnAnswer.js';
@@ -22,11 +19,6 @@
 import type { ExchangeResult } from './ExchangeResult.js';
 import type { ExchangeContext } from './Types.js';
 
-/** Time to come back after replicas refused or could not be reached, milliseconds. */
-const refusedRetryAfterMs = 500;
-/** Time to come back to another daemon while this one stops, milliseconds. */
-const stoppingRetryAfterMs = 50;
-
 /** One request of a caller: finds a replica or waits for one, sends the request, and passes the answer on. */
 export class Exchange {
   private readonly _startedMs: number;
@@ -121,53 +113,41 @@
 
   /** Sends the request to the best replica, or lets it wait. Returns true if it no longer needs to wait. */
   private _dispatch(): boolean {
-    const nowMs = this._nowMs();
-    if (this._history.runs === 0 && this._deadline.leftMs(nowMs) > this._context.longestRequestMs(nowMs)) {
-      this._refuse('this daemon stops', stoppingRetryAfterMs);
+    const route = this._route;
+    if (route === undefined) {
       return true;
     }
-    const target = this._caller?.target;
-    const selection = {
-      usable: this._context.directory.usable(this._service),
-      target,
-      promptParts: this._promptParts(),
-      excluded: this._history.excluded,
-      failureDomain: this._context.failureDomain,
-      randomSlots: () => this._context.randomSlots(),
-    };
-    const candidate = selectReplica(selection, this._context.loads, nowMs);
-    if (candidate !== undefined) {
-      this._wait.stop(nowMs);
-      this._sendOrRefuse(candidate);
-      return true;
+    const nowMs = this._nowMs();
+    const decision = decideDispatch(this._situation(route, nowMs), this._context, nowMs);
+    if (decision.kind === 'wait') {
+      this._startWaiting(decision.target, route, nowMs);
+      return false;
     }
-    const freeInMs = turnedAwayMs(selection, this._context.loads, nowMs);
-    if (target === undefined || this._route === undefined) {
-      const reason = freeInMs === undefined ? 'no replica of the service is known' : 'all replicas turn requests away';
-      this._refuse(reason, freeInMs ?? refusedRetryAfterMs);
-      return true;
+    this._wait.stop(nowMs);
+    if (decision.kind === 'send') {
+      this._send(decision.replica, route);
+    } else {
+      this._readyInMs = decision.readyInMs;
+      this._refuse(decision.reason, decision.retryAfterMs);
     }
-    return this._waitOrRefuse(target, this._route, freeInMs);
+    return true;
   }
 
-  /**
-   * Lets the request wait for its model, or refuses it. `freeInMs` is the time until a replica that holds the model takes
-   * requests again. Returns true if it no longer needs to wait.
-   */
-  private _waitOrRefuse(target: ModelReference, route: Route, freeInMs: number | undefined): boolean {
-    const nowMs = this._nowMs();
-    const readyInMs = freeInMs ?? this._context.readyInMs(target.model);
-    const decision = decideWait({
+  private _situation(route: Route, nowMs: number): DispatchSituation {
+    return {
+      service: this._service,
+      route,
+      target: this._caller?.target,
+      promptParts: this._promptParts(),
+      excluded: this._history.excluded,
+      mayHaveRun: this._history.runs > 0,
       waitedMs: this._wait.waitedMs(nowMs),
-      timeLeftMs: this._patienceLeftMs(route),
-      latencyTargetMs: route.latencyTargetMs,
-      ...(readyInMs !== undefined && { readyInMs }),
-    });
-    if (decision.kind === 'refuse') {
-      this._readyInMs = readyInMs;
-      this._refuse(decision.reason, decision.retryAfterMs);
-      return true;
-    }
+      timeLeftMs: this._deadline.leftMs(nowMs),
+      patienceMs: this._patienceLeftMs(route),
+    };
+  }
+
+  private _startWaiting(target: ModelReference, route: Route, nowMs: number): void {
     const makeWaiter = (): Waiter => ({
       target,
       urgency: urgencyOf(route),
@@ -181,21 +161,6 @@
     if (this._wait.start(makeWaiter, check, nowMs)) {
       this._context.waitingChanged();
     }
-    return false;
-  }
-
-  /** Sends a request, unless it would wait in the replica's queue until its caller leaves. */
-  private _sendOrRefuse(candidate: Candidate): void {
-    const route = this._route;
-    const isModelRequest = this._caller?.target !== undefined && route !== undefined;
-    const decision = isModelRequest
-      ? decideAdmission({ candidate, patienceMs: this._patienceLeftMs(route) })
-      : { kind: 'send' as const };
-    if (decision.kind === 'refuse' && this._history.runs === 0) {
-      this._refuse('the queue of every replica is too long', decision.retryAfterMs);
-    } else {
-      this._send(candidate.replica);
-    }
   }
 
   /** Time until the caller leaves if it has no first byte, milliseconds. */
@@ -204,9 +169,9 @@
     return Math.min(this._deadline.leftMs(nowMs), this._startedMs + callerPatienceMs(route) - nowMs);
   }
 
-  private _send(replica: Replica): void {
-    const { _caller: caller, _route: route } = this;
-    if (caller === undefined || route === undefined) {
+  private _send(replica: Replica, route: Route): void {
+    const caller = this._caller;
+    if (caller === undefined) {
       return;
     }
     const nowMs = this._nowMs();
