--- a/packages/gateway/src/forwarding/RequestLog.ts
+++ b/packages/gateway/src/forwarding/RequestLog.ts
@@ -56,8 +56,10 @@
     }
     this._log.info('Request.', {
       ...result,
-      waitedMs: Math.round(result.waitedMs),
-      durationMs: Math.round(result.durationMs),
+      waitedMs: rounded(result.waitedMs),
+      durationMs: rounded(result.durationMs),
+      readyInMs: rounded(result.readyInMs),
+      retryAfterMs: rounded(result.retryAfterMs),
     });
   }
 
@@ -74,3 +76,7 @@
     this._omittedLines = 0;
   }
 }
+
+function rounded(timeMs: number | undefined): number | undefined {
+  return timeMs === undefined ? undefined : Math.round(timeMs);
+}
