--- /dev/null
+++ b/packages/gateway/src/forwarding/decideDispatch.test.ts
@@ -0,0 +1,101 @@
+import * as vitest from 'vitest';
+import { ReplicaLoads } from '../routing/ReplicaLoads.js';
+import { sampleReplica } from '../testing/sampleReplica.js';
+import type { Replica, Route } from '../Types.js';
+import { decideDispatch, type DispatchContext, type DispatchSituation } from './decideDispatch.js';
+
+const nowMs = 10_000;
+const target = { model: 'm' };
+const holder = sampleReplica({ models: [{ name: 'm', adapters: [] }], slots: 4 });
+
+const route: Route = {
+  name: 'r',
+  host: 'h',
+  pathPrefix: '/',
+  kind: 'stream',
+  timeoutMs: 8_000,
+  latencyTargetMs: 500,
+  maximumAttempts: 1,
+  priority: 1,
+  services: [],
+  resumable: false,
+  eventGapMs: 150,
+};
+
+const request: DispatchSituation = {
+  service: 's',
+  route,
+  target,
+  promptParts: [],
+  excluded: new Set(),
+  mayHaveRun: false,
+  waitedMs: 0,
+  timeLeftMs: 8_000,
+  patienceMs: 2_000,
+};
+
+function context(replicas: readonly Replica[], changes: Partial<DispatchContext> = {}): DispatchContext {
+  return {
+    directory: { usable: () => replicas },
+    loads: new ReplicaLoads(),
+    failureDomain: 'a',
+    randomSlots: () => 0,
+    readyInMs: () => undefined,
+    longestRequestMs: () => Number.POSITIVE_INFINITY,
+    ...changes,
+  };
+}
+
+function loadsWith(running: number): ReplicaLoads {
+  const loads = new ReplicaLoads();
+  for (let count = 0; count < running; count += 1) {
+    loads.started(holder.id, target, []);
+  }
+  loads.recordRun(holder.id, 1_000);
+  return loads;
+}
+
+vitest.describe('decision on a request', () => {
+  vitest.test('sends it to a replica that holds its model', () => {
+    vitest.expect(decideDispatch(request, context([holder]), nowMs)).toEqual({ kind: 'send', replica: holder });
+  });
+
+  vitest.test(
+    'refuses it where its turn comes after its caller has left (guards against queues that serve none)',
+    () => {
+      const decision = decideDispatch(request, context([holder], { loads: loadsWith(40) }), nowMs);
+      vitest.expect(decision).toMatchObject({ kind: 'refuse', reason: 'the queue of every replica is too long' });
+    },
+  );
+
+  vitest.test('never refuses one that may have run (guards against refusals that are untrue)', () => {
+    const busy = context([holder], { loads: loadsWith(40), longestRequestMs: () => 0 });
+    vitest.expect(decideDispatch({ ...request, mayHaveRun: true }, busy, nowMs).kind).toBe('send');
+  });
+
+  vitest.test(
+    'lets it wait for a model that is ready in time, else says when (guards against callers held in vain)',
+    () => {
+      const absent = sampleReplica();
+      const soon = context([absent], { readyInMs: () => 1_000 });
+      vitest.expect(decideDispatch(request, soon, nowMs)).toEqual({ kind: 'wait', target });
+      const late = context([absent], { readyInMs: () => 13_000 });
+      vitest.expect(decideDispatch(request, late, nowMs)).toMatchObject({ kind: 'refuse', retryAfterMs: 13_000 });
+    },
+  );
+
+  vitest.test(
+    'says when a replica that turned requests away takes them again (guards against asking it too early)',
+    () => {
+      const loads = new ReplicaLoads();
+      loads.recordTurnedAway(holder.id, 3_000, nowMs);
+      const decision = decideDispatch({ ...request, target: undefined }, context([holder], { loads }), nowMs);
+      vitest.expect(decision).toMatchObject({ kind: 'refuse', retryAfterMs: 3_000 });
+    },
+  );
+
+  vitest.test('refuses one that would outlast the stop (guards against streams cut by a planned stop)', () => {
+    const stopping = context([holder], { longestRequestMs: () => 5_000 });
+    vitest.expect(decideDispatch(request, stopping, nowMs)).toMatchObject({ reason: 'this daemon stops' });
+  });
+});
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -28,10 +28,12 @@
 }
 
 /** What a daemon uses to decide on a request. */
-export type DispatchContext = Pick<
+export interface DispatchContext extends Pick<
   ExchangeContext,
-  'directory' | 'loads' | 'failureDomain' | 'randomSlots' | 'readyInMs' | 'longestRequestMs'
->;
+  'loads' | 'failureDomain' | 'randomSlots' | 'readyInMs' | 'longestRequestMs'
+> {
+  readonly directory: Pick<ExchangeContext['directory'], 'usable'>;
+}
 
 /** What is done with a request now. `readyInMs` is the estimate of the leader that a refusal rests on. */
 export type DispatchDecision =
