Count an order of a former leader as a load from the weight store

Change: an order that a report shows and that this leader did not send counts as a load from the store for 30 s; requests beyond a model's copies count 0.1 instead of 0.3.

--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -178,6 +178,7 @@
       return false;
     }
     const { steadyMs } = this._clock.now();
+    book.noteFormerOrder(outcome.value.orderInProgress, steadyMs);
     const isTaken = book.sync(outcome.value, steadyMs, steadyMs - startedMs >= reportLagMs);
     if (isTaken) {
       this._tellHoldings(book);
@@ -286,9 +287,13 @@
     return counts;
   }
 
+  private _storeLoads(nowMs: number): number {
+    return [...this._books.values()].filter((book) => isLoadingFromStore(book) || book.hasFormerOrder(nowMs)).length;
+  }
+
   private async _carryOut(book: ReplicaBook, order: PlannedOrder, input: PlacementInput): Promise<void> {
     const startedMs = this._clock.now().steadyMs;
-    const storeLoads = [...this._books.values()].filter(isLoadingFromStore).length + 1;
+    const storeLoads = this._storeLoads(startedMs) + 1;
     const expectMs = (): number => expectedDuration(order, input) * this._pace.slowdown(order, storeLoads);
     const expectedMs = expectMs();
     const { kind, model, adapter, tier } = order;
--- a/packages/gateway/src/placement/ReplicaBook.test.ts
+++ b/packages/gateway/src/placement/ReplicaBook.test.ts
@@ -35,4 +35,13 @@
     const placed = openBook().placed(limits, undefined, true, 600);
     vitest.expect(placed).toMatchObject({ takesRequests: false, takesOrders: false });
   });
+
+  vitest.test('tells an order of a former leader from none, for some time', () => {
+    const book = new ReplicaBook(replica);
+    book.noteFormerOrder(true, 1_000);
+    book.noteFormerOrder(true, 10_000);
+    vitest.expect([book.hasFormerOrder(30_000), book.hasFormerOrder(31_000)]).toEqual([true, false]);
+    book.noteFormerOrder(false, 30_500);
+    vitest.expect(book.hasFormerOrder(30_600)).toBe(false);
+  });
 });
--- a/packages/gateway/src/placement/ReplicaBook.ts
+++ b/packages/gateway/src/placement/ReplicaBook.ts
@@ -8,6 +8,9 @@
   readonly readySinceMs: number;
 }
 
+/** An order of a former leader may load from the weight store; it counts as a load there for this long, milliseconds. */
+const formerOrderMs = 30_000;
+
 /** Requests that run on a replica: in all, and by model. */
 export interface RunningCounts {
   total: number;
@@ -23,6 +26,8 @@
   /** True while the replica's state is being read, an order of a former leader included. */
   public isSyncing = false;
   public order: OrderInProgress | undefined;
+  /** Since when a report has shown an order of a former leader, steady milliseconds. */
+  private _formerOrderSinceMs: number | undefined;
   private _clearingFor: string | undefined;
   /** Models that take no new requests, with the steady time since when. */
   private readonly _retiringSinceMs = new Map<string, number>();
@@ -52,6 +57,16 @@
     return true;
   }
 
+  /** Notes whether a report shows an order that this leader did not send. */
+  public noteFormerOrder(isInProgress: boolean, nowMs: number): void {
+    this._formerOrderSinceMs = isInProgress ? (this._formerOrderSinceMs ?? nowMs) : undefined;
+  }
+
+  /** True while an order of a former leader goes on, which may be a load from the weight store. */
+  public hasFormerOrder(nowMs: number): boolean {
+    return this._formerOrderSinceMs !== undefined && nowMs - this._formerOrderSinceMs < formerOrderMs;
+  }
+
   /** Applies the end of a load or unload. */
   public finish(order: Pick<PlannedOrder, 'kind' | 'model' | 'adapter'>, nowMs: number): void {
     if (order.adapter !== undefined) {
@@ -124,6 +139,7 @@
       inMemory: new Set(replica.inMemory),
       onDisk: new Set([...replica.onDisk, ...this._loadedHere, ...this._models.keys()]),
       running: running?.total ?? 0,
+      hasFormerOrder: this.hasFormerOrder(nowMs),
       ...(this.order && { order: this.order }),
       ...(this._clearingFor !== undefined && { clearingFor: this._clearingFor }),
     };
--- a/packages/gateway/src/placement/Types.ts
+++ b/packages/gateway/src/placement/Types.ts
@@ -54,6 +54,8 @@
   /** False while the replica's state is unknown or it takes no requests. */
   readonly takesOrders: boolean;
   readonly order?: OrderInProgress;
+  /** An order of a former leader goes on, which may be a load from the weight store. */
+  readonly hasFormerOrder: boolean;
   readonly models: readonly PlacedModel[];
   readonly inMemory: ReadonlySet<string>;
   readonly onDisk: ReadonlySet<string>;
--- a/packages/gateway/src/placement/planPlacement.test.ts
+++ b/packages/gateway/src/placement/planPlacement.test.ts
@@ -25,6 +25,7 @@
     slots: 16,
     takesRequests: true,
     takesOrders: true,
+    hasFormerOrder: false,
     models,
     inMemory: new Set(),
     onDisk: new Set(onDisk),
--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -31,7 +31,7 @@
 /** Share of a replica's slots above which a model gets another copy. */
 const secondCopyLoad = 0.6;
 /** Requests beyond what the copies of a model run at once count this much: they may be served late, those without a copy never. */
-const furtherCopyShare = 0.3;
+const furtherCopyShare = 0.1;
 /** A model that is asked for more often than this is hot, requests a second. */
 const hotRate = 1;
 
@@ -83,7 +83,9 @@
     this._copies = new CopyIndex(_input.replicas);
     this._demand = demandByModel(_input.demands);
     this._options = new LoadOptions(_input, this._demand, this._copies, _nowMs);
-    this._storeLoads = _input.replicas.filter(isLoadingFromStore).length;
+    this._storeLoads = _input.replicas.filter(
+      (replica) => isLoadingFromStore(replica) || replica.hasFormerOrder,
+    ).length;
   }
 
   public make(): PlacementPlan {
--- a/packages/gateway/src/testing/placedReplica.ts
+++ b/packages/gateway/src/testing/placedReplica.ts
@@ -9,6 +9,7 @@
     slots: 12,
     takesRequests: true,
     takesOrders: true,
+    hasFormerOrder: false,
     models: [],
     inMemory: new Set(),
     onDisk: new Set(),
