--- a/packages/gateway/src/placement/planPlacement.test.ts
+++ b/packages/gateway/src/placement/planPlacement.test.ts
@@ -181,6 +181,13 @@
     },
   );
 
+  vitest.test('waits for a load of a former leader (guards against two loads that each take twice as long)', () => {
+    const former = { ...replica('former', []), hasFormerOrder: true, takesOrders: false };
+    const demands = [demand('missing', { ratePerSecond: 5 })];
+    const state = { ...input([former, replica('empty', [])], demands, ['missing']), maximumStoreLoads: 1 };
+    vitest.expect(planModels(state, nowMs).orders).toEqual([]);
+  });
+
   vitest.test(
     'loads nothing as missing while the list of replicas may be incomplete (guards against double loads)',
     () => {
