--- a/packages/gateway/src/placement/planPlacement.ts
+++ b/packages/gateway/src/placement/planPlacement.ts
@@ -44,6 +44,14 @@
 
 type WaitingModel = readonly [string, ModelDemand];
 
+/** A model in much demand, with the requests and slots of the replicas that have a copy. */
+interface HotModel {
+  readonly model: string;
+  readonly demand: ModelDemand;
+  readonly running: number;
+  readonly slots: number;
+}
+
 interface StoreCandidate {
   readonly model: string;
   /** What a load is worth, in weighted requests a second. */
@@ -96,9 +104,12 @@
     }
     const waiting = waitingModels(this._demand);
     this._serveFromCopies(waiting);
-    this._addSecondCopies();
-    this._serveFromStore();
-    this._coverMissing();
+    const hot = this._hotModels();
+    this._addSecondCopies(hot);
+    if (this._input.mayCover) {
+      this._serveFromStore(hot);
+      this._coverMissing();
+    }
     return { orders: this._orders, clearings: this._clearings, releases: this._releases };
   }
 
@@ -158,17 +169,15 @@
    * The few loads of the weight store go to the models in most demand: to those without a copy, and to those whose copies
    * have more requests than they can run at once.
    */
-  private _serveFromStore(): void {
-    if (!this._input.mayCover) {
-      return;
-    }
+  private _serveFromStore(hot: readonly HotModel[]): void {
     const missing = storeCandidates(this._demand, this._copies).map(([model, demand]) => ({
       model,
       gain: gainOf(demand),
       reason: 'waiting' as const,
     }));
-    const candidates: readonly StoreCandidate[] = [...missing, ...this._overloaded()];
-    for (const { model, reason } of [...candidates].sort((one, other) => other.gain - one.gain)) {
+    const candidates: StoreCandidate[] = [...missing, ...overloaded(hot)];
+    candidates.sort((one, other) => other.gain - one.gain);
+    for (const { model, reason } of candidates) {
       if (reason === 'secondCopy') {
         this._loadFurtherCopy(model);
       } else if (this._mayUseStore(model)) {
@@ -183,47 +192,31 @@
     }
   }
 
-  /** Models whose copies cannot run all their requests at once. */
-  private _overloaded(): readonly StoreCandidate[] {
-    return [...this._demand].flatMap(([model, demand]) => {
-      const { running, slots } = this._copyLoad(model);
-      const gain = gainOf(demand) * (1 - slots / Math.max(running, 1)) * furtherCopyShare;
-      return running > slots && this._wantsFurtherCopy(model, demand)
-        ? [{ model, gain, reason: 'secondCopy' as const }]
-        : [];
-    });
-  }
-
   /** Answers demand that moves to a model with few copies, from copies in memory or on disk. */
-  private _addSecondCopies(): void {
-    for (const [model, demand] of this._demand) {
-      const { running, slots } = this._copyLoad(model);
-      if (running > secondCopyLoad * slots && this._wantsFurtherCopy(model, demand)) {
+  private _addSecondCopies(hot: readonly HotModel[]): void {
+    for (const { model, running, slots } of hot) {
+      if (running > secondCopyLoad * slots) {
         this._load(model, 'secondCopy', ['memory', 'disk']);
       }
     }
   }
 
-  private _wantsFurtherCopy(model: string, demand: ModelDemand): boolean {
-    const holders = this._copies.present(model);
-    const isBeingLoaded = holders.some((replica) => replica.order?.model === model);
-    const isImpatient = demand.latencyTargetMs < patientTargetMs;
-    return holders.length > 0 && !isBeingLoaded && isImpatient && demand.ratePerSecond > hotRate;
-  }
-
-  private _copyLoad(model: string): { readonly running: number; readonly slots: number } {
-    const holders = this._copies.present(model);
-    return {
-      running: holders.reduce((sum, replica) => sum + replica.running, 0),
-      slots: holders.reduce((sum, replica) => sum + replica.slots, 0),
-    };
+  /** Models in much demand that have copies and are not being loaded. */
+  private _hotModels(): readonly HotModel[] {
+    const hot = [...this._demand].filter(
+      ([, demand]) => demand.latencyTargetMs < patientTargetMs && demand.ratePerSecond > hotRate,
+    );
+    return hot.flatMap(([model, demand]) => {
+      const holders = this._copies.present(model);
+      const isBeingLoaded = holders.some((replica) => replica.order?.model === model);
+      const running = holders.reduce((sum, replica) => sum + replica.running, 0);
+      const slots = holders.reduce((sum, replica) => sum + replica.slots, 0);
+      return holders.length > 0 && !isBeingLoaded ? [{ model, demand, running, slots }] : [];
+    });
   }
 
   /** Uses free loads of the weight store for models that no replica has in any tier. */
   private _coverMissing(): void {
-    if (!this._input.mayCover) {
-      return;
-    }
     const missing = [...this._input.models.keys()].filter((model) => !this._copies.isAnywhere(model));
     missing.sort((first, second) => this._rate(second) - this._rate(first));
     for (const model of missing) {
@@ -348,6 +341,15 @@
   }
 }
 
+/** Models whose copies cannot run all their requests at once. */
+function overloaded(hot: readonly HotModel[]): readonly StoreCandidate[] {
+  const beyond = hot.filter(({ running, slots }) => running > slots);
+  return beyond.map(({ model, demand, running, slots }) => {
+    const gain = gainOf(demand) * (1 - slots / running) * furtherCopyShare;
+    return { model, gain, reason: 'secondCopy' as const };
+  });
+}
+
 function cheapest(options: readonly LoadOption[]): LoadOption | undefined {
   return options.reduce<LoadOption | undefined>(
     (best, option) => (best === undefined || option.costMs < best.costMs ? option : best),
