Read, log and count the rate limits that replicas state

The codec now reads the header, the daemon logs when a limit begins, changes and ends, request lines carry the limit in force when the request was sent, and two metrics count limited replicas and the requests sent to them. Routing is unchanged.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -20,6 +20,8 @@
 import type { DaemonReport, LeaderStatus, LeavingMessage, TableMessage } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
+import { RateLimitMetrics } from './rateLimits/RateLimitMetrics.js';
+import { ReplicaRateLimits } from './rateLimits/ReplicaRateLimits.js';
 import { removalGraceMs } from './replicas/removalGrace.js';
 import { ReplicaDirectory } from './replicas/ReplicaDirectory.js';
 import { StoreTables } from './replicas/StoreTables.js';
@@ -54,6 +56,7 @@
   private readonly _arrivals = new ArrivalCounter();
   private readonly _retryBudgets: RetryBudgets;
   private readonly _requestLog: RequestLog;
+  private readonly _rateLimits: ReplicaRateLimits;
   private readonly _agent = new ReplicaAgent();
   private readonly _callers: CallerServer;
   private _routes: RouteTable | undefined;
@@ -71,6 +74,7 @@
     this._retryBudgets = new RetryBudgets(_settings.retryBudget);
     this._stopSchedule = new StopSchedule(_settings.stopLimitMs);
     this._requestLog = new RequestLog(_log.child('requests'));
+    this._rateLimits = new ReplicaRateLimits(new RateLimitMetrics(this._requestLog.registry), _log.child('limits'));
     this._peerServer = new PeerServer(_settings.peers, _clock, _log.child('peers'));
     this._peerClient = new PeerClient(otherSeeds(_settings), _clock, _log.child('peers'));
     this._tables = new StoreTables(store, _clock, _log.child('store'));
@@ -335,7 +339,9 @@
       this._sendStatus(nowMs);
     }
     this._reporter.reportIfDue();
-    this._loads.retain((id) => this._directory.get(id) !== undefined, nowMs);
+    const isKnownReplica = (id: string): boolean => this._directory.get(id) !== undefined;
+    this._loads.retain(isKnownReplica, nowMs);
+    this._rateLimits.retain(isKnownReplica);
   }
 
   private _sendStatus(nowMs: number): void {
@@ -386,6 +392,7 @@
       loads: this._loads,
       waitingRequests: this._waitingRequests,
       retryBudgets: this._retryBudgets,
+      rateLimits: this._rateLimits,
       agent: this._agent,
       routes: () => this._routes,
       readyInMs: (model) => this._readyInMs(model),
--- a/packages/gateway/src/contracts/RequestCodec.ts
+++ b/packages/gateway/src/contracts/RequestCodec.ts
@@ -35,6 +35,8 @@
   readonly leaving: boolean;
   /** Time during which a replica that rejected the request accepts no requests, milliseconds. */
   readonly retryAfterMs?: number;
+  /** Requests per second that the replica takes from all daemons together; absent if the response states no limit. */
+  readonly rateLimitPerSecond?: number;
   /** True if the response has a content encoding, so that its body is not the one that the replica generated. */
   readonly contentEncoded: boolean;
 }
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -44,6 +44,8 @@
   private _finished = false;
   /** Leader's estimate on which a refusal is based, milliseconds. */
   private _readyInMs: number | undefined;
+  /** Rate limit of the current replica when the request was sent to it, requests per second. */
+  private _rateLimitPerSecond: number | undefined;
 
   public constructor(
     private readonly _context: ExchangeContext,
@@ -176,6 +178,8 @@
     }
     const nowMs = this._nowMs();
     this._history.startAttempt(replica.id);
+    this._rateLimitPerSecond = this._context.rateLimits.perSecond(replica.id);
+    this._context.rateLimits.recordSend(replica.id);
     const { lastEventId } = this._relay;
     const headers = this._context.codec.forwardedHeaders(this._request, {
       replicaId: replica.id,
@@ -431,6 +435,7 @@
       outcome,
       status,
       replicas: this._history.replicaIds,
+      rateLimitPerSecond: this._rateLimitPerSecond,
       waitedMs: this._wait.waitedMs(nowMs),
       durationMs: nowMs - this._startedMs,
       reason,
--- a/packages/gateway/src/forwarding/ExchangeResult.ts
+++ b/packages/gateway/src/forwarding/ExchangeResult.ts
@@ -11,6 +11,8 @@
   readonly status: number | undefined;
   /** Replicas that the request was sent to, in order. */
   readonly replicas: readonly string[];
+  /** Rate limit of the last of these replicas when the request was sent to it, requests per second. */
+  readonly rateLimitPerSecond: number | undefined;
   readonly waitedMs: number;
   readonly durationMs: number;
   readonly reason: string | undefined;
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../Clock.js';
 import type { RouteTable } from '../configuration/RouteTable.js';
 import type { RequestCodec } from '../contracts/RequestCodec.js';
+import type { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
 import type { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
 import type { RetryBudgets } from '../retries/RetryBudgets.js';
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
@@ -21,6 +22,7 @@
   readonly loads: ReplicaLoads;
   readonly waitingRequests: WaitingRequests;
   readonly retryBudgets: RetryBudgets;
+  readonly rateLimits: ReplicaRateLimits;
   readonly agent: http.Agent;
   routes(): RouteTable | undefined;
   /** Expected time until a model is ready; undefined while no leader provides an estimate. */
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -6,6 +6,8 @@
 import { ReplicaAgent } from '../forwarding/ReplicaAgent.js';
 import { RequestLog } from '../forwarding/RequestLog.js';
 import type { ExchangeContext } from '../forwarding/Types.js';
+import { RateLimitMetrics } from '../rateLimits/RateLimitMetrics.js';
+import { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
 import { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
 import { RetryBudgets } from '../retries/RetryBudgets.js';
 import { ReplicaLoads } from '../routing/ReplicaLoads.js';
@@ -172,16 +174,18 @@
     };
     const routes = new RouteTable({ version: 1, routes: [route], services: new Map(), callerLimits });
     const retryBudgets = new RetryBudgets({ windowMs: 10_000, ratio: 0.2, slack: this.retrySlack });
+    const requestLog = new RequestLog(silentLogger);
     return {
       codec: new FakeCodec(),
       clock: systemClock,
       log: silentLogger,
-      requestLog: new RequestLog(silentLogger),
+      requestLog,
       failureDomain: 'a',
       directory,
       loads: new ReplicaLoads(),
       waitingRequests: new WaitingRequests(),
       retryBudgets,
+      rateLimits: new ReplicaRateLimits(new RateLimitMetrics(requestLog.registry), silentLogger),
       agent: this._agent,
       routes: () => routes,
       readyInMs: () => undefined,
--- a/packages/gateway/src/testing/FakeCodec.ts
+++ b/packages/gateway/src/testing/FakeCodec.ts
@@ -27,10 +27,12 @@
   public readResponseHead(response: http.IncomingMessage): ResponseHead {
     const attemptId = response.headers['x-attempt'];
     const retryAfter = response.headers['retry-after'];
+    const rateLimit = response.headers['x-rate-limit'];
     return {
       status: response.statusCode ?? 0,
       leaving: response.headers['x-leaving'] !== undefined,
       ...(retryAfter !== undefined && { retryAfterMs: Number(retryAfter) * 1000 }),
+      ...(rateLimit !== undefined && { rateLimitPerSecond: Number(rateLimit) }),
       notExecuted: response.headers['x-not-run'] !== undefined,
       fromOtherReplica: response.statusCode === 421,
       contentEncoded: false,
