Share the rate limits of replicas among the daemons by permits of the leader

Cause: no daemon read the limit; and a limit over all daemons cannot be kept by daemons that each act alone, nor by equal shares (1.6 a second over 300 daemons is one request in three minutes each). Daemons now pass on what replicas state to the leader, which grants permits from one token bucket a replica to whichever daemons have requests waiting, the most urgent first. Permits expire a second after the report they answer, by both clocks. Without a leader each daemon issues itself a small, randomly phased share. Requests prefer other replicas, wait if they can be served in time, or are refused at once with the time of their turn. The decision to wait no longer repeats the request's model, which its test compared.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -15,13 +15,14 @@
 import { PeerClient } from './peers/PeerClient.js';
 import { LeaderMessages } from './peers/LeaderMessages.js';
 import { LeaderView } from './peers/LeaderView.js';
+import { RateLimitCoordinator } from './peers/RateLimitCoordinator.js';
 import { messageIntervals } from './peers/messageIntervals.js';
 import { Reporter } from './peers/Reporter.js';
 import type { DaemonReport, LeaderStatus, LeavingMessage, TableMessage } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
 import { RateLimitMetrics } from './rateLimits/RateLimitMetrics.js';
-import { ReplicaRateLimits } from './rateLimits/ReplicaRateLimits.js';
+import { type PermitSource, ReplicaRateLimits } from './rateLimits/ReplicaRateLimits.js';
 import { removalGraceMs } from './replicas/removalGrace.js';
 import { ReplicaDirectory } from './replicas/ReplicaDirectory.js';
 import { StoreTables } from './replicas/StoreTables.js';
@@ -57,6 +58,7 @@
   private readonly _retryBudgets: RetryBudgets;
   private readonly _requestLog: RequestLog;
   private readonly _rateLimits: ReplicaRateLimits;
+  private readonly _rateLimitCoordinator: RateLimitCoordinator;
   private readonly _agent = new ReplicaAgent();
   private readonly _callers: CallerServer;
   private _routes: RouteTable | undefined;
@@ -74,7 +76,15 @@
     this._retryBudgets = new RetryBudgets(_settings.retryBudget);
     this._stopSchedule = new StopSchedule(_settings.stopLimitMs);
     this._requestLog = new RequestLog(_log.child('requests'));
-    this._rateLimits = new ReplicaRateLimits(new RateLimitMetrics(this._requestLog.registry), _log.child('limits'));
+    this._rateLimits = new ReplicaRateLimits(
+      {
+        permitSource: () => this._permitSource(),
+        daemonCount: () => this._retryBudgets.daemonCount,
+        random: () => Math.random(),
+      },
+      new RateLimitMetrics(this._requestLog.registry),
+      _log.child('limits'),
+    );
     this._peerServer = new PeerServer(_settings.peers, _clock, _log.child('peers'));
     this._peerClient = new PeerClient(otherSeeds(_settings), _clock, _log.child('peers'));
     this._tables = new StoreTables(store, _clock, _log.child('store'));
@@ -106,10 +116,24 @@
       _clock,
       _log.child('placement'),
     );
+    this._rateLimitCoordinator = new RateLimitCoordinator(
+      _settings.name,
+      this._rateLimits,
+      this._waitingRequests,
+      this._peerServer,
+      this._peerClient,
+      (now) => this._leaderElector.orderToken(now),
+      _clock,
+    );
     this._leaderMessages = new LeaderMessages(this._peerServer, this._leader, _clock);
     this._reporter = new Reporter(
       _settings.name,
-      { waitingRequests: this._waitingRequests, arrivals: this._arrivals, loads: this._loads },
+      {
+        waitingRequests: this._waitingRequests,
+        arrivals: this._arrivals,
+        loads: this._loads,
+        rateLimits: this._rateLimits,
+      },
       (report) => {
         this._sendReport(report);
       },
@@ -339,9 +363,9 @@
       this._sendStatus(nowMs);
     }
     this._reporter.reportIfDue();
-    const isKnownReplica = (id: string): boolean => this._directory.get(id) !== undefined;
-    this._loads.retain(isKnownReplica, nowMs);
-    this._rateLimits.retain(isKnownReplica);
+    this._loads.retain((id) => this._directory.get(id) !== undefined, nowMs);
+    this._rateLimits.retain((id) => this._directory.get(id)?.bornMs);
+    this._rateLimitCoordinator.tick();
   }
 
   private _sendStatus(nowMs: number): void {
@@ -376,6 +400,7 @@
   private _sendReport(report: DaemonReport): void {
     if (this._leaderElector.isHolder) {
       this._leader.applyReport(report);
+      this._rateLimitCoordinator.applyReport(report);
     } else {
       this._peerClient.send('report', report);
     }
@@ -419,6 +444,13 @@
     return this._leaderElector.isHolder || (this._leaderView.isLeading && this._peerClient.isAlive(this._nowMs()));
   }
 
+  private _permitSource(): PermitSource {
+    if (this._leaderElector.orderToken(this._clock.now()) !== undefined) {
+      return 'self';
+    }
+    return this._leaderView.isLeading && this._peerClient.isAlive(this._nowMs()) ? 'leader' : 'none';
+  }
+
   private _nowMs(): number {
     return this._clock.now().steadyMs;
   }
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -1,7 +1,7 @@
 import type * as http from 'node:http';
 import type { CallerRequest, ResponseHead } from '../contracts/RequestCodec.js';
-import type { ModelReference, Replica, Route } from '../Types.js';
-import { ModelWait } from '../waiting/ModelWait.js';
+import type { Replica, Route } from '../Types.js';
+import { RequestWait } from '../waiting/RequestWait.js';
 import type { WaitingRequest } from '../waiting/WaitingRequests.js';
 import { discardBody } from './discardBody.js';
 import { recordResponseHead } from './recordResponseHead.js';
@@ -33,7 +33,7 @@
   private readonly _inactivityTimer = new InactivityTimer(() => {
     this._replicaInactive();
   });
-  private readonly _wait: ModelWait;
+  private readonly _wait: RequestWait;
   private readonly _relay: ResponseRelay;
   private readonly _attempt: CurrentAttempt;
   private readonly _history = new AttemptHistory();
@@ -44,6 +44,8 @@
   private _finished = false;
   /** Leader's estimate on which a refusal is based, milliseconds. */
   private _readyInMs: number | undefined;
+  /** Replica with a rate limit that the request waits for a permit of. */
+  private _limitedReplicaId: string | undefined;
   /** Rate limit of the current replica when the request was sent to it, requests per second. */
   private _rateLimitPerSecond: number | undefined;
 
@@ -53,7 +55,7 @@
     private readonly _response: http.ServerResponse,
   ) {
     this._startedMs = this._nowMs();
-    this._wait = new ModelWait(_context.waitingRequests);
+    this._wait = new RequestWait(_context.waitingRequests);
     this._attempt = new CurrentAttempt(_context.loads);
     this._relay = new ResponseRelay(_response, _context.codec, () => _context.isStopping(), {
       onProgress: () => {
@@ -119,14 +121,18 @@
     if (route === undefined) {
       return true;
     }
-    const nowMs = this._nowMs();
-    const decision = decideDispatch(this._dispatchInput(route, nowMs), this._context, nowMs);
+    const now = this._context.clock.now();
+    const nowMs = now.steadyMs;
+    const decision = decideDispatch(this._dispatchInput(route, nowMs), this._context, now);
     if (decision.kind === 'wait') {
-      this._startWaiting(decision.modelReference, route, nowMs);
+      this._startWaiting(decision.limitedReplicaId, route, nowMs);
       return false;
     }
     this._wait.stop(nowMs);
     if (decision.kind === 'send') {
+      if (decision.preferredReplicaId !== undefined) {
+        this._context.rateLimits.recordSpareDemand(decision.preferredReplicaId);
+      }
       this._send(decision.replica, route);
     } else {
       this._readyInMs = decision.readyInMs;
@@ -144,14 +150,19 @@
       excluded: this._history.excluded,
       mayHaveRun: this._history.possibleRuns > 0,
       waitedMs: this._wait.waitedMs(nowMs),
+      urgency: urgencyOf(route),
+      lateAtMs: this._startedMs + route.latencyTargetMs,
       timeLeftMs: this._deadline.leftMs(nowMs),
       firstByteTimeLeftMs: this._firstByteTimeLeftMs(route),
     };
   }
 
-  private _startWaiting(modelReference: ModelReference, route: Route, nowMs: number): void {
+  private _startWaiting(limitedReplicaId: string | undefined, route: Route, nowMs: number): void {
+    const needsOtherPermit = limitedReplicaId !== undefined && limitedReplicaId !== this._limitedReplicaId;
+    this._limitedReplicaId = limitedReplicaId;
     const createRequest = (): WaitingRequest => ({
-      modelReference,
+      modelReference: this._callerRequest?.modelReference,
+      limitedReplicaId: () => this._limitedReplicaId,
       urgency: urgencyOf(route),
       lateAtMs: this._startedMs + route.latencyTargetMs,
       redispatch: () => this._finished || this._dispatch(),
@@ -160,7 +171,11 @@
       this._history.clearExcluded();
       this._dispatch();
     };
-    if (this._wait.start(createRequest, redispatch, nowMs)) {
+    const hasStarted = this._wait.start(createRequest, redispatch, nowMs);
+    if (needsOtherPermit) {
+      this._context.rateLimits.recordWait();
+    }
+    if (hasStarted || needsOtherPermit) {
       this._context.notifyWaitStarted();
     }
   }
@@ -176,10 +191,11 @@
     if (callerRequest === undefined) {
       return;
     }
-    const nowMs = this._nowMs();
+    const now = this._context.clock.now();
+    const nowMs = now.steadyMs;
     this._history.startAttempt(replica.id);
     this._rateLimitPerSecond = this._context.rateLimits.perSecond(replica.id);
-    this._context.rateLimits.recordSend(replica.id);
+    this._context.rateLimits.recordSend(replica.id, now);
     const { lastEventId } = this._relay;
     const headers = this._context.codec.forwardedHeaders(this._request, {
       replicaId: replica.id,
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -1,7 +1,7 @@
 import type { Candidate } from '../routing/chooseReplica.js';
 import { decideAdmission } from '../routing/decideAdmission.js';
 import { selectReplica, shortestBackoffMs } from '../routing/selectReplica.js';
-import type { ModelReference, Replica, Route } from '../Types.js';
+import type { Instant, ModelReference, Replica, Route } from '../Types.js';
 import { decideWait } from '../waiting/decideWait.js';
 import type { ExchangeContext } from './Types.js';
 
@@ -21,6 +21,10 @@
   /** True once a replica may have run the request. It is then not refused for lack of capacity or time. */
   readonly mayHaveRun: boolean;
   readonly waitedMs: number;
+  /** Urgency of the request; 0 is the most urgent. */
+  readonly urgency: number;
+  /** Time at which the request misses its latency target, steady milliseconds. */
+  readonly lateAtMs: number;
   /** Time until the deadline of the request, milliseconds. */
   readonly timeLeftMs: number;
   /** Time until the caller disconnects if it has received no byte, milliseconds. */
@@ -33,20 +37,46 @@
   'loads' | 'failureDomain' | 'randomSlots' | 'readyInMs' | 'longestRequestMs'
 > {
   readonly directory: Pick<ExchangeContext['directory'], 'usable'>;
+  readonly rateLimits: Pick<ExchangeContext['rateLimits'], 'maySend' | 'expectedWaitMs'>;
+  readonly waitingRequests: Pick<ExchangeContext['waitingRequests'], 'countAhead'>;
 }
 
-/** Decision on a request. `readyInMs` is the leader's estimate on which a refusal is based. */
+/** Decision on a request. */
 export type DispatchDecision =
-  | { readonly kind: 'send'; readonly replica: Replica }
-  | { readonly kind: 'wait'; readonly modelReference: ModelReference }
-  | { readonly kind: 'refuse'; readonly reason: string; readonly retryAfterMs: number; readonly readyInMs?: number };
+  | {
+      readonly kind: 'send';
+      readonly replica: Replica;
+      /** Replica with a rate limit that would have been preferred, if this daemon had a permit for it. */
+      readonly preferredReplicaId?: string;
+    }
+  | {
+      readonly kind: 'wait';
+      /** Replica with a rate limit that the request needs a permit for; absent if it waits for its model. */
+      readonly limitedReplicaId?: string;
+    }
+  | {
+      readonly kind: 'refuse';
+      readonly reason: string;
+      readonly retryAfterMs: number;
+      /** Estimate of the leader on which the refusal is based, milliseconds. */
+      readonly readyInMs?: number;
+    };
+
+/** A replica with a rate limit that a request could wait for. */
+interface PermitWaitOption {
+  readonly replicaId: string;
+  /** Expected time until the request gets a permit, milliseconds; undefined until the leader has answered. */
+  readonly waitMs: number | undefined;
+  /** Mean run time on the replica, milliseconds. */
+  readonly runMs: number;
+}
 
 /**
- * Decides whether a request is sent, waits for its model, or is refused. It is refused as soon as it is known that it
- * cannot be served in time; the refusal contains the time after which a retry can be served.
+ * Decides whether a request is sent, waits for its model or for a permit, or is refused. It is refused as soon as it is
+ * known that it cannot be served in time; the refusal contains the time after which a retry can be served.
  */
-export function decideDispatch(input: DispatchInput, context: DispatchContext, nowMs: number): DispatchDecision {
-  if (!input.mayHaveRun && input.timeLeftMs > context.longestRequestMs(nowMs)) {
+export function decideDispatch(input: DispatchInput, context: DispatchContext, now: Instant): DispatchDecision {
+  if (!input.mayHaveRun && input.timeLeftMs > context.longestRequestMs(now.steadyMs)) {
     return { kind: 'refuse', reason: 'this daemon stops', retryAfterMs: stoppingRetryAfterMs };
   }
   const { directory, loads, failureDomain } = context;
@@ -58,26 +88,75 @@
     failureDomain,
     randomSlots: () => context.randomSlots(),
   };
-  const candidate = selectReplica(selection, loads, nowMs);
-  return candidate === undefined
-    ? decideWithoutReplica(input, context, shortestBackoffMs(selection, loads, nowMs))
-    : decideWithReplica(input, candidate);
+  const { candidate, withoutPermit, preferredWithoutPermit } = selectReplica(selection, context, now);
+  const option = shortestPermitWait(withoutPermit, input, context, now);
+  if (candidate !== undefined) {
+    return decideWithReplica(input, candidate, option, preferredWithoutPermit?.id);
+  }
+  return option === undefined
+    ? decideWithoutReplica(input, context, shortestBackoffMs(selection, loads, now.steadyMs))
+    : decideWaitForPermit(input, option);
+}
+
+/** The replica whose next permit for the request is expected first. */
+function shortestPermitWait(
+  candidates: readonly Candidate[],
+  input: DispatchInput,
+  context: DispatchContext,
+  now: Instant,
+): PermitWaitOption | undefined {
+  const options = candidates.map(({ replica: { id }, runMs }) => {
+    const position = context.waitingRequests.countAhead(id, input.urgency, input.lateAtMs);
+    return { replicaId: id, waitMs: context.rateLimits.expectedWaitMs(id, input.urgency, position, now), runMs };
+  });
+  return options.sort((first, second) => (first.waitMs ?? 0) - (second.waitMs ?? 0))[0];
 }
 
-/** Sends the request unless it would wait in the replica's queue until its caller disconnects. */
+/**
+ * Sends the request unless it would wait in the replica's queue until its caller disconnects. Then it waits for a permit
+ * of another replica, if it gets one in time.
+ */
 function decideWithReplica(
-  { modelReference, mayHaveRun, firstByteTimeLeftMs }: DispatchInput,
+  input: DispatchInput,
   candidate: Candidate,
+  option: PermitWaitOption | undefined,
+  preferredReplicaId: string | undefined,
 ): DispatchDecision {
+  const { modelReference, mayHaveRun, firstByteTimeLeftMs } = input;
   const admission =
     modelReference === undefined || mayHaveRun
       ? { kind: 'send' as const }
       : decideAdmission({ candidate, firstByteTimeLeftMs });
-  return admission.kind === 'send'
-    ? { kind: 'send', replica: candidate.replica }
+  if (admission.kind === 'send') {
+    return {
+      kind: 'send',
+      replica: candidate.replica,
+      ...(preferredReplicaId !== undefined && { preferredReplicaId }),
+    };
+  }
+  const permitDecision = option === undefined ? undefined : decideWaitForPermit(input, option);
+  return permitDecision?.kind === 'wait'
+    ? permitDecision
     : { kind: 'refuse', reason: 'the queue of every replica is too long', retryAfterMs: admission.retryAfterMs };
 }
 
+/** Waits for a permit if it comes in time for the whole run; else refuses the request with the time at which there will be one. */
+function decideWaitForPermit(input: DispatchInput, option: PermitWaitOption): DispatchDecision {
+  const { replicaId, waitMs, runMs } = option;
+  const { waitedMs, timeLeftMs, route } = input;
+  const firstByteTimeLeftMs = Math.min(input.firstByteTimeLeftMs, timeLeftMs - runMs);
+  const estimate = waitMs !== undefined && { readyInMs: waitMs };
+  const decision = decideWait({ waitedMs, firstByteTimeLeftMs, latencyTargetMs: route.latencyTargetMs, ...estimate });
+  if (decision.kind === 'wait') {
+    return { kind: 'wait', limitedReplicaId: replicaId };
+  }
+  const reason =
+    waitMs === undefined
+      ? 'no leader grants requests to the limited replica'
+      : 'the rate limit of every replica is used up';
+  return { ...decision, reason, ...estimate };
+}
+
 /** `availableInMs` is the time until a replica that holds the model accepts requests again. */
 function decideWithoutReplica(
   { modelReference, route, waitedMs, firstByteTimeLeftMs }: DispatchInput,
@@ -93,5 +172,5 @@
   const estimate = readyInMs !== undefined && { readyInMs };
   const { latencyTargetMs } = route;
   const decision = decideWait({ waitedMs, firstByteTimeLeftMs, latencyTargetMs, ...estimate });
-  return decision.kind === 'wait' ? { kind: 'wait', modelReference } : { ...decision, ...estimate };
+  return decision.kind === 'wait' ? decision : { ...decision, ...estimate };
 }
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -23,6 +23,8 @@
   'loads',
   'estimates',
   'leaving',
+  'rateLimits',
+  'permits',
   'leaseCall',
   'leaseReply',
 ];
--- /dev/null
+++ b/packages/gateway/src/peers/RateLimitCoordinator.ts
@@ -0,0 +1,133 @@
+import type { Clock } from '../Clock.js';
+import { PermitAllocator } from '../rateLimits/PermitAllocator.js';
+import type { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
+import type { PermitMessage, RateLimitStatement } from '../rateLimits/Types.js';
+import type { Instant } from '../Types.js';
+import type { WaitingRequests } from '../waiting/WaitingRequests.js';
+import type { PeerChannel } from './PeerChannel.js';
+import type { PeerClient } from './PeerClient.js';
+import type { PeerServer, ReceivedMessage } from './PeerServer.js';
+import type { DaemonReport } from './Types.js';
+
+/**
+ * Exchanges rate limits and permits with the peers. Daemons pass on what replicas state to the leader, which puts limits
+ * in force for all daemons and grants the permits for requests to the limited replicas.
+ */
+export class RateLimitCoordinator {
+  private readonly _allocator: PermitAllocator;
+  /** Channels of the daemons that have reported, by name. */
+  private readonly _channels = new Map<string, PeerChannel>();
+  private _term: number | undefined;
+
+  public constructor(
+    private readonly _self: string,
+    private readonly _rateLimits: ReplicaRateLimits,
+    private readonly _waitingRequests: WaitingRequests,
+    peerServer: PeerServer,
+    peerClient: PeerClient,
+    /** Fencing token; undefined while this daemon may not act as the leader. */
+    private readonly _leaderToken: (now: Instant) => number | undefined,
+    private readonly _clock: Clock,
+  ) {
+    this._allocator = new PermitAllocator((replicaId) => _rateLimits.perSecond(replicaId));
+    _rateLimits.onStatement((statement) => {
+      peerClient.send('rateLimits', { limits: [statement] });
+    });
+    _rateLimits.onChanged((statement) => {
+      peerServer.broadcast('rateLimits', { limits: [statement] });
+    });
+    peerClient.onConnected((channel) => {
+      this._sendLimits(channel);
+    });
+    peerServer.onJoined((channel) => {
+      this._sendLimits(channel);
+    });
+    peerServer.onLeft((channel) => {
+      this._removeChannel(channel);
+    });
+    peerServer.onMessage((received) => {
+      this._receiveFromFollower(received);
+    });
+    peerClient.onMessage((message) => {
+      if (message.method === 'permits') {
+        this._applyPermits(message.params);
+      } else if (message.method === 'rateLimits') {
+        this._applyLimits(message.params.limits);
+      }
+    });
+  }
+
+  /** Applies the permit demands of a daemon, this one included, if this daemon leads. */
+  public applyReport(report: DaemonReport): void {
+    const now = this._clock.now();
+    if (this._isLeading(now) && report.permitDemands !== undefined && report.reportedAt !== undefined) {
+      const { daemon, permitDemands, reportedAt } = report;
+      this._send(this._allocator.applyReport(daemon, permitDemands, reportedAt, now.steadyMs));
+    }
+  }
+
+  /** Grants the permits that have accrued. Called several times per second. */
+  public tick(): void {
+    const now = this._clock.now();
+    if (this._isLeading(now)) {
+      this._send(this._allocator.allocate(now.steadyMs));
+    }
+  }
+
+  private _isLeading(now: Instant): boolean {
+    const term = this._leaderToken(now);
+    if (term !== this._term) {
+      this._term = term;
+      this._allocator.reset();
+    }
+    return term !== undefined;
+  }
+
+  private _receiveFromFollower({ channel, message }: ReceivedMessage): void {
+    if (message.method === 'report') {
+      this._channels.set(message.params.daemon, channel);
+      this.applyReport(message.params);
+    } else if (message.method === 'rateLimits') {
+      const { steadyMs } = this._clock.now();
+      for (const statement of message.params.limits) {
+        this._rateLimits.recordStatement(statement, steadyMs);
+      }
+    }
+  }
+
+  private _send(messages: ReadonlyMap<string, PermitMessage>): void {
+    for (const [daemon, message] of messages) {
+      if (daemon === this._self) {
+        this._applyPermits(message);
+      } else {
+        this._channels.get(daemon)?.send('permits', message);
+      }
+    }
+  }
+
+  private _applyPermits(message: PermitMessage): void {
+    this._rateLimits.applyPermits(message, this._clock.now());
+    this._waitingRequests.redispatchFor(new Set(message.replicas.map(({ replicaId }) => replicaId)));
+  }
+
+  private _applyLimits(limits: readonly RateLimitStatement[]): void {
+    for (const statement of limits) {
+      this._rateLimits.applyLimit(statement);
+    }
+  }
+
+  private _sendLimits(channel: PeerChannel): void {
+    const limits = this._rateLimits.limits();
+    if (limits.length > 0) {
+      channel.send('rateLimits', { limits });
+    }
+  }
+
+  private _removeChannel(channel: PeerChannel): void {
+    for (const [daemon, one] of this._channels) {
+      if (one === channel) {
+        this._channels.delete(daemon);
+      }
+    }
+  }
+}
--- a/packages/gateway/src/peers/Reporter.ts
+++ b/packages/gateway/src/peers/Reporter.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../Clock.js';
 import type { ArrivalCounter } from '../placement/ArrivalCounter.js';
+import type { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
 import type { WaitingRequests } from '../waiting/WaitingRequests.js';
 import { type MessageIntervals, messageIntervals } from './messageIntervals.js';
@@ -10,8 +11,12 @@
   readonly waitingRequests: WaitingRequests;
   readonly arrivals: ArrivalCounter;
   readonly loads: ReplicaLoads;
+  readonly rateLimits: Pick<ReplicaRateLimits, 'takeSpareDemands'>;
 }
 
+/** Longest time between two reports while requests wait for permits, milliseconds: the demands of a report expire. */
+const permitReportMs = 300;
+
 /** Reports to the leader: soon after a change, at once when requests begin to wait, and otherwise at intervals. */
 export class Reporter implements AsyncDisposable {
   private _lastReportMs = Number.NEGATIVE_INFINITY;
@@ -31,7 +36,10 @@
     const { waitingRequests, arrivals, loads } = this._sources;
     const hasChanges = waitingRequests.size > 0 || arrivals.hasArrivals || loads.hasChanges;
     const { reportMs, idleReportMs } = this._intervals();
-    if (this._nowMs() - this._lastReportMs >= (hasChanges ? reportMs : idleReportMs)) {
+    const nowMs = this._nowMs();
+    const needsPermits = waitingRequests.permitDemands(nowMs).length > 0;
+    const changeReportMs = needsPermits ? Math.min(reportMs, permitReportMs) : reportMs;
+    if (nowMs - this._lastReportMs >= (hasChanges ? changeReportMs : idleReportMs)) {
       this._report();
     }
   }
@@ -51,8 +59,9 @@
   }
 
   private _report(): void {
-    const { waitingRequests, arrivals, loads } = this._sources;
-    const nowMs = this._nowMs();
+    const { waitingRequests, arrivals, loads, rateLimits } = this._sources;
+    const now = this._clock.now();
+    const nowMs = now.steadyMs;
     this._lastReportMs = nowMs;
     this._send({
       daemon: this._name,
@@ -60,6 +69,8 @@
       arrivals: arrivals.take(),
       running: loads.report(),
       unreachable: loads.unreachable(nowMs),
+      permitDemands: [...waitingRequests.permitDemands(nowMs), ...rateLimits.takeSpareDemands()],
+      reportedAt: now,
     });
   }
 
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -1,6 +1,7 @@
 import type { LeaseSnapshot, StoreFailure, TableName, TableRecord } from '../contracts/MetadataStore.js';
+import type { PermitDemand, PermitMessage, RateLimitStatement } from '../rateLimits/Types.js';
 import type { ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
-import type { ModelReference } from '../Types.js';
+import type { Instant, ModelReference } from '../Types.js';
 
 /** Requests of one daemon that wait for a model or adapter. */
 export interface WaitingReport {
@@ -32,6 +33,10 @@
   readonly running: readonly RunningReport[];
   /** Replicas that the daemon recently failed to connect to. */
   readonly unreachable: readonly string[];
+  /** Requests that need permits for replicas with a rate limit. Absent in reports of earlier versions. */
+  readonly permitDemands?: readonly PermitDemand[];
+  /** Time of the report by the daemon's clocks. Its permits expire by this time. Absent in reports of earlier versions. */
+  readonly reportedAt?: Instant;
 }
 
 /** Records of a table that a peer has read. */
@@ -89,6 +94,11 @@
   readonly bornMs: number;
 }
 
+/** Rate limits that replicas state: of a follower, as it read them; of the leader, those in force or ended. */
+export interface RateLimitsMessage {
+  readonly limits: readonly RateLimitStatement[];
+}
+
 /** A lease operation that a daemon without access to the store asks a peer to carry out. */
 export interface LeaseCall {
   readonly call: number;
@@ -114,6 +124,8 @@
   readonly loads: LoadsMessage;
   readonly estimates: EstimatesMessage;
   readonly leaving: LeavingMessage;
+  readonly rateLimits: RateLimitsMessage;
+  readonly permits: PermitMessage;
   readonly leaseCall: LeaseCall;
   readonly leaseReply: LeaseReply;
 }
--- a/packages/gateway/src/rateLimits/RateLimitTable.ts
+++ b/packages/gateway/src/rateLimits/RateLimitTable.ts
@@ -38,15 +38,20 @@
     return [...this._entries].map(([replicaId, { bornMs, perSecond }]) => ({ replicaId, bornMs, perSecond }));
   }
 
-  /** Applies a statement of a replica. Returns true if it differs from the limit in force. */
-  public record(statement: RateLimitStatement, nowMs: number): boolean {
+  /**
+   * Applies a statement of a replica. Returns true if it differs from the limit in force. Only the daemon that decides
+   * for the others, or one that hears no leader, raises a limit; the others would send more than it grants.
+   */
+  public record(statement: RateLimitStatement, mayRaise: boolean, nowMs: number): boolean {
     const entry = this._entries.get(statement.replicaId);
     if (statement.bornMs !== entry?.bornMs) {
       return this._recordOtherStart(statement, entry);
     }
     const stated = statement.perSecond ?? Number.POSITIVE_INFINITY;
     if (stated > entry.perSecond) {
-      this._recordHigher(statement, entry, nowMs);
+      if (mayRaise) {
+        this._recordHigher(statement, entry, nowMs);
+      }
       return true;
     }
     if (stated < entry.perSecond) {
@@ -73,11 +78,12 @@
     }
   }
 
-  /** Removes the limits of replicas that no longer exist. */
-  public retain(isKnown: (replicaId: string) => boolean): void {
-    for (const id of this._entries.keys()) {
-      if (!isKnown(id)) {
-        this._entries.delete(id);
+  /** Removes the limits of replicas that are gone or have started anew. `bornMsOf` is the start time of a replica. */
+  public retain(bornMsOf: (replicaId: string) => number | undefined): void {
+    for (const [replicaId, { bornMs }] of this._entries) {
+      const currentBornMs = bornMsOf(replicaId);
+      if (currentBornMs === undefined || currentBornMs > bornMs) {
+        this.set({ replicaId, bornMs });
       }
     }
   }
--- a/packages/gateway/src/retries/RetryBudgets.ts
+++ b/packages/gateway/src/retries/RetryBudgets.ts
@@ -25,16 +25,17 @@
     this._counts = [...recent.filter((one) => one.count > count), { count, receivedMs: nowMs }];
   }
 
+  /** Largest number of daemons within the window. */
+  public get daemonCount(): number {
+    return this._counts[0]?.count ?? assumedDaemonCount;
+  }
+
   public recordRequest(service: string, nowMs: number): void {
     this._budget(service).recordRequest(nowMs);
   }
 
   public tryTakeRetry(service: string, nowMs: number): boolean {
-    return this._budget(service).tryTakeRetry(nowMs, this._daemonCount());
-  }
-
-  private _daemonCount(): number {
-    return this._counts[0]?.count ?? assumedDaemonCount;
+    return this._budget(service).tryTakeRetry(nowMs, this.daemonCount);
   }
 
   private _budget(service: string): RetryBudget {
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -185,7 +185,11 @@
       loads: new ReplicaLoads(),
       waitingRequests: new WaitingRequests(),
       retryBudgets,
-      rateLimits: new ReplicaRateLimits(new RateLimitMetrics(requestLog.registry), silentLogger),
+      rateLimits: new ReplicaRateLimits(
+        { permitSource: () => 'none', daemonCount: () => 1, random: () => 0 },
+        new RateLimitMetrics(requestLog.registry),
+        silentLogger,
+      ),
       agent: this._agent,
       routes: () => routes,
       readyInMs: () => undefined,
--- a/packages/gateway/src/waiting/ModelWait.ts
+++ b/packages/gateway/src/waiting/RequestWait.ts
@@ -3,8 +3,8 @@
 /** Interval at which the decision to wait is checked again, milliseconds. */
 const waitCheckMs = 100;
 
-/** The wait of one request for a replica that holds its model. */
-export class ModelWait {
+/** The wait of one request for a replica that holds its model, or for a permit of a replica with a rate limit. */
+export class RequestWait {
   private _request: WaitingRequest | undefined;
   private _timer: NodeJS.Timeout | undefined;
   private _sinceMs: number | undefined;
--- a/packages/gateway/src/waiting/WaitingRequests.ts
+++ b/packages/gateway/src/waiting/WaitingRequests.ts
@@ -1,14 +1,17 @@
 import { modelReferenceKey } from '../placement/DemandAggregator.js';
 import type { WaitingReport } from '../peers/Types.js';
+import type { PermitDemand } from '../rateLimits/Types.js';
 import type { ModelReference } from '../Types.js';
 
-/** A request that waits until a replica holds its model and adapter. */
+/** A request that waits until a replica holds its model and adapter, or until it may be sent to a replica. */
 export interface WaitingRequest {
-  readonly modelReference: ModelReference;
+  readonly modelReference: ModelReference | undefined;
   /** Rank of the request; 0 is the most urgent. */
   readonly urgency: number;
   /** Time at which the request misses its latency target, steady milliseconds. */
   readonly lateAtMs: number;
+  /** Replica with a rate limit that the request needs a permit for, if any. It may change with each dispatch. */
+  readonly limitedReplicaId: () => string | undefined;
   /** Dispatches the request again; returns true if it no longer has to wait. */
   readonly redispatch: () => boolean;
 }
@@ -18,14 +21,14 @@
   private readonly _requests = new Map<string, Set<WaitingRequest>>();
 
   public add(request: WaitingRequest): void {
-    const key = modelReferenceKey(request.modelReference);
+    const key = keyOf(request);
     const requests = this._requests.get(key) ?? new Set<WaitingRequest>();
     requests.add(request);
     this._requests.set(key, requests);
   }
 
   public remove(request: WaitingRequest): void {
-    const key = modelReferenceKey(request.modelReference);
+    const key = keyOf(request);
     const requests = this._requests.get(key);
     requests?.delete(request);
     if (requests?.size === 0) {
@@ -35,7 +38,42 @@
 
   /** Dispatches every waiting request again, the most urgent first. */
   public redispatchAll(): void {
-    const requests = [...this._requests.values()].flatMap((set) => [...set]);
+    this._redispatch(this._all());
+  }
+
+  /** Dispatches the requests again that need a permit for one of the replicas, the most urgent first. */
+  public redispatchFor(replicaIds: ReadonlySet<string>): void {
+    this._redispatch(this._all().filter((request) => replicaIds.has(request.limitedReplicaId() ?? '')));
+  }
+
+  /** Number of requests of the same urgency that get a permit for a replica before one that is late at `lateAtMs`. */
+  public countAhead(replicaId: string, urgency: number, lateAtMs: number): number {
+    return this._all().filter(
+      (request) =>
+        request.limitedReplicaId() === replicaId && request.urgency === urgency && request.lateAtMs < lateAtMs,
+    ).length;
+  }
+
+  /** Demands for permits, for the report to the leader. */
+  public permitDemands(nowMs: number): readonly PermitDemand[] {
+    const demands = new Map<string, PermitDemand>();
+    for (const { urgency, lateAtMs, limitedReplicaId } of this._all()) {
+      const replicaId = limitedReplicaId();
+      if (replicaId !== undefined) {
+        const key = `${urgency} ${replicaId}`;
+        const before = demands.get(key);
+        const slackMs = Math.min(before?.slackMs ?? Number.POSITIVE_INFINITY, Math.round(lateAtMs - nowMs));
+        demands.set(key, { replicaId, urgency, count: (before?.count ?? 0) + 1, slackMs });
+      }
+    }
+    return [...demands.values()];
+  }
+
+  private _all(): WaitingRequest[] {
+    return [...this._requests.values()].flatMap((set) => [...set]);
+  }
+
+  private _redispatch(requests: WaitingRequest[]): void {
     requests.sort((first, second) => first.urgency - second.urgency || first.lateAtMs - second.lateAtMs);
     for (const request of requests) {
       if (request.redispatch()) {
@@ -54,9 +92,14 @@
     return [...this._requests.values()].flatMap((requests) => {
       const [first] = requests;
       const slackMs = Math.min(...[...requests].map((request) => request.lateAtMs - nowMs));
-      return first === undefined
+      return first?.modelReference === undefined
         ? []
         : [{ target: first.modelReference, count: requests.size, slackMs: Math.round(slackMs) }];
     });
   }
 }
+
+/** Key of the requests that wait together. Requests without a model share one. */
+function keyOf({ modelReference }: WaitingRequest): string {
+  return modelReference === undefined ? '' : modelReferenceKey(modelReference);
+}
