Count the leader's orders and reports towards the rate limit, and place models with the limits

Placement counts a limited replica at the slots that its limit can keep occupied, loads a model elsewhere once its requests wait over 500 ms for permits, and prefers other replicas for loads.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -21,6 +21,7 @@
 import type { DaemonReport, LeaderStatus, LeavingMessage, TableMessage } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
+import { RateLimitedEngineClient } from './rateLimits/RateLimitedEngineClient.js';
 import { RateLimitMetrics } from './rateLimits/RateLimitMetrics.js';
 import { type PermitSource, ReplicaRateLimits } from './rateLimits/ReplicaRateLimits.js';
 import { removalGraceMs } from './replicas/removalGrace.js';
@@ -107,15 +108,6 @@
       isLeaderAlive,
       _log.child('lease'),
     );
-    this._leader = new PlacementLeader(
-      _settings.name,
-      () => this._routes?.configuration,
-      this._directory,
-      engines,
-      (now) => this._leaderElector.orderToken(now),
-      _clock,
-      _log.child('placement'),
-    );
     this._rateLimitCoordinator = new RateLimitCoordinator(
       _settings.name,
       this._rateLimits,
@@ -125,6 +117,16 @@
       (now) => this._leaderElector.orderToken(now),
       _clock,
     );
+    this._leader = new PlacementLeader(
+      _settings.name,
+      () => this._routes?.configuration,
+      this._directory,
+      new RateLimitedEngineClient(engines, this._rateLimitCoordinator, _clock),
+      (now) => this._leaderElector.orderToken(now),
+      _clock,
+      _log.child('placement'),
+      (replicaId) => this._rateLimitCoordinator.placedLimit(replicaId),
+    );
     this._leaderMessages = new LeaderMessages(this._peerServer, this._leader, _clock);
     this._reporter = new Reporter(
       _settings.name,
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -91,11 +91,11 @@
   const { candidate, withoutPermit, preferredWithoutPermit } = selectReplica(selection, context, now);
   const option = shortestPermitWait(withoutPermit, input, context, now);
   if (candidate !== undefined) {
-    return decideWithReplica(input, candidate, option, preferredWithoutPermit?.id);
+    return decideWithReplica(input, context, candidate, option, preferredWithoutPermit?.id);
   }
   return option === undefined
     ? decideWithoutReplica(input, context, shortestBackoffMs(selection, loads, now.steadyMs))
-    : decideWaitForPermit(input, option);
+    : decideWaitForPermit(input, context, option);
 }
 
 /** The replica whose next permit for the request is expected first. */
@@ -118,6 +118,7 @@
  */
 function decideWithReplica(
   input: DispatchInput,
+  context: DispatchContext,
   candidate: Candidate,
   option: PermitWaitOption | undefined,
   preferredReplicaId: string | undefined,
@@ -134,18 +135,26 @@
       ...(preferredReplicaId !== undefined && { preferredReplicaId }),
     };
   }
-  const permitDecision = option === undefined ? undefined : decideWaitForPermit(input, option);
+  const permitDecision = option === undefined ? undefined : decideWaitForPermit(input, context, option);
   return permitDecision?.kind === 'wait'
     ? permitDecision
     : { kind: 'refuse', reason: 'the queue of every replica is too long', retryAfterMs: admission.retryAfterMs };
 }
 
-/** Waits for a permit if it comes in time for the whole run; else refuses the request with the time at which there will be one. */
-function decideWaitForPermit(input: DispatchInput, option: PermitWaitOption): DispatchDecision {
-  const { replicaId, waitMs, runMs } = option;
-  const { waitedMs, timeLeftMs, route } = input;
+/**
+ * Waits for a permit, or for another copy of the model, if either comes in time for the whole run; else refuses the
+ * request with the time at which it can be served.
+ */
+function decideWaitForPermit(
+  input: DispatchInput,
+  context: DispatchContext,
+  { replicaId, waitMs, runMs }: PermitWaitOption,
+): DispatchDecision {
+  const { waitedMs, timeLeftMs, route, modelReference } = input;
   const firstByteTimeLeftMs = Math.min(input.firstByteTimeLeftMs, timeLeftMs - runMs);
-  const estimate = waitMs !== undefined && { readyInMs: waitMs };
+  const otherCopyInMs = modelReference === undefined ? undefined : context.readyInMs(modelReference.model);
+  const readyInMs = otherCopyInMs === undefined || waitMs === undefined ? waitMs : Math.min(waitMs, otherCopyInMs);
+  const estimate = readyInMs !== undefined && { readyInMs };
   const decision = decideWait({ waitedMs, firstByteTimeLeftMs, latencyTargetMs: route.latencyTargetMs, ...estimate });
   if (decision.kind === 'wait') {
     return { kind: 'wait', limitedReplicaId: replicaId };
--- a/packages/gateway/src/peers/RateLimitCoordinator.ts
+++ b/packages/gateway/src/peers/RateLimitCoordinator.ts
@@ -1,5 +1,8 @@
 import type { Clock } from '../Clock.js';
+import { pause } from '../pause.js';
+import type { PlacedRateLimit } from '../placement/Types.js';
 import { PermitAllocator } from '../rateLimits/PermitAllocator.js';
+import type { LeaderPermits } from '../rateLimits/RateLimitedEngineClient.js';
 import type { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
 import type { PermitMessage, RateLimitStatement } from '../rateLimits/Types.js';
 import type { Instant } from '../Types.js';
@@ -9,11 +12,16 @@
 import type { PeerServer, ReceivedMessage } from './PeerServer.js';
 import type { DaemonReport } from './Types.js';
 
+/** Interval at which a request of the leader itself checks for a permit, milliseconds. */
+const acquirePollMs = 50;
+/** Longest time that a request of the leader itself waits for a permit, milliseconds. */
+const acquireTimeoutMs = 5_000;
+
 /**
  * Exchanges rate limits and permits with the peers. Daemons pass on what replicas state to the leader, which puts limits
  * in force for all daemons and grants the permits for requests to the limited replicas.
  */
-export class RateLimitCoordinator {
+export class RateLimitCoordinator implements LeaderPermits {
   private readonly _allocator: PermitAllocator;
   /** Channels of the daemons that have reported, by name. */
   private readonly _channels = new Map<string, PeerChannel>();
@@ -74,6 +82,35 @@
     }
   }
 
+  public perSecond(replicaId: string): number | undefined {
+    return this._rateLimits.perSecond(replicaId);
+  }
+
+  /** Rate limit of a replica with the wait for its permits; undefined if it has no limit. */
+  public placedLimit(replicaId: string): PlacedRateLimit | undefined {
+    const perSecond = this.perSecond(replicaId);
+    return perSecond === undefined ? undefined : { perSecond, backlogMs: this._allocator.backlogMs(replicaId) };
+  }
+
+  public async acquire(replicaId: string): Promise<boolean> {
+    if (this.perSecond(replicaId) === undefined) {
+      return true;
+    }
+    const release = this._allocator.reserve(replicaId);
+    const untilMs = this._clock.now().steadyMs + acquireTimeoutMs;
+    try {
+      for (let now = this._clock.now(); this._isLeading(now) && now.steadyMs < untilMs; now = this._clock.now()) {
+        if (this._allocator.tryTake(replicaId, now.steadyMs)) {
+          return true;
+        }
+        await pause(acquirePollMs);
+      }
+      return false;
+    } finally {
+      release();
+    }
+  }
+
   private _isLeading(now: Instant): boolean {
     const term = this._leaderToken(now);
     if (term !== this._term) {
--- a/packages/gateway/src/placement/LoadOptions.ts
+++ b/packages/gateway/src/placement/LoadOptions.ts
@@ -16,6 +16,9 @@
 /** Cost of a load on a replica whose adapters get one request per second, milliseconds: adapter loads have to wait. */
 const adapterDelayCostMs = 200;
 
+/** Cost of a load on a replica with a rate limit, milliseconds: its orders and its requests count towards the limit. */
+const rateLimitCostMs = 2_000;
+
 /** A way to load a model on a replica. */
 export interface LoadOption {
   readonly replica: PlacedReplica;
@@ -56,7 +59,8 @@
     const tier = loadTier(replica, specification.name);
     const victimsCostMs = victims.reduce((sum, victim) => sum + this._costOf(victim) + unloadStepCostMs, 0);
     const adapterRate = replica.models.reduce((sum, held) => sum + (this._adapterRates.get(held.name) ?? 0), 0);
-    const costMs = specification.loadMs[tier] + victimsCostMs + adapterRate * adapterDelayCostMs;
+    const limitCostMs = replica.rateLimit === undefined ? 0 : rateLimitCostMs;
+    const costMs = specification.loadMs[tier] + victimsCostMs + adapterRate * adapterDelayCostMs + limitCostMs;
     return { replica, tier, victims, costMs };
   }
 
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -13,7 +13,7 @@
 import { planModels } from './planModels.js';
 import { TrackedReplica, type RunningCounts } from './TrackedReplica.js';
 import { StoreLoadLimiter } from './StoreLoadLimiter.js';
-import type { PlacedReplica, PlacementInput, PlacementPlan, PlannedOrder } from './Types.js';
+import type { PlacedRateLimit, PlacedReplica, PlacementInput, PlacementPlan, PlannedOrder } from './Types.js';
 import { isLoadingFromStore, isStoreLoad } from './weights.js';
 
 /** Maximum age of a report, milliseconds. A report that still differs after this time is authoritative. */
@@ -54,6 +54,7 @@
     private readonly _orderToken: (now: Instant) => number | undefined,
     private readonly _clock: Clock,
     private readonly _log: common.Logger,
+    private readonly _rateLimit: (replicaId: string) => PlacedRateLimit | undefined = () => undefined,
   ) {
     const isCurrent = (tracked: TrackedReplica): boolean => this._isCurrent(tracked);
     this._sender = new OrderSender(self, _engines, _orderToken, isCurrent, _clock, _log);
@@ -273,9 +274,10 @@
     const unreachable = this._demand.unreachable();
     return [...this._trackedReplicas.values()]
       .filter((tracked) => tracked.replica.service === service)
-      .map((tracked) =>
-        tracked.toPlacedReplica(engine, running.get(tracked.replica.id), unreachable.has(tracked.replica.id), nowMs),
-      );
+      .map((tracked) => {
+        const { id } = tracked.replica;
+        return tracked.toPlacedReplica(engine, running.get(id), unreachable.has(id), nowMs, this._rateLimit(id));
+      });
   }
 
   private _runningCounts(): ReadonlyMap<string, RunningCounts> {
--- a/packages/gateway/src/placement/TrackedReplica.ts
+++ b/packages/gateway/src/placement/TrackedReplica.ts
@@ -1,7 +1,8 @@
 import type { EngineReport } from '../contracts/EngineClient.js';
 import type { ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
 import type { Replica } from '../Types.js';
-import type { OrderInProgress, PlacedModel, PlacedReplica, PlannedOrder } from './Types.js';
+import { rateLimitedSlots } from './rateLimits.js';
+import type { OrderInProgress, PlacedModel, PlacedRateLimit, PlacedReplica, PlannedOrder } from './Types.js';
 
 interface TrackedModel {
   readonly adapters: Map<string, number>;
@@ -125,6 +126,7 @@
     running: RunningCounts | undefined,
     isUnreachable: boolean,
     nowMs: number,
+    rateLimit?: PlacedRateLimit,
   ): PlacedReplica {
     const { replica } = this;
     const takesRequests = replica.state === 'ready' && !isUnreachable;
@@ -132,7 +134,7 @@
     return {
       id: replica.id,
       ...limits,
-      slots: replica.slots,
+      slots: rateLimitedSlots(replica.slots, rateLimit),
       takesRequests,
       takesOrders: takesRequests && this._isStateKnown && nowMs >= this.backoffUntilMs,
       models,
@@ -140,6 +142,7 @@
       onDisk: new Set([...replica.onDisk, ...this._loadedModels, ...this._models.keys()]),
       running: running?.total ?? 0,
       hasFormerOrder: this.hasFormerOrder(nowMs),
+      ...(rateLimit && { rateLimit }),
       ...(this.order && { order: this.order }),
       ...(this._clearingFor !== undefined && { clearingFor: this._clearingFor }),
     };
--- a/packages/gateway/src/placement/Types.ts
+++ b/packages/gateway/src/placement/Types.ts
@@ -43,6 +43,13 @@
   readonly expectedDoneMs: number;
 }
 
+/** The rate limit of a replica. */
+export interface PlacedRateLimit {
+  readonly perSecond: number;
+  /** Time until all requests that wait for permits of the replica have them, milliseconds. */
+  readonly backlogMs: number;
+}
+
 /** The state of a replica that placement decisions use. */
 export interface PlacedReplica {
   readonly id: string;
@@ -59,6 +66,8 @@
   readonly models: readonly PlacedModel[];
   readonly inMemory: ReadonlySet<string>;
   readonly onDisk: ReadonlySet<string>;
+  /** Present if the replica has a rate limit. */
+  readonly rateLimit?: PlacedRateLimit;
   /** Model that the replica is being cleared for: its retiring models are unloaded once their requests have ended. */
   readonly clearingFor?: string;
   readonly running: number;
--- a/packages/gateway/src/placement/planAdapters.ts
+++ b/packages/gateway/src/placement/planAdapters.ts
@@ -1,3 +1,4 @@
+import { exceedsRateLimit } from './rateLimits.js';
 import type { PlacedModel, PlacedReplica, PlacementInput, PlannedOrder } from './Types.js';
 import { adapterCount, freeMegabytes } from './weights.js';
 
@@ -17,7 +18,9 @@
     if (adapter === undefined || demand.waiting === 0 || isPlaced(input, model, adapter)) {
       continue;
     }
-    const replica = leastBusy(input.replicas.filter((one) => isEligible(one, model, busy)));
+    const eligible = input.replicas.filter((one) => isEligible(one, model, busy) && !holdsAdapter(one, model, adapter));
+    const unlimited = eligible.filter(({ rateLimit }) => rateLimit === undefined);
+    const replica = leastBusy(unlimited.length > 0 ? unlimited : eligible);
     if (replica === undefined) {
       continue;
     }
@@ -31,9 +34,15 @@
 }
 
 function isPlaced(input: PlacementInput, model: string, adapter: string): boolean {
+  return input.replicas.some(
+    (replica) => replica.takesOrders && !exceedsRateLimit(replica) && holdsAdapter(replica, model, adapter),
+  );
+}
+
+function holdsAdapter(replica: PlacedReplica, model: string, adapter: string): boolean {
   const holds = (held: PlacedModel): boolean =>
     held.name === model && held.adapters.some((placed) => placed.name === adapter);
-  return input.replicas.some((replica) => replica.takesOrders && replica.models.some(holds));
+  return replica.models.some(holds);
 }
 
 function isEligible(replica: PlacedReplica, model: string, busy: ReadonlySet<string>): boolean {
--- a/packages/gateway/src/placement/planModels.ts
+++ b/packages/gateway/src/placement/planModels.ts
@@ -8,6 +8,7 @@
   PlannedOrder,
 } from './Types.js';
 import { CopyIndex } from './CopyIndex.js';
+import { exceedsRateLimit } from './rateLimits.js';
 import { type LoadOption, LoadOptions } from './LoadOptions.js';
 import {
   demandByModel,
@@ -234,7 +235,7 @@
     if (this._isPlanned(model)) {
       return;
     }
-    const holders = this._copies.assigned(model);
+    const holders = this._copies.assigned(model).filter((replica) => !exceedsRateLimit(replica));
     const draining = holders.filter((replica) => this._isDraining(replica, model));
     const inLongStoreLoad = tiers.includes('store')
       ? []
