Leave time for the run when a request waits for a permit

A stream that had waited for its turn was cut at its deadline (one of 122 requests of rateLimitProcess.test.ts; the test asks for 200 or 503 only). Two causes: the wait went on whenever the expected wait was below the latency target, whatever time was left, and the leader's estimate promised another copy of a model that no replica was loading. The wait for a permit now has a decision of its own, and the leader gives no estimate for a model with a limited copy unless a load is in progress.

--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -2,6 +2,7 @@
 import { decideAdmission } from '../routing/decideAdmission.js';
 import { selectReplica, shortestBackoffMs } from '../routing/selectReplica.js';
 import type { Instant, ModelReference, Replica, Route } from '../Types.js';
+import { decidePermitWait } from '../waiting/decidePermitWait.js';
 import { decideWait } from '../waiting/decideWait.js';
 import type { ExchangeContext } from './Types.js';
 
@@ -142,7 +143,7 @@
 }
 
 /**
- * Waits for a permit, or for another copy of the model, if either comes in time for the whole run; else refuses the
+ * Waits for a permit, or for another copy of the model that is being loaded, if either comes in time; else refuses the
  * request with the time at which it can be served.
  */
 function decideWaitForPermit(
@@ -150,20 +151,14 @@
   context: DispatchContext,
   { replicaId, waitMs, runMs }: PermitWaitOption,
 ): DispatchDecision {
-  const { waitedMs, timeLeftMs, route, modelReference } = input;
-  const firstByteTimeLeftMs = Math.min(input.firstByteTimeLeftMs, timeLeftMs - runMs);
+  const { waitedMs, timeLeftMs, firstByteTimeLeftMs, modelReference } = input;
   const otherCopyInMs = modelReference === undefined ? undefined : context.readyInMs(modelReference.model);
   const readyInMs = otherCopyInMs === undefined || waitMs === undefined ? waitMs : Math.min(waitMs, otherCopyInMs);
   const estimate = readyInMs !== undefined && { readyInMs };
-  const decision = decideWait({ waitedMs, firstByteTimeLeftMs, latencyTargetMs: route.latencyTargetMs, ...estimate });
-  if (decision.kind === 'wait') {
-    return { kind: 'wait', limitedReplicaId: replicaId };
-  }
-  const reason =
-    waitMs === undefined
-      ? 'no leader grants requests to the limited replica'
-      : 'the rate limit of every replica is used up';
-  return { ...decision, reason, ...estimate };
+  const { latencyTargetMs } = input.route;
+  const situation = { waitedMs, firstByteTimeLeftMs, latencyTargetMs, timeLeftMs, runMs, ...estimate };
+  const decision = decidePermitWait(situation);
+  return decision.kind === 'wait' ? { kind: 'wait', limitedReplicaId: replicaId } : { ...decision, ...estimate };
 }
 
 /** `availableInMs` is the time until a replica that holds the model accepts requests again. */
--- a/packages/gateway/src/placement/estimateReady.ts
+++ b/packages/gateway/src/placement/estimateReady.ts
@@ -1,6 +1,5 @@
 import type { ReadyEstimate } from '../peers/Types.js';
 import { CopyIndex } from './CopyIndex.js';
-import { exceedsRateLimit } from './rateLimits.js';
 import type { PlacementInput } from './Types.js';
 import { demandByModel, isLoadingFromStore, storeCandidates, waitingModels } from './weights.js';
 
@@ -24,14 +23,14 @@
     .sort((first, second) => first - second);
   for (const [model] of waitingModels(demands)) {
     const specification = input.models.get(model);
-    const assigned = copies.assigned(model);
-    const holders = assigned.filter((replica) => !exceedsRateLimit(replica));
-    const withLocalWeights = copies.withLocalWeights(model);
-    const canLoadLocally = withLocalWeights.some((replica) => holders.includes(replica) || !assigned.includes(replica));
+    const holders = copies.assigned(model);
     const loading = holders.find((replica) => replica.order?.kind === 'load' && replica.order.model === model);
     if (loading?.order !== undefined) {
       estimates.push({ model, readyInMs: Math.max(loading.order.expectedDoneMs - nowMs, 0) });
-    } else if (holders.length > 0 || canLoadLocally) {
+    } else if (holders.some(({ rateLimit }) => rateLimit !== undefined)) {
+      // The requests wait for permits, whose time the daemons know, unless the model is being loaded elsewhere.
+      continue;
+    } else if (holders.length > 0 || copies.withLocalWeights(model).length > 0) {
       estimates.push({ model, readyInMs: localSwapMs });
     } else if (specification !== undefined) {
       const queued = ranks.get(model) ?? 0;
