--- a/packages/gateway/src/peers/RateLimitCoordinator.ts
+++ b/packages/gateway/src/peers/RateLimitCoordinator.ts
@@ -68,9 +68,8 @@
   /** Applies the permit demands of a daemon, this one included, if this daemon leads. */
   public applyReport(report: DaemonReport): void {
     const now = this._clock.now();
-    if (this._isLeading(now) && report.permitDemands !== undefined && report.reportedAt !== undefined) {
-      const { daemon, permitDemands, reportedAt } = report;
-      this._send(this._allocator.applyReport(daemon, permitDemands, reportedAt, now.steadyMs));
+    if (this._isLeading(now) && report.permits !== undefined) {
+      this._send(this._allocator.applyReport(report.daemon, report.permits, now.steadyMs));
     }
   }
 
--- a/packages/gateway/src/peers/Reporter.test.ts
+++ b/packages/gateway/src/peers/Reporter.test.ts
@@ -12,13 +12,13 @@
   public readonly reporter: Reporter;
 
   public constructor(daemonCount: number) {
+    const clock = { now: () => ({ steadyMs: Date.now(), wallMs: Date.now() }) };
     const sources = {
       waitingRequests: this.waitingRequests,
       arrivals: this.arrivals,
       loads: new ReplicaLoads(),
-      rateLimits: { takeSpareDemands: () => [] },
+      rateLimits: { takeReport: () => ({ demands: [], unused: [], reportedAt: clock.now() }) },
     };
-    const clock = { now: () => ({ steadyMs: Date.now(), wallMs: Date.now() }) };
     const send = (report: DaemonReport): void => {
       this.reports.push(report);
     };
--- a/packages/gateway/src/peers/Reporter.ts
+++ b/packages/gateway/src/peers/Reporter.ts
@@ -11,7 +11,7 @@
   readonly waitingRequests: WaitingRequests;
   readonly arrivals: ArrivalCounter;
   readonly loads: ReplicaLoads;
-  readonly rateLimits: Pick<ReplicaRateLimits, 'takeSpareDemands'>;
+  readonly rateLimits: Pick<ReplicaRateLimits, 'takeReport'>;
 }
 
 /** Longest time between two reports while requests wait for permits, milliseconds: the demands of a report expire. */
@@ -20,6 +20,8 @@
 /** Reports to the leader: soon after a change, at once when requests begin to wait, and otherwise at intervals. */
 export class Reporter implements AsyncDisposable {
   private _lastReportMs = Number.NEGATIVE_INFINITY;
+  /** True if the last report had demands for permits, which the leader serves until the next report. */
+  private _hasOpenDemands = false;
   private _urgentReportTimer: NodeJS.Timeout | undefined;
 
   public constructor(
@@ -34,10 +36,10 @@
   /** Sends a report if one is due. Called several times a second. */
   public reportIfDue(): void {
     const { waitingRequests, arrivals, loads } = this._sources;
-    const hasChanges = waitingRequests.size > 0 || arrivals.hasArrivals || loads.hasChanges;
+    const hasChanges = waitingRequests.size > 0 || this._hasOpenDemands || arrivals.hasArrivals || loads.hasChanges;
     const { reportMs, idleReportMs } = this._intervals();
     const nowMs = this._nowMs();
-    const needsPermits = waitingRequests.permitDemands(nowMs).length > 0;
+    const needsPermits = this._hasOpenDemands || waitingRequests.permitDemands(nowMs).length > 0;
     const changeReportMs = needsPermits ? Math.min(reportMs, permitReportMs) : reportMs;
     if (nowMs - this._lastReportMs >= (hasChanges ? changeReportMs : idleReportMs)) {
       this._report();
@@ -63,14 +65,15 @@
     const now = this._clock.now();
     const nowMs = now.steadyMs;
     this._lastReportMs = nowMs;
+    const permits = rateLimits.takeReport(waitingRequests.permitDemands(nowMs), now);
+    this._hasOpenDemands = permits.demands.length > 0;
     this._send({
       daemon: this._name,
       waiting: waitingRequests.report(nowMs),
       arrivals: arrivals.take(),
       running: loads.report(),
       unreachable: loads.unreachable(nowMs),
-      permitDemands: [...waitingRequests.permitDemands(nowMs), ...rateLimits.takeSpareDemands()],
-      reportedAt: now,
+      permits,
     });
   }
 
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -1,7 +1,7 @@
 import type { LeaseSnapshot, StoreFailure, TableName, TableRecord } from '../contracts/MetadataStore.js';
-import type { PermitDemand, PermitMessage, RateLimitStatement } from '../rateLimits/Types.js';
+import type { PermitMessage, PermitReport, RateLimitStatement } from '../rateLimits/Types.js';
 import type { ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
-import type { Instant, ModelReference } from '../Types.js';
+import type { ModelReference } from '../Types.js';
 
 /** Requests of one daemon that wait for a model or adapter. */
 export interface WaitingReport {
@@ -33,10 +33,8 @@
   readonly running: readonly RunningReport[];
   /** Replicas that the daemon recently failed to connect to. */
   readonly unreachable: readonly string[];
-  /** Requests that need permits for replicas with a rate limit. Absent in reports of earlier versions. */
-  readonly permitDemands?: readonly PermitDemand[];
-  /** Time of the report by the daemon's clocks. Its permits expire by this time. Absent in reports of earlier versions. */
-  readonly reportedAt?: Instant;
+  /** Permits that the daemon needs for replicas with a rate limit. Absent in reports of earlier versions. */
+  readonly permits?: PermitReport;
 }
 
 /** Records of a table that a peer has read. */
--- a/packages/gateway/src/rateLimits/ReplicaRateLimits.ts
+++ b/packages/gateway/src/rateLimits/ReplicaRateLimits.ts
@@ -8,6 +8,7 @@
 import {
   type PermitDemand,
   type PermitMessage,
+  type PermitReport,
   type PermitWait,
   type RateLimitStatement,
   spareUrgency,
@@ -107,16 +108,21 @@
     this._metrics.count('waited');
   }
 
-  /** Demands of requests that were sent elsewhere since the last call. */
-  public takeSpareDemands(): readonly PermitDemand[] {
-    const demands = [...this._spareDemands].map(([replicaId, count]) => ({
+  /** Creates the report of the permits that this daemon needs; `waiting` are the demands of its waiting requests. */
+  public takeReport(waiting: readonly PermitDemand[], now: Instant): PermitReport {
+    const spare = [...this._spareDemands].map(([replicaId, count]) => ({
       replicaId,
       urgency: spareUrgency,
       count,
       slackMs: 0,
     }));
     this._spareDemands.clear();
-    return demands;
+    const unused = this._permits.takeUnused(now);
+    this._metrics.count(
+      'unused',
+      unused.reduce((sum, { count }) => sum + count, 0),
+    );
+    return { demands: [...waiting, ...spare], unused, reportedAt: now };
   }
 
   /**
