--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,6 +1,5 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from './Clock.js';
-import { RouteTable } from './configuration/RouteTable.js';
 import { CallerServer } from './forwarding/CallerServer.js';
 import { ReplicaAgent } from './forwarding/ReplicaAgent.js';
 import { RequestLog } from './forwarding/RequestLog.js';
@@ -31,6 +30,7 @@
 import { RetryBudgets } from './retries/RetryBudgets.js';
 import { spreadSlots } from './routing/chooseReplica.js';
 import { ReplicaLoads } from './routing/ReplicaLoads.js';
+import { RoutingTables } from './RoutingTables.js';
 import { StopSchedule } from './StopSchedule.js';
 import type { Address } from './Types.js';
 import { WaitingRequests } from './waiting/WaitingRequests.js';
@@ -45,6 +45,7 @@
   private readonly _resources = new common.DisposalRegistry();
   private readonly _directory: ReplicaDirectory;
   private readonly _tables: StoreTables;
+  private readonly _routingTables: RoutingTables;
   private readonly _leaderElector: LeaderElector;
   private readonly _leaseStore: PeerAssistedLeaseStore;
   private readonly _peerServer: PeerServer;
@@ -62,7 +63,6 @@
   private readonly _rateLimitCoordinator: RateLimitCoordinator;
   private readonly _agent = new ReplicaAgent();
   private readonly _callers: CallerServer;
-  private _routes: RouteTable | undefined;
   private _tickTimer: NodeJS.Timeout | undefined;
   private readonly _stopSchedule: StopSchedule;
 
@@ -74,18 +74,10 @@
   ) {
     const { store, engines } = _platform;
     this._directory = new ReplicaDirectory((id, text) => store.decodeReplica(id, text), _log.child('replicas'));
+    this._routingTables = new RoutingTables(store, this._directory, _log);
     this._retryBudgets = new RetryBudgets(_settings.retryBudget);
     this._stopSchedule = new StopSchedule(_settings.stopLimitMs);
     this._requestLog = new RequestLog(_log.child('requests'));
-    this._rateLimits = new ReplicaRateLimits(
-      {
-        permitSource: () => this._permitSource(),
-        daemonCount: () => this._retryBudgets.daemonCount,
-        random: () => Math.random(),
-      },
-      new RateLimitMetrics(this._requestLog.registry),
-      _log.child('limits'),
-    );
     this._peerServer = new PeerServer(_settings.peers, _clock, _log.child('peers'));
     this._peerClient = new PeerClient(otherSeeds(_settings), _clock, _log.child('peers'));
     this._tables = new StoreTables(store, _clock, _log.child('store'));
@@ -108,18 +100,24 @@
       isLeaderAlive,
       _log.child('lease'),
     );
+    const limitContext = {
+      permitSource: (): PermitSource => this._permitSource(),
+      daemonCount: (): number => this._retryBudgets.daemonCount,
+      random: (): number => Math.random(),
+    };
+    const limitMetrics = new RateLimitMetrics(this._requestLog.registry);
+    this._rateLimits = new ReplicaRateLimits(limitContext, limitMetrics, _log.child('limits'));
     this._rateLimitCoordinator = new RateLimitCoordinator(
       _settings.name,
       this._rateLimits,
       this._waitingRequests,
-      this._peerServer,
-      this._peerClient,
+      { server: this._peerServer, client: this._peerClient },
       (now) => this._leaderElector.orderToken(now),
       _clock,
     );
     this._leader = new PlacementLeader(
       _settings.name,
-      () => this._routes?.configuration,
+      () => this._routingTables.routes?.configuration,
       this._directory,
       new RateLimitedEngineClient(engines, this._rateLimitCoordinator, _clock),
       (now) => this._leaderElector.orderToken(now),
@@ -172,7 +170,7 @@
 
   /** True if this daemon is ready for new callers. */
   public get isReady(): boolean {
-    return !this._stopSchedule.isStopping && this._routes !== undefined && this._directory.size > 0;
+    return !this._stopSchedule.isStopping && this._routingTables.routes !== undefined && this._directory.size > 0;
   }
 
   /** Metrics in the text format of Prometheus. */
@@ -221,6 +219,9 @@
     this._tables.onUpdate((update) => {
       this._applyTableUpdate(update);
     });
+    this._routingTables.onConfiguration(({ callerLimits }) => {
+      this._callers.applyLimits(callerLimits);
+    });
     this._directory.onChanged(() => {
       this._waitingRequests.redispatchAll();
     });
@@ -297,22 +298,12 @@
     }
   }
 
-  private _applyTableUpdate({ table, records, source }: TableUpdate): void {
+  private _applyTableUpdate(update: TableUpdate): void {
     const nowMs = this._nowMs();
-    let recordsForPeers = records;
-    if (table === 'configuration') {
-      for (const record of records) {
-        this._applyConfiguration(record.value, record.offset, source);
-      }
-    } else {
-      recordsForPeers = this._directory.apply(
-        records,
-        nowMs,
-        removalGraceMs(this._tables.lastReplicaReadFailureMs, nowMs),
-      );
-    }
-    if (recordsForPeers.length > 0) {
-      this._forward({ table, records: recordsForPeers, end: 0, whole: false }, source);
+    const graceMs = removalGraceMs(this._tables.lastReplicaReadFailureMs, nowMs);
+    const records = this._routingTables.apply(update, nowMs, graceMs);
+    if (records.length > 0) {
+      this._forward({ table: update.table, records, end: 0, whole: false }, update.source);
     }
   }
 
@@ -327,21 +318,6 @@
     }
   }
 
-  private _applyConfiguration(text: string | undefined, offset: number, source: string): void {
-    const configuration = text === undefined ? undefined : this._platform.store.decodeConfiguration(text);
-    const before = this._routes?.configuration.version;
-    if (configuration === undefined) {
-      this._log.error('The configuration record is unreadable; the previous version stays in force.', {
-        offset,
-        before,
-      });
-    } else if (before === undefined || configuration.version > before) {
-      this._routes = new RouteTable(configuration);
-      this._callers.applyLimits(configuration.callerLimits);
-      this._log.info('Configuration in force.', { version: configuration.version, before, offset, source });
-    }
-  }
-
   /** Schedules the next step of the periodic work, which includes reports, placement and checks for peers that send no messages. */
   private _scheduleTick(): void {
     const { tickMs } = messageIntervals(this._leaderView.daemonCount);
@@ -421,7 +397,7 @@
       retryBudgets: this._retryBudgets,
       rateLimits: this._rateLimits,
       agent: this._agent,
-      routes: () => this._routes,
+      routes: () => this._routingTables.routes,
       readyInMs: (model) => this._readyInMs(model),
       randomSlots: () => Math.random() * spreadSlots(this._leaderView.daemonCount),
       markReplicaLeaving: ({ id, bornMs }) => {
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -8,7 +8,8 @@
 import { readBody } from './readBody.js';
 import { admitRequest, type LocalResponse } from './admitRequest.js';
 import { ResponseRelay } from './ResponseRelay.js';
-import { type AttemptFailure, ReplicaAttempt } from './ReplicaAttempt.js';
+import { createAttempt, promptPartKeys } from './createAttempt.js';
+import type { AttemptFailure } from './ReplicaAttempt.js';
 import { type AttemptOutcome, CurrentAttempt } from './CurrentAttempt.js';
 import { Deadline } from './Deadline.js';
 import { decideDispatch, type DispatchInput, refusedRetryAfterMs } from './decideDispatch.js';
@@ -146,7 +147,7 @@
       service: this._service,
       route,
       modelReference: this._callerRequest?.modelReference,
-      promptPartIds: this._promptPartIds(),
+      promptPartIds: promptPartKeys(this._callerRequest),
       excluded: this._history.excluded,
       mayHaveRun: this._history.possibleRuns > 0,
       waitedMs: this._wait.waitedMs(nowMs),
@@ -192,30 +193,20 @@
       return;
     }
     const now = this._context.clock.now();
-    const nowMs = now.steadyMs;
     this._history.startAttempt(replica.id);
     this._rateLimitPerSecond = this._context.rateLimits.perSecond(replica.id);
     this._context.rateLimits.recordSend(replica.id, now);
-    const { lastEventId } = this._relay;
-    const headers = this._context.codec.forwardedHeaders(this._request, {
-      replicaId: replica.id,
-      deadlineMs: Math.max(Math.floor(this._deadline.leftMs(nowMs)), 1),
-      bodyBytes: this._body.length,
-      ...(callerRequest.modelReference !== undefined && { urgency: urgencyOf(route) }),
-      ...(lastEventId !== undefined && { lastEventId }),
-    });
-    const attempt = new ReplicaAttempt(
+    const attempt = createAttempt(
+      this._context,
       {
-        method: this._request.method ?? 'GET',
-        path: this._request.url ?? '/',
-        headers,
+        incoming: this._request,
         body: this._body,
         callerRequest,
+        route,
         replica,
-        // If the replica closed a reused connection during the send, the request would fail and could not be retried.
-        agent: route.kind === 'nonIdempotent' ? false : this._context.agent,
+        deadlineMs: Math.max(Math.floor(this._deadline.leftMs(now.steadyMs)), 1),
+        lastEventId: this._relay.lastEventId,
       },
-      this._context.codec,
       {
         onHead: (head, response) => {
           this._receiveHead(replica, head, response);
@@ -228,7 +219,7 @@
         },
       },
     );
-    this._attempt.start(attempt, callerRequest.modelReference, this._promptPartIds());
+    this._attempt.start(attempt, callerRequest.modelReference, promptPartKeys(callerRequest));
     this._startInactivityTimer();
   }
 
@@ -461,13 +452,6 @@
     this._context.requestLog.record(result, nowMs);
   }
 
-  private _promptPartIds(): readonly string[] {
-    const callerRequest = this._callerRequest;
-    return callerRequest?.modelReference === undefined
-      ? []
-      : callerRequest.promptPartIds.map((part) => `${callerRequest.modelReference?.model ?? ''}:${part}`);
-  }
-
   private _nowMs(): number {
     return this._context.clock.now().steadyMs;
   }
--- /dev/null
+++ b/packages/gateway/src/forwarding/createAttempt.ts
@@ -0,0 +1,51 @@
+import type * as http from 'node:http';
+import type { CallerRequest } from '../contracts/RequestCodec.js';
+import type { Replica, Route } from '../Types.js';
+import { type AttemptListener, ReplicaAttempt } from './ReplicaAttempt.js';
+import { urgencyOf } from './retryPolicy.js';
+import type { ExchangeContext } from './Types.js';
+
+/** A request of a caller that is to be sent to a replica. */
+export interface OutgoingRequest {
+  readonly incoming: http.IncomingMessage;
+  readonly body: Buffer;
+  readonly callerRequest: CallerRequest;
+  readonly route: Route;
+  readonly replica: Replica;
+  /** Time that the replica has for the request, milliseconds. */
+  readonly deadlineMs: number;
+  /** Last event that the caller has received, if a stream is resumed. */
+  readonly lastEventId: string | undefined;
+}
+
+/** Sends a request of a caller to a replica. */
+export function createAttempt(
+  { codec, agent }: Pick<ExchangeContext, 'codec' | 'agent'>,
+  { incoming, body, callerRequest, route, replica, deadlineMs, lastEventId }: OutgoingRequest,
+  listener: AttemptListener,
+): ReplicaAttempt {
+  const headers = codec.forwardedHeaders(incoming, {
+    replicaId: replica.id,
+    deadlineMs,
+    bodyBytes: body.length,
+    ...(callerRequest.modelReference !== undefined && { urgency: urgencyOf(route) }),
+    ...(lastEventId !== undefined && { lastEventId }),
+  });
+  const request = {
+    method: incoming.method ?? 'GET',
+    path: incoming.url ?? '/',
+    headers,
+    body,
+    callerRequest,
+    replica,
+    // If the replica closed a reused connection during the send, the request would fail and could not be retried.
+    agent: route.kind === 'nonIdempotent' ? (false as const) : agent,
+  };
+  return new ReplicaAttempt(request, codec, listener);
+}
+
+/** Keys of the parts of a request's prompt. Parts are shared only between requests for the same model. */
+export function promptPartKeys(callerRequest: CallerRequest | undefined): readonly string[] {
+  const model = callerRequest?.modelReference?.model;
+  return model === undefined ? [] : (callerRequest?.promptPartIds ?? []).map((part) => `${model}:${part}`);
+}
--- a/packages/gateway/src/peers/RateLimitCoordinator.ts
+++ b/packages/gateway/src/peers/RateLimitCoordinator.ts
@@ -31,32 +31,31 @@
     private readonly _self: string,
     private readonly _rateLimits: ReplicaRateLimits,
     private readonly _waitingRequests: WaitingRequests,
-    peerServer: PeerServer,
-    peerClient: PeerClient,
+    { server, client }: { readonly server: PeerServer; readonly client: PeerClient },
     /** Fencing token; undefined while this daemon may not act as the leader. */
     private readonly _leaderToken: (now: Instant) => number | undefined,
     private readonly _clock: Clock,
   ) {
     this._allocator = new PermitAllocator((replicaId) => _rateLimits.perSecond(replicaId));
     _rateLimits.onStatement((statement) => {
-      peerClient.send('rateLimits', { limits: [statement] });
+      client.send('rateLimits', { limits: [statement] });
     });
     _rateLimits.onChanged((statement) => {
-      peerServer.broadcast('rateLimits', { limits: [statement] });
+      server.broadcast('rateLimits', { limits: [statement] });
     });
-    peerClient.onConnected((channel) => {
+    client.onConnected((channel) => {
       this._sendLimits(channel);
     });
-    peerServer.onJoined((channel) => {
+    server.onJoined((channel) => {
       this._sendLimits(channel);
     });
-    peerServer.onLeft((channel) => {
+    server.onLeft((channel) => {
       this._removeChannel(channel);
     });
-    peerServer.onMessage((received) => {
+    server.onMessage((received) => {
       this._receiveFromFollower(received);
     });
-    peerClient.onMessage((message) => {
+    client.onMessage((message) => {
       if (message.method === 'permits') {
         this._applyPermits(message.params);
       } else if (message.method === 'rateLimits') {
