--- a/packages/gateway/src/peers/Reporter.test.ts
+++ b/packages/gateway/src/peers/Reporter.test.ts
@@ -17,7 +17,7 @@
       waitingRequests: this.waitingRequests,
       arrivals: this.arrivals,
       loads: new ReplicaLoads(),
-      rateLimits: { takeReport: () => ({ demands: [], unused: [], reportedAt: clock.now() }) },
+      rateLimits: { takeReport: () => ({ demands: [], reportedAt: clock.now() }) },
     };
     const send = (report: DaemonReport): void => {
       this.reports.push(report);
--- a/packages/gateway/src/rateLimits/PermitAllocator.ts
+++ b/packages/gateway/src/rateLimits/PermitAllocator.ts
@@ -2,7 +2,7 @@
 import { grantPermits, type OpenDemand, permitWaits, waitingCount } from './grantPermits.js';
 import { grantedRate, permitLifetimeMs } from './permitRates.js';
 import { TokenBucket } from './TokenBucket.js';
-import type { PermitMessage, PermitReport, ReplicaPermits, UnusedPermits } from './Types.js';
+import type { PermitMessage, PermitReport, ReplicaPermits } from './Types.js';
 
 /**
  * A report older than this gets no more permits, milliseconds: they would arrive with little of their time left. Daemons
@@ -48,7 +48,6 @@
    */
   public applyReport(daemon: string, report: PermitReport, nowMs: number): ReadonlyMap<string, PermitMessage> {
     this._remove(daemon);
-    this._putBack(report.unused);
     const { demands, reportedAt } = report;
     if (demands.length === 0) {
       return new Map();
@@ -117,15 +116,6 @@
       : bucket.timeToTokenMs(count - 1, grantedRate(limit));
   }
 
-  private _putBack(unused: readonly UnusedPermits[]): void {
-    for (const { replicaId, count } of unused) {
-      const limit = this._limitOf(replicaId);
-      if (limit !== undefined) {
-        this._buckets.get(replicaId)?.putBack(count, grantedRate(limit));
-      }
-    }
-  }
-
   private _messages(
     replicaIds: readonly string[],
     nowMs: number,
--- a/packages/gateway/src/rateLimits/PermitPool.ts
+++ b/packages/gateway/src/rateLimits/PermitPool.ts
@@ -1,13 +1,10 @@
 import type { Instant } from '../Types.js';
 import { permitLifetimeMs } from './permitRates.js';
-import type { UnusedPermits } from './Types.js';
 
 /** The permits that the leader has granted to this daemon, by replica. Each allows one request. */
 export class PermitPool {
   /** Times of the reports that the permits answer, oldest first. */
   private readonly _reportedAt = new Map<string, readonly Instant[]>();
-  /** Numbers of permits that expired since the last call of `takeUnused`. */
-  private readonly _unused = new Map<string, number>();
 
   /** Adds permits that answer a report of the given time. */
   public add(replicaId: string, count: number, reportedAt: Instant): void {
@@ -25,7 +22,6 @@
       return 0;
     }
     const valid = permits.filter((reportedAt) => isValid(reportedAt, now));
-    this._countUnused(replicaId, permits.length - valid.length);
     if (valid.length === 0) {
       this._reportedAt.delete(replicaId);
     } else if (valid.length < permits.length) {
@@ -42,22 +38,6 @@
     this._reportedAt.set(replicaId, this._reportedAt.get(replicaId)?.slice(1) ?? []);
     return true;
   }
-
-  /** Numbers of permits that expired since the last call. */
-  public takeUnused(now: Instant): readonly UnusedPermits[] {
-    for (const replicaId of this._reportedAt.keys()) {
-      this.available(replicaId, now);
-    }
-    const unused = [...this._unused].map(([replicaId, count]) => ({ replicaId, count }));
-    this._unused.clear();
-    return unused;
-  }
-
-  private _countUnused(replicaId: string, count: number): void {
-    if (count > 0) {
-      this._unused.set(replicaId, (this._unused.get(replicaId) ?? 0) + count);
-    }
-  }
 }
 
 /** Checks both clocks: the steady clock stops while the VM is suspended, and the wall clock may be set. */
--- a/packages/gateway/src/rateLimits/RateLimitMetrics.ts
+++ b/packages/gateway/src/rateLimits/RateLimitMetrics.ts
@@ -2,10 +2,10 @@
 
 /**
  * What happened to the requests and permits of replicas with a rate limit. `sent`: a request was sent to one;
- * `granted`: the leader granted a permit; `unused`: a permit expired; `leaderless`: a request was sent within this daemon's own share, as it hears no
+ * `granted`: the leader granted a permit; `leaderless`: a request was sent within this daemon's own share, as it hears no
  * leader; `waited`: a request began to wait for a permit; `sentElsewhere`: a request used its second choice.
  */
-export type RateLimitEvent = 'sent' | 'granted' | 'unused' | 'leaderless' | 'waited' | 'sentElsewhere';
+export type RateLimitEvent = 'sent' | 'granted' | 'leaderless' | 'waited' | 'sentElsewhere';
 
 /** Metrics of the rate limits that replicas state. Their labels do not name replicas, so that their number is bounded. */
 export class RateLimitMetrics {
--- a/packages/gateway/src/rateLimits/ReplicaRateLimits.ts
+++ b/packages/gateway/src/rateLimits/ReplicaRateLimits.ts
@@ -117,12 +117,7 @@
       slackMs: 0,
     }));
     this._spareDemands.clear();
-    const unused = this._permits.takeUnused(now);
-    this._metrics.count(
-      'unused',
-      unused.reduce((sum, { count }) => sum + count, 0),
-    );
-    return { demands: [...waiting, ...spare], unused, reportedAt: now };
+    return { demands: [...waiting, ...spare], reportedAt: now };
   }
 
   /**
--- a/packages/gateway/src/rateLimits/TokenBucket.ts
+++ b/packages/gateway/src/rateLimits/TokenBucket.ts
@@ -23,9 +23,4 @@
   public take(count: number): void {
     this._tokens -= count;
   }
-
-  /** Returns tokens that were not used. */
-  public putBack(count: number, rate: PermitRate): void {
-    this._tokens = Math.min(this._tokens + count, rate.capacity);
-  }
 }
--- a/packages/gateway/src/rateLimits/Types.ts
+++ b/packages/gateway/src/rateLimits/Types.ts
@@ -25,17 +25,9 @@
  */
 export const spareUrgency = 10;
 
-/** Permits of one replica that a daemon got and did not use before they expired. */
-export interface UnusedPermits {
-  readonly replicaId: string;
-  readonly count: number;
-}
-
 /** Permit demands of a daemon, as part of its report to the leader. */
 export interface PermitReport {
   readonly demands: readonly PermitDemand[];
-  /** Permits that expired since the last report; the leader may grant them again. */
-  readonly unused: readonly UnusedPermits[];
   /** Time of the report by the daemon's clocks. The permits that answer it expire by this time. */
   readonly reportedAt: Instant;
 }
