--- a/packages/cli/src/explain/explainRequest.test.ts
+++ b/packages/cli/src/explain/explainRequest.test.ts
@@ -49,6 +49,12 @@
     vitest.expect(explainRequest(lines(old, refused, lost), 'a1').map((line) => line.timeMs)).toEqual([18_000, 20_000]);
   });
 
+  vitest.test('finds the rate limits that were in force (guards against an unexplained refusal by a limit)', () => {
+    const limit = { time: 15_000, replica: 'i-1', perSecond: 1.6, msg: 'limits: Rate limit of a replica in force.' };
+    const found = explainRequest(lines(refused, limit), 'a1');
+    vitest.expect(found.map((line) => line.timeMs)).toEqual([15_000, 20_000]);
+  });
+
   vitest.test('finds nothing for an unknown request and skips text that is not a log line', () => {
     vitest.expect(explainRequest(lines(refused), 'a2')).toEqual([]);
     vitest.expect(parseLogLine('node: warning')).toBeUndefined();
