--- a/packages/gateway/src/peers/RateLimitCoordinator.ts
+++ b/packages/gateway/src/peers/RateLimitCoordinator.ts
@@ -68,7 +68,10 @@
   public applyReport(report: DaemonReport): void {
     const now = this._clock.now();
     if (this._isLeading(now) && report.permits !== undefined) {
-      this._send(this._allocator.applyReport(report.daemon, report.permits, now.steadyMs));
+      const answer = this._allocator.applyReport(report.daemon, report.permits, now.steadyMs);
+      if (answer !== undefined) {
+        this._send(report.daemon, answer);
+      }
     }
   }
 
@@ -76,7 +79,9 @@
   public tick(): void {
     const now = this._clock.now();
     if (this._isLeading(now)) {
-      this._send(this._allocator.allocate(now.steadyMs));
+      for (const [daemon, message] of this._allocator.allocate(now.steadyMs)) {
+        this._send(daemon, message);
+      }
     }
   }
 
@@ -94,8 +99,9 @@
     if (this.perSecond(replicaId) === undefined) {
       return true;
     }
-    const release = this._allocator.reserve(replicaId);
-    const untilMs = this._clock.now().steadyMs + acquireTimeoutMs;
+    const startedMs = this._clock.now().steadyMs;
+    const release = this._allocator.reserve(replicaId, startedMs);
+    const untilMs = startedMs + acquireTimeoutMs;
     try {
       for (let now = this._clock.now(); this._isLeading(now) && now.steadyMs < untilMs; now = this._clock.now()) {
         if (this._allocator.tryTake(replicaId, now.steadyMs)) {
@@ -130,13 +136,11 @@
     }
   }
 
-  private _send(messages: ReadonlyMap<string, PermitMessage>): void {
-    for (const [daemon, message] of messages) {
-      if (daemon === this._self) {
-        this._applyPermits(message);
-      } else {
-        this._channels.get(daemon)?.send('permits', message);
-      }
+  private _send(daemon: string, message: PermitMessage): void {
+    if (daemon === this._self) {
+      this._applyPermits(message);
+    } else {
+      this._channels.get(daemon)?.send('permits', message);
     }
   }
 
--- a/packages/gateway/src/testing/RateLimitSimulation.ts
+++ b/packages/gateway/src/testing/RateLimitSimulation.ts
@@ -13,7 +13,7 @@
 const leaderSilenceMs = 1_200;
 /** Time from the loss of a leader until the next one may grant permits, milliseconds. */
 const handoverMs = 3_300;
-/** Time for which a request waits for a permit, milliseconds. */
+/** Time for which a request can wait for a permit; it is refused once its turn is expected later, milliseconds. */
 const requestWaitMs = 2_000;
 /** Time between two reports of a daemon without waiting requests, milliseconds. */
 const idleReportMs = 1_000;
@@ -183,7 +183,10 @@
     if (random() < (requestsPerSecond * stepMs) / 1_000 / daemonCount) {
       daemon.waitingSinceMs.push(this._nowMs);
     }
-    daemon.waitingSinceMs = daemon.waitingSinceMs.filter((sinceMs) => this._nowMs - sinceMs < requestWaitMs);
+    daemon.waitingSinceMs = daemon.waitingSinceMs.filter((sinceMs, position) => {
+      const expectedMs = daemon.limits.expectedWaitMs(replica.id, urgency, position, daemon.now(this._nowMs)) ?? 0;
+      return this._nowMs - sinceMs + expectedMs < requestWaitMs;
+    });
     this._sendRequests(daemon);
     const hasChanges = daemon.waitingSinceMs.length > 0 || daemon.hasOpenDemands;
     const intervalMs = hasChanges ? Math.min(Math.max(daemonCount * 5, 100), 300) : idleReportMs;
@@ -204,13 +207,15 @@
 
   private _sendReport(daemon: SimulatedDaemon): void {
     const count = daemon.waitingSinceMs.length;
-    const demands = count === 0 ? [] : [{ replicaId: replica.id, urgency, count, slackMs: 0 }];
+    const slackMs = (daemon.waitingSinceMs[0] ?? 0) + requestWaitMs - this._nowMs;
+    const demands = count === 0 ? [] : [{ replicaId: replica.id, urgency, count, slackMs }];
     daemon.hasOpenDemands = count > 0;
     const report = daemon.limits.takeReport(demands, daemon.now(this._nowMs));
     const leader = this._leader;
     this._send(daemon, () => {
       if (leader !== undefined && leader === this._leader) {
-        this._answer(this._allocator.applyReport(daemon.name, report, this._nowMs));
+        const answer = this._allocator.applyReport(daemon.name, report, this._nowMs);
+        this._answer(answer === undefined ? new Map() : new Map([[daemon.name, answer]]));
       }
     });
   }
