--- a/packages/gateway/src/forwarding/decideDispatch.test.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.test.ts
@@ -103,4 +103,42 @@
     const stopping = context([holder], { longestRequestMs: () => 5_000 });
     vitest.expect(decideDispatch(request, stopping, now)).toMatchObject({ reason: 'this daemon stops' });
   });
+
+  vitest.describe('with a rate limit of a replica', () => {
+    const other = sampleReplica({ id: 'r2', models: [{ name: 'm', adapters: [] }], slots: 4 });
+
+    /** Without a permit for `holder`, which would come after `waitMs`. */
+    function withoutPermit(replicas: readonly Replica[], waitMs: number | undefined): DispatchContext {
+      const rateLimits = { maySend: (id: string) => id !== holder.id, expectedWaitMs: () => waitMs };
+      return context(replicas, { rateLimits });
+    }
+
+    vitest.test(
+      'uses another replica and reports the preferred one (guards against limits that are never used)',
+      () => {
+        const decision = decideDispatch(request, withoutPermit([holder, other], 0), now);
+        vitest.expect(decision).toEqual({ kind: 'send', replica: other, preferredReplicaId: holder.id });
+      },
+    );
+
+    vitest.test(
+      'waits for its turn if it comes in time, also without a model (guards against needless refusals)',
+      () => {
+        const wait = { kind: 'wait', limitedReplicaId: holder.id };
+        vitest.expect(decideDispatch(request, withoutPermit([holder], 600), now)).toEqual(wait);
+        const plainRequest = { ...request, modelReference: undefined };
+        vitest.expect(decideDispatch(plainRequest, withoutPermit([holder], 600), now)).toEqual(wait);
+      },
+    );
+
+    vitest.test('refuses at once with the time of the turn (guards against requests held in vain)', () => {
+      const decision = decideDispatch(request, withoutPermit([holder], 2_600), now);
+      vitest.expect(decision).toMatchObject({ kind: 'refuse', retryAfterMs: 2_600 });
+    });
+
+    vitest.test('waits for another copy that is ready sooner than its turn', () => {
+      const loading = { ...withoutPermit([holder], 2_600), readyInMs: () => 500 };
+      vitest.expect(decideDispatch(request, loading, now).kind).toBe('wait');
+    });
+  });
 });
