Ignore statements on rate limits of an earlier start of a replica

The end of the limit of a former start, told by the leader, ended the limit that the new start under the same id had stated. The test of limits in force fails without the guard. Two names changed: grantUncontested, _lastStatementMs.

--- a/packages/gateway/src/rateLimits/PermitAllocator.ts
+++ b/packages/gateway/src/rateLimits/PermitAllocator.ts
@@ -58,7 +58,7 @@
         daemon,
         demands.filter((demand) => demand.replicaId === replicaId),
       );
-      const granted = queue.grantSpareTokens(daemon, limit, nowMs);
+      const granted = queue.grantUncontested(daemon, limit, nowMs);
       return [{ replicaId, granted, waits: queue.waitsOf(daemon, limit) }];
     });
     return { reportedAt, replicas };
--- a/packages/gateway/src/rateLimits/PermitQueue.ts
+++ b/packages/gateway/src/rateLimits/PermitQueue.ts
@@ -50,7 +50,7 @@
   }
 
   /** Grants a daemon the tokens that no request of equal or greater urgency at another daemon waits for. */
-  public grantSpareTokens(daemon: string, limitPerSecond: number, nowMs: number): number {
+  public grantUncontested(daemon: string, limitPerSecond: number, nowMs: number): number {
     const tokens = this._tokens(grantedRate(limitPerSecond), nowMs);
     let granted = 0;
     for (const demand of this._demands.get(daemon) ?? []) {
--- a/packages/gateway/src/rateLimits/RateLimitTable.test.ts
+++ b/packages/gateway/src/rateLimits/RateLimitTable.test.ts
@@ -42,6 +42,8 @@
     table.record({ ...replica, perSecond: 2 }, true, 0);
     table.record({ replicaId: 'r1', bornMs: 4 }, true, 10);
     vitest.expect(table.perSecond('r1')).toBe(2);
+    table.set({ replicaId: 'r1', bornMs: 4 });
+    vitest.expect(table.perSecond('r1')).toBe(2);
     table.retain(() => 6);
     vitest.expect(table.perSecond('r1')).toBeUndefined();
   });
--- a/packages/gateway/src/rateLimits/RateLimitTable.ts
+++ b/packages/gateway/src/rateLimits/RateLimitTable.ts
@@ -64,10 +64,13 @@
     return false;
   }
 
-  /** Puts a limit in force, or ends it if the statement has none. */
+  /** Puts a limit in force, or ends it if the statement has none. A statement of an earlier start changes nothing. */
   public set(statement: RateLimitStatement): void {
     const { replicaId, bornMs, perSecond } = statement;
     const before = this._entries.get(replicaId);
+    if (before !== undefined && bornMs < before.bornMs) {
+      return;
+    }
     this._entries.delete(replicaId);
     if (perSecond !== undefined) {
       this._entries.set(replicaId, { bornMs, perSecond });
@@ -88,11 +91,11 @@
     }
   }
 
-  /** A replica without a limit, or another start of a replica with one; an older start changes nothing. */
+  /** Applies a statement of a replica without a limit, or of another start of a replica with one. */
   private _recordOtherStart(statement: RateLimitStatement, entry: Entry | undefined): boolean {
-    const isOlder = entry !== undefined && statement.bornMs < entry.bornMs;
+    const isEarlierStart = entry !== undefined && statement.bornMs < entry.bornMs;
     const isUnlimited = entry === undefined && statement.perSecond === undefined;
-    if (isOlder || isUnlimited) {
+    if (isEarlierStart || isUnlimited) {
       return false;
     }
     this.set(statement);
--- a/packages/gateway/src/rateLimits/ReplicaRateLimits.ts
+++ b/packages/gateway/src/rateLimits/ReplicaRateLimits.ts
@@ -47,7 +47,8 @@
   private readonly _waits = new Map<string, ExpectedWaits>();
   /** Requests that preferred a replica without a permit and were sent elsewhere, since the last report. */
   private readonly _spareDemands = new Map<string, number>();
-  private readonly _statementsMs = new Map<string, number>();
+  /** Time of the last message about the limit of a replica, steady milliseconds. */
+  private readonly _lastStatementMs = new Map<string, number>();
   private readonly _onStatement = new common.Emitter<RateLimitStatement>();
   /** Fires when a response states another limit than the one in force. */
   public readonly onStatement = this._onStatement.event;
@@ -151,7 +152,7 @@
     const { id: replicaId, bornMs } = replica;
     const statement = { replicaId, bornMs, ...(perSecond !== undefined && { perSecond }) };
     if (this.recordStatement(statement, nowMs) && this._isStatementDue(replicaId, nowMs)) {
-      this._statementsMs.set(replicaId, nowMs);
+      this._lastStatementMs.set(replicaId, nowMs);
       this._onStatement.fire(statement);
     }
   }
@@ -169,10 +170,10 @@
   /** Removes what is kept of replicas that are gone or have started anew. */
   public retain(bornMsOf: (replicaId: string) => number | undefined): void {
     this._table.retain(bornMsOf);
-    for (const replicaId of [...this._waits.keys(), ...this._statementsMs.keys()]) {
+    for (const replicaId of [...this._waits.keys(), ...this._lastStatementMs.keys()]) {
       if (this.perSecond(replicaId) === undefined) {
         this._waits.delete(replicaId);
-        this._statementsMs.delete(replicaId);
+        this._lastStatementMs.delete(replicaId);
       }
     }
     if (!this._isLeaderless()) {
@@ -193,7 +194,7 @@
   }
 
   private _isStatementDue(replicaId: string, nowMs: number): boolean {
-    return nowMs - (this._statementsMs.get(replicaId) ?? Number.NEGATIVE_INFINITY) >= statementIntervalMs;
+    return nowMs - (this._lastStatementMs.get(replicaId) ?? Number.NEGATIVE_INFINITY) >= statementIntervalMs;
   }
 
   private _logChange({ replicaId, perSecond }: RateLimitStatement): void {
