Do not cut a paused stream that no other replica can take over

The end of the run at the replica and the reset of the caller fall into the same moment of the daemon, which leaves the check for inactive replicas: after seven stated pauses it cancelled the attempt, then found no other replica and ended the request. Engines pause streams to free memory. It now asks first whether another replica can take the request; else the replica may go on. The test plays a pause of 1.5 s with one replica and fails without the change (the stream is cut).

--- a/packages/gateway/src/forwarding/Exchange.test.ts
+++ b/packages/gateway/src/forwarding/Exchange.test.ts
@@ -406,6 +406,21 @@
     },
   );
 
+  vitest.test(
+    'wait for a paused replica if no other one can go on (guards against cutting healthy streams)',
+    async () => {
+      const pauses: ReplicaScript = (socket) => {
+        socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n${chunk(events(1, 1))}`);
+        setTimeout(() => socket.write(`${chunk(events(2, 2))}0\r\n\r\n`), 1_500);
+      };
+      await withReplicas(route, [pauses], async (fixture) => {
+        const response = await fixture.call({ headers: { 'x-model': 'm' } });
+        vitest.expect(response).toMatchObject({ status: 200, body: events(1, 2), complete: true });
+        vitest.expect(fixture.requestHeads.length).toBe(1);
+      });
+    },
+  );
+
   vitest.test('continue after the record of their replica is removed (guards against cancelled work)', async () => {
     const slow: ReplicaScript = (socket) => {
       socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n${chunk(events(1, 1))}`);
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -1,6 +1,6 @@
 import type * as http from 'node:http';
 import type { CallerRequest, ResponseHead } from '../contracts/RequestCodec.js';
-import type { Replica, Route } from '../Types.js';
+import type { Instant, Replica, Route } from '../Types.js';
 import { RequestWait } from '../waiting/RequestWait.js';
 import type { WaitingRequest } from '../waiting/WaitingRequests.js';
 import { discardBody } from './discardBody.js';
@@ -333,23 +333,37 @@
     this._inactivityTimer.start(this._route, this._history.earlierPossibleRuns, this._relay.headSent);
   }
 
-  /** Cancels the attempt at an unresponsive replica and dispatches the request again if the retry budget allows it. */
+  /**
+   * Cancels the attempt at an unresponsive replica and dispatches the request again, if another replica can take it now
+   * and the retry budget allows it. Otherwise the replica may go on: an engine pauses a stream to free memory.
+   */
   private _replicaInactive(): void {
-    if (this._finished || !this._attempt.isRunning) {
+    const route = this._route;
+    if (this._finished || !this._attempt.isRunning || route === undefined) {
       return;
     }
-    const nowMs = this._nowMs();
-    if (!this._context.retryBudgets.tryTakeRetry(this._service, nowMs)) {
+    const now = this._context.clock.now();
+    if (!this._canSendAgain(route, now)) {
+      this._startInactivityTimer();
+      return;
+    }
+    if (!this._context.retryBudgets.tryTakeRetry(this._service, now.steadyMs)) {
       return;
     }
     this._relay.detach();
     this._history.countPossibleRun();
-    this._attempt.recordNoResponse(nowMs);
+    this._attempt.recordNoResponse(now.steadyMs);
     this._inactivityTimer.stop();
     this._attempt.cancel();
     this._dispatch();
   }
 
+  /** True if the request would be sent to a replica if the current attempt were cancelled. */
+  private _canSendAgain(route: Route, now: Instant): boolean {
+    const input = { ...this._dispatchInput(route, now.steadyMs), mayHaveRun: true };
+    return decideDispatch(input, this._context, now).kind === 'send';
+  }
+
   private _endAttempt(outcome: AttemptOutcome): void {
     this._inactivityTimer.stop();
     this._attempt.end(outcome, this._nowMs());
