Log the prompt parts and the received bytes of answers that break off

No log line related a crashed replica to what it was working on, so the hypotheses of the incident could not be told apart.

--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -17,9 +17,12 @@
 import { AttemptHistory } from './AttemptHistory.js';
 import { sendLocalResponse } from './sendLocalResponse.js';
 import { InactivityTimer } from './InactivityTimer.js';
-import type { ExchangeResult } from './ExchangeResult.js';
+import type { BrokenAnswer, ExchangeResult } from './ExchangeResult.js';
 import type { ExchangeContext } from './Types.js';
 
+/** Callers choose the parts of a prompt, so the number of those in a log line is limited. */
+const maximumLoggedPromptParts = 16;
+
 /** Handles one request of a caller: selects a replica or waits for one, sends the request and relays the response. */
 export class Exchange {
   private readonly _startedMs: number;
@@ -460,12 +463,18 @@
       waitedMs: this._wait.waitedMs(nowMs),
       durationMs: nowMs - this._startedMs,
       reason,
+      brokenAnswer: outcome === 'broken' ? this._brokenAnswer() : undefined,
       readyInMs: this._readyInMs,
       retryAfterMs,
     };
     this._context.requestLog.record(result, nowMs);
   }
 
+  private _brokenAnswer(): BrokenAnswer {
+    const promptPartIds = (this._callerRequest?.promptPartIds ?? []).slice(0, maximumLoggedPromptParts);
+    return { promptPartIds, receivedBytes: this._relay.receivedBytes };
+  }
+
   private _nowMs(): number {
     return this._context.clock.now().steadyMs;
   }
--- a/packages/gateway/src/forwarding/ExchangeResult.ts
+++ b/packages/gateway/src/forwarding/ExchangeResult.ts
@@ -1,5 +1,12 @@
 import type { ModelReference } from '../Types.js';
 
+/** What was known of a request whose answer broke off. */
+export interface BrokenAnswer {
+  /** Identifiers of the prompt's parts, in order; a limited number. */
+  readonly promptPartIds: readonly string[];
+  readonly receivedBytes: number;
+}
+
 /** Result of an exchange for the request log and the metrics. */
 export interface ExchangeResult {
   readonly attemptId: string | undefined;
@@ -16,6 +23,8 @@
   readonly waitedMs: number;
   readonly durationMs: number;
   readonly reason: string | undefined;
+  /** Parts of the prompt and bytes received of the answer, if the answer broke off. */
+  readonly brokenAnswer: BrokenAnswer | undefined;
   /** Expected time until the model is ready, if a refusal is based on it. */
   readonly readyInMs: number | undefined;
   readonly retryAfterMs: number | undefined;
--- a/packages/gateway/src/forwarding/ResponseRelay.ts
+++ b/packages/gateway/src/forwarding/ResponseRelay.ts
@@ -42,6 +42,11 @@
     return this._headSent;
   }
 
+  /** Bytes received of the responses. */
+  public get receivedBytes(): number {
+    return this._receivedBytes;
+  }
+
   /** Identifier of the last complete event that was relayed. */
   public get lastEventId(): string | undefined {
     return this._eventBuffer?.lastEventId;
