Treat an unframed stream that ends inside an event as broken off

Callers saw: a stream whose answer has neither a length nor chunks, and that its replica cut in the middle of an event with a plain close, arrived as a complete answer with half an event at its end. A resumable one was not resumed. Events that end with CRLF or CR were held back to the end where the stream could be resumed.

Cause: the end of such an answer was judged by the reset flag of its connection only, and EventStreamBuffer knew LF alone.

Change: every stream is relayed by complete events, whatever its line ends; an unframed answer that ends inside an event counts as interrupted.

--- a/packages/gateway/src/forwarding/EventStreamBuffer.ts
+++ b/packages/gateway/src/forwarding/EventStreamBuffer.ts
@@ -1,33 +1,50 @@
-/** Events end with an empty line. */
-const eventEnd = Buffer.from('\n\n');
 /** Maximum size of an event, bytes. A faulty replica may send bytes endlessly without the end of an event. */
 const maximumEventBytes = 1024 * 1024;
 
-/** Splits a stream of server-sent events into complete events and keeps the identifier of the last one. */
+const lineFeed = 0x0a;
+const carriageReturn = 0x0d;
+
+/**
+ * Splits a stream of server-sent events into complete events and keeps the identifier of the last one. Events end with an
+ * empty line; lines end with LF, CR or CRLF, also mixed within one event.
+ */
 export class EventStreamBuffer {
   private _partialEvent: Buffer = Buffer.alloc(0);
   private _lastEventId: string | undefined;
+  private _completeEvents = 0;
+  private _lineIsEmpty = true;
+  private _eventIsEmpty = true;
+  private _afterCarriageReturn = false;
 
   /** Identifier of the last complete event that has one. */
   public get lastEventId(): string | undefined {
     return this._lastEventId;
   }
 
+  /** Number of complete events so far. */
+  public get completeEvents(): number {
+    return this._completeEvents;
+  }
+
   /** True once an event has grown too long. */
   public get isEventTooLong(): boolean {
     return this._partialEvent.length > maximumEventBytes;
   }
 
+  /** True if bytes of an event have been received without its end. */
+  public get isInsideEvent(): boolean {
+    return this._partialEvent.length > 0;
+  }
+
   /** Returns the events completed by a chunk; empty if it completes none. */
   public push(chunk: Buffer): Buffer {
-    const bytes = this._partialEvent.length === 0 ? chunk : Buffer.concat([this._partialEvent, chunk]);
-    const end = bytes.lastIndexOf(eventEnd);
-    if (end < 0) {
-      this._partialEvent = bytes;
+    const end = this._endOfEvents(chunk);
+    if (end === 0) {
+      this._partialEvent = concatenate(this._partialEvent, chunk);
       return Buffer.alloc(0);
     }
-    const completeEvents = bytes.subarray(0, end + eventEnd.length);
-    this._partialEvent = bytes.subarray(end + eventEnd.length);
+    const completeEvents = concatenate(this._partialEvent, chunk.subarray(0, end));
+    this._partialEvent = chunk.subarray(end);
     this._updateLastEventId(completeEvents);
     return completeEvents;
   }
@@ -35,13 +52,47 @@
   /** Returns the bytes after the last complete event; called when the stream is complete. */
   public flush(): Buffer {
     const partialEvent = this._partialEvent;
-    this._partialEvent = Buffer.alloc(0);
+    this.dropPartial();
     return partialEvent;
   }
 
   /** Drops a partial event before the stream is resumed at another replica. */
   public dropPartial(): void {
     this._partialEvent = Buffer.alloc(0);
+    this._lineIsEmpty = true;
+    this._eventIsEmpty = true;
+    this._afterCarriageReturn = false;
+  }
+
+  /** Position in a chunk after the last empty line; 0 if it has none. */
+  private _endOfEvents(chunk: Buffer): number {
+    let end = 0;
+    for (const [index, byte] of chunk.entries()) {
+      if (byte === lineFeed && this._afterCarriageReturn) {
+        this._afterCarriageReturn = false;
+        // The empty line, if it was one, ended with CRLF.
+        end = this._eventIsEmpty && this._lineIsEmpty ? index + 1 : end;
+      } else if (byte === lineFeed || byte === carriageReturn) {
+        this._afterCarriageReturn = byte === carriageReturn;
+        end = this._endLine() ? index + 1 : end;
+      } else {
+        this._afterCarriageReturn = false;
+        this._lineIsEmpty = false;
+        this._eventIsEmpty = false;
+      }
+    }
+    return end;
+  }
+
+  /** Ends a line; returns true if it was empty, which ends the event. */
+  private _endLine(): boolean {
+    const endsEvent = this._lineIsEmpty;
+    if (endsEvent && !this._eventIsEmpty) {
+      this._completeEvents += 1;
+      this._eventIsEmpty = true;
+    }
+    this._lineIsEmpty = true;
+    return endsEvent;
   }
 
   private _updateLastEventId(completeEvents: Buffer): void {
@@ -51,3 +102,7 @@
     }
   }
 }
+
+function concatenate(first: Buffer, second: Buffer): Buffer {
+  return first.length === 0 ? second : Buffer.concat([first, second]);
+}
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -8,6 +8,7 @@
 import { readBody } from './readBody.js';
 import { admitRequest, type LocalResponse } from './admitRequest.js';
 import { ResponseRelay } from './ResponseRelay.js';
+import { isFramed } from './isFramed.js';
 import { createAttempt, promptPartKeys } from './createAttempt.js';
 import type { AttemptFailure } from './ReplicaAttempt.js';
 import { type AttemptOutcome, CurrentAttempt } from './CurrentAttempt.js';
@@ -261,7 +262,8 @@
     const isEventStream = this._route?.kind === 'stream' && head.status === 200;
     this._responseStatus = head.status;
     this._relay.start(response, {
-      resumable: isEventStream && this._route?.resumable === true,
+      isEventStream,
+      isFramed: isFramed(response),
       isComplete: () => this._attempt.isComplete(response),
     });
     if (isEventStream) {
--- a/packages/gateway/src/forwarding/ReplicaAttempt.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.ts
@@ -2,6 +2,7 @@
 import type * as net from 'node:net';
 import type { CallerRequest, ResponseHead, RequestCodec } from '../contracts/RequestCodec.js';
 import type { Replica } from '../Types.js';
+import { isFramed } from './isFramed.js';
 
 /** Connect timeout, milliseconds. A connect normally takes a few milliseconds. */
 const connectTimeoutMs = 300;
@@ -79,9 +80,7 @@
 
   /** True if the response is complete; valid only after its body has ended. */
   public isComplete(response: http.IncomingMessage): boolean {
-    const hasFraming =
-      response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
-    return response.complete && (hasFraming || !this._wasReset);
+    return response.complete && (isFramed(response) || !this._wasReset);
   }
 
   /** Closes the connection, which makes the replica cancel the request. */
--- a/packages/gateway/src/forwarding/ResponseRelay.ts
+++ b/packages/gateway/src/forwarding/ResponseRelay.ts
@@ -7,7 +7,7 @@
 
 /** Receives the events of a relay. */
 export interface RelayListener {
-  /** More of the response has arrived: bytes, or a complete event if the stream is resumable. */
+  /** More of the response has arrived: a complete event of a stream, bytes otherwise. */
   onProgress(): void;
   /** The response has been relayed completely. */
   onEnd(): void;
@@ -16,8 +16,10 @@
 
 /** Options for relaying one response. */
 export interface RelayOptions {
-  /** The stream may be resumed at another replica, so only complete events are relayed. */
-  readonly resumable: boolean;
+  /** The response is a stream of events, of which only complete ones are relayed. */
+  readonly isEventStream: boolean;
+  /** The response has a length or chunks; otherwise it ends with its connection. */
+  readonly isFramed: boolean;
   /** Called at the end of the body; returns true if the body is complete. */
   readonly isComplete: () => boolean;
 }
@@ -56,14 +58,14 @@
   public start(upstream: http.IncomingMessage, options: RelayOptions): void {
     this._upstream = upstream;
     this._pendingHead = this._headSent ? undefined : upstream;
-    if (options.resumable) {
+    if (options.isEventStream) {
       this._eventBuffer ??= new EventStreamBuffer();
     }
     upstream.on('data', (chunk: Buffer) => {
       this._forward(chunk, upstream);
     });
     upstream.on('end', () => {
-      this._end(upstream, options.isComplete());
+      this._end(upstream, options.isComplete() && (options.isFramed || !this._isInsideEvent));
     });
     upstream.on('error', (error) => {
       this.interrupt(error.message);
@@ -87,6 +89,11 @@
     this._eventBuffer?.dropPartial();
   }
 
+  /** True if the stream has stopped between two empty lines. An answer without a frame is then not complete. */
+  private get _isInsideEvent(): boolean {
+    return this._eventBuffer?.isInsideEvent === true;
+  }
+
   private _forward(chunk: Buffer, upstream: http.IncomingMessage): void {
     if (this._upstream !== upstream) {
       return;
@@ -114,7 +121,7 @@
       return;
     }
     if (!isComplete) {
-      this.interrupt('the replica reset the connection');
+      this.interrupt('the answer was cut off');
       return;
     }
     this._upstream = undefined;
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -112,7 +112,11 @@
   }
 
   /** Sends a request and reads its response until it ends or fails. */
-  public call(options: http.RequestOptions = {}, disconnectAfterMs?: number): Promise<ReceivedResponse> {
+  public call(
+    options: http.RequestOptions = {},
+    disconnectAfterMs?: number,
+    onText: (text: string) => void = () => undefined,
+  ): Promise<ReceivedResponse> {
     return new Promise((resolve) => {
       const received = { status: undefined as number | undefined, body: '', headers: {} as http.IncomingHttpHeaders };
       const request = http.request({
@@ -133,7 +137,10 @@
         received.status = response.statusCode;
         received.headers = response.headers;
         response.setEncoding('utf8');
-        response.on('data', (text: string) => (received.body += text));
+        response.on('data', (text: string) => {
+          received.body += text;
+          onText(text);
+        });
         response.on('error', () => undefined);
         response.on('close', () => {
           finish(response.complete);
