Continue a broken stream only with an answer of the same type

Callers saw: a stream broke off, and the replica that resumed it answered 200 with another type, such as an error in JSON. Its text arrived at the end of the stream, and an empty one ended the stream as if it were complete.

Cause: only the status of the next answer was compared, not its type. Errors with another status already cut the stream.

Change: the next answer must be a 200 of the media type that the caller was sent; otherwise the attempt counts as failed, and the stream moves on if its route allows that, or is cut.

--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -8,7 +8,7 @@
 import { readBody } from './readBody.js';
 import { admitRequest, type LocalResponse } from './admitRequest.js';
 import { ResponseRelay } from './ResponseRelay.js';
-import { isFramed } from './isFramed.js';
+import { isFramed, mayBeEventStream } from './responseHeaders.js';
 import { createAttempt, promptPartKeys } from './createAttempt.js';
 import type { AttemptFailure } from './ReplicaAttempt.js';
 import { type AttemptOutcome, CurrentAttempt } from './CurrentAttempt.js';
@@ -248,10 +248,12 @@
       });
       return;
     }
-    if (this._relay.headSent && head.status !== 200) {
+    if (this._relay.headSent && !this._relay.canContinueWith(response)) {
       response.destroy();
       this._endAttempt('failed');
-      this._abort(`the stream could not be resumed: status ${head.status}`);
+      this._retryOr(true, () => {
+        this._abort(`the stream could not be resumed: status ${head.status}`);
+      });
       return;
     }
     this._forwardResponse(head, response);
@@ -259,7 +261,7 @@
 
   private _forwardResponse(head: ResponseHead, response: http.IncomingMessage): void {
     this._responseStartedMs = this._nowMs();
-    const isEventStream = this._route?.kind === 'stream' && head.status === 200;
+    const isEventStream = this._route?.kind === 'stream' && mayBeEventStream(response);
     this._responseStatus = head.status;
     this._relay.start(response, {
       isEventStream,
--- a/packages/gateway/src/forwarding/ReplicaAttempt.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.ts
@@ -2,7 +2,7 @@
 import type * as net from 'node:net';
 import type { CallerRequest, ResponseHead, RequestCodec } from '../contracts/RequestCodec.js';
 import type { Replica } from '../Types.js';
-import { isFramed } from './isFramed.js';
+import { isFramed } from './responseHeaders.js';
 
 /** Connect timeout, milliseconds. A connect normally takes a few milliseconds. */
 const connectTimeoutMs = 300;
--- a/packages/gateway/src/forwarding/ResponseRelay.ts
+++ b/packages/gateway/src/forwarding/ResponseRelay.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import type { RequestCodec } from '../contracts/RequestCodec.js';
 import { EventStreamBuffer } from './EventStreamBuffer.js';
+import { mediaType } from './responseHeaders.js';
 
 /** Maximum size of a response, bytes. A faulty replica may send bytes endlessly. */
 const maximumResponseBytes = 64 * 1024 * 1024;
@@ -30,6 +31,8 @@
   private _pendingHead: http.IncomingMessage | undefined;
   private _eventBuffer: EventStreamBuffer | undefined;
   private _headSent = false;
+  /** Media type of the response whose head was sent. */
+  private _sentMediaType: string | undefined;
   private _receivedBytes = 0;
 
   public constructor(
@@ -75,6 +78,11 @@
     });
   }
 
+  /** True if a response can continue the stream whose head was sent; an error or another content cannot. */
+  public canContinueWith(upstream: http.IncomingMessage): boolean {
+    return upstream.statusCode === 200 && mediaType(upstream) === this._sentMediaType;
+  }
+
   /** Ends the current response as interrupted; has no effect if it has already ended. */
   public interrupt(message: string): void {
     if (this._upstream !== undefined) {
@@ -135,6 +143,7 @@
     this._pendingHead = undefined;
     if (head !== undefined) {
       this._headSent = true;
+      this._sentMediaType = mediaType(head);
       this._response.shouldKeepAlive = this._response.shouldKeepAlive && !this._closesConnection();
       this._response.writeHead(head.statusCode ?? 502, head.statusMessage, this._codec.returnedHeaders(head));
     }
--- a/packages/gateway/src/forwarding/faultyReplicas.test.ts
+++ b/packages/gateway/src/forwarding/faultyReplicas.test.ts
@@ -22,6 +22,31 @@
   await test(fixture);
 }
 
+vitest.describe('a stream that broke off after its first events', () => {
+  const breaks: ReplicaScript = (socket) => {
+    socket.write(`${ok}${eventType}\r\n${events(1, 2)}`);
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  };
+  vitest.test.each([
+    { name: 'another type', answer: `${ok}Content-Type: application/json\r\nContent-Length: 9\r\n\r\n{"e":"x"}` },
+    { name: 'another type and nothing in it', answer: `${ok}Content-Type: text/plain\r\nContent-Length: 0\r\n\r\n` },
+    { name: 'a client error', answer: 'HTTP/1.1 404 None\r\nx-attempt: a1\r\nContent-Length: 4\r\n\r\nnone' },
+    { name: 'a server error', answer: 'HTTP/1.1 500 Bad\r\nx-attempt: a1\r\nContent-Length: 4\r\n\r\noops' },
+    { name: 'no content', answer: 'HTTP/1.1 204 None\r\nx-attempt: a1\r\n\r\n' },
+  ])('gets nothing of an answer with $name (guards against an error in the middle of a stream)', async ({ answer }) => {
+    const script: ReplicaScript = (socket, head) => {
+      if (head.includes('last-event-id')) {
+        socket.write(answer);
+      } else {
+        breaks(socket, head);
+      }
+    };
+    await withReplicas(resumableStream, [script, script], async (fixture) => {
+      vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: events(1, 2), complete: false });
+    });
+  });
+});
+
 vitest.describe('a replica that stops in the middle of the head of its answer', () => {
   const heads = [
     'HTTP/1.1 200 OK\r\n',
