Send an attempt to the same replica again only on a new connection

Callers saw: a faulty replica wrote an earlier refusal once more on a kept connection. When the same attempt had been sent to that replica again, because no other one holds its model, the copy was taken for the answer: the caller was told 503, not run, although the replica was running the request, or the request was sent a third time.

Cause: late answers are told apart by the attempt id, which is the same for both sends.

Change: a repeated send to a replica takes a connection of its own, which no earlier answer can reach. The test failed before (503 while the replica ran the request).

--- a/packages/gateway/src/forwarding/AttemptHistory.ts
+++ b/packages/gateway/src/forwarding/AttemptHistory.ts
@@ -15,6 +15,11 @@
     return this._excluded;
   }
 
+  /** True if the request was sent to the replica before. */
+  public includes(replicaId: string): boolean {
+    return this._replicaIds.includes(replicaId);
+  }
+
   /** Number of replicas that may have run the request. */
   public get possibleRuns(): number {
     return this._possibleRuns;
--- a/packages/gateway/src/forwarding/createAttempt.ts
+++ b/packages/gateway/src/forwarding/createAttempt.ts
@@ -12,6 +12,8 @@
   readonly callerRequest: CallerRequest;
   readonly route: Route;
   readonly replica: Replica;
+  /** True if the request was sent to the replica before. */
+  readonly wasSentBefore: boolean;
   /** Time that the replica has for the request, milliseconds. */
   readonly deadlineMs: number;
   /** Last event that the caller has received, if a stream is resumed. */
@@ -21,7 +23,7 @@
 /** Sends a request of a caller to a replica. */
 export function createAttempt(
   { codec, agent }: Pick<ExchangeContext, 'codec' | 'agent'>,
-  { incoming, body, callerRequest, route, replica, deadlineMs, lastEventId }: OutgoingRequest,
+  { incoming, body, callerRequest, route, replica, wasSentBefore, deadlineMs, lastEventId }: OutgoingRequest,
   listener: AttemptListener,
 ): ReplicaAttempt {
   const headers = codec.forwardedHeaders(incoming, {
@@ -38,8 +40,9 @@
     body,
     callerRequest,
     replica,
-    // If the replica closed a reused connection during the send, the request would fail and could not be retried.
-    agent: route.kind === 'nonIdempotent' ? (false as const) : agent,
+    // If the replica closed a reused connection during the send, the request would fail and could not be retried. A
+    // repeated answer to an earlier send of the same attempt, which its id cannot tell apart, comes on that connection.
+    agent: route.kind === 'nonIdempotent' || wasSentBefore ? (false as const) : agent,
   };
   return new ReplicaAttempt(request, codec, listener);
 }
--- a/packages/gateway/src/forwarding/faultyReplicas.test.ts
+++ b/packages/gateway/src/forwarding/faultyReplicas.test.ts
@@ -4,6 +4,7 @@
 
 const ok = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\n';
 const eventType = 'Content-Type: text/event-stream\r\n';
+const refusal = 'HTTP/1.1 503 Full\r\nx-attempt: a1\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n';
 const events = (from: number, to: number): string =>
   Array.from({ length: to - from + 1 }, (_none, index) => `id: ${from + index}\ndata: x\n\n`).join('');
 const stream = { kind: 'stream', resumable: false } as const;
@@ -22,6 +23,34 @@
   await test(fixture);
 }
 
+vitest.describe('a refusal that a faulty replica repeats for the same attempt', () => {
+  vitest.test(
+    'is not taken for the answer to the next send (guards against a promise for a request that runs)',
+    async () => {
+      let requests = 0;
+      let runs = 0;
+      const repeats: ReplicaScript = (socket) => {
+        requests += 1;
+        const isReused = socket.bytesWritten > 0;
+        if (requests === 1) {
+          socket.write(refusal);
+          return;
+        }
+        runs += 1;
+        if (isReused) {
+          socket.write(refusal);
+        }
+        setTimeout(() => socket.write(`${ok}Content-Length: 5\r\n\r\nwhole`), 30);
+      };
+      await withReplicas(stream, [repeats], async (fixture) => {
+        const response = await fixture.call({ headers: { 'x-model': 'm' } });
+        vitest.expect(response).toMatchObject({ status: 200, body: 'whole', complete: true });
+        vitest.expect(runs).toBe(1);
+      });
+    },
+  );
+});
+
 vitest.describe('a stream that broke off after its first events', () => {
   const breaks: ReplicaScript = (socket) => {
     socket.write(`${ok}${eventType}\r\n${events(1, 2)}`);
