Block the prompt parts that end the replicas that answer them

Callers saw: requests with one prompt part crashed replica after replica, 9 to 17 in 22 s; all requests on these replicas broke, their models were gone for seconds, and sound requests of the route were refused.

Cause: a crash counted against the health of its replica only. Nothing related it to what the replica was working on, so the requests were dispatched like any other, by each daemon for itself. The class is a request that ends the process it is sent to, tried at one process after the other.

Change: a daemon that loses a connection before its request was answered finds out whether the replica ended, and reports the parts of such requests to the leader. The leader holds each crash against them, lets answers clear parts, has suspected ones tried one request at a time over all daemons, and blocks parts after two rounds (four for parts that were answered of late), for a minute at first and longer each time. A block is one write to the store and one message to each daemon; no request needs a call. Blocked requests get 503 at once with the time of the next trial, also those that wait for a model, and are no demand for their model.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,5 +1,9 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from './Clock.js';
+import { CrashGuard } from './crashes/CrashGuard.js';
+import { CrashMetrics } from './crashes/CrashMetrics.js';
+import { CrashObserver, type CrashObserverContext } from './crashes/CrashObserver.js';
+import { hasEnded } from './crashes/hasEnded.js';
 import { CallerServer } from './forwarding/CallerServer.js';
 import { ReplicaAgent } from './forwarding/ReplicaAgent.js';
 import { RequestLog } from './forwarding/RequestLog.js';
@@ -12,6 +16,7 @@
 import type { PeerMessage } from './peers/PeerChannel.js';
 import { PeerServer, type ReceivedMessage } from './peers/PeerServer.js';
 import { PeerClient } from './peers/PeerClient.js';
+import { CrashCoordinator } from './peers/CrashCoordinator.js';
 import { LeaderMessages } from './peers/LeaderMessages.js';
 import { LeaderView } from './peers/LeaderView.js';
 import { RateLimitCoordinator } from './peers/RateLimitCoordinator.js';
@@ -61,6 +66,10 @@
   private readonly _requestLog: RequestLog;
   private readonly _rateLimits: ReplicaRateLimits;
   private readonly _rateLimitCoordinator: RateLimitCoordinator;
+  private readonly _crashGuard = new CrashGuard();
+  private readonly _crashMetrics: CrashMetrics;
+  private readonly _crashObserver: CrashObserver;
+  private readonly _crashCoordinator: CrashCoordinator;
   private readonly _agent = new ReplicaAgent();
   private readonly _callers: CallerServer;
   private _tickTimer: NodeJS.Timeout | undefined;
@@ -115,6 +124,16 @@
       (now) => this._leaderElector.orderToken(now),
       _clock,
     );
+    this._crashMetrics = new CrashMetrics(this._requestLog.registry);
+    this._crashCoordinator = new CrashCoordinator(
+      this._crashGuard,
+      { server: this._peerServer, client: this._peerClient },
+      store,
+      () => this._leaderElector.isHolder,
+      _clock,
+      _log.child('crashes'),
+    );
+    this._crashObserver = new CrashObserver(this._crashGuard, this._crashContext(), _clock, _log.child('crashes'));
     this._leader = new PlacementLeader(
       _settings.name,
       () => this._routingTables.routes?.configuration,
@@ -225,6 +244,9 @@
     this._directory.onChanged(() => {
       this._waitingRequests.redispatchAll();
     });
+    this._crashGuard.onChanged(() => {
+      this._waitingRequests.redispatchAll();
+    });
     this._leaderElector.onLeader(({ holder, peerAddress }) => {
       const isSelf = holder === this._settings.name;
       if (isSelf) {
@@ -344,6 +366,8 @@
     this._loads.retain((id) => this._directory.get(id) !== undefined, nowMs);
     this._rateLimits.retain((id) => this._directory.get(id)?.bornMs);
     this._rateLimitCoordinator.tick();
+    this._crashCoordinator.tick();
+    this._crashMetrics.setCounts(this._crashGuard.counts);
   }
 
   private _sendStatus(nowMs: number): void {
@@ -384,6 +408,20 @@
     }
   }
 
+  private _crashContext(): CrashObserverContext {
+    return {
+      hasEnded,
+      isLeaving: ({ id, bornMs }) => {
+        const known = this._directory.get(id);
+        return known?.bornMs !== bornMs || known.state === 'draining';
+      },
+      report: (report) => {
+        this._crashMetrics.count('crash');
+        this._crashCoordinator.report(report);
+      },
+    };
+  }
+
   private _exchangeContext(): ExchangeContext {
     return {
       codec: this._platform.codec,
@@ -396,6 +434,9 @@
       waitingRequests: this._waitingRequests,
       retryBudgets: this._retryBudgets,
       rateLimits: this._rateLimits,
+      crashGuard: this._crashGuard,
+      crashObserver: this._crashObserver,
+      crashMetrics: this._crashMetrics,
       agent: this._agent,
       routes: () => this._routingTables.routes,
       readyInMs: (model) => this._readyInMs(model),
--- a/packages/gateway/src/contracts/MetadataStore.ts
+++ b/packages/gateway/src/contracts/MetadataStore.ts
@@ -48,6 +48,12 @@
   /** Writes the lease if its table still ends at `expectedEnd`; returns the offset of the new record. */
   public abstract writeLease(expectedEnd: number, value: string): Promise<common.Outcome<number, StoreFailure>>;
 
+  /** Reads the records of blocked parts of prompts. */
+  public abstract readBlocks(): Promise<common.Outcome<readonly TableRecord[], StoreFailure>>;
+
+  /** Writes the record of a block, or removes it if `value` is undefined. The key has at most 64 characters. */
+  public abstract writeBlock(key: string, value: string | undefined): Promise<common.Outcome<void, StoreFailure>>;
+
   /** Decodes the operators' configuration; undefined if the text is not a valid configuration. */
   public abstract decodeConfiguration(text: string): Configuration | undefined;
 
--- a/packages/gateway/src/forwarding/CurrentAttempt.ts
+++ b/packages/gateway/src/forwarding/CurrentAttempt.ts
@@ -1,14 +1,19 @@
 import type * as http from 'node:http';
+import type { AttemptObservation } from '../crashes/AttemptObservation.js';
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
 import type { ModelReference } from '../Types.js';
 import type { ReplicaAttempt } from './ReplicaAttempt.js';
 
-/** Outcome of an attempt. A refusal means that the replica is busy or lacks the model, not that it is unhealthy. */
-export type AttemptOutcome = 'succeeded' | 'failed' | 'refused';
+/**
+ * Outcome of an attempt. A refusal means that the replica is busy or lacks the model, not that it is unhealthy; a lost
+ * attempt is a failed one whose connection broke.
+ */
+export type AttemptOutcome = 'succeeded' | 'failed' | 'lost' | 'refused';
 
 interface RunningAttempt {
   readonly attempt: ReplicaAttempt;
   readonly modelReference: ModelReference | undefined;
+  readonly observation: AttemptObservation;
 }
 
 /** The running attempt of a request, if any. It counts towards the load of its replica. */
@@ -25,8 +30,9 @@
     attempt: ReplicaAttempt,
     modelReference: ModelReference | undefined,
     promptPartIds: readonly string[],
+    observation: AttemptObservation,
   ): void {
-    this._running = { attempt, modelReference };
+    this._running = { attempt, modelReference, observation };
     this._loads.recordStart(attempt.replica.id, modelReference, promptPartIds);
   }
 
@@ -35,6 +41,11 @@
     return this._running?.attempt.isComplete(response) ?? false;
   }
 
+  /** Records the number of complete events of the answer so far. */
+  public recordEvents(completeEvents: number, nowMs: number): void {
+    this._running?.observation.recordEvents(completeEvents, nowMs);
+  }
+
   /** Records the duration of a successful response, milliseconds. */
   public recordDuration(durationMs: number): void {
     if (this._running !== undefined) {
@@ -51,24 +62,35 @@
 
   /** Ends the attempt and records its outcome in the health of the replica, except for a refusal. */
   public end(outcome: AttemptOutcome, nowMs: number): void {
-    const attempt = this._release();
-    if (attempt !== undefined && outcome !== 'refused') {
-      this._loads.recordOutcome(attempt.replica.id, outcome === 'succeeded', nowMs);
+    const running = this._release();
+    if (running === undefined) {
+      return;
+    }
+    if (outcome !== 'refused') {
+      this._loads.recordOutcome(running.attempt.replica.id, outcome === 'succeeded', nowMs);
+    }
+    if (outcome === 'succeeded') {
+      running.observation.recordAnswered(nowMs);
+    } else if (outcome === 'lost') {
+      running.observation.recordLost();
     }
+    running.observation.end();
   }
 
   /** Cancels the attempt without a change to the health of its replica. */
   public cancel(): void {
-    this._release()?.cancel();
+    const running = this._release();
+    running?.attempt.cancel();
+    running?.observation.end();
   }
 
-  private _release(): ReplicaAttempt | undefined {
+  private _release(): RunningAttempt | undefined {
     const running = this._running;
     if (running === undefined) {
       return undefined;
     }
     this._running = undefined;
     this._loads.recordEnd(running.attempt.replica.id, running.modelReference);
-    return running.attempt;
+    return running;
   }
 }
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -1,4 +1,5 @@
 import type * as http from 'node:http';
+import { suspectableParts } from '../crashes/parts.js';
 import type { CallerRequest, ResponseHead } from '../contracts/RequestCodec.js';
 import type { Instant, Replica, Route } from '../Types.js';
 import { RequestWait } from '../waiting/RequestWait.js';
@@ -49,6 +50,10 @@
   private _finished = false;
   /** Leader's estimate on which a refusal is based, milliseconds. */
   private _readyInMs: number | undefined;
+  /** Parts of the prompt that can make a replica end. */
+  private _suspectableParts: readonly string[] = [];
+  /** Parts of the prompt for which the request was refused. */
+  private _blockedParts: readonly string[] | undefined;
   /** Replica with a rate limit that the request waits for a permit of. */
   private _limitedReplicaId: string | undefined;
   /** Rate limit of the current replica when the request was sent to it, requests per second. */
@@ -65,6 +70,7 @@
     this._relay = new ResponseRelay(_response, _context.codec, () => _context.isStopping(), {
       onProgress: () => {
         this._inactivityTimer.refresh();
+        this._attempt.recordEvents(this._relay.completeEvents, this._nowMs());
       },
       onEnd: () => {
         this._responseEnded();
@@ -109,17 +115,23 @@
     }
     const { callerRequest, route, service, configurationVersion } = admission.request;
     this._callerRequest = callerRequest;
+    this._suspectableParts = suspectableParts(callerRequest.promptPartIds);
     this._route = route;
     this._service = service;
     this._configurationVersion = configurationVersion;
     this._deadline.start(this._startedMs, callerRequest.deadlineMs, route.timeoutMs);
     retryBudgets.recordRequest(service, this._startedMs);
-    if (callerRequest.modelReference !== undefined) {
+    if (callerRequest.modelReference !== undefined && !this._isBlocked()) {
       this._context.recordArrival(callerRequest.modelReference, route);
     }
     return true;
   }
 
+  /** True if the request will be refused for parts of its prompt; its model is then not in demand. */
+  private _isBlocked(): boolean {
+    return this._context.crashGuard.check(this._suspectableParts, this._startedMs).kind === 'blocked';
+  }
+
   /** Sends the request to the best replica, queues it or refuses it. Returns false if the request has to wait. */
   private _dispatch(): boolean {
     const route = this._route;
@@ -131,6 +143,9 @@
     const decision = decideDispatch(this._dispatchInput(route, nowMs), this._context, now);
     if (decision.kind === 'wait') {
       this._startWaiting(decision.limitedReplicaId, route, nowMs);
+      if (decision.trialParts !== undefined && this._context.crashGuard.requestTrial(decision.trialParts, nowMs)) {
+        this._context.crashMetrics.count('requested');
+      }
       return false;
     }
     this._wait.stop(nowMs);
@@ -138,9 +153,16 @@
       if (decision.preferredReplicaId !== undefined) {
         this._context.rateLimits.recordSpareDemand(decision.preferredReplicaId);
       }
-      this._send(decision.replica, route);
+      if (decision.trialParts !== undefined) {
+        this._context.crashMetrics.count('trial');
+      }
+      this._send(decision.replica, route, decision.trialParts);
     } else {
       this._readyInMs = decision.readyInMs;
+      this._blockedParts = decision.blockedParts;
+      if (decision.blockedParts !== undefined) {
+        this._context.crashMetrics.count('refused');
+      }
       this._refuse(decision.reason, decision.retryAfterMs);
     }
     return true;
@@ -152,6 +174,7 @@
       route,
       modelReference: this._callerRequest?.modelReference,
       promptPartIds: promptPartKeys(this._callerRequest),
+      suspectableParts: this._suspectableParts,
       excluded: this._history.excluded,
       mayHaveRun: this._history.possibleRuns > 0,
       waitedMs: this._wait.waitedMs(nowMs),
@@ -191,7 +214,7 @@
     return Math.min(this._deadline.leftMs(nowMs), this._startedMs + callerTimeoutMs(route) - nowMs);
   }
 
-  private _send(replica: Replica, route: Route): void {
+  private _send(replica: Replica, route: Route, trialParts: readonly string[] | undefined): void {
     const callerRequest = this._callerRequest;
     if (callerRequest === undefined) {
       return;
@@ -225,7 +248,8 @@
         },
       },
     );
-    this._attempt.start(attempt, callerRequest.modelReference, promptPartKeys(callerRequest));
+    const observation = this._context.crashObserver.observe(replica, this._suspectableParts, trialParts);
+    this._attempt.start(attempt, callerRequest.modelReference, promptPartKeys(callerRequest), observation);
     this._startInactivityTimer();
   }
 
@@ -286,7 +310,7 @@
 
   private _responseInterrupted(message: string): void {
     if (!this._finished) {
-      this._endAttempt('failed');
+      this._endAttempt('lost');
       this._retryOr(true, () => {
         this._abort(message);
       });
@@ -304,7 +328,7 @@
     if (failure.mayHaveRun) {
       this._history.countPossibleRun();
     }
-    this._endAttempt('failed');
+    this._endAttempt(failure.kind === 'broken' ? 'lost' : 'failed');
     this._retryOr(failure.mayHaveRun, () => {
       this._refuse(failure.message, refusedRetryAfterMs);
     });
@@ -470,6 +494,7 @@
       durationMs: nowMs - this._startedMs,
       reason,
       brokenAnswer: outcome === 'broken' ? this._brokenAnswer() : undefined,
+      blockedParts: this._blockedParts,
       readyInMs: this._readyInMs,
       retryAfterMs,
     };
--- a/packages/gateway/src/forwarding/ExchangeResult.ts
+++ b/packages/gateway/src/forwarding/ExchangeResult.ts
@@ -25,6 +25,8 @@
   readonly reason: string | undefined;
   /** Parts of the prompt and bytes received of the answer, if the answer broke off. */
   readonly brokenAnswer: BrokenAnswer | undefined;
+  /** Parts of the prompt for which the request was refused. */
+  readonly blockedParts: readonly string[] | undefined;
   /** Expected time until the model is ready, if a refusal is based on it. */
   readonly readyInMs: number | undefined;
   readonly retryAfterMs: number | undefined;
--- a/packages/gateway/src/forwarding/ResponseRelay.ts
+++ b/packages/gateway/src/forwarding/ResponseRelay.ts
@@ -34,6 +34,8 @@
   /** Media type of the response whose head was sent. */
   private _sentMediaType: string | undefined;
   private _receivedBytes = 0;
+  /** Complete events before the current response. */
+  private _earlierEvents = 0;
 
   public constructor(
     private readonly _response: http.ServerResponse,
@@ -52,6 +54,11 @@
     return this._receivedBytes;
   }
 
+  /** Complete events of the current response. */
+  public get completeEvents(): number {
+    return (this._eventBuffer?.completeEvents ?? 0) - this._earlierEvents;
+  }
+
   /** Identifier of the last complete event that was relayed. */
   public get lastEventId(): string | undefined {
     return this._eventBuffer?.lastEventId;
@@ -64,6 +71,7 @@
     if (options.isEventStream) {
       this._eventBuffer ??= new EventStreamBuffer();
     }
+    this._earlierEvents = this._eventBuffer?.completeEvents ?? 0;
     upstream.on('data', (chunk: Buffer) => {
       this._forward(chunk, upstream);
     });
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -2,6 +2,9 @@
 import type * as http from 'node:http';
 import type { Clock } from '../Clock.js';
 import type { RouteTable } from '../configuration/RouteTable.js';
+import type { CrashGuard } from '../crashes/CrashGuard.js';
+import type { CrashMetrics } from '../crashes/CrashMetrics.js';
+import type { CrashObserver } from '../crashes/CrashObserver.js';
 import type { RequestCodec } from '../contracts/RequestCodec.js';
 import type { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
 import type { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
@@ -23,6 +26,9 @@
   readonly waitingRequests: WaitingRequests;
   readonly retryBudgets: RetryBudgets;
   readonly rateLimits: ReplicaRateLimits;
+  readonly crashGuard: CrashGuard;
+  readonly crashObserver: CrashObserver;
+  readonly crashMetrics: CrashMetrics;
   readonly agent: http.Agent;
   routes(): RouteTable | undefined;
   /** Expected time until a model is ready; undefined while no leader provides an estimate. */
--- a/packages/gateway/src/forwarding/decideDispatch.test.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.test.ts
@@ -28,6 +28,7 @@
   route,
   modelReference,
   promptPartIds: [],
+  suspectableParts: [],
   excluded: new Set(),
   mayHaveRun: false,
   waitedMs: 0,
@@ -39,6 +40,7 @@
 
 function context(replicas: readonly Replica[], changes: Partial<DispatchContext> = {}): DispatchContext {
   return {
+    crashGuard: { check: () => ({ kind: 'free' }), hasGrant: () => false },
     directory: { usable: () => replicas },
     loads: new ReplicaLoads(),
     rateLimits: { maySend: () => true, expectedWaitMs: () => undefined },
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -1,3 +1,4 @@
+import { decideTrial } from '../crashes/decideTrial.js';
 import type { Candidate } from '../routing/chooseReplica.js';
 import { decideAdmission } from '../routing/decideAdmission.js';
 import { selectReplica, shortestBackoffMs } from '../routing/selectReplica.js';
@@ -11,12 +12,16 @@
 /** Retry-After while this daemon is stopping, milliseconds. The retry goes to another daemon. */
 const stoppingRetryAfterMs = 50;
 
+const blockedReason = 'parts of the prompt end the replicas that answer them';
+
 /** The state of a request on which a dispatch decision is based. */
 export interface DispatchInput {
   readonly service: string;
   readonly route: Route;
   readonly modelReference: ModelReference | undefined;
   readonly promptPartIds: readonly string[];
+  /** Parts of the prompt that can make a replica end. */
+  readonly suspectableParts: readonly string[];
   /** Replicas at which an attempt of the request has just failed. */
   readonly excluded: ReadonlySet<string>;
   /** True once a replica may have run the request. It is then not refused for lack of capacity or time. */
@@ -37,6 +42,7 @@
   ExchangeContext,
   'loads' | 'failureDomain' | 'randomSlots' | 'readyInMs' | 'longestRequestMs'
 > {
+  readonly crashGuard: Pick<ExchangeContext['crashGuard'], 'check' | 'hasGrant'>;
   readonly directory: Pick<ExchangeContext['directory'], 'usable'>;
   readonly rateLimits: Pick<ExchangeContext['rateLimits'], 'maySend' | 'expectedWaitMs'>;
   readonly waitingRequests: Pick<ExchangeContext['waitingRequests'], 'countAhead'>;
@@ -49,11 +55,15 @@
       readonly replica: Replica;
       /** Replica with a rate limit that would have been preferred, if this daemon had a permit for it. */
       readonly preferredReplicaId?: string;
+      /** Suspected parts of the prompt, if the request is sent as their trial. */
+      readonly trialParts?: readonly string[];
     }
   | {
       readonly kind: 'wait';
       /** Replica with a rate limit that the request needs a permit for; absent if it waits for its model. */
       readonly limitedReplicaId?: string;
+      /** Suspected parts of the prompt, if the request waits for a trial of them. */
+      readonly trialParts?: readonly string[];
     }
   | {
       readonly kind: 'refuse';
@@ -61,6 +71,8 @@
       readonly retryAfterMs: number;
       /** Estimate of the leader on which the refusal is based, milliseconds. */
       readonly readyInMs?: number;
+      /** Parts of the prompt for which the request is refused. */
+      readonly blockedParts?: readonly string[];
     };
 
 /** A replica with a rate limit that a request could wait for. */
@@ -73,13 +85,32 @@
 }
 
 /**
- * Decides whether a request is sent, waits for its model or for a permit, or is refused. It is refused as soon as it is
- * known that it cannot be served in time; the refusal contains the time after which a retry can be served.
+ * Decides whether a request is sent, waits for its model, for a permit or for a trial, or is refused. It is refused as
+ * soon as it is known that it cannot be served in time; the refusal contains the time after which a retry can be served.
  */
 export function decideDispatch(input: DispatchInput, context: DispatchContext, now: Instant): DispatchDecision {
   if (!input.mayHaveRun && input.timeLeftMs > context.longestRequestMs(now.steadyMs)) {
     return { kind: 'refuse', reason: 'this daemon stops', retryAfterMs: stoppingRetryAfterMs };
   }
+  const verdict = context.crashGuard.check(input.suspectableParts, now.steadyMs);
+  if (verdict.kind === 'blocked') {
+    return { kind: 'refuse', reason: blockedReason, retryAfterMs: verdict.leftMs, blockedParts: verdict.parts };
+  }
+  const decision = decideByCapacity(input, context, now);
+  if (verdict.kind === 'free' || decision.kind !== 'send') {
+    return decision;
+  }
+  const trial = decideTrial(input, context.crashGuard.hasGrant(verdict.parts, now.steadyMs));
+  if (trial.kind === 'refuse') {
+    return { ...trial, blockedParts: verdict.parts };
+  }
+  return trial.kind === 'send'
+    ? { ...decision, trialParts: verdict.parts }
+    : { kind: 'wait', trialParts: verdict.parts };
+}
+
+/** Decides by the replicas that hold the model, their load and their rate limits. */
+function decideByCapacity(input: DispatchInput, context: DispatchContext, now: Instant): DispatchDecision {
   const { directory, loads, failureDomain } = context;
   const selection = {
     usable: directory.usable(input.service),
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -25,6 +25,12 @@
   'leaving',
   'rateLimits',
   'permits',
+  'crash',
+  'answeredParts',
+  'suspects',
+  'trialRequest',
+  'trialGrant',
+  'trialEnd',
   'leaseCall',
   'leaseReply',
 ];
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -1,3 +1,4 @@
+import type { AnsweredPartsMessage, CrashReport, SuspectsMessage, TrialMessage } from '../crashes/Types.js';
 import type { LeaseSnapshot, StoreFailure, TableName, TableRecord } from '../contracts/MetadataStore.js';
 import type { PermitMessage, PermitReport, RateLimitStatement } from '../rateLimits/Types.js';
 import type { ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
@@ -124,6 +125,13 @@
   readonly leaving: LeavingMessage;
   readonly rateLimits: RateLimitsMessage;
   readonly permits: PermitMessage;
+  readonly crash: CrashReport;
+  readonly answeredParts: AnsweredPartsMessage;
+  /** Of the leader, what it suspects and blocks; of a daemon that connects, what it knows from an earlier leader. */
+  readonly suspects: SuspectsMessage;
+  readonly trialRequest: TrialMessage;
+  readonly trialGrant: TrialMessage;
+  readonly trialEnd: TrialMessage;
   readonly leaseCall: LeaseCall;
   readonly leaseReply: LeaseReply;
 }
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -2,6 +2,11 @@
 import * as net from 'node:net';
 import { systemClock } from '../Clock.js';
 import { RouteTable } from '../configuration/RouteTable.js';
+import { CrashGuard } from '../crashes/CrashGuard.js';
+import { CrashMetrics } from '../crashes/CrashMetrics.js';
+import { CrashObserver } from '../crashes/CrashObserver.js';
+import { hasEnded } from '../crashes/hasEnded.js';
+import type { CrashReport } from '../crashes/Types.js';
 import { CallerServer } from '../forwarding/CallerServer.js';
 import { ReplicaAgent } from '../forwarding/ReplicaAgent.js';
 import { RequestLog } from '../forwarding/RequestLog.js';
@@ -41,6 +46,8 @@
   /** Retries that the retry budget allows in addition to its share of the requests. */
   public retrySlack = 1_000;
   public readonly requestHeads: string[] = [];
+  public readonly crashGuard = new CrashGuard();
+  public readonly crashReports: CrashReport[] = [];
   private readonly _servers: net.Server[] = [];
   private readonly _replicas: Replica[] = [];
   private readonly _agent = new ReplicaAgent();
@@ -197,6 +204,14 @@
         new RateLimitMetrics(requestLog.registry),
         silentLogger,
       ),
+      crashGuard: this.crashGuard,
+      crashObserver: new CrashObserver(
+        this.crashGuard,
+        { hasEnded, isLeaving: () => false, report: (report) => this.crashReports.push(report) },
+        systemClock,
+        silentLogger,
+      ),
+      crashMetrics: new CrashMetrics(requestLog.registry),
       agent: this._agent,
       routes: () => routes,
       readyInMs: () => undefined,
