--- a/packages/gateway/src/crashes/CrashGuard.ts
+++ b/packages/gateway/src/crashes/CrashGuard.ts
@@ -51,7 +51,7 @@
     if (blocked !== undefined) {
       return { kind: 'blocked', parts: blocked.block.parts, leftMs: blocked.untilMs - nowMs };
     }
-    const suspected = parts.filter((part) => this._isSuspected(part, nowMs));
+    const suspected = parts.filter((part, index) => this._isSuspected(part, index === 0, nowMs));
     return suspected.length === 0 ? { kind: 'free' } : { kind: 'suspected', parts: suspected };
   }
 
@@ -105,7 +105,7 @@
   /** Suspects the parts of an unanswered request until the leader has answered, or until `clearOwnSuspicions`. */
   public suspect(parts: readonly string[], nowMs: number): void {
     for (const part of parts) {
-      if (this._ownSuspicions.size < maximumOwnSuspicions && isSuspected(1, this._answered.ageMs(part, nowMs))) {
+      if (this._ownSuspicions.size < maximumOwnSuspicions) {
         this._ownSuspicions.set(part, nowMs + ownSuspicionMs);
       }
     }
@@ -184,9 +184,10 @@
     return undefined;
   }
 
-  private _isSuspected(part: string, nowMs: number): boolean {
+  private _isSuspected(part: string, isFirst: boolean, nowMs: number): boolean {
     const isOwn = (this._ownSuspicions.get(part) ?? 0) > nowMs;
-    return isSuspected(Math.max(this._rounds.get(part) ?? 0, isOwn ? 1 : 0), this._answered.ageMs(part, nowMs));
+    const rounds = Math.max(this._rounds.get(part) ?? 0, isOwn ? 1 : 0);
+    return isSuspected({ rounds, answeredAgeMs: this._answered.ageMs(part, nowMs), isFirst });
   }
 }
 
--- a/packages/gateway/src/crashes/CrashLedger.ts
+++ b/packages/gateway/src/crashes/CrashLedger.ts
@@ -214,7 +214,10 @@
     nowMs: number,
   ): { readonly parts: readonly string[]; readonly rounds: number } {
     const roundsOf = (part: string): number => this._parts.get(part)?.rounds ?? 0;
-    const certain = parts.filter((part) => isCertain(roundsOf(part), this._answered.ageMs(part, nowMs)));
+    const certain = parts.filter((part, index) => {
+      const answeredAgeMs = this._answered.ageMs(part, nowMs);
+      return isCertain({ rounds: roundsOf(part), answeredAgeMs, isFirst: index === 0 });
+    });
     const rounds = Math.max(0, ...certain.map(roundsOf));
     return { parts: rounds === 0 ? [] : parts.filter((part) => roundsOf(part) === rounds), rounds };
   }
@@ -265,7 +268,9 @@
 
   private _listedRounds(part: string, nowMs: number): number {
     const rounds = this._parts.get(part)?.rounds ?? 0;
-    return isSuspected(rounds, this._answered.ageMs(part, nowMs)) ? rounds : 0;
+    const answeredAgeMs = this._answered.ageMs(part, nowMs);
+    // The position of the part may differ by request, so the daemons consider it.
+    return isSuspected({ rounds, answeredAgeMs, isFirst: false }) ? rounds : 0;
   }
 
   private _blockOf(key: string, nowMs: number): PartBlock | undefined {
