Test the decisions on crashing prompt parts, and read the blocks before the first request

The test of a restart of all gateways failed: a gateway read the stored blocks at its first step of periodic work, and sent a blocked request in the 100 ms before (3 crashes instead of 2). It now reads them before it accepts requests, and passes.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -179,6 +179,7 @@
     this._resources.register(this._platform.engines);
     await this._peerServer.open();
     this._tables.start();
+    await this._crashCoordinator.readBlocks();
     this._leaderElector.start();
     this._scheduleTick();
     this._resources.register(() => {
--- a/packages/gateway/src/peers/CrashCoordinator.ts
+++ b/packages/gateway/src/peers/CrashCoordinator.ts
@@ -84,10 +84,18 @@
     this._blockStore.retry();
     const hasBlocks = this._leader.isLeading && this._guard.counts.blocked > 0;
     if (!this._isReading && nowMs >= this._readDueMs && (!this._hasRead || hasBlocks)) {
-      this._isReading = true;
-      void this._readBlocks().finally(() => {
-        this._isReading = false;
-      });
+      void this.readBlocks();
+    }
+  }
+
+  /** Reads the stored blocks. Called before requests are accepted; a failed read is repeated by `tick`. */
+  public async readBlocks(): Promise<void> {
+    this._isReading = true;
+    const stored = await this._blockStore.read();
+    this._isReading = false;
+    this._readDueMs = this._nowMs() + (stored === undefined ? readRetryMs : blockReadMs);
+    if (stored !== undefined) {
+      this._applyStored(stored);
     }
   }
 
@@ -190,20 +198,15 @@
     }
   }
 
-  private async _readBlocks(): Promise<void> {
-    const stored = await this._blockStore.read();
-    const nowMs = this._nowMs();
-    this._readDueMs = nowMs + (stored === undefined ? readRetryMs : blockReadMs);
-    if (stored === undefined) {
-      return;
-    }
+  private _applyStored(stored: ReadonlyMap<string, PartBlock>): void {
+    const blocks = [...stored.values()];
     if (this._leader.isLeading) {
       if (this._hasRead) {
         this._leader.liftUnless((key) => stored.has(key) || this._blockStore.isUnsaved(key));
       }
-      this._leader.applyKnown({ suspects: [], blocks: [...stored.values()] });
+      this._leader.applyKnown({ suspects: [], blocks });
     } else {
-      this._guard.apply({ whole: false, suspects: [], blocks: [...stored.values()], lifted: [] }, nowMs);
+      this._guard.apply({ whole: false, suspects: [], blocks, lifted: [] }, this._nowMs());
     }
     this._hasRead = true;
   }
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -189,6 +189,10 @@
     const routes = new RouteTable({ version: 1, routes: [route], services: new Map(), callerLimits });
     const retryBudgets = new RetryBudgets({ windowMs: 10_000, ratio: 0.2, slack: this.retrySlack });
     const requestLog = new RequestLog(silentLogger);
+    const waitingRequests = new WaitingRequests();
+    this.crashGuard.onChanged(() => {
+      waitingRequests.redispatchAll();
+    });
     return {
       codec: new FakeCodec(),
       clock: systemClock,
@@ -197,7 +201,7 @@
       failureDomain: 'a',
       directory,
       loads: new ReplicaLoads(),
-      waitingRequests: new WaitingRequests(),
+      waitingRequests,
       retryBudgets,
       rateLimits: new ReplicaRateLimits(
         { permitSource: () => 'none', daemonCount: () => 1, random: () => 0 },
--- a/packages/gateway/src/testing/FakeCodec.ts
+++ b/packages/gateway/src/testing/FakeCodec.ts
@@ -6,6 +6,7 @@
   public readRequest(request: http.IncomingMessage): CallerRequest | undefined {
     const attemptId = request.headers['x-attempt'];
     const model = request.headers['x-model'];
+    const parts = request.headers['x-parts'];
     if (typeof attemptId !== 'string') {
       return undefined;
     }
@@ -13,7 +14,7 @@
       attemptId,
       host: request.headers.host ?? '',
       deadlineMs: 5_000,
-      promptPartIds: [],
+      promptPartIds: typeof parts === 'string' ? parts.split(',') : [],
       ...(typeof model === 'string' && { modelReference: { model } }),
     };
   }
