Send a waiting request once when its dispatch lets others be dispatched

Cause: on the daemon that leads, a trial is granted while the waiting requests are being dispatched again. The grant dispatches them in an inner loop, and the outer loop then dispatched those that no longer waited once more.

Change: only requests that still wait are dispatched again, and an exchange with an attempt in progress is not dispatched. The new test sends 2 instead of 3 requests without the change.

--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -135,7 +135,7 @@
   /** Sends the request to the best replica, queues it or refuses it. Returns false if the request has to wait. */
   private _dispatch(): boolean {
     const route = this._route;
-    if (route === undefined) {
+    if (route === undefined || this._finished || this._attempt.isRunning) {
       return true;
     }
     const now = this._context.clock.now();
@@ -193,7 +193,7 @@
       limitedReplicaId: () => this._limitedReplicaId,
       urgency: urgencyOf(route),
       lateAtMs: this._startedMs + route.latencyTargetMs,
-      redispatch: () => this._finished || this._dispatch(),
+      redispatch: () => this._dispatch(),
     });
     const redispatch = (): void => {
       this._history.clearExcluded();
--- a/packages/gateway/src/forwarding/crashingRequests.test.ts
+++ b/packages/gateway/src/forwarding/crashingRequests.test.ts
@@ -66,6 +66,36 @@
   });
 });
 
+vitest.describe('requests that wait for a trial', () => {
+  vitest.test(
+    'are each sent once if the leader grants at once (guards against a request that runs twice)',
+    async () => {
+      await using fixture = new ExchangeFixture({ kind: 'stream' });
+      await fixture.addReplica((socket, requestHead) => {
+        setTimeout(() => {
+          answers(socket, requestHead);
+        }, 150);
+      });
+      await fixture.open();
+      const { crashGuard } = fixture;
+      let isAllowed = false;
+      crashGuard.onTrialRequested((parts) => {
+        if (isAllowed) {
+          crashGuard.grantTrial(parts, performance.now());
+        }
+      });
+      const suspects = [{ part: 'bad', rounds: 1 }];
+      crashGuard.apply({ whole: false, suspects, blocks: [], lifted: [] }, performance.now());
+      const pending = [1, 2, 3].map(() => fixture.call(request));
+      await timers.setTimeout(50);
+      vitest.expect(fixture.requestHeads).toEqual([]);
+      isAllowed = true;
+      await Promise.all(pending);
+      vitest.expect(fixture.requestHeads.length).toBe(3);
+    },
+  );
+});
+
 vitest.describe('a request with blocked parts', () => {
   vitest.test(
     'is refused at once with the time of the next trial (guards against callers that wait in vain)',
--- a/packages/gateway/src/waiting/WaitingRequests.ts
+++ b/packages/gateway/src/waiting/WaitingRequests.ts
@@ -76,12 +76,17 @@
   private _redispatch(requests: WaitingRequest[]): void {
     requests.sort((first, second) => first.urgency - second.urgency || first.lateAtMs - second.lateAtMs);
     for (const request of requests) {
-      if (request.redispatch()) {
+      // Dispatching a request may dispatch others, which then no longer wait.
+      if (this._isWaiting(request) && request.redispatch()) {
         this.remove(request);
       }
     }
   }
 
+  private _isWaiting(request: WaitingRequest): boolean {
+    return this._requests.get(keyOf(request))?.has(request) === true;
+  }
+
   /** Number of waiting requests. */
   public get size(): number {
     return [...this._requests.values()].reduce((sum, requests) => sum + requests.size, 0);
