--- a/packages/cli/src/explain/explainRequest.test.ts
+++ b/packages/cli/src/explain/explainRequest.test.ts
@@ -55,6 +55,19 @@
     vitest.expect(found.map((line) => line.timeMs)).toEqual([15_000, 20_000]);
   });
 
+  vitest.test(
+    'finds the crashes that the parts of a prompt were blocked for (guards against an unexplained block)',
+    () => {
+      const blocked = { ...refused, target: undefined, blockedParts: ['bad'] };
+      const requests = [{ parts: ['f1', 'bad'], isTrial: true }];
+      const crash = { time: 1_000, replica: 'i-1', requests, msg: 'crashes: Replica ended with unanswered requests.' };
+      const other = { ...crash, time: 1_500, requests: [{ parts: ['f1', 'c1'], isTrial: false }] };
+      const block = { time: 2_000, parts: ['bad'], msg: 'crashes: Blocked prompt parts that end replicas.' };
+      const found = explainRequest(lines(blocked, block, crash, other), 'a1');
+      vitest.expect(found.map((line) => line.timeMs)).toEqual([1_000, 2_000, 20_000]);
+    },
+  );
+
   vitest.test('finds nothing for an unknown request and skips text that is not a log line', () => {
     vitest.expect(explainRequest(lines(refused), 'a2')).toEqual([]);
     vitest.expect(parseLogLine('node: warning')).toBeUndefined();
--- a/packages/cli/src/explain/explainRequest.ts
+++ b/packages/cli/src/explain/explainRequest.ts
@@ -28,8 +28,8 @@
 
 /**
  * Returns the lines that explain the outcome of a request, ordered by time: its own lines, those of its model and
- * replicas, and those of the lease, the store and the configuration shortly before. Empty if no line belongs to the
- * request.
+ * replicas, and those of the lease, the store and the configuration shortly before; for a request that was refused for
+ * parts of its prompt, also the crashes that they were blocked for. Empty if no line belongs to the request.
  */
 export function explainRequest(lines: readonly LogLine[], attemptId: string): readonly LogLine[] {
   const ownLines = lines.filter((line) => line.fields.attemptId === attemptId);
@@ -39,12 +39,14 @@
   }
   const untilMs = Math.max(...ownLines.map((line) => line.timeMs));
   const model = modelOf(last);
-  const replicas = Array.isArray(last.fields.replicas) ? last.fields.replicas : [];
+  const replicas = listOf(last.fields.replicas);
+  const blockedParts = listOf(last.fields.blockedParts);
   const isRelevant = (line: LogLine): boolean => {
     const isRecent = line.timeMs <= untilMs && line.timeMs >= untilMs - lookBackMs;
     const hasSharedPrefix = sharedPrefixes.some((prefix) => String(line.fields.msg).startsWith(prefix));
     const isAboutModel = model !== undefined && concernsModel(line.fields, model);
-    return isRecent && (hasSharedPrefix || isAboutModel || replicas.includes(line.fields.replica));
+    const isAboutRequest = hasSharedPrefix || isAboutModel || replicas.includes(line.fields.replica);
+    return (isRecent && isAboutRequest) || (line.timeMs <= untilMs && concernsParts(line.fields, blockedParts));
   };
   const found = lines.filter(
     (line) => ownLines.includes(line) || (line.fields.attemptId === undefined && isRelevant(line)),
@@ -52,6 +54,19 @@
   return found.sort((first, second) => first.timeMs - second.timeMs);
 }
 
+function listOf(value: unknown): readonly unknown[] {
+  return Array.isArray(value) ? value : [];
+}
+
+/** True if a line is about a crash or a block that concerns the parts for which a request was refused. */
+function concernsParts({ msg, parts, requests }: LogLine['fields'], blockedParts: readonly unknown[]): boolean {
+  if (blockedParts.length === 0 || !String(msg).startsWith('crashes:')) {
+    return false;
+  }
+  const partLists = [parts, ...listOf(requests).map((request) => (request as { readonly parts?: unknown }).parts)];
+  return partLists.some((list) => blockedParts.every((part) => listOf(list).includes(part)));
+}
+
 function modelOf(line: LogLine): unknown {
   const target = line.fields.target as { readonly model?: unknown } | undefined;
   return target?.model;
--- a/packages/gateway/src/crashes/crashingParts.test.ts
+++ b/packages/gateway/src/crashes/crashingParts.test.ts
@@ -1,13 +1,13 @@
 import * as standins from '@jayhaven/standins';
 import * as fastCheck from 'fast-check';
 import * as vitest from 'vitest';
-import {
-  type CrashFaults,
-  CrashSimulation,
-  type CrashSimulationOptions,
-  type CrashSimulationResult,
-  type SoundRequest,
-} from '../testing/CrashSimulation.js';
+import { CrashSimulation } from '../testing/CrashSimulation.js';
+import type {
+  CrashFaults,
+  CrashSimulationOptions,
+  CrashSimulationResult,
+  SoundRequest,
+} from '../testing/CrashSimulationTypes.js';
 
 const daemonCounts = [3, 9, 82, 300] as const;
 const durationMs = 30_000;
