Remove the oldest entries of bounded maps in one place

CrashLedger, AnsweredParts and ReplicaDirectory each had the same loop; they call evictOldest now. The listener of a lost attempt got two arguments that nothing read; they are gone.

--- a/packages/gateway/src/crashes/AnsweredParts.ts
+++ b/packages/gateway/src/crashes/AnsweredParts.ts
@@ -1,3 +1,5 @@
+import { evictOldest } from '../evictOldest.js';
+
 /** Number of parts for which an answer is remembered. Callers choose the parts, so their number has no other bound. */
 const maximumEntries = 4_096;
 
@@ -10,12 +12,7 @@
       this._answeredMs.delete(part);
       this._answeredMs.set(part, nowMs);
     }
-    for (const part of this._answeredMs.keys()) {
-      if (this._answeredMs.size <= maximumEntries) {
-        return;
-      }
-      this._answeredMs.delete(part);
-    }
+    evictOldest(this._answeredMs, maximumEntries);
   }
 
   /** Time since a request with the part was answered, milliseconds; undefined if none is remembered. */
--- a/packages/gateway/src/crashes/AttemptObservation.ts
+++ b/packages/gateway/src/crashes/AttemptObservation.ts
@@ -3,9 +3,6 @@
 /** Complete events after which a replica has gone on with an answer, rather than ended when it began to write. */
 const answeredEvents = 2;
 
-/** Receives the attempts that lost their connection before they were answered. */
-export type LostAttemptListener = (parts: readonly string[], trialParts: readonly string[] | undefined) => void;
-
 /** Observes one attempt at a replica: whether it speaks for or against the parts of its prompt. */
 export class AttemptObservation {
   private _isDone = false;
@@ -15,7 +12,8 @@
     /** Suspected parts that the attempt tries; undefined if it is no trial. */
     private readonly _trialParts: readonly string[] | undefined,
     private readonly _guard: CrashGuard,
-    private readonly _onLost: LostAttemptListener,
+    /** Called if the connection is lost before the attempt is answered. */
+    private readonly _onLost: () => void,
   ) {}
 
   /** Records the number of complete events of the answer so far. */
@@ -37,7 +35,7 @@
   public recordLost(): void {
     if (!this._isDone) {
       this._isDone = true;
-      this._onLost(this._parts, this._trialParts);
+      this._onLost();
     }
   }
 
--- a/packages/gateway/src/crashes/CrashLedger.ts
+++ b/packages/gateway/src/crashes/CrashLedger.ts
@@ -1,3 +1,4 @@
+import { evictOldest } from '../evictOldest.js';
 import { AnsweredParts } from './AnsweredParts.js';
 import { includesAll, partsKey } from './parts.js';
 import { isCertain, isSuspected } from './suspicion.js';
@@ -294,18 +295,3 @@
 function blockDurationMs(repetition: number): number {
   return repetition === 1 ? blockMs.first : Math.min(blockMs.second * 2 ** (repetition - 2), blockMs.longest);
 }
-
-interface KeyedEntries {
-  readonly size: number;
-  keys(): Iterable<string>;
-  delete(key: string): boolean;
-}
-
-function evictOldest(entries: KeyedEntries, limit: number): void {
-  for (const key of entries.keys()) {
-    if (entries.size <= limit) {
-      return;
-    }
-    entries.delete(key);
-  }
-}
--- a/packages/gateway/src/replicas/ReplicaDirectory.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.ts
@@ -1,5 +1,6 @@
 import * as common from '@jayhaven/common';
 import type { TableRecord } from '../contracts/MetadataStore.js';
+import { evictOldest } from '../evictOldest.js';
 import type { LoadedModel, Replica } from '../Types.js';
 
 /** Models loaded on a replica according to the placement leader, newer than those in the replica's own record. */
@@ -150,15 +151,6 @@
   }
 }
 
-function evictOldest(entries: Map<string, unknown>, limit: number): void {
-  for (const key of entries.keys()) {
-    if (entries.size <= limit) {
-      return;
-    }
-    entries.delete(key);
-  }
-}
-
 function groupByService(replicas: readonly Replica[]): ReadonlyMap<string, readonly Replica[]> {
   const groups = new Map<string, Replica[]>();
   for (const replica of replicas) {
