Log the era of the store with its offsets, and records that are discarded

The logs could not tell whether daemons discard what they read after a restore or never read it. Behaviour is unchanged.

--- a/packages/gateway/src/contracts/MetadataStore.ts
+++ b/packages/gateway/src/contracts/MetadataStore.ts
@@ -1,5 +1,6 @@
 import type * as common from '@jayhaven/common';
 import type { Configuration, Replica } from '../Types.js';
+import { StoreEra } from './StoreEra.js';
 
 /** A table of the platform's metadata store to which the gateway subscribes. */
 export type TableName = 'configuration' | 'replicas';
@@ -16,6 +17,8 @@
   readonly records: readonly TableRecord[];
   /** Offset after the latest record of the table. */
   readonly end: number;
+  /** Era of the store in which the offsets hold. */
+  readonly era: number;
 }
 
 /** Reason why a call to the store has no result. */
@@ -32,6 +35,9 @@
 
 /** Client of the platform's metadata store. */
 export abstract class MetadataStore implements AsyncDisposable {
+  /** Era of the store, from its answers. */
+  public readonly era = new StoreEra();
+
   /** Reads the latest record of every key. */
   public abstract readTable(table: TableName): Promise<common.Outcome<TableRecords, StoreFailure>>;
 
--- a/packages/gateway/src/replicas/TableState.ts
+++ b/packages/gateway/src/replicas/TableState.ts
@@ -26,7 +26,7 @@
   }
 
   /** Applies changes in order of offset; returns the records that are newer than the known ones. */
-  public applyChanges(changes: TableRecords): readonly TableRecord[] {
+  public applyChanges(changes: Omit<TableRecords, 'era'>): readonly TableRecord[] {
     this.advanceTo(changes.end);
     return changes.records.filter((record) => this._apply(record));
   }
@@ -35,7 +35,7 @@
    * Applies a full table; returns the records that are newer than the known ones, or undefined if the table is older
    * than the known state. A key that the table lacks is removed.
    */
-  public applyTable(table: TableRecords): readonly TableRecord[] | undefined {
+  public applyTable(table: Omit<TableRecords, 'era'>): readonly TableRecord[] | undefined {
     if (table.end < this._end) {
       return undefined;
     }
--- a/packages/gateway/src/replicas/TableSynchronizer.ts
+++ b/packages/gateway/src/replicas/TableSynchronizer.ts
@@ -1,6 +1,6 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from '../Clock.js';
-import type { MetadataStore, TableName, TableRecord } from '../contracts/MetadataStore.js';
+import type { MetadataStore, TableName, TableRecord, TableRecords } from '../contracts/MetadataStore.js';
 import type { MessageIntervals } from '../peers/messageIntervals.js';
 import type { TableMessage } from '../peers/Types.js';
 import { TableState } from './TableState.js';
@@ -80,7 +80,11 @@
     private readonly _table: TableName,
     private readonly _clock: Clock,
     private readonly _log: common.Logger,
-  ) {}
+  ) {
+    _store.era.onChanged(({ era, before }) => {
+      this._log.warn('The store was restored from a copy.', { table: _table, era, before, knownEnd: this.state.end });
+    });
+  }
 
   /** When a read last failed, steady milliseconds; minus infinity if none has. */
   public get lastFailureMs(): number {
@@ -149,6 +153,7 @@
     if (applied === undefined) {
       this._log.warn('The table read is older than the known state; reading it again.', {
         table: this._table,
+        era: outcome.value.era,
         end: outcome.value.end,
         knownEnd: this.state.end,
       });
@@ -165,7 +170,9 @@
     const outcome = await this._store.readChanges(this._table, this.state.end, waitMs);
     if (outcome.ok) {
       this._recordSuccess();
-      this._fireUpdate(this.state.applyChanges(outcome.value), 'store');
+      const newer = this.state.applyChanges(outcome.value);
+      this._logDiscarded(outcome.value, newer.length);
+      this._fireUpdate(newer, 'store');
       return 'done';
     }
     if (outcome.failure.kind === 'historyDropped') {
@@ -177,6 +184,13 @@
     return 'failed';
   }
 
+  private _logDiscarded({ records, end, era }: TableRecords, newerCount: number): void {
+    if (records.length > newerCount) {
+      const discarded = records.length - newerCount;
+      this._log.info('Discarded records that are not newer.', { table: this._table, discarded, era, end });
+    }
+  }
+
   private _fireUpdate(records: readonly TableRecord[], source: 'store' | 'peer'): void {
     if (records.length > 0) {
       this._onUpdate.fire({ table: this._table, records, source });
