Compare offsets of the store only within an era

After a restore of the store, versions that operators confirmed stayed out of force, routes that had been added got 404, and one daemon kept sending to a replica that was leaving. The store gives lost offsets out again, while every daemon ordered records and its own position by offset alone: full tables were discarded as older, and records with a reused offset as not newer.

A position is now an era with an offset. A call that rests on a position of another era fails as restored, and the daemon reads the full table. Configurations are ordered by version, so a confirmed one stays in force while the copy shows an older one, and a replica's record is not replaced by an earlier state of it.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -89,7 +89,8 @@
     this._requestLog = new RequestLog(_log.child('requests'));
     this._peerServer = new PeerServer(_settings.peers, _clock, _log.child('peers'));
     this._peerClient = new PeerClient(otherSeeds(_settings), _clock, _log.child('peers'));
-    this._tables = new StoreTables(store, _clock, _log.child('store'));
+    const eraDelayMs = (): number => Math.random() * messageIntervals(this._leaderView.daemonCount).tickMs;
+    this._tables = new StoreTables(store, eraDelayMs, _clock, _log.child('store'));
     const self = {
       holder: _settings.name,
       peerAddress: `${_settings.peers.host}:${_settings.peers.port}`,
@@ -326,7 +327,7 @@
     const graceMs = removalGraceMs(this._tables.lastReplicaReadFailureMs, nowMs);
     const records = this._routingTables.apply(update, nowMs, graceMs);
     if (records.length > 0) {
-      this._forward({ table: update.table, records, end: 0, whole: false }, update.source);
+      this._forward({ table: update.table, records, end: 0, whole: false, era: update.era }, update.source);
     }
   }
 
--- a/packages/gateway/src/contracts/MetadataStore.ts
+++ b/packages/gateway/src/contracts/MetadataStore.ts
@@ -12,6 +12,17 @@
   readonly value?: string;
 }
 
+/** A position in a table. Offsets are comparable only within an era of the store. */
+export interface TablePosition {
+  readonly era: number;
+  readonly offset: number;
+}
+
+/** True if a position lies before another one. */
+export function isBefore(first: TablePosition, second: TablePosition): boolean {
+  return first.era === second.era ? first.offset < second.offset : first.era < second.era;
+}
+
 /** Result of reading a table. */
 export interface TableRecords {
   readonly records: readonly TableRecord[];
@@ -23,7 +34,8 @@
 
 /** Reason why a call to the store has no result. */
 export interface StoreFailure {
-  readonly kind: 'unavailable' | 'historyDropped' | 'conflict' | 'unreadable';
+  /** `restored`: the store has entered another era since the position on which the call rests was read. */
+  readonly kind: 'unavailable' | 'historyDropped' | 'restored' | 'conflict' | 'unreadable';
   readonly message: string;
 }
 
@@ -41,10 +53,10 @@
   /** Reads the latest record of every key. */
   public abstract readTable(table: TableName): Promise<common.Outcome<TableRecords, StoreFailure>>;
 
-  /** Reads the records starting at `fromOffset`; waits up to `waitMs` for the first one. */
+  /** Reads the records starting at a position; waits up to `waitMs` for the first one. */
   public abstract readChanges(
     table: TableName,
-    fromOffset: number,
+    from: TablePosition,
     waitMs: number,
   ): Promise<common.Outcome<TableRecords, StoreFailure>>;
 
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -49,10 +49,15 @@
   readonly end: number;
   /** True for a full table, false for changes. */
   readonly whole: boolean;
+  /** Era of the store in which the offsets hold. Absent in messages of earlier versions. */
+  readonly era?: number;
 }
 
 /** For each table, the offset from which a daemon still lacks changes. */
-export type TableOffsets = Readonly<Record<TableName, number>>;
+export interface TableOffsets extends Readonly<Record<TableName, number>> {
+  /** Eras of the store in which the offsets hold. Absent in messages of earlier versions. */
+  readonly eras?: Readonly<Record<TableName, number>>;
+}
 
 /** Expected time until a model that requests wait for is ready. */
 export interface ReadyEstimate {
--- a/packages/gateway/src/peers/sendMissingRecords.test.ts
+++ b/packages/gateway/src/peers/sendMissingRecords.test.ts
@@ -1,4 +1,5 @@
 import * as vitest from 'vitest';
+import { ReplicaOrder } from '../replicas/ReplicaOrder.js';
 import { TableState } from '../replicas/TableState.js';
 import { sendMissingRecords } from './sendMissingRecords.js';
 
@@ -7,25 +8,38 @@
   { key: 'b', offset: 2, value: 'y' },
 ];
 
-function sentMessages(readOffset: number): unknown[] {
-  const state = new TableState();
-  state.applyTable({ records, end: 3 });
+function sentMessages(readOffset: number, era = 2): unknown[] {
+  const state = new TableState(new ReplicaOrder({ decodeReplica: () => undefined }));
+  state.applyTable({ records, end: 3, era: 2 });
   const sent: unknown[] = [];
   const channel = { send: (_method: string, params: unknown) => sent.push(params) };
-  sendMissingRecords(channel, 'replicas', state, { configuration: 0, replicas: readOffset });
+  sendMissingRecords(channel, 'replicas', state, {
+    configuration: 0,
+    replicas: readOffset,
+    eras: { configuration: era, replicas: era },
+  });
   return sent;
 }
 
 vitest.describe('records sent to a peer that joins', () => {
   vitest.test('are only those that it lacks (guards against full tables that saturate a slow link)', () => {
-    vitest.expect(sentMessages(3)).toEqual([{ table: 'replicas', records: [], end: 3, whole: false }]);
-    vitest.expect(sentMessages(2)).toEqual([{ table: 'replicas', records: [records[1]], end: 3, whole: false }]);
+    vitest.expect(sentMessages(3)).toEqual([{ table: 'replicas', records: [], end: 3, whole: false, era: 2 }]);
+    vitest
+      .expect(sentMessages(2))
+      .toEqual([{ table: 'replicas', records: [records[1]], end: 3, whole: false, era: 2 }]);
   });
 
   vitest.test(
     'are the full table if it has read nothing (guards against a daemon that has been cut off since its start)',
     () => {
-      vitest.expect(sentMessages(0)).toEqual([{ table: 'replicas', records, end: 3, whole: true }]);
+      vitest.expect(sentMessages(0)).toEqual([{ table: 'replicas', records, end: 3, whole: true, era: 2 }]);
+    },
+  );
+
+  vitest.test(
+    'are none if it has read another era, nor is it told that it has caught up (guards against skipped offsets)',
+    () => {
+      vitest.expect(sentMessages(2, 1)).toEqual([{ table: 'replicas', records: [], end: 0, whole: false, era: 2 }]);
     },
   );
 });
--- a/packages/gateway/src/replicas/StoreTables.ts
+++ b/packages/gateway/src/replicas/StoreTables.ts
@@ -2,6 +2,9 @@
 import type { Clock } from '../Clock.js';
 import type { MetadataStore, TableName } from '../contracts/index.js';
 import type { PeerChannel } from '../peers/PeerChannel.js';
+import { ConfigurationOrder } from './ConfigurationOrder.js';
+import type { RecordOrder } from './RecordOrder.js';
+import { ReplicaOrder } from './ReplicaOrder.js';
 import { sendMissingRecords } from '../peers/sendMissingRecords.js';
 import type { TableOffsets, TableMessage } from '../peers/Types.js';
 import { type ReadTiming, TableSynchronizer, type TableUpdate } from './TableSynchronizer.js';
@@ -14,19 +17,32 @@
   private readonly _synchronizers: Readonly<Record<TableName, TableSynchronizer>>;
   /** Tables of which the followed peer has sent all records that this daemon lacked. */
   private readonly _caughtUp = new Set<TableName>();
+  private _followed: PeerChannel | undefined;
+  /** Era in which the followed peer was last asked for a full table, by table. */
+  private readonly _askedInEra = new Map<TableName, number>();
+  private _eraTimer: NodeJS.Timeout | undefined;
 
-  public constructor(store: MetadataStore, clock: Clock, log: common.Logger) {
-    const createSynchronizer = (table: TableName): TableSynchronizer => {
-      const synchronizer = new TableSynchronizer(store, table, clock, log);
+  public constructor(
+    private readonly _store: MetadataStore,
+    /** Time until this daemon reads the store after a peer has announced another era, milliseconds. */
+    private readonly _eraDelayMs: () => number,
+    clock: Clock,
+    log: common.Logger,
+  ) {
+    const createSynchronizer = (table: TableName, order: RecordOrder): TableSynchronizer => {
+      const synchronizer = new TableSynchronizer(_store, table, order, clock, log);
       this._resources.register(synchronizer);
+      synchronizer.onStranded((stranded) => {
+        this._askFollowedPeer(stranded);
+      });
       synchronizer.onUpdate((update) => {
         this._onUpdate.fire(update);
       });
       return synchronizer;
     };
     this._synchronizers = {
-      configuration: createSynchronizer('configuration'),
-      replicas: createSynchronizer('replicas'),
+      configuration: createSynchronizer('configuration', new ConfigurationOrder(_store, log)),
+      replicas: createSynchronizer('replicas', new ReplicaOrder(_store)),
     };
   }
 
@@ -58,11 +74,17 @@
   /** Offsets before which all changes are known. */
   public endOffsets(): TableOffsets {
     const { configuration, replicas } = this._synchronizers;
-    return { configuration: configuration.state.end, replicas: replicas.state.end };
+    const positions = { configuration: configuration.state.position, replicas: replicas.state.position };
+    return {
+      configuration: positions.configuration.offset,
+      replicas: positions.replicas.offset,
+      eras: { configuration: positions.configuration.era, replicas: positions.replicas.era },
+    };
   }
 
   /** Sends a peer that follows this daemon the records that it lacks. */
   public sendMissingRecords(channel: PeerChannel, readOffsets: TableOffsets): void {
+    this._followEra(readOffsets.eras?.configuration);
     sendMissingRecords(channel, 'configuration', this._synchronizers.configuration.state, readOffsets);
     sendMissingRecords(channel, 'replicas', this._synchronizers.replicas.state, readOffsets);
   }
@@ -70,11 +92,14 @@
   /** Begins to follow another peer, and sends it the offsets up to which changes are known. */
   public followPeer(channel: PeerChannel): void {
     this._caughtUp.clear();
+    this._askedInEra.clear();
+    this._followed = channel;
     channel.send('known', this.endOffsets());
   }
 
   /** Applies records received from any peer. */
   public applyFromPeer(message: TableMessage): void {
+    this._followEra(message.era);
     this._synchronizers[message.table].applyFromPeer(message);
   }
 
@@ -88,12 +113,35 @@
 
   /** Advances to the followed peer's offsets: it has sent all relevant changes before them, so no read is needed. */
   public advance(endOffsets: TableOffsets): void {
+    this._followEra(endOffsets.eras?.configuration);
     for (const table of this._caughtUp) {
-      this._synchronizers[table].state.advanceTo(endOffsets[table]);
+      const { state } = this._synchronizers[table];
+      state.advanceTo({ era: endOffsets.eras?.[table] ?? state.position.era, offset: endOffsets[table] });
+    }
+  }
+
+  /** Reads the tables anew if a peer has learned of a later era of the store than this daemon. */
+  private _followEra(era: number | undefined): void {
+    const known = this._store.era.current;
+    if (era !== undefined && known !== undefined && era > known && this._eraTimer === undefined) {
+      this._eraTimer = setTimeout(() => {
+        this._eraTimer = undefined;
+        this._store.era.observe(era);
+      }, this._eraDelayMs());
+    }
+  }
+
+  /** Asks the followed peer for a full table, once in each era: this daemon does not reach the store. */
+  private _askFollowedPeer(table: TableName): void {
+    const era = this._store.era.current ?? 0;
+    if (this._askedInEra.get(table) !== era) {
+      this._askedInEra.set(table, era);
+      this._followed?.send('known', { ...this.endOffsets(), [table]: 0 });
     }
   }
 
   public async [Symbol.asyncDispose](): Promise<void> {
+    clearTimeout(this._eraTimer);
     await this._resources[Symbol.asyncDispose]();
   }
 }
--- a/packages/gateway/src/replicas/TableSynchronizer.ts
+++ b/packages/gateway/src/replicas/TableSynchronizer.ts
@@ -1,8 +1,9 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from '../Clock.js';
-import type { MetadataStore, TableName, TableRecord, TableRecords } from '../contracts/MetadataStore.js';
+import type { MetadataStore, TableName, TablePosition, TableRecord, TableRecords } from '../contracts/MetadataStore.js';
 import type { MessageIntervals } from '../peers/messageIntervals.js';
 import type { TableMessage } from '../peers/Types.js';
+import type { RecordOrder } from './RecordOrder.js';
 import { TableState } from './TableState.js';
 
 /** Timing of the reads of a table, milliseconds. */
@@ -60,13 +61,20 @@
   readonly table: TableName;
   readonly records: readonly TableRecord[];
   readonly source: 'store' | 'peer';
+  /** Era of the store in which the offsets of the records hold. */
+  readonly era: number;
+  /** True if the records are the first known ones of an era that began when the store was restored from a copy. */
+  readonly isRestored: boolean;
 }
 
 /** Keeps one table of the store up to date, by reads of the store and from records that peers forward. */
 export class TableSynchronizer implements AsyncDisposable {
-  public readonly state = new TableState();
+  public readonly state: TableState;
   private readonly _onUpdate = new common.Emitter<TableUpdate>();
   public readonly onUpdate = this._onUpdate.event;
+  private readonly _onStranded = new common.Emitter<TableName>();
+  /** Fires when the first table of a new era cannot be read, so that only a peer can supply it. */
+  public readonly onStranded = this._onStranded.event;
   private _stopped = false;
   private _lastFailureMs = Number.NEGATIVE_INFINITY;
   private _available = true;
@@ -78,11 +86,20 @@
   public constructor(
     private readonly _store: MetadataStore,
     private readonly _table: TableName,
+    order: RecordOrder,
     private readonly _clock: Clock,
     private readonly _log: common.Logger,
   ) {
+    this.state = new TableState(order);
     _store.era.onChanged(({ era, before }) => {
-      this._log.warn('The store was restored from a copy.', { table: _table, era, before, knownEnd: this.state.end });
+      const known = this.state.position;
+      this._log.warn('The store was restored from a copy; reading the full table.', {
+        table: _table,
+        era,
+        before,
+        known,
+      });
+      this.requestFullRead();
     });
   }
 
@@ -116,8 +133,10 @@
 
   /** Applies records that a peer has read. */
   public applyFromPeer(message: TableMessage): void {
-    const applied = message.whole ? this.state.applyTable(message) : this.state.applyChanges(message);
-    this._fireUpdate(applied ?? [], 'peer');
+    const { position } = this.state;
+    const records = { ...message, era: message.era ?? position.era };
+    const applied = message.whole ? this.state.applyTable(records) : this.state.applyChanges(records);
+    this._fireUpdate(applied ?? [], 'peer', records.era, position);
   }
 
   public [Symbol.asyncDispose](): Promise<void> {
@@ -146,33 +165,48 @@
     if (!outcome.ok) {
       this._needsFullRead = true;
       this._recordFailure(outcome.failure.message);
+      if ((this._store.era.current ?? 0) > this.state.position.era) {
+        this._onStranded.fire(this._table);
+      }
       return 'failed';
     }
     this._recordSuccess();
+    const { era, end } = outcome.value;
+    const known = this.state.position;
     const applied = this.state.applyTable(outcome.value);
     if (applied === undefined) {
       this._log.warn('The table read is older than the known state; reading it again.', {
         table: this._table,
-        era: outcome.value.era,
-        end: outcome.value.end,
-        knownEnd: this.state.end,
+        era,
+        end,
+        known,
       });
       this._needsFullRead = true;
       return 'stale';
     }
-    this._fireUpdate(applied, 'store');
+    if (era > known.era && known.offset > 0) {
+      const newer = applied.length;
+      this._log.info('Entered the era of the store.', { table: this._table, era, end, known, newer });
+    }
+    this._fireUpdate(applied, 'store', era, known);
     return 'done';
   }
 
   private async _readChanges(): Promise<ReadResult> {
     const { waitMs } = this._timing;
     this._readDueMs = this._clock.now().steadyMs + waitMs;
-    const outcome = await this._store.readChanges(this._table, this.state.end, waitMs);
+    const from = this.state.position;
+    const outcome = await this._store.readChanges(this._table, from, waitMs);
     if (outcome.ok) {
       this._recordSuccess();
       const newer = this.state.applyChanges(outcome.value);
       this._logDiscarded(outcome.value, newer.length);
-      this._fireUpdate(newer, 'store');
+      this._fireUpdate(newer, 'store', from.era, from);
+      return 'done';
+    }
+    if (outcome.failure.kind === 'restored') {
+      this._recordSuccess();
+      this._needsFullRead = true;
       return 'done';
     }
     if (outcome.failure.kind === 'historyDropped') {
@@ -191,9 +225,16 @@
     }
   }
 
-  private _fireUpdate(records: readonly TableRecord[], source: 'store' | 'peer'): void {
+  /** `known` is the position before the update. */
+  private _fireUpdate(
+    records: readonly TableRecord[],
+    source: TableUpdate['source'],
+    era: number,
+    known: TablePosition,
+  ): void {
     if (records.length > 0) {
-      this._onUpdate.fire({ table: this._table, records, source });
+      const isRestored = known.offset > 0 && era > known.era;
+      this._onUpdate.fire({ table: this._table, records, source, era, isRestored });
     }
   }
 
@@ -201,14 +242,14 @@
     this._lastFailureMs = this._clock.now().steadyMs;
     if (this._available) {
       this._available = false;
-      this._log.warn('The store is unreachable.', { table: this._table, reason: message, knownEnd: this.state.end });
+      this._log.warn('The store is unreachable.', { table: this._table, reason: message, known: this.state.position });
     }
   }
 
   private _recordSuccess(): void {
     if (!this._available) {
       this._available = true;
-      this._log.info('The store is reachable again.', { table: this._table, knownEnd: this.state.end });
+      this._log.info('The store is reachable again.', { table: this._table, known: this.state.position });
     }
   }
 
