Keep replicas that have left out of use when a restored store returns their records

After a restore, a replica whose removal the daemons had acknowledged was used again at once if the copy still had its record, and one whose record the copy lacked was dropped after 1.6 s at most, or at once by daemons that had noticed no failed read. A copy says nothing about what happened after it was taken.

A replica that has left and returns with the same start is used only when its record outlives three liveness intervals, a replica that has reported draining stays out of use until it starts anew, and one that the copy lacks is kept for the 2.3 s in which replicas write their records again.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -28,7 +28,7 @@
 import { RateLimitedEngineClient } from './rateLimits/RateLimitedEngineClient.js';
 import { RateLimitMetrics } from './rateLimits/RateLimitMetrics.js';
 import { type PermitSource, ReplicaRateLimits } from './rateLimits/ReplicaRateLimits.js';
-import { removalGraceMs } from './replicas/removalGrace.js';
+import { removalGraceMs, returnDelayMs } from './replicas/removalGrace.js';
 import { ReplicaDirectory } from './replicas/ReplicaDirectory.js';
 import { StoreTables } from './replicas/StoreTables.js';
 import { readTiming, type TableUpdate } from './replicas/TableSynchronizer.js';
@@ -324,8 +324,11 @@
 
   private _applyTableUpdate(update: TableUpdate): void {
     const nowMs = this._nowMs();
-    const graceMs = removalGraceMs(this._tables.lastReplicaReadFailureMs, nowMs);
-    const records = this._routingTables.apply(update, nowMs, graceMs);
+    const records = this._routingTables.apply(update, {
+      nowMs,
+      removalGraceMs: removalGraceMs(this._tables.lastReplicaReadFailureMs, nowMs, update.isRestored),
+      ...(update.isRestored && { returnDelayMs: returnDelayMs(this._settings.replicaLivenessMs) }),
+    });
     if (records.length > 0) {
       this._forward({ table: update.table, records, end: 0, whole: false, era: update.era }, update.source);
     }
@@ -356,7 +359,7 @@
 
   private _tick(): void {
     const nowMs = this._nowMs();
-    this._directory.dropExpired(nowMs);
+    this._directory.expire(nowMs);
     this._peerServer.closeSilentChannels(nowMs);
     this._peerClient.maintainConnection(nowMs, !this._leaderElector.isHolder);
     this._updateReadTiming(nowMs);
--- a/packages/gateway/src/GatewayTypes.ts
+++ b/packages/gateway/src/GatewayTypes.ts
@@ -14,6 +14,8 @@
   readonly processorShare: number;
   readonly retryBudget: RetryBudgetLimits;
   readonly lease: LeaseTimes;
+  /** Time between two liveness reports of a replica, milliseconds. */
+  readonly replicaLivenessMs: number;
   /** Longest time that a stop may take, milliseconds. */
   readonly stopLimitMs: number;
 }
--- a/packages/gateway/src/RoutingTables.ts
+++ b/packages/gateway/src/RoutingTables.ts
@@ -1,7 +1,7 @@
 import * as common from '@jayhaven/common';
 import { RouteTable } from './configuration/RouteTable.js';
 import type { MetadataStore, TableRecord } from './contracts/index.js';
-import type { ReplicaDirectory } from './replicas/ReplicaDirectory.js';
+import type { ChangeTiming, ReplicaDirectory } from './replicas/ReplicaDirectory.js';
 import type { TableUpdate } from './replicas/TableSynchronizer.js';
 import type { Configuration } from './Types.js';
 
@@ -24,11 +24,11 @@
   }
 
   /**
-   * Applies records of a table and returns those that peers need. A removed replica stays in use for `removalGraceMs`.
+   * Applies records of a table and returns those that peers need.
    */
-  public apply({ table, records, source }: TableUpdate, nowMs: number, removalGraceMs: number): readonly TableRecord[] {
+  public apply({ table, records, source }: TableUpdate, timing: ChangeTiming): readonly TableRecord[] {
     if (table !== 'configuration') {
-      return this._directory.apply(records, nowMs, removalGraceMs);
+      return this._directory.apply(records, timing);
     }
     for (const record of records) {
       this._applyConfiguration(record, source);
--- a/packages/gateway/src/replicas/ReplicaDirectory.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.ts
@@ -10,21 +10,37 @@
   readonly models: readonly LoadedModel[];
 }
 
-/** Largest number of leaving replicas that are kept, even after their records are removed. */
-const maximumLeavingEntries = 4_096;
+/** Largest number of replicas of which it is kept that they are leaving or have left. */
+const maximumFormerReplicas = 4_096;
+
+/** How changes of the replica table take effect. */
+export interface ChangeTiming {
+  readonly nowMs: number;
+  /** Time for which a removed replica stays in use, milliseconds. */
+  readonly removalGraceMs: number;
+  /**
+   * Present if the store was restored from a copy: time for which a replica that has left stays out of use although the
+   * copy has its record, milliseconds.
+   */
+  readonly returnDelayMs?: number;
+}
 
 interface Entry {
   readonly replica: Replica;
   /** Steady time at which a removed replica is dropped; absent while its record exists. */
   readonly dropAtMs?: number;
+  /** Steady time from which the replica is used; absent if it is used at once. */
+  readonly usableFromMs?: number;
 }
 
 /** The known replicas, from the store's records and the placement leader's messages. */
 export class ReplicaDirectory {
   private readonly _entries = new Map<string, Entry>();
   private readonly _holdings = new Map<string, ReplicaHoldings>();
-  /** Start times of replicas that have announced in an answer that they are leaving, by replica id. */
+  /** Start times of replicas that have announced that they are leaving, in an answer or in their record, by replica id. */
   private readonly _leaving = new Map<string, number>();
+  /** Start times of replicas whose records were removed, by replica id. */
+  private readonly _removed = new Map<string, number>();
   /** Usable replicas with their newest known models, by service; built at the first use after a change. */
   private _byService: ReadonlyMap<string, readonly Replica[]> | undefined;
   private readonly _onChanged = new common.Emitter<string>();
@@ -37,14 +53,14 @@
   ) {}
 
   /**
-   * Applies records of the replica table. A removed replica stays in use for `removalGraceMs`, because records that
+   * Applies records of the replica table. A removed replica stays in use for the grace period, because records that
    * expired during an outage of the store are written again afterwards. Returns the records that add or remove a
    * replica or change its routing; the others change only models, which the placement leader announces itself.
    */
-  public apply(records: readonly TableRecord[], nowMs: number, removalGraceMs: number): readonly TableRecord[] {
+  public apply(records: readonly TableRecord[], timing: ChangeTiming): readonly TableRecord[] {
     return records.filter((record) => {
       const replica = record.value === undefined ? undefined : this._decode(record.key, record.value);
-      return replica === undefined ? this._remove(record, nowMs, removalGraceMs) : this._put(record, replica);
+      return replica === undefined ? this._remove(record, timing) : this._put(record, replica, timing);
     });
   }
 
@@ -63,8 +79,7 @@
     if (this._leaving.get(replicaId) === bornMs) {
       return false;
     }
-    this._leaving.set(replicaId, bornMs);
-    evictOldest(this._leaving, maximumLeavingEntries);
+    this._rememberLeaving(replicaId, bornMs);
     this._log.info('Replica announced that it is leaving.', { replica: replicaId, bornMs });
     this._notifyChanged(replicaId);
     return true;
@@ -75,12 +90,15 @@
     return this._leaving;
   }
 
-  /** Drops removed replicas whose grace period has ended. */
-  public dropExpired(nowMs: number): void {
+  /** Drops removed replicas whose grace period has ended, and returns those to use whose delay has ended. */
+  public expire(nowMs: number): void {
     for (const [id, entry] of this._entries) {
       if (entry.dropAtMs !== undefined && nowMs >= entry.dropAtMs) {
-        this._entries.delete(id);
         this._log.info('Dropped a replica whose record was removed.', { replica: id });
+        this._drop(id, entry);
+      } else if (entry.usableFromMs !== undefined && nowMs >= entry.usableFromMs) {
+        this._entries.set(id, { replica: entry.replica });
+        this._log.info('A replica that had left is in use again: its record has not expired.', { replica: id });
         this._notifyChanged(id);
       }
     }
@@ -89,12 +107,12 @@
   /** Replica by id, with its newest known models. */
   public get(id: string): Replica | undefined {
     const entry = this._entries.get(id);
-    return entry === undefined ? undefined : this._withHoldings(entry.replica);
+    return entry === undefined ? undefined : this._withHoldings(entry);
   }
 
   /** All replicas, draining ones included. */
   public all(): readonly Replica[] {
-    return [...this._entries.values()].map((entry) => this._withHoldings(entry.replica));
+    return [...this._entries.values()].map((entry) => this._withHoldings(entry));
   }
 
   /** Replicas of a service that accept new requests. */
@@ -108,24 +126,39 @@
   }
 
   /** Returns true if the record changes how requests are routed to the replica. */
-  private _put(record: TableRecord, replica: Replica): boolean {
+  private _put(record: TableRecord, replica: Replica, { nowMs, returnDelayMs }: ChangeTiming): boolean {
     const before = this._entries.get(record.key);
-    this._entries.set(record.key, { replica });
+    const hasLeft = before === undefined && this._removed.get(replica.id) === replica.bornMs;
+    const usableFromMs = hasLeft && returnDelayMs !== undefined ? nowMs + returnDelayMs : undefined;
+    this._entries.set(record.key, { replica, ...(usableFromMs !== undefined && { usableFromMs }) });
+    if (replica.state === 'draining') {
+      this._rememberLeaving(replica.id, replica.bornMs);
+    }
     const affectsRouting =
       before === undefined || before.dropAtMs !== undefined || routesDifferently(before.replica, replica);
     if (affectsRouting) {
       const { id, service, state, bornMs, models, inMemory, onDisk } = replica;
       const counts = { models: models.length, inMemory: inMemory.length, onDisk: onDisk.length };
-      this._log.info('Replica changed.', { replica: id, service, state, bornMs, ...counts, offset: record.offset });
+      const isHeldBack = usableFromMs !== undefined;
+      this._log.info('Replica changed.', {
+        replica: id,
+        service,
+        state,
+        bornMs,
+        ...counts,
+        offset: record.offset,
+        ...(isHeldBack && { isHeldBack }),
+      });
     }
     this._notifyChanged(record.key);
     return affectsRouting;
   }
 
   /** Returns true if the replica was known. */
-  private _remove(record: TableRecord, nowMs: number, removalGraceMs: number): boolean {
+  private _remove(record: TableRecord, { nowMs, removalGraceMs }: ChangeTiming): boolean {
     const entry = this._entries.get(record.key);
-    if (entry === undefined) {
+    // A removal that is already known does not shorten the grace period.
+    if (entry === undefined || entry.dropAtMs !== undefined) {
       return false;
     }
     const reason = record.value === undefined ? 'record removed' : 'record unreadable';
@@ -134,20 +167,32 @@
       this._entries.set(record.key, { ...entry, dropAtMs: nowMs + removalGraceMs });
       return true;
     }
-    this._entries.delete(record.key);
-    this._notifyChanged(record.key);
+    this._drop(record.key, entry);
     return true;
   }
 
+  private _drop(id: string, { replica }: Entry): void {
+    this._entries.delete(id);
+    this._removed.set(id, replica.bornMs);
+    evictOldest(this._removed, maximumFormerReplicas);
+    this._notifyChanged(id);
+  }
+
+  private _rememberLeaving(id: string, bornMs: number): void {
+    this._leaving.set(id, bornMs);
+    evictOldest(this._leaving, maximumFormerReplicas);
+  }
+
   private _notifyChanged(id: string): void {
     this._byService = undefined;
     this._onChanged.fire(id);
   }
 
-  private _withHoldings(replica: Replica): Replica {
+  private _withHoldings({ replica, usableFromMs }: Entry): Replica {
     const holdings = this._holdings.get(replica.id);
     const known = holdings?.bornMs === replica.bornMs ? { ...replica, models: holdings.models } : replica;
-    return this._leaving.get(replica.id) === replica.bornMs ? { ...known, state: 'draining' } : known;
+    const isOutOfUse = usableFromMs !== undefined || this._leaving.get(replica.id) === replica.bornMs;
+    return isOutOfUse ? { ...known, state: 'draining' } : known;
   }
 }
 
--- a/packages/gateway/src/replicas/removalGrace.test.ts
+++ b/packages/gateway/src/replicas/removalGrace.test.ts
@@ -22,4 +22,11 @@
       }
     },
   );
+
+  vitest.test(
+    'lasts until records are written again if a restored store lacks the record (guards against lost capacity)',
+    () => {
+      vitest.expect(removalGraceMs(Number.NEGATIVE_INFINITY, 50_000, true)).toBe(2_300);
+    },
+  );
 });
--- a/packages/gateway/src/replicas/removalGrace.ts
+++ b/packages/gateway/src/replicas/removalGrace.ts
@@ -5,14 +5,31 @@
  * read of the removal takes part of that time.
  */
 const maximumGraceMs = 1_600;
+/** Missed liveness reports after which the platform removes a record. */
+const missedReportLimit = 3;
+/** Time for the removal itself and its read, milliseconds. */
+const removalLagMs = 1_000;
 
 /**
  * How long a replica stays in use after the removal of its record was read, milliseconds. During an outage of the
  * store, records of live replicas expire; these replicas stay in use until their records should have been written
  * again. A failed read of this daemon alone cannot be distinguished from an outage, so the grace period never exceeds
- * the time for which a replica that really leaves may still get requests.
+ * the time for which a replica that really leaves may still get requests. `isRestored`: the store was restored from a
+ * copy that lacks the record. Nothing says that the replica leaves then, so it has the full time.
  */
-export function removalGraceMs(lastFailureMs: number, nowMs: number): number {
+export function removalGraceMs(lastFailureMs: number, nowMs: number, isRestored = false): number {
+  if (isRestored) {
+    return expiredRecordRewriteMs;
+  }
   const untilRewrittenMs = lastFailureMs + expiredRecordRewriteMs - nowMs;
   return Math.min(Math.max(untilRewrittenMs, 0), maximumGraceMs);
 }
+
+/**
+ * How long a replica that has left stays out of use when a copy of the store returns its record, milliseconds. If no such
+ * replica is alive, the platform removes the record within this time. `livenessMs` is the time between two liveness
+ * reports of a replica.
+ */
+export function returnDelayMs(livenessMs: number): number {
+  return missedReportLimit * livenessMs + removalLagMs;
+}
