Do not trust a lease record of an earlier era of the store

After a restore the record may name a former holder, an earlier renewal or nobody. A daemon that it named led again at once, beside the holder of the lost seconds, and fencing tokens, which were offsets, could fall or come twice.

A record states the era in which it was written. One of an earlier era, or none although there was one, counts as the lease of an unknown live VM: its validity is waited for, then the handover. A holder whose term is still valid writes it again. The token is the era with the offset, so it only rises.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -107,6 +107,7 @@
       _settings.lease,
       takeoverBackoffMs(_settings.processorShare),
       _clock,
+      _settings.isFirstStart,
       isLeaderAlive,
       _log.child('lease'),
     );
--- a/packages/gateway/src/GatewayTypes.ts
+++ b/packages/gateway/src/GatewayTypes.ts
@@ -14,6 +14,8 @@
   readonly processorShare: number;
   readonly retryBudget: RetryBudgetLimits;
   readonly lease: LeaseTimes;
+  /** True if the whole system starts for the first time, so that the store has no records of it yet. */
+  readonly isFirstStart: boolean;
   /** Time between two liveness reports of a replica, milliseconds. */
   readonly replicaLivenessMs: number;
   /** Longest time that a stop may take, milliseconds. */
--- a/packages/gateway/src/contracts/MetadataStore.ts
+++ b/packages/gateway/src/contracts/MetadataStore.ts
@@ -43,6 +43,8 @@
 export interface LeaseSnapshot {
   readonly record?: { readonly offset: number; readonly value: string };
   readonly end: number;
+  /** Era of the store in which the offsets hold. */
+  readonly era: number;
 }
 
 /** Client of the platform's metadata store. */
@@ -64,7 +66,7 @@
   public abstract readLease(): Promise<common.Outcome<LeaseSnapshot, StoreFailure>>;
 
   /** Writes the lease if its table still ends at `expectedEnd`; returns the offset of the new record. */
-  public abstract writeLease(expectedEnd: number, value: string): Promise<common.Outcome<number, StoreFailure>>;
+  public abstract writeLease(expectedEnd: TablePosition, value: string): Promise<common.Outcome<number, StoreFailure>>;
 
   /** Reads the records of blocked parts of prompts. */
   public abstract readBlocks(): Promise<common.Outcome<readonly TableRecord[], StoreFailure>>;
--- a/packages/gateway/src/leadership/LeaderElector.ts
+++ b/packages/gateway/src/leadership/LeaderElector.ts
@@ -1,11 +1,13 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from '../Clock.js';
-import type { StoreFailure } from '../contracts/MetadataStore.js';
+import { isBefore, type LeaseSnapshot, type StoreFailure, type TablePosition } from '../contracts/MetadataStore.js';
 import type { Instant } from '../Types.js';
 import {
   decodeLease,
   encodeLease,
+  fencingToken,
   firstOrderDelayMs,
+  isHolderUncertain,
   isLeaseValid,
   type LeaseRecord,
   type LeaseTimes,
@@ -20,6 +22,11 @@
 /** Pause after a failed call to the store, milliseconds. */
 const retryMs = 400;
 
+/** Position at which the first record is expected before the lease was read. */
+const initialEnd: TablePosition = { era: 0, offset: 0 };
+/** Offset that stands for a missing record. */
+const noRecordOffset = -1;
+
 /** Name and address of the leader, for the daemons that follow it. */
 export interface LeaderLocation {
   readonly holder: string;
@@ -39,7 +46,8 @@
   /** Fires when a record names a leader, which may be this daemon. */
   public readonly onLeader = this._onLeader.event;
   private _observed: ObservedLease | undefined;
-  private _endOffset = 0;
+  /** End of the lease's topic; undefined before its first read. */
+  private _end: TablePosition | undefined;
   private _term: Term | undefined;
   private _stopped = false;
   private _isLeaseReadable = true;
@@ -51,6 +59,8 @@
     /** Time that this VM waits before it takes a free lease from another VM, milliseconds. */
     private readonly _takeoverBackoffMs: number,
     private readonly _clock: Clock,
+    /** True if the system has just been set up, so that a missing record means that there was no holder yet. */
+    private readonly _isFirstStart: boolean,
     /** True while the leader sends messages over a peer connection, so that its record need not be read. */
     private readonly _isLeaderAlive: () => boolean,
     private readonly _log: common.Logger,
@@ -113,17 +123,17 @@
 
   /** Waits before a takeover, so that few daemons write at once; false if the lease has been taken meanwhile. */
   private async _backOffBeforeTakeover(): Promise<boolean> {
-    if (this._observed?.record.holder === this._self.holder) {
+    if (this._observed?.record?.holder === this._self.holder && !isHolderUncertain(this._observed)) {
       return true;
     }
-    const offset = this._observed?.offset;
+    const before = this._observed;
     await pause(this._takeoverBackoffMs + Math.random() * takeoverJitterMs);
-    return !this._isLeaderAlive() && (await this._readLease()) && this._observed?.offset === offset;
+    return !this._isLeaderAlive() && (await this._readLease()) && this._observed === before;
   }
 
   private async _takeOver(): Promise<number> {
     const former = this._observed;
-    const token = this._endOffset;
+    const token = fencingToken(this._end ?? initialEnd);
     const sentAt = this._clock.now();
     const delayMs = firstOrderDelayMs(former, this._self.holder, sentAt, this._times);
     const ordersFromWallMs = sentAt.wallMs + delayMs;
@@ -131,7 +141,7 @@
       return retryMs / 2;
     }
     this._term = { token, renewedAt: sentAt, ordersFromSteadyMs: sentAt.steadyMs + delayMs, ordersFromWallMs };
-    this._log.info('Acquired the lease.', { term: token, former: former?.record.holder, firstOrderInMs: delayMs });
+    this._log.info('Acquired the lease.', { term: token, former: former?.record?.holder, firstOrderInMs: delayMs });
     this._onLeader.fire(this._self);
     return this._times.renewMs;
   }
@@ -154,14 +164,20 @@
   /** After a failed renewal, ends the term if another holder has written the lease or the last renewal has expired. */
   private async _checkTerm(term: Term): Promise<void> {
     const reached = await this._readLease();
-    const isOwn = this._observed?.record.holder === this._self.holder && this._observed.record.term === term.token;
-    if (reached && isOwn) {
+    const isUncertain = this._observed === undefined || isHolderUncertain(this._observed);
+    const record = this._observed?.record;
+    const isOwn = record?.holder === this._self.holder && record.term === term.token;
+    if (reached && isOwn && !isUncertain) {
       return;
     }
     const expired = !isLeaseValid(term.renewedAt, this._clock.now(), this._times);
-    if ((reached && !isOwn) || expired) {
+    const isTakenOver = reached && !isOwn && !isUncertain;
+    if (isTakenOver || expired) {
       this._term = undefined;
-      this._log.warn('Lost the lease.', { term: term.token, reason: reached ? 'taken over' : 'not renewed in time' });
+      this._log.warn('Lost the lease.', {
+        term: term.token,
+        reason: isTakenOver ? 'taken over' : 'not renewed in time',
+      });
     }
   }
 
@@ -169,14 +185,15 @@
     return !this._stopped && this._term?.token === term.token;
   }
 
-  private async _write(record: Omit<LeaseRecord, 'holder' | 'peerAddress'>): Promise<boolean> {
-    const value = encodeLease({ ...record, holder: this._self.holder, peerAddress: this._self.peerAddress });
-    const outcome = await this._store.writeLease(this._endOffset, value);
+  private async _write(record: Omit<LeaseRecord, 'holder' | 'peerAddress' | 'era'>): Promise<boolean> {
+    const end = this._end ?? initialEnd;
+    const value = encodeLease({ ...record, ...this._self, era: end.era });
+    const outcome = await this._store.writeLease(end, value);
     if (!outcome.ok) {
       this._log.warn('Could not write the lease.', { reason: outcome.failure.kind, message: outcome.failure.message });
       return false;
     }
-    this._endOffset = outcome.value + 1;
+    this._end = { era: end.era, offset: outcome.value + 1 };
     return true;
   }
 
@@ -186,21 +203,43 @@
     if (!outcome.ok) {
       return false;
     }
-    this._endOffset = outcome.value.end;
-    const stored = outcome.value.record;
-    if (stored === undefined || stored.offset === this._observed?.offset) {
-      return true;
+    const { end, era } = outcome.value;
+    if (this._end !== undefined && isBefore({ era, offset: 0 }, { era: this._end.era, offset: 0 })) {
+      // A peer answered that has not noticed the restore.
+      return false;
     }
-    const record = decodeLease(stored.value);
-    if (record === undefined) {
-      this._log.error('The lease record is unreadable.', { offset: stored.offset });
-      return true;
+    // Without a record, only the first start of the system is certain that nobody holds the lease.
+    const hasHistory = this._end === undefined ? !this._isFirstStart : this._end.era !== era;
+    this._end = { era, offset: end };
+    this._observe(outcome.value, hasHistory);
+    return true;
+  }
+
+  /** Keeps the stored record, with the time at which it was first read. */
+  private _observe({ record: stored, era }: LeaseSnapshot, hasHistory: boolean): void {
+    if (stored === undefined && this._observed === undefined && !hasHistory) {
+      return;
+    }
+    const position = { era, offset: stored?.offset ?? noRecordOffset };
+    const before = this._observed?.position;
+    if (before?.era === era && before.offset === position.offset) {
+      return;
     }
-    this._observed = { offset: stored.offset, record, observedAt: this._clock.now() };
-    if (!record.released) {
+    const record = stored === undefined ? undefined : decodeLease(stored.value);
+    if (stored !== undefined && record === undefined) {
+      this._log.error('The lease record is unreadable.', { ...position });
+    }
+    this._observed = { position, ...(record && { record }), observedAt: this._clock.now() };
+    if (record?.era !== era) {
+      this._log.warn('The lease is of an earlier era of the store; another VM may hold it.', {
+        ...position,
+        holder: record?.holder,
+        writtenInEra: record?.era,
+      });
+    }
+    if (record?.released === false) {
       this._onLeader.fire(record);
     }
-    return true;
   }
 
   /** Logs the first failed read of a series and the first successful read after it. */
--- a/packages/gateway/src/leadership/Lease.test.ts
+++ b/packages/gateway/src/leadership/Lease.test.ts
@@ -6,6 +6,7 @@
   encodeLease,
   firstOrderDelayMs,
   isLeaseValid,
+  type LeaseRecord,
   type LeaseTimes,
   type ObservedLease,
   takeoverDelayMs,
@@ -18,9 +19,13 @@
   return { steadyMs: start.steadyMs + milliseconds, wallMs: start.wallMs + milliseconds + wallJumpMs };
 }
 
-function observedLease(holder: string, released: boolean, ordersFromWallMs = start.wallMs): ObservedLease {
-  const record = { holder, peerAddress: '127.0.0.1:1', term: 7, ordersFromWallMs, released };
-  return { offset: 7, record, observedAt: start };
+function observedLease(
+  holder: string,
+  released: boolean,
+  ordersFromWallMs = start.wallMs,
+): ObservedLease & { readonly record: LeaseRecord } {
+  const record = { holder, peerAddress: '127.0.0.1:1', term: 7, ordersFromWallMs, released, era: 1 };
+  return { position: { era: 1, offset: 7 }, record, observedAt: start };
 }
 
 vitest.describe('lease of the placement leader', () => {
--- a/packages/gateway/src/leadership/Lease.ts
+++ b/packages/gateway/src/leadership/Lease.ts
@@ -1,3 +1,4 @@
+import type { TablePosition } from '../contracts/MetadataStore.js';
 import type { Instant } from '../Types.js';
 
 /** Timing of the lease, milliseconds. */
@@ -17,20 +18,39 @@
   readonly holder: string;
   /** Address at which the holder accepts peers, `ip:port`. */
   readonly peerAddress: string;
-  /** Fencing token: the expected offset of the holder's first record of this term. */
+  /** Fencing token, from the expected position of the holder's first record of this term. */
   readonly term: number;
   /** Time of day from which the holder may send orders. It is stored so that a restart respects the handover time. */
   readonly ordersFromWallMs: number;
   readonly released: boolean;
+  /** Era of the store in which the record was written. */
+  readonly era: number;
 }
 
-/** A record with its offset and the time at which this daemon first read it. */
+/** The stored lease, with its position and the time at which this daemon first read it. */
 export interface ObservedLease {
-  readonly offset: number;
-  readonly record: LeaseRecord;
+  readonly position: TablePosition;
+  /** Absent if the store has no readable record, although there was one. */
+  readonly record?: LeaseRecord;
   readonly observedAt: Instant;
 }
 
+/** Distance of the fencing tokens of two eras. A topic has fewer records within an era. */
+const tokensPerEra = 2 ** 32;
+
+/** Fencing token of a term whose first record is expected at a position. It rises also when offsets are given out again. */
+export function fencingToken({ era, offset }: TablePosition): number {
+  return era * tokensPerEra + offset;
+}
+
+/**
+ * True if another VM may hold the lease although the store does not show it: a store that was restored has lost the latest
+ * writes, so a record of an earlier era only says who held the lease when the copy was taken.
+ */
+export function isHolderUncertain({ position, record }: ObservedLease): boolean {
+  return record?.era !== position.era;
+}
+
 /** Elapsed time on the clock that advanced more, so that a suspension of the VM is detected. */
 export function elapsedMs(since: Instant, now: Instant): number {
   return Math.max(now.steadyMs - since.steadyMs, now.wallMs - since.wallMs);
@@ -60,11 +80,15 @@
   now: Instant,
   times: LeaseTimes,
 ): number {
-  if (observed === undefined || observed.record.holder === self) {
+  if (observed === undefined) {
+    return 0;
+  }
+  const isUncertain = isHolderUncertain(observed);
+  if (!isUncertain && observed.record?.holder === self) {
     return 0;
   }
   // Only the steady clock counts: a wall clock that jumps ahead must not end another VM's lease early.
-  const limitMs = observed.record.released ? times.reclaimMs : times.validityMs;
+  const limitMs = !isUncertain && observed.record?.released === true ? times.reclaimMs : times.validityMs;
   return Math.max(0, limitMs - (now.steadyMs - observed.observedAt.steadyMs));
 }
 
@@ -81,6 +105,9 @@
   if (former === undefined) {
     return 0;
   }
+  if (former.record === undefined || isHolderUncertain(former)) {
+    return times.handoverMs;
+  }
   if (former.record.holder !== self) {
     // A release ends the orders; without one, the former holder may send orders until its lease expires.
     const sinceLastOrderMs = former.record.released ? now.steadyMs - former.observedAt.steadyMs : 0;
@@ -94,6 +121,9 @@
   return JSON.stringify(record);
 }
 
+/** Era of a record that an earlier version wrote. No store is in it, so the holder is uncertain. */
+const unstatedEra = -1;
+
 /** Decodes a lease record; undefined if the text is not one. */
 export function decodeLease(text: string): LeaseRecord | undefined {
   let value: unknown;
@@ -110,5 +140,5 @@
     typeof record.term === 'number' &&
     typeof record.ordersFromWallMs === 'number' &&
     typeof record.released === 'boolean';
-  return isRecord ? (record as LeaseRecord) : undefined;
+  return isRecord ? { ...(record as LeaseRecord), era: record.era ?? unstatedEra } : undefined;
 }
--- a/packages/gateway/src/leadership/LeaseStore.ts
+++ b/packages/gateway/src/leadership/LeaseStore.ts
@@ -1,6 +1,6 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from '../Clock.js';
-import type { LeaseSnapshot, MetadataStore, StoreFailure } from '../contracts/MetadataStore.js';
+import type { LeaseSnapshot, MetadataStore, StoreFailure, TablePosition } from '../contracts/MetadataStore.js';
 import type { LeaseCall, LeaseReply } from '../peers/Types.js';
 
 /** Longest wait for a peer's reply to a lease call, milliseconds. */
@@ -11,7 +11,7 @@
 /** Storage of the lease. */
 export interface LeaseStore {
   readLease(): Promise<common.Outcome<LeaseSnapshot, StoreFailure>>;
-  writeLease(expectedEnd: number, value: string): Promise<common.Outcome<number, StoreFailure>>;
+  writeLease(expectedEnd: TablePosition, value: string): Promise<common.Outcome<number, StoreFailure>>;
 }
 
 /**
@@ -35,16 +35,19 @@
       () => this._store.readLease(),
       async () => {
         const reply = await this._callPeer();
-        return reply?.snapshot === undefined ? peerFailure(reply) : common.succeed(reply.snapshot);
+        return reply?.snapshot === undefined
+          ? peerFailure(reply)
+          : common.succeed({ ...reply.snapshot, era: reply.snapshot.era ?? this._knownEra });
       },
     );
   }
 
-  public async writeLease(expectedEnd: number, value: string): Promise<common.Outcome<number, StoreFailure>> {
+  public async writeLease(expectedEnd: TablePosition, value: string): Promise<common.Outcome<number, StoreFailure>> {
     return this._callWithFallback(
       () => this._store.writeLease(expectedEnd, value),
       async () => {
-        const reply = await this._callPeer({ expectedEnd, value });
+        const { offset, era } = expectedEnd;
+        const reply = await this._callPeer({ expectedEnd: offset, era, value });
         return reply?.offset === undefined ? peerFailure(reply) : common.succeed(reply.offset);
       },
     );
@@ -61,10 +64,16 @@
       const outcome = await this._store.readLease();
       return outcome.ok ? { call: call.call, snapshot: outcome.value } : { call: call.call, failure: outcome.failure };
     }
-    const outcome = await this._store.writeLease(call.write.expectedEnd, call.write.value);
+    const { expectedEnd: offset, era = this._knownEra, value } = call.write;
+    const outcome = await this._store.writeLease({ era, offset }, value);
     return outcome.ok ? { call: call.call, offset: outcome.value } : { call: call.call, failure: outcome.failure };
   }
 
+  /** The era for messages of earlier versions, which do not state one. */
+  private get _knownEra(): number {
+    return this._store.era.current ?? 0;
+  }
+
   private async _callWithFallback<Value>(
     callStore: () => Promise<common.Outcome<Value, StoreFailure>>,
     callPeer: () => Promise<common.Outcome<Value, StoreFailure>>,
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -107,13 +107,19 @@
 export interface LeaseCall {
   readonly call: number;
   /** Absent for a read operation. */
-  readonly write?: { readonly expectedEnd: number; readonly value: string };
+  readonly write?: {
+    readonly expectedEnd: number;
+    /** Era of the store in which the expected end holds. Absent in calls of earlier versions. */
+    readonly era?: number;
+    readonly value: string;
+  };
 }
 
 /** Result of a lease call. */
 export interface LeaseReply {
   readonly call: number;
-  readonly snapshot?: LeaseSnapshot;
+  /** `era` is absent in replies of earlier versions. */
+  readonly snapshot?: Omit<LeaseSnapshot, 'era'> & Partial<Pick<LeaseSnapshot, 'era'>>;
   readonly offset?: number;
   readonly failure?: StoreFailure;
 }
