Store blocks again after a restore of the store

The store forgets the blocks that were written since its copy. The leader took a missing record for one that an operator had removed, and lifted the block at its next read, at most 30 s later; a daemon that started meanwhile knew nothing of it. Blocks that the leader had ended came back with the copy.

The leader writes all blocks in force again when it learns of a later era, and removes again those that it had removed, before it compares the stored ones. The test with three gateways fails without this: no block is stored within 3 s.

--- a/packages/gateway/src/crashes/BlockStore.ts
+++ b/packages/gateway/src/crashes/BlockStore.ts
@@ -1,5 +1,6 @@
 import type * as common from '@jayhaven/common';
 import type { MetadataStore } from '../contracts/MetadataStore.js';
+import { evictOldest } from '../evictOldest.js';
 import type { PartBlock } from './Types.js';
 
 /** A stored block. The time of day is used, because it outlives the process and the VM. */
@@ -9,9 +10,14 @@
   readonly repetition: number;
 }
 
+/** Largest number of removed blocks that are kept. */
+const maximumRemoved = 256;
+
 /** Keeps blocks in the metadata store: one write when a block begins or ends, one read when a daemon starts or leads. */
 export class BlockStore {
   private readonly _unsaved = new Map<string, string | undefined>();
+  /** Keys of the blocks that this daemon has removed. */
+  private readonly _removed = new Set<string>();
   private _isWriting = false;
 
   public constructor(
@@ -37,9 +43,21 @@
   /** Stores a block, or removes it if `block` is undefined; tried again with `retry` until it succeeds. */
   public write(key: string, block: PartBlock | undefined): void {
     this._unsaved.set(key, block === undefined ? undefined : this._encode(block));
+    this._removed.delete(key);
+    if (block === undefined) {
+      this._removed.add(key);
+      evictOldest(this._removed, maximumRemoved);
+    }
     this.retry();
   }
 
+  /** Removes the blocks again that this daemon has removed: a restored store may have them back. */
+  public removeAgain(): void {
+    for (const key of [...this._removed]) {
+      this.write(key, undefined);
+    }
+  }
+
   /** True if a change of the block is not stored yet. */
   public isUnsaved(key: string): boolean {
     return this._unsaved.has(key);
--- a/packages/gateway/src/crashes/CrashLeader.ts
+++ b/packages/gateway/src/crashes/CrashLeader.ts
@@ -93,6 +93,13 @@
     this._schedulePublish();
   }
 
+  /** Stores all blocks again, after a restore of the store has lost the latest ones. */
+  public storeAgain(): void {
+    for (const block of this._isLeading ? this.snapshot().blocks : []) {
+      this._links.store(partsKey(block.parts), block);
+    }
+  }
+
   public requestTrial(peer: Peer, parts: readonly string[]): void {
     if (this._isLeading) {
       this._trials.request(peer, parts);
--- a/packages/gateway/src/peers/CrashCoordinator.ts
+++ b/packages/gateway/src/peers/CrashCoordinator.ts
@@ -4,6 +4,7 @@
 import { BlockStore } from '../crashes/BlockStore.js';
 import type { CrashGuard } from '../crashes/CrashGuard.js';
 import { CrashLeader } from '../crashes/CrashLeader.js';
+import { partsKey } from '../crashes/parts.js';
 import type { CrashReport, PartBlock, SuspectsMessage } from '../crashes/Types.js';
 import type { PeerChannel, PeerMessage } from './PeerChannel.js';
 import type { PeerClient } from './PeerClient.js';
@@ -36,11 +37,13 @@
   private _isReading = false;
   /** True once this daemon has read the stored blocks since it started or began to lead. */
   private _hasRead = false;
+  /** True if the store was restored since a leader, as far as this daemon knows, has stored the blocks. */
+  private _mustStoreAgain = false;
 
   public constructor(
     private readonly _guard: CrashGuard,
     { server, client }: { readonly server: PeerServer; readonly client: PeerClient },
-    store: Pick<MetadataStore, 'readBlocks' | 'writeBlock'>,
+    store: Pick<MetadataStore, 'readBlocks' | 'writeBlock' | 'era'>,
     private readonly _isLeader: () => boolean,
     private readonly _clock: Clock,
     log: common.Logger,
@@ -64,6 +67,9 @@
       },
     };
     this._leader = new CrashLeader(links, () => this._nowMs(), log);
+    store.era.onChanged(() => {
+      this._mustStoreAgain = true;
+    });
     this._followGuard();
     this._followPeers();
   }
@@ -79,6 +85,7 @@
   public tick(): void {
     const nowMs = this._nowMs();
     this._followLeadership();
+    this._storeAgain();
     this._guard.expire(nowMs);
     this._leader.tick();
     this._blockStore.retry();
@@ -116,6 +123,15 @@
     }
   }
 
+  /** The leader stores the blocks again after a restore of the store, before it takes a missing one for removed. */
+  private _storeAgain(): void {
+    if (this._mustStoreAgain && this._leader.isLeading) {
+      this._mustStoreAgain = false;
+      this._blockStore.removeAgain();
+      this._leader.storeAgain();
+    }
+  }
+
   private _followGuard(): void {
     this._guard.onAnswered((parts) => {
       this._send('answeredParts', { parts });
@@ -199,7 +215,8 @@
   }
 
   private _applyStored(stored: ReadonlyMap<string, PartBlock>): void {
-    const blocks = [...stored.values()];
+    this._storeAgain();
+    const blocks = [...stored.values()].filter(({ parts }) => !this._blockStore.isUnsaved(partsKey(parts)));
     if (this._leader.isLeading) {
       if (this._hasRead) {
         this._leader.liftUnless((key) => stored.has(key) || this._blockStore.isUnsaved(key));
