--- a/packages/gateway/src/crashes/parts.ts
+++ b/packages/gateway/src/crashes/parts.ts
@@ -13,6 +13,33 @@
   return [...new Set(shared)].slice(0, maximumParts);
 }
 
+/** Begins the part that stands for a whole request. Identifiers of prompt parts have no colon. */
+const requestPrefix = 'request:';
+/** Length of a request's digest, hexadecimal digits. */
+const digestLength = 32;
+
+/** What makes two requests the same, whichever caller sends them, and to whichever daemon. */
+export interface RequestContent {
+  readonly method: string;
+  readonly host: string;
+  /** Path with the query. */
+  readonly path: string;
+  readonly body: Buffer;
+}
+
+/** The part that stands for a whole request: equal for requests with the same content, and says nothing about it. */
+export function requestPart({ method, host, path, body }: RequestContent): string {
+  // The head is one line of JSON, so its end is certain whatever it contains.
+  const head = JSON.stringify([method, host, path]);
+  const digest = crypto.createHash('sha256').update(`${head}\n`).update(body).digest('hex');
+  return `${requestPrefix}${digest.slice(0, digestLength)}`;
+}
+
+/** True if a part stands for a whole request. */
+export function isRequestPart(part: string): boolean {
+  return part.startsWith(requestPrefix);
+}
+
 /** Key of a set of parts, whatever their order. */
 export function partsKey(parts: readonly string[]): string {
   return crypto
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -1,5 +1,5 @@
 import type * as http from 'node:http';
-import { suspectableParts } from '../crashes/parts.js';
+import { requestPart, suspectableParts } from '../crashes/parts.js';
 import type { CallerRequest, ResponseHead } from '../contracts/RequestCodec.js';
 import type { Instant, Replica, Route } from '../Types.js';
 import { RequestWait } from '../waiting/RequestWait.js';
@@ -503,7 +503,12 @@
 
   private _brokenAnswer(): BrokenAnswer {
     const promptPartIds = (this._callerRequest?.promptPartIds ?? []).slice(0, maximumLoggedPromptParts);
-    return { promptPartIds, receivedBytes: this._relay.receivedBytes };
+    return { promptPartIds, requestPart: this._requestPart(), receivedBytes: this._relay.receivedBytes };
+  }
+
+  private _requestPart(): string {
+    const { method = '', url: path = '' } = this._request;
+    return requestPart({ method, host: this._callerRequest?.host ?? '', path, body: this._body });
   }
 
   private _nowMs(): number {
--- a/packages/gateway/src/forwarding/ExchangeResult.ts
+++ b/packages/gateway/src/forwarding/ExchangeResult.ts
@@ -4,6 +4,8 @@
 export interface BrokenAnswer {
   /** Identifiers of the prompt's parts, in order; a limited number. */
   readonly promptPartIds: readonly string[];
+  /** Stands for the content of the request: equal in the lines of requests with the same content. */
+  readonly requestPart: string;
   readonly receivedBytes: number;
 }
 
