Block a request as a whole when it ends the replicas that run it

One request, sent again by its caller to any daemon, ended 10 and 12 replicas. Evidence consisted of shared prompt parts only: plain requests have none, so the end of their replica was not even looked at, and the shared parts of a streamed one were cleared by sound requests between two crashes.

The content of a request (method, host, path, body), as a digest, is one more part of it, for the same reports, suspicions, trials and blocks. Prompt parts cannot take its form. The caller is not part of the identity: it is not named on the wire, and the copies come from different addresses.

--- a/packages/gateway/src/crashes/CrashGuard.ts
+++ b/packages/gateway/src/crashes/CrashGuard.ts
@@ -1,6 +1,6 @@
 import * as common from '@jayhaven/common';
 import { AnsweredParts } from './AnsweredParts.js';
-import { includesAll, partsKey } from './parts.js';
+import { includesAll, isFirstOfPrompt, partsKey } from './parts.js';
 import { isSuspected } from './suspicion.js';
 import type { AnsweredPart, PartBlock, PartVerdict, SuspectedPart, SuspectsMessage } from './Types.js';
 
@@ -45,13 +45,13 @@
   /** Fires when a granted trial has ended or was not used. */
   public readonly onTrialEnded = this._onTrialEnded.event;
 
-  /** Decides on a request by the parts of its prompt. */
+  /** Decides on a request by its parts. */
   public check(parts: readonly string[], nowMs: number): PartVerdict {
     const blocked = this._blockFor(parts, nowMs);
     if (blocked !== undefined) {
       return { kind: 'blocked', parts: blocked.block.parts, leftMs: blocked.untilMs - nowMs };
     }
-    const suspected = parts.filter((part, index) => this._isSuspected(part, index === 0, nowMs));
+    const suspected = parts.filter((part, index) => this._isSuspected(part, isFirstOfPrompt(part, index), nowMs));
     return suspected.length === 0 ? { kind: 'free' } : { kind: 'suspected', parts: suspected };
   }
 
--- a/packages/gateway/src/crashes/CrashLedger.ts
+++ b/packages/gateway/src/crashes/CrashLedger.ts
@@ -1,6 +1,6 @@
 import { evictOldest } from '../evictOldest.js';
 import { AnsweredParts } from './AnsweredParts.js';
-import { includesAll, partsKey } from './parts.js';
+import { includesAll, isFirstOfPrompt, partsKey } from './parts.js';
 import { isCertain, isSuspected } from './suspicion.js';
 import type { CrashReport, PartBlock, SuspectedPart, SuspectsMessage, UnansweredRequest } from './Types.js';
 
@@ -36,7 +36,7 @@
 }
 
 /**
- * Decides which parts of prompts end the replicas that begin to answer them. A crash counts against the parts of the
+ * Decides which parts of prompts, and which requests as a whole, end the replicas that begin to answer them. A crash counts against the parts of the
  * requests that the replica had not answered; an answer on a replica that goes on clears its parts. Parts that remain are
  * tried one request at a time, and blocked after some rounds. A round is the crash of a trial, or any number of crashes
  * without a trial within a second.
@@ -217,7 +217,7 @@
     const roundsOf = (part: string): number => this._parts.get(part)?.rounds ?? 0;
     const certain = parts.filter((part, index) => {
       const answeredAgeMs = this._answered.ageMs(part, nowMs);
-      return isCertain({ rounds: roundsOf(part), answeredAgeMs, isFirst: index === 0 });
+      return isCertain({ rounds: roundsOf(part), answeredAgeMs, isFirst: isFirstOfPrompt(part, index) });
     });
     const rounds = Math.max(0, ...certain.map(roundsOf));
     return { parts: rounds === 0 ? [] : parts.filter((part) => roundsOf(part) === rounds), rounds };
--- a/packages/gateway/src/crashes/CrashObserver.ts
+++ b/packages/gateway/src/crashes/CrashObserver.ts
@@ -55,9 +55,6 @@
   }
 
   private _recordLost(replica: Replica, request: LostRequest): void {
-    if (request.parts.length === 0) {
-      return;
-    }
     const nowMs = this._clock.now().steadyMs;
     this._guard.suspect(request.parts, nowMs);
     const key = `${replica.id} ${replica.bornMs}`;
--- a/packages/gateway/src/crashes/Types.ts
+++ b/packages/gateway/src/crashes/Types.ts
@@ -1,6 +1,6 @@
 /** A request that a replica had not answered when it ended. */
 export interface UnansweredRequest {
-  /** Identifiers of the prompt's parts that can be the cause, in order. */
+  /** The prompt's parts that can be the cause, in order, and the part that stands for the whole request. */
   readonly parts: readonly string[];
   /** True if the request was sent as a trial of suspected parts. */
   readonly isTrial: boolean;
--- a/packages/gateway/src/crashes/crashingParts.test.ts
+++ b/packages/gateway/src/crashes/crashingParts.test.ts
@@ -23,6 +23,8 @@
     replicaCount: 12,
     requestsPerSecond: 60,
     crashingShare: 0.05,
+    crashingKind: 'part',
+    popularShare: 0.1,
     callerCount: 30,
     durationMs,
     faults: calm,
@@ -32,9 +34,10 @@
   return new CrashSimulation(options).run();
 }
 
-function lateArrivals({ crashesMs, crashingArrivalsMs }: CrashSimulationResult): number {
-  const fifthMs = crashesMs[4];
-  return fifthMs === undefined ? 0 : crashingArrivalsMs.filter((timeMs) => timeMs > fifthMs + reactionMs).length;
+/** Arrivals at replicas later than the reaction time after a crash, which is counted from 1. */
+function lateArrivals({ crashesMs, crashingArrivalsMs }: CrashSimulationResult, crash: number): number {
+  const fromMs = (crashesMs[crash - 1] ?? Number.POSITIVE_INFINITY) + reactionMs;
+  return crashingArrivalsMs.filter((timeMs) => timeMs > fromMs).length;
 }
 
 function answeredShare(requests: readonly SoundRequest[]): number {
@@ -56,7 +59,7 @@
       const shares = fastCheck.constantFrom(0.02, 0.05, 0.2, 0.5);
       const property = fastCheck.property(fastCheck.nat(), shares, someFaults, (seed, crashingShare, faults) => {
         const result = simulate({ daemonCount, crashingShare, faults, requestsPerSecond: 30 + daemonCount }, seed);
-        vitest.expect(lateArrivals(result)).toBeLessThanOrEqual(toleratedArrivals);
+        vitest.expect(lateArrivals(result, 5)).toBeLessThanOrEqual(toleratedArrivals);
       });
       fastCheck.assert(property, { numRuns: daemonCount > 9 ? 10 : 40, seed: 27 });
     },
@@ -79,13 +82,44 @@
   );
 });
 
+vitest.describe('a request that ends replicas', () => {
+  vitest.test.each(daemonCounts)(
+    'stops reaching replicas with %i daemons under faults (guards against daemons that each find out alone)',
+    (daemonCount) => {
+      const shares = fastCheck.constantFrom(0.02, 0.05, 0.2, 0.5);
+      const property = fastCheck.property(fastCheck.nat(), shares, someFaults, (seed, crashingShare, faults) => {
+        const changes = { daemonCount, crashingShare, faults, requestsPerSecond: 30 + daemonCount };
+        const result = simulate({ ...changes, crashingKind: 'request' }, seed);
+        vitest.expect(lateArrivals(result, 3)).toBeLessThanOrEqual(toleratedArrivals);
+      });
+      fastCheck.assert(property, { numRuns: daemonCount > 9 ? 10 : 40, seed: 30 });
+    },
+    60_000,
+  );
+
+  vitest.test.each(daemonCounts)(
+    'leaves sound requests with the same parts served with %i daemons (guards against blocked companions)',
+    (daemonCount) => {
+      const shares = fastCheck.constantFrom(0.05, 0.2, 0.5);
+      const property = fastCheck.property(fastCheck.nat(), shares, (seed, crashingShare) => {
+        const result = simulate({ daemonCount, crashingShare, crashingKind: 'request', popularShare: 0.3 }, seed);
+        const fromMs = (result.crashesMs[2] ?? result.crashesMs.at(-1) ?? 0) + 2 * reactionMs;
+        const late = result.soundRequests.filter(({ atMs }) => atMs > fromMs && atMs < durationMs - 1_000);
+        vitest.expect(answeredShare(late)).toBeGreaterThan(0.9);
+      });
+      fastCheck.assert(property, { numRuns: daemonCount > 9 ? 8 : 25, seed: 31 });
+    },
+    60_000,
+  );
+});
+
 vitest.describe('crashes of other causes', () => {
   vitest.test('rarely block a part (guards against sound requests refused for a coincidence)', () => {
     let crashes = 0;
     let blocks = 0;
     for (let seed = 1; seed <= 40; seed += 1) {
       const faults = { ...calm, singleCrash: 0.3, massCrash: 0.05, flappingShare: seed % 2 === 0 ? 0.25 : 0 };
-      const result = simulate({ crashingShare: 0, faults, callerCount: 400 }, seed);
+      const result = simulate({ crashingShare: 0, popularShare: 0.3, faults, callerCount: 400 }, seed);
       crashes += result.otherCrashes;
       blocks += result.wrongBlocks.length;
     }
--- a/packages/gateway/src/crashes/decideTrial.ts
+++ b/packages/gateway/src/crashes/decideTrial.ts
@@ -25,7 +25,7 @@
     ? { kind: 'wait' }
     : {
         kind: 'refuse',
-        reason: 'parts of the prompt are suspected of ending replicas',
+        reason: 'the request or parts of its prompt are suspected of ending replicas',
         retryAfterMs: trialRetryAfterMs,
       };
 }
--- a/packages/gateway/src/crashes/parts.ts
+++ b/packages/gateway/src/crashes/parts.ts
@@ -5,12 +5,17 @@
 const maximumParts = 64;
 
 /**
- * Parts of a prompt that can make a replica end: all but the last one, which belongs to the request alone and so cannot
- * be common to several crashes.
+ * What can make a replica end: the parts of the prompt that other requests may share, and the request as a whole. The
+ * last part of a prompt belongs to the request alone.
  */
-export function suspectableParts(promptPartIds: readonly string[]): readonly string[] {
-  const shared = promptPartIds.slice(0, -1).filter((part) => part.length <= maximumPartLength);
-  return [...new Set(shared)].slice(0, maximumParts);
+export function suspectableParts(promptPartIds: readonly string[], wholeRequest: string): readonly string[] {
+  const shared = promptPartIds.slice(0, -1).filter((part) => part.length <= maximumPartLength && !isRequestPart(part));
+  return [...[...new Set(shared)].slice(0, maximumParts), wholeRequest];
+}
+
+/** True if the part at an index begins a prompt; most prompts of a route begin with the same one. */
+export function isFirstOfPrompt(part: string, index: number): boolean {
+  return index === 0 && !isRequestPart(part);
 }
 
 /** Begins the part that stands for a whole request. Identifiers of prompt parts have no colon. */
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -50,9 +50,11 @@
   private _finished = false;
   /** Leader's estimate on which a refusal is based, milliseconds. */
   private _readyInMs: number | undefined;
-  /** Parts of the prompt that can make a replica end. */
+  /** Stands for the content of the request. */
+  private _requestPart = '';
+  /** What can make a replica end. */
   private _suspectableParts: readonly string[] = [];
-  /** Parts of the prompt for which the request was refused. */
+  /** Parts for which the request was refused. */
   private _blockedParts: readonly string[] | undefined;
   /** Replica with a rate limit that the request waits for a permit of. */
   private _limitedReplicaId: string | undefined;
@@ -100,6 +102,7 @@
         this._respond({ status: 413, outcome: 'invalidRequest', reason });
       } else if (outcome !== 'broken') {
         this._body = outcome;
+        this._identify();
         this._dispatch();
       }
     });
@@ -115,21 +118,24 @@
     }
     const { callerRequest, route, service, configurationVersion } = admission.request;
     this._callerRequest = callerRequest;
-    this._suspectableParts = suspectableParts(callerRequest.promptPartIds);
     this._route = route;
     this._service = service;
     this._configurationVersion = configurationVersion;
     this._deadline.start(this._startedMs, callerRequest.deadlineMs, route.timeoutMs);
     retryBudgets.recordRequest(service, this._startedMs);
-    if (callerRequest.modelReference !== undefined && !this._isBlocked()) {
-      this._context.recordArrival(callerRequest.modelReference, route);
-    }
     return true;
   }
 
-  /** True if the request will be refused for parts of its prompt; its model is then not in demand. */
-  private _isBlocked(): boolean {
-    return this._context.crashGuard.check(this._suspectableParts, this._startedMs).kind === 'blocked';
+  /** Determines what can make a replica end, and counts the request in the demand for its model unless it is blocked. */
+  private _identify(): void {
+    const { promptPartIds = [], modelReference, host = '' } = this._callerRequest ?? {};
+    const { method = '', url: path = '' } = this._request;
+    this._requestPart = requestPart({ method, host, path, body: this._body });
+    this._suspectableParts = suspectableParts(promptPartIds, this._requestPart);
+    const isBlocked = this._context.crashGuard.check(this._suspectableParts, this._nowMs()).kind === 'blocked';
+    if (modelReference !== undefined && this._route !== undefined && !isBlocked) {
+      this._context.recordArrival(modelReference, this._route);
+    }
   }
 
   /** Sends the request to the best replica, queues it or refuses it. Returns false if the request has to wait. */
@@ -503,12 +509,7 @@
 
   private _brokenAnswer(): BrokenAnswer {
     const promptPartIds = (this._callerRequest?.promptPartIds ?? []).slice(0, maximumLoggedPromptParts);
-    return { promptPartIds, requestPart: this._requestPart(), receivedBytes: this._relay.receivedBytes };
-  }
-
-  private _requestPart(): string {
-    const { method = '', url: path = '' } = this._request;
-    return requestPart({ method, host: this._callerRequest?.host ?? '', path, body: this._body });
+    return { promptPartIds, requestPart: this._requestPart, receivedBytes: this._relay.receivedBytes };
   }
 
   private _nowMs(): number {
--- a/packages/gateway/src/forwarding/crashingRequests.test.ts
+++ b/packages/gateway/src/forwarding/crashingRequests.test.ts
@@ -7,6 +7,8 @@
 const head = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\nContent-Type: text/event-stream\r\n\r\n';
 const event = 'data: x\n\n';
 const request = { headers: { 'x-model': 'm', 'x-parts': 'f1,bad,e1' } };
+/** The part that stands for the whole request. */
+const wholeRequest: unknown = vitest.expect.stringMatching(/^request:[0-9a-f]{32}$/);
 const block = { parts: ['bad'], leftMs: 60_000, repetition: 1 };
 
 /** Ends the replica: it closes all connections and accepts no others. */
@@ -20,13 +22,15 @@
 const answers: ReplicaScript = (socket) => socket.end(`${head}${event}${event}`);
 
 vitest.describe('a request that may have ended its replica', () => {
-  vitest.test('is reported with the parts of its prompt but the last', async () => {
+  vitest.test('is reported with itself and the parts of its prompt but the last', async () => {
     await using fixture = new ExchangeFixture({ kind: 'stream' });
     await fixture.addReplica(crashes);
     await fixture.open();
     vitest.expect(await fixture.call(request)).toMatchObject({ status: 502 });
     await vitest.vi.waitFor(() => {
-      vitest.expect(fixture.crashReports).toMatchObject([{ replicaId: 'r0', requests: [{ parts: ['f1', 'bad'] }] }]);
+      vitest
+        .expect(fixture.crashReports)
+        .toMatchObject([{ replicaId: 'r0', requests: [{ parts: ['f1', 'bad', wholeRequest] }] }]);
     });
   });
 
@@ -41,10 +45,10 @@
       fixture.crashGuard.onTrialRequested((parts) => trials.push(parts));
       const pending = fixture.call(request);
       await vitest.vi.waitFor(() => {
-        vitest.expect(trials).toEqual([['bad']]);
+        vitest.expect(trials).toEqual([['bad', wholeRequest]]);
       });
       vitest.expect(fixture.requestHeads.length).toBe(1);
-      fixture.crashGuard.grantTrial(['bad'], performance.now());
+      fixture.crashGuard.grantTrial(trials[0] ?? [], performance.now());
       vitest.expect(await pending).toMatchObject({ status: 200, complete: true });
     },
   );
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -1,3 +1,4 @@
+import { isRequestPart } from '../crashes/parts.js';
 import { decideTrial } from '../crashes/decideTrial.js';
 import type { Candidate } from '../routing/chooseReplica.js';
 import { decideAdmission } from '../routing/decideAdmission.js';
@@ -12,7 +13,10 @@
 /** Retry-After while this daemon is stopping, milliseconds. The retry goes to another daemon. */
 const stoppingRetryAfterMs = 50;
 
-const blockedReason = 'parts of the prompt end the replicas that answer them';
+const blockedReasons = {
+  parts: 'parts of the prompt end the replicas that answer them',
+  request: 'the request ends the replicas that answer it',
+} as const;
 
 /** The state of a request on which a dispatch decision is based. */
 export interface DispatchInput {
@@ -20,7 +24,7 @@
   readonly route: Route;
   readonly modelReference: ModelReference | undefined;
   readonly promptPartIds: readonly string[];
-  /** Parts of the prompt that can make a replica end. */
+  /** Parts of the prompt, and the part that stands for the whole request, that can make a replica end. */
   readonly suspectableParts: readonly string[];
   /** Replicas at which an attempt of the request has just failed. */
   readonly excluded: ReadonlySet<string>;
@@ -94,7 +98,8 @@
   }
   const verdict = context.crashGuard.check(input.suspectableParts, now.steadyMs);
   if (verdict.kind === 'blocked') {
-    return { kind: 'refuse', reason: blockedReason, retryAfterMs: verdict.leftMs, blockedParts: verdict.parts };
+    const reason = blockedReasons[verdict.parts.some(isRequestPart) ? 'request' : 'parts'];
+    return { kind: 'refuse', reason, retryAfterMs: verdict.leftMs, blockedParts: verdict.parts };
   }
   const decision = decideByCapacity(input, context, now);
   if (verdict.kind === 'free' || decision.kind !== 'send') {
--- a/packages/gateway/src/testing/CrashSimulation.ts
+++ b/packages/gateway/src/testing/CrashSimulation.ts
@@ -18,7 +18,9 @@
 const tickMs = 100;
 /** Time that a caller waits for the first byte, milliseconds. */
 const callerWaitMs = 2_000;
-export const crashingPart = 'crashing';
+/** The crashing part of prompts, and the part that stands for the crashing request. */
+const crashingParts = { part: 'crashing', request: 'request:crashing' } as const;
+const popularRequests = 10;
 
 interface SimulatedRequest {
   readonly daemon: SimulatedDaemon;
@@ -50,6 +52,7 @@
   private _nowMs = 0;
   private readonly _crashesMs: number[] = [];
   private _otherCrashes = 0;
+  private _requestCount = 0;
   private readonly _crashingArrivalsMs: number[] = [];
   private readonly _soundRequests: SoundRequest[] = [];
   private readonly _wrongBlocks: (readonly string[])[] = [];
@@ -100,7 +103,7 @@
   }
 
   private _arrive(): void {
-    const { random, crashingShare, callerCount } = this._options;
+    const { random, crashingShare, crashingKind, callerCount } = this._options;
     const isCrashing = this._nowMs > 1_000 && random() < crashingShare;
     const first = random() < 0.8 || isCrashing ? 'f0' : 'f1';
     // A few callers send most requests.
@@ -109,8 +112,16 @@
     if (daemon === undefined) {
       return;
     }
-    const parts = [first, `c${caller}`, ...(isCrashing ? [crashingPart] : [])];
-    this._dispatch({ daemon, parts, atMs: this._nowMs });
+    const part = isCrashing && crashingKind === 'part' ? [crashingParts.part] : [];
+    const request = isCrashing && crashingKind === 'request' ? crashingParts.request : this._soundRequestPart();
+    this._dispatch({ daemon, parts: [first, `c${caller}`, ...part, request], atMs: this._nowMs });
+  }
+
+  private _soundRequestPart(): string {
+    const { random, popularShare } = this._options;
+    this._requestCount += 1;
+    const isPopular = random() < popularShare;
+    return isPopular ? `request:popular-${Math.floor(popularRequests * random())}` : `request:${this._requestCount}`;
   }
 
   /** Returns false if the request waits. */
@@ -268,7 +279,7 @@
           return;
         }
         this._stored.set(key, block);
-        if (!block.parts.includes(crashingPart)) {
+        if (!isCrashing(block)) {
           this._wrongBlocks.push(block.parts);
         }
       },
@@ -405,6 +416,6 @@
   }
 }
 
-function isCrashing({ parts }: SimulatedRequest): boolean {
-  return parts.includes(crashingPart);
+function isCrashing({ parts }: Pick<SimulatedRequest, 'parts'>): boolean {
+  return parts.includes(crashingParts.part) || parts.includes(crashingParts.request);
 }
--- a/packages/gateway/src/testing/CrashSimulationTypes.ts
+++ b/packages/gateway/src/testing/CrashSimulationTypes.ts
@@ -15,8 +15,12 @@
   readonly daemonCount: number;
   readonly replicaCount: number;
   readonly requestsPerSecond: number;
-  /** Share of the requests with the crashing part; they arrive from the second second on. */
+  /** Share of the requests that crash; they arrive from the second second on. */
   readonly crashingShare: number;
+  /** What crashes: requests with a prompt part, no two alike, or one request that comes again. */
+  readonly crashingKind: 'part' | 'request';
+  /** Share of the sound requests that are among a few popular ones, which come again with the same content. */
+  readonly popularShare: number;
   readonly callerCount: number;
   readonly durationMs: number;
   readonly faults: CrashFaults;
@@ -26,13 +30,13 @@
 
 /** What happened in a simulation. Times are in milliseconds from its start. */
 export interface CrashSimulationResult {
-  /** Crashes by the crashing part. */
+  /** Crashes by the crashing part or request. */
   readonly crashesMs: readonly number[];
   readonly otherCrashes: number;
-  /** Arrivals of the crashing part at replicas. */
+  /** Arrivals of the crashing part or request at replicas. */
   readonly crashingArrivalsMs: readonly number[];
   readonly soundRequests: readonly SoundRequest[];
-  /** Blocks without the crashing part. */
+  /** Blocks without the crashing part or request. */
   readonly wrongBlocks: readonly (readonly string[])[];
 }
 
