--- a/packages/gateway/src/crashes/parts.ts
+++ b/packages/gateway/src/crashes/parts.ts
@@ -29,13 +29,15 @@
   readonly host: string;
   /** Path with the query. */
   readonly path: string;
+  /** Identifiers of all parts of the prompt, which are another form of the body. */
+  readonly promptPartIds: readonly string[];
   readonly body: Buffer;
 }
 
 /** The part that stands for a whole request: equal for requests with the same content, and says nothing about it. */
-export function requestPart({ method, host, path, body }: RequestContent): string {
+export function requestPart({ method, host, path, promptPartIds, body }: RequestContent): string {
   // The head is one line of JSON, so its end is certain whatever it contains.
-  const head = JSON.stringify([method, host, path]);
+  const head = JSON.stringify([method, host, path, promptPartIds]);
   const digest = crypto.createHash('sha256').update(`${head}\n`).update(body).digest('hex');
   return `${requestPrefix}${digest.slice(0, digestLength)}`;
 }
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -130,7 +130,7 @@
   private _identify(): void {
     const { promptPartIds = [], modelReference, host = '' } = this._callerRequest ?? {};
     const { method = '', url: path = '' } = this._request;
-    this._requestPart = requestPart({ method, host, path, body: this._body });
+    this._requestPart = requestPart({ method, host, path, promptPartIds, body: this._body });
     this._suspectableParts = suspectableParts(promptPartIds, this._requestPart);
     const isBlocked = this._context.crashGuard.check(this._suspectableParts, this._nowMs()).kind === 'blocked';
     if (modelReference !== undefined && this._route !== undefined && !isBlocked) {
