--- a/packages/gateway/src/replicas/restoredTables.test.ts
+++ b/packages/gateway/src/replicas/restoredTables.test.ts
@@ -144,4 +144,22 @@
     follow(late, state);
     vitest.expect(JSON.parse(late.records()[0]?.value ?? '')).toMatchObject({ state: 'draining' });
   });
+
+  vitest.test('ignore what a peer sends of an earlier era (guards against replicas that have left)', () => {
+    const state = new TableState(byState);
+    const value = JSON.stringify(sampleReplica());
+    state.applyTable({ records: [{ key: 'r2', offset: 0, value }], end: 1, era: 2 });
+    vitest.expect(state.applyChanges({ records: [{ key: 'r1', offset: 8, value }], end: 9, era: 1 })).toEqual([]);
+    vitest.expect(state.records().map(({ key }) => key)).toEqual(['r2']);
+  });
+
+  vitest.test('advance only within their era (guards against records that are skipped)', () => {
+    const state = new TableState(byState);
+    state.applyTable({ records: [], end: 3, era: 2 });
+    state.advanceTo({ era: 1, offset: 9 });
+    state.advanceTo({ era: 3, offset: 9 });
+    vitest.expect(state.position).toEqual({ era: 2, offset: 3 });
+    state.advanceTo({ era: 2, offset: 4 });
+    vitest.expect(state.position).toEqual({ era: 2, offset: 4 });
+  });
 });
