--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -13,8 +13,8 @@
 import { LeaderElector } from './leadership/LeaderElector.js';
 import type { GatewayPlatform, GatewaySettings } from './GatewayTypes.js';
 import { pause } from './pause.js';
-import type { PeerMessage } from './peers/PeerChannel.js';
-import { PeerServer, type ReceivedMessage } from './peers/PeerServer.js';
+import { MessageReceiver } from './peers/MessageReceiver.js';
+import { PeerServer } from './peers/PeerServer.js';
 import { PeerClient } from './peers/PeerClient.js';
 import { CrashCoordinator } from './peers/CrashCoordinator.js';
 import { LeaderMessages } from './peers/LeaderMessages.js';
@@ -22,7 +22,7 @@
 import { RateLimitCoordinator } from './peers/RateLimitCoordinator.js';
 import { messageIntervals } from './peers/messageIntervals.js';
 import { Reporter } from './peers/Reporter.js';
-import type { DaemonReport, LeaderStatus, LeavingMessage, TableMessage } from './peers/Types.js';
+import type { DaemonReport, LeaderStatus, TableMessage } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
 import { RateLimitedEngineClient } from './rateLimits/RateLimitedEngineClient.js';
@@ -71,6 +71,7 @@
   private readonly _crashObserver: CrashObserver;
   private readonly _crashCoordinator: CrashCoordinator;
   private readonly _agent = new ReplicaAgent();
+  private readonly _messageReceiver: MessageReceiver;
   private readonly _callers: CallerServer;
   private _tickTimer: NodeJS.Timeout | undefined;
   private readonly _stopSchedule: StopSchedule;
@@ -161,6 +162,7 @@
       () => this._leaderView.daemonCount,
       _clock,
     );
+    this._messageReceiver = this._createMessageReceiver();
     this._callers = new CallerServer(this._exchangeContext(), _settings.callers, _log.child('callers'));
     this._connectComponents();
   }
@@ -237,6 +239,26 @@
     this._tables.setTiming(timing);
   }
 
+  private _createMessageReceiver(): MessageReceiver {
+    return new MessageReceiver({
+      server: this._peerServer,
+      client: this._peerClient,
+      tables: this._tables,
+      directory: this._directory,
+      leaseStore: this._leaseStore,
+      leaderMessages: this._leaderMessages,
+      applyStatus: (status) => {
+        this._applyStatus(status);
+      },
+      applyLoads: (running) => {
+        this._applyLoads(running);
+      },
+      applyEstimates: (estimates) => {
+        this._leaderView.applyEstimates(estimates, this._nowMs());
+      },
+    });
+  }
+
   private _connectComponents(): void {
     this._tables.onUpdate((update) => {
       this._applyTableUpdate(update);
@@ -263,64 +285,6 @@
     this._leader.onHoldings((holdings) => {
       this._directory.applyHoldings(holdings);
     });
-    this._peerServer.onMessage((received) => {
-      this._receiveFromFollower(received);
-    });
-    this._peerServer.onJoined((channel) => {
-      for (const [replicaId, bornMs] of this._directory.leavingReplicas()) {
-        channel.send('leaving', { replicaId, bornMs });
-      }
-    });
-    this._peerClient.onMessage((message) => {
-      this._receiveFromLeader(message);
-    });
-    this._peerClient.onConnected((channel) => {
-      this._tables.followPeer(channel);
-    });
-  }
-
-  private _receiveFromLeader(message: PeerMessage): void {
-    if (message.method === 'table') {
-      this._tables.applyFromFollowedPeer(message.params);
-    } else if (message.method === 'holdings') {
-      for (const holdings of message.params.replicas) {
-        this._directory.applyHoldings(holdings);
-      }
-    } else if (message.method === 'status') {
-      this._applyStatus(message.params);
-    } else if (message.method === 'loads') {
-      this._applyLoads(new Map(Object.entries(message.params.running)));
-    } else if (message.method === 'estimates') {
-      this._leaderView.applyEstimates(message.params.estimates, this._nowMs());
-    } else if (message.method === 'leaving') {
-      this._markLeaving(message.params);
-    } else if (message.method === 'leaseCall') {
-      void this._leaseStore.serve(message.params).then((reply) => {
-        this._peerClient.send('leaseReply', reply);
-      });
-    }
-  }
-
-  private _receiveFromFollower({ channel, message }: ReceivedMessage): void {
-    if (message.method === 'report') {
-      this._leaderMessages.applyReport(channel, message.params);
-    } else if (message.method === 'known') {
-      this._tables.sendMissingRecords(channel, message.params);
-    } else if (message.method === 'table') {
-      this._tables.applyFromPeer(message.params);
-    } else if (message.method === 'leaving') {
-      this._markLeaving(message.params);
-    } else if (message.method === 'leaseReply') {
-      this._leaseStore.applyReply(message.params);
-    }
-  }
-
-  /** Takes a replica that has announced that it is leaving out of use, and notifies the peers. */
-  private _markLeaving(message: LeavingMessage): void {
-    if (this._directory.markLeaving(message.replicaId, message.bornMs)) {
-      this._peerServer.broadcast('leaving', message);
-      this._peerClient.send('leaving', message);
-    }
   }
 
   private _applyTableUpdate(update: TableUpdate): void {
@@ -448,7 +412,7 @@
       readyInMs: (model) => this._readyInMs(model),
       randomSlots: () => Math.random() * spreadSlots(this._leaderView.daemonCount),
       markReplicaLeaving: ({ id, bornMs }) => {
-        this._markLeaving({ replicaId: id, bornMs });
+        this._messageReceiver.markLeaving({ replicaId: id, bornMs });
       },
       recordArrival: (modelReference, route) => {
         this._arrivals.record(modelReference, route.latencyTargetMs);
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -1,11 +1,11 @@
 import type * as http from 'node:http';
-import { requestPart, suspectableParts } from '../crashes/parts.js';
 import type { CallerRequest, ResponseHead } from '../contracts/RequestCodec.js';
 import type { Instant, Replica, Route } from '../Types.js';
 import { RequestWait } from '../waiting/RequestWait.js';
 import type { WaitingRequest } from '../waiting/WaitingRequests.js';
 import { discardBody } from './discardBody.js';
 import { recordResponseHead } from './recordResponseHead.js';
+import { identifyRequest, type RequestIdentity, unidentified } from './identifyRequest.js';
 import { readBody } from './readBody.js';
 import { admitRequest, type LocalResponse } from './admitRequest.js';
 import { ResponseRelay } from './ResponseRelay.js';
@@ -50,10 +50,7 @@
   private _finished = false;
   /** Leader's estimate on which a refusal is based, milliseconds. */
   private _readyInMs: number | undefined;
-  /** Stands for the content of the request. */
-  private _requestPart = '';
-  /** What can make a replica end. */
-  private _suspectableParts: readonly string[] = [];
+  private _identity: RequestIdentity = unidentified;
   /** Parts for which the request was refused. */
   private _blockedParts: readonly string[] | undefined;
   /** Replica with a rate limit that the request waits for a permit of. */
@@ -102,7 +99,7 @@
         this._respond({ status: 413, outcome: 'invalidRequest', reason });
       } else if (outcome !== 'broken') {
         this._body = outcome;
-        this._identify();
+        this._recordDemand();
         this._dispatch();
       }
     });
@@ -126,15 +123,16 @@
     return true;
   }
 
-  /** Determines what can make a replica end, and counts the request in the demand for its model unless it is blocked. */
-  private _identify(): void {
-    const { promptPartIds = [], modelReference, host = '' } = this._callerRequest ?? {};
-    const { method = '', url: path = '' } = this._request;
-    this._requestPart = requestPart({ method, host, path, promptPartIds, body: this._body });
-    this._suspectableParts = suspectableParts(promptPartIds, this._requestPart);
-    const isBlocked = this._context.crashGuard.check(this._suspectableParts, this._nowMs()).kind === 'blocked';
-    if (modelReference !== undefined && this._route !== undefined && !isBlocked) {
-      this._context.recordArrival(modelReference, this._route);
+  /** Identifies the request, and counts it in the demand for its model unless it is blocked. */
+  private _recordDemand(): void {
+    const callerRequest = this._callerRequest;
+    if (callerRequest === undefined || this._route === undefined) {
+      return;
+    }
+    this._identity = identifyRequest(this._request, callerRequest, this._body);
+    const verdict = this._context.crashGuard.check(this._identity.suspectableParts, this._nowMs());
+    if (callerRequest.modelReference !== undefined && verdict.kind !== 'blocked') {
+      this._context.recordArrival(callerRequest.modelReference, this._route);
     }
   }
 
@@ -180,7 +178,7 @@
       route,
       modelReference: this._callerRequest?.modelReference,
       promptPartIds: promptPartKeys(this._callerRequest),
-      suspectableParts: this._suspectableParts,
+      suspectableParts: this._identity.suspectableParts,
       excluded: this._history.excluded,
       mayHaveRun: this._history.possibleRuns > 0,
       waitedMs: this._wait.waitedMs(nowMs),
@@ -254,7 +252,7 @@
         },
       },
     );
-    const observation = this._context.crashObserver.observe(replica, this._suspectableParts, trialParts);
+    const observation = this._context.crashObserver.observe(replica, this._identity.suspectableParts, trialParts);
     this._attempt.start(attempt, callerRequest.modelReference, promptPartKeys(callerRequest), observation);
     this._startInactivityTimer();
   }
@@ -509,7 +507,7 @@
 
   private _brokenAnswer(): BrokenAnswer {
     const promptPartIds = (this._callerRequest?.promptPartIds ?? []).slice(0, maximumLoggedPromptParts);
-    return { promptPartIds, requestPart: this._requestPart, receivedBytes: this._relay.receivedBytes };
+    return { promptPartIds, requestPart: this._identity.wholeRequest, receivedBytes: this._relay.receivedBytes };
   }
 
   private _nowMs(): number {
--- a/packages/gateway/src/leadership/LeaseStore.ts
+++ b/packages/gateway/src/leadership/LeaseStore.ts
@@ -14,11 +14,17 @@
   writeLease(expectedEnd: TablePosition, value: string): Promise<common.Outcome<number, StoreFailure>>;
 }
 
+/** The lease calls that daemons make for one another. */
+export interface LeaseStoreMessages {
+  serve(call: LeaseCall): Promise<LeaseReply>;
+  applyReply(reply: LeaseReply): void;
+}
+
 /**
  * Reads and writes the lease in the store, or through a peer while this daemon does not reach the store. Every write is
  * conditional on the expected end, so a call without an answer and its repetition by a peer never both take effect.
  */
-export class PeerAssistedLeaseStore implements LeaseStore {
+export class PeerAssistedLeaseStore implements LeaseStore, LeaseStoreMessages {
   private readonly _pending = new Map<number, (reply: LeaseReply) => void>();
   private _nextCall = 0;
   private _lastFailureMs = Number.NEGATIVE_INFINITY;
