Bound the grace of replicas that a restored store lacks by the time since the restore

A daemon that learns of the era but does not reach the store stays in the era before, so each later removal counted as one by the copy and had 2.3 s of grace, more than the 2 s for which a leaving replica takes requests. The grace now ends 2.3 s after the daemon learned of the restore.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -291,7 +291,11 @@
     const nowMs = this._nowMs();
     const records = this._routingTables.apply(update, {
       nowMs,
-      removalGraceMs: removalGraceMs(this._tables.lastReplicaReadFailureMs, nowMs, update.isRestored),
+      removalGraceMs: removalGraceMs(
+        this._tables.lastReplicaReadFailureMs,
+        nowMs,
+        update.isRestored ? this._tables.restoredMs : undefined,
+      ),
       ...(update.isRestored && { returnDelayMs: returnDelayMs(this._settings.replicaLivenessMs) }),
     });
     if (records.length > 0) {
--- a/packages/gateway/src/replicas/StoreTables.ts
+++ b/packages/gateway/src/replicas/StoreTables.ts
@@ -21,16 +21,17 @@
   /** Era in which the followed peer was last asked for a full table, by table. */
   private readonly _askedInEra = new Map<TableName, number>();
   private _eraTimer: NodeJS.Timeout | undefined;
+  private _restoredMs = Number.NEGATIVE_INFINITY;
 
   public constructor(
     private readonly _store: MetadataStore,
     /** Time until this daemon reads the store after a peer has announced another era, milliseconds. */
     private readonly _eraDelayMs: () => number,
-    clock: Clock,
+    private readonly _clock: Clock,
     log: common.Logger,
   ) {
     const createSynchronizer = (table: TableName, order: RecordOrder): TableSynchronizer => {
-      const synchronizer = new TableSynchronizer(_store, table, order, clock, log);
+      const synchronizer = new TableSynchronizer(_store, table, order, _clock, log);
       this._resources.register(synchronizer);
       synchronizer.onStranded((stranded) => {
         this._askFollowedPeer(stranded);
@@ -40,6 +41,9 @@
       });
       return synchronizer;
     };
+    _store.era.onChanged(() => {
+      this._restoredMs = this._clock.now().steadyMs;
+    });
     this._synchronizers = {
       configuration: createSynchronizer('configuration', new ConfigurationOrder(_store, log)),
       replicas: createSynchronizer('replicas', new ReplicaOrder(_store)),
@@ -71,6 +75,11 @@
     return this._synchronizers.replicas.lastFailureMs;
   }
 
+  /** When this daemon last learned that the store was restored, steady milliseconds; minus infinity if never. */
+  public get restoredMs(): number {
+    return this._restoredMs;
+  }
+
   /** Offsets before which all changes are known. */
   public endOffsets(): TableOffsets {
     const { configuration, replicas } = this._synchronizers;
@@ -124,6 +133,7 @@
   private _followEra(era: number | undefined): void {
     const known = this._store.era.current;
     if (era !== undefined && known !== undefined && era > known && this._eraTimer === undefined) {
+      this._restoredMs = this._clock.now().steadyMs;
       this._eraTimer = setTimeout(() => {
         this._eraTimer = undefined;
         this._store.era.observe(era);
--- a/packages/gateway/src/replicas/removalGrace.test.ts
+++ b/packages/gateway/src/replicas/removalGrace.test.ts
@@ -26,7 +26,9 @@
   vitest.test(
     'lasts until records are written again if a restored store lacks the record (guards against lost capacity)',
     () => {
-      vitest.expect(removalGraceMs(Number.NEGATIVE_INFINITY, 50_000, true)).toBe(2_300);
+      vitest.expect(removalGraceMs(Number.NEGATIVE_INFINITY, 50_000, 50_000)).toBe(2_300);
+      vitest.expect(removalGraceMs(Number.NEGATIVE_INFINITY, 52_000, 50_000)).toBe(300);
+      vitest.expect(removalGraceMs(Number.NEGATIVE_INFINITY, 55_000, 50_000)).toBe(0);
     },
   );
 });
--- a/packages/gateway/src/replicas/removalGrace.ts
+++ b/packages/gateway/src/replicas/removalGrace.ts
@@ -14,15 +14,14 @@
  * How long a replica stays in use after the removal of its record was read, milliseconds. During an outage of the
  * store, records of live replicas expire; these replicas stay in use until their records should have been written
  * again. A failed read of this daemon alone cannot be distinguished from an outage, so the grace period never exceeds
- * the time for which a replica that really leaves may still get requests. `isRestored`: the store was restored from a
- * copy that lacks the record. Nothing says that the replica leaves then, so it has the full time.
+ * the time for which a replica that really leaves may still get requests. `restoredMs`: when this daemon learned that the
+ * store was restored from a copy, if the copy lacks the record. Nothing says then that the replica leaves, so it stays in
+ * use until its record should have been written again.
  */
-export function removalGraceMs(lastFailureMs: number, nowMs: number, isRestored = false): number {
-  if (isRestored) {
-    return expiredRecordRewriteMs;
-  }
-  const untilRewrittenMs = lastFailureMs + expiredRecordRewriteMs - nowMs;
-  return Math.min(Math.max(untilRewrittenMs, 0), maximumGraceMs);
+export function removalGraceMs(lastFailureMs: number, nowMs: number, restoredMs = Number.NEGATIVE_INFINITY): number {
+  const afterOutageMs = Math.min(lastFailureMs + expiredRecordRewriteMs - nowMs, maximumGraceMs);
+  const afterRestoreMs = restoredMs + expiredRecordRewriteMs - nowMs;
+  return Math.max(afterOutageMs, afterRestoreMs, 0);
 }
 
 /**
