--- a/packages/gateway/src/crashes/crashingParts.test.ts
+++ b/packages/gateway/src/crashes/crashingParts.test.ts
@@ -98,7 +98,7 @@
   );
 
   vitest.test.each(daemonCounts)(
-    'leaves sound requests with the same parts served with %i daemons (guards against blocked companions)',
+    'leaves sound requests with the same parts served with %i daemons (guards against sound requests blocked with it)',
     (daemonCount) => {
       const shares = fastCheck.constantFrom(0.05, 0.2, 0.5);
       const property = fastCheck.property(fastCheck.nat(), shares, (seed, crashingShare) => {
--- a/packages/gateway/src/replicas/StoreTables.ts
+++ b/packages/gateway/src/replicas/StoreTables.ts
@@ -33,8 +33,8 @@
     const createSynchronizer = (table: TableName, order: RecordOrder): TableSynchronizer => {
       const synchronizer = new TableSynchronizer(_store, table, order, _clock, log);
       this._resources.register(synchronizer);
-      synchronizer.onStranded((stranded) => {
-        this._askFollowedPeer(stranded);
+      synchronizer.onTableUnreadable((unreadable) => {
+        this._askFollowedPeer(unreadable);
       });
       synchronizer.onUpdate((update) => {
         this._onUpdate.fire(update);
--- a/packages/gateway/src/replicas/TableSynchronizer.ts
+++ b/packages/gateway/src/replicas/TableSynchronizer.ts
@@ -72,9 +72,9 @@
   public readonly state: TableState;
   private readonly _onUpdate = new common.Emitter<TableUpdate>();
   public readonly onUpdate = this._onUpdate.event;
-  private readonly _onStranded = new common.Emitter<TableName>();
+  private readonly _onTableUnreadable = new common.Emitter<TableName>();
   /** Fires when the first table of a new era cannot be read, so that only a peer can supply it. */
-  public readonly onStranded = this._onStranded.event;
+  public readonly onTableUnreadable = this._onTableUnreadable.event;
   private _stopped = false;
   private _lastFailureMs = Number.NEGATIVE_INFINITY;
   private _available = true;
@@ -166,7 +166,7 @@
       this._needsFullRead = true;
       this._recordFailure(outcome.failure.message);
       if ((this._store.era.current ?? 0) > this.state.position.era) {
-        this._onStranded.fire(this._table);
+        this._onTableUnreadable.fire(this._table);
       }
       return 'failed';
     }
