Compare the eras of the lease's topic as the numbers that they are

The check for an answer of an earlier era wrapped both eras into positions first. Behaviour is unchanged; build, lint and the ten tests of the lease pass.

--- a/packages/gateway/src/leadership/LeaderElector.ts
+++ b/packages/gateway/src/leadership/LeaderElector.ts
@@ -1,6 +1,6 @@
 import * as common from '@jayhaven/common';
 import type { Clock } from '../Clock.js';
-import { isBefore, type LeaseSnapshot, type StoreFailure, type TablePosition } from '../contracts/MetadataStore.js';
+import type { LeaseSnapshot, StoreFailure, TablePosition } from '../contracts/MetadataStore.js';
 import type { Instant } from '../Types.js';
 import {
   decodeLease,
@@ -204,7 +204,7 @@
       return false;
     }
     const { end, era } = outcome.value;
-    if (this._end !== undefined && isBefore({ era, offset: 0 }, { era: this._end.era, offset: 0 })) {
+    if (this._end !== undefined && era < this._end.era) {
       // A peer answered that has not noticed the restore.
       return false;
     }
