--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,5 +1,5 @@
 /**
- * One of two replicas of a streaming service answers one request in a hundred with an event that never ends, until the
+ * One of two replicas of a streaming service answers every twenty-fifth of its requests with an event that never ends, until the
  * caller closes. The gateway that reads it stands still for seconds: requests of another service, which a sound replica
  * has answered in 20 ms, have no answer long after the timeout of their route.
  */
