--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,5 +1,6 @@
 /**
- * One of two replicas of a plain service spoils one byte of the status line of 2 in 100 of its answers. The gateways end
+ * One of two replicas of a plain service spoils one byte of the status line of 2 in 100 of its answers, for 5 s at a
+ * time. The gateways end
  * at such an answer, and with them the requests that the sound replica is working on.
  */
 import * as http from 'node:http';
@@ -13,9 +14,12 @@
 
 const machineCount = 3;
 const lengthMs = 60_000;
-const requestIntervalMs = 12;
+const requestIntervalMs = 8;
 /** Share of the answers of one replica that are spoilt: `garble` with its defaults. */
 const spoiltShare = 0.02;
+/** Length of each span with spoilt answers, `garble`'s default, and the pause after it, milliseconds. */
+const spanMs = 5_000;
+const pauseMs = 5_000;
 const workMs = 40;
 /** A machine may close this many kept connections whose request it has passed on without an answer (LOST). */
 const allowedLosses = 3;
@@ -52,7 +56,12 @@
   store.put('keyed.op', 'config', configuration);
   let answers = 0;
   let spoilt = 0;
+  let startedMs = Number.POSITIVE_INFINITY;
+  const isInSpan = () => Date.now() >= startedMs && (Date.now() - startedMs) % (spanMs + pauseMs) < spanMs;
   const spoil = (request, response, answer) => {
+    if (!isInSpan()) {
+      return false;
+    }
     answers += 1;
     // Evenly spread: every fiftieth answer.
     if (!hasTrouble || answers % Math.round(1 / spoiltShare) !== 0) {
@@ -84,7 +93,7 @@
 
   const agents = new Map(machines.map((machine) => [machine, new http.Agent({ keepAlive: true, maxSockets: 24 })]));
   const calls = [];
-  const startedMs = Date.now();
+  startedMs = Date.now();
   for (let index = 0; Date.now() - startedMs < lengthMs; index += 1) {
     const machine = machines[index % machines.length];
     if (!machine.ended) {
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -62,6 +62,7 @@
     store.put('keyed.servers', id, replica.entry());
     return replica;
   };
+  await addReplica('i-0');
   await addReplica('i-1');
   await addReplica('i-2');
   let leaving = await addReplica('i-3');
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -16,6 +16,9 @@
 const requestIntervalMs = 12;
 /** Every so many-th answer of one replica is spoilt: `garble` with its defaults. */
 const spoiltEvery = 50;
+/** The one span with spoilt answers, `garble`'s default length, milliseconds after the first request. */
+const spanFromMs = 5_000;
+const spanMs = 5_000;
 const workMs = 20;
 
 const configuration = {
@@ -43,7 +46,12 @@
   stops.push(() => store.close());
   store.put('keyed.op', 'config', configuration);
   let answers = 0;
+  let startedMs = Number.POSITIVE_INFINITY;
+  const isInSpan = () => Date.now() >= startedMs + spanFromMs && Date.now() < startedMs + spanFromMs + spanMs;
   const spoil = (request, response, { headers, body }) => {
+    if (!isInSpan()) {
+      return false;
+    }
     answers += 1;
     if (!hasTrouble || answers % spoiltEvery !== 0) {
       return false;
@@ -73,7 +81,7 @@
 
   const agents = new Map(machines.map((machine) => [machine, new http.Agent({ keepAlive: true, maxSockets: 24 })]));
   const calls = [];
-  const startedMs = Date.now();
+  startedMs = Date.now();
   for (let index = 0; Date.now() - startedMs < lengthMs; index += 1) {
     const machine = machines[index % machines.length];
     const isUnsafe = index % 2 === 0;
