Report requests that cannot be created as failures

An entry of a model replica with an IPv6 address ended each gateway that led: the URL of its report lacked the brackets, http.request threw (ERR_INVALID_URL), and nobody caught the rejection.

--- a/packages/common/src/JsonHttpClient.test.ts
+++ b/packages/common/src/JsonHttpClient.test.ts
@@ -33,6 +33,15 @@
     },
   );
 
+  vitest.test.each([
+    ['address', { url: 'http://::1:9/report' }],
+    ['header', { url: 'http://127.0.0.1:9/', headers: { 'x-other': 'a\nb' } }],
+  ])('reports an invalid %s as a failure (guards against an exception that ends the process)', async (_name, call) => {
+    await using client = new JsonHttpClient();
+    const outcome = await client.request({ method: 'GET', timeoutMs, ...call });
+    vitest.expect(outcome).toMatchObject({ ok: false, failure: { kind: 'invalidRequest', mayHaveRun: false } });
+  });
+
   vitest.test('bounds the time and memory of a request (guards against responses that never end)', async () => {
     const responseStarts = ['HTTP/1.1 200 OK\r\n', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', ''];
     for (const start of responseStarts) {
--- a/packages/common/src/JsonHttpClient.ts
+++ b/packages/common/src/JsonHttpClient.ts
@@ -7,7 +7,7 @@
 
 /** Reason why an HTTP request has no usable response. */
 export interface HttpFailure {
-  readonly kind: 'connectFailed' | 'broken' | 'timeout' | 'tooLarge' | 'invalidBody' | 'withdrawn';
+  readonly kind: 'connectFailed' | 'broken' | 'timeout' | 'tooLarge' | 'invalidBody' | 'invalidRequest' | 'withdrawn';
   readonly message: string;
   /** False only if no byte of the request can have reached the peer. */
   readonly mayHaveRun: boolean;
@@ -69,17 +69,14 @@
 
   /** Sends one request and reads the bytes of its response. */
   public requestBytes(request: BytesRequest): Promise<Outcome<BytesResponse, HttpFailure>> {
+    const opened = this._open(request);
+    if (!opened.ok) {
+      return Promise.resolve(opened);
+    }
+    const outgoing = opened.value;
     return new Promise((resolve) => {
       const payload = request.body;
       let connected = false;
-      const outgoing = http.request(request.url, {
-        method: request.method,
-        agent: this._agent,
-        headers: {
-          ...request.headers,
-          ...(payload ? { 'content-length': String(payload.length) } : {}),
-        },
-      });
       const finish = (outcome: Outcome<BytesResponse, HttpFailure>): void => {
         clearTimeout(timer);
         resolve(outcome);
@@ -120,6 +117,16 @@
     });
   }
 
+  /** Creates a request without sending it. Node.js throws if its address or headers are invalid. */
+  private _open({ url, method, headers, body }: BytesRequest): Outcome<http.ClientRequest, HttpFailure> {
+    const length = body ? { 'content-length': String(body.length) } : {};
+    try {
+      return succeed(http.request(url, { method, agent: this._agent, headers: { ...headers, ...length } }));
+    } catch (error) {
+      return fail({ kind: 'invalidRequest', message: String(error), mayHaveRun: false });
+    }
+  }
+
   public [Symbol.asyncDispose](): Promise<void> {
     this._agent.destroy();
     return Promise.resolve();
