Reject malformed heads before any part of them is sent on

Callers lost all requests of a gateway when one replica sent one status line with a wrong byte: the process ended with code 1.

Cause: writeHead and http.request throw on values that the parser of Node.js accepts, in event handlers that nothing surrounds. The status, the reason phrase and the names of headers were copied from one message into the next unchecked; so were the path and the headers of callers' requests, and the identifier of the last event when a stream is resumed.

Change: a response with a malformed head counts as no answer (retried if idempotent, else 502, since it may have run), a request with one gets 400, and an event whose identifier cannot stand in a header is not sent on. A switch of protocols (101) now fails at once; it had no event at all before. The same in jayhavend for answers of plain services and callers' requests.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,7 @@
 export * from './HybridClock.js';
 export * from './JsonHttpClient.js';
 export * from './Logger.js';
+export * from './messageHead.js';
 export * from './Outcome.js';
 export * from './Task.js';
 export * as settings from './settings/index.js';
--- a/packages/daemon/src/front/CallerServer.test.ts
+++ b/packages/daemon/src/front/CallerServer.test.ts
@@ -28,6 +28,8 @@
     400,
   ],
   ['a huge declared body', `${head}content-length: 99999999999\r\nconnection: close\r\n\r\n`, 413],
+  ['a tab in the path', `${head.replace('completions', 'comp\tletions')}content-length: 0\r\n\r\n`, 400],
+  ['a space in the name of a header', `${head}x y: 1\r\ncontent-length: 0\r\n\r\n`, 400],
   ['CONNECT', 'CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n', 405],
 ];
 
--- a/packages/daemon/src/front/Front.ts
+++ b/packages/daemon/src/front/Front.ts
@@ -160,6 +160,11 @@
     }
     incoming.on('error', () => undefined);
     response.on('error', () => undefined);
+    const fault = common.requestHeadFault(incoming);
+    if (fault !== undefined) {
+      this._refuse(incoming, response, notExecuted(400, 'malformed_request', fault), requestId ?? newRequestId());
+      return;
+    }
     if (requestId === undefined) {
       const message = 'X-Request-Id must be 1 to 128 letters, digits or any of ._:-';
       this._refuse(incoming, response, notExecuted(400, 'invalid_header', message), newRequestId());
--- a/packages/daemon/src/routing/EngineAttempt.ts
+++ b/packages/daemon/src/routing/EngineAttempt.ts
@@ -93,6 +93,10 @@
           this._fail(describeError(error));
         }
       });
+      // Without this listener Node.js closes the connection of a switch of protocols without any other event.
+      outgoing.on('upgrade', (response) => {
+        this._fail(`the engine answered ${response.statusCode ?? 0}`);
+      });
       outgoing.on('response', (response) => {
         this._handleResponse(response);
       });
--- a/packages/daemon/src/routing/ServiceAttempt.ts
+++ b/packages/daemon/src/routing/ServiceAttempt.ts
@@ -1,6 +1,6 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
-import type * as common from '@jayhaven/common';
+import * as common from '@jayhaven/common';
 import { describeError } from './callerErrors.js';
 
 /** Largest response of a plain service, bytes. */
@@ -135,6 +135,10 @@
     outgoing.on('error', (error) => {
       fail(describeError(error));
     });
+    // Without this listener Node.js closes the connection of a switch of protocols without any other event.
+    outgoing.on('upgrade', (incoming) => {
+      fail(`the answer has an invalid status ${incoming.statusCode ?? 0}`);
+    });
     outgoing.on('response', (incoming) => {
       void readResponse(incoming).then(finish);
     });
@@ -160,10 +164,11 @@
   if (!incoming.complete) {
     return { kind: 'broken', reason: 'the connection broke before the answer was complete' };
   }
-  const status = incoming.statusCode ?? 0;
-  if (status < 200 || status > 599) {
-    return { kind: 'broken', reason: `the answer has the invalid status ${status}` };
+  const fault = common.responseHeadFault(incoming);
+  if (fault !== undefined) {
+    return { kind: 'broken', reason: `the answer has an ${fault}` };
   }
+  const status = incoming.statusCode ?? 0;
   const headers: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(incoming.headers)) {
     if (value !== undefined && !omittedHeaders.has(name)) {
--- a/packages/gateway/src/forwarding/EventStreamBuffer.ts
+++ b/packages/gateway/src/forwarding/EventStreamBuffer.ts
@@ -1,3 +1,5 @@
+import * as common from '@jayhaven/common';
+
 /** Maximum size of an event, bytes. A faulty replica may send bytes endlessly without the end of an event. */
 const maximumEventBytes = 1024 * 1024;
 
@@ -12,6 +14,7 @@
   private _partialEvent: Buffer = Buffer.alloc(0);
   private _lastEventId: string | undefined;
   private _completeEvents = 0;
+  private _hasInvalidId = false;
   private _lineIsEmpty = true;
   private _eventIsEmpty = true;
   private _afterCarriageReturn = false;
@@ -31,6 +34,14 @@
     return this._partialEvent.length > maximumEventBytes;
   }
 
+  /**
+   * True once an event has an identifier that cannot be sent as a header. Such an event is not returned: the stream
+   * could not be resumed after it.
+   */
+  public get hasInvalidId(): boolean {
+    return this._hasInvalidId;
+  }
+
   /** True if bytes of an event have been received without its end. */
   public get isInsideEvent(): boolean {
     return this._partialEvent.length > 0;
@@ -45,7 +56,12 @@
     }
     const completeEvents = concatenate(this._partialEvent, chunk.subarray(0, end));
     this._partialEvent = chunk.subarray(end);
-    this._updateLastEventId(completeEvents);
+    const ids = eventIds(completeEvents);
+    this._hasInvalidId = !ids.every(common.isHeaderValue);
+    if (this._hasInvalidId) {
+      return Buffer.alloc(0);
+    }
+    this._lastEventId = ids.at(-1) ?? this._lastEventId;
     return completeEvents;
   }
 
@@ -58,6 +74,7 @@
 
   /** Drops a partial event before the stream is resumed at another replica. */
   public dropPartial(): void {
+    this._hasInvalidId = false;
     this._partialEvent = Buffer.alloc(0);
     this._lineIsEmpty = true;
     this._eventIsEmpty = true;
@@ -94,13 +111,11 @@
     this._lineIsEmpty = true;
     return endsEvent;
   }
+}
 
-  private _updateLastEventId(completeEvents: Buffer): void {
-    const text = completeEvents.toString('latin1');
-    for (const match of text.matchAll(/^id: ?([^\r\n]*)\r?$/gm)) {
-      this._lastEventId = match[1] ?? this._lastEventId;
-    }
-  }
+function eventIds(completeEvents: Buffer): readonly string[] {
+  const text = completeEvents.toString('latin1');
+  return [...text.matchAll(/^id: ?([^\r\n]*)\r?$/gm)].map((match) => match[1] ?? '');
 }
 
 function concatenate(first: Buffer, second: Buffer): Buffer {
--- a/packages/gateway/src/forwarding/ReplicaAttempt.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.ts
@@ -1,3 +1,4 @@
+import * as common from '@jayhaven/common';
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import type { CallerRequest, ResponseHead, RequestCodec } from '../contracts/RequestCodec.js';
@@ -23,7 +24,7 @@
 
 /** Reason why an attempt has no usable response. */
 export interface AttemptFailure {
-  readonly kind: 'notConnected' | 'broken' | 'foreignAnswer';
+  readonly kind: 'notConnected' | 'broken' | 'invalidAnswer';
   /** False only if no byte of the request was written. */
   readonly mayHaveRun: boolean;
   readonly message: string;
@@ -65,6 +66,11 @@
         this._outgoing.destroy(new Error('interim answers without end'));
       }
     });
+    // Without this listener Node.js closes the connection of a switch of protocols without any other event.
+    this._outgoing.on('upgrade', (response, socket) => {
+      this._fail('invalidAnswer', `invalid status ${response.statusCode ?? 0}`);
+      socket.destroy();
+    });
     this._outgoing.on('error', (error) => {
       if (this._headReceived) {
         this._listener.onConnectionLost(error.message);
@@ -131,8 +137,9 @@
 
   private _receiveHead(response: http.IncomingMessage): void {
     const head = this._codec.readResponseHead(response);
-    if (head.attemptId !== this._request.callerRequest.attemptId || head.contentEncoded) {
-      this._fail('foreignAnswer', `answer belongs to attempt ${head.attemptId ?? 'none'}`);
+    const fault = this._answerFault(head, response);
+    if (fault !== undefined) {
+      this._fail('invalidAnswer', fault);
       this._outgoing.destroy();
     } else if (!this._ended) {
       this._ended = true;
@@ -141,6 +148,17 @@
     }
   }
 
+  /** Returns why a response cannot be used; undefined if it can. */
+  private _answerFault(head: ResponseHead, response: http.IncomingMessage): string | undefined {
+    if (head.attemptId !== this._request.callerRequest.attemptId) {
+      return `answer belongs to attempt ${head.attemptId ?? 'none'}`;
+    }
+    if (head.contentEncoded) {
+      return 'answer has a content encoding';
+    }
+    return common.responseHeadFault(response);
+  }
+
   private _fail(kind: AttemptFailure['kind'], message: string): void {
     clearTimeout(this._connectTimer);
     if (!this._ended) {
--- a/packages/gateway/src/forwarding/ResponseRelay.ts
+++ b/packages/gateway/src/forwarding/ResponseRelay.ts
@@ -116,8 +116,9 @@
     }
     this._receivedBytes += chunk.length;
     const bytes = this._eventBuffer === undefined ? chunk : this._eventBuffer.push(chunk);
-    if (this._receivedBytes > maximumResponseBytes || this._eventBuffer?.isEventTooLong === true) {
-      this.interrupt('the answer has no end');
+    const fault = this._bodyFault();
+    if (fault !== undefined) {
+      this.interrupt(fault);
       upstream.destroy();
       return;
     }
@@ -132,6 +133,14 @@
     }
   }
 
+  /** Returns why the bytes received so far cannot be the body of a sound response; undefined if they can. */
+  private _bodyFault(): string | undefined {
+    if (this._receivedBytes > maximumResponseBytes || this._eventBuffer?.isEventTooLong === true) {
+      return 'the answer has no end';
+    }
+    return this._eventBuffer?.hasInvalidId === true ? 'an event has an invalid identifier' : undefined;
+  }
+
   private _end(upstream: http.IncomingMessage, isComplete: boolean): void {
     if (this._upstream !== upstream) {
       return;
--- a/packages/gateway/src/forwarding/admitRequest.ts
+++ b/packages/gateway/src/forwarding/admitRequest.ts
@@ -1,3 +1,4 @@
+import * as common from '@jayhaven/common';
 import type * as http from 'node:http';
 import { pickService, type RouteTable } from '../configuration/RouteTable.js';
 import type { CallerRequest, RequestCodec } from '../contracts/RequestCodec.js';
@@ -35,6 +36,14 @@
   routes: RouteTable | undefined,
   random: number,
 ): Admission {
+  const fault = common.requestHeadFault(request);
+  if (fault !== undefined) {
+    return {
+      kind: 'rejected',
+      callerRequest: undefined,
+      response: { status: 400, outcome: 'invalidRequest', reason: fault },
+    };
+  }
   const callerRequest = codec.readRequest(request);
   if (callerRequest === undefined) {
     const reason = 'a required header is missing or malformed';
--- a/packages/gateway/src/testing/FakeCodec.ts
+++ b/packages/gateway/src/testing/FakeCodec.ts
@@ -20,7 +20,8 @@
   }
 
   public forwardedHeaders(request: http.IncomingMessage, fields: ForwardingFields): string[] {
-    const headers = ['Host', request.headers.host ?? '', 'x-attempt', String(request.headers['x-attempt'])];
+    const headers = [...copyHeaders(request), 'Host', request.headers.host ?? ''];
+    headers.push('x-attempt', String(request.headers['x-attempt']));
     headers.push('x-replica', fields.replicaId, 'content-length', String(fields.bodyBytes));
     return fields.lastEventId === undefined ? headers : [...headers, 'last-event-id', fields.lastEventId];
   }
@@ -43,10 +44,17 @@
 
   public returnedHeaders(response: http.IncomingMessage): string[] {
     const length = response.headers['content-length'];
-    return length === undefined ? [] : ['Content-Length', length];
+    return [...copyHeaders(response), ...(length === undefined ? [] : ['Content-Length', length])];
   }
 
   public localResponseHeaders(_attemptId: string | undefined, retryAfterMs: number | undefined): string[] {
     return retryAfterMs === undefined ? [] : ['Retry-After', String(retryAfterMs / 1000)];
   }
 }
+
+/** Headers that a test adds; their names begin with "x-o". */
+function copyHeaders({ rawHeaders }: http.IncomingMessage): string[] {
+  return rawHeaders.flatMap((name, index) =>
+    index % 2 === 0 && name.startsWith('x-o') ? [name, rawHeaders[index + 1] ?? ''] : [],
+  );
+}
