Reject a success that lacks the signature of the replica

Callers got 200 without the replica's signature and could not show that a payment was made.

Cause: nothing read the signature; a response counted as the replica's once it echoed the identifier of the request.

--- a/packages/gateway/src/contracts/RequestCodec.ts
+++ b/packages/gateway/src/contracts/RequestCodec.ts
@@ -39,6 +39,8 @@
   readonly rateLimitPerSecond?: number;
   /** True if the response has a content encoding, so that its body is not the one that the replica generated. */
   readonly contentEncoded: boolean;
+  /** True if the response carries exactly one signature of the replica. */
+  readonly isSigned: boolean;
 }
 
 /** Translates the headers of requests and responses. */
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -329,6 +329,11 @@
       this._dispatchAfterConnectFailure(failure.message);
       return;
     }
+    if (failure.kind === 'invalidAnswer') {
+      const { message: reason } = failure;
+      const attempt = this._callerRequest?.attemptId;
+      this._context.log.warn('The replica sent an invalid answer.', { replica: replica.id, attempt, reason });
+    }
     if (failure.mayHaveRun) {
       this._history.countPossibleRun();
     }
--- a/packages/gateway/src/forwarding/ReplicaAttempt.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.ts
@@ -156,6 +156,10 @@
     if (head.contentEncoded) {
       return 'answer has a content encoding';
     }
+    const isSuccess = head.status >= 200 && head.status < 300;
+    if (isSuccess && !head.isSigned) {
+      return 'success without the signature of the replica';
+    }
     return common.responseHeadFault(response);
   }
 
--- a/packages/gateway/src/testing/FakeCodec.ts
+++ b/packages/gateway/src/testing/FakeCodec.ts
@@ -38,6 +38,7 @@
       notExecuted: response.headers['x-not-run'] !== undefined,
       fromOtherReplica: response.statusCode === 421,
       contentEncoded: false,
+      isSigned: response.headers['x-unsigned'] === undefined,
       ...(typeof attemptId === 'string' && { attemptId }),
     };
   }
