Bound the work that an answer without end causes in one turn

One event without end, in small chunks, kept a gateway busy for seconds; requests of all callers had no answer long after the timeout of their route.

Cause: each chunk copied the whole incomplete event, and the limit was looked at afterwards; besides, Node.js reads up to 2 MiB of one connection in a turn, which may hold some hundred thousand chunks, so that plain bodies and refusals delayed others as well.

--- a/packages/common/src/JsonHttpClient.ts
+++ b/packages/common/src/JsonHttpClient.ts
@@ -1,5 +1,7 @@
 import * as http from 'node:http';
+import { ByteCollector } from './ByteCollector.js';
 import { fail, succeed } from './Outcome.js';
+import { PacedBody } from './PacedBody.js';
 import type { Outcome } from './Types.js';
 
 /** Largest response body that the client reads, bytes. */
@@ -52,7 +54,10 @@
 export class JsonHttpClient implements AsyncDisposable {
   private readonly _agent: http.Agent;
 
-  public constructor(maximumSocketsPerHost = 32) {
+  public constructor(
+    maximumSocketsPerHost = 32,
+    private readonly _maximumBodyBytes = defaultMaximumBodyBytes,
+  ) {
     this._agent = new http.Agent({ keepAlive: true, maxSockets: maximumSocketsPerHost });
   }
 
@@ -105,12 +110,13 @@
         finish(fail({ kind: connected ? 'broken' : 'connectFailed', message: error.message, mayHaveRun: connected }));
       });
       outgoing.on('response', (response) => {
-        readBytes(response, defaultMaximumBodyBytes).then(
+        readBytes(response, this._maximumBodyBytes).then(
           (body) => {
             finish(succeed({ status: response.statusCode ?? 0, headers: response.headers, body }));
           },
           (error: unknown) => {
-            finish(fail({ kind: 'broken', message: String(error), mayHaveRun: true }));
+            const kind = error instanceof BodyTooLargeError ? 'tooLarge' : 'broken';
+            finish(fail({ kind, message: String(error), mayHaveRun: true }));
           },
         );
       });
@@ -148,21 +154,29 @@
   return (await readBytes(message, maximumBytes)).toString('utf8');
 }
 
-/** Reads the bytes of a whole body. Rejects if it is truncated or larger than the limit. */
-export async function readBytes(message: http.IncomingMessage, maximumBytes: number): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of message as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > maximumBytes) {
-      throw new BodyTooLargeError(maximumBytes);
-    }
-    chunks.push(chunk);
-  }
-  if (!message.complete) {
-    throw new Error('message ended early');
-  }
-  return Buffer.concat(chunks);
+/** Reads the bytes of a whole body. Rejects and closes the connection if it is truncated or larger than the limit. */
+export function readBytes(message: http.IncomingMessage, maximumBytes: number): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const bytes = new ByteCollector();
+    new PacedBody(message, (part) => {
+      if (bytes.length + part.length > maximumBytes) {
+        bytes.clear();
+        reject(new BodyTooLargeError(maximumBytes));
+        message.destroy();
+      } else {
+        bytes.append(part);
+      }
+    });
+    message.on('error', reject);
+    message.on('end', () => {
+      if (message.complete) {
+        resolve(bytes.take());
+      }
+    });
+    message.on('close', () => {
+      reject(new Error('message ended early'));
+    });
+  });
 }
 
 /** Thrown by `readBody` and `readBytes` for a body larger than the limit. */
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 export * from './Types.js';
+export * from './ByteCollector.js';
 export * from './DisposalRegistry.js';
 export * from './Emitter.js';
 export * from './HttpListener.js';
@@ -7,5 +8,6 @@
 export * from './Logger.js';
 export * from './messageHead.js';
 export * from './Outcome.js';
+export * from './PacedBody.js';
 export * from './Task.js';
 export * as settings from './settings/index.js';
--- a/packages/daemon/src/front/BodyReader.ts
+++ b/packages/daemon/src/front/BodyReader.ts
@@ -41,7 +41,7 @@
     }
     const timeoutMs = Math.min(this._timeoutMs, deadlineMs);
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
+      const body = new common.ByteCollector();
       let size = 0;
       const finish = (outcome: common.Outcome<Buffer, CallerError>): void => {
         clearTimeout(timer);
@@ -60,11 +60,11 @@
         } else if (!this._fits(partner)) {
           finish(common.fail(notExecuted(503, 'overloaded', 'too many request bodies are in progress', 1_000)));
         } else {
-          chunks.push(chunk);
+          body.append(chunk);
         }
       };
       const onEnd = (): void => {
-        finish(common.succeed(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks)));
+        finish(common.succeed(body.take()));
       };
       const onClose = (): void => {
         finish(common.fail(notExecuted(400, 'incomplete_body', 'the connection closed before the body was complete')));
--- a/packages/daemon/src/routing/EngineAttempt.ts
+++ b/packages/daemon/src/routing/EngineAttempt.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http';
-import type * as common from '@jayhaven/common';
+import * as common from '@jayhaven/common';
 import { describeError } from './callerErrors.js';
 import { StreamChecker } from './StreamChecker.js';
 import type { AttemptEnd } from './Types.js';
@@ -36,6 +36,7 @@
   private readonly _checker: StreamChecker;
   private _outgoing: http.ClientRequest | undefined;
   private _response: http.IncomingMessage | undefined;
+  private _body: common.PacedBody | undefined;
   private _executed: common.Executed = 'no';
   private _resolve: (end: AttemptEnd) => void = () => undefined;
   private _ended = false;
@@ -117,7 +118,7 @@
   /** Continues after a pause. */
   public resume(): void {
     this._lastReceivedMs = this._now();
-    this._response?.resume();
+    this._body?.resume();
   }
 
   private _trackConnection(outgoing: http.ClientRequest): void {
@@ -160,14 +161,14 @@
   }
 
   private _handleStream(response: http.IncomingMessage): void {
-    response.on('data', (chunk: Buffer) => {
+    const body = new common.PacedBody(response, (part) => {
       if (this._ended) {
         return;
       }
       this._lastReceivedMs = this._now();
-      const checked = this._checker.push(chunk);
+      const checked = this._checker.push(part);
       if (checked.text !== '' && !this._request.write(checked.text)) {
-        response.pause();
+        body.pause();
       }
       if (checked.fault) {
         this._fail(checked.fault);
@@ -175,6 +176,7 @@
         this._end({ kind: 'complete' }, false);
       }
     });
+    this._body = body;
     response.on('error', () => undefined);
     response.on('close', () => {
       this._fail('the stream ended before its end marker');
@@ -182,18 +184,19 @@
   }
 
   private _readBody(response: http.IncomingMessage, maximumBytes: number, onBody: (body: string) => void): void {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    response.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size > maximumBytes) {
+    const bytes = new common.ByteCollector();
+    this._body = new common.PacedBody(response, (part) => {
+      if (this._ended) {
+        return;
+      }
+      bytes.append(part);
+      if (bytes.length > maximumBytes) {
         this._fail(`the answer is larger than ${maximumBytes} bytes`);
       }
     });
     response.on('end', () => {
       if (response.complete && !this._ended) {
-        onBody(Buffer.concat(chunks).toString('utf8'));
+        onBody(bytes.take().toString('utf8'));
       }
     });
     response.on('error', () => undefined);
@@ -252,7 +255,7 @@
     if (closeConnection) {
       this._outgoing?.destroy();
     } else {
-      this._response?.resume();
+      this._body?.resume();
     }
     this._resolve(end);
   }
--- a/packages/daemon/src/routing/ServiceAttempt.ts
+++ b/packages/daemon/src/routing/ServiceAttempt.ts
@@ -148,22 +148,12 @@
 
 /** Reads a complete response, or returns the reason why there is none. */
 async function readResponse(incoming: http.IncomingMessage): Promise<ServiceAttemptEnd> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  let body: Buffer;
   try {
-    for await (const chunk of incoming as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size > maximumResponseBytes) {
-        return { kind: 'broken', reason: `the answer is larger than ${maximumResponseBytes} bytes` };
-      }
-    }
+    body = await common.readBytes(incoming, maximumResponseBytes);
   } catch (error) {
     return { kind: 'broken', reason: describeError(error) };
   }
-  if (!incoming.complete) {
-    return { kind: 'broken', reason: 'the connection broke before the answer was complete' };
-  }
   const fault = common.responseHeadFault(incoming);
   if (fault !== undefined) {
     return { kind: 'broken', reason: `the answer has an ${fault}` };
@@ -175,5 +165,5 @@
       headers[name] = value;
     }
   }
-  return { kind: 'answered', response: { status, headers, body: Buffer.concat(chunks) } };
+  return { kind: 'answered', response: { status, headers, body } };
 }
--- a/packages/daemon/src/routing/StreamChecker.test.ts
+++ b/packages/daemon/src/routing/StreamChecker.test.ts
@@ -67,4 +67,15 @@
     const checked = checker.push(Buffer.from('data: {"token_index":0,"id":"e-1"}\n\n'));
     vitest.expect(checked).toEqual({ text: 'data: {"token_index":0,"id":"public"}\n\n' });
   });
+
+  vitest.test('takes time in proportion to an event without end (guards against a daemon that stands still)', () => {
+    const checker = new StreamChecker('e', 'c', 0);
+    const startedMs = performance.now();
+    let faults = 0;
+    for (let count = 0; count < 300_000; count += 1) {
+      faults += checker.push(Buffer.from('x')).fault === undefined ? 0 : 1;
+    }
+    vitest.expect(performance.now() - startedMs).toBeLessThan(500);
+    vitest.expect(faults).toBe(0);
+  });
 });
--- a/packages/daemon/src/routing/StreamChecker.ts
+++ b/packages/daemon/src/routing/StreamChecker.ts
@@ -1,6 +1,9 @@
+import * as common from '@jayhaven/common';
+
 /** Largest event of a stream, bytes. */
 const maximumEventBytes = 1024 * 1024;
 const separator = Buffer.from('\n\n');
+const lineFeed = 0x0a;
 const dataPrefix = 'data: ';
 const indexField = '"token_index":';
 
@@ -19,7 +22,8 @@
 export class StreamChecker {
   private readonly _expectedStart: string;
   private readonly _callerStart: string;
-  private _incompleteEvent: Buffer | undefined;
+  private readonly _incompleteEvent = new common.ByteCollector();
+  private _endsWithLineFeed = false;
   private _nextIndex: number;
   private _done = false;
 
@@ -45,14 +49,30 @@
 
   /** Checks the next bytes of the stream. Must not be called again after a fault. */
   public push(chunk: Buffer): CheckedChunk {
-    const bytes = this._incompleteEvent ? Buffer.concat([this._incompleteEvent, chunk]) : chunk;
-    const end = bytes.lastIndexOf(separator);
-    const completeLength = end < 0 ? 0 : end + separator.length;
-    this._incompleteEvent = completeLength < bytes.length ? bytes.subarray(completeLength) : undefined;
-    if (this._incompleteEvent && this._incompleteEvent.length > maximumEventBytes) {
-      return { text: '', fault: 'malformed' };
+    const completeLength = this._lengthOfCompleteEvents(chunk);
+    if (completeLength === 0) {
+      return this._keep(chunk) ?? { text: '' };
     }
-    return completeLength === 0 ? { text: '' } : this._checkEvents(bytes.toString('utf8', 0, end));
+    this._incompleteEvent.append(chunk.subarray(0, completeLength));
+    const bytes = this._incompleteEvent.take();
+    const fault = this._keep(chunk.subarray(completeLength));
+    return fault ?? this._checkEvents(bytes.toString('utf8', 0, bytes.length - separator.length));
+  }
+
+  /** Number of bytes of a chunk up to the end of its last event; 0 if it ends none. */
+  private _lengthOfCompleteEvents(chunk: Buffer): number {
+    const end = chunk.lastIndexOf(separator);
+    if (end >= 0) {
+      return end + separator.length;
+    }
+    return this._endsWithLineFeed && chunk[0] === lineFeed ? 1 : 0;
+  }
+
+  /** Keeps the bytes of an incomplete event. Returns a fault if it is too long. */
+  private _keep(bytes: Buffer): CheckedChunk | undefined {
+    this._incompleteEvent.append(bytes);
+    this._endsWithLineFeed = bytes.length > 0 ? bytes.at(-1) === lineFeed : this._endsWithLineFeed;
+    return this._incompleteEvent.length > maximumEventBytes ? { text: '', fault: 'malformed' } : undefined;
   }
 
   private _checkEvents(text: string): CheckedChunk {
--- a/packages/gateway/src/forwarding/EventStreamBuffer.test.ts
+++ b/packages/gateway/src/forwarding/EventStreamBuffer.test.ts
@@ -65,4 +65,13 @@
     vitest.expect(buffer.lastEventId).toBe('1');
     vitest.expect(buffer.push(Buffer.from(event(2))).toString()).toBe(event(2));
   });
+
+  vitest.test('takes time in proportion to an event without end (guards against a gateway that stands still)', () => {
+    const buffer = new EventStreamBuffer();
+    const startedMs = performance.now();
+    while (!buffer.isEventTooLong) {
+      buffer.push(Buffer.from('x'));
+    }
+    vitest.expect(performance.now() - startedMs).toBeLessThan(500);
+  });
 });
--- a/packages/gateway/src/forwarding/EventStreamBuffer.ts
+++ b/packages/gateway/src/forwarding/EventStreamBuffer.ts
@@ -1,7 +1,10 @@
 import * as common from '@jayhaven/common';
 
-/** Maximum size of an event, bytes. A faulty replica may send bytes endlessly without the end of an event. */
-const maximumEventBytes = 1024 * 1024;
+/**
+ * Maximum size of an event, bytes. A faulty replica may send bytes endlessly without the end of an event, in as many streams
+ * as it has slots.
+ */
+const maximumEventBytes = 256 * 1024;
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
@@ -11,7 +14,7 @@
  * empty line; lines end with LF, CR or CRLF, also mixed within one event.
  */
 export class EventStreamBuffer {
-  private _partialEvent: Buffer = Buffer.alloc(0);
+  private readonly _partialEvent = new common.ByteCollector();
   private _lastEventId: string | undefined;
   private _completeEvents = 0;
   private _hasInvalidId = false;
@@ -51,11 +54,11 @@
   public push(chunk: Buffer): Buffer {
     const end = this._endOfEvents(chunk);
     if (end === 0) {
-      this._partialEvent = concatenate(this._partialEvent, chunk);
+      this._partialEvent.append(chunk);
       return Buffer.alloc(0);
     }
-    const completeEvents = concatenate(this._partialEvent, chunk.subarray(0, end));
-    this._partialEvent = chunk.subarray(end);
+    const completeEvents = this._completePartialEvent(chunk.subarray(0, end));
+    this._partialEvent.append(chunk.subarray(end));
     const ids = eventIds(completeEvents);
     this._hasInvalidId = !ids.every(common.isHeaderValue);
     if (this._hasInvalidId) {
@@ -67,7 +70,7 @@
 
   /** Returns the bytes after the last complete event; called when the stream is complete. */
   public flush(): Buffer {
-    const partialEvent = this._partialEvent;
+    const partialEvent = this._partialEvent.take();
     this.dropPartial();
     return partialEvent;
   }
@@ -75,16 +78,25 @@
   /** Drops a partial event before the stream is resumed at another replica. */
   public dropPartial(): void {
     this._hasInvalidId = false;
-    this._partialEvent = Buffer.alloc(0);
+    this._partialEvent.clear();
     this._lineIsEmpty = true;
     this._eventIsEmpty = true;
     this._afterCarriageReturn = false;
   }
 
+  private _completePartialEvent(rest: Buffer): Buffer {
+    if (this._partialEvent.length === 0) {
+      return rest;
+    }
+    this._partialEvent.append(rest);
+    return this._partialEvent.take();
+  }
+
   /** Position in a chunk after the last empty line; 0 if it has none. */
   private _endOfEvents(chunk: Buffer): number {
     let end = 0;
-    for (const [index, byte] of chunk.entries()) {
+    for (let index = 0; index < chunk.length; index += 1) {
+      const byte = chunk[index];
       if (byte === lineFeed && this._afterCarriageReturn) {
         this._afterCarriageReturn = false;
         // The empty line, if it was one, ended with CRLF.
@@ -117,7 +129,3 @@
   const text = completeEvents.toString('latin1');
   return [...text.matchAll(/^id: ?([^\r\n]*)\r?$/gm)].map((match) => match[1] ?? '');
 }
-
-function concatenate(first: Buffer, second: Buffer): Buffer {
-  return first.length === 0 ? second : Buffer.concat([first, second]);
-}
--- a/packages/gateway/src/forwarding/ResponseRelay.ts
+++ b/packages/gateway/src/forwarding/ResponseRelay.ts
@@ -1,3 +1,4 @@
+import * as common from '@jayhaven/common';
 import type * as http from 'node:http';
 import type { RequestCodec } from '../contracts/RequestCodec.js';
 import { EventStreamBuffer } from './EventStreamBuffer.js';
@@ -72,8 +73,8 @@
       this._eventBuffer ??= new EventStreamBuffer();
     }
     this._earlierEvents = this._eventBuffer?.completeEvents ?? 0;
-    upstream.on('data', (chunk: Buffer) => {
-      this._forward(chunk, upstream);
+    const body = new common.PacedBody(upstream, (chunk) => {
+      this._forward(chunk, upstream, body);
     });
     upstream.on('end', () => {
       this._end(upstream, options.isComplete() && (options.isFramed || !this._isInsideEvent));
@@ -110,7 +111,7 @@
     return this._eventBuffer?.isInsideEvent === true;
   }
 
-  private _forward(chunk: Buffer, upstream: http.IncomingMessage): void {
+  private _forward(chunk: Buffer, upstream: http.IncomingMessage, body: common.PacedBody): void {
     if (this._upstream !== upstream) {
       return;
     }
@@ -128,8 +129,10 @@
     this._listener.onProgress();
     this._sendHead();
     if (!this._response.write(bytes)) {
-      upstream.pause();
-      this._response.once('drain', () => upstream.resume());
+      body.pause();
+      this._response.once('drain', () => {
+        body.resume();
+      });
     }
   }
 
--- a/packages/gateway/src/forwarding/discardBody.ts
+++ b/packages/gateway/src/forwarding/discardBody.ts
@@ -1,3 +1,4 @@
+import * as common from '@jayhaven/common';
 import type * as http from 'node:http';
 
 /** Maximum size of a body that is read to keep its connection open, bytes. */
@@ -12,8 +13,8 @@
 export function discardBody(response: http.IncomingMessage): void {
   let leftBytes = maximumDiscardedBytes;
   const timer = setTimeout(() => response.destroy(), discardTimeoutMs);
-  response.on('data', (chunk: Buffer) => {
-    leftBytes -= chunk.length;
+  new common.PacedBody(response, (part) => {
+    leftBytes -= part.length;
     if (leftBytes < 0) {
       response.destroy();
     }
--- a/packages/gateway/src/forwarding/readBody.ts
+++ b/packages/gateway/src/forwarding/readBody.ts
@@ -1,3 +1,4 @@
+import * as common from '@jayhaven/common';
 import type * as http from 'node:http';
 
 /** Reads the body of a request; `tooLarge` once it exceeds the limit, `broken` if it ends before it is complete. */
@@ -6,8 +7,7 @@
   maximumBytes: number,
   onEnd: (outcome: Buffer | 'tooLarge' | 'broken') => void,
 ): void {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = new common.ByteCollector();
   let ended = false;
   const finish = (outcome: Buffer | 'tooLarge' | 'broken'): void => {
     if (!ended) {
@@ -15,17 +15,19 @@
       onEnd(outcome);
     }
   };
-  request.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size > maximumBytes) {
-      chunks.length = 0;
+  new common.PacedBody(request, (part) => {
+    if (ended) {
+      return;
+    }
+    if (body.length + part.length > maximumBytes) {
+      body.clear();
       finish('tooLarge');
-    } else if (!ended) {
-      chunks.push(chunk);
+    } else {
+      body.append(part);
     }
   });
   request.on('end', () => {
-    finish(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
+    finish(body.take());
   });
   request.on('error', () => {
     finish('broken');
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -48,7 +48,9 @@
   /** Fires once with the reason. */
   public readonly onClosed = this._onClosed.event;
   private readonly _server = new rpc.JSONRPCServer();
-  private _partialLine = '';
+  /** Parts of a line whose end has not been received. */
+  private _lineParts: string[] = [];
+  private _linePartsLength = 0;
   private _lastReceivedMs: number;
 
   public constructor(
@@ -107,14 +109,22 @@
 
   private _receive(text: string): void {
     this._lastReceivedMs = this._clock.now().steadyMs;
-    const lines = (this._partialLine + text).split('\n');
-    this._partialLine = lines.pop() ?? '';
-    if (this._partialLine.length > maximumLineLength) {
-      this.close('message is too long');
-      return;
-    }
-    for (const line of lines) {
+    const [first = '', ...others] = text.split('\n');
+    this._appendToLine(first);
+    for (const part of others) {
+      const line = this._lineParts.join('');
+      this._lineParts = [];
+      this._linePartsLength = 0;
       void this._server.receiveJSON(line);
+      this._appendToLine(part);
+    }
+  }
+
+  private _appendToLine(part: string): void {
+    this._lineParts.push(part);
+    this._linePartsLength += part.length;
+    if (this._linePartsLength > maximumLineLength) {
+      this.close('message is too long');
     }
   }
 }
