Notice connections to the store that have gone silent before a change is late

Once the leader was killed, VMs whose idle connections to the store had gone silent sent requests to the old service until 2.9 s after a change of the configuration (2 s allowed).

Cause: the first read reused such a connection, and nothing else was tried until its timeout, 2 s of waiting and 0.9 s more. A pool of several such connections costs a timeout for each.

The clients' limits are named options.

--- a/packages/common/src/JsonHttpClient.test.ts
+++ b/packages/common/src/JsonHttpClient.test.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
 import { JsonHttpClient } from './JsonHttpClient.js';
 
@@ -42,6 +43,66 @@
     vitest.expect(outcome).toMatchObject({ ok: false, failure: { kind: 'invalidRequest', mayHaveRun: false } });
   });
 
+  vitest.test(
+    'uses no connection that was idle for too long (guards against reads on connections that went silent)',
+    async () => {
+      const connections = new Set<net.Socket>();
+      const server = http.createServer((request, response) => {
+        connections.add(request.socket);
+        response.end('{}');
+      });
+      const url = await listen(server);
+      await using client = new JsonHttpClient({ maximumIdleMs: 100 });
+      const call = { method: 'GET', url, timeoutMs } as const;
+      await client.request(call);
+      await client.request(call);
+      vitest.expect(connections.size).toBe(1);
+      await timers.setTimeout(300);
+      await client.request(call);
+      vitest.expect(connections.size).toBe(2);
+      server.close();
+    },
+  );
+
+  vitest.test('limits the idle time only (guards against long polls that are cut)', async () => {
+    const server = http.createServer((_request, response) => {
+      setTimeout(() => response.end('{}'), 400);
+    });
+    const url = await listen(server);
+    await using client = new JsonHttpClient({ maximumIdleMs: 100 });
+    vitest.expect(await client.request({ method: 'GET', url, timeoutMs })).toMatchObject({ ok: true });
+    server.close();
+  });
+
+  vitest.test(
+    'uses no idle connection after a request without a response (guards against one timeout for each of them)',
+    async () => {
+      let isSilent = false;
+      const silent = new Set<net.Socket>();
+      const server = http.createServer((request, response) => {
+        if (isSilent && silent.size === 0) {
+          for (const socket of sockets) {
+            silent.add(socket);
+          }
+        }
+        if (!silent.has(request.socket)) {
+          setTimeout(() => response.end('{}'), 50);
+        }
+      });
+      const sockets = new Set<net.Socket>();
+      server.on('connection', (socket: net.Socket) => sockets.add(socket));
+      const url = await listen(server);
+      await using client = new JsonHttpClient();
+      const call = { method: 'GET', url, timeoutMs: 300 } as const;
+      await Promise.all([1, 2, 3, 4].map(() => client.request(call)));
+      isSilent = true;
+      vitest.expect(await client.request(call)).toMatchObject({ ok: false, failure: { kind: 'timeout' } });
+      vitest.expect(await client.request(call)).toMatchObject({ ok: true });
+      server.closeAllConnections();
+      server.close();
+    },
+  );
+
   vitest.test('bounds the time and memory of a request (guards against responses that never end)', async () => {
     const responseStarts = ['HTTP/1.1 200 OK\r\n', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', ''];
     for (const start of responseStarts) {
--- a/packages/common/src/JsonHttpClient.ts
+++ b/packages/common/src/JsonHttpClient.ts
@@ -1,9 +1,11 @@
 import * as http from 'node:http';
+import { closeIdleConnections } from './closeIdleConnections.js';
 import { ByteCollector } from './ByteCollector.js';
 import { fail, succeed } from './Outcome.js';
 import { PacedBody } from './PacedBody.js';
 import type { Outcome } from './Types.js';
 
+const defaultMaximumSocketsPerHost = 32;
 /** Largest response body that the client reads, bytes. */
 const defaultMaximumBodyBytes = 16 * 1024 * 1024;
 
@@ -50,15 +52,26 @@
   readonly body?: Buffer;
 }
 
+/** Limits of a client. */
+export interface JsonHttpClientLimits {
+  readonly maximumSocketsPerHost?: number;
+  readonly maximumBodyBytes?: number;
+  /**
+   * Time after which an idle connection is closed, milliseconds; unlimited if absent. A connection may go silent without a
+   * reset, which a request on it notices only by its timeout.
+   */
+  readonly maximumIdleMs?: number;
+}
+
 /** Client on Node's `http` with keep-alive for JSON and raw bodies. Never retries a request. */
 export class JsonHttpClient implements AsyncDisposable {
   private readonly _agent: http.Agent;
+  private readonly _maximumBodyBytes: number;
 
-  public constructor(
-    maximumSocketsPerHost = 32,
-    private readonly _maximumBodyBytes = defaultMaximumBodyBytes,
-  ) {
-    this._agent = new http.Agent({ keepAlive: true, maxSockets: maximumSocketsPerHost });
+  public constructor(limits: JsonHttpClientLimits = {}) {
+    const { maximumSocketsPerHost: maxSockets = defaultMaximumSocketsPerHost, maximumIdleMs: timeout } = limits;
+    this._maximumBodyBytes = limits.maximumBodyBytes ?? defaultMaximumBodyBytes;
+    this._agent = new http.Agent({ keepAlive: true, maxSockets, ...(timeout !== undefined && { timeout }) });
   }
 
   /** Sends one request and reads its JSON response. */
@@ -89,6 +102,8 @@
       const timer = setTimeout(() => {
         finish(fail({ kind: 'timeout', message: `no response within ${request.timeoutMs} ms`, mayHaveRun: connected }));
         outgoing.destroy();
+        const { hostname, port } = new URL(request.url);
+        closeIdleConnections(this._agent, hostname, Number(port));
       }, request.timeoutMs);
       const write = (): void => {
         if (request.mayWrite?.() === false) {
--- a/packages/daemon/src/log/RestLogClient.ts
+++ b/packages/daemon/src/log/RestLogClient.ts
@@ -5,6 +5,8 @@
 
 /** Each open topic holds one socket for its long poll and one for its append. */
 const maximumSockets = 128;
+/** Time after which an idle connection to the log is closed, milliseconds. */
+const maximumIdleMs = 1_000;
 /** Bounds the memory of one read; a longer tail takes several reads. */
 const maximumReadBytes = 1024 * 1024;
 /** Kafka REST Proxy code for an offset that retention has dropped. */
@@ -17,7 +19,7 @@
 
 /** Log client for the API of Kafka REST Proxy v2. */
 export class RestLogClient extends LogClient {
-  private readonly _http = new common.JsonHttpClient(maximumSockets);
+  private readonly _http = new common.JsonHttpClient({ maximumSocketsPerHost: maximumSockets, maximumIdleMs });
 
   public constructor(private readonly _baseUrl: string) {
     super();
--- a/packages/daemon/src/owner/EngineClient.ts
+++ b/packages/daemon/src/owner/EngineClient.ts
@@ -38,7 +38,7 @@
 /** Sends orders to engines and reads their index. */
 export class EngineClient implements AsyncDisposable {
   // Orders are few; a small number of sockets per engine bounds the resources that one slow engine can hold.
-  private readonly _http = new common.JsonHttpClient(8);
+  private readonly _http = new common.JsonHttpClient({ maximumSocketsPerHost: 8 });
 
   /** Name of a model at an engine. */
   public static modelName(model: decisions.ModelVersion): string {
--- a/packages/daemon/src/targets/LoadCollector.ts
+++ b/packages/daemon/src/targets/LoadCollector.ts
@@ -49,7 +49,7 @@
 
 /** Polls the load of the targets that are assigned to this daemon, and sends changes to the subscribers. */
 export class LoadCollector extends common.Task<CollectorMessage> {
-  private readonly _http = new common.JsonHttpClient(2);
+  private readonly _http = new common.JsonHttpClient({ maximumSocketsPerHost: 2 });
   private readonly _targets = new Map<common.TargetAddress, CollectedTarget>();
   /** Expiry of each daemon's subscription, by target. */
   private readonly _subscribers = new Map<common.TargetAddress, Map<common.Incarnation, number>>();
--- a/packages/daemon/src/targets/VmWatcher.ts
+++ b/packages/daemon/src/targets/VmWatcher.ts
@@ -24,7 +24,7 @@
 
 /** Reads the VM list and writes its changes to the log, if this daemon is one of the watchers. */
 export class VmWatcher extends common.Task<WatcherMessage> {
-  private readonly _http = new common.JsonHttpClient(2);
+  private readonly _http = new common.JsonHttpClient({ maximumSocketsPerHost: 2 });
   private readonly _logger: common.Logger;
   private readonly _missingLists = new Map<common.VmName, number>();
   private readonly _firstSeenMs = new Map<common.VmName, number>();
