Give a removed replica no grace after an outage too short to expire its entry

Cause: the read in progress timed out, which counted as an outage of the store, and the grace for entries that expire in an outage began with the read of the removal. A read without a leader could besides take 2.9 s to notice a silent connection.

Change: the grace needs an outage of two liveness intervals, from the last successful read; within less no entry can expire. A read without a leader waits 0.8 s for a change instead of 2 s.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -289,14 +289,12 @@
 
   private _applyTableUpdate(update: TableUpdate): void {
     const nowMs = this._nowMs();
+    const livenessMs = this._settings.replicaLivenessMs;
+    const restoredMs = update.isRestored ? this._tables.restoredMs : undefined;
     const records = this._routingTables.apply(update, {
       nowMs,
-      removalGraceMs: removalGraceMs(
-        this._tables.lastReplicaReadFailureMs,
-        nowMs,
-        update.isRestored ? this._tables.restoredMs : undefined,
-      ),
-      ...(update.isRestored && { returnDelayMs: returnDelayMs(this._settings.replicaLivenessMs) }),
+      removalGraceMs: removalGraceMs({ outage: this._tables.replicaReadOutage, livenessMs, restoredMs }, nowMs),
+      ...(update.isRestored && { returnDelayMs: returnDelayMs(livenessMs) }),
     });
     if (records.length > 0) {
       this._forward({ table: update.table, records, end: 0, whole: false, era: update.era }, update.source);
--- /dev/null
+++ b/packages/gateway/src/replicas/StoreOutage.ts
@@ -0,0 +1,30 @@
+/** Failures that are this close belong to one outage, milliseconds: records may still be missing from the one before. */
+export const outageGapMs = 2_300;
+
+/** When the store was last out of reach of this daemon, steady milliseconds. */
+export interface OutageTimes {
+  /** Last successful read before the first failure; minus infinity if there is none. */
+  readonly startedMs: number;
+  /** Last failed read; minus infinity if none has failed. */
+  readonly lastFailureMs: number;
+}
+
+/** Follows the outages of the store that reads of this daemon show. */
+export class StoreOutage {
+  private _lastSuccessMs = Number.NEGATIVE_INFINITY;
+  private _times: OutageTimes = { startedMs: Number.NEGATIVE_INFINITY, lastFailureMs: Number.NEGATIVE_INFINITY };
+
+  /** Times of the outage in progress, or else of the last one. */
+  public get times(): OutageTimes {
+    return this._times;
+  }
+
+  public recordSuccess(nowMs: number): void {
+    this._lastSuccessMs = nowMs;
+  }
+
+  public recordFailure(nowMs: number): void {
+    const isNew = nowMs - this._times.lastFailureMs > outageGapMs;
+    this._times = { startedMs: isNew ? this._lastSuccessMs : this._times.startedMs, lastFailureMs: nowMs };
+  }
+}
--- a/packages/gateway/src/replicas/StoreTables.ts
+++ b/packages/gateway/src/replicas/StoreTables.ts
@@ -7,6 +7,7 @@
 import { ReplicaOrder } from './ReplicaOrder.js';
 import { sendMissingRecords } from '../peers/sendMissingRecords.js';
 import type { TableOffsets, TableMessage } from '../peers/Types.js';
+import type { OutageTimes } from './StoreOutage.js';
 import { type ReadTiming, TableSynchronizer, type TableUpdate } from './TableSynchronizer.js';
 
 /** The tables of the store that a daemon keeps up to date, by its own reads and from records that peers forward. */
@@ -70,9 +71,9 @@
     return this._synchronizers.configuration.isCurrent(nowMs) && this._synchronizers.replicas.isCurrent(nowMs);
   }
 
-  /** When a read of the replicas failed last, steady milliseconds. */
-  public get lastReplicaReadFailureMs(): number {
-    return this._synchronizers.replicas.lastFailureMs;
+  /** When reads of the replicas last failed. */
+  public get replicaReadOutage(): OutageTimes {
+    return this._synchronizers.replicas.outage;
   }
 
   /** When this daemon last learned that the store was restored, steady milliseconds; minus infinity if never. */
--- a/packages/gateway/src/replicas/TableSynchronizer.ts
+++ b/packages/gateway/src/replicas/TableSynchronizer.ts
@@ -4,6 +4,7 @@
 import type { MessageIntervals } from '../peers/messageIntervals.js';
 import type { TableMessage } from '../peers/Types.js';
 import type { RecordOrder } from './RecordOrder.js';
+import { type OutageTimes, StoreOutage } from './StoreOutage.js';
 import { TableState } from './TableState.js';
 
 /** Timing of the reads of a table, milliseconds. */
@@ -18,8 +19,11 @@
 
 /** Timing while the leader forwards changes, so that one reader serves all daemons. */
 const assistedTiming: ReadTiming = { waitMs: 2_000, intervalMs: 30_000, retryMs: 3_000 };
-/** Longest wait of a read without a current leader, milliseconds. A dead connection must be detected within 3 s. */
-const unassistedWaitMs = 2_000;
+/**
+ * Longest wait of a read without a current leader, milliseconds. A connection that goes silent during the read must be
+ * detected, and the read repeated on another, well within the 2 s in which a change takes effect.
+ */
+const unassistedWaitMs = 800;
 /** Timing while others depend on this daemon: they must be notified within a second if it does not reach the store. */
 const timingForFollowers: ReadTiming = { waitMs: 600, intervalMs: 300, retryMs: 800 };
 
@@ -76,7 +80,7 @@
   /** Fires when the first table of a new era cannot be read, so that only a peer can supply it. */
   public readonly onTableUnreadable = this._onTableUnreadable.event;
   private _stopped = false;
-  private _lastFailureMs = Number.NEGATIVE_INFINITY;
+  private readonly _outage = new StoreOutage();
   private _available = true;
   private _readDueMs = Number.POSITIVE_INFINITY;
   private _wake: (() => void) | undefined;
@@ -103,9 +107,9 @@
     });
   }
 
-  /** When a read last failed, steady milliseconds; minus infinity if none has. */
-  public get lastFailureMs(): number {
-    return this._lastFailureMs;
+  /** When the store was last out of reach. */
+  public get outage(): OutageTimes {
+    return this._outage.times;
   }
 
   /** True if the known state certainly lags the store by no more than a second, so that others may depend on it. */
@@ -239,7 +243,7 @@
   }
 
   private _recordFailure(message: string): void {
-    this._lastFailureMs = this._clock.now().steadyMs;
+    this._outage.recordFailure(this._clock.now().steadyMs);
     if (this._available) {
       this._available = false;
       this._log.warn('The store is unreachable.', { table: this._table, reason: message, known: this.state.position });
@@ -247,6 +251,7 @@
   }
 
   private _recordSuccess(): void {
+    this._outage.recordSuccess(this._clock.now().steadyMs);
     if (!this._available) {
       this._available = true;
       this._log.info('The store is reachable again.', { table: this._table, known: this.state.position });
--- a/packages/gateway/src/replicas/removalGrace.test.ts
+++ b/packages/gateway/src/replicas/removalGrace.test.ts
@@ -1,16 +1,25 @@
 import * as vitest from 'vitest';
 import { removalGraceMs } from './removalGrace.js';
+import { type OutageTimes, StoreOutage } from './StoreOutage.js';
+
+const livenessMs = 1_200;
+const noOutage: OutageTimes = { startedMs: Number.NEGATIVE_INFINITY, lastFailureMs: Number.NEGATIVE_INFINITY };
+
+/** Grace period after an outage in which records can have expired. */
+function graceMs(lastFailureMs: number, nowMs: number): number {
+  return removalGraceMs({ outage: { startedMs: lastFailureMs - 10_000, lastFailureMs }, livenessMs }, nowMs);
+}
 
 vitest.describe('grace period of a removed replica', () => {
   vitest.test('is zero while reads of the store succeed (guards against requests to a replica that has left)', () => {
-    vitest.expect(removalGraceMs(Number.NEGATIVE_INFINITY, 50_000)).toBe(0);
-    vitest.expect(removalGraceMs(40_000, 50_000)).toBe(0);
+    vitest.expect(removalGraceMs({ outage: noOutage, livenessMs }, 50_000)).toBe(0);
+    vitest.expect(graceMs(40_000, 50_000)).toBe(0);
   });
 
   vitest.test(
     'ends when expired records have been rewritten (guards against replicas lost to an outage of the store)',
     () => {
-      vitest.expect(removalGraceMs(50_000, 51_500)).toBe(800);
+      vitest.expect(graceMs(50_000, 51_500)).toBe(800);
     },
   );
 
@@ -18,17 +27,52 @@
     'stays below the 2 s limit of a leaving replica after a failed read (guards against a request 2,202 ms late)',
     () => {
       for (let sinceFailureMs = 0; sinceFailureMs < 3_000; sinceFailureMs += 50) {
-        vitest.expect(removalGraceMs(50_000, 50_000 + sinceFailureMs)).toBeLessThanOrEqual(1_700);
+        vitest.expect(graceMs(50_000, 50_000 + sinceFailureMs)).toBeLessThanOrEqual(1_700);
       }
     },
   );
 
+  vitest.test(
+    'is zero after an outage in which no record can have expired (guards against requests 3.4 s after a removal)',
+    () => {
+      const outage = { startedMs: 50_000, lastFailureMs: 51_800 };
+      vitest.expect(removalGraceMs({ outage, livenessMs }, 52_000)).toBe(0);
+      vitest.expect(removalGraceMs({ outage, livenessMs }, 52_399)).toBe(0);
+      vitest.expect(removalGraceMs({ outage, livenessMs }, 52_400)).toBeGreaterThan(0);
+      vitest.expect(removalGraceMs({ outage, livenessMs: 400 }, 52_000)).toBeGreaterThan(0);
+    },
+  );
+
   vitest.test(
     'lasts until records are written again if a restored store lacks the record (guards against lost capacity)',
     () => {
-      vitest.expect(removalGraceMs(Number.NEGATIVE_INFINITY, 50_000, 50_000)).toBe(2_300);
-      vitest.expect(removalGraceMs(Number.NEGATIVE_INFINITY, 52_000, 50_000)).toBe(300);
-      vitest.expect(removalGraceMs(Number.NEGATIVE_INFINITY, 55_000, 50_000)).toBe(0);
+      const restored = { outage: noOutage, livenessMs, restoredMs: 50_000 };
+      vitest.expect(removalGraceMs(restored, 50_000)).toBe(2_300);
+      vitest.expect(removalGraceMs({ ...restored, restoredMs: 50_000 }, 52_000)).toBe(300);
+      vitest.expect(removalGraceMs({ ...restored, restoredMs: 50_000 }, 55_000)).toBe(0);
     },
   );
 });
+
+vitest.describe('outage of the store', () => {
+  vitest.test('begins with the last success before its first failure', () => {
+    const outage = new StoreOutage();
+    vitest.expect(outage.times).toEqual(noOutage);
+    outage.recordSuccess(1_000);
+    outage.recordFailure(2_000);
+    outage.recordFailure(3_000);
+    vitest.expect(outage.times).toEqual({ startedMs: 1_000, lastFailureMs: 3_000 });
+  });
+
+  vitest.test('goes on while a few reads succeed (guards against replicas lost while the store is slow)', () => {
+    const outage = new StoreOutage();
+    outage.recordSuccess(1_000);
+    outage.recordFailure(2_000);
+    outage.recordSuccess(3_000);
+    outage.recordFailure(4_000);
+    vitest.expect(outage.times).toEqual({ startedMs: 1_000, lastFailureMs: 4_000 });
+    outage.recordSuccess(6_000);
+    outage.recordFailure(8_000);
+    vitest.expect(outage.times).toEqual({ startedMs: 6_000, lastFailureMs: 8_000 });
+  });
+});
--- a/packages/gateway/src/replicas/removalGrace.ts
+++ b/packages/gateway/src/replicas/removalGrace.ts
@@ -1,10 +1,21 @@
+import { type OutageTimes, outageGapMs } from './StoreOutage.js';
+
 /** Time after an outage of the store within which the expired records are written again, milliseconds (approximate). */
-const expiredRecordRewriteMs = 2_300;
+const expiredRecordRewriteMs = outageGapMs;
 /**
  * Longest grace period, milliseconds. A leaving replica may get requests for 2 s after its record is removed, and the
  * read of the removal takes part of that time.
  */
 const maximumGraceMs = 1_600;
+/** What the grace period of a removed replica depends on, times in milliseconds. */
+export interface RemovalInput {
+  readonly outage: OutageTimes;
+  /** Time between two liveness reports of a replica. */
+  readonly livenessMs: number;
+  /** When this daemon learned that the store was restored from a copy, if the copy lacks the record. */
+  readonly restoredMs?: number | undefined;
+}
+
 /** Missed liveness reports after which the platform removes a record. */
 const missedReportLimit = 3;
 /** Time for the removal itself and its read, milliseconds. */
@@ -14,12 +25,15 @@
  * How long a replica stays in use after the removal of its record was read, milliseconds. During an outage of the
  * store, records of live replicas expire; these replicas stay in use until their records should have been written
  * again. A failed read of this daemon alone cannot be distinguished from an outage, so the grace period never exceeds
- * the time for which a replica that really leaves may still get requests. `restoredMs`: when this daemon learned that the
- * store was restored from a copy, if the copy lacks the record. Nothing says then that the replica leaves, so it stays in
- * use until its record should have been written again.
+ * the time for which a replica that really leaves may still get requests; and there is none after an outage in which no
+ * record can have expired, such as a read on a connection that went silent. If the copy of a restored store lacks the
+ * record, nothing says that the replica leaves, so it stays in use until its record should have been written again.
  */
-export function removalGraceMs(lastFailureMs: number, nowMs: number, restoredMs = Number.NEGATIVE_INFINITY): number {
-  const afterOutageMs = Math.min(lastFailureMs + expiredRecordRewriteMs - nowMs, maximumGraceMs);
+export function removalGraceMs(input: RemovalInput, nowMs: number): number {
+  const { outage, livenessMs, restoredMs = Number.NEGATIVE_INFINITY } = input;
+  const canHaveExpired = nowMs - outage.startedMs >= (missedReportLimit - 1) * livenessMs;
+  const recoveryMs = outage.lastFailureMs + expiredRecordRewriteMs - nowMs;
+  const afterOutageMs = canHaveExpired ? Math.min(recoveryMs, maximumGraceMs) : 0;
   const afterRestoreMs = restoredMs + expiredRecordRewriteMs - nowMs;
   return Math.max(afterOutageMs, afterRestoreMs, 0);
 }
