--- a/packages/gateway/src/forwarding/Exchange.test.ts
+++ b/packages/gateway/src/forwarding/Exchange.test.ts
@@ -1,7 +1,7 @@
 import type * as net from 'node:net';
 import * as vitest from 'vitest';
 import { ExchangeFixture, type ReplicaScript } from '../testing/ExchangeFixture.js';
-import type { Route } from '../Types.js';
+import { withReplicas } from '../testing/withReplicas.js';
 
 const ok = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\n';
 const events = (from: number, to: number): string =>
@@ -12,19 +12,6 @@
   socket.write(`${ok}Content-Length: 5\r\n\r\nwhole`);
 };
 
-async function withReplicas(
-  route: Partial<Route>,
-  scripts: readonly ReplicaScript[],
-  test: (fixture: ExchangeFixture) => Promise<void>,
-): Promise<void> {
-  await using fixture = new ExchangeFixture(route);
-  for (const script of scripts) {
-    await fixture.addReplica(script);
-  }
-  await fixture.open();
-  await test(fixture);
-}
-
 vitest.describe('exchange between a caller and a replica', () => {
   vitest.test(
     'does not complete an unframed response after a reset (guards against truncated responses that look complete)',
--- a/packages/gateway/src/forwarding/faultyReplicas.test.ts
+++ b/packages/gateway/src/forwarding/faultyReplicas.test.ts
@@ -1,6 +1,6 @@
 import * as vitest from 'vitest';
-import { ExchangeFixture, type ReplicaScript } from '../testing/ExchangeFixture.js';
-import type { Route } from '../Types.js';
+import type { ReplicaScript } from '../testing/ExchangeFixture.js';
+import { withReplicas } from '../testing/withReplicas.js';
 
 const ok = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\n';
 const eventType = 'Content-Type: text/event-stream\r\n';
@@ -10,19 +10,6 @@
 const stream = { kind: 'stream', resumable: false } as const;
 const resumableStream = { kind: 'stream', resumable: true } as const;
 
-async function withReplicas(
-  route: Partial<Route>,
-  scripts: readonly ReplicaScript[],
-  test: (fixture: ExchangeFixture) => Promise<void>,
-): Promise<void> {
-  await using fixture = new ExchangeFixture(route);
-  for (const script of scripts) {
-    await fixture.addReplica(script);
-  }
-  await fixture.open();
-  await test(fixture);
-}
-
 vitest.describe('a refusal that a faulty replica repeats for the same attempt', () => {
   vitest.test(
     'is not taken for the answer to the next send (guards against a promise for a request that runs)',
