--- a/packages/gateway/src/peers/PeerChannel.test.ts
+++ b/packages/gateway/src/peers/PeerChannel.test.ts
@@ -7,6 +7,7 @@
 
 const durationLimitMs = 500;
 const partLength = 40;
+const maximumLineLength = 8 * 1024 * 1024;
 const answeredParts = Array.from({ length: 40_000 }, (_none, index) => answered(`part-${index}`));
 
 function answered(part: string): AnsweredPart {
@@ -34,6 +35,21 @@
     });
   });
 
+  vitest.test(
+    'handles nothing after a line that is too long (guards against messages of a closed channel)',
+    async () => {
+      const socket = openSocket();
+      const channel = new PeerChannel(socket as unknown as net.Socket, systemClock);
+      const received: PeerMessage[] = [];
+      channel.onMessage((message) => received.push(message));
+      const closed = new Promise((resolve) => channel.onClosed(resolve));
+      const message = `${encodeMessage('answeredParts', { parts: [answered('a')] })}\n`;
+      socket.write(`${message}${' '.repeat(maximumLineLength + 1)}\n${message}`);
+      vitest.expect(await closed).toBe('message is too long');
+      vitest.expect(received).toHaveLength(1);
+    },
+  );
+
   vitest.test('takes time in proportion to a long message (guards against a daemon that stands still)', async () => {
     const socket = openSocket();
     const channel = new PeerChannel(socket as unknown as net.Socket, systemClock);
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -112,6 +112,9 @@
     const [first = '', ...others] = text.split('\n');
     this._appendToLine(first);
     for (const part of others) {
+      if (this._socket.destroyed) {
+        return;
+      }
       const line = this._lineParts.join('');
       this._lineParts = [];
       this._linePartsLength = 0;
