--- a/packages/gateway/src/forwarding/malformedHeads.test.ts
+++ b/packages/gateway/src/forwarding/malformedHeads.test.ts
@@ -1,13 +1,11 @@
 import * as fastCheck from 'fast-check';
 import * as vitest from 'vitest';
 import { ExchangeFixture, type ReplicaScript } from '../testing/ExchangeFixture.js';
-import { sends, withReplicas } from '../testing/withReplicas.js';
+import { eventType, sends, signedAnswer, withReplicas } from '../testing/withReplicas.js';
 
-const answer = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-other: 1\r\nContent-Length: 5\r\n\r\nwhole';
-const eventType = 'Content-Type: text/event-stream\r\n';
 const mutationRuns = 300;
 
-const sound: ReplicaScript = (socket) => socket.write(answer);
+const sound: ReplicaScript = (socket) => socket.write(signedAnswer);
 
 /** Sends the bytes of a request and resolves with the first line of the response; empty if there is none. */
 function sendBytes(fixture: ExchangeFixture, text: string): Promise<string> {
@@ -29,12 +27,12 @@
 }
 
 const malformedAnswers: readonly (readonly [string, string])[] = [
-  ['a control byte in the reason phrase', answer.replace('OK', 'O\x0b')],
-  ['status 000', answer.replace('200', '000')],
-  ['status 099', answer.replace('200', '099')],
-  ['status 700', answer.replace('200', '700')],
-  ['a space in the name of a header', answer.replace('x-other', 'x-o her')],
-  ['an upgrade', answer.replace('200 OK', '101 OK').replace('x-other: 1', 'Connection: upgrade\r\nUpgrade: x')],
+  ['a control byte in the reason phrase', signedAnswer.replace('OK', 'O\x0b')],
+  ['status 000', signedAnswer.replace('200', '000')],
+  ['status 099', signedAnswer.replace('200', '099')],
+  ['status 700', signedAnswer.replace('200', '700')],
+  ['a space in the name of a header', signedAnswer.replace('x-other', 'x-o her')],
+  ['an upgrade', signedAnswer.replace('200 OK', '101 OK').replace('x-other: 1', 'Connection: upgrade\r\nUpgrade: x')],
 ];
 
 vitest.describe('an answer with a malformed head', () => {
@@ -56,15 +54,15 @@
   vitest.test(
     'of any kind ends only its own request (guards against a gateway that ends at a byte from a replica)',
     async () => {
-      const head = answer.slice(0, answer.indexOf('\r\n\r\n'));
+      const head = signedAnswer.slice(0, signedAnswer.indexOf('\r\n\r\n'));
       const position = fastCheck.integer({ min: 0, max: head.length - 1 });
       const byte = fastCheck.integer({ min: 0, max: 255 });
-      let mutated = answer;
+      let mutated = signedAnswer;
       const script: ReplicaScript = (socket) => void socket.end(Buffer.from(mutated, 'latin1'));
       await withReplicas({ kind: 'nonIdempotent' }, [script], async (fixture) => {
         await fastCheck.assert(
           fastCheck.asyncProperty(position, byte, async (at, value) => {
-            mutated = answer.slice(0, at) + String.fromCharCode(value) + answer.slice(at + 1);
+            mutated = signedAnswer.slice(0, at) + String.fromCharCode(value) + signedAnswer.slice(at + 1);
             vitest.expect((await fixture.call()).status).toBeDefined();
           }),
           { numRuns: mutationRuns },
--- a/packages/gateway/src/forwarding/unsignedAnswers.test.ts
+++ b/packages/gateway/src/forwarding/unsignedAnswers.test.ts
@@ -1,12 +1,9 @@
 import * as vitest from 'vitest';
 import type { ReplicaScript } from '../testing/ExchangeFixture.js';
-import { sends, withReplicas } from '../testing/withReplicas.js';
-
-const answer = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-other: 1\r\nContent-Length: 5\r\n\r\nwhole';
-const eventType = 'Content-Type: text/event-stream\r\n';
+import { eventType, sends, signedAnswer, withReplicas } from '../testing/withReplicas.js';
 
 vitest.describe('a success without a signature', () => {
-  const unsigned = answer.replace('x-other: 1', 'x-unsigned: 1');
+  const unsigned = signedAnswer.replace('x-other: 1', 'x-unsigned: 1');
 
   vitest.test.each([
     ['with a length', unsigned],
@@ -32,7 +29,7 @@
     let answers = 0;
     const script: ReplicaScript = (socket) => {
       answers += 1;
-      socket.end(answers === 1 ? unsigned : answer);
+      socket.end(answers === 1 ? unsigned : signedAnswer);
     };
     await withReplicas({}, [script, script], async (fixture) => {
       vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: 'whole', complete: true });
--- a/packages/gateway/src/replicas/StoreOutage.ts
+++ b/packages/gateway/src/replicas/StoreOutage.ts
@@ -1,5 +1,8 @@
-/** Failures that are this close belong to one outage, milliseconds: records may still be missing from the one before. */
-export const outageGapMs = 2_300;
+/**
+ * Time after an outage of the store within which the expired records are written again, milliseconds (approximate). Failures
+ * that are closer belong to one outage, since records may still be missing.
+ */
+export const expiredRecordRewriteMs = 2_300;
 
 /** When the store was last out of reach of this daemon, steady milliseconds. */
 export interface OutageTimes {
@@ -24,7 +27,7 @@
   }
 
   public recordFailure(nowMs: number): void {
-    const isNew = nowMs - this._times.lastFailureMs > outageGapMs;
+    const isNew = nowMs - this._times.lastFailureMs > expiredRecordRewriteMs;
     this._times = { startedMs: isNew ? this._lastSuccessMs : this._times.startedMs, lastFailureMs: nowMs };
   }
 }
--- a/packages/gateway/src/replicas/removalGrace.ts
+++ b/packages/gateway/src/replicas/removalGrace.ts
@@ -1,7 +1,5 @@
-import { type OutageTimes, outageGapMs } from './StoreOutage.js';
+import { expiredRecordRewriteMs, type OutageTimes } from './StoreOutage.js';
 
-/** Time after an outage of the store within which the expired records are written again, milliseconds (approximate). */
-const expiredRecordRewriteMs = outageGapMs;
 /**
  * Longest grace period, milliseconds. A leaving replica may get requests for 2 s after its record is removed, and the
  * read of the removal takes part of that time.
