--- a/packages/common/src/JsonHttpClient.ts
+++ b/packages/common/src/JsonHttpClient.ts
@@ -103,8 +103,7 @@
       const timer = setTimeout(() => {
         finish(fail({ kind: 'timeout', message: `no response within ${request.timeoutMs} ms`, mayHaveRun: connected }));
         outgoing.destroy();
-        const { hostname, port } = new URL(request.url);
-        closeIdleConnections(this._agent, hostname, Number(port));
+        closeIdleConnections(this._agent, outgoing.host, Number(new URL(request.url).port));
       }, request.timeoutMs);
       const write = (): void => {
         if (request.mayWrite?.() === false) {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -4,6 +4,7 @@
 export * from './DisposalRegistry.js';
 export * from './Emitter.js';
 export * from './HttpListener.js';
+export * from './httpUrl.js';
 export * from './HybridClock.js';
 export * from './JsonHttpClient.js';
 export * from './Logger.js';
