Adopt an order once, also if its new owner loses sight of its lease meanwhile

Cause, by a trial that stalls the test process after the first adoption (900 to 3,000 ms, printing the claims): 1. The same owner adopts twice (claims 5 and 7, adoptions by 7 and 7; stalls of 1,200 and 1,500 ms). The reconciler of a target ends when its daemon loses sight of its lease, and forgot what it had adopted; the daemon then renewed the same claim and sent the load again. ReconcilerManager keeps the adopted orders now, until they are settled. 2. A third daemon takes over after a stall longer than the lease, and adopts once (claims 5, 7, 11; adoptions by 7 and 11). That is allowed: it is a new owner.

--- a/packages/daemon/src/owner/ReconcilerManager.ts
+++ b/packages/daemon/src/owner/ReconcilerManager.ts
@@ -1,5 +1,6 @@
 import * as common from '@jayhaven/common';
-import type { ReconcilerEvents } from './TargetReconciler.js';
+import type * as decisions from '@jayhaven/decisions';
+import type { AdoptedOrders, ReconcilerEvents } from './TargetReconciler.js';
 import { TargetReconciler } from './TargetReconciler.js';
 import type { ReportAppender } from './ReportAppender.js';
 import type { OwnerServices } from './OwnerServices.js';
@@ -15,6 +16,7 @@
 /** Runs one reconciler for each target with unsettled orders or replicas in transition. */
 export class ReconcilerManager extends common.Task<ReconcilerMessage> {
   private readonly _reconcilers = new Map<common.TargetAddress, TargetReconciler>();
+  private readonly _adopted: AdoptedOrders = new Map();
   private readonly _running = new Map<common.TargetAddress, Promise<void>>();
   private readonly _unsubscribe: common.Unsubscribe;
   private _scanPosted = false;
@@ -82,6 +84,7 @@
 
   private _scan(): void {
     const { state } = this._services.control.log;
+    this._forgetEndedOrders(state);
     const targets = new Set<common.TargetAddress>();
     for (const order of state.orders.values()) {
       targets.add(order.target);
@@ -97,6 +100,14 @@
     }
   }
 
+  private _forgetEndedOrders(state: decisions.ControlState): void {
+    for (const order of this._adopted.keys()) {
+      if (!state.orders.has(order)) {
+        this._adopted.delete(order);
+      }
+    }
+  }
+
   private _start(target: common.TargetAddress): void {
     const reconciler = this._reconcilers.get(target);
     if (this._running.has(target)) {
@@ -126,6 +137,6 @@
   }
 
   private _createReconciler(target: common.TargetAddress): TargetReconciler {
-    return new TargetReconciler(this._services, this._reports, this._events, target);
+    return new TargetReconciler(this._services, this._reports, this._events, target, this._adopted);
   }
 }
--- a/packages/daemon/src/owner/TargetReconciler.ts
+++ b/packages/daemon/src/owner/TargetReconciler.ts
@@ -39,6 +39,12 @@
   readonly onStray: (target: common.TargetAddress, present: boolean) => void;
 }
 
+/**
+ * Orders that this daemon has adopted, with the claim. Each is adopted once, however long its load takes and however often
+ * this daemon loses sight of its lease meanwhile.
+ */
+export type AdoptedOrders = Map<decisions.OrderId, decisions.ClaimOffset>;
+
 /**
  * Reconciles the engine of one target with the replayed state. Each round compares state and engine afresh, so the work
  * resumes after any failure, also of a former owner.
@@ -48,8 +54,6 @@
   private readonly _sender: OrderSender;
   /** Time at which a transition was first seen, per replica or order of an adapter. */
   private readonly _startedMs = new Map<string, number>();
-  /** Orders that this daemon has adopted, with the claim; each is adopted once, however long its load takes. */
-  private readonly _adopted = new Map<decisions.OrderId, decisions.ClaimOffset>();
   private readonly _absentReads = new Map<string, number>();
   private _verifyRoundsLeft = 0;
   private _hasStrays = false;
@@ -60,6 +64,7 @@
     private readonly _reports: ReportAppender,
     private readonly _events: ReconcilerEvents,
     public readonly target: common.TargetAddress,
+    private readonly _adopted: AdoptedOrders,
   ) {
     this._sender = new OrderSender(_services, _reports, () => {
       this._signal.raise();
@@ -93,7 +98,6 @@
     }
     this._startedMs.clear();
     this._absentReads.clear();
-    this._adopted.clear();
   }
 
   /** Whether state and engine may differ at this target. */
