--- a/packages/gateway/src/forwarding/Exchange.test.ts
+++ b/packages/gateway/src/forwarding/Exchange.test.ts
@@ -1,23 +1,15 @@
 import type * as net from 'node:net';
 import * as vitest from 'vitest';
 import { ExchangeFixture, type ReplicaScript } from '../testing/ExchangeFixture.js';
+import { events, notExecutedHead, responds, signedHead } from '../testing/replicaScripts.js';
 import { withReplicas } from '../testing/withReplicas.js';
 
-const ok = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\n';
-const events = (from: number, to: number): string =>
-  Array.from({ length: to - from + 1 }, (_none, index) => `id: ${from + index}\ndata: x\n\n`).join('');
-
-/** Sends a complete response and keeps the connection open. */
-const responds: ReplicaScript = (socket) => {
-  socket.write(`${ok}Content-Length: 5\r\n\r\nwhole`);
-};
-
 vitest.describe('exchange between a caller and a replica', () => {
   vitest.test(
     'does not complete an unframed response after a reset (guards against truncated responses that look complete)',
     async () => {
       const resets: ReplicaScript = (socket) => {
-        socket.write(`${ok}Connection: close\r\n\r\nhalf`);
+        socket.write(`${signedHead}Connection: close\r\n\r\nhalf`);
         socket.resetAndDestroy();
       };
       await withReplicas({ kind: 'nonIdempotent' }, [resets], async (fixture) => {
@@ -30,7 +22,7 @@
   );
 
   vitest.test('completes an unframed response that ends with its connection', async () => {
-    const closes: ReplicaScript = (socket) => socket.end(`${ok}Connection: close\r\n\r\nwhole`);
+    const closes: ReplicaScript = (socket) => socket.end(`${signedHead}Connection: close\r\n\r\nwhole`);
     await withReplicas({ kind: 'nonIdempotent' }, [closes], async (fixture) => {
       vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: 'whole', complete: true });
     });
@@ -52,7 +44,7 @@
       const repeatsLate: ReplicaScript = (socket) => {
         requests += 1;
         // A duplicate of the first response arrives when the second request uses the connection.
-        socket.write(`${ok}Content-Length: 5\r\n\r\n${requests === 1 ? 'first' : 'copy!'}`);
+        socket.write(`${signedHead}Content-Length: 5\r\n\r\n${requests === 1 ? 'first' : 'copy!'}`);
       };
       await withReplicas({ kind: 'stream' }, [repeatsLate], async (fixture) => {
         vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: 'first' });
@@ -67,10 +59,10 @@
     'closes a connection with bytes after a response (guards against responses without a request)',
     async () => {
       const extra: ReplicaScript = (socket) => {
-        socket.write(`${ok}Content-Length: 5\r\n\r\nwhole`);
+        socket.write(`${signedHead}Content-Length: 5\r\n\r\nwhole`);
         setTimeout(() => {
           if (!socket.destroyed) {
-            socket.write(`${ok}Content-Length: 5\r\n\r\nextra`);
+            socket.write(`${signedHead}Content-Length: 5\r\n\r\nextra`);
           }
         }, 20);
       };
@@ -143,7 +135,7 @@
     async () => {
       const script: ReplicaScript = (socket, head) => {
         const isResumed = head.includes('last-event-id: 2');
-        socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n`);
+        socket.write(`${signedHead}Transfer-Encoding: chunked\r\n\r\n`);
         sendChunk(socket, isResumed ? events(3, 4) : `${events(1, 2)}id: 3\nda`);
         if (isResumed) {
           socket.write('0\r\n\r\n');
@@ -162,7 +154,7 @@
     'cuts a broken stream that is not resumable (guards against truncated streams that look complete)',
     async () => {
       const breaks: ReplicaScript = (socket) => {
-        socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n`);
+        socket.write(`${signedHead}Transfer-Encoding: chunked\r\n\r\n`);
         sendChunk(socket, events(1, 2));
         setTimeout(() => socket.destroy(), 20);
       };
@@ -239,14 +231,12 @@
   socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
 }
 
-const notExecutedHead = 'HTTP/1.1 503 Full\r\nx-attempt: a1\r\nx-not-run: 1\r\n';
-
 vitest.describe('replicas that accept no more requests', () => {
   vitest.test(
     'get no request after announcing in a response that they leave (guards against requests to a leaving VM)',
     async () => {
       const leaves: ReplicaScript = (socket) => {
-        socket.write(`${ok}x-leaving: 1\r\nContent-Length: 5\r\n\r\nwhole`);
+        socket.write(`${signedHead}x-leaving: 1\r\nContent-Length: 5\r\n\r\nwhole`);
       };
       await withReplicas({ kind: 'nonIdempotent' }, [leaves], async (fixture) => {
         vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: 'whole' });
@@ -292,158 +282,3 @@
     });
   });
 });
-
-/** Writes a text repeatedly; resolves once the socket is closed. */
-function writeWithoutEnd(socket: net.Socket, text: string): Promise<void> {
-  return new Promise((resolve) => {
-    const timer = setInterval(() => socket.write(text), 5);
-    socket.once('close', () => {
-      clearInterval(timer);
-      resolve();
-    });
-  });
-}
-
-vitest.describe('endless bytes (guards against connections, memory and callers that are never released)', () => {
-  const endless: readonly (readonly [string, string, string])[] = [
-    ['that are no HTTP response', '', 'garbage'],
-    ['in the head of a response', ok, `x-more: ${'x'.repeat(2_000)}\r\n`],
-    ['in interim responses', '', 'HTTP/1.1 100 Continue\r\n\r\n'],
-  ];
-  for (const [where, start, more] of endless) {
-    vitest.test(`${where} end the attempt and its connection`, async () => {
-      const closed: Promise<void>[] = [];
-      const script: ReplicaScript = (socket) => {
-        socket.write(start);
-        closed.push(writeWithoutEnd(socket, more));
-      };
-      await withReplicas({ kind: 'nonIdempotent' }, [script], async (fixture) => {
-        vitest.expect(await fixture.call()).toMatchObject({ status: 502, complete: true });
-        await Promise.all(closed);
-        vitest.expect(closed.length).toBe(1);
-      });
-    });
-  }
-
-  vitest.test('in the body of a refusal close the connection, and the request is retried', async () => {
-    const closed: Promise<void>[] = [];
-    const refuses: ReplicaScript = (socket) => {
-      socket.write(`${notExecutedHead}Transfer-Encoding: chunked\r\n\r\n`);
-      closed.push(writeWithoutEnd(socket, `1000\r\n${'x'.repeat(4_096)}\r\n`));
-    };
-    await withReplicas({ kind: 'nonIdempotent' }, [refuses, responds], async (fixture) => {
-      vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: 'whole' });
-      await Promise.all(closed);
-      vitest.expect(closed.length).toBe(1);
-    });
-  });
-
-  vitest.test('in an event of a stream cause the stream to be resumed at another replica', async () => {
-    const closed: Promise<void>[] = [];
-    const script: ReplicaScript = (socket) => {
-      socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n`);
-      closed.push(writeWithoutEnd(socket, `40000\r\n${'x'.repeat(0x40000)}\r\n`));
-    };
-    const good: ReplicaScript = (socket) => {
-      const body = events(1, 3);
-      socket.write(`${ok}Content-Length: ${body.length}\r\n\r\n${body}`);
-    };
-    const route = { kind: 'stream', resumable: true, eventGapMs: 600 } as const;
-    await withReplicas(route, [script, good], async (fixture) => {
-      vitest.expect(await fixture.call()).toMatchObject({ status: 200, body: events(1, 3), complete: true });
-      await Promise.all(closed);
-    });
-  });
-
-  vitest.test(
-    'in a request are read for a limited time after the response, then the connection is closed',
-    async () => {
-      await withReplicas({ kind: 'idempotent' }, [responds], async (fixture) => {
-        const socket = fixture.connect();
-        socket.write('POST /p/x HTTP/1.1\r\nhost: h\r\nx-attempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n');
-        let response = '';
-        socket.on('data', (bytes) => (response += bytes.toString()));
-        socket.on('error', () => undefined);
-        await writeWithoutEnd(socket, `40\r\n${'x'.repeat(64)}\r\n`);
-        vitest.expect(response).toContain('413');
-        vitest.expect(fixture.requestHeads).toEqual([]);
-      });
-    },
-  );
-});
-
-vitest.describe('slow and stalled streams', () => {
-  const route = { kind: 'stream', resumable: true, eventGapMs: 60, latencyTargetMs: 200 } as const;
-
-  vitest.test(
-    'are resumed elsewhere if bytes but no complete events arrive (guards against endless stalls)',
-    async () => {
-      const trickles: ReplicaScript = (socket) => {
-        socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n${chunk(events(1, 1))}`);
-        void writeWithoutEnd(socket, chunk('x'));
-      };
-      const resumes: ReplicaScript = (socket) => {
-        const body = events(2, 3);
-        socket.write(`${ok}Content-Length: ${body.length}\r\n\r\n${body}`);
-      };
-      await withReplicas(route, [trickles, resumes], async (fixture) => {
-        vitest.expect(await fixture.call()).toMatchObject({ body: events(1, 3), complete: true });
-        vitest.expect(fixture.requestHeads[1]).toContain('last-event-id: 1');
-      });
-    },
-  );
-
-  vitest.test(
-    'wait for a paused replica if no other one can go on (guards against cutting healthy streams)',
-    async () => {
-      const pauses: ReplicaScript = (socket) => {
-        socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n${chunk(events(1, 1))}`);
-        setTimeout(() => socket.write(`${chunk(events(2, 2))}0\r\n\r\n`), 1_500);
-      };
-      await withReplicas(route, [pauses], async (fixture) => {
-        const response = await fixture.call({ headers: { 'x-model': 'm' } });
-        vitest.expect(response).toMatchObject({ status: 200, body: events(1, 2), complete: true });
-        vitest.expect(fixture.requestHeads.length).toBe(1);
-      });
-    },
-  );
-
-  vitest.test('continue after the record of their replica is removed (guards against cancelled work)', async () => {
-    const slow: ReplicaScript = (socket) => {
-      socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n${chunk(events(1, 1))}`);
-      setTimeout(() => socket.write(`${chunk(events(2, 2))}0\r\n\r\n`), 250);
-    };
-    await withReplicas(route, [slow], async (fixture) => {
-      const response = fixture.call();
-      await new Promise((resolve) => setTimeout(resolve, 100));
-      fixture.removeRecords();
-      vitest.expect(await response).toMatchObject({ status: 200, body: events(1, 2), complete: true });
-      vitest.expect(fixture.requestHeads.length).toBe(1);
-    });
-  });
-
-  vitest.test(
-    'are not cut while events arrive within the inactivity timeout (guards against cutting healthy streams)',
-    async () => {
-      const slow: ReplicaScript = (socket) => {
-        socket.write(`${ok}Transfer-Encoding: chunked\r\n\r\n`);
-        let id = 0;
-        const timer = setInterval(() => {
-          id += 1;
-          socket.write(id <= 8 ? chunk(events(id, id)) : '0\r\n\r\n');
-          if (id > 8) {
-            clearInterval(timer);
-          }
-        }, 250);
-      };
-      await withReplicas(route, [slow, slow], async (fixture) => {
-        vitest.expect(await fixture.call()).toMatchObject({ body: events(1, 8), complete: true });
-        vitest.expect(fixture.requestHeads.length).toBe(1);
-      });
-    },
-  );
-});
-
-function chunk(text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
--- a/packages/gateway/src/forwarding/endlessAnswers.test.ts
+++ b/packages/gateway/src/forwarding/endlessAnswers.test.ts
@@ -2,6 +2,7 @@
 import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
 import { ExchangeFixture, type ReplicaScript } from '../testing/ExchangeFixture.js';
+import { chunk, notExecutedHead, signedHead } from '../testing/replicaScripts.js';
 
 /** Time within which a request must have its answer beside answers without end, milliseconds. */
 const answerLimitMs = 500;
@@ -11,14 +12,9 @@
 /** Memory by which the process may grow, bytes; the stand-ins take part of it. */
 const memoryLimitBytes = 160 * 1024 * 1024;
 
-const streamHead = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\nContent-Type: text/event-stream\r\n';
-const plainHead = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\n';
+const streamHead = `${signedHead}Content-Type: text/event-stream\r\n`;
 const chunked = 'Transfer-Encoding: chunked\r\n\r\n';
 
-function chunk(text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
-
 /** Writes the start of an answer and then a text again and again, as fast as the gateway reads. */
 function writeWithoutEnd(socket: net.Socket, start: string, text: string): void {
   const block = Buffer.from(text.repeat(Math.ceil(65_536 / text.length)), 'latin1');
@@ -38,10 +34,10 @@
     ['an event, a byte in each chunk', `${streamHead}${chunked}`, chunk('x')],
     ['an event in large pieces without a frame', `${streamHead}Connection: close\r\n\r\n`, 'data: to\n'],
     ['small events', `${streamHead}${chunked}`, chunk('id: 1\n\n')],
-    ['a body, a byte in each chunk', `${plainHead}${chunked}`, chunk('x')],
-    ['a body without a frame', `${plainHead}Connection: close\r\n\r\n`, 'x'],
-    ['a refusal, a byte in each chunk', `HTTP/1.1 503 Full\r\nx-attempt: a1\r\nx-not-run: 1\r\n${chunked}`, chunk('x')],
-    ['a head', plainHead, 'x-other: 1\r\n'],
+    ['a body, a byte in each chunk', `${signedHead}${chunked}`, chunk('x')],
+    ['a body without a frame', `${signedHead}Connection: close\r\n\r\n`, 'x'],
+    ['a refusal, a byte in each chunk', `${notExecutedHead}${chunked}`, chunk('x')],
+    ['a head', signedHead, 'x-other: 1\r\n'],
     ['interim answers', '', 'HTTP/1.1 103 Early\r\n\r\n'],
     ['trailers', `${streamHead}${chunked}0\r\n`, 'x-other: 1\r\n'],
     ['the extension of a chunk', `${streamHead}${chunked}1`, ';x=1'],
@@ -54,7 +50,7 @@
         if (head.startsWith('GET /p/endless')) {
           writeWithoutEnd(socket, start, text);
         } else {
-          socket.write(`${plainHead}Content-Length: 2\r\n\r\nok`);
+          socket.write(`${signedHead}Content-Length: 2\r\n\r\nok`);
         }
       };
       await using fixture = new ExchangeFixture({ kind: 'stream', timeoutMs: observedMs });
--- a/packages/gateway/src/forwarding/malformedHeads.test.ts
+++ b/packages/gateway/src/forwarding/malformedHeads.test.ts
@@ -1,7 +1,8 @@
 import * as fastCheck from 'fast-check';
 import * as vitest from 'vitest';
 import { ExchangeFixture, type ReplicaScript } from '../testing/ExchangeFixture.js';
-import { eventType, sends, signedAnswer, withReplicas } from '../testing/withReplicas.js';
+import { eventType, sends, signedAnswer } from '../testing/replicaScripts.js';
+import { withReplicas } from '../testing/withReplicas.js';
 
 const mutationRuns = 300;
 
--- a/packages/gateway/src/forwarding/unsignedAnswers.test.ts
+++ b/packages/gateway/src/forwarding/unsignedAnswers.test.ts
@@ -1,6 +1,7 @@
 import * as vitest from 'vitest';
 import type { ReplicaScript } from '../testing/ExchangeFixture.js';
-import { eventType, sends, signedAnswer, withReplicas } from '../testing/withReplicas.js';
+import { eventType, sends, signedAnswer } from '../testing/replicaScripts.js';
+import { withReplicas } from '../testing/withReplicas.js';
 
 vitest.describe('a success without a signature', () => {
   const unsigned = signedAnswer.replace('x-other: 1', 'x-unsigned: 1');
