--- a/packages/gateway/src/testing/CrashSimulation.ts
+++ b/packages/gateway/src/testing/CrashSimulation.ts
@@ -3,7 +3,9 @@
 import { decideTrial } from '../crashes/decideTrial.js';
 import type { CrashReport, PartBlock, SuspectsMessage } from '../crashes/Types.js';
 import type { CrashSimulationOptions, CrashSimulationResult, SoundRequest } from './CrashSimulationTypes.js';
+import { SimulatedDaemon, type SimulatedReplica, type SimulatedRequest } from './SimulatedDaemon.js';
 import { silentLogger } from './SilentLogger.js';
+import { SimulatedTime } from './SimulatedTime.js';
 
 /** Times of requests and replicas, milliseconds. */
 const firstEventMs = { least: 30, most: 300 } as const;
@@ -22,34 +24,13 @@
 const crashingParts = { part: 'crashing', request: 'request:crashing' } as const;
 const popularRequests = 10;
 
-interface SimulatedRequest {
-  readonly daemon: SimulatedDaemon;
-  readonly parts: readonly string[];
-  readonly atMs: number;
-  trialParts?: readonly string[];
-}
-
-interface SimulatedReplica {
-  readonly id: string;
-  bornMs: number;
-  upFromMs: number;
-  readonly requests: Set<SimulatedRequest>;
-}
-
-class SimulatedDaemon {
-  public guard = new CrashGuard();
-  public readonly waiting = new Set<SimulatedRequest>();
-  public reports: { readonly report: CrashReport; readonly atMs: number }[] = [];
-}
-
 /** Daemons that find a crashing part over an unreliable network, with crashes of other causes, in simulated time. */
 export class CrashSimulation {
   private readonly _daemons: SimulatedDaemon[];
   private readonly _replicas: SimulatedReplica[];
-  private readonly _events = new Map<number, (() => void)[]>();
+  private readonly _time: SimulatedTime;
   private _leaderDaemon: SimulatedDaemon | undefined;
   private _leader: CrashLeader<SimulatedDaemon>;
-  private _nowMs = 0;
   private readonly _crashesMs: number[] = [];
   private _otherCrashes = 0;
   private _requestCount = 0;
@@ -60,6 +41,7 @@
   private readonly _stored = new Map<string, PartBlock>();
 
   public constructor(private readonly _options: CrashSimulationOptions) {
+    this._time = new SimulatedTime(_options.random);
     this._daemons = Array.from({ length: _options.daemonCount }, () => new SimulatedDaemon());
     this._replicas = Array.from({ length: _options.replicaCount }, (_none, index) => {
       return { id: `i-${index}`, bornMs: 0, upFromMs: 0, requests: new Set<SimulatedRequest>() };
@@ -68,22 +50,20 @@
     for (const daemon of this._daemons) {
       this._connectGuard(daemon);
     }
-    this._lead(this._pick(this._daemons));
+    this._lead(this._time.pick(this._daemons));
   }
 
   public run(): CrashSimulationResult {
-    for (; this._nowMs < this._options.durationMs; this._nowMs += 1) {
-      for (const event of this._events.get(this._nowMs) ?? []) {
-        event();
-      }
-      this._events.delete(this._nowMs);
-      if (this._happens(this._options.requestsPerSecond)) {
+    while (this._time.nowMs < this._options.durationMs) {
+      this._time.runDueEvents();
+      if (this._time.happens(this._options.requestsPerSecond)) {
         this._arrive();
       }
       this._injectFaults();
-      if (this._nowMs % tickMs === 0) {
+      if (this._time.nowMs % tickMs === 0) {
         this._tick();
       }
+      this._time.advance();
     }
     return {
       crashesMs: this._crashesMs,
@@ -97,24 +77,24 @@
   private _tick(): void {
     this._leader.tick();
     for (const daemon of this._daemons) {
-      daemon.guard.expire(this._nowMs);
+      daemon.guard.expire(this._time.nowMs);
       this._redispatch(daemon);
     }
   }
 
   private _arrive(): void {
     const { random, crashingShare, crashingKind, callerCount } = this._options;
-    const isCrashing = this._nowMs > 1_000 && random() < crashingShare;
+    const isCrashing = this._time.nowMs > 1_000 && random() < crashingShare;
     const first = random() < 0.8 || isCrashing ? 'f0' : 'f1';
     // A few callers send most requests.
     const caller = isCrashing ? 0 : Math.floor(callerCount * random() ** 2);
-    const daemon = this._pick(this._daemons);
+    const daemon = this._time.pick(this._daemons);
     if (daemon === undefined) {
       return;
     }
     const part = isCrashing && crashingKind === 'part' ? [crashingParts.part] : [];
     const request = isCrashing && crashingKind === 'request' ? crashingParts.request : this._soundRequestPart();
-    this._dispatch({ daemon, parts: [first, `c${caller}`, ...part, request], atMs: this._nowMs });
+    this._dispatch({ daemon, parts: [first, `c${caller}`, ...part, request], atMs: this._time.nowMs });
   }
 
   private _soundRequestPart(): string {
@@ -127,18 +107,18 @@
   /** Returns false if the request waits. */
   private _dispatch(request: SimulatedRequest): boolean {
     const { guard } = request.daemon;
-    const verdict = guard.check(request.parts, this._nowMs);
+    const verdict = guard.check(request.parts, this._time.nowMs);
     if (verdict.kind === 'blocked') {
       this._finish(request, 'refused');
       return true;
     }
-    const waitedMs = this._nowMs - request.atMs;
+    const waitedMs = this._time.nowMs - request.atMs;
     if (verdict.kind === 'suspected') {
       const situation = { waitedMs, firstByteTimeLeftMs: callerWaitMs - waitedMs };
-      const decision = decideTrial(situation, guard.hasGrant(verdict.parts, this._nowMs));
+      const decision = decideTrial(situation, guard.hasGrant(verdict.parts, this._time.nowMs));
       if (decision.kind === 'wait') {
         request.daemon.waiting.add(request);
-        guard.requestTrial(verdict.parts, this._nowMs);
+        guard.requestTrial(verdict.parts, this._time.nowMs);
         return false;
       }
       if (decision.kind === 'refuse') {
@@ -152,7 +132,7 @@
   }
 
   private _send(request: SimulatedRequest): void {
-    const replica = this._pick(this._replicas.filter(({ upFromMs }) => upFromMs <= this._nowMs));
+    const replica = this._time.pick(this._replicas.filter(({ upFromMs }) => upFromMs <= this._time.nowMs));
     if (request.trialParts !== undefined) {
       request.daemon.guard.startTrial(request.trialParts);
     }
@@ -162,10 +142,10 @@
       return;
     }
     if (isCrashing(request)) {
-      this._crashingArrivalsMs.push(this._nowMs);
+      this._crashingArrivalsMs.push(this._time.nowMs);
     }
     replica.requests.add(request);
-    this._after(this._between(firstEventMs.least, firstEventMs.most), () => {
+    this._time.after(this._time.between(firstEventMs.least, firstEventMs.most), () => {
       if (replica.requests.has(request)) {
         this._beginAnswer(request, replica);
       }
@@ -174,14 +154,14 @@
 
   private _beginAnswer(request: SimulatedRequest, replica: SimulatedReplica): void {
     if (isCrashing(request)) {
-      this._crashesMs.push(this._nowMs);
+      this._crashesMs.push(this._time.nowMs);
       this._crash(replica);
       return;
     }
-    this._after(secondEventMs, () => {
+    this._time.after(secondEventMs, () => {
       if (replica.requests.delete(request)) {
         this._finish(request, 'answered');
-        request.daemon.guard.recordAnswered(request.parts, this._nowMs);
+        request.daemon.guard.recordAnswered(request.parts, this._time.nowMs);
         this._endTrial(request);
       }
     });
@@ -195,14 +175,14 @@
       this._finish(request, 'broken');
     }
     replica.requests.clear();
-    replica.bornMs = this._nowMs;
-    replica.upFromMs = this._nowMs + restartMs;
+    replica.bornMs = this._time.nowMs;
+    replica.upFromMs = this._time.nowMs + restartMs;
     for (const [daemon, requests] of lostByDaemon) {
       daemon.guard.suspect(
         requests.flatMap(({ parts }) => parts),
-        this._nowMs,
+        this._time.nowMs,
       );
-      this._after(probeMs, () => {
+      this._time.after(probeMs, () => {
         const lost = requests.map(({ parts, trialParts }) => ({ parts, isTrial: trialParts !== undefined }));
         this._report(daemon, { replicaId: id, bornMs, ageMs: probeMs, requests: lost });
         requests.forEach((request) => {
@@ -213,7 +193,7 @@
   }
 
   private _report(daemon: SimulatedDaemon, report: CrashReport): void {
-    daemon.reports.push({ report, atMs: this._nowMs });
+    daemon.reports.push({ report, atMs: this._time.nowMs });
     this._toLeader(daemon, (leader) => {
       leader.applyCrash(report);
     });
@@ -264,13 +244,13 @@
       broadcast: (message: SuspectsMessage): void => {
         for (const daemon of this._daemons) {
           this._toDaemon(daemon, () => {
-            daemon.guard.apply(message, this._nowMs);
+            daemon.guard.apply(message, this._time.nowMs);
           });
         }
       },
       grantTrial: (daemon: SimulatedDaemon, parts: readonly string[]): void => {
         this._toDaemon(daemon, () => {
-          daemon.guard.grantTrial(parts, this._nowMs);
+          daemon.guard.grantTrial(parts, this._time.nowMs);
         });
       },
       store: (key: string, block: PartBlock | undefined): void => {
@@ -284,10 +264,10 @@
         }
       },
       schedule: (callback: () => void, delayMs: number): void => {
-        this._after(delayMs, callback);
+        this._time.after(delayMs, callback);
       },
     };
-    return new CrashLeader(links, () => this._nowMs, silentLogger);
+    return new CrashLeader(links, () => this._time.nowMs, silentLogger);
   }
 
   private _lead(daemon: SimulatedDaemon | undefined): void {
@@ -296,11 +276,14 @@
     }
     this._leaderDaemon = daemon;
     this._leader = this._createLeader();
-    this._leader.start(daemon.guard.snapshot(this._nowMs));
+    this._leader.start(daemon.guard.snapshot(this._time.nowMs));
     this._leader.applyKnown({ suspects: [], blocks: [...this._stored.values()] });
     for (const one of this._daemons) {
-      const known = one.guard.snapshot(this._nowMs);
-      const reports = one.reports.map(({ report, atMs }) => ({ ...report, ageMs: report.ageMs + this._nowMs - atMs }));
+      const known = one.guard.snapshot(this._time.nowMs);
+      const reports = one.reports.map(({ report, atMs }) => ({
+        ...report,
+        ageMs: report.ageMs + this._time.nowMs - atMs,
+      }));
       this._toLeader(one, (leader) => {
         leader.applyKnown(known);
         reports.forEach((report) => {
@@ -312,39 +295,39 @@
 
   private _injectFaults(): void {
     const { faults } = this._options;
-    if (this._happens(faults.singleCrash)) {
-      this._crashUp(this._pick(this._replicas));
+    if (this._time.happens(faults.singleCrash)) {
+      this._crashUp(this._time.pick(this._replicas));
     }
-    if (this._happens(faults.massCrash)) {
+    if (this._time.happens(faults.massCrash)) {
       this._replicas
         .filter((_one, index) => index % 3 === 0)
         .forEach((replica) => {
           this._crashUp(replica);
         });
     }
-    if (this._nowMs % 4_000 === 0) {
+    if (this._time.nowMs % 4_000 === 0) {
       this._replicas.slice(0, this._replicas.length * faults.flappingShare).forEach((replica) => {
-        this._after(this._between(0, 500), () => {
+        this._time.after(this._time.between(0, 500), () => {
           this._crashUp(replica);
         });
       });
     }
-    if (this._leaderDaemon !== undefined && this._happens(faults.leaderLoss)) {
+    if (this._leaderDaemon !== undefined && this._time.happens(faults.leaderLoss)) {
       this._leader.stop();
       this._restart(this._leaderDaemon);
       this._leaderDaemon = undefined;
-      this._after(this._between(leaderGapMs.least, leaderGapMs.most), () => {
-        this._lead(this._pick(this._daemons));
+      this._time.after(this._time.between(leaderGapMs.least, leaderGapMs.most), () => {
+        this._lead(this._time.pick(this._daemons));
       });
     }
-    const daemon = this._happens(faults.daemonRestart) ? this._pick(this._daemons) : undefined;
+    const daemon = this._time.happens(faults.daemonRestart) ? this._time.pick(this._daemons) : undefined;
     if (daemon !== undefined && daemon !== this._leaderDaemon) {
       this._restart(daemon);
     }
   }
 
   private _crashUp(replica: SimulatedReplica | undefined): void {
-    if (replica !== undefined && replica.upFromMs <= this._nowMs) {
+    if (replica !== undefined && replica.upFromMs <= this._time.nowMs) {
       this._otherCrashes += 1;
       this._crash(replica);
     }
@@ -363,12 +346,15 @@
     daemon.reports = [];
     daemon.guard = new CrashGuard();
     this._connectGuard(daemon);
-    daemon.guard.apply({ whole: false, suspects: [], blocks: [...this._stored.values()], lifted: [] }, this._nowMs);
+    daemon.guard.apply(
+      { whole: false, suspects: [], blocks: [...this._stored.values()], lifted: [] },
+      this._time.nowMs,
+    );
     if (this._leaderDaemon !== undefined && this._leaderDaemon !== daemon) {
       const leader = this._leader;
       leader.removePeer(daemon);
       this._toDaemon(daemon, () => {
-        daemon.guard.apply(leader.snapshot(), this._nowMs);
+        daemon.guard.apply(leader.snapshot(), this._time.nowMs);
       });
     }
   }
@@ -378,7 +364,7 @@
     if (this._leaderDaemon === daemon) {
       deliver(leader);
     } else if (this._leaderDaemon !== undefined) {
-      this._after(this._messageMs(), () => {
+      this._time.after(this._messageMs(), () => {
         deliver(leader);
       });
     }
@@ -388,31 +374,14 @@
     if (this._leaderDaemon === daemon) {
       deliver();
     } else {
-      this._after(this._messageMs(), deliver);
+      this._time.after(this._messageMs(), deliver);
     }
   }
 
   private _messageMs(): number {
     return this._options.random() < lateShare
-      ? this._between(messageMs.most, messageMs.late)
-      : this._between(messageMs.least, messageMs.most);
-  }
-
-  private _after(delayMs: number, event: () => void): void {
-    const atMs = this._nowMs + Math.max(Math.round(delayMs), 1);
-    this._events.set(atMs, [...(this._events.get(atMs) ?? []), event]);
-  }
-
-  private _between(least: number, most: number): number {
-    return least + this._options.random() * (most - least);
-  }
-
-  private _happens(perSecond: number): boolean {
-    return this._options.random() < perSecond / 1_000;
-  }
-
-  private _pick<Item>(items: readonly Item[]): Item | undefined {
-    return items[Math.floor(this._options.random() * items.length)];
+      ? this._time.between(messageMs.most, messageMs.late)
+      : this._time.between(messageMs.least, messageMs.most);
   }
 }
 
