--- a/packages/common/src/PacedAgent.ts
+++ b/packages/common/src/PacedAgent.ts
@@ -6,7 +6,7 @@
  * them, can hold 10,000 parts of a body, which are parsed before the event loop serves other connections.
  */
 const readBytes = 4 * 1024;
-/** Bytes of a body that may be parsed before they are used. The limit of Node.js, 16 KiB, allows as many parts. */
+/** Bytes of a body that are parsed before they are used; Node.js parses 16 KiB ahead, which can be as many parts. */
 const bufferedBytes = 1024;
 
 /** Agent whose connections are read in small pieces, so that a peer that sends many small parts delays nobody else. */
