--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,6 @@
 export * from './Types.js';
 export * from './ByteCollector.js';
+export * from './closeIdleConnections.js';
 export * from './DisposalRegistry.js';
 export * from './Emitter.js';
 export * from './HttpListener.js';
