Repeat a late read of the store on a new connection

Callers' requests went to a replica for up to 3.3 s after the last silence of the connections to the store, and 3.1 s after its removal (3.0 and 2.0 s allowed).

Cause: a read on a connection that has gone silent counted as a failure of the store. Two in a row last 3.75 s, which the leader takes for an outage that expires entries, so it keeps the removed replica for another 1.6 s. A follower reads every 30 s, so for it a single failed read looks like an outage of 30 s: it kept a replica for 1.6 s that the leader had dropped at once.

Change: a read that is 250 ms late is repeated on a new connection, without a wait for changes; the first response counts, and the silent connection is closed. Only if both fail does the store count as out of reach. The repetition has a timeout of its own, so a pause of the process is not taken for an outage either. A read of the leader notices a silent connection after 0.85 instead of 1.65 s. Writes are sent once as before.

--- a/packages/common/src/JsonHttpClient.ts
+++ b/packages/common/src/JsonHttpClient.ts
@@ -39,6 +39,8 @@
    * withdrawn if this returns false: a process that was paused in the meantime may no longer be allowed to send it.
    */
   readonly mayWrite?: () => boolean;
+  /** Withdraws the request and closes its connection. */
+  readonly signal?: AbortSignal;
 }
 
 /** A complete response with the bytes of its body. */
@@ -62,6 +64,8 @@
    * reset, which a request on it notices only by its timeout.
    */
   readonly maximumIdleMs?: number;
+  /** False to open a connection for each request; true if absent. */
+  readonly keepAlive?: boolean;
 }
 
 /** Client on Node's `http` with keep-alive for JSON and raw bodies. Never retries a request. */
@@ -71,8 +75,9 @@
 
   public constructor(limits: JsonHttpClientLimits = {}) {
     const { maximumSocketsPerHost: maxSockets = defaultMaximumSocketsPerHost, maximumIdleMs: timeout } = limits;
+    const { keepAlive = true } = limits;
     this._maximumBodyBytes = limits.maximumBodyBytes ?? defaultMaximumBodyBytes;
-    this._agent = new PacedAgent({ keepAlive: true, maxSockets, ...(timeout !== undefined && { timeout }) });
+    this._agent = new PacedAgent({ keepAlive, maxSockets, ...(timeout !== undefined && { timeout }) });
   }
 
   /** Sends one request and reads its JSON response. */
@@ -98,13 +103,21 @@
       let connected = false;
       const finish = (outcome: Outcome<BytesResponse, HttpFailure>): void => {
         clearTimeout(timer);
+        request.signal?.removeEventListener('abort', withdraw);
         resolve(outcome);
       };
-      const timer = setTimeout(() => {
-        finish(fail({ kind: 'timeout', message: `no response within ${request.timeoutMs} ms`, mayHaveRun: connected }));
+      const giveUp = (kind: HttpFailure['kind'], message: string): void => {
+        finish(fail({ kind, message, mayHaveRun: connected }));
         outgoing.destroy();
         closeIdleConnections(this._agent, outgoing.host, Number(new URL(request.url).port));
+      };
+      const withdraw = (): void => {
+        giveUp('withdrawn', 'the request was withdrawn');
+      };
+      const timer = setTimeout(() => {
+        giveUp('timeout', `no response within ${request.timeoutMs} ms`);
       }, request.timeoutMs);
+      request.signal?.addEventListener('abort', withdraw, { once: true });
       const write = (): void => {
         if (request.mayWrite?.() === false) {
           finish(fail({ kind: 'withdrawn', message: 'the request is no longer allowed', mayHaveRun: false }));
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,6 +3,7 @@
 export * from './closeIdleConnections.js';
 export * from './DisposalRegistry.js';
 export * from './Emitter.js';
+export * from './HedgedHttpClient.js';
 export * from './HttpListener.js';
 export * from './httpUrl.js';
 export * from './HybridClock.js';
