Let reads of a follower wait no longer than those without a leader

A follower whose read went silent just before its leader was killed used a removed replica until 2.2 s after the silence (3.0 s allowed, 2.6 s with room for slower machines).

Cause: while the leader forwards changes, a read waited 2 s for a change, and the read in progress is not given up when the leader is lost.

Change: 0.8 s in every read of a daemon on which no others depend. The reads stay 30 s apart, so their number hardly changes.

--- a/packages/gateway/src/replicas/TableSynchronizer.ts
+++ b/packages/gateway/src/replicas/TableSynchronizer.ts
@@ -17,13 +17,14 @@
   readonly retryMs: number;
 }
 
-/** Timing while the leader forwards changes, so that one reader serves all daemons. */
-const assistedTiming: ReadTiming = { waitMs: 2_000, intervalMs: 30_000, retryMs: 3_000 };
 /**
- * Longest wait of a read without a current leader, milliseconds. A connection that goes silent during the read must be
- * detected, and the read repeated on another, well within the 2 s in which a change takes effect.
+ * Longest wait of a read of a daemon on which no others depend, milliseconds. A connection that goes silent during the
+ * read must be detected, and the read repeated on another, well within the 2 s in which a change takes effect. That holds
+ * also while the leader forwards changes, as it may be lost during the read.
  */
-const unassistedWaitMs = 800;
+const defaultWaitMs = 800;
+/** Timing while the leader forwards changes, so that one reader serves all daemons. */
+const assistedTiming: ReadTiming = { waitMs: defaultWaitMs, intervalMs: 30_000, retryMs: 3_000 };
 /** Timing while others depend on this daemon: they must be notified within a second if it does not reach the store. */
 const timingForFollowers: ReadTiming = { waitMs: 600, intervalMs: 300, retryMs: 800 };
 
@@ -50,7 +51,7 @@
     return timingForFollowers;
   }
   const intervalMs = leader === 'cutOff' ? intervals.sharedReadMs : intervals.leaderlessReadMs;
-  return { waitMs: unassistedWaitMs, intervalMs, retryMs: Math.max(intervalMs, firstRetryMs) };
+  return { waitMs: defaultWaitMs, intervalMs, retryMs: Math.max(intervalMs, firstRetryMs) };
 }
 
 /** Delay of a read that indicates an unreachable store, milliseconds. The store normally answers within a few ms. */
@@ -84,7 +85,7 @@
   private _available = true;
   private _readDueMs = Number.POSITIVE_INFINITY;
   private _wake: (() => void) | undefined;
-  private _timing: ReadTiming = { waitMs: unassistedWaitMs, intervalMs: 0, retryMs: firstRetryMs };
+  private _timing: ReadTiming = { waitMs: defaultWaitMs, intervalMs: 0, retryMs: firstRetryMs };
   private _needsFullRead = true;
 
   public constructor(
