Let followers take over the leader's grace period for a removed replica

A follower that alone did not reach the store sent requests to a removed replica for 1.66 s after the leader had dropped it at once.

Cause: each daemon judged by its own reads whether the removal can be an expiry during an outage. A follower reads every 30 s, so for it any failed read lies in an outage of up to 30 s.

Change: the leader, which reads all the time, sends its grace period with the records that it forwards, and followers use it. A leader that does not reach the store still judges by itself what a follower forwards. Daemons of earlier versions ignore the field.

Evidence: the new test "at a follower that does not reach the store" fails before (58 ms beyond a bound that leaves 400 of 2,000 ms free; graceMs 1600 at the follower, 0 at the leader) and passes now."

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -290,23 +290,29 @@
   private _applyTableUpdate(update: TableUpdate): void {
     const nowMs = this._nowMs();
     const livenessMs = this._settings.replicaLivenessMs;
-    const restoredMs = update.isRestored ? this._tables.restoredMs : undefined;
+    const graceMs = update.removalGraceMs ?? this._removalGraceMs(update, nowMs);
     const records = this._routingTables.apply(update, {
       nowMs,
-      removalGraceMs: removalGraceMs({ outage: this._tables.replicaReadOutage, livenessMs, restoredMs }, nowMs),
+      removalGraceMs: graceMs,
       ...(update.isRestored && { returnDelayMs: returnDelayMs(livenessMs) }),
     });
     if (records.length > 0) {
-      this._forward({ table: update.table, records, end: 0, whole: false, era: update.era }, update.source);
+      this._forward({ table: update.table, records, end: 0, whole: false, era: update.era }, graceMs, update.source);
     }
   }
 
+  private _removalGraceMs(update: TableUpdate, nowMs: number): number {
+    const restoredMs = update.isRestored ? this._tables.restoredMs : undefined;
+    const { replicaReadOutage: outage } = this._tables;
+    return removalGraceMs({ outage, livenessMs: this._settings.replicaLivenessMs, restoredMs }, nowMs);
+  }
+
   /**
    * Forwards new records to the daemons that follow this one, and records read from the store also to a leader that
-   * does not reach the store.
+   * does not reach the store. Only the followers take over the grace period: the leader reads the store more often.
    */
-  private _forward(message: TableMessage, source: TableUpdate['source']): void {
-    this._peerServer.broadcast('table', message);
+  private _forward(message: TableMessage, removalGraceMs: number, source: TableUpdate['source']): void {
+    this._peerServer.broadcast('table', { ...message, removalGraceMs });
     if (source === 'store' && this._leaderView.forwardsChanges === false) {
       this._peerClient.send('table', message);
     }
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -51,6 +51,11 @@
   readonly whole: boolean;
   /** Era of the store in which the offsets hold. Absent in messages of earlier versions. */
   readonly era?: number;
+  /**
+   * Time for which removed replicas stay in use, milliseconds, as the leader decides from its reads of the store. Absent
+   * in messages of followers and of earlier versions, and in answers to a `known` message.
+   */
+  readonly removalGraceMs?: number;
 }
 
 /** For each table, the offset from which a daemon still lacks changes. */
--- a/packages/gateway/src/replicas/TableSynchronizer.ts
+++ b/packages/gateway/src/replicas/TableSynchronizer.ts
@@ -68,6 +68,8 @@
   readonly source: 'store' | 'peer';
   /** Era of the store in which the offsets of the records hold. */
   readonly era: number;
+  /** Time for which removed replicas stay in use as the leader decides, milliseconds; absent if this daemon decides. */
+  readonly removalGraceMs?: number;
   /** True if the records are the first known ones of an era that began when the store was restored from a copy. */
   readonly isRestored: boolean;
 }
@@ -141,7 +143,7 @@
     const { position } = this.state;
     const records = { ...message, era: message.era ?? position.era };
     const applied = message.whole ? this.state.applyTable(records) : this.state.applyChanges(records);
-    this._fireUpdate(applied ?? [], 'peer', records.era, position);
+    this._fireUpdate(applied ?? [], 'peer', records.era, position, message.removalGraceMs);
   }
 
   public [Symbol.asyncDispose](): Promise<void> {
@@ -236,10 +238,12 @@
     source: TableUpdate['source'],
     era: number,
     known: TablePosition,
+    removalGraceMs?: number,
   ): void {
     if (records.length > 0) {
       const isRestored = known.offset > 0 && era > known.era;
-      this._onUpdate.fire({ table: this._table, records, source, era, isRestored });
+      const grace = removalGraceMs === undefined ? {} : { removalGraceMs };
+      this._onUpdate.fire({ table: this._table, records, source, era, isRestored, ...grace });
     }
   }
 
