Log reads of the store that are repeated on a new connection

A silent connection showed only as a missing log line once the repetition succeeds: an operator sees now which reads were late, and whether the first request, the repetition or none had the response.

--- a/packages/common/src/HedgedHttpClient.test.ts
+++ b/packages/common/src/HedgedHttpClient.test.ts
@@ -13,6 +13,7 @@
   let sockets: Set<net.Socket>;
   let paths: string[];
   let client: HedgedHttpClient;
+  let answered: string[];
   let respond: (request: http.IncomingMessage, response: http.ServerResponse) => void;
 
   vitest.beforeEach(async () => {
@@ -32,6 +33,8 @@
     });
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
     client = new HedgedHttpClient();
+    answered = [];
+    client.onRepeated((repeated) => answered.push(repeated.answered));
   });
 
   vitest.afterEach(async () => {
@@ -60,6 +63,7 @@
       await timers.setTimeout(50);
       vitest.expect([...sockets].filter((socket) => silent.has(socket))).toEqual([]);
       vitest.expect(await send()).toBe('/first');
+      vitest.expect(answered).toEqual(['repetition']);
     },
   );
 
@@ -92,6 +96,7 @@
       };
       vitest.expect(await send()).toBe('/first');
       vitest.expect(paths).toEqual(['/first', '/second']);
+      vitest.expect(answered).toEqual(['first']);
     },
   );
 
@@ -116,6 +121,7 @@
       respond = () => undefined;
       const startedMs = performance.now();
       vitest.expect(await send()).toBe('timeout');
+      vitest.expect(answered).toEqual(['none']);
       vitest.expect(performance.now() - startedMs).toBeLessThan(timeoutMs + 500);
     },
   );
--- a/packages/common/src/HedgedHttpClient.ts
+++ b/packages/common/src/HedgedHttpClient.ts
@@ -1,4 +1,5 @@
 import * as timers from 'node:timers/promises';
+import { Emitter } from './Emitter.js';
 import {
   type BytesRequest,
   type BytesResponse,
@@ -18,6 +19,14 @@
   readonly url: string;
 }
 
+/** A request that was repeated. */
+export interface RepeatedRequest {
+  /** URL of the first request. */
+  readonly url: string;
+  /** Which of the requests had the response that counts; `none` if both failed. */
+  readonly answered: 'first' | 'repetition' | 'none';
+}
+
 /**
  * HTTP client that repeats an idempotent request on a new connection if a response is overdue. A kept connection can go
  * silent without a reset, which looks like a server that is out of reach until a new connection shows the difference.
@@ -25,6 +34,9 @@
 export class HedgedHttpClient implements AsyncDisposable {
   private readonly _kept: JsonHttpClient;
   private readonly _new: JsonHttpClient;
+  private readonly _onRepeated = new Emitter<RepeatedRequest>();
+  /** Fires when a repeated request has ended. */
+  public readonly onRepeated = this._onRepeated.event;
 
   public constructor(limits: JsonHttpClientLimits = {}) {
     this._kept = new JsonHttpClient(limits);
@@ -53,6 +65,8 @@
     const second = this._new.requestBytes({ ...request, url: repetition.url, timeoutMs, signal });
     const reply = await firstSuccess(first, second);
     withdrawal.abort();
+    const answered = reply === (await first) ? 'first' : 'repetition';
+    this._onRepeated.fire({ url: request.url, answered: reply.ok ? answered : 'none' });
     return reply;
   }
 
