--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -22,16 +22,15 @@
 import { RateLimitCoordinator } from './peers/RateLimitCoordinator.js';
 import { messageIntervals } from './peers/messageIntervals.js';
 import { Reporter } from './peers/Reporter.js';
-import type { DaemonReport, LeaderStatus, TableMessage } from './peers/Types.js';
+import type { DaemonReport, LeaderStatus } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
 import { RateLimitedEngineClient } from './rateLimits/RateLimitedEngineClient.js';
 import { RateLimitMetrics } from './rateLimits/RateLimitMetrics.js';
 import { type PermitSource, ReplicaRateLimits } from './rateLimits/ReplicaRateLimits.js';
-import { removalGraceMs, returnDelayMs } from './replicas/removalGrace.js';
 import { ReplicaDirectory } from './replicas/ReplicaDirectory.js';
 import { StoreTables } from './replicas/StoreTables.js';
-import { readTiming, type TableUpdate } from './replicas/TableSynchronizer.js';
+import { TableForwarder } from './replicas/TableForwarder.js';
 import { RetryBudgets } from './retries/RetryBudgets.js';
 import { spreadSlots } from './routing/chooseReplica.js';
 import { ReplicaLoads } from './routing/ReplicaLoads.js';
@@ -51,6 +50,7 @@
   private readonly _directory: ReplicaDirectory;
   private readonly _tables: StoreTables;
   private readonly _routingTables: RoutingTables;
+  private readonly _tableForwarder: TableForwarder;
   private readonly _leaderElector: LeaderElector;
   private readonly _leaseStore: PeerAssistedLeaseStore;
   private readonly _peerServer: PeerServer;
@@ -92,6 +92,7 @@
     this._peerClient = new PeerClient(otherSeeds(_settings), _clock, _log.child('peers'));
     const eraDelayMs = (): number => Math.random() * messageIntervals(this._leaderView.daemonCount).tickMs;
     this._tables = new StoreTables(store, eraDelayMs, _clock, _log.child('store'));
+    this._tableForwarder = this._createTableForwarder();
     const self = {
       holder: _settings.name,
       peerAddress: `${_settings.peers.host}:${_settings.peers.port}`,
@@ -227,16 +228,16 @@
     await this._resources[Symbol.asyncDispose]();
   }
 
-  /** Sets the timing of this daemon's reads of the store by the state of the leader and the followers. */
-  private _updateReadTiming(nowMs: number): void {
-    const isAlive = this._peerClient.isAlive(nowMs) && this._leaderView.forwardsChanges !== undefined;
-    const liveLeader = this._leaderView.forwardsChanges === true ? 'current' : 'cutOff';
-    const timing = readTiming({
-      leader: isAlive ? liveLeader : 'unheard',
-      hasFollowers: this._peerServer.peerCount > 0,
-      intervals: messageIntervals(this._leaderView.daemonCount),
-    });
-    this._tables.setTiming(timing);
+  private _createTableForwarder(): TableForwarder {
+    const context = {
+      tables: this._tables,
+      routingTables: this._routingTables,
+      server: this._peerServer,
+      client: this._peerClient,
+      leaderView: this._leaderView,
+      livenessMs: this._settings.replicaLivenessMs,
+    };
+    return new TableForwarder(context, this._clock);
   }
 
   private _createMessageReceiver(): MessageReceiver {
@@ -260,9 +261,6 @@
   }
 
   private _connectComponents(): void {
-    this._tables.onUpdate((update) => {
-      this._applyTableUpdate(update);
-    });
     this._routingTables.onConfiguration(({ callerLimits }) => {
       this._callers.applyLimits(callerLimits);
     });
@@ -287,37 +285,6 @@
     });
   }
 
-  private _applyTableUpdate(update: TableUpdate): void {
-    const nowMs = this._nowMs();
-    const livenessMs = this._settings.replicaLivenessMs;
-    const graceMs = update.removalGraceMs ?? this._removalGraceMs(update, nowMs);
-    const records = this._routingTables.apply(update, {
-      nowMs,
-      removalGraceMs: graceMs,
-      ...(update.isRestored && { returnDelayMs: returnDelayMs(livenessMs) }),
-    });
-    if (records.length > 0) {
-      this._forward({ table: update.table, records, end: 0, whole: false, era: update.era }, graceMs, update.source);
-    }
-  }
-
-  private _removalGraceMs(update: TableUpdate, nowMs: number): number {
-    const restoredMs = update.isRestored ? this._tables.restoredMs : undefined;
-    const { replicaReadOutage: outage } = this._tables;
-    return removalGraceMs({ outage, livenessMs: this._settings.replicaLivenessMs, restoredMs }, nowMs);
-  }
-
-  /**
-   * Forwards new records to the daemons that follow this one, and records read from the store also to a leader that
-   * does not reach the store. Only the followers take over the grace period: the leader reads the store more often.
-   */
-  private _forward(message: TableMessage, removalGraceMs: number, source: TableUpdate['source']): void {
-    this._peerServer.broadcast('table', { ...message, removalGraceMs });
-    if (source === 'store' && this._leaderView.forwardsChanges === false) {
-      this._peerClient.send('table', message);
-    }
-  }
-
   /** Schedules the next step of the periodic work, which includes reports, placement and checks for peers that send no messages. */
   private _scheduleTick(): void {
     const { tickMs } = messageIntervals(this._leaderView.daemonCount);
@@ -335,7 +302,7 @@
     this._directory.expire(nowMs);
     this._peerServer.closeSilentChannels(nowMs);
     this._peerClient.maintainConnection(nowMs, !this._leaderElector.isHolder);
-    this._updateReadTiming(nowMs);
+    this._tableForwarder.updateReadTiming(nowMs);
     this._leader.tick();
     if (this._leaderElector.isHolder || this._peerServer.peerCount > 0) {
       this._sendStatus(nowMs);
