Send no edit of an operator while the state is being caught up

A daemon that had been paused for longer than the retention answered an edit with 202 "unconfirmed" (test "a daemon paused for longer than the retention catches up", 3 failures in its entry of KNOWN-RED.txt). The answer is true, but the operator waits for a verdict that never comes.

Cause: the edit is appended before the daemon notices that its position was dropped. The full state that it then takes over contains the record already, so the record is replayed as a duplicate and the verdict on it is lost. By reading of the code; the log of a failed run was not kept.

Change: edits and approvals get 503 with a time to come back while nothing has responded for 3 s or a full state is being looked for. Other records are appended as before.

--- a/packages/daemon/src/log/ControlLogReplica.ts
+++ b/packages/daemon/src/log/ControlLogReplica.ts
@@ -24,6 +24,8 @@
 
 /** Retry delay returned to callers before the daemon has joined, milliseconds. */
 const joinRetryAfterMs = 500;
+/** Retry delay returned to operators while the state is being caught up, milliseconds. */
+const catchUpRetryAfterMs = 1_000;
 
 /** The replayed control topic as the rest of the daemon uses it. */
 export class ControlLogReplica implements ControlLog {
@@ -65,6 +67,11 @@
       const message = 'the daemon has not joined yet';
       return common.fail({ kind: 'logUnavailable', message, retryAfterMs: joinRetryAfterMs });
     }
+    // The verdict on an edit that a full state already contains is never seen, so none is sent before the state is current.
+    if (isEdit(body) && this._replica.isCatchingUp) {
+      const message = 'the daemon is catching up with the log';
+      return common.fail({ kind: 'logUnavailable', message, retryAfterMs: catchUpRetryAfterMs });
+    }
     const outcome = await this._replica.append(body, timeoutMs);
     if (!outcome.ok) {
       return outcome;
@@ -81,3 +88,7 @@
     }
   }
 }
+
+function isEdit({ kind }: decisions.ControlRecordBody): boolean {
+  return kind === 'configurationEdited' || kind === 'configurationApproved';
+}
--- a/packages/daemon/src/log/TopicReplica.test.ts
+++ b/packages/daemon/src/log/TopicReplica.test.ts
@@ -4,6 +4,7 @@
 import { FakeLog } from './testing/FakeLogClient.js';
 import { openNumberReplica, peerSourceOf, topicName, type NumberReplica } from './testing/replicas.js';
 import { until } from './testing/support.js';
+import type { StateImage } from './Types.js';
 
 vitest.describe('TopicReplica', () => {
   let closing: common.DisposalRegistry;
@@ -170,6 +171,28 @@
     vitest.expect(second.state.values).toEqual([1, 2, 3, 4]);
   });
 
+  vitest.test('says that it catches up while records are missing (guards against edits on a stale state)', async () => {
+    const { replica: first } = open('a');
+    let resolveImage: (image: StateImage) => void = () => undefined;
+    const image = new Promise<StateImage>((resolve) => (resolveImage = resolve));
+    const { replica: second, client } = openNumberReplica(log, 'b', {
+      ...peerSourceOf(() => undefined),
+      state: () => image,
+    });
+    closing.register(second);
+    await first.append({ value: 1 }, 1000);
+    await until('both have the first record', () => second.nextOffset === 1);
+    vitest.expect(second.isCatchingUp).toBe(false);
+    client.cutOff = true;
+    await first.append({ value: 2 }, 1000);
+    await first.append({ value: 3 }, 1000);
+    log.dropBefore(topicName, 2);
+    client.cutOff = false;
+    await until('the state is being looked for', () => second.isCatchingUp);
+    resolveImage(first.image());
+    await until('the state is complete', () => second.nextOffset === 3 && !second.isCatchingUp);
+  });
+
   vitest.test('a replica that starts in an outage fetches a full state from a peer', async () => {
     const { replica: first } = open('a');
     await first.append({ value: 1 }, 1000);
--- a/packages/daemon/src/log/TopicReplica.ts
+++ b/packages/daemon/src/log/TopicReplica.ts
@@ -126,6 +126,14 @@
     return this._context.now() - this._lastContactMs > isolatedAfterMs;
   }
 
+  /**
+   * Whether the state may be stale: nothing has responded for long, such as after a pause of this process, or records are
+   * missing and a full state is being looked for.
+   */
+  public get isCatchingUp(): boolean {
+    return this.isIsolated || this._recovering;
+  }
+
   /** Appends a record and resolves once it has been read back and replayed. */
   public append(body: Body, timeoutMs: number): Promise<AppendOutcome> {
     return this._appender.append(body, timeoutMs);
