--- a/packages/standins/src/proxy/FaultProxy.test.ts
+++ b/packages/standins/src/proxy/FaultProxy.test.ts
@@ -1,3 +1,4 @@
+import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
 import { Engine } from '../engine/Engine.js';
@@ -72,6 +73,29 @@
     vitest.expect(performance.now() - startedMs).toBeGreaterThan(190);
   });
 
+  vitest.test(
+    'silences open connections for good, and no new ones (guards against an outage in its place)',
+    async () => {
+      const open = net.connect(proxy.proxyPort, '127.0.0.1');
+      let received = 0;
+      open.on('data', (bytes) => (received += bytes.length));
+      const request = 'GET /x HTTP/1.1\r\nhost: h\r\n\r\n';
+      open.write(request);
+      await vitest.vi.waitFor(() => {
+        vitest.expect(received).toBeGreaterThan(0);
+      }, 5000);
+      const before = received;
+      await call(proxy, 'POST', '/control', { silenceConnections: true });
+      open.write(request);
+      vitest.expect(await send('a')).toMatchObject({ status: 200 });
+      await call(proxy, 'POST', '/control', { cut: false });
+      await timers.setTimeout(150);
+      vitest.expect(received).toBe(before);
+      vitest.expect(open.destroyed).toBe(false);
+      open.destroy();
+    },
+  );
+
   vitest.test('delays every chunk of a stream equally (guards against a delay that limits the rate)', async () => {
     const engine = await Engine.open({ tokenMs: 20, firstTokenMs: 0 });
     await call(engine, 'POST', '/v2/repository/models/p%2Fm/load', { parameters: { version: '1' } });
--- a/packages/standins/src/proxy/FaultProxy.ts
+++ b/packages/standins/src/proxy/FaultProxy.ts
@@ -31,6 +31,8 @@
   refuse: zod.boolean().optional(),
   /** Resets the existing connections. */
   closeConnections: zod.boolean().optional(),
+  /** Drops both directions of the existing connections for good, while new ones work. */
+  silenceConnections: zod.boolean().optional(),
 });
 type Control = zod.infer<typeof controlSchema>;
 
@@ -73,6 +75,8 @@
     for (const connection of [...this._connections]) {
       if (control.closeConnections) {
         connection.close();
+      } else if (control.silenceConnections) {
+        connection.silence();
       } else {
         connection.update();
       }
--- a/packages/standins/src/proxy/ProxiedConnection.ts
+++ b/packages/standins/src/proxy/ProxiedConnection.ts
@@ -19,6 +19,7 @@
   private readonly _pipes: readonly DirectionPipe[];
   /** The latest characters that the client has sent. */
   private _clientText = '';
+  private _isSilent = false;
 
   public constructor(
     private readonly _client: net.Socket,
@@ -27,7 +28,8 @@
     onClosed: () => void,
   ) {
     this._target = net.connect({ host: to.host, port: to.port, noDelay: true });
-    const isDropped = (): boolean => faults.dropContaining().some((text) => this._clientText.includes(text));
+    const isDropped = (): boolean =>
+      this._isSilent || faults.dropContaining().some((text) => this._clientText.includes(text));
     const toTarget = (chunk?: Buffer): DirectionFault => {
       this._clientText = (this._clientText + (chunk?.toString('latin1', 0, clientTextLength) ?? '')).slice(
         -clientTextLength,
@@ -55,6 +57,12 @@
     }
   }
 
+  /** Drops both directions for good, without a reset. */
+  public silence(): void {
+    this._isSilent = true;
+    this.update();
+  }
+
   /** Applies changed faults. */
   public update(): void {
     for (const pipe of this._pipes) {
