Log the source of replica changes and the timing of reads

The log of a daemon did not say whether it had read the removal of a replica itself or from a peer, nor when it began to read the store itself. One line more when the state of the leader changes, and one field a change.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -237,7 +237,7 @@
       leaderView: this._leaderView,
       livenessMs: this._settings.replicaLivenessMs,
     };
-    return new TableForwarder(context, this._clock);
+    return new TableForwarder(context, this._clock, this._log.child('store'));
   }
 
   private _createMessageReceiver(): MessageReceiver {
--- a/packages/gateway/src/placement/PlacementLeader.test.ts
+++ b/packages/gateway/src/placement/PlacementLeader.test.ts
@@ -60,7 +60,7 @@
     replicas.forEach(({ id }, index) => {
       this.engines.set(id, index === 0 ? this.engine : new FakeEngine());
       const record: TableRecord = { key: id, offset: index, value: 'any' };
-      directory.apply([record], { nowMs: 0, removalGraceMs: 0 });
+      directory.apply([record], { nowMs: 0, source: 'store', removalGraceMs: 0 });
     });
     this.engines.forEach((engine, id) => engines.engines.set(id, engine));
     const clock = { now: () => ({ steadyMs: Date.now(), wallMs: Date.now() }) };
--- a/packages/gateway/src/replicas/ReplicaDirectory.test.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.test.ts
@@ -28,10 +28,15 @@
       ];
       for (const change of changes) {
         const directory = openDirectory();
-        vitest.expect(directory.apply([record(sampleReplica(), 1)], { nowMs: 0, removalGraceMs: 0 }).length).toBe(1);
         vitest
           .expect(
-            directory.apply([record(sampleReplica(change), 2)], { nowMs: 0, removalGraceMs: 0 }).length,
+            directory.apply([record(sampleReplica(), 1)], { nowMs: 0, source: 'store', removalGraceMs: 0 }).length,
+          )
+          .toBe(1);
+        vitest
+          .expect(
+            directory.apply([record(sampleReplica(change), 2)], { nowMs: 0, source: 'store', removalGraceMs: 0 })
+              .length,
             JSON.stringify(change),
           )
           .toBe(1);
@@ -41,9 +46,11 @@
 
   vitest.test('leaves out records that change only models (guards against traffic that no peer needs)', () => {
     const directory = openDirectory();
-    directory.apply([record(sampleReplica(), 1)], { nowMs: 0, removalGraceMs: 0 });
+    directory.apply([record(sampleReplica(), 1)], { nowMs: 0, source: 'store', removalGraceMs: 0 });
     const announced = sampleReplica({ models: [{ name: 'm', adapters: [] }], onDisk: ['m'], orderSequence: 3 });
-    vitest.expect(directory.apply([record(announced, 2)], { nowMs: 0, removalGraceMs: 0 })).toEqual([]);
+    vitest
+      .expect(directory.apply([record(announced, 2)], { nowMs: 0, source: 'store', removalGraceMs: 0 }))
+      .toEqual([]);
     vitest.expect(directory.get('r1')?.onDisk).toEqual(['m']);
   });
 
@@ -51,10 +58,18 @@
     'returns the record of a replica that was removed and restored (guards against peers that drop it)',
     () => {
       const directory = openDirectory();
-      directory.apply([record(sampleReplica(), 1)], { nowMs: 0, removalGraceMs: 0 });
-      vitest.expect(directory.apply([record(undefined, 2)], { nowMs: 0, removalGraceMs: graceMs }).length).toBe(1);
+      directory.apply([record(sampleReplica(), 1)], { nowMs: 0, source: 'store', removalGraceMs: 0 });
       vitest
-        .expect(directory.apply([record(sampleReplica(), 3)], { nowMs: graceMs / 2, removalGraceMs: graceMs }).length)
+        .expect(directory.apply([record(undefined, 2)], { nowMs: 0, source: 'store', removalGraceMs: graceMs }).length)
+        .toBe(1);
+      vitest
+        .expect(
+          directory.apply([record(sampleReplica(), 3)], {
+            nowMs: graceMs / 2,
+            source: 'store',
+            removalGraceMs: graceMs,
+          }).length,
+        )
         .toBe(1);
       directory.expire(2 * graceMs);
       vitest.expect(directory.get('r1')).toBeDefined();
@@ -65,9 +80,14 @@
     'holds back a replica that has left when a restored store returns its record (guards against requests to it)',
     () => {
       const directory = openDirectory();
-      directory.apply([record(sampleReplica(), 1)], { nowMs: 0, removalGraceMs: 0 });
-      directory.apply([record(undefined, 2)], { nowMs: 0, removalGraceMs: 0 });
-      directory.apply([record(sampleReplica(), 1)], { nowMs: 0, removalGraceMs: 0, returnDelayMs: graceMs });
+      directory.apply([record(sampleReplica(), 1)], { nowMs: 0, source: 'store', removalGraceMs: 0 });
+      directory.apply([record(undefined, 2)], { nowMs: 0, source: 'store', removalGraceMs: 0 });
+      directory.apply([record(sampleReplica(), 1)], {
+        nowMs: 0,
+        source: 'store',
+        removalGraceMs: 0,
+        returnDelayMs: graceMs,
+      });
       vitest.expect(directory.usable('s')).toEqual([]);
       directory.expire(graceMs - 1);
       vitest.expect(directory.usable('s')).toEqual([]);
@@ -78,17 +98,26 @@
 
   vitest.test('uses a replica that starts anew under its id at once (guards against idle replicas)', () => {
     const directory = openDirectory();
-    directory.apply([record(sampleReplica(), 1)], { nowMs: 0, removalGraceMs: 0 });
-    directory.apply([record(undefined, 2)], { nowMs: 0, removalGraceMs: 0 });
+    directory.apply([record(sampleReplica(), 1)], { nowMs: 0, source: 'store', removalGraceMs: 0 });
+    directory.apply([record(undefined, 2)], { nowMs: 0, source: 'store', removalGraceMs: 0 });
     const restarted = record(sampleReplica({ bornMs: 2 }), 1);
-    directory.apply([restarted], { nowMs: 0, removalGraceMs: 0, returnDelayMs: graceMs });
+    directory.apply([restarted], { nowMs: 0, source: 'store', removalGraceMs: 0, returnDelayMs: graceMs });
     vitest.expect(directory.usable('s').length).toBe(1);
   });
 
   vitest.test('keeps a replica leaving whatever an older record says (guards against requests late in a drain)', () => {
     const directory = openDirectory();
-    directory.apply([record(sampleReplica({ state: 'draining' }), 2)], { nowMs: 0, removalGraceMs: 0 });
-    directory.apply([record(sampleReplica(), 1)], { nowMs: 0, removalGraceMs: 0, returnDelayMs: graceMs });
+    directory.apply([record(sampleReplica({ state: 'draining' }), 2)], {
+      nowMs: 0,
+      source: 'store',
+      removalGraceMs: 0,
+    });
+    directory.apply([record(sampleReplica(), 1)], {
+      nowMs: 0,
+      source: 'store',
+      removalGraceMs: 0,
+      returnDelayMs: graceMs,
+    });
     vitest.expect(directory.usable('s')).toEqual([]);
   });
 
@@ -96,9 +125,11 @@
     'keeps the grace period of a removal that comes twice (guards against replicas lost to a restore)',
     () => {
       const directory = openDirectory();
-      directory.apply([record(sampleReplica(), 1)], { nowMs: 0, removalGraceMs: 0 });
-      directory.apply([record(undefined, 2)], { nowMs: 0, removalGraceMs: graceMs });
-      vitest.expect(directory.apply([record(undefined, 3)], { nowMs: 1, removalGraceMs: 0 })).toEqual([]);
+      directory.apply([record(sampleReplica(), 1)], { nowMs: 0, source: 'store', removalGraceMs: 0 });
+      directory.apply([record(undefined, 2)], { nowMs: 0, source: 'store', removalGraceMs: graceMs });
+      vitest
+        .expect(directory.apply([record(undefined, 3)], { nowMs: 1, source: 'store', removalGraceMs: 0 }))
+        .toEqual([]);
       vitest.expect(directory.usable('s').length).toBe(1);
     },
   );
--- a/packages/gateway/src/replicas/ReplicaDirectory.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.ts
@@ -16,6 +16,8 @@
 /** How changes of the replica table take effect. */
 export interface ChangeTiming {
   readonly nowMs: number;
+  /** Where the records come from, for the log. */
+  readonly source: 'store' | 'peer';
   /** Time for which a removed replica stays in use, milliseconds. */
   readonly removalGraceMs: number;
   /**
@@ -126,7 +128,7 @@
   }
 
   /** Returns true if the record changes how requests are routed to the replica. */
-  private _put(record: TableRecord, replica: Replica, { nowMs, returnDelayMs }: ChangeTiming): boolean {
+  private _put(record: TableRecord, replica: Replica, { nowMs, source, returnDelayMs }: ChangeTiming): boolean {
     const before = this._entries.get(record.key);
     const hasLeft = before === undefined && this._removed.get(replica.id) === replica.bornMs;
     const usableFromMs = hasLeft && returnDelayMs !== undefined ? nowMs + returnDelayMs : undefined;
@@ -147,6 +149,7 @@
         bornMs,
         ...counts,
         offset: record.offset,
+        source,
         ...(isHeldBack && { isHeldBack }),
       });
     }
@@ -155,16 +158,16 @@
   }
 
   /** Returns true if the replica was known. */
-  private _remove(record: TableRecord, { nowMs, removalGraceMs }: ChangeTiming): boolean {
+  private _remove(record: TableRecord, { nowMs, source, removalGraceMs: graceMs }: ChangeTiming): boolean {
     const entry = this._entries.get(record.key);
     // A removal that is already known does not shorten the grace period.
     if (entry === undefined || entry.dropAtMs !== undefined) {
       return false;
     }
     const reason = record.value === undefined ? 'record removed' : 'record unreadable';
-    this._log.info('Replica leaves.', { replica: record.key, reason, offset: record.offset, graceMs: removalGraceMs });
-    if (removalGraceMs > 0) {
-      this._entries.set(record.key, { ...entry, dropAtMs: nowMs + removalGraceMs });
+    this._log.info('Replica leaves.', { replica: record.key, reason, offset: record.offset, source, graceMs });
+    if (graceMs > 0) {
+      this._entries.set(record.key, { ...entry, dropAtMs: nowMs + graceMs });
       return true;
     }
     this._drop(record.key, entry);
--- a/packages/gateway/src/replicas/TableForwarder.ts
+++ b/packages/gateway/src/replicas/TableForwarder.ts
@@ -1,3 +1,4 @@
+import type * as common from '@jayhaven/common';
 import type { Clock } from '../Clock.js';
 import type { LeaderView } from '../peers/LeaderView.js';
 import { messageIntervals } from '../peers/messageIntervals.js';
@@ -7,7 +8,7 @@
 import type { RoutingTables } from '../RoutingTables.js';
 import { removalGraceMs, returnDelayMs } from './removalGrace.js';
 import type { StoreTables } from './StoreTables.js';
-import { readTiming, type TableUpdate } from './TableSynchronizer.js';
+import { readTiming, type ReadSituation, type TableUpdate } from './TableSynchronizer.js';
 
 /** What a forwarder connects. */
 export interface TableForwarderContext {
@@ -22,9 +23,12 @@
 
 /** Applies updates of the store's tables to the routing of this daemon, and forwards them to its peers. */
 export class TableForwarder {
+  private _leaderState: ReadSituation['leader'] | undefined;
+
   public constructor(
     private readonly _context: TableForwarderContext,
     private readonly _clock: Clock,
+    private readonly _log: common.Logger,
   ) {
     _context.tables.onUpdate((update) => {
       this._apply(update);
@@ -36,11 +40,16 @@
     const { tables, server, client, leaderView } = this._context;
     const isAlive = client.isAlive(nowMs) && leaderView.forwardsChanges !== undefined;
     const liveLeader = leaderView.forwardsChanges === true ? 'current' : 'cutOff';
+    const leader = isAlive ? liveLeader : 'unheard';
     const timing = readTiming({
-      leader: isAlive ? liveLeader : 'unheard',
+      leader,
       hasFollowers: server.peerCount > 0,
       intervals: messageIntervals(leaderView.daemonCount),
     });
+    if (leader !== this._leaderState) {
+      this._leaderState = leader;
+      this._log.info('Reads of the store follow the state of the leader.', { leader, ...timing });
+    }
     tables.setTiming(timing);
   }
 
@@ -49,6 +58,7 @@
     const graceMs = update.removalGraceMs ?? this._removalGraceMs(update, nowMs);
     const records = this._context.routingTables.apply(update, {
       nowMs,
+      source: update.source,
       removalGraceMs: graceMs,
       ...(update.isRestored && { returnDelayMs: returnDelayMs(this._context.livenessMs) }),
     });
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -98,14 +98,14 @@
   /** Removes the records of all replicas from the directory, as after an outage of the store. */
   public removeRecords(): void {
     const removed = this._replicas.map((replica) => ({ key: replica.id, offset: 1 }));
-    this._directory.apply(removed, { nowMs: 0, removalGraceMs: 0 });
+    this._directory.apply(removed, { nowMs: 0, source: 'store', removalGraceMs: 0 });
   }
 
   public async open(): Promise<void> {
     const directory = this._directory;
     directory.apply(
       this._replicas.map((replica) => ({ key: replica.id, offset: 0, value: 'any' })),
-      { nowMs: 0, removalGraceMs: 0 },
+      { nowMs: 0, source: 'store', removalGraceMs: 0 },
     );
     this._port = await unusedPort();
     this._callerServer = new CallerServer(
