--- a/packages/gateway/src/replicas/StoreTables.ts
+++ b/packages/gateway/src/replicas/StoreTables.ts
@@ -18,7 +18,7 @@
   private readonly _synchronizers: Readonly<Record<TableName, TableSynchronizer>>;
   /** Tables of which the followed peer has sent all records that this daemon lacked. */
   private readonly _caughtUp = new Set<TableName>();
-  private _followed: PeerChannel | undefined;
+  private _followed: Pick<PeerChannel, 'send'> | undefined;
   /** Era in which the followed peer was last asked for a full table, by table. */
   private readonly _askedInEra = new Map<TableName, number>();
   private _eraTimer: NodeJS.Timeout | undefined;
@@ -93,14 +93,14 @@
   }
 
   /** Sends a peer that follows this daemon the records that it lacks. */
-  public sendMissingRecords(channel: PeerChannel, readOffsets: TableOffsets): void {
+  public sendMissingRecords(channel: Pick<PeerChannel, 'send'>, readOffsets: TableOffsets): void {
     this._followEra(readOffsets.eras?.configuration);
     sendMissingRecords(channel, 'configuration', this._synchronizers.configuration.state, readOffsets);
     sendMissingRecords(channel, 'replicas', this._synchronizers.replicas.state, readOffsets);
   }
 
   /** Begins to follow another peer, and sends it the offsets up to which changes are known. */
-  public followPeer(channel: PeerChannel): void {
+  public followPeer(channel: Pick<PeerChannel, 'send'>): void {
     this._caughtUp.clear();
     this._askedInEra.clear();
     this._followed = channel;
--- a/packages/gateway/src/replicas/TableForwarder.ts
+++ b/packages/gateway/src/replicas/TableForwarder.ts
@@ -14,8 +14,8 @@
 export interface TableForwarderContext {
   readonly tables: StoreTables;
   readonly routingTables: RoutingTables;
-  readonly server: PeerServer;
-  readonly client: PeerClient;
+  readonly server: Pick<PeerServer, 'broadcast' | 'peerCount'>;
+  readonly client: Pick<PeerClient, 'isAlive' | 'send'>;
   readonly leaderView: LeaderView;
   /** Time between two liveness reports of a replica, milliseconds. */
   readonly livenessMs: number;
--- a/packages/gateway/src/testing/FakeTopic.ts
+++ b/packages/gateway/src/testing/FakeTopic.ts
@@ -5,6 +5,7 @@
   private _records: TableRecord[] = [];
   private _copy: readonly TableRecord[] = [];
   private _era = 1;
+  private _firstRetained = 0;
 
   public write(key: string, value?: string): void {
     this._records.push({ key, offset: this._records.length, ...(value !== undefined && { value }) });
@@ -20,6 +21,21 @@
     this._era += 1;
   }
 
+  /** Offset after the latest record. */
+  public get end(): number {
+    return this._records.length;
+  }
+
+  /** Drops the history; the newest record of each key is kept. */
+  public dropHistory(): void {
+    this._firstRetained = this._records.length;
+  }
+
+  /** True if records from an offset on are no longer retained. */
+  public isDropped(offset: number): boolean {
+    return offset < this._firstRetained;
+  }
+
   public newest(key: string): string | undefined {
     return this._records.findLast((record) => record.key === key)?.value;
   }
