Judge the grace period of a removal by the reads of all daemons

A leader that the store refused took its own failed reads for an outage of the store, in which records of live replicas expire. It gave a removal that a follower had read without trouble a grace period of 1.6 s and sent it to all; followers take the leader's grace period since. With the shared reads this made 4.6 s.

Now the daemon that reads a removal states its grace period with it, also towards the leader and in the answer to a daemon that joins; the leader's can only be shortened by it. The end of a grace period has a timer of its own; it was up to 0.3 s late.

Ruled out: a grace period judged by each daemon alone, as before. A follower reads every 30 s, and its own failures are too few to tell.

The protection in an outage of the store stays (removalGrace.test.ts).

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -91,7 +91,8 @@
     this._peerServer = new PeerServer(_settings.peers, _clock, _log.child('peers'));
     this._peerClient = new PeerClient(otherSeeds(_settings), _clock, _log.child('peers'));
     const eraDelayMs = (): number => Math.random() * messageIntervals(this._leaderView.daemonCount).tickMs;
-    this._tables = new StoreTables(store, eraDelayMs, _clock, _log.child('store'));
+    const { replicaLivenessMs } = _settings;
+    this._tables = new StoreTables(store, eraDelayMs, replicaLivenessMs, _clock, _log.child('store'));
     this._tableForwarder = this._createTableForwarder();
     const self = {
       holder: _settings.name,
@@ -232,6 +233,7 @@
     const context = {
       tables: this._tables,
       routingTables: this._routingTables,
+      directory: this._directory,
       server: this._peerServer,
       client: this._peerClient,
       leaderView: this._leaderView,
--- a/packages/gateway/src/peers/MessageReceiver.ts
+++ b/packages/gateway/src/peers/MessageReceiver.ts
@@ -78,7 +78,9 @@
     } else if (message.method === 'known') {
       tables.sendMissingRecords(channel, message.params);
     } else if (message.method === 'table') {
-      tables.applyFromPeer(message.params);
+      tables.applyFromFollower(message.params);
+    } else if (message.method === 'storeRead') {
+      tables.recordPeerRead();
     } else if (message.method === 'leaving') {
       this.markLeaving(message.params);
     } else if (message.method === 'leaseReply') {
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -18,6 +18,7 @@
   'report',
   'known',
   'table',
+  'storeRead',
   'holdings',
   'status',
   'loads',
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -52,8 +52,8 @@
   /** Era of the store in which the offsets hold. Absent in messages of earlier versions. */
   readonly era?: number;
   /**
-   * Time for which removed replicas stay in use, milliseconds, as the leader decides from its reads of the store. Absent
-   * in messages of followers and of earlier versions, and in answers to a `known` message.
+   * Time for which removed replicas stay in use, milliseconds, as the sender judges from its reads of the store. Absent
+   * in messages of earlier versions.
    */
   readonly removalGraceMs?: number;
 }
@@ -129,11 +129,15 @@
   readonly failure?: StoreFailure;
 }
 
+/** A follower has read the store, which its leader does not reach. */
+export type StoreReadMessage = Readonly<Record<string, never>>;
+
 /** Messages by method name. */
 export interface PeerMessages {
   readonly report: DaemonReport;
   readonly known: TableOffsets;
   readonly table: TableMessage;
+  readonly storeRead: StoreReadMessage;
   readonly holdings: HoldingsMessage;
   readonly status: LeaderStatus;
   readonly loads: LoadsMessage;
--- a/packages/gateway/src/peers/sendMissingRecords.test.ts
+++ b/packages/gateway/src/peers/sendMissingRecords.test.ts
@@ -8,31 +8,35 @@
   { key: 'b', offset: 2, value: 'y' },
 ];
 
+/** Grace period that the sender states, milliseconds. */
+const removalGraceMs = 300;
+
 function sentMessages(readOffset: number, era = 2): unknown[] {
   const state = new TableState(new ReplicaOrder({ decodeReplica: () => undefined }));
   state.applyTable({ records, end: 3, era: 2 });
   const sent: unknown[] = [];
   const channel = { send: (_method: string, params: unknown) => sent.push(params) };
-  sendMissingRecords(channel, 'replicas', state, {
-    configuration: 0,
-    replicas: readOffset,
-    eras: { configuration: era, replicas: era },
-  });
+  const known = { configuration: 0, replicas: readOffset, eras: { configuration: era, replicas: era } };
+  sendMissingRecords(channel, 'replicas', state, known, removalGraceMs);
   return sent;
 }
 
 vitest.describe('records sent to a peer that joins', () => {
   vitest.test('are only those that it lacks (guards against full tables that saturate a slow link)', () => {
-    vitest.expect(sentMessages(3)).toEqual([{ table: 'replicas', records: [], end: 3, whole: false, era: 2 }]);
+    vitest
+      .expect(sentMessages(3))
+      .toEqual([{ table: 'replicas', records: [], end: 3, whole: false, era: 2, removalGraceMs }]);
     vitest
       .expect(sentMessages(2))
-      .toEqual([{ table: 'replicas', records: [records[1]], end: 3, whole: false, era: 2 }]);
+      .toEqual([{ table: 'replicas', records: [records[1]], end: 3, whole: false, era: 2, removalGraceMs }]);
   });
 
   vitest.test(
     'are the full table if it has read nothing (guards against a daemon that has been cut off since its start)',
     () => {
-      vitest.expect(sentMessages(0)).toEqual([{ table: 'replicas', records, end: 3, whole: true, era: 2 }]);
+      vitest
+        .expect(sentMessages(0))
+        .toEqual([{ table: 'replicas', records, end: 3, whole: true, era: 2, removalGraceMs }]);
     },
   );
 
--- a/packages/gateway/src/peers/sendMissingRecords.ts
+++ b/packages/gateway/src/peers/sendMissingRecords.ts
@@ -14,6 +14,7 @@
   table: TableName,
   state: TableState,
   readOffsets: TableOffsets,
+  removalGraceMs: number,
 ): void {
   const { era, offset: end } = state.position;
   const whole = readOffsets[table] === 0;
@@ -22,5 +23,5 @@
     return;
   }
   const records = whole ? state.records() : state.recordsSince(readOffsets[table]);
-  channel.send('table', { table, records, end, whole, era });
+  channel.send('table', { table, records, end, whole, era, removalGraceMs });
 }
--- a/packages/gateway/src/replicas/ReplicaDirectory.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.ts
@@ -2,6 +2,7 @@
 import type { TableRecord } from '../contracts/MetadataStore.js';
 import { evictOldest } from '../evictOldest.js';
 import type { LoadedModel, Replica } from '../Types.js';
+import type { RecordSource } from './TableSynchronizer.js';
 
 /** Models loaded on a replica according to the placement leader, newer than those in the replica's own record. */
 export interface ReplicaHoldings {
@@ -17,7 +18,7 @@
 export interface ChangeTiming {
   readonly nowMs: number;
   /** Where the records come from, for the log. */
-  readonly source: 'store' | 'peer';
+  readonly source: RecordSource;
   /** Time for which a removed replica stays in use, milliseconds. */
   readonly removalGraceMs: number;
   /**
--- a/packages/gateway/src/replicas/StoreTables.ts
+++ b/packages/gateway/src/replicas/StoreTables.ts
@@ -7,7 +7,8 @@
 import { ReplicaOrder } from './ReplicaOrder.js';
 import { sendMissingRecords } from '../peers/sendMissingRecords.js';
 import type { TableOffsets, TableMessage } from '../peers/Types.js';
-import type { OutageTimes } from './StoreOutage.js';
+import { PeerReads } from './PeerReads.js';
+import { removalGraceMs } from './removalGrace.js';
 import { type ReadTiming, TableSynchronizer, type TableUpdate } from './TableSynchronizer.js';
 
 /** The tables of the store that a daemon keeps up to date, by its own reads and from records that peers forward. */
@@ -23,11 +24,17 @@
   private readonly _askedInEra = new Map<TableName, number>();
   private _eraTimer: NodeJS.Timeout | undefined;
   private _restoredMs = Number.NEGATIVE_INFINITY;
+  private readonly _peerReads = new PeerReads();
+  private readonly _onReplicasRead = new common.Emitter<void>();
+  /** Fires when the store has answered a read of the replicas without delay. */
+  public readonly onReplicasRead = this._onReplicasRead.event;
 
   public constructor(
     private readonly _store: MetadataStore,
     /** Time until this daemon reads the store after a peer has announced another era, milliseconds. */
     private readonly _eraDelayMs: () => number,
+    /** Time between two liveness reports of a replica, milliseconds. */
+    private readonly _livenessMs: number,
     private readonly _clock: Clock,
     log: common.Logger,
   ) {
@@ -40,6 +47,11 @@
       synchronizer.onUpdate((update) => {
         this._onUpdate.fire(update);
       });
+      synchronizer.onPromptRead((read) => {
+        if (read === 'replicas') {
+          this._onReplicasRead.fire();
+        }
+      });
       return synchronizer;
     };
     _store.era.onChanged(() => {
@@ -71,14 +83,23 @@
     return this._synchronizers.configuration.isCurrent(nowMs) && this._synchronizers.replicas.isCurrent(nowMs);
   }
 
-  /** When reads of the replicas last failed. */
-  public get replicaReadOutage(): OutageTimes {
-    return this._synchronizers.replicas.outage;
+  /**
+   * Time for which a replica stays in use whose removal this daemon learns of now, milliseconds. `isRestored` is true if
+   * the removal is known only from the copy from which the store was restored.
+   */
+  public removalGraceMs(nowMs: number, isRestored: boolean): number {
+    const input = {
+      outage: this._synchronizers.replicas.outage,
+      peerReadsMs: this._peerReads.timesMs,
+      livenessMs: this._livenessMs,
+      restoredMs: isRestored ? this._restoredMs : undefined,
+    };
+    return removalGraceMs(input, nowMs);
   }
 
-  /** When this daemon last learned that the store was restored, steady milliseconds; minus infinity if never. */
-  public get restoredMs(): number {
-    return this._restoredMs;
+  /** Records that a peer has read the replicas. */
+  public recordPeerRead(): void {
+    this._peerReads.record(this._clock.now().steadyMs);
   }
 
   /** Offsets before which all changes are known. */
@@ -95,8 +116,9 @@
   /** Sends a peer that follows this daemon the records that it lacks. */
   public sendMissingRecords(channel: Pick<PeerChannel, 'send'>, readOffsets: TableOffsets): void {
     this._followEra(readOffsets.eras?.configuration);
-    sendMissingRecords(channel, 'configuration', this._synchronizers.configuration.state, readOffsets);
-    sendMissingRecords(channel, 'replicas', this._synchronizers.replicas.state, readOffsets);
+    const graceMs = this.removalGraceMs(this._clock.now().steadyMs, false);
+    sendMissingRecords(channel, 'configuration', this._synchronizers.configuration.state, readOffsets, graceMs);
+    sendMissingRecords(channel, 'replicas', this._synchronizers.replicas.state, readOffsets, graceMs);
   }
 
   /** Begins to follow another peer, and sends it the offsets up to which changes are known. */
@@ -107,15 +129,16 @@
     channel.send('known', this.endOffsets());
   }
 
-  /** Applies records received from any peer. */
-  public applyFromPeer(message: TableMessage): void {
+  /** Applies records received from a peer that follows this daemon. */
+  public applyFromFollower(message: TableMessage): void {
     this._followEra(message.era);
-    this._synchronizers[message.table].applyFromPeer(message);
+    this._synchronizers[message.table].applyFromPeer(message, 'follower');
   }
 
   /** Applies records received from the followed peer. */
   public applyFromFollowedPeer(message: TableMessage): void {
-    this.applyFromPeer(message);
+    this._followEra(message.era);
+    this._synchronizers[message.table].applyFromPeer(message, 'leader');
     if (message.end > 0) {
       this._caughtUp.add(message.table);
     }
--- a/packages/gateway/src/replicas/TableForwarder.ts
+++ b/packages/gateway/src/replicas/TableForwarder.ts
@@ -6,14 +6,16 @@
 import type { PeerServer } from '../peers/PeerServer.js';
 import type { TableMessage } from '../peers/Types.js';
 import type { RoutingTables } from '../RoutingTables.js';
-import { removalGraceMs, returnDelayMs } from './removalGrace.js';
+import type { ReplicaDirectory } from './ReplicaDirectory.js';
+import { returnDelayMs } from './removalGrace.js';
 import type { StoreTables } from './StoreTables.js';
-import { readTiming, type ReadSituation, type TableUpdate } from './TableSynchronizer.js';
+import { readTiming, type ReadSituation, type RecordSource, type TableUpdate } from './TableSynchronizer.js';
 
 /** What a forwarder connects. */
 export interface TableForwarderContext {
   readonly tables: StoreTables;
   readonly routingTables: RoutingTables;
+  readonly directory: Pick<ReplicaDirectory, 'expire'>;
   readonly server: Pick<PeerServer, 'broadcast' | 'peerCount'>;
   readonly client: Pick<PeerClient, 'isAlive' | 'send'>;
   readonly leaderView: LeaderView;
@@ -33,6 +35,11 @@
     _context.tables.onUpdate((update) => {
       this._apply(update);
     });
+    _context.tables.onReplicasRead(() => {
+      if (_context.leaderView.forwardsChanges === false) {
+        _context.client.send('storeRead', {});
+      }
+    });
   }
 
   /** Sets the timing of this daemon's reads of the store by the state of the leader and the followers. */
@@ -55,7 +62,7 @@
 
   private _apply(update: TableUpdate): void {
     const nowMs = this._clock.now().steadyMs;
-    const graceMs = update.removalGraceMs ?? this._removalGraceMs(update, nowMs);
+    const graceMs = this._removalGraceMs(update, nowMs);
     const records = this._context.routingTables.apply(update, {
       nowMs,
       source: update.source,
@@ -63,23 +70,44 @@
       ...(update.isRestored && { returnDelayMs: returnDelayMs(this._context.livenessMs) }),
     });
     if (records.length > 0) {
-      this._forward({ table: update.table, records, end: 0, whole: false, era: update.era }, graceMs, update.source);
+      const { table, era, source } = update;
+      this._forward({ table, records, end: 0, whole: false, era, removalGraceMs: graceMs }, source);
+      this._scheduleExpiry(graceMs);
     }
   }
 
-  private _removalGraceMs(update: TableUpdate, nowMs: number): number {
-    const { tables, livenessMs } = this._context;
-    const restoredMs = update.isRestored ? tables.restoredMs : undefined;
-    return removalGraceMs({ outage: tables.replicaReadOutage, livenessMs, restoredMs }, nowMs);
+  /**
+   * The grace period of removed replicas. That of the followed peer is taken over, because it reads the store more often.
+   * A follower's can only shorten the one of this daemon, as each shows an outage that the other might not see.
+   */
+  private _removalGraceMs({ source, isRestored, removalGraceMs: statedMs }: TableUpdate, nowMs: number): number {
+    const ownMs = this._context.tables.removalGraceMs(nowMs, isRestored);
+    if (isRestored || statedMs === undefined) {
+      return ownMs;
+    }
+    return source === 'leader' ? statedMs : Math.min(ownMs, statedMs);
+  }
+
+  /** Ends a grace period on time: the periodic work of a daemon is up to 0.3 s apart. */
+  private _scheduleExpiry(graceMs: number): void {
+    if (graceMs > 0) {
+      const timer = setTimeout(
+        () => {
+          this._context.directory.expire(this._clock.now().steadyMs);
+        },
+        Math.ceil(graceMs) + 1,
+      );
+      timer.unref();
+    }
   }
 
   /**
    * Forwards new records to the daemons that follow this one, and records read from the store also to a leader that
-   * does not reach the store. Only the followers take over the grace period: the leader reads the store more often.
+   * does not reach the store.
    */
-  private _forward(message: TableMessage, graceMs: number, source: TableUpdate['source']): void {
+  private _forward(message: TableMessage, source: RecordSource): void {
     const { server, client, leaderView } = this._context;
-    server.broadcast('table', { ...message, removalGraceMs: graceMs });
+    server.broadcast('table', message);
     if (source === 'store' && leaderView.forwardsChanges === false) {
       client.send('table', message);
     }
--- a/packages/gateway/src/replicas/TableSynchronizer.ts
+++ b/packages/gateway/src/replicas/TableSynchronizer.ts
@@ -65,14 +65,17 @@
 
 type ReadResult = 'done' | 'failed' | 'stale';
 
+/** Where records come from: a read of this daemon, the peer that it follows, or one that follows it. */
+export type RecordSource = 'store' | 'leader' | 'follower';
+
 /** New records of a table with their source. */
 export interface TableUpdate {
   readonly table: TableName;
   readonly records: readonly TableRecord[];
-  readonly source: 'store' | 'peer';
+  readonly source: RecordSource;
   /** Era of the store in which the offsets of the records hold. */
   readonly era: number;
-  /** Time for which removed replicas stay in use as the leader decides, milliseconds; absent if this daemon decides. */
+  /** Time for which removed replicas stay in use by the judgement of the peer that sent the records, milliseconds. */
   readonly removalGraceMs?: number;
   /** True if the records are the first known ones of an era that began when the store was restored from a copy. */
   readonly isRestored: boolean;
@@ -86,6 +89,9 @@
   private readonly _onTableUnreadable = new common.Emitter<TableName>();
   /** Fires when the first table of a new era cannot be read, so that only a peer can supply it. */
   public readonly onTableUnreadable = this._onTableUnreadable.event;
+  private readonly _onPromptRead = new common.Emitter<TableName>();
+  /** Fires when the store has answered a read without delay. */
+  public readonly onPromptRead = this._onPromptRead.event;
   private _stopped = false;
   private readonly _outage = new StoreOutage();
   private _available = true;
@@ -148,12 +154,12 @@
     this._wake?.();
   }
 
-  /** Applies records that a peer has read. */
-  public applyFromPeer(message: TableMessage): void {
+  /** Applies records that a peer has sent. */
+  public applyFromPeer(message: TableMessage, source: 'leader' | 'follower'): void {
     const { position } = this.state;
     const records = { ...message, era: message.era ?? position.era };
     const applied = message.whole ? this.state.applyTable(records) : this.state.applyChanges(records);
-    this._fireUpdate(applied ?? [], 'peer', records.era, position, message.removalGraceMs);
+    this._fireUpdate(applied ?? [], source, records.era, position, message.removalGraceMs);
   }
 
   public [Symbol.asyncDispose](): Promise<void> {
@@ -211,11 +217,15 @@
 
   private async _readChanges(): Promise<ReadResult> {
     const { waitMs } = this._timing;
-    this._readDueMs = this._clock.now().steadyMs + waitMs;
+    const startedMs = this._clock.now().steadyMs;
+    this._readDueMs = startedMs + waitMs;
     const from = this.state.position;
     const outcome = await this._store.readChanges(this._table, from, waitMs);
     if (outcome.ok) {
       this._recordSuccess();
+      if (this._clock.now().steadyMs - startedMs < waitMs + lateReadMs) {
+        this._onPromptRead.fire(this._table);
+      }
       const newer = this.state.applyChanges(outcome.value);
       this._logDiscarded(outcome.value, newer.length);
       this._fireUpdate(newer, 'store', from.era, from);
--- a/packages/gateway/src/replicas/removalGrace.test.ts
+++ b/packages/gateway/src/replicas/removalGrace.test.ts
@@ -43,6 +43,26 @@
     },
   );
 
+  vitest.test(
+    'is zero if peers have read the store all the while (guards against the grace period of a VM that is cut off)',
+    () => {
+      const outage = { startedMs: 20_000, lastFailureMs: 49_900 };
+      const peerReadsMs = Array.from({ length: 30 }, (_value, index) => 21_000 + index * 1_000);
+      vitest.expect(removalGraceMs({ outage, livenessMs }, 50_000)).toBeGreaterThan(0);
+      vitest.expect(removalGraceMs({ outage, livenessMs, peerReadsMs }, 50_000)).toBe(0);
+    },
+  );
+
+  vitest.test(
+    'stays if peers have read the store only before and after an outage (guards against replicas lost to an outage)',
+    () => {
+      const outage = { startedMs: 40_000, lastFailureMs: 49_900 };
+      for (const peerReadsMs of [[], [41_000], [49_950], [41_000, 44_000, 49_800, 49_950]]) {
+        vitest.expect(removalGraceMs({ outage, livenessMs, peerReadsMs }, 50_000)).toBeGreaterThan(0);
+      }
+    },
+  );
+
   vitest.test(
     'lasts until records are written again if a restored store lacks the record (guards against lost capacity)',
     () => {
--- a/packages/gateway/src/replicas/restoredTables.test.ts
+++ b/packages/gateway/src/replicas/restoredTables.test.ts
@@ -32,7 +32,7 @@
   const known = { configuration: offset, replicas: 0, eras: { configuration: era, replicas: 0 } };
   const messages: TableMessage[] = [];
   const channel = { send: (_method: string, message: unknown) => messages.push(message as TableMessage) };
-  sendMissingRecords(channel, 'configuration', followed, known);
+  sendMissingRecords(channel, 'configuration', followed, known, 0);
   for (const message of messages) {
     const records = { ...message, era: message.era ?? 0 };
     if (message.whole) follower.applyTable(records);
--- a/packages/gateway/src/testing/changes/SimulatedGateway.ts
+++ b/packages/gateway/src/testing/changes/SimulatedGateway.ts
@@ -45,11 +45,12 @@
     this.store = new SimulatedStoreClient(store);
     this.directory = new ReplicaDirectory((id, text) => this.store.decodeReplica(id, text), silentLogger);
     this.routingTables = new RoutingTables(this.store, this.directory, silentLogger);
-    this._tables = new StoreTables(this.store, () => 0, _clock, silentLogger);
+    this._tables = new StoreTables(this.store, () => 0, livenessMs, _clock, silentLogger);
     this._forwarder = new TableForwarder(
       {
         tables: this._tables,
         routingTables: this.routingTables,
+        directory: this.directory,
         server: this._server(),
         client: this._client(),
         leaderView: this._leaderView,
@@ -81,7 +82,9 @@
       if (method === 'known') {
         this._tables.sendMissingRecords(link.toFollower, params as PeerMessages['known']);
       } else if (method === 'table') {
-        this._tables.applyFromPeer(params as PeerMessages['table']);
+        this._tables.applyFromFollower(params as PeerMessages['table']);
+      } else if (method === 'storeRead') {
+        this._tables.recordPeerRead();
       }
     });
   }
