Send a peer the removals that a restarted leader does not know

A daemon that follows another one gets the records from its own offset on. A leader that has restarted, or skipped changes by reading a full table, knows no record of a removal in the part that it skipped, but states an offset after it. Two more causes of the same fault: the leader answers a peer before its first read has ended, and says that it forwards all changes before it has read any.

A daemon answers a peer once it has read as far as the peer, and forwards changes only after its first read.

Ruled out: full tables for all peers, which saturate a slow link for seconds.

--- a/packages/gateway/src/evictOldest.ts
+++ b/packages/gateway/src/evictOldest.ts
@@ -1,12 +1,12 @@
 /** A map or a set whose keys are in the order of their insertion. */
-export interface KeyedEntries {
+export interface KeyedEntries<Key> {
   readonly size: number;
-  keys(): Iterable<string>;
-  delete(key: string): boolean;
+  keys(): Iterable<Key>;
+  delete(key: Key): boolean;
 }
 
 /** Removes the entries that were inserted first until at most `limit` remain. */
-export function evictOldest(entries: KeyedEntries, limit: number): void {
+export function evictOldest<Key>(entries: KeyedEntries<Key>, limit: number): void {
   for (const key of entries.keys()) {
     if (entries.size <= limit) {
       return;
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -49,6 +49,11 @@
   readonly end: number;
   /** True for a full table, false for changes. */
   readonly whole: boolean;
+  /**
+   * Keys of all records that exist, if the sender may not know each removal since the receiver's offset. The receiver
+   * removes its other keys.
+   */
+  readonly presentKeys?: readonly string[];
   /** Era of the store in which the offsets hold. Absent in messages of earlier versions. */
   readonly era?: number;
   /**
--- a/packages/gateway/src/peers/sendMissingRecords.test.ts
+++ b/packages/gateway/src/peers/sendMissingRecords.test.ts
@@ -13,7 +13,8 @@
 
 function sentMessages(readOffset: number, era = 2): unknown[] {
   const state = new TableState(new ReplicaOrder({ decodeReplica: () => undefined }));
-  state.applyTable({ records, end: 3, era: 2 });
+  state.applyTable({ records: records.slice(0, 1), end: 2, era: 2 });
+  state.applyChanges({ records: records.slice(1), end: 3, era: 2 });
   const sent: unknown[] = [];
   const channel = { send: (_method: string, params: unknown) => sent.push(params) };
   const known = { configuration: 0, replicas: readOffset, eras: { configuration: era, replicas: era } };
@@ -31,6 +32,13 @@
       .toEqual([{ table: 'replicas', records: [records[1]], end: 3, whole: false, era: 2, removalGraceMs }]);
   });
 
+  vitest.test(
+    'come with the keys of all records if a removal since then may be unknown (guards against replicas that have left)',
+    () => {
+      vitest.expect(sentMessages(1)).toMatchObject([{ records, end: 3, whole: false, presentKeys: ['a', 'b'] }]);
+    },
+  );
+
   vitest.test(
     'are the full table if it has read nothing (guards against a daemon that has been cut off since its start)',
     () => {
--- a/packages/gateway/src/peers/sendMissingRecords.ts
+++ b/packages/gateway/src/peers/sendMissingRecords.ts
@@ -5,7 +5,8 @@
 
 /**
  * Sends a peer the records of a table that it lacks. Full tables for every daemon that joins would saturate a slow link
- * for seconds, so a peer that has read the store receives only the changes since then. The message is sent even without
+ * for seconds, so a peer that has read the store receives only the changes since then, with the keys of all records if
+ * this daemon may not know of all removals since then. The message is sent even without
  * changes, because it also confirms to the peer that it has caught up. A peer that has read another era of the store
  * learns only which era this daemon knows: the one that is behind reads the store itself.
  */
@@ -23,5 +24,6 @@
     return;
   }
   const records = whole ? state.records() : state.recordsSince(readOffsets[table]);
-  channel.send('table', { table, records, end, whole, era, removalGraceMs });
+  const presentKeys = whole ? undefined : state.keysIfIncompleteSince(readOffsets[table]);
+  channel.send('table', { table, records, end, whole, era, removalGraceMs, ...(presentKeys && { presentKeys }) });
 }
--- a/packages/gateway/src/replicas/StoreTables.ts
+++ b/packages/gateway/src/replicas/StoreTables.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../Clock.js';
 import type { MetadataStore, TableName } from '../contracts/index.js';
 import type { PeerChannel } from '../peers/PeerChannel.js';
+import { evictOldest } from '../evictOldest.js';
 import { ConfigurationOrder } from './ConfigurationOrder.js';
 import type { RecordOrder } from './RecordOrder.js';
 import { ReplicaOrder } from './ReplicaOrder.js';
@@ -11,6 +12,11 @@
 import { removalGraceMs } from './removalGrace.js';
 import { type ReadTiming, TableSynchronizer, type TableUpdate } from './TableSynchronizer.js';
 
+const tableNames: readonly TableName[] = ['configuration', 'replicas'];
+
+/** Largest number of peers that wait for an answer; a peer whose connection has ended stays until then. */
+const maximumWaitingPeers = 1_024;
+
 /** The tables of the store that a daemon keeps up to date, by its own reads and from records that peers forward. */
 export class StoreTables implements AsyncDisposable {
   private readonly _resources = new common.DisposalRegistry();
@@ -25,6 +31,11 @@
   private _eraTimer: NodeJS.Timeout | undefined;
   private _restoredMs = Number.NEGATIVE_INFINITY;
   private readonly _peerReads = new PeerReads();
+  /** Peers that have read more of a table than this daemon, with what they have read. */
+  private readonly _waitingPeers: Readonly<Record<TableName, Map<Pick<PeerChannel, 'send'>, TableOffsets>>> = {
+    configuration: new Map(),
+    replicas: new Map(),
+  };
   private readonly _onReplicasRead = new common.Emitter<void>();
   /** Fires when the store has answered a read of the replicas without delay. */
   public readonly onReplicasRead = this._onReplicasRead.event;
@@ -47,10 +58,11 @@
       synchronizer.onUpdate((update) => {
         this._onUpdate.fire(update);
       });
-      synchronizer.onPromptRead((read) => {
-        if (read === 'replicas') {
+      synchronizer.onRead(({ isPrompt }) => {
+        if (isPrompt && table === 'replicas') {
           this._onReplicasRead.fire();
         }
+        this._answerWaitingPeers();
       });
       return synchronizer;
     };
@@ -113,12 +125,15 @@
     };
   }
 
-  /** Sends a peer that follows this daemon the records that it lacks. */
+  /**
+   * Sends a peer that follows this daemon the records that it lacks; those of a table of which the peer has read more than
+   * this daemon, once this daemon has read as much.
+   */
   public sendMissingRecords(channel: Pick<PeerChannel, 'send'>, readOffsets: TableOffsets): void {
     this._followEra(readOffsets.eras?.configuration);
-    const graceMs = this.removalGraceMs(this._clock.now().steadyMs, false);
-    sendMissingRecords(channel, 'configuration', this._synchronizers.configuration.state, readOffsets, graceMs);
-    sendMissingRecords(channel, 'replicas', this._synchronizers.replicas.state, readOffsets, graceMs);
+    this._waitingPeers.configuration.set(channel, readOffsets);
+    this._waitingPeers.replicas.set(channel, readOffsets);
+    this._answerWaitingPeers();
   }
 
   /** Begins to follow another peer, and sends it the offsets up to which changes are known. */
@@ -142,6 +157,7 @@
     if (message.end > 0) {
       this._caughtUp.add(message.table);
     }
+    this._answerWaitingPeers();
   }
 
   /** Advances to the followed peer's offsets: it has sent all relevant changes before them, so no read is needed. */
@@ -151,6 +167,27 @@
       const { state } = this._synchronizers[table];
       state.advanceTo({ era: endOffsets.eras?.[table] ?? state.position.era, offset: endOffsets[table] });
     }
+    this._answerWaitingPeers();
+  }
+
+  private _answerWaitingPeers(): void {
+    for (const table of tableNames) {
+      const peers = this._waitingPeers[table];
+      for (const [channel, readOffsets] of peers) {
+        if (this._hasReadAsMuch(table, readOffsets)) {
+          peers.delete(channel);
+          const graceMs = this.removalGraceMs(this._clock.now().steadyMs, false);
+          sendMissingRecords(channel, table, this._synchronizers[table].state, readOffsets, graceMs);
+        }
+      }
+      evictOldest(peers, maximumWaitingPeers);
+    }
+  }
+
+  private _hasReadAsMuch(table: TableName, readOffsets: TableOffsets): boolean {
+    const { era, offset } = this._synchronizers[table].state.position;
+    const isSameEra = (readOffsets.eras?.[table] ?? era) === era;
+    return offset > 0 && (!isSameEra || readOffsets[table] <= offset);
   }
 
   /** Reads the tables anew if a peer has learned of a later era of the store than this daemon. */
--- a/packages/gateway/src/replicas/TableState.ts
+++ b/packages/gateway/src/replicas/TableState.ts
@@ -1,10 +1,21 @@
 import { isBefore, type TablePosition, type TableRecord, type TableRecords } from '../contracts/MetadataStore.js';
 import type { PositionedRecord, RecordOrder } from './RecordOrder.js';
 
+/** A range of offsets of the present era, from one up to another. */
+interface OffsetRange {
+  readonly from: number;
+  readonly end: number;
+}
+
+/** Largest number of ranges that are kept apart. */
+const maximumGaps = 16;
+
 /** The newest records of a table. An older record never replaces a newer one, whichever way it arrives. */
 export class TableState {
   private readonly _records = new Map<string, PositionedRecord>();
   private _position: TablePosition = { era: 0, offset: 0 };
+  /** Ranges that were skipped by reading a full table, so that keys added and removed within them are unknown. */
+  private _gaps: readonly OffsetRange[] = [];
 
   public constructor(private readonly _order: RecordOrder) {}
 
@@ -29,6 +40,12 @@
       .map(withoutEra);
   }
 
+  /** Keys of all records that are not removed, if a removal since an offset may be unknown here; undefined if none is. */
+  public keysIfIncompleteSince(offset: number): readonly string[] | undefined {
+    const isIncomplete = this._gaps.some(({ from, end }) => offset > from && offset < end);
+    return isIncomplete ? this.records().map(({ key }) => key) : undefined;
+  }
+
   /** Records that all changes before a position are known. A later era is entered only with its full table. */
   public advanceTo(position: TablePosition): void {
     if (position.era === this._position.era && position.offset > this._position.offset) {
@@ -36,11 +53,16 @@
     }
   }
 
-  /** Applies changes in order of offset; returns the records that are newer than the known ones. */
-  public applyChanges({ records, end, era }: TableRecords): readonly TableRecord[] {
+  /**
+   * Applies changes in order of offset; returns the records that are newer than the known ones. If the keys of all records
+   * that exist at the end of the changes are given, other keys are removed.
+   */
+  public applyChanges({ records, end, era }: TableRecords, presentKeys?: readonly string[]): readonly TableRecord[] {
+    const removed = presentKeys === undefined ? [] : this._removalsOfOthers(new Set(presentKeys), { era, offset: end });
     this.advanceTo({ era, offset: end });
     const isPast = era < this._position.era;
-    return isPast && !this._order.spansEras ? [] : records.filter((record) => this._apply({ ...record, era }));
+    const changes = [...records, ...removed];
+    return isPast && !this._order.spansEras ? [] : changes.filter((record) => this._apply({ ...record, era }));
   }
 
   /**
@@ -52,18 +74,27 @@
     if (isBefore({ era, offset: end }, this._position)) {
       return undefined;
     }
-    const removed = this._missingIn(table).map((key) => ({ key, offset: end - 1 }));
+    const removed = this._removalsOfOthers(new Set(table.records.map(({ key }) => key)), { era, offset: end });
+    this._recordGap(table);
     this._position = { era, offset: end };
     return this.applyChanges({ records: [...table.records, ...removed], end, era });
   }
 
-  /** Keys that are known and that a table lacks, unless a record after the table's end has added them. */
-  private _missingIn({ records, end, era }: TableRecords): readonly string[] {
-    const present = new Set(records.map((record) => record.key));
+  /** Removals of the known keys that are not present at a position, unless a record after it has added them. */
+  private _removalsOfOthers(presentKeys: ReadonlySet<string>, position: TablePosition): readonly TableRecord[] {
     return [...this._records.values()]
-      .filter((record) => record.value !== undefined && !present.has(record.key))
-      .filter((record) => isBefore(record, { era, offset: end }))
-      .map((record) => record.key);
+      .filter((record) => record.value !== undefined && !presentKeys.has(record.key))
+      .filter((record) => isBefore(record, position))
+      .map(({ key }) => ({ key, offset: position.offset - 1 }));
+  }
+
+  private _recordGap({ era, end }: TableRecords): void {
+    const isSameEra = era === this._position.era;
+    const gap = { from: isSameEra ? this._position.offset : 0, end };
+    const gaps = isSameEra ? [...this._gaps, gap] : [gap];
+    const [first, second, ...others] = gaps;
+    const isFull = gaps.length > maximumGaps && first !== undefined && second !== undefined;
+    this._gaps = isFull ? [{ from: first.from, end: second.end }, ...others] : gaps;
   }
 
   private _apply(candidate: PositionedRecord): boolean {
--- a/packages/gateway/src/replicas/TableSynchronizer.ts
+++ b/packages/gateway/src/replicas/TableSynchronizer.ts
@@ -81,6 +81,13 @@
   readonly isRestored: boolean;
 }
 
+/** A read that the store has answered. */
+export interface TableRead {
+  readonly table: TableName;
+  /** True if the answer to a read of changes came without delay. */
+  readonly isPrompt: boolean;
+}
+
 /** Keeps one table of the store up to date, by reads of the store and from records that peers forward. */
 export class TableSynchronizer implements AsyncDisposable {
   public readonly state: TableState;
@@ -89,12 +96,14 @@
   private readonly _onTableUnreadable = new common.Emitter<TableName>();
   /** Fires when the first table of a new era cannot be read, so that only a peer can supply it. */
   public readonly onTableUnreadable = this._onTableUnreadable.event;
-  private readonly _onPromptRead = new common.Emitter<TableName>();
-  /** Fires when the store has answered a read without delay. */
-  public readonly onPromptRead = this._onPromptRead.event;
+  private readonly _onRead = new common.Emitter<TableRead>();
+  /** Fires when the store has answered a read, after the records are applied. */
+  public readonly onRead = this._onRead.event;
   private _stopped = false;
   private readonly _outage = new StoreOutage();
-  private _available = true;
+  /** False before the first read has ended, and while reads fail. */
+  private _available = false;
+  private _isOutageLogged = false;
   private _readDueMs = Number.POSITIVE_INFINITY;
   private _wake: (() => void) | undefined;
   private _timing: ReadTiming = {
@@ -158,7 +167,9 @@
   public applyFromPeer(message: TableMessage, source: 'leader' | 'follower'): void {
     const { position } = this.state;
     const records = { ...message, era: message.era ?? position.era };
-    const applied = message.whole ? this.state.applyTable(records) : this.state.applyChanges(records);
+    const applied = message.whole
+      ? this.state.applyTable(records)
+      : this.state.applyChanges(records, message.presentKeys);
     this._fireUpdate(applied ?? [], source, records.era, position, message.removalGraceMs);
   }
 
@@ -212,6 +223,7 @@
       this._log.info('Entered the era of the store.', { table: this._table, era, end, known, newer });
     }
     this._fireUpdate(applied, 'store', era, known);
+    this._onRead.fire({ table: this._table, isPrompt: false });
     return 'done';
   }
 
@@ -223,12 +235,10 @@
     const outcome = await this._store.readChanges(this._table, from, waitMs);
     if (outcome.ok) {
       this._recordSuccess();
-      if (this._clock.now().steadyMs - startedMs < waitMs + lateReadMs) {
-        this._onPromptRead.fire(this._table);
-      }
       const newer = this.state.applyChanges(outcome.value);
       this._logDiscarded(outcome.value, newer.length);
       this._fireUpdate(newer, 'store', from.era, from);
+      this._onRead.fire({ table: this._table, isPrompt: this._clock.now().steadyMs - startedMs < waitMs + lateReadMs });
       return 'done';
     }
     if (outcome.failure.kind === 'restored') {
@@ -269,7 +279,8 @@
 
   private _recordFailure(message: string): void {
     this._outage.recordFailure(this._clock.now().steadyMs);
-    if (this._available) {
+    if (!this._isOutageLogged) {
+      this._isOutageLogged = true;
       this._available = false;
       this._log.warn('The store is unreachable.', { table: this._table, reason: message, known: this.state.position });
     }
@@ -277,8 +288,9 @@
 
   private _recordSuccess(): void {
     this._outage.recordSuccess(this._clock.now().steadyMs);
-    if (!this._available) {
-      this._available = true;
+    this._available = true;
+    if (this._isOutageLogged) {
+      this._isOutageLogged = false;
       this._log.info('The store is reachable again.', { table: this._table, known: this.state.position });
     }
   }
