Keep a mark of leaving for each start of a replica

A daemon kept one start time for each replica id. An older start, heard from a peer later, took the place of the newer one, and the replica was in use again if its record still said ready; two peers could pass both back and forth. Each start now has a mark of its own.

The new test of ReplicaDirectory failed before: the replica was marked again by each peer.

--- a/packages/gateway/src/peers/MessageReceiver.ts
+++ b/packages/gateway/src/peers/MessageReceiver.ts
@@ -27,8 +27,8 @@
       this._receiveFromFollower(received);
     });
     _targets.server.onJoined((channel) => {
-      for (const [replicaId, bornMs] of _targets.directory.leavingReplicas()) {
-        channel.send('leaving', { replicaId, bornMs });
+      for (const leaving of _targets.directory.leavingReplicas()) {
+        channel.send('leaving', leaving);
       }
     });
     _targets.client.onMessage((message) => {
--- a/packages/gateway/src/replicas/ReplicaDirectory.test.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.test.ts
@@ -133,4 +133,19 @@
       vitest.expect(directory.usable('s').length).toBe(1);
     },
   );
+
+  vitest.test(
+    'keeps a replica out of use although an earlier start of it left as well (guards against marks that peers undo)',
+    () => {
+      const directory = openDirectory();
+      const timing = { nowMs: 0, source: 'store', removalGraceMs: 0 } as const;
+      directory.apply([record(sampleReplica({ bornMs: 2 }), 1)], timing);
+      vitest.expect(directory.markLeaving('r1', 2)).toBe(true);
+      vitest.expect(directory.markLeaving('r1', 1)).toBe(true);
+      vitest.expect(directory.markLeaving('r1', 2)).toBe(false);
+      vitest.expect(directory.usable('s')).toEqual([]);
+      directory.apply([record(sampleReplica({ bornMs: 3 }), 2)], timing);
+      vitest.expect(directory.usable('s').length).toBe(1);
+    },
+  );
 });
--- a/packages/gateway/src/replicas/ReplicaDirectory.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.ts
@@ -11,6 +11,13 @@
   readonly models: readonly LoadedModel[];
 }
 
+/** A replica that has announced that it is leaving. */
+export interface LeavingReplica {
+  readonly replicaId: string;
+  /** Start of the replica's process, milliseconds since 1970. */
+  readonly bornMs: number;
+}
+
 /** Largest number of replicas of which it is kept that they are leaving or have left. */
 const maximumFormerReplicas = 4_096;
 
@@ -40,8 +47,8 @@
 export class ReplicaDirectory {
   private readonly _entries = new Map<string, Entry>();
   private readonly _holdings = new Map<string, ReplicaHoldings>();
-  /** Start times of replicas that have announced that they are leaving, in an answer or in their record, by replica id. */
-  private readonly _leaving = new Map<string, number>();
+  /** Replicas that have announced that they are leaving, in an answer or in their record, by `leavingKey`. */
+  private readonly _leaving = new Map<string, LeavingReplica>();
   /** Start times of replicas whose records were removed, by replica id. */
   private readonly _removed = new Map<string, number>();
   /** Usable replicas with their newest known models, by service; built at the first use after a change. */
@@ -79,7 +86,7 @@
    * before.
    */
   public markLeaving(replicaId: string, bornMs: number): boolean {
-    if (this._leaving.get(replicaId) === bornMs) {
+    if (this._leaving.has(leavingKey(replicaId, bornMs))) {
       return false;
     }
     this._rememberLeaving(replicaId, bornMs);
@@ -88,9 +95,9 @@
     return true;
   }
 
-  /** Ids of the replicas that have announced that they are leaving, with their start times. */
-  public leavingReplicas(): Iterable<readonly [string, number]> {
-    return this._leaving;
+  /** The replicas that have announced that they are leaving. */
+  public leavingReplicas(): Iterable<LeavingReplica> {
+    return this._leaving.values();
   }
 
   /** Drops removed replicas whose grace period has ended, and returns those to use whose delay has ended. */
@@ -182,8 +189,8 @@
     this._notifyChanged(id);
   }
 
-  private _rememberLeaving(id: string, bornMs: number): void {
-    this._leaving.set(id, bornMs);
+  private _rememberLeaving(replicaId: string, bornMs: number): void {
+    this._leaving.set(leavingKey(replicaId, bornMs), { replicaId, bornMs });
     evictOldest(this._leaving, maximumFormerReplicas);
   }
 
@@ -195,11 +202,16 @@
   private _withHoldings({ replica, usableFromMs }: Entry): Replica {
     const holdings = this._holdings.get(replica.id);
     const known = holdings?.bornMs === replica.bornMs ? { ...replica, models: holdings.models } : replica;
-    const isOutOfUse = usableFromMs !== undefined || this._leaving.get(replica.id) === replica.bornMs;
+    const isOutOfUse = usableFromMs !== undefined || this._leaving.has(leavingKey(replica.id, replica.bornMs));
     return isOutOfUse ? { ...known, state: 'draining' } : known;
   }
 }
 
+/** An earlier start of a replica leaves apart from a later one under the same id. */
+function leavingKey(replicaId: string, bornMs: number): string {
+  return `${bornMs} ${replicaId}`;
+}
+
 function groupByService(replicas: readonly Replica[]): ReadonlyMap<string, readonly Replica[]> {
   const groups = new Map<string, Replica[]>();
   for (const replica of replicas) {
