Look at the choice of a replica again before the first byte is sent

A request's replica is chosen before it is connected to, which may take 0.3 s. If the replica leaves meanwhile, the request was sent nevertheless, late by that time. Now it is dispatched again: the replica has received nothing, so neither the retry budget nor the rule of one run is concerned.

ReplicaAttempt.test.ts is new; without the check the request is sent and the test does not end.

--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -323,10 +323,12 @@
 
   private _attemptFailed(replica: Replica, failure: AttemptFailure): void {
     this._inactivityTimer.stop();
-    if (failure.kind === 'notConnected') {
-      this._context.loads.recordUnreachable(replica.id, this._nowMs());
+    if (failure.kind === 'notConnected' || failure.kind === 'replicaLeft') {
+      if (failure.kind === 'notConnected') {
+        this._context.loads.recordUnreachable(replica.id, this._nowMs());
+      }
       this._endAttempt('failed');
-      this._dispatchAfterConnectFailure(failure.message);
+      this._dispatchUnsent(failure.message);
       return;
     }
     if (failure.kind === 'invalidAnswer') {
@@ -343,8 +345,8 @@
     });
   }
 
-  /** Dispatches again after a failed connect. The replica received nothing, so the retry budget is not charged. */
-  private _dispatchAfterConnectFailure(message: string): void {
+  /** Dispatches again if the replica has received nothing. The retry budget is not charged. */
+  private _dispatchUnsent(message: string): void {
     const usable = this._context.directory.usable(this._service);
     const canContinue =
       this._callerRequest?.modelReference !== undefined ||
--- /dev/null
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.test.ts
@@ -0,0 +1,40 @@
+import * as net from 'node:net';
+import * as vitest from 'vitest';
+import { FakeCodec } from '../testing/FakeCodec.js';
+import { sampleReplica } from '../testing/sampleReplica.js';
+import { type AttemptFailure, ReplicaAttempt } from './ReplicaAttempt.js';
+
+vitest.describe('attempt at a replica', () => {
+  vitest.test(
+    'sends nothing to a replica that leaves while it is connected to (guards against requests chosen before a drain)',
+    async () => {
+      const received: Buffer[] = [];
+      const server = net.createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.on('data', (bytes) => received.push(bytes));
+      });
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+      const address = { host: '127.0.0.1', port: (server.address() as net.AddressInfo).port };
+      const request = {
+        method: 'POST',
+        path: '/p/x',
+        headers: [],
+        body: Buffer.from('payment'),
+        callerRequest: { attemptId: 'a1', host: 'h', deadlineMs: 5_000, promptPartIds: [] },
+        replica: sampleReplica({ address }),
+        agent: false as const,
+        isReplicaUsable: () => false,
+      };
+      const failure = await new Promise<AttemptFailure>((resolve, reject) => {
+        const unexpected = (): void => {
+          reject(new Error('the replica answered'));
+        };
+        const listener = { onHead: unexpected, onFailure: resolve, onConnectionLost: unexpected };
+        new ReplicaAttempt(request, new FakeCodec(), listener);
+      });
+      vitest.expect(failure).toMatchObject({ kind: 'replicaLeft', mayHaveRun: false });
+      await new Promise((resolve) => server.close(resolve));
+      vitest.expect(received).toEqual([]);
+    },
+  );
+});
--- a/packages/gateway/src/forwarding/ReplicaAttempt.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.ts
@@ -20,11 +20,13 @@
   readonly callerRequest: CallerRequest;
   readonly replica: Replica;
   readonly agent: http.Agent | false;
+  /** False once the replica takes no more requests, for instance because it has left while it was connected to. */
+  readonly isReplicaUsable: () => boolean;
 }
 
 /** Reason why an attempt has no usable response. */
 export interface AttemptFailure {
-  readonly kind: 'notConnected' | 'broken' | 'invalidAnswer';
+  readonly kind: 'notConnected' | 'replicaLeft' | 'broken' | 'invalidAnswer';
   /** False only if no byte of the request was written. */
   readonly mayHaveRun: boolean;
   readonly message: string;
@@ -129,10 +131,16 @@
 
   /** Writes only after the connection is established, so that a failed connect proves that the request did not run. */
   private _send(): void {
-    if (!this._ended) {
-      this._connected = true;
-      this._outgoing.end(this._request.body);
+    if (this._ended) {
+      return;
+    }
+    if (!this._request.isReplicaUsable()) {
+      this._fail('replicaLeft', 'the replica has left');
+      this._outgoing.destroy();
+      return;
     }
+    this._connected = true;
+    this._outgoing.end(this._request.body);
   }
 
   private _receiveHead(response: http.IncomingMessage): void {
--- a/packages/gateway/src/forwarding/createAttempt.ts
+++ b/packages/gateway/src/forwarding/createAttempt.ts
@@ -22,7 +22,7 @@
 
 /** Sends a request of a caller to a replica. */
 export function createAttempt(
-  { codec, agent }: Pick<ExchangeContext, 'codec' | 'agent'>,
+  { codec, agent, directory }: Pick<ExchangeContext, 'codec' | 'agent' | 'directory'>,
   { incoming, body, callerRequest, route, replica, wasSentBefore, deadlineMs, lastEventId }: OutgoingRequest,
   listener: AttemptListener,
 ): ReplicaAttempt {
@@ -40,6 +40,7 @@
     body,
     callerRequest,
     replica,
+    isReplicaUsable: () => directory.isUsable(replica),
     // If the replica closed a reused connection during the send, the request would fail and could not be retried. A
     // repeated answer to an earlier send of the same attempt, which its id cannot tell apart, comes on that connection.
     agent: route.kind === 'nonIdempotent' || wasSentBefore ? (false as const) : agent,
--- a/packages/gateway/src/replicas/ReplicaDirectory.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.ts
@@ -100,6 +100,12 @@
     return this._leaving.values();
   }
 
+  /** True if requests may still be sent to a replica that was chosen earlier. */
+  public isUsable({ id, bornMs }: Replica): boolean {
+    const known = this.get(id);
+    return known?.state === 'ready' && known.bornMs === bornMs;
+  }
+
   /** Drops removed replicas whose grace period has ended, and returns those to use whose delay has ended. */
   public expire(nowMs: number): void {
     for (const [id, entry] of this._entries) {
