Count the rewriting of expired records from the end of an outage

A replica whose record expired during an outage of the store was dropped by daemons that retry rarely. The time for which its record may be written again was counted from the last failed read. A follower among 76 retries after up to 3 s, so that the time was over before its first read succeeded; since it says so to the leader, which then drops the replica on all daemons. Now the time counts from the first read that succeeds, and an outage must have lasted until then for records to expire, not until the removal is read.

--- a/packages/gateway/src/replicas/StoreOutage.ts
+++ b/packages/gateway/src/replicas/StoreOutage.ts
@@ -8,14 +8,15 @@
 export interface OutageTimes {
   /** Last successful read before the first failure; minus infinity if there is none. */
   readonly startedMs: number;
-  /** Last failed read; minus infinity if none has failed. */
-  readonly lastFailureMs: number;
+  /** First successful read after the last failure; infinity while the outage lasts, minus infinity if there was none. */
+  readonly endedMs: number;
 }
 
 /** Follows the outages of the store that reads of this daemon show. */
 export class StoreOutage {
   private _lastSuccessMs = Number.NEGATIVE_INFINITY;
-  private _times: OutageTimes = { startedMs: Number.NEGATIVE_INFINITY, lastFailureMs: Number.NEGATIVE_INFINITY };
+  private _lastFailureMs = Number.NEGATIVE_INFINITY;
+  private _times: OutageTimes = { startedMs: Number.NEGATIVE_INFINITY, endedMs: Number.NEGATIVE_INFINITY };
 
   /** Times of the outage in progress, or else of the last one. */
   public get times(): OutageTimes {
@@ -24,10 +25,15 @@
 
   public recordSuccess(nowMs: number): void {
     this._lastSuccessMs = nowMs;
+    this._times = { ...this._times, endedMs: Math.min(this._times.endedMs, nowMs) };
   }
 
   public recordFailure(nowMs: number): void {
-    const isNew = nowMs - this._times.lastFailureMs > expiredRecordRewriteMs;
-    this._times = { startedMs: isNew ? this._lastSuccessMs : this._times.startedMs, lastFailureMs: nowMs };
+    const isNew = nowMs - this._lastFailureMs > expiredRecordRewriteMs;
+    this._lastFailureMs = nowMs;
+    this._times = {
+      startedMs: isNew ? this._lastSuccessMs : this._times.startedMs,
+      endedMs: Number.POSITIVE_INFINITY,
+    };
   }
 }
--- a/packages/gateway/src/replicas/removalGrace.test.ts
+++ b/packages/gateway/src/replicas/removalGrace.test.ts
@@ -3,11 +3,12 @@
 import { type OutageTimes, StoreOutage } from './StoreOutage.js';
 
 const livenessMs = 1_200;
-const noOutage: OutageTimes = { startedMs: Number.NEGATIVE_INFINITY, lastFailureMs: Number.NEGATIVE_INFINITY };
+const noOutage: OutageTimes = { startedMs: Number.NEGATIVE_INFINITY, endedMs: Number.NEGATIVE_INFINITY };
+const stillLasting = Number.POSITIVE_INFINITY;
 
 /** Grace period after an outage in which records can have expired. */
-function graceMs(lastFailureMs: number, nowMs: number): number {
-  return removalGraceMs({ outage: { startedMs: lastFailureMs - 10_000, lastFailureMs }, livenessMs }, nowMs);
+function graceMs(endedMs: number, nowMs: number): number {
+  return removalGraceMs({ outage: { startedMs: endedMs - 10_000, endedMs }, livenessMs }, nowMs);
 }
 
 vitest.describe('grace period of a removed replica', () => {
@@ -35,18 +36,19 @@
   vitest.test(
     'is zero after an outage in which no record can have expired (guards against requests 3.4 s after a removal)',
     () => {
-      const outage = { startedMs: 50_000, lastFailureMs: 51_800 };
+      const outage = { startedMs: 50_000, endedMs: stillLasting };
       vitest.expect(removalGraceMs({ outage, livenessMs }, 52_000)).toBe(0);
       vitest.expect(removalGraceMs({ outage, livenessMs }, 52_399)).toBe(0);
       vitest.expect(removalGraceMs({ outage, livenessMs }, 52_400)).toBeGreaterThan(0);
       vitest.expect(removalGraceMs({ outage, livenessMs: 400 }, 52_000)).toBeGreaterThan(0);
+      vitest.expect(removalGraceMs({ outage: { ...outage, endedMs: 51_800 }, livenessMs }, 52_400)).toBe(0);
     },
   );
 
   vitest.test(
     'is zero if peers have read the store all the while (guards against the grace period of a VM that is cut off)',
     () => {
-      const outage = { startedMs: 20_000, lastFailureMs: 49_900 };
+      const outage = { startedMs: 20_000, endedMs: 49_900 };
       const peerReadsMs = Array.from({ length: 30 }, (_value, index) => 21_000 + index * 1_000);
       vitest.expect(removalGraceMs({ outage, livenessMs }, 50_000)).toBeGreaterThan(0);
       vitest.expect(removalGraceMs({ outage, livenessMs, peerReadsMs }, 50_000)).toBe(0);
@@ -56,7 +58,7 @@
   vitest.test(
     'stays if peers have read the store only before and after an outage (guards against replicas lost to an outage)',
     () => {
-      const outage = { startedMs: 40_000, lastFailureMs: 49_900 };
+      const outage = { startedMs: 40_000, endedMs: 49_900 };
       for (const peerReadsMs of [[], [41_000], [49_950], [41_000, 44_000, 49_800, 49_950]]) {
         vitest.expect(removalGraceMs({ outage, livenessMs, peerReadsMs }, 50_000)).toBeGreaterThan(0);
       }
@@ -81,7 +83,10 @@
     outage.recordSuccess(1_000);
     outage.recordFailure(2_000);
     outage.recordFailure(3_000);
-    vitest.expect(outage.times).toEqual({ startedMs: 1_000, lastFailureMs: 3_000 });
+    vitest.expect(outage.times).toEqual({ startedMs: 1_000, endedMs: stillLasting });
+    outage.recordSuccess(3_500);
+    outage.recordSuccess(4_000);
+    vitest.expect(outage.times).toEqual({ startedMs: 1_000, endedMs: 3_500 });
   });
 
   vitest.test('goes on while a few reads succeed (guards against replicas lost while the store is slow)', () => {
@@ -90,9 +95,9 @@
     outage.recordFailure(2_000);
     outage.recordSuccess(3_000);
     outage.recordFailure(4_000);
-    vitest.expect(outage.times).toEqual({ startedMs: 1_000, lastFailureMs: 4_000 });
+    vitest.expect(outage.times).toEqual({ startedMs: 1_000, endedMs: stillLasting });
     outage.recordSuccess(6_000);
     outage.recordFailure(8_000);
-    vitest.expect(outage.times).toEqual({ startedMs: 6_000, lastFailureMs: 8_000 });
+    vitest.expect(outage.times).toEqual({ startedMs: 6_000, endedMs: stillLasting });
   });
 });
--- a/packages/gateway/src/replicas/removalGrace.ts
+++ b/packages/gateway/src/replicas/removalGrace.ts
@@ -32,7 +32,7 @@
  */
 export function removalGraceMs(input: RemovalInput, nowMs: number): number {
   const { outage, restoredMs = Number.NEGATIVE_INFINITY } = input;
-  const recoveryMs = outage.lastFailureMs + expiredRecordRewriteMs - nowMs;
+  const recoveryMs = Math.min(outage.endedMs, nowMs) + expiredRecordRewriteMs - nowMs;
   const afterOutageMs = canHaveExpired(input, nowMs) ? Math.min(recoveryMs, maximumGraceMs) : 0;
   const afterRestoreMs = restoredMs + expiredRecordRewriteMs - nowMs;
   return Math.max(afterOutageMs, afterRestoreMs, 0);
@@ -42,7 +42,7 @@
 function canHaveExpired({ outage, peerReadsMs = [], livenessMs }: RemovalInput, nowMs: number): boolean {
   const expiryMs = (missedReportLimit - 1) * livenessMs;
   const fromMs = Math.max(outage.startedMs, nowMs - expiredRecordRewriteMs - expiryMs);
-  return longestGapMs(peerReadsMs, fromMs, nowMs) >= expiryMs;
+  return longestGapMs(peerReadsMs, fromMs, Math.min(outage.endedMs, nowMs)) >= expiryMs;
 }
 
 /** The longest time without a read between two times, milliseconds. */
