Send the keys of all records to a peer behind what this daemon read itself

Now one offset says from where on a daemon has read each change itself; a peer behind it gets the keys.

--- a/packages/gateway/src/replicas/TableState.ts
+++ b/packages/gateway/src/replicas/TableState.ts
@@ -1,21 +1,15 @@
 import { isBefore, type TablePosition, type TableRecord, type TableRecords } from '../contracts/MetadataStore.js';
 import type { PositionedRecord, RecordOrder } from './RecordOrder.js';
 
-/** A range of offsets of the present era, from one up to another. */
-interface OffsetRange {
-  readonly from: number;
-  readonly end: number;
-}
-
-/** Largest number of ranges that are kept apart. */
-const maximumGaps = 16;
-
 /** The newest records of a table. An older record never replaces a newer one, whichever way it arrives. */
 export class TableState {
   private readonly _records = new Map<string, PositionedRecord>();
   private _position: TablePosition = { era: 0, offset: 0 };
-  /** Ranges that were skipped by reading a full table, so that keys added and removed within them are unknown. */
-  private _gaps: readonly OffsetRange[] = [];
+  /**
+   * Offset of the present era from which this daemon has read each change. Keys that were added and removed before it may
+   * be unknown, because a full table and the records of a peer show only what remained.
+   */
+  private _completeFrom = 0;
 
   public constructor(private readonly _order: RecordOrder) {}
 
@@ -42,27 +36,33 @@
 
   /** Keys of all records that are not removed, if a removal since an offset may be unknown here; undefined if none is. */
   public keysIfIncompleteSince(offset: number): readonly string[] | undefined {
-    const isIncomplete = this._gaps.some(({ from, end }) => offset > from && offset < end);
-    return isIncomplete ? this.records().map(({ key }) => key) : undefined;
+    return offset < this._completeFrom ? this.records().map(({ key }) => key) : undefined;
   }
 
-  /** Records that all changes before a position are known. A later era is entered only with its full table. */
+  /** Records that a peer has sent all changes before a position. A later era is entered only with its full table. */
   public advanceTo(position: TablePosition): void {
-    if (position.era === this._position.era && position.offset > this._position.offset) {
-      this._position = position;
+    if (this._advance(position)) {
+      this._completeFrom = position.offset;
     }
   }
 
+  /** Applies changes read from the store, in order of offset; returns the records that are newer than the known ones. */
+  public applyChanges({ records, end, era }: TableRecords): readonly TableRecord[] {
+    this._advance({ era, offset: end });
+    return this._applyRecords(records, era);
+  }
+
   /**
-   * Applies changes in order of offset; returns the records that are newer than the known ones. If the keys of all records
-   * that exist at the end of the changes are given, other keys are removed.
+   * Applies changes that a peer has sent; returns the records that are newer than the known ones. If the keys of all
+   * records that exist at the end of the changes are given, other keys are removed.
    */
-  public applyChanges({ records, end, era }: TableRecords, presentKeys?: readonly string[]): readonly TableRecord[] {
+  public applyPeerChanges(
+    { records, end, era }: TableRecords,
+    presentKeys?: readonly string[],
+  ): readonly TableRecord[] {
     const removed = presentKeys === undefined ? [] : this._removalsOfOthers(new Set(presentKeys), { era, offset: end });
     this.advanceTo({ era, offset: end });
-    const isPast = era < this._position.era;
-    const changes = [...records, ...removed];
-    return isPast && !this._order.spansEras ? [] : changes.filter((record) => this._apply({ ...record, era }));
+    return this._applyRecords([...records, ...removed], era);
   }
 
   /**
@@ -75,9 +75,20 @@
       return undefined;
     }
     const removed = this._removalsOfOthers(new Set(table.records.map(({ key }) => key)), { era, offset: end });
-    this._recordGap(table);
     this._position = { era, offset: end };
-    return this.applyChanges({ records: [...table.records, ...removed], end, era });
+    this._completeFrom = end;
+    return this._applyRecords([...table.records, ...removed], era);
+  }
+
+  private _advance(position: TablePosition): boolean {
+    const isNewer = position.era === this._position.era && position.offset > this._position.offset;
+    this._position = isNewer ? position : this._position;
+    return isNewer;
+  }
+
+  private _applyRecords(records: readonly TableRecord[], era: number): readonly TableRecord[] {
+    const isPast = era < this._position.era;
+    return isPast && !this._order.spansEras ? [] : records.filter((record) => this._apply({ ...record, era }));
   }
 
   /** Removals of the known keys that are not present at a position, unless a record after it has added them. */
@@ -88,15 +99,6 @@
       .map(({ key }) => ({ key, offset: position.offset - 1 }));
   }
 
-  private _recordGap({ era, end }: TableRecords): void {
-    const isSameEra = era === this._position.era;
-    const gap = { from: isSameEra ? this._position.offset : 0, end };
-    const gaps = isSameEra ? [...this._gaps, gap] : [gap];
-    const [first, second, ...others] = gaps;
-    const isFull = gaps.length > maximumGaps && first !== undefined && second !== undefined;
-    this._gaps = isFull ? [{ from: first.from, end: second.end }, ...others] : gaps;
-  }
-
   private _apply(candidate: PositionedRecord): boolean {
     const known = this._records.get(candidate.key);
     if (known === undefined || this._order.supersedes(known, candidate)) {
--- a/packages/gateway/src/replicas/TableSynchronizer.ts
+++ b/packages/gateway/src/replicas/TableSynchronizer.ts
@@ -169,7 +169,7 @@
     const records = { ...message, era: message.era ?? position.era };
     const applied = message.whole
       ? this.state.applyTable(records)
-      : this.state.applyChanges(records, message.presentKeys);
+      : this.state.applyPeerChanges(records, message.presentKeys);
     this._fireUpdate(applied ?? [], source, records.era, position, message.removalGraceMs);
   }
 
--- a/packages/gateway/src/replicas/restoredTables.test.ts
+++ b/packages/gateway/src/replicas/restoredTables.test.ts
@@ -36,7 +36,7 @@
   for (const message of messages) {
     const records = { ...message, era: message.era ?? 0 };
     if (message.whole) follower.applyTable(records);
-    else follower.applyChanges(records);
+    else follower.applyPeerChanges(records, message.presentKeys);
   }
 }
 
--- a/packages/gateway/src/replicas/skippedHistory.test.ts
+++ b/packages/gateway/src/replicas/skippedHistory.test.ts
@@ -37,7 +37,7 @@
       const { records, end, whole, presentKeys } = params as TableMessage;
       const table = { records, end, era: followed.position.era };
       if (whole) follower.applyTable(table);
-      else follower.applyChanges(table, presentKeys);
+      else follower.applyPeerChanges(table, presentKeys);
     },
   };
   sendMissingRecords(channel, 'replicas', followed, known, 0);
@@ -66,7 +66,7 @@
             }
           }
         }),
-        { numRuns: 2_000 },
+        { numRuns: 5_000 },
       );
     },
   );
