Give a peer that has read more what others have forwarded at once

A leader that does not reach the store never does, so a follower that joins it again got nothing of what others had forwarded, until its own next read (up to 6 s at 76 daemons). Now the records are sent at once, and only the word that the peer has caught up waits.

--- a/packages/gateway/src/replicas/StoreTables.ts
+++ b/packages/gateway/src/replicas/StoreTables.ts
@@ -126,14 +126,19 @@
   }
 
   /**
-   * Sends a peer that follows this daemon the records that it lacks; those of a table of which the peer has read more than
-   * this daemon, once this daemon has read as much.
+   * Sends a peer that follows this daemon the records that it lacks. If the peer has read more of a table than this daemon,
+   * it is not said to have caught up before this daemon has read as much.
    */
   public sendMissingRecords(channel: Pick<PeerChannel, 'send'>, readOffsets: TableOffsets): void {
     this._followEra(readOffsets.eras?.configuration);
-    this._waitingPeers.configuration.set(channel, readOffsets);
-    this._waitingPeers.replicas.set(channel, readOffsets);
-    this._answerWaitingPeers();
+    for (const table of tableNames) {
+      if (this._hasReadAsMuch(table, readOffsets)) {
+        this._answer(channel, table, readOffsets);
+      } else {
+        this._waitingPeers[table].set(channel, readOffsets);
+        this._sendSingleRecords(channel, table, readOffsets[table]);
+      }
+    }
   }
 
   /** Begins to follow another peer, and sends it the offsets up to which changes are known. */
@@ -176,14 +181,28 @@
       for (const [channel, readOffsets] of peers) {
         if (this._hasReadAsMuch(table, readOffsets)) {
           peers.delete(channel);
-          const graceMs = this.removalGraceMs(this._clock.now().steadyMs, false);
-          sendMissingRecords(channel, table, this._synchronizers[table].state, readOffsets, graceMs);
+          this._answer(channel, table, readOffsets);
         }
       }
       evictOldest(peers, maximumWaitingPeers);
     }
   }
 
+  private _answer(channel: Pick<PeerChannel, 'send'>, table: TableName, readOffsets: TableOffsets): void {
+    const graceMs = this.removalGraceMs(this._clock.now().steadyMs, false);
+    sendMissingRecords(channel, table, this._synchronizers[table].state, readOffsets, graceMs);
+  }
+
+  /** Sends the records from an offset on that other peers have forwarded to this daemon. */
+  private _sendSingleRecords(channel: Pick<PeerChannel, 'send'>, table: TableName, offset: number): void {
+    const { state } = this._synchronizers[table];
+    const records = state.recordsSince(offset);
+    if (records.length > 0) {
+      const removalGraceMs = this.removalGraceMs(this._clock.now().steadyMs, false);
+      channel.send('table', { table, records, end: 0, whole: false, era: state.position.era, removalGraceMs });
+    }
+  }
+
   private _hasReadAsMuch(table: TableName, readOffsets: TableOffsets): boolean {
     const { era, offset } = this._synchronizers[table].state.position;
     const isSameEra = (readOffsets.eras?.[table] ?? era) === era;
