--- a/packages/gateway/src/testing/changes/SimulatedGateway.ts
+++ b/packages/gateway/src/testing/changes/SimulatedGateway.ts
@@ -1,5 +1,4 @@
 import type { Clock } from '../../Clock.js';
-import type { TableName } from '../../contracts/MetadataStore.js';
 import { LeaderView } from '../../peers/LeaderView.js';
 import { messageIntervals } from '../../peers/messageIntervals.js';
 import type { PeerMessages } from '../../peers/Types.js';
@@ -89,6 +88,11 @@
     });
   }
 
+  /** True if requests go to the replica. */
+  public uses(replicaId: string): boolean {
+    return this.directory.get(replicaId)?.state === 'ready';
+  }
+
   /** Closes all connections as a process that ends does. */
   public async [Symbol.asyncDispose](): Promise<void> {
     this._isStopped = true;
@@ -190,14 +194,4 @@
       }
     }
   }
-
-  /** True if requests go to the replica. */
-  public uses(replicaId: string): boolean {
-    return this.directory.get(replicaId)?.state === 'ready';
-  }
-
-  /** The offset from which the gateway would read a table. */
-  public position(table: TableName): number {
-    return this._tables.endOffsets()[table];
-  }
 }
