--- a/packages/gateway/src/replicas/StoreTables.test.ts
+++ b/packages/gateway/src/replicas/StoreTables.test.ts
@@ -1,11 +1,11 @@
 import * as vitest from 'vitest';
+import { systemClock } from '../Clock.js';
 import type { TableMessage } from '../peers/Types.js';
 import { sampleReplica } from '../testing/sampleReplica.js';
 import { SimulatedStore, SimulatedStoreClient } from '../testing/changes/SimulatedStore.js';
 import { silentLogger } from '../testing/SilentLogger.js';
 import { StoreTables } from './StoreTables.js';
 
-const clock = { now: () => ({ steadyMs: performance.now(), wallMs: Date.now() }) };
 const livenessMs = 1_200;
 
 vitest.describe('tables of a daemon that does not reach the store', () => {
@@ -19,7 +19,7 @@
     store = new SimulatedStore();
     store.write('replicas', 'r1', sampleReplica());
     client = new SimulatedStoreClient(store);
-    tables = new StoreTables(client, () => 0, livenessMs, clock, silentLogger);
+    tables = new StoreTables(client, () => 0, livenessMs, systemClock, silentLogger);
     sent = [];
     tables.start();
     await vitest.vi.advanceTimersByTimeAsync(100);
--- a/packages/gateway/src/replicas/TableSynchronizer.test.ts
+++ b/packages/gateway/src/replicas/TableSynchronizer.test.ts
@@ -1,12 +1,11 @@
 import * as vitest from 'vitest';
+import { systemClock } from '../Clock.js';
 import { SimulatedStore, SimulatedStoreClient } from '../testing/changes/SimulatedStore.js';
 import { silentLogger } from '../testing/SilentLogger.js';
 import { messageIntervals } from '../peers/messageIntervals.js';
 import { ReplicaOrder } from './ReplicaOrder.js';
 import { readTiming, TableSynchronizer } from './TableSynchronizer.js';
 
-const clock = { now: () => ({ steadyMs: performance.now(), wallMs: Date.now() }) };
-
 vitest.describe('reads of a table', () => {
   vitest.afterEach(() => {
     vitest.vi.useRealTimers();
@@ -23,7 +22,7 @@
         client,
         'replicas',
         new ReplicaOrder(client),
-        clock,
+        systemClock,
         silentLogger,
       );
       const situation = { hasFollowers: false, intervals: messageIntervals(9) };
--- a/packages/gateway/src/testing/changes/ChangeSimulation.ts
+++ b/packages/gateway/src/testing/changes/ChangeSimulation.ts
@@ -1,6 +1,6 @@
 import * as vitest from 'vitest';
+import { systemClock } from '../../Clock.js';
 import { sampleReplica } from '../sampleReplica.js';
-import type { Instant } from '../../Types.js';
 import { SimulatedGateway } from './SimulatedGateway.js';
 import { Network } from './SimulatedLink.js';
 import { type Reachability, SimulatedStore } from './SimulatedStore.js';
@@ -54,7 +54,13 @@
     }
     this._startLeader();
     for (let index = 1; index < this._daemonCount; index += 1) {
-      const follower = new SimulatedGateway(this.store, this._network, this._daemonCount, clock, () => this._leader);
+      const follower = new SimulatedGateway(
+        this.store,
+        this._network,
+        this._daemonCount,
+        systemClock,
+        () => this._leader,
+      );
       follower.start(Math.random() * 300);
       this._gateways.push(follower);
     }
@@ -115,7 +121,7 @@
     for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += stepMs) {
       await vitest.vi.advanceTimersByTimeAsync(stepMs);
       this._network.deliver();
-      const nowMs = clock.now().steadyMs;
+      const nowMs = systemClock.now().steadyMs;
       for (const gateway of this._gateways) {
         gateway.tickIfDue(nowMs);
       }
@@ -130,7 +136,7 @@
   }
 
   private _startLeader(): void {
-    this._leader = new SimulatedGateway(this.store, this._network, this._daemonCount, clock);
+    this._leader = new SimulatedGateway(this.store, this._network, this._daemonCount, systemClock);
     this._leader.start(0);
     this._gateways.push(this._leader);
   }
@@ -139,7 +145,7 @@
     const id = `i-${this._nextReplica}`;
     this._nextReplica += 1;
     this.store.write('replicas', id);
-    this._pending.add({ kind: 'removal', atMs: clock.now().steadyMs, isInForce: (gateway) => !gateway.uses(id) });
+    this._pending.add({ kind: 'removal', atMs: systemClock.now().steadyMs, isInForce: (gateway) => !gateway.uses(id) });
   }
 
   private _changeConfiguration(): void {
@@ -148,7 +154,7 @@
     this.store.write('configuration', 'config', version);
     const isInForce = ({ routingTables }: SimulatedGateway): boolean =>
       (routingTables.routes?.configuration.version ?? 0) >= version;
-    this._pending.add({ kind: 'configuration', atMs: clock.now().steadyMs, isInForce });
+    this._pending.add({ kind: 'configuration', atMs: systemClock.now().steadyMs, isInForce });
   }
 
   /** Times the changes that are in force at all gateways that the store serves. */
@@ -156,12 +162,10 @@
     const served = this._gateways.filter(({ store }) => store.reachability === 'served');
     for (const change of this._pending) {
       if (served.every((gateway) => change.isInForce(gateway))) {
-        const elapsedMs = clock.now().steadyMs - change.atMs;
+        const elapsedMs = systemClock.now().steadyMs - change.atMs;
         this._slowest[change.kind] = Math.max(this._slowest[change.kind], elapsedMs);
         this._pending.delete(change);
       }
     }
   }
 }
-
-const clock = { now: (): Instant => ({ steadyMs: performance.now(), wallMs: Date.now() }) };
--- a/packages/gateway/src/testing/changes/SimulatedStore.ts
+++ b/packages/gateway/src/testing/changes/SimulatedStore.ts
@@ -8,6 +8,7 @@
   type TableRecord,
   type TableRecords,
 } from '../../contracts/MetadataStore.js';
+import { pause } from '../../pause.js';
 import type { Configuration, Replica } from '../../Types.js';
 import { FakeTopic } from '../FakeTopic.js';
 
@@ -102,7 +103,7 @@
   private async _call(waitMs: number): Promise<common.Outcome<never, StoreFailure> | undefined> {
     this._store.reads += 1;
     const { reachability } = this;
-    await delay(reachability === 'silent' ? waitMs + callTimeoutMs : callMs);
+    await pause(reachability === 'silent' ? waitMs + callTimeoutMs : callMs);
     return reachability === 'served' ? undefined : unavailable();
   }
 
@@ -124,7 +125,3 @@
 function unavailable(): common.Outcome<never, StoreFailure> {
   return common.fail({ kind: 'unavailable', message: 'not reached' });
 }
-
-export function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
