Read the software version of replicas, and log which stream a request takes up

The lines of a request named its replicas, but neither their versions nor that the request goes on with an earlier stream, so the log could not tell a stream resumed within an answer from one that its caller takes up.

--- a/packages/gateway/src/Types.ts
+++ b/packages/gateway/src/Types.ts
@@ -104,6 +104,8 @@
   readonly service: string;
   readonly address: Address;
   readonly failureDomain: string;
+  /** Version of the replica's software, not of its models. A stream goes on only at the version that began it. */
+  readonly softwareVersion: string;
   /** Largest number of requests that the replica runs at once. */
   readonly slots: number;
   readonly state: 'ready' | 'draining';
--- a/packages/gateway/src/contracts/RequestCodec.ts
+++ b/packages/gateway/src/contracts/RequestCodec.ts
@@ -8,6 +8,13 @@
   /** Maximum time that the caller waits, milliseconds. */
   readonly deadlineMs?: number;
   readonly modelReference?: ModelReference;
+  /** Last event that the caller has received of a stream that it takes up; absent for a new stream. */
+  readonly lastEventId?: string;
+  /**
+   * Attempt that brought the first event of the stream that the caller takes up; absent if the caller does not name
+   * exactly one.
+   */
+  readonly resumedAttemptId?: string;
   /** Identifiers of the parts of the prompt that other prompts may share, in order. */
   readonly promptPartIds: readonly string[];
 }
--- a/packages/gateway/src/forwarding/AttemptHistory.ts
+++ b/packages/gateway/src/forwarding/AttemptHistory.ts
@@ -1,6 +1,9 @@
+import type { Replica } from '../Types.js';
+
 /** Records the replicas that one request was sent to, and counts those that may have run it. */
 export class AttemptHistory {
   private readonly _replicaIds: string[] = [];
+  private readonly _softwareVersions: string[] = [];
   private readonly _excluded = new Set<string>();
   private _possibleRuns = 0;
   private _currentCounted = false;
@@ -10,6 +13,11 @@
     return this._replicaIds;
   }
 
+  /** Software versions of these replicas when the request was sent to them. */
+  public get softwareVersions(): readonly string[] {
+    return this._softwareVersions;
+  }
+
   /** Replicas that are not selected because an attempt of this request has just failed there. */
   public get excluded(): ReadonlySet<string> {
     return this._excluded;
@@ -31,9 +39,10 @@
   }
 
   /** Records that the request is sent to a replica, which becomes the current one. */
-  public startAttempt(replicaId: string): void {
-    this._replicaIds.push(replicaId);
-    this._excluded.add(replicaId);
+  public startAttempt({ id, softwareVersion }: Pick<Replica, 'id' | 'softwareVersion'>): void {
+    this._replicaIds.push(id);
+    this._softwareVersions.push(softwareVersion);
+    this._excluded.add(id);
     this._currentCounted = false;
   }
 
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -225,7 +225,7 @@
     }
     const now = this._context.clock.now();
     const wasSentBefore = this._history.includes(replica.id);
-    this._history.startAttempt(replica.id);
+    this._history.startAttempt(replica);
     this._rateLimitPerSecond = this._context.rateLimits.perSecond(replica.id);
     this._context.rateLimits.recordSend(replica.id, now);
     const attempt = createAttempt(
@@ -500,6 +500,9 @@
       outcome,
       status,
       replicas: this._history.replicaIds,
+      softwareVersions: this._history.softwareVersions,
+      resumedAttemptId: this._callerRequest?.resumedAttemptId,
+      lastEventId: this._callerRequest?.lastEventId,
       rateLimitPerSecond: this._rateLimitPerSecond,
       waitedMs: this._wait.waitedMs(nowMs),
       durationMs: nowMs - this._startedMs,
--- a/packages/gateway/src/forwarding/ExchangeResult.ts
+++ b/packages/gateway/src/forwarding/ExchangeResult.ts
@@ -20,6 +20,12 @@
   readonly status: number | undefined;
   /** Replicas that the request was sent to, in order. */
   readonly replicas: readonly string[];
+  /** Software versions of these replicas when the request was sent to them. */
+  readonly softwareVersions: readonly string[];
+  /** Attempt that began the stream, if the caller takes up a broken one and names it. */
+  readonly resumedAttemptId: string | undefined;
+  /** Last event that the caller has received, if it takes up a broken stream. */
+  readonly lastEventId: string | undefined;
   /** Rate limit of the last of these replicas when the request was sent to it, requests per second. */
   readonly rateLimitPerSecond: number | undefined;
   readonly waitedMs: number;
--- a/packages/gateway/src/placement/PlacementLeader.test.ts
+++ b/packages/gateway/src/placement/PlacementLeader.test.ts
@@ -12,6 +12,7 @@
   id: 'r1',
   service: 'models',
   address: { host: '127.0.0.1', port: 1 },
+  softwareVersion: 'v1',
   failureDomain: 'a',
   slots: 16,
   state: 'ready',
--- a/packages/gateway/src/replicas/ReplicaDirectory.ts
+++ b/packages/gateway/src/replicas/ReplicaDirectory.ts
@@ -153,12 +153,13 @@
     const affectsRouting =
       before === undefined || before.dropAtMs !== undefined || routesDifferently(before.replica, replica);
     if (affectsRouting) {
-      const { id, service, state, bornMs, models, inMemory, onDisk } = replica;
+      const { id, service, softwareVersion, state, bornMs, models, inMemory, onDisk } = replica;
       const counts = { models: models.length, inMemory: inMemory.length, onDisk: onDisk.length };
       const isHeldBack = usableFromMs !== undefined;
       this._log.info('Replica changed.', {
         replica: id,
         service,
+        softwareVersion,
         state,
         bornMs,
         ...counts,
@@ -233,6 +234,7 @@
     before.state !== after.state ||
     before.bornMs !== after.bornMs ||
     before.service !== after.service ||
+    before.softwareVersion !== after.softwareVersion ||
     before.slots !== after.slots ||
     before.address.host !== after.address.host ||
     before.address.port !== after.address.port
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -85,6 +85,7 @@
       service: 's',
       address: { host: '127.0.0.1', port },
       failureDomain: 'a',
+      softwareVersion: 'v1',
       slots: 4,
       state: 'ready',
       bornMs: 1,
--- a/packages/gateway/src/testing/sampleReplica.ts
+++ b/packages/gateway/src/testing/sampleReplica.ts
@@ -7,6 +7,7 @@
     service: 's',
     address: { host: '10.0.0.1', port: 80 },
     failureDomain: 'a',
+    softwareVersion: 'v1',
     slots: 4,
     state: 'ready',
     bornMs: 1,
