Keep a request off the connections that it was sent on before

Callers saw: a stream that may not be resumed was answered 503, a promise that it has not run, while a replica was running it. The address of a replica that had refused it passed to another replica; the request was sent there on the same kept connection, and a faulty replica repeated its refusal, with the id of the request.

Cause: which sends need a new connection was decided by the identifier of the replica, but a repeated answer comes on a connection, and connections are kept by address.

Change: a request knows the connections that it was sent on. If one of them is idle in the pool of the address, where it could be taken, the next send opens a new connection; otherwise it uses the pool. An answer with the id of the request can then only be that of the one send on its connection.

The tests failed before: 503 in place of 200 for a repeated 421 and a repeated 503.

--- a/packages/gateway/src/forwarding/AttemptHistory.ts
+++ b/packages/gateway/src/forwarding/AttemptHistory.ts
@@ -1,5 +1,9 @@
+import { UsedConnections } from './UsedConnections.js';
+
 /** Records the replicas that one request was sent to, and counts those that may have run it. */
 export class AttemptHistory {
+  /** Connections that the request was sent on. */
+  public readonly connections = new UsedConnections();
   private readonly _replicaIds: string[] = [];
   private readonly _excluded = new Set<string>();
   private _possibleRuns = 0;
@@ -15,11 +19,6 @@
     return this._excluded;
   }
 
-  /** True if the request was sent to the replica before. */
-  public includes(replicaId: string): boolean {
-    return this._replicaIds.includes(replicaId);
-  }
-
   /** Number of replicas that may have run the request. */
   public get possibleRuns(): number {
     return this._possibleRuns;
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -224,7 +224,6 @@
       return;
     }
     const now = this._context.clock.now();
-    const wasSentBefore = this._history.includes(replica.id);
     this._history.startAttempt(replica.id);
     this._rateLimitPerSecond = this._context.rateLimits.perSecond(replica.id);
     this._context.rateLimits.recordSend(replica.id, now);
@@ -236,7 +235,7 @@
         callerRequest,
         route,
         replica,
-        wasSentBefore,
+        connections: this._history.connections,
         deadlineMs: Math.max(Math.floor(this._deadline.leftMs(now.steadyMs)), 1),
         lastEventId: this._relay.lastEventId,
       },
--- a/packages/gateway/src/forwarding/ReplicaAttempt.test.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.test.ts
@@ -3,6 +3,7 @@
 import { FakeCodec } from '../testing/FakeCodec.js';
 import { sampleReplica } from '../testing/sampleReplica.js';
 import { type AttemptFailure, ReplicaAttempt } from './ReplicaAttempt.js';
+import { UsedConnections } from './UsedConnections.js';
 
 vitest.describe('attempt at a replica', () => {
   vitest.test(
@@ -23,6 +24,7 @@
         callerRequest: { attemptId: 'a1', host: 'h', deadlineMs: 5_000, promptPartIds: [] },
         replica: sampleReplica({ address }),
         agent: false as const,
+        connections: new UsedConnections(),
         isReplicaUsable: () => false,
       };
       const failure = await new Promise<AttemptFailure>((resolve, reject) => {
--- a/packages/gateway/src/forwarding/ReplicaAttempt.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.ts
@@ -4,6 +4,7 @@
 import type { CallerRequest, ResponseHead, RequestCodec } from '../contracts/RequestCodec.js';
 import type { Replica } from '../Types.js';
 import { isFramed } from './responseHeaders.js';
+import type { UsedConnections } from './UsedConnections.js';
 
 /** Connect timeout, milliseconds. A connect normally takes a few milliseconds. */
 const connectTimeoutMs = 300;
@@ -20,6 +21,8 @@
   readonly callerRequest: CallerRequest;
   readonly replica: Replica;
   readonly agent: http.Agent | false;
+  /** Connections that the request was sent on; that of this attempt is added. */
+  readonly connections: UsedConnections;
   /** False once the replica takes no more requests, for instance because it has left while it was connected to. */
   readonly isReplicaUsable: () => boolean;
 }
@@ -103,7 +106,7 @@
     this._outgoing.on('socket', (socket) => {
       this._detectReset(socket);
       if (!socket.connecting) {
-        this._send();
+        this._send(socket);
         return;
       }
       this._connectTimer = setTimeout(() => {
@@ -112,7 +115,7 @@
       }, connectTimeoutMs);
       socket.once('connect', () => {
         clearTimeout(this._connectTimer);
-        this._send();
+        this._send(socket);
       });
     });
   }
@@ -130,7 +133,7 @@
   }
 
   /** Writes only after the connection is established, so that a failed connect proves that the request did not run. */
-  private _send(): void {
+  private _send(socket: net.Socket): void {
     if (this._ended) {
       return;
     }
@@ -140,6 +143,7 @@
       return;
     }
     this._connected = true;
+    this._request.connections.add(socket);
     this._outgoing.end(this._request.body);
   }
 
--- a/packages/gateway/src/forwarding/createAttempt.ts
+++ b/packages/gateway/src/forwarding/createAttempt.ts
@@ -4,6 +4,7 @@
 import { type AttemptListener, ReplicaAttempt } from './ReplicaAttempt.js';
 import { urgencyOf } from './retryPolicy.js';
 import type { ExchangeContext } from './Types.js';
+import type { UsedConnections } from './UsedConnections.js';
 
 /** A request of a caller that is to be sent to a replica. */
 export interface OutgoingRequest {
@@ -12,8 +13,8 @@
   readonly callerRequest: CallerRequest;
   readonly route: Route;
   readonly replica: Replica;
-  /** True if the request was sent to the replica before. */
-  readonly wasSentBefore: boolean;
+  /** Connections that the request was sent on before. */
+  readonly connections: UsedConnections;
   /** Time that the replica has for the request, milliseconds. */
   readonly deadlineMs: number;
   /** Last event that the caller has received, if a stream is resumed. */
@@ -23,7 +24,7 @@
 /** Sends a request of a caller to a replica. */
 export function createAttempt(
   { codec, agent, directory }: Pick<ExchangeContext, 'codec' | 'agent' | 'directory'>,
-  { incoming, body, callerRequest, route, replica, wasSentBefore, deadlineMs, lastEventId }: OutgoingRequest,
+  { incoming, body, callerRequest, route, replica, connections, deadlineMs, lastEventId }: OutgoingRequest,
   listener: AttemptListener,
 ): ReplicaAttempt {
   const headers = codec.forwardedHeaders(incoming, {
@@ -41,9 +42,9 @@
     callerRequest,
     replica,
     isReplicaUsable: () => directory.isUsable(replica),
-    // If the replica closed a reused connection during the send, the request would fail and could not be retried. A
-    // repeated answer to an earlier send of the same attempt, which its id cannot tell apart, comes on that connection.
-    agent: route.kind === 'nonIdempotent' || wasSentBefore ? (false as const) : agent,
+    connections,
+    // If the replica closed a reused connection during the send, the request would fail and could not be retried.
+    agent: route.kind === 'nonIdempotent' || connections.mayBeReused(agent, replica.address) ? (false as const) : agent,
   };
   return new ReplicaAttempt(request, codec, listener);
 }
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -79,9 +79,10 @@
     this._addRecord(await unusedPort());
   }
 
-  private _addRecord(port: number): void {
+  private _addRecord(port: number): string {
+    const id = `r${this._replicas.length}`;
     this._replicas.push({
-      id: `r${this._replicas.length}`,
+      id,
       service: 's',
       address: { host: '127.0.0.1', port },
       failureDomain: 'a',
@@ -93,6 +94,7 @@
       inMemory: [],
       onDisk: [],
     });
+    return id;
   }
 
   /** Removes the records of all replicas from the directory, as after an outage of the store. */
@@ -101,6 +103,17 @@
     this._directory.apply(removed, { nowMs: 0, source: 'store', removalGraceMs: 0 });
   }
 
+  /** Replaces the record of a replica by that of another one at the same address. */
+  public replaceRecord(id: string): void {
+    const address = this._replicas.find((replica) => replica.id === id)?.address;
+    const successor = this._addRecord(address?.port ?? 0);
+    const changes = [
+      { key: id, offset: 1 },
+      { key: successor, offset: 2, value: 'any' },
+    ];
+    this._directory.apply(changes, { nowMs: 0, source: 'store', removalGraceMs: 0 });
+  }
+
   public async open(): Promise<void> {
     const directory = this._directory;
     directory.apply(
