Test the ways in which a refusal can be repeated

Seven ways of a replica that repeats a refusal: in the packet of the refusal (twice, three times), in the next one, within a millisecond, before the body of the refusal has been read, after the next send, and half before and half after it. Each for the next send of the same stream, which must be answered by its run, and for another stream on the same connection, which must not be promised not to have run. All pass on the current code.

Each guard was taken out in a scratch copy: without the connections that a request has used, 4 of the tests of the file fail (503 in place of 200; 502 for the half); without the check of the id one fails (503 in place of 502). Without the listener on idle connections none fails: Node.js drops bytes that arrive there.

--- a/packages/gateway/src/forwarding/repeatedRefusals.test.ts
+++ b/packages/gateway/src/forwarding/repeatedRefusals.test.ts
@@ -67,3 +67,90 @@
     vitest.expect([refusals, sockets.size]).toEqual([1, 2]);
   });
 });
+
+/** Ways in which a replica repeats a refusal: what it writes with it, and once a request is sent to it again. */
+interface Repetition {
+  readonly withRefusal: (socket: net.Socket) => void;
+  readonly afterNextSend?: string;
+}
+
+const manyParts = `${notExecutedHead}Transfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(300)}0\r\n\r\n`;
+const half = notExecuted.length / 2;
+const afterNextSend = notExecuted;
+const repetitions: readonly (readonly [string, Repetition])[] = [
+  ['in the packet of the refusal', { withRefusal: (socket) => socket.write(notExecuted.repeat(2)) }],
+  ['three times in one packet', { withRefusal: (socket) => socket.write(notExecuted.repeat(3)) }],
+  ['in the next packet', { withRefusal: (socket) => socket.write(notExecuted, () => socket.write(notExecuted)) }],
+  [
+    'within a millisecond',
+    {
+      withRefusal: (socket) => {
+        socket.write(notExecuted);
+        setTimeout(() => socket.write(notExecuted), 1);
+      },
+    },
+  ],
+  [
+    'before the body of the refusal has been read',
+    { withRefusal: (socket) => socket.write(manyParts, () => socket.write(notExecuted)) },
+  ],
+  [
+    'on an idle connection, and after the next send',
+    { withRefusal: (socket) => socket.write(notExecuted), afterNextSend },
+  ],
+  [
+    'half in its packet, half after the next send',
+    {
+      withRefusal: (socket) => socket.write(notExecuted + notExecuted.slice(0, half)),
+      afterNextSend: notExecuted.slice(half),
+    },
+  ],
+];
+
+/** A replica that refuses its first request and repeats that as told; it runs each later one. */
+async function addRepeatingReplica(
+  fixture: ExchangeFixture,
+  { withRefusal, afterNextSend = '' }: Repetition,
+): Promise<{ runs: number }> {
+  const counts = { runs: 0 };
+  let first: net.Socket | undefined;
+  await fixture.addReplica((socket) => {
+    if (first === undefined) {
+      first = socket;
+      withRefusal(socket);
+      return;
+    }
+    counts.runs += 1;
+    first.write(afterNextSend);
+    setTimeout(() => socket.write(signedAnswer.replace('a1', counts.runs === 1 ? 'a1' : 'a2')), runMs);
+  });
+  return counts;
+}
+
+vitest.describe('a refusal that is repeated', () => {
+  vitest.test.each(repetitions)(
+    '%s, does not answer the next send of its request (guards against a promise for a stream that runs)',
+    async (_name, repetition) => {
+      await using fixture = new ExchangeFixture(stream);
+      const counts = await addRepeatingReplica(fixture, repetition);
+      await fixture.open();
+      vitest.expect(await fixture.call(toModel)).toMatchObject({ status: 200, body: 'whole', complete: true });
+      vitest.expect(counts.runs).toBe(1);
+    },
+  );
+
+  vitest.test.each(repetitions)(
+    '%s, does not answer another request (guards against a promise for a stream that runs)',
+    async (_name, repetition) => {
+      await using fixture = new ExchangeFixture(stream);
+      fixture.retrySlack = 0;
+      const counts = await addRepeatingReplica(fixture, repetition);
+      await fixture.open();
+      vitest.expect(await fixture.call()).toMatchObject({ status: 503 });
+      counts.runs = 1;
+      const other = await fixture.call({ headers: { 'x-attempt': 'a2' } });
+      vitest.expect(other.status).toBe(repetition.afterNextSend === undefined ? 200 : 502);
+      vitest.expect(counts.runs).toBe(2);
+    },
+  );
+});
