Pass on no status that promises what the replica has not stated

Callers saw: 408, 429 or 503 of a replica, with its signature, for a request that may run at most once. To the caller these statuses mean that the request has not run, and it may send it again; the replica had not said so.

Cause: "not run" is stated by Not-Executed or 421 only, and the gateway takes it from there; but an answer without the statement was passed on unchanged, and its status makes the promise all the same.

Change: for requests that may not be repeated such an answer becomes our own 502, which promises nothing, without the replica's signature.

--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -18,6 +18,7 @@
 import { callerTimeoutMs, mayRetry, urgencyOf } from './retryPolicy.js';
 import { AttemptHistory } from './AttemptHistory.js';
 import { sendLocalResponse } from './sendLocalResponse.js';
+import { statesNotExecuted, unstatedPromise } from './judgeAnswer.js';
 import { InactivityTimer } from './InactivityTimer.js';
 import type { BrokenAnswer, ExchangeResult } from './ExchangeResult.js';
 import type { ExchangeContext } from './Types.js';
@@ -259,7 +260,7 @@
   private _receiveHead(replica: Replica, head: ResponseHead, response: http.IncomingMessage): void {
     this._inactivityTimer.stop();
     recordResponseHead(this._context, replica, head, this._nowMs());
-    if ((head.notExecuted && head.status !== 400) || head.fromOtherReplica) {
+    if (statesNotExecuted(head)) {
       discardBody(response);
       this._endAttempt('refused');
       this._retryOr(false, () => {
@@ -268,12 +269,13 @@
       return;
     }
     this._history.countPossibleRun();
-    const isFailure = head.status >= 500;
-    if (isFailure && !this._relay.headSent && this._mayRetry()) {
+    const unstated = unstatedPromise(head, this._route);
+    const isRetried = head.status >= 500 && !this._relay.headSent && this._mayRetry();
+    if (unstated !== undefined || isRetried) {
       discardBody(response);
       this._endAttempt('failed');
       this._retryOr(true, () => {
-        this._abort('no replica gave a good answer');
+        this._abort(unstated ?? 'no replica gave a good answer');
       });
       return;
     }
--- a/packages/gateway/src/forwarding/retryPolicy.ts
+++ b/packages/gateway/src/forwarding/retryPolicy.ts
@@ -11,10 +11,15 @@
 /** Largest urgency number that engines accept; it is the least urgent. */
 const lowestUrgency = 9;
 
+/** True if requests of a route may run more than once. */
+export function isRepeatable(route: Route): boolean {
+  return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
+}
+
 /** True if a request may be sent to another replica although `possibleRuns` replicas may already have run it. */
 export function mayRetry(route: Route, possibleRuns: number, headSent: boolean): boolean {
-  const isRepeatable = route.kind === 'idempotent' ? !headSent : route.kind === 'stream' && route.resumable;
-  return isRepeatable && possibleRuns < route.maximumAttempts;
+  const isTooLate = route.kind === 'idempotent' && headSent;
+  return isRepeatable(route) && !isTooLate && possibleRuns < route.maximumAttempts;
 }
 
 /** Time without data after which an attempt at a replica is cancelled, milliseconds. */
