Take no success for a refusal

Callers saw: 503, a promise that the request has not run, or a second run, where a replica answered with a signed success that also says that it was not executed.

Cause: Not-Executed was believed on every status except 400. A success says the opposite, so neither can be believed.

Change: such an answer is invalid, as one without a signature is: an idempotent request may go elsewhere, any other gets 502. The test failed before (503 in place of 502).

--- a/packages/gateway/src/forwarding/ReplicaAttempt.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.ts
@@ -172,6 +172,9 @@
     if (isSuccess && !head.isSigned) {
       return 'success without the signature of the replica';
     }
+    if (isSuccess && head.notExecuted) {
+      return 'success that states that it was not executed';
+    }
     return common.responseHeadFault(response);
   }
 
--- a/packages/gateway/src/forwarding/promisedAnswers.test.ts
+++ b/packages/gateway/src/forwarding/promisedAnswers.test.ts
@@ -49,3 +49,16 @@
     }
   });
 });
+
+vitest.describe('a success that says it was not run', () => {
+  const contradiction = signedAnswer.replace('x-other: 1', 'x-not-run: 1');
+
+  vitest.test('is no refusal (guards against a second run and an untrue promise)', async () => {
+    for (const route of neverRepeated) {
+      await withReplicas(route, [sends(contradiction), sends(contradiction)], async (fixture) => {
+        vitest.expect(await fixture.call()).toMatchObject({ status: 502 });
+        vitest.expect(fixture.requestHeads.length).toBe(1);
+      });
+    }
+  });
+});
