Answer a running request with nothing but its own answer

Callers saw: 408, a promise that the request has not run, or 400, while a replica was running the request.

Cause: where bytes behind a request on its connection can't be read as a request, or the next request stays incomplete beyond the operators' time, Node.js writes its own 408, 400, 413 or 431 to the connection at once, unless the head of a response was sent. The caller takes it for the answer to the request that is in progress, which a replica may be running.

Change: the server answers such errors itself. If requests received before are in progress, they are answered first and the connection is closed then; otherwise the caller gets the status that Node.js would send.

The interval of the check is a parameter for the tests; its value stays that of Node.js.

--- a/packages/gateway/src/forwarding/CallerServer.ts
+++ b/packages/gateway/src/forwarding/CallerServer.ts
@@ -2,27 +2,36 @@
 import * as http from 'node:http';
 import type { Address, CallerLimits } from '../Types.js';
 import { Exchange } from './Exchange.js';
+import { InvalidRequests } from './InvalidRequests.js';
 import type { ExchangeContext } from './Types.js';
 
 /** Header size limit of the HTTP parser, bytes. The operators' limit is lower. */
 const parserHeaderBytes = 64 * 1024;
 /** Added to the callers' idle timeout, so that no request arrives while its connection is closed, milliseconds. */
 const idleMarginMs = 2_000;
+/** Interval at which requests that are not received in time are looked for, milliseconds; the default of Node.js. */
+const connectionCheckMs = 30_000;
 
 /** HTTP server for requests of callers. */
 export class CallerServer {
   private readonly _server: http.Server;
   private _maximumHeaderBytes = parserHeaderBytes;
+  private readonly _invalidRequests = new InvalidRequests();
   private _activeCount = 0;
 
   public constructor(
     private readonly _context: ExchangeContext,
     private readonly _address: Address,
     private readonly _log: common.Logger,
+    connectionsCheckingInterval = connectionCheckMs,
   ) {
-    this._server = http.createServer({ maxHeaderSize: parserHeaderBytes }, (request, response) => {
+    const limits = { maxHeaderSize: parserHeaderBytes, connectionsCheckingInterval };
+    this._server = http.createServer(limits, (request, response) => {
       this._accept(request, response);
     });
+    this._server.on('clientError', (error, socket) => {
+      this._invalidRequests.refuse(error, socket);
+    });
   }
 
   public async open(): Promise<void> {
@@ -58,6 +67,7 @@
 
   private _accept(request: http.IncomingMessage, response: http.ServerResponse): void {
     this._activeCount += 1;
+    this._invalidRequests.track(request, response);
     response.once('close', () => {
       this._activeCount -= 1;
     });
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -43,6 +43,8 @@
 export class ExchangeFixture implements AsyncDisposable {
   public stopping = false;
   public longestRequestMs = Number.POSITIVE_INFINITY;
+  /** Interval at which the caller server checks for requests that are not received in time, milliseconds. */
+  public connectionCheckMs: number | undefined;
   /** Retries that the retry budget allows in addition to its share of the requests. */
   public retrySlack = 1_000;
   public readonly requestHeads: string[] = [];
@@ -125,6 +127,7 @@
       this._context(directory),
       { host: '127.0.0.1', port: this._port },
       silentLogger,
+      this.connectionCheckMs,
     );
     this._callerServer.applyLimits(callerLimits);
     await this._callerServer.open();
