--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -43,6 +43,8 @@
 export class ExchangeFixture implements AsyncDisposable {
   public stopping = false;
   public longestRequestMs = Number.POSITIVE_INFINITY;
+  /** Interval at which the caller server checks for requests that are not received in time, milliseconds. */
+  public connectionCheckMs: number | undefined;
   /** Retries that the retry budget allows in addition to its share of the requests. */
   public retrySlack = 1_000;
   public readonly requestHeads: string[] = [];
@@ -79,9 +81,10 @@
     this._addRecord(await unusedPort());
   }
 
-  private _addRecord(port: number): void {
+  private _addRecord(port: number): string {
+    const id = `r${this._replicas.length}`;
     this._replicas.push({
-      id: `r${this._replicas.length}`,
+      id,
       service: 's',
       address: { host: '127.0.0.1', port },
       failureDomain: 'a',
@@ -94,6 +97,7 @@
       inMemory: [],
       onDisk: [],
     });
+    return id;
   }
 
   /** Removes the records of all replicas from the directory, as after an outage of the store. */
@@ -102,6 +106,17 @@
     this._directory.apply(removed, { nowMs: 0, source: 'store', removalGraceMs: 0 });
   }
 
+  /** Replaces the record of a replica by that of another one at the same address. */
+  public replaceRecord(id: string): void {
+    const address = this._replicas.find((replica) => replica.id === id)?.address;
+    const successor = this._addRecord(address?.port ?? 0);
+    const changes = [
+      { key: id, offset: 1 },
+      { key: successor, offset: 2, value: 'any' },
+    ];
+    this._directory.apply(changes, { nowMs: 0, source: 'store', removalGraceMs: 0 });
+  }
+
   public async open(): Promise<void> {
     const directory = this._directory;
     directory.apply(
@@ -113,6 +128,7 @@
       this._context(directory),
       { host: '127.0.0.1', port: this._port },
       silentLogger,
+      this.connectionCheckMs,
     );
     this._callerServer.applyLimits(callerLimits);
     await this._callerServer.open();
