--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -19,6 +19,7 @@
 import { CrashCoordinator } from './peers/CrashCoordinator.js';
 import { LeaderMessages } from './peers/LeaderMessages.js';
 import { LeaderView } from './peers/LeaderView.js';
+import { StreamCoordinator } from './peers/StreamCoordinator.js';
 import { RateLimitCoordinator } from './peers/RateLimitCoordinator.js';
 import { messageIntervals } from './peers/messageIntervals.js';
 import { Reporter } from './peers/Reporter.js';
@@ -35,6 +36,7 @@
 import { spreadSlots } from './routing/chooseReplica.js';
 import { ReplicaLoads } from './routing/ReplicaLoads.js';
 import { RoutingTables } from './RoutingTables.js';
+import { streamLifetimeMs } from './streams/streamLifetimeMs.js';
 import { StopSchedule } from './StopSchedule.js';
 import type { Address } from './Types.js';
 import { WaitingRequests } from './waiting/WaitingRequests.js';
@@ -70,6 +72,7 @@
   private readonly _crashMetrics: CrashMetrics;
   private readonly _crashObserver: CrashObserver;
   private readonly _crashCoordinator: CrashCoordinator;
+  private readonly _streams: StreamCoordinator;
   private readonly _agent = new ReplicaAgent();
   private readonly _messageReceiver: MessageReceiver;
   private readonly _callers: CallerServer;
@@ -139,6 +142,7 @@
       _log.child('crashes'),
     );
     this._crashObserver = new CrashObserver(this._crashGuard, this._crashContext(), _clock, _log.child('crashes'));
+    this._streams = this._createStreamCoordinator();
     this._leader = new PlacementLeader(
       _settings.name,
       () => this._routingTables.routes?.configuration,
@@ -242,6 +246,19 @@
     return new TableForwarder(context, this._clock, this._log.child('store'));
   }
 
+  private _createStreamCoordinator(): StreamCoordinator {
+    const context = {
+      replicas: () => this._directory.all(),
+      lifetimeMs: () => streamLifetimeMs(this._routingTables.routes?.configuration),
+      isFirstStart: this._settings.isFirstStart,
+      holdsLease: () => this._leaderElector.isLeaseHeld(this._clock.now()),
+      hearsLeader: () => this._hearsLeader(),
+      daemonCount: () => this._retryBudgets.daemonCount,
+    };
+    const links = { server: this._peerServer, client: this._peerClient };
+    return new StreamCoordinator(links, this._platform.store, context, this._clock, this._log.child('streams'));
+  }
+
   private _createMessageReceiver(): MessageReceiver {
     return new MessageReceiver({
       server: this._peerServer,
@@ -314,6 +331,7 @@
     this._rateLimits.retain((id) => this._directory.get(id)?.bornMs);
     this._rateLimitCoordinator.tick();
     this._crashCoordinator.tick();
+    this._streams.tick();
     this._crashMetrics.setCounts(this._crashGuard.counts);
   }
 
@@ -384,6 +402,7 @@
       crashGuard: this._crashGuard,
       crashObserver: this._crashObserver,
       crashMetrics: this._crashMetrics,
+      streams: this._streams,
       agent: this._agent,
       routes: () => this._routingTables.routes,
       readyInMs: (model) => this._readyInMs(model),
@@ -407,14 +426,18 @@
   }
 
   private _isLeaderAlive(): boolean {
-    return this._leaderElector.isHolder || (this._leaderView.isLeading && this._peerClient.isAlive(this._nowMs()));
+    return this._leaderElector.isHolder || this._hearsLeader();
   }
 
   private _permitSource(): PermitSource {
     if (this._leaderElector.orderToken(this._clock.now()) !== undefined) {
       return 'self';
     }
-    return this._leaderView.isLeading && this._peerClient.isAlive(this._nowMs()) ? 'leader' : 'none';
+    return this._hearsLeader() ? 'leader' : 'none';
+  }
+
+  private _hearsLeader(): boolean {
+    return this._leaderView.isLeading && this._peerClient.isAlive(this._nowMs());
   }
 
   private _nowMs(): number {
--- a/packages/gateway/src/contracts/MetadataStore.ts
+++ b/packages/gateway/src/contracts/MetadataStore.ts
@@ -74,6 +74,19 @@
   /** Writes the record of a block, or removes it if `value` is undefined. The key has at most 64 characters. */
   public abstract writeBlock(key: string, value: string | undefined): Promise<common.Outcome<void, StoreFailure>>;
 
+  /** Reads the records of streams: versions of services, and origins. */
+  public abstract readStreamRecords(): Promise<common.Outcome<TableRecords, StoreFailure>>;
+
+  /**
+   * Writes a record of streams if their table still ends at `expectedEnd`; returns the offset of the new record. The key has
+   * at most 64 characters.
+   */
+  public abstract writeStreamRecord(
+    expectedEnd: TablePosition,
+    key: string,
+    value: string,
+  ): Promise<common.Outcome<number, StoreFailure>>;
+
   /** Decodes the operators' configuration; undefined if the text is not a valid configuration. */
   public abstract decodeConfiguration(text: string): Configuration | undefined;
 
--- a/packages/gateway/src/forwarding/CurrentAttempt.ts
+++ b/packages/gateway/src/forwarding/CurrentAttempt.ts
@@ -1,7 +1,7 @@
 import type * as http from 'node:http';
 import type { AttemptObservation } from '../crashes/AttemptObservation.js';
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
-import type { ModelReference } from '../Types.js';
+import type { ModelReference, Replica } from '../Types.js';
 import type { ReplicaAttempt } from './ReplicaAttempt.js';
 
 /**
@@ -26,6 +26,11 @@
     return this._running !== undefined;
   }
 
+  /** Replica of the running attempt. */
+  public get replica(): Replica | undefined {
+    return this._running?.attempt.replica;
+  }
+
   public start(
     attempt: ReplicaAttempt,
     modelReference: ModelReference | undefined,
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -10,6 +10,7 @@
 import { admitRequest, type LocalResponse } from './admitRequest.js';
 import { ResponseRelay } from './ResponseRelay.js';
 import { isFramed, mayBeEventStream } from './responseHeaders.js';
+import { StreamContinuation } from './StreamContinuation.js';
 import { createAttempt, promptPartKeys } from './createAttempt.js';
 import type { AttemptFailure } from './ReplicaAttempt.js';
 import { type AttemptOutcome, CurrentAttempt } from './CurrentAttempt.js';
@@ -25,6 +26,8 @@
 
 /** Callers choose the parts of a prompt, so the number of those in a log line is limited. */
 const maximumLoggedPromptParts = 16;
+/** Share of the time until the first byte for which a stream that is taken up waits to learn which version began it. */
+const originWaitShare = 0.5;
 
 /** Handles one request of a caller: selects a replica or waits for one, sends the request and relays the response. */
 export class Exchange {
@@ -43,6 +46,7 @@
   private readonly _wait: RequestWait;
   private readonly _relay: ResponseRelay;
   private readonly _attempt: CurrentAttempt;
+  private readonly _continuation: StreamContinuation;
   private readonly _history = new AttemptHistory();
   /** Status of the response that is being relayed. */
   private _responseStatus = 0;
@@ -67,10 +71,12 @@
     this._startedMs = this._nowMs();
     this._wait = new RequestWait(_context.waitingRequests);
     this._attempt = new CurrentAttempt(_context.loads);
+    this._continuation = new StreamContinuation(_context.streams);
     this._relay = new ResponseRelay(_response, _context.codec, () => _context.isStopping(), {
       onProgress: () => {
         this._inactivityTimer.refresh();
         this._attempt.recordEvents(this._relay.completeEvents, this._nowMs());
+        this._recordOrigin();
       },
       onEnd: () => {
         this._responseEnded();
@@ -101,7 +107,7 @@
       } else if (outcome !== 'broken') {
         this._body = outcome;
         this._recordDemand();
-        this._dispatch();
+        this._beginStream();
       }
     });
   }
@@ -137,6 +143,31 @@
     }
   }
 
+  /** Dispatches the request, once it is known at which version it goes on if it takes a broken stream up. */
+  private _beginStream(): void {
+    if (this._callerRequest === undefined || this._route === undefined) {
+      return;
+    }
+    const longestWaitMs = this._firstByteTimeLeftMs(this._route) * originWaitShare;
+    this._continuation.begin(this._callerRequest, this._route, this._service, longestWaitMs, (result) => {
+      if (result === 'ready') {
+        this._dispatch();
+      } else if (result === 'unknown') {
+        this._refuse('it is not known which version began the stream', undefined);
+      } else {
+        this._refuse('no leader tells which version began the stream', refusedRetryAfterMs);
+      }
+    });
+  }
+
+  /** Records which version began the stream, with the first event that is passed on. */
+  private _recordOrigin(): void {
+    const { replica } = this._attempt;
+    if (this._callerRequest !== undefined && this._route !== undefined && replica !== undefined) {
+      this._continuation.recordEvents(this._callerRequest.attemptId, this._route, this._service, replica);
+    }
+  }
+
   /** Sends the request to the best replica, queues it or refuses it. Returns false if the request has to wait. */
   private _dispatch(): boolean {
     const route = this._route;
@@ -183,20 +214,26 @@
       excluded: this._history.excluded,
       mayHaveRun: this._history.possibleRuns > 0,
       waitedMs: this._wait.waitedMs(nowMs),
-      urgency: urgencyOf(route),
+      requiredVersion: this._continuation.requiredVersion,
+      urgency: this._urgency(route),
       lateAtMs: this._startedMs + route.latencyTargetMs,
       timeLeftMs: this._deadline.leftMs(nowMs),
       firstByteTimeLeftMs: this._firstByteTimeLeftMs(route),
     };
   }
 
+  private _urgency(route: Route): number {
+    return urgencyOf(route, this._continuation.requiredVersion !== undefined);
+  }
+
   private _startWaiting(limitedReplicaId: string | undefined, route: Route, nowMs: number): void {
     const needsOtherPermit = limitedReplicaId !== undefined && limitedReplicaId !== this._limitedReplicaId;
     this._limitedReplicaId = limitedReplicaId;
     const createRequest = (): WaitingRequest => ({
       modelReference: this._callerRequest?.modelReference,
+      requiredVersion: this._continuation.requiredVersion,
       limitedReplicaId: () => this._limitedReplicaId,
-      urgency: urgencyOf(route),
+      urgency: this._urgency(route),
       lateAtMs: this._startedMs + route.latencyTargetMs,
       redispatch: () => this._dispatch(),
     });
@@ -238,6 +275,7 @@
         replica,
         connections: this._history.connections,
         deadlineMs: Math.max(Math.floor(this._deadline.leftMs(now.steadyMs)), 1),
+        urgency: this._urgency(route),
         lastEventId: this._relay.lastEventId,
       },
       {
@@ -437,13 +475,13 @@
   }
 
   /** Refuses a request that has not run and will not run; aborts it if a replica may have run it. */
-  private _refuse(reason: string, retryAfterMs: number): void {
+  private _refuse(reason: string, retryAfterMs: number | undefined): void {
     if (this._relay.headSent || this._history.possibleRuns > 0) {
       this._abort(reason);
       return;
     }
     this._cancelAttempt();
-    this._respond({ status: 503, outcome: 'refused', reason, retryAfterMs });
+    this._respond({ status: 503, outcome: 'refused', reason, ...(retryAfterMs !== undefined && { retryAfterMs }) });
   }
 
   private _respond({ status, outcome, reason, retryAfterMs }: LocalResponse): void {
@@ -491,6 +529,7 @@
     this._finished = true;
     this._deadline.stop();
     this._inactivityTimer.stop();
+    this._continuation.stop();
     const nowMs = this._nowMs();
     this._wait.stop(nowMs);
     const result: ExchangeResult = {
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -10,6 +10,7 @@
 import type { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
 import type { RetryBudgets } from '../retries/RetryBudgets.js';
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
+import type { StreamOrigins } from '../streams/Types.js';
 import type { ModelReference, Replica, Route } from '../Types.js';
 import type { WaitingRequests } from '../waiting/WaitingRequests.js';
 import type { RequestLog } from './RequestLog.js';
@@ -29,6 +30,7 @@
   readonly crashGuard: CrashGuard;
   readonly crashObserver: CrashObserver;
   readonly crashMetrics: CrashMetrics;
+  readonly streams: StreamOrigins;
   readonly agent: http.Agent;
   routes(): RouteTable | undefined;
   /** Expected time until a model is ready; undefined while no leader provides an estimate. */
--- a/packages/gateway/src/forwarding/createAttempt.ts
+++ b/packages/gateway/src/forwarding/createAttempt.ts
@@ -2,7 +2,6 @@
 import type { CallerRequest } from '../contracts/RequestCodec.js';
 import type { Replica, Route } from '../Types.js';
 import { type AttemptListener, ReplicaAttempt } from './ReplicaAttempt.js';
-import { urgencyOf } from './retryPolicy.js';
 import type { ExchangeContext } from './Types.js';
 import type { UsedConnections } from './UsedConnections.js';
 
@@ -17,6 +16,8 @@
   readonly connections: UsedConnections;
   /** Time that the replica has for the request, milliseconds. */
   readonly deadlineMs: number;
+  /** Urgency from 0 (most urgent) to 9, for replicas that hold models. */
+  readonly urgency: number;
   /** Last event that the caller has received, if a stream is resumed. */
   readonly lastEventId: string | undefined;
 }
@@ -24,14 +25,14 @@
 /** Sends a request of a caller to a replica. */
 export function createAttempt(
   { codec, agent, directory }: Pick<ExchangeContext, 'codec' | 'agent' | 'directory'>,
-  { incoming, body, callerRequest, route, replica, connections, deadlineMs, lastEventId }: OutgoingRequest,
+  { incoming, body, callerRequest, route, replica, connections, deadlineMs, urgency, lastEventId }: OutgoingRequest,
   listener: AttemptListener,
 ): ReplicaAttempt {
   const headers = codec.forwardedHeaders(incoming, {
     replicaId: replica.id,
     deadlineMs,
     bodyBytes: body.length,
-    ...(callerRequest.modelReference !== undefined && { urgency: urgencyOf(route) }),
+    ...(callerRequest.modelReference !== undefined && { urgency }),
     ...(lastEventId !== undefined && { lastEventId }),
   });
   const request = {
--- a/packages/gateway/src/forwarding/decideDispatch.test.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.test.ts
@@ -35,6 +35,7 @@
   urgency: 2,
   lateAtMs: 10_500,
   timeLeftMs: 8_000,
+  requiredVersion: undefined,
   firstByteTimeLeftMs: 2_000,
 };
 
@@ -44,6 +45,7 @@
     directory: { usable: () => replicas },
     loads: new ReplicaLoads(),
     rateLimits: { maySend: () => true, expectedWaitMs: () => undefined },
+    streams: { mayBegin: () => true },
     waitingRequests: { countAhead: () => 0 },
     failureDomain: 'a',
     randomSlots: () => 0,
@@ -144,3 +146,41 @@
     });
   });
 });
+
+vitest.describe('dispatch of a stream that has begun', () => {
+  const resumable = { ...request, route: { ...route, resumable: true } };
+  const other = { ...holder, id: 'r2', softwareVersion: 'v2' };
+
+  vitest.test('goes only to the version that began it (guards against streams joined from two versions)', () => {
+    const decision = decideDispatch({ ...resumable, requiredVersion: 'v2' }, context([holder, other]), now);
+    vitest.expect(decision).toEqual({ kind: 'send', replica: other });
+  });
+
+  vitest.test('is refused at once without a replica of its version (guards against waits that cannot succeed)', () => {
+    const decision = decideDispatch({ ...resumable, requiredVersion: 'v3' }, context([holder, other]), now);
+    vitest.expect(decision).toMatchObject({ kind: 'refuse' });
+    vitest.expect(decision).not.toHaveProperty('retryAfterMs');
+  });
+
+  vitest.test(
+    'joins a long queue that a new stream is kept out of (guards against the loss of half-delivered streams)',
+    () => {
+      const loads = loadsWith(40);
+      vitest.expect(decideDispatch(resumable, context([holder], { loads }), now).kind).toBe('refuse');
+      vitest
+        .expect(decideDispatch({ ...resumable, requiredVersion: 'v1' }, context([holder], { loads }), now).kind)
+        .toBe('send');
+    },
+  );
+
+  vitest.test(
+    'begins at no version that is not stored yet (guards against origins that a lost leader cannot prove)',
+    () => {
+      const streams = { mayBegin: (_service: string, version: string): boolean => version !== 'v1' };
+      vitest.expect(decideDispatch(resumable, context([holder], { streams }), now).kind).toBe('wait');
+      vitest.expect(decideDispatch(request, context([holder], { streams }), now).kind).toBe('send');
+      const decision = decideDispatch(resumable, context([holder, other], { streams }), now);
+      vitest.expect(decision).toEqual({ kind: 'send', replica: other });
+    },
+  );
+});
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -2,6 +2,7 @@
 import { decideTrial } from '../crashes/decideTrial.js';
 import type { Candidate } from '../routing/chooseReplica.js';
 import { decideAdmission } from '../routing/decideAdmission.js';
+import { eligibleReplicas } from '../routing/eligibleReplicas.js';
 import { selectReplica, shortestBackoffMs } from '../routing/selectReplica.js';
 import type { Instant, ModelReference, Replica, Route } from '../Types.js';
 import { decidePermitWait } from '../waiting/decidePermitWait.js';
@@ -37,6 +38,8 @@
   readonly lateAtMs: number;
   /** Time until the deadline of the request, milliseconds. */
   readonly timeLeftMs: number;
+  /** Software version that began the stream with which the request goes on; undefined if it begins anew. */
+  readonly requiredVersion: string | undefined;
   /** Time until the caller disconnects if it has received no byte, milliseconds. */
   readonly firstByteTimeLeftMs: number;
 }
@@ -49,6 +52,7 @@
   readonly crashGuard: Pick<ExchangeContext['crashGuard'], 'check' | 'hasGrant'>;
   readonly directory: Pick<ExchangeContext['directory'], 'usable'>;
   readonly rateLimits: Pick<ExchangeContext['rateLimits'], 'maySend' | 'expectedWaitMs'>;
+  readonly streams: Pick<ExchangeContext['streams'], 'mayBegin'>;
   readonly waitingRequests: Pick<ExchangeContext['waitingRequests'], 'countAhead'>;
 }
 
@@ -72,7 +76,8 @@
   | {
       readonly kind: 'refuse';
       readonly reason: string;
-      readonly retryAfterMs: number;
+      /** Absent if a retry cannot be served either. */
+      readonly retryAfterMs?: number;
       /** Estimate of the leader on which the refusal is based, milliseconds. */
       readonly readyInMs?: number;
       /** Parts of the prompt for which the request is refused. */
@@ -117,8 +122,12 @@
 /** Decides by the replicas that hold the model, their load and their rate limits. */
 function decideByCapacity(input: DispatchInput, context: DispatchContext, now: Instant): DispatchDecision {
   const { directory, loads, failureDomain } = context;
+  const usable = eligibleReplicas(directory.usable(input.service), input, context.streams);
+  if (input.requiredVersion !== undefined && !mayServeSoon(usable, input)) {
+    return { kind: 'refuse', reason: 'no replica of the version that began the stream can serve it in time' };
+  }
   const selection = {
-    usable: directory.usable(input.service),
+    usable,
     modelReference: input.modelReference,
     promptPartIds: input.promptPartIds,
     excluded: input.excluded,
@@ -135,6 +144,20 @@
     : decideWaitForPermit(input, context, option);
 }
 
+/** Longest time that a stream which has begun waits for its model at a replica of its version, milliseconds. */
+const longestVersionWaitMs = 3_000;
+
+/** True if one of the replicas holds the model of a stream that has begun, or can load it from its own copy. */
+function mayServeSoon(replicas: readonly Replica[], { modelReference, waitedMs }: DispatchInput): boolean {
+  const model = modelReference?.model;
+  const hasCopy = ({ models, inMemory, onDisk }: Replica): boolean =>
+    model === undefined ||
+    models.some(({ name }) => name === model) ||
+    inMemory.includes(model) ||
+    onDisk.includes(model);
+  return waitedMs < longestVersionWaitMs && replicas.some(hasCopy);
+}
+
 /** The replica whose next permit for the request is expected first. */
 function shortestPermitWait(
   candidates: readonly Candidate[],
@@ -151,7 +174,7 @@
 
 /**
  * Sends the request unless it would wait in the replica's queue until its caller disconnects. Then it waits for a permit
- * of another replica, if it gets one in time.
+ * of another replica, if it gets one in time. A stream that has begun is sent in any case: it has no other replica to go to.
  */
 function decideWithReplica(
   input: DispatchInput,
@@ -160,9 +183,9 @@
   option: PermitWaitOption | undefined,
   preferredReplicaId: string | undefined,
 ): DispatchDecision {
-  const { modelReference, mayHaveRun, firstByteTimeLeftMs } = input;
+  const { modelReference, mayHaveRun, requiredVersion, firstByteTimeLeftMs } = input;
   const admission =
-    modelReference === undefined || mayHaveRun
+    modelReference === undefined || mayHaveRun || requiredVersion !== undefined
       ? { kind: 'send' as const }
       : decideAdmission({ candidate, firstByteTimeLeftMs });
   if (admission.kind === 'send') {
--- a/packages/gateway/src/leadership/LeaderElector.ts
+++ b/packages/gateway/src/leadership/LeaderElector.ts
@@ -75,6 +75,11 @@
     return this._term !== undefined;
   }
 
+  /** True if this daemon holds the lease at this moment, by both clocks, even before it may send orders. */
+  public isLeaseHeld(now: Instant): boolean {
+    return this._term !== undefined && isLeaseValid(this._term.renewedAt, now, this._times);
+  }
+
   /** Fencing token; undefined if no orders may be sent at this moment. */
   public orderToken(now: Instant): number | undefined {
     const term = this._term;
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -14,27 +14,32 @@
   readonly [Method in keyof PeerMessages]: { readonly method: Method; readonly params: PeerMessages[Method] };
 }[keyof PeerMessages];
 
-const methods: readonly (keyof PeerMessages)[] = [
-  'report',
-  'known',
-  'table',
-  'storeRead',
-  'holdings',
-  'status',
-  'loads',
-  'estimates',
-  'leaving',
-  'rateLimits',
-  'permits',
-  'crash',
-  'answeredParts',
-  'suspects',
-  'trialRequest',
-  'trialGrant',
-  'trialEnd',
-  'leaseCall',
-  'leaseReply',
-];
+/** The methods of all messages. The type makes sure that none is missing, since messages of other methods are ignored. */
+const methods: Readonly<Record<keyof PeerMessages, true>> = {
+  report: true,
+  known: true,
+  table: true,
+  storeRead: true,
+  holdings: true,
+  status: true,
+  loads: true,
+  estimates: true,
+  leaving: true,
+  rateLimits: true,
+  permits: true,
+  crash: true,
+  answeredParts: true,
+  suspects: true,
+  trialRequest: true,
+  trialGrant: true,
+  trialEnd: true,
+  streamOrigins: true,
+  streamVersions: true,
+  originQuery: true,
+  originReply: true,
+  leaseCall: true,
+  leaseReply: true,
+};
 
 /** Encodes a message. A message to many peers is encoded only once. */
 export function encodeMessage<Method extends keyof PeerMessages>(method: Method, params: PeerMessages[Method]): string {
@@ -59,7 +64,7 @@
     private readonly _clock: Clock,
   ) {
     this._lastReceivedMs = _clock.now().steadyMs;
-    for (const method of methods) {
+    for (const method of Object.keys(methods) as (keyof PeerMessages)[]) {
       this._server.addMethod(method, (params: PeerMessages[typeof method]) => {
         this._onMessage.fire({ method, params } as PeerMessage);
       });
--- a/packages/gateway/src/peers/Reporter.test.ts
+++ b/packages/gateway/src/peers/Reporter.test.ts
@@ -58,6 +58,7 @@
     const before = fixture.reports.length;
     const waitingRequest = {
       modelReference: { model: 'm' },
+      requiredVersion: undefined,
       urgency: 0,
       lateAtMs: 0,
       limitedReplicaId: () => undefined,
--- /dev/null
+++ b/packages/gateway/src/peers/StreamCoordinator.ts
@@ -0,0 +1,265 @@
+import type * as common from '@jayhaven/common';
+import type { Clock } from '../Clock.js';
+import type { MetadataStore } from '../contracts/MetadataStore.js';
+import { decideOrigin } from '../streams/decideOrigin.js';
+import { groupOrigins, OriginTable, ungroupOrigins } from '../streams/OriginTable.js';
+import { type OriginListener, PendingQueries } from '../streams/PendingQueries.js';
+import { readStreamRecords } from '../streams/readStreamRecords.js';
+import { StreamRegistry, type StreamRegistryContext } from '../streams/StreamRegistry.js';
+import type {
+  OriginAnswer,
+  OriginQuery,
+  OriginReply,
+  StreamOrigin,
+  StreamOrigins,
+  VersionsMessage,
+} from '../streams/Types.js';
+import { VersionGate } from '../streams/VersionGate.js';
+import { messageIntervals } from './messageIntervals.js';
+import type { PeerChannel, PeerMessage } from './PeerChannel.js';
+import type { PeerClient } from './PeerClient.js';
+import type { PeerServer } from './PeerServer.js';
+
+/** Time without a leader after which a daemon reads the origins in the store itself, milliseconds. */
+const leaderlessMs = 200;
+/** Least time between two such reads, milliseconds. */
+const leaderlessReadMs = 500;
+/** Largest number of origins in a message. */
+const maximumMessageOrigins = 4_000;
+
+/** What the coordinator needs to know of its daemon. */
+export interface StreamCoordinatorContext extends StreamRegistryContext {
+  /** True while this daemon holds the lease, by both clocks. */
+  holdsLease(): boolean;
+  /** True while messages of a leader arrive. */
+  hearsLeader(): boolean;
+  daemonCount(): number;
+}
+
+/** The connections to the daemons that follow this one, and to the leader. */
+export interface StreamLinks {
+  readonly server: Pick<PeerServer, 'broadcast' | 'onJoined' | 'onMessage'>;
+  readonly client: Pick<PeerClient, 'send' | 'onConnected' | 'onMessage'>;
+}
+
+/** Finds out where streams began, with the peers and the store, so that they go on at the same software version. */
+export class StreamCoordinator implements StreamOrigins {
+  private readonly _server: StreamLinks['server'];
+  private readonly _client: StreamLinks['client'];
+  private readonly _registry: StreamRegistry;
+  private readonly _gate = new VersionGate();
+  /** Streams that began at this daemon. */
+  private readonly _own = new OriginTable();
+  private readonly _pending = new PendingQueries();
+  /** Services whose origins the leader wants. */
+  private _recorded: ReadonlySet<string> = new Set();
+  private _unsent: readonly StreamOrigin[] = [];
+  private _sendTimer: NodeJS.Timeout | undefined;
+  private _lastHeardMs: number;
+  private _nextReadMs = Number.NEGATIVE_INFINITY;
+  private _isReading = false;
+
+  public constructor(
+    { server, client }: StreamLinks,
+    private readonly _store: Pick<MetadataStore, 'readStreamRecords' | 'writeStreamRecord' | 'era'>,
+    private readonly _context: StreamCoordinatorContext,
+    private readonly _clock: Clock,
+    private readonly _log: common.Logger,
+  ) {
+    this._server = server;
+    this._client = client;
+    this._lastHeardMs = this._nowMs();
+    this._registry = new StreamRegistry(_store, _context, _clock, _log);
+    this._registry.onVersions((message) => {
+      server.broadcast('streamVersions', message);
+      this._applyVersions(message);
+    });
+    this._followPeers();
+  }
+
+  public record(origin: StreamOrigin): void {
+    const nowMs = this._nowMs();
+    if (!this._own.add(origin, nowMs)) {
+      return;
+    }
+    if (this._registry.isLeading) {
+      this._registry.add([origin], nowMs);
+    } else if (this._recorded.has(origin.service)) {
+      this._unsent = [...this._unsent, origin];
+      this._scheduleSend();
+    }
+  }
+
+  public mayBegin(service: string, version: string): boolean {
+    return this._gate.mayBegin(service, version, this._nowMs());
+  }
+
+  public findOrigin(query: OriginQuery, listener: OriginListener): () => void {
+    const version = query.attemptId === undefined ? undefined : this._own.versionOf(query.attemptId);
+    if (version !== undefined) {
+      listener({ kind: 'known', version });
+      return () => undefined;
+    }
+    const cancel = this._pending.add(query, listener);
+    this._ask([query]);
+    return cancel;
+  }
+
+  /** Called several times a second. */
+  public tick(): void {
+    const nowMs = this._nowMs();
+    this._followLeadership(nowMs);
+    this._own.expire(nowMs - this._context.lifetimeMs());
+    if (this._registry.isLeading) {
+      this._registry.tick(nowMs);
+    }
+    if (this._unsent.length > 0) {
+      this._scheduleSend();
+    }
+    this._ask(this._pending.all);
+    this._readIfLeaderless(nowMs);
+  }
+
+  private _followLeadership(nowMs: number): void {
+    const leads = this._context.holdsLease();
+    if (leads && !this._registry.isLeading) {
+      this._registry.start(this._own.all(), nowMs);
+      this._unsent = [];
+    } else if (!leads && this._registry.isLeading) {
+      this._registry.stop();
+    }
+  }
+
+  private _followPeers(): void {
+    this._client.onConnected(() => {
+      this._recorded = new Set();
+      this._ask(this._pending.all);
+    });
+    this._client.onMessage((message) => {
+      this._receiveFromLeader(message);
+    });
+    this._server.onJoined((channel) => {
+      const message = this._leads() ? this._registry.announcement(this._nowMs()) : undefined;
+      if (message !== undefined) {
+        channel.send('streamVersions', message);
+      }
+    });
+    this._server.onMessage(({ channel, message }) => {
+      this._receiveFromFollower(channel, message);
+    });
+  }
+
+  private _receiveFromLeader(message: PeerMessage): void {
+    if (message.method === 'streamVersions') {
+      this._applyVersions(message.params);
+    } else if (message.method === 'originReply') {
+      const { version, ...query } = message.params;
+      this._pending.answer(query, version === undefined ? { kind: 'unknown' } : { kind: 'known', version });
+    }
+  }
+
+  private _receiveFromFollower(channel: Pick<PeerChannel, 'send'>, message: PeerMessage): void {
+    if (message.method === 'streamOrigins' && this._leads()) {
+      this._registry.add(ungroupOrigins(message.params.groups), this._nowMs());
+    } else if (message.method === 'originQuery') {
+      const answer = this._leads() ? this._registry.answer(message.params, this._nowMs()) : undefined;
+      if (answer !== undefined) {
+        channel.send('originReply', toReply(message.params, answer));
+      }
+    }
+  }
+
+  /** Applies the leader's announcement; the origins of services that it newly wants are sent from the beginning. */
+  private _applyVersions({ versions, recorded }: VersionsMessage): void {
+    this._gate.announce(versions);
+    const added = recorded.filter((service) => !this._recorded.has(service));
+    this._recorded = new Set(recorded);
+    if (added.length > 0 && !this._registry.isLeading) {
+      this._unsent = [...this._unsent, ...this._own.all().filter(({ service }) => added.includes(service))];
+      this._scheduleSend();
+    }
+  }
+
+  /** Sends origins soon: those that the leader has not stored are lost with all daemons. */
+  private _scheduleSend(): void {
+    this._sendTimer ??= setTimeout(() => {
+      this._sendTimer = undefined;
+      this._sendOrigins();
+    }, messageIntervals(this._context.daemonCount()).originsMs).unref();
+  }
+
+  private _sendOrigins(): void {
+    if (this._unsent.length === 0 || !this._context.hearsLeader()) {
+      return;
+    }
+    const batch = this._unsent.slice(0, maximumMessageOrigins);
+    this._unsent = this._unsent.slice(batch.length);
+    this._client.send('streamOrigins', { groups: groupOrigins(batch) });
+  }
+
+  /** Asks the leader, which may be this daemon. Queries without an answer are asked again with each tick. */
+  private _ask(queries: readonly OriginQuery[]): void {
+    const leads = this._leads();
+    for (const query of queries) {
+      const answer = leads ? this._registry.answer(query, this._nowMs()) : undefined;
+      if (answer !== undefined) {
+        this._pending.answer(query, answer);
+      } else if (!leads && this._context.hearsLeader()) {
+        this._client.send('originQuery', query);
+      }
+    }
+  }
+
+  private _readIfLeaderless(nowMs: number): void {
+    if (this._registry.isLeading || this._context.hearsLeader()) {
+      this._lastHeardMs = nowMs;
+      return;
+    }
+    const isDue = nowMs - this._lastHeardMs >= leaderlessMs && nowMs >= this._nextReadMs;
+    if (this._pending.all.length > 0 && isDue && !this._isReading) {
+      this._nextReadMs = nowMs + leaderlessReadMs;
+      this._isReading = true;
+      void this._readStore(this._pending.all).then(() => {
+        this._isReading = false;
+      });
+    }
+  }
+
+  /** Answers queries by the records in the store. What they do not tell, the next leader may. */
+  private async _readStore(queries: readonly OriginQuery[]): Promise<void> {
+    const outcome = await this._store.readStreamRecords();
+    if (!outcome.ok) {
+      this._log.warn('Could not read the origins of streams.', { reason: outcome.failure.message });
+      return;
+    }
+    const { history, origins } = readStreamRecords(outcome.value.records, this._log);
+    const recorded = new Map(origins.map(({ attemptId, version }) => [attemptId, version]));
+    for (const query of queries) {
+      const stored = history?.versions[query.service] ?? [];
+      const present = this._context.replicas().filter(({ service }) => service === query.service);
+      const versions = new Set([...stored, ...present.map(({ softwareVersion }) => softwareVersion)]);
+      const answer = decideOrigin({
+        recorded: query.attemptId === undefined ? undefined : recorded.get(query.attemptId),
+        versions: [...versions],
+        isHistoryComplete: history !== undefined && history.era === outcome.value.era,
+        areRecordsComplete: false,
+      });
+      if (answer !== undefined) {
+        this._pending.answer(query, answer);
+      }
+    }
+  }
+
+  /** True if this daemon leads at this moment. */
+  private _leads(): boolean {
+    return this._registry.isLeading && this._context.holdsLease();
+  }
+
+  private _nowMs(): number {
+    return this._clock.now().steadyMs;
+  }
+}
+
+function toReply(query: OriginQuery, answer: OriginAnswer): OriginReply {
+  return answer.kind === 'known' ? { ...query, version: answer.version } : query;
+}
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -2,6 +2,7 @@
 import type { LeaseSnapshot, StoreFailure, TableName, TableRecord } from '../contracts/MetadataStore.js';
 import type { PermitMessage, PermitReport, RateLimitStatement } from '../rateLimits/Types.js';
 import type { ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
+import type { OriginQuery, OriginReply, OriginsMessage, VersionsMessage } from '../streams/Types.js';
 import type { ModelReference } from '../Types.js';
 
 /** Requests of one daemon that wait for a model or adapter. */
@@ -10,6 +11,8 @@
   readonly count: number;
   /** Time until the first of them is late, milliseconds. */
   readonly slackMs: number;
+  /** Software versions that some of them need, because they go on with streams. Absent if none does. */
+  readonly requiredVersions?: readonly string[];
 }
 
 /** Requests of one daemon that arrived since its last report. */
@@ -157,6 +160,10 @@
   readonly trialRequest: TrialMessage;
   readonly trialGrant: TrialMessage;
   readonly trialEnd: TrialMessage;
+  readonly streamOrigins: OriginsMessage;
+  readonly streamVersions: VersionsMessage;
+  readonly originQuery: OriginQuery;
+  readonly originReply: OriginReply;
   readonly leaseCall: LeaseCall;
   readonly leaseReply: LeaseReply;
 }
--- a/packages/gateway/src/peers/messageIntervals.ts
+++ b/packages/gateway/src/peers/messageIntervals.ts
@@ -13,6 +13,8 @@
   readonly idleReportMs: number;
   /** Least time between two reports of a daemon whose requests have begun to wait. */
   readonly urgentReportMs: number;
+  /** Least time between two messages of a daemon with the origins of its streams. */
+  readonly originsMs: number;
   /** Time between two messages with the loads of replicas. */
   readonly loadsMs: number;
   /** Longest time that changes of a replica's models are buffered for daemons whose requests do not wait for them. */
@@ -37,6 +39,7 @@
   // Up to 200 daemons, at most 200 reports a second reach the leader besides the urgent ones.
   report: { perDaemonMs: 5, minimumMs: 100, maximumMs: 1_000 },
   urgentReport: { perDaemonMs: 0.25, minimumMs: 5, maximumMs: 100 },
+  origins: { perDaemonMs: 2, minimumMs: 20, maximumMs: 500 },
   loads: { perDaemonMs: 5, minimumMs: 300, maximumMs: 1_000 },
   holdings: { perDaemonMs: 1, minimumMs: 10, maximumMs: 200 },
   leaderlessRead: { perDaemonMs: 10, minimumMs: 400, maximumMs: 2_000 },
@@ -56,6 +59,7 @@
     reportMs,
     idleReportMs: Math.max(reportMs, minimumIdleReportMs),
     urgentReportMs: intervalMs(intervals.urgentReport, daemonCount),
+    originsMs: intervalMs(intervals.origins, daemonCount),
     loadsMs: intervalMs(intervals.loads, daemonCount),
     holdingsMs: intervalMs(intervals.holdings, daemonCount),
     leaderlessReadMs: intervalMs(intervals.leaderlessRead, daemonCount),
--- a/packages/gateway/src/placement/CopyIndex.test.ts
+++ b/packages/gateway/src/placement/CopyIndex.test.ts
@@ -50,6 +50,7 @@
         modelReference: { model },
         waiting: index % 20 === 0 ? 1 : 0,
         slackMs: 1_000,
+        requiredVersions: [],
         unservedMs: 0,
         ratePerSecond: 1,
         latencyTargetMs: 2_000,
--- a/packages/gateway/src/placement/DemandAggregator.ts
+++ b/packages/gateway/src/placement/DemandAggregator.ts
@@ -63,6 +63,7 @@
       modelReference: rate.modelReference,
       waiting: waiting.get(key)?.count ?? 0,
       slackMs: waiting.get(key)?.slackMs ?? Number.POSITIVE_INFINITY,
+      requiredVersions: [...new Set(waiting.get(key)?.requiredVersions)],
       unservedMs: nowMs - (this._waits.get(key)?.sinceMs ?? nowMs),
       ratePerSecond: decayed(rate, nowMs),
       latencyTargetMs: rate.latencyTargetMs,
@@ -95,7 +96,8 @@
         const key = modelReferenceKey(entry.target);
         const sum = sums.get(key);
         const slackMs = Math.min(entry.slackMs - (nowMs - receivedMs), sum?.slackMs ?? Number.POSITIVE_INFINITY);
-        sums.set(key, { target: entry.target, count: entry.count + (sum?.count ?? 0), slackMs });
+        const requiredVersions = [...(sum?.requiredVersions ?? []), ...(entry.requiredVersions ?? [])];
+        sums.set(key, { target: entry.target, count: entry.count + (sum?.count ?? 0), slackMs, requiredVersions });
       }
     }
     return sums;
--- a/packages/gateway/src/placement/TrackedReplica.ts
+++ b/packages/gateway/src/placement/TrackedReplica.ts
@@ -135,6 +135,7 @@
       id: replica.id,
       ...limits,
       slots: rateLimitedSlots(replica.slots, rateLimit),
+      softwareVersion: replica.softwareVersion,
       takesRequests,
       takesOrders: takesRequests && this._isStateKnown && nowMs >= this.backoffUntilMs,
       models,
--- a/packages/gateway/src/placement/Types.ts
+++ b/packages/gateway/src/placement/Types.ts
@@ -7,6 +7,8 @@
   readonly waiting: number;
   /** Shortest time until a waiting request misses its latency target, milliseconds. */
   readonly slackMs: number;
+  /** Software versions that some of the waiting requests need, because they go on with streams. */
+  readonly requiredVersions: readonly string[];
   /** Time since requests began to wait for the model or adapter, milliseconds. Refused requests do not end the wait. */
   readonly unservedMs: number;
   /** Recent request rate, requests per second. */
@@ -53,6 +55,7 @@
 /** The state of a replica that placement decisions use. */
 export interface PlacedReplica {
   readonly id: string;
+  readonly softwareVersion: string;
   readonly weightMegabytes: number;
   readonly adapterSlots: number;
   readonly slots: number;
--- a/packages/gateway/src/placement/estimateReady.test.ts
+++ b/packages/gateway/src/placement/estimateReady.test.ts
@@ -13,6 +13,7 @@
   modelReference: { model: 'm' },
   waiting: 1,
   slackMs: 1_000,
+  requiredVersions: [],
   unservedMs: 0,
   ratePerSecond: 5,
   latencyTargetMs: 250,
--- a/packages/gateway/src/placement/planAdapters.ts
+++ b/packages/gateway/src/placement/planAdapters.ts
@@ -7,7 +7,7 @@
 
 /**
  * Decides which adapters to load and unload now. Each adapter that requests wait for is loaded on the least busy
- * replica that holds its model; a full replica first unloads its least recently used adapter.
+ * replica that holds its model, and of each version that such requests need; a full replica first unloads its least recently used adapter.
  */
 export function planAdapters(input: PlacementInput, nowMs: number): readonly PlannedOrder[] {
   const orders: PlannedOrder[] = [];
@@ -15,30 +15,40 @@
   for (const demand of input.demands) {
     const { model, adapter } = demand.modelReference;
     // Requests may still be reported as waiting shortly after their adapter has become ready.
-    if (adapter === undefined || demand.waiting === 0 || isPlaced(input, model, adapter)) {
+    if (adapter === undefined || demand.waiting === 0) {
       continue;
     }
-    const eligible = input.replicas.filter((one) => isEligible(one, model, busy) && !holdsAdapter(one, model, adapter));
-    const unlimited = eligible.filter(({ rateLimit }) => rateLimit === undefined);
-    const replica = leastBusy(unlimited.length > 0 ? unlimited : eligible);
-    if (replica === undefined) {
-      continue;
-    }
-    const order = orderFor(replica, model, adapter, input, nowMs);
-    if (order !== undefined) {
-      orders.push(order);
-      busy.add(replica.id);
+    for (const version of [undefined, ...demand.requiredVersions]) {
+      const replicas = input.replicas.filter((one) => version === undefined || one.softwareVersion === version);
+      const replica = isPlaced(replicas, model, adapter) ? undefined : replicaFor(replicas, model, adapter, busy);
+      const order = replica && orderFor(replica, model, adapter, input, nowMs);
+      if (replica !== undefined && order !== undefined) {
+        orders.push(order);
+        busy.add(replica.id);
+      }
     }
   }
   return orders;
 }
 
-function isPlaced(input: PlacementInput, model: string, adapter: string): boolean {
-  return input.replicas.some(
+function isPlaced(replicas: readonly PlacedReplica[], model: string, adapter: string): boolean {
+  return replicas.some(
     (replica) => replica.takesOrders && !exceedsRateLimit(replica) && holdsAdapter(replica, model, adapter),
   );
 }
 
+/** The least busy replica that holds a model, without a rate limit if there is one. */
+function replicaFor(
+  replicas: readonly PlacedReplica[],
+  model: string,
+  adapter: string,
+  busy: ReadonlySet<string>,
+): PlacedReplica | undefined {
+  const eligible = replicas.filter((one) => isEligible(one, model, busy) && !holdsAdapter(one, model, adapter));
+  const unlimited = eligible.filter(({ rateLimit }) => rateLimit === undefined);
+  return leastBusy(unlimited.length > 0 ? unlimited : eligible);
+}
+
 function holdsAdapter(replica: PlacedReplica, model: string, adapter: string): boolean {
   const holds = (held: PlacedModel): boolean =>
     held.name === model && held.adapters.some((placed) => placed.name === adapter);
--- a/packages/gateway/src/placement/planModels.test.ts
+++ b/packages/gateway/src/placement/planModels.test.ts
@@ -23,6 +23,7 @@
     weightMegabytes: capacityMegabytes,
     adapterSlots: 2,
     slots: 16,
+    softwareVersion: 'v1',
     takesRequests: true,
     takesOrders: true,
     hasFormerOrder: false,
@@ -40,6 +41,7 @@
     modelReference,
     waiting: 0,
     slackMs: Infinity,
+    requiredVersions: [],
     unservedMs: 0,
     ratePerSecond: 0.2,
     latencyTargetMs: 2_000,
@@ -303,3 +305,36 @@
     vitest.expect(orders).toMatchObject([{ kind: 'unload', model: 'm', adapter: 'a2' }]);
   });
 });
+
+vitest.describe('placement for streams that have begun', () => {
+  const replicas = [
+    replica('new', [held('wanted')]),
+    { ...replica('old', [held('used')], ['wanted']), softwareVersion: 'v0' },
+  ];
+  const used = demand('used', { ratePerSecond: 0.5 });
+
+  vitest.test('loads their model at the version that began them (guards against streams lost during a release)', () => {
+    const wanted = demand('wanted', { waiting: 1, slackMs: 300, requiredVersions: ['v0'] });
+    const plan = planModels(input(replicas, [used, wanted], ['used', 'wanted']), nowMs);
+    vitest.expect(plan.orders).toMatchObject([{ replicaId: 'old', kind: 'load', model: 'wanted' }]);
+  });
+
+  vitest.test('loads nothing if a replica of the version has the model', () => {
+    const wanted = demand('wanted', { waiting: 1, slackMs: 300, requiredVersions: ['v1'] });
+    const plan = planModels(input(replicas, [used, wanted], ['used', 'wanted']), nowMs);
+    vitest.expect(plan).toMatchObject({ orders: [], clearings: [] });
+  });
+
+  vitest.test(
+    'loads their adapter at the version that began them (guards against streams lost during a release)',
+    () => {
+      const holders = [
+        replica('new', [held('m', 0, ['a'])]),
+        { ...replica('old', [held('m')]), softwareVersion: 'v0' },
+      ];
+      const wanted = demand('m', { adapter: 'a', waiting: 1, requiredVersions: ['v0'] });
+      const orders = planAdapters(input(holders, [wanted], ['m']), nowMs);
+      vitest.expect(orders).toMatchObject([{ replicaId: 'old', kind: 'load', model: 'm', adapter: 'a' }]);
+    },
+  );
+});
--- a/packages/gateway/src/placement/planModels.ts
+++ b/packages/gateway/src/placement/planModels.ts
@@ -12,6 +12,7 @@
 import { type LoadOption, LoadOptions } from './LoadOptions.js';
 import {
   demandByModel,
+  gainForStreams,
   gainOf,
   isLoadingFromStore,
   loadTier,
@@ -56,6 +57,15 @@
   readonly slots: number;
 }
 
+/** Restricts the replicas on which a model may be loaded. */
+interface LoadConstraints {
+  /** Only replicas that can load it at once. */
+  readonly idleVictimsOnly?: boolean;
+  /** True if streams that have begun wait for the model. */
+  readonly hasBegunStreams?: boolean;
+  readonly isEligible?: (replica: PlacedReplica) => boolean;
+}
+
 interface StoreCandidate {
   readonly model: string;
   /** Gain of a load, in weighted requests per second. */
@@ -152,20 +162,50 @@
     const gain = gainOf(this._demand.get(model));
     const isNeeded = (held: PlacedModel): boolean =>
       held.retiringSinceMs !== undefined &&
-      this._options.hasWaitingRequests(held.name) &&
-      this._copies.ready(held.name).length === 0 &&
-      gainOf(this._demand.get(held.name)) * displacingShare > gain;
+      (this._isNeededForStreams(replica, held.name, gain) || this._isNeededForRequests(held.name, gain));
     return replica.models.some(isNeeded);
   }
 
+  /** True if streams that have begun wait for a model which only this replica of their version has. */
+  private _isNeededForStreams({ softwareVersion }: PlacedReplica, model: string, otherGain: number): boolean {
+    const demand = this._demand.get(model);
+    const hasOtherCopy = this._copies.ready(model).some((other) => other.softwareVersion === softwareVersion);
+    const isWaitedFor = demand?.requiredVersions.includes(softwareVersion) === true;
+    return isWaitedFor && !hasOtherCopy && gainForStreams(demand) > otherGain;
+  }
+
+  private _isNeededForRequests(model: string, otherGain: number): boolean {
+    return (
+      this._options.hasWaitingRequests(model) &&
+      this._copies.ready(model).length === 0 &&
+      gainOf(this._demand.get(model)) * displacingShare > otherGain
+    );
+  }
+
   private _isDrained(held: PlacedModel): boolean {
     return held.running === 0 && this._nowMs - (held.retiringSinceMs ?? this._nowMs) >= reportDelayMs;
   }
 
   /** Loads models from local weights, in the order in which their requests miss the latency target. */
   private _loadFromLocalWeights(waiting: readonly WaitingModel[]): void {
-    for (const [model] of waiting) {
+    for (const [model, demand] of waiting) {
       this._loadUnlessAssigned(model, ['memory', 'disk']);
+      for (const version of demand.requiredVersions) {
+        this._loadAtVersion(model, version);
+      }
+    }
+  }
+
+  /** Loads a model on a replica of the version that began the streams which wait for it, unless one has the model. */
+  private _loadAtVersion(model: string, version: string): void {
+    const isOfVersion = (replica: PlacedReplica): boolean => replica.softwareVersion === version;
+    const planned = new Set(
+      [...this._orders, ...this._clearings].filter((plan) => isFor(plan, model)).map(replicaIdOf),
+    );
+    const hasCopy = this._copies.assigned(model).some(isOfVersion);
+    const isPlanned = this._input.replicas.some((replica) => planned.has(replica.id) && isOfVersion(replica));
+    if (!hasCopy && !isPlanned) {
+      this._load(model, 'waiting', ['memory', 'disk'], { isEligible: isOfVersion, hasBegunStreams: true });
     }
   }
 
@@ -242,7 +282,7 @@
       : holders.filter((replica) => this._isInLongStoreLoad(replica, model));
     if (
       holders.length === draining.length + inLongStoreLoad.length &&
-      this._load(model, 'waiting', tiers, draining.length > 0)
+      this._load(model, 'waiting', tiers, { idleVictimsOnly: draining.length > 0 })
     ) {
       // Another replica can start without waiting for requests to end.
       draining.forEach((replica) => {
@@ -275,7 +315,7 @@
     model: string,
     reason: PlannedOrder['reason'],
     tiers: readonly WeightTier[],
-    idleVictimsOnly = false,
+    { idleVictimsOnly = false, hasBegunStreams = false, isEligible = () => true }: LoadConstraints = {},
   ): boolean {
     const specification = this._input.models.get(model);
     if (specification === undefined) {
@@ -283,12 +323,13 @@
     }
     const eligible = tiers.includes('store') ? this._input.replicas : this._copies.withLocalWeights(model);
     const options = eligible
-      .filter((replica) => this._isAvailable(replica) && replica.clearingFor === undefined)
+      .filter((replica) => this._isAvailable(replica) && replica.clearingFor === undefined && isEligible(replica))
       .filter((replica) => !replica.models.some((held) => held.name === model))
       .map((replica) => this._options.option(replica, specification))
       .filter((option) => option !== undefined)
       .filter((option) => !idleVictimsOnly || option.victims.every((victim) => victim.running === 0))
-      .filter((option) => tiers.includes(option.tier) && this._isWorthwhile(option, model, reason));
+      .filter((option) => tiers.includes(option.tier))
+      .filter((option) => this._isWorthwhile(option, model, reason, hasBegunStreams));
     const best = cheapest(options);
     if (best !== undefined) {
       this._order(best, specification, reason);
@@ -297,9 +338,14 @@
   }
 
   /** Compares the demand for a model with the demand for the models that would be unloaded for it. */
-  private _isWorthwhile(option: LoadOption, model: string, reason: PlannedOrder['reason']): boolean {
+  private _isWorthwhile(
+    option: LoadOption,
+    model: string,
+    reason: PlannedOrder['reason'],
+    hasBegunStreams: boolean,
+  ): boolean {
     const loss = this._options.lossOf(option.victims);
-    const gain = gainOf(this._demand.get(model));
+    const gain = (hasBegunStreams ? gainForStreams : gainOf)(this._demand.get(model));
     return reason === 'coverage' ? loss <= gain || loss < ratePerWaitingRequest : loss * displacingShare <= gain;
   }
 
@@ -352,6 +398,15 @@
   }
 }
 
+/** True if an order or a clearing is for a model. */
+function isFor(plan: PlannedOrder | PlannedClearing, model: string): boolean {
+  return plan.clearingFor === model || ('model' in plan && plan.model === model);
+}
+
+function replicaIdOf({ replicaId }: PlannedOrder | PlannedClearing): string {
+  return replicaId;
+}
+
 /** Models whose copies have more running requests than slots. */
 function overloaded(hot: readonly HotModel[]): readonly StoreCandidate[] {
   const overloadedModels = hot.filter(({ running, slots }) => running > slots);
--- a/packages/gateway/src/placement/rateLimits.test.ts
+++ b/packages/gateway/src/placement/rateLimits.test.ts
@@ -18,6 +18,7 @@
   modelReference: { model: 'm', adapter: 'a1' },
   waiting: 3,
   slackMs: 100,
+  requiredVersions: [],
   unservedMs: 1_000,
   ratePerSecond: 4,
   latencyTargetMs: 250,
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -42,6 +42,11 @@
   return ((demand?.ratePerSecond ?? 0) + (demand?.waiting ?? 0) * ratePerWaitingRequest) * requestWeight(demand);
 }
 
+/** Gain of having a model ready for streams that have begun: their callers leave soon, and have a part already. */
+export function gainForStreams(demand: ModelDemand | undefined): number {
+  return gainOf(demand) * (tightLatencyWeight / requestWeight(demand));
+}
+
 /** Models that requests wait for, in the order in which the requests miss their latency targets. */
 export function waitingModels(demands: ReadonlyMap<string, ModelDemand>): readonly (readonly [string, ModelDemand])[] {
   const waiting = [...demands].filter(([, demand]) => demand.waiting > 0);
@@ -72,6 +77,7 @@
 export interface ModelDemand {
   readonly waiting: number;
   readonly slackMs: number;
+  readonly requiredVersions: readonly string[];
   readonly unservedMs: number;
   readonly ratePerSecond: number;
   readonly latencyTargetMs: number;
@@ -85,6 +91,7 @@
     sums.set(demand.modelReference.model, {
       waiting: (sum?.waiting ?? 0) + demand.waiting,
       slackMs: Math.min(sum?.slackMs ?? Number.POSITIVE_INFINITY, demand.slackMs),
+      requiredVersions: [...new Set([...(sum?.requiredVersions ?? []), ...demand.requiredVersions])],
       unservedMs: Math.max(sum?.unservedMs ?? 0, demand.unservedMs),
       ratePerSecond: (sum?.ratePerSecond ?? 0) + demand.ratePerSecond,
       latencyTargetMs: Math.min(sum?.latencyTargetMs ?? Number.POSITIVE_INFINITY, demand.latencyTargetMs),
--- /dev/null
+++ b/packages/gateway/src/streams/StreamRecords.ts
@@ -0,0 +1,65 @@
+import type { OriginGroup, ServiceVersions } from './Types.js';
+
+/** Key of the record with the versions of all services. */
+export const historyKey = 'versions';
+const batchKeyPrefix = 'batch-';
+/** Number of batches that are kept; the next one replaces the oldest. At ten a second they cover 100 s. */
+export const batchSlots = 1_024;
+
+/** Versions of all services, as stored. */
+export interface HistoryRecord {
+  /** Era of the store in which the record was written. One of an earlier era may lack later versions. */
+  readonly era: number;
+  readonly versions: ServiceVersions;
+}
+
+/** Key of a batch of origins. */
+export function batchKey(slot: number): string {
+  return `${batchKeyPrefix}${slot % batchSlots}`;
+}
+
+/** Slot of a batch; undefined if the key is not that of a batch. */
+export function batchSlot(key: string): number | undefined {
+  const slot = key.startsWith(batchKeyPrefix) ? Number(key.slice(batchKeyPrefix.length)) : Number.NaN;
+  return Number.isInteger(slot) ? slot : undefined;
+}
+
+export function encodeHistory(record: HistoryRecord): string {
+  return JSON.stringify(record);
+}
+
+/** Decodes the record of the versions; undefined if it is unreadable. */
+export function decodeHistory(text: string): HistoryRecord | undefined {
+  const value = parse(text) as Partial<HistoryRecord> | undefined;
+  const lists = value?.versions === undefined ? undefined : Object.values(value.versions as Record<string, unknown>);
+  return value !== undefined && Number.isSafeInteger(value.era) && lists?.every(isTextList) === true
+    ? (value as HistoryRecord)
+    : undefined;
+}
+
+export function encodeBatch(groups: readonly OriginGroup[]): string {
+  return JSON.stringify(groups);
+}
+
+/** Decodes a batch of origins; undefined if it is unreadable. */
+export function decodeBatch(text: string): readonly OriginGroup[] | undefined {
+  const value = parse(text);
+  return Array.isArray(value) && value.every(isOriginGroup) ? value : undefined;
+}
+
+function isOriginGroup(value: unknown): value is OriginGroup {
+  const group = value as Partial<OriginGroup> | null;
+  return typeof group?.service === 'string' && typeof group.version === 'string' && isTextList(group.attemptIds);
+}
+
+function isTextList(value: unknown): value is readonly string[] {
+  return Array.isArray(value) && value.every((item) => typeof item === 'string');
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/streams/StreamRegistry.ts
@@ -0,0 +1,277 @@
+import * as common from '@jayhaven/common';
+import type { Clock } from '../Clock.js';
+import type { MetadataStore, StoreFailure, TablePosition, TableRecords } from '../contracts/MetadataStore.js';
+import type { Replica } from '../Types.js';
+import { decideOrigin } from './decideOrigin.js';
+import { groupOrigins, OriginTable } from './OriginTable.js';
+import { readStreamRecords } from './readStreamRecords.js';
+import { batchKey, encodeBatch, encodeHistory, historyKey } from './StreamRecords.js';
+import type { OriginAnswer, OriginQuery, ServiceVersions, StreamOrigin, VersionsMessage } from './Types.js';
+import { VersionHistory } from './VersionHistory.js';
+
+/**
+ * Least time between two batches of origins, milliseconds. Streams that are in no batch yet are refused after a loss of all
+ * daemons. The store takes hundreds of writes a second.
+ */
+const batchIntervalMs = 100;
+/** Largest number of origins in a batch; the store takes records of 256 KiB. */
+const maximumBatchOrigins = 4_000;
+/** Pause after a failed call to the store, milliseconds. */
+const retryMs = 300;
+/** Time after which the daemons have sent a new leader the origins that they know, milliseconds. */
+const settleMs = 1_000;
+
+/** What the registry needs to know of its daemon. */
+export interface StreamRegistryContext {
+  /** The present replicas, draining ones included. */
+  replicas(): readonly Replica[];
+  /** Longest time from the first event of a stream until its caller takes it up for the last time, milliseconds. */
+  lifetimeMs(): number;
+  /** True if the system has just been set up, so that there were no streams before. */
+  readonly isFirstStart: boolean;
+}
+
+/**
+ * The leader's knowledge of where streams began. The versions of each service are stored before a stream begins at a new
+ * one; while a service has several, its daemons report their streams, and the reports are stored in batches.
+ */
+export class StreamRegistry {
+  private readonly _onVersions = new common.Emitter<VersionsMessage>();
+  /** Fires when the stored versions, or the services whose origins are recorded, have changed. */
+  public readonly onVersions = this._onVersions.event;
+  private _history = new VersionHistory();
+  private readonly _origins = new OriginTable();
+  private _unsaved: readonly StreamOrigin[] = [];
+  /** Versions of the last history that was written or read. */
+  private _stored: ServiceVersions | undefined;
+  private _isHistoryUnsaved = false;
+  /** Services whose origins are stored. */
+  private _recorded: ReadonlySet<string> = new Set();
+  /** Number of the present leadership; calls to the store of an earlier one have no effect. */
+  private _term = 0;
+  private _startedMs: number | undefined;
+  /** Steady time from which no version can be missing in the history. */
+  private _completeFromMs = Number.POSITIVE_INFINITY;
+  /** End of the records; undefined until they are read, and after a conflict or a restore. */
+  private _end: TablePosition | undefined;
+  private _nextSlot = 0;
+  private _isCalling = false;
+  private _nextCallMs = 0;
+  private _announced = '';
+
+  public constructor(
+    private readonly _store: Pick<MetadataStore, 'readStreamRecords' | 'writeStreamRecord' | 'era'>,
+    private readonly _context: StreamRegistryContext,
+    private readonly _clock: Clock,
+    private readonly _log: common.Logger,
+  ) {
+    _store.era.onChanged(() => {
+      this._saveAgain();
+    });
+  }
+
+  public get isLeading(): boolean {
+    return this._startedMs !== undefined;
+  }
+
+  /** Begins to lead, with the origins that this daemon knows. */
+  public start(origins: readonly StreamOrigin[], nowMs: number): void {
+    this._term += 1;
+    this._startedMs = nowMs;
+    this._history = new VersionHistory();
+    this._stored = undefined;
+    this._end = undefined;
+    this._completeFromMs = Number.POSITIVE_INFINITY;
+    this._nextCallMs = nowMs;
+    this._announced = '';
+    this._isHistoryUnsaved = false;
+    this._recorded = new Set();
+    this.add(origins, nowMs);
+  }
+
+  public stop(): void {
+    this._term += 1;
+    this._startedMs = undefined;
+    this._unsaved = [];
+  }
+
+  /** Adds origins that a daemon reports. */
+  public add(origins: readonly StreamOrigin[], nowMs: number): void {
+    const added = origins.filter((origin) => this._origins.add(origin, nowMs));
+    this._save(added.filter(({ service }) => this._recorded.has(service)));
+    this._callIfDue(nowMs);
+  }
+
+  /** Called several times a second while this daemon leads. */
+  public tick(nowMs: number): void {
+    const lifetimeMs = this._context.lifetimeMs();
+    this._origins.expire(nowMs - lifetimeMs);
+    if (this._stored !== undefined) {
+      this._isHistoryUnsaved =
+        this._history.observe(this._context.replicas(), nowMs, lifetimeMs) || this._isHistoryUnsaved;
+      this._announce(nowMs);
+    }
+    this._callIfDue(nowMs);
+  }
+
+  /** Where a stream began; undefined while this is not decided. */
+  public answer({ service, attemptId }: OriginQuery, nowMs: number): OriginAnswer | undefined {
+    return decideOrigin({
+      recorded: attemptId === undefined ? undefined : this._origins.versionOf(attemptId),
+      versions: this._history.versionsOf(service),
+      isHistoryComplete: nowMs >= this._completeFromMs,
+      areRecordsComplete: this._stored !== undefined && nowMs - (this._startedMs ?? nowMs) >= settleMs,
+    });
+  }
+
+  /** The versions at which streams may begin; undefined until the records are read. */
+  public announcement(nowMs: number): VersionsMessage | undefined {
+    const versions = this._stored;
+    const isComplete = nowMs >= this._completeFromMs;
+    return versions === undefined
+      ? undefined
+      : { versions, recorded: Object.keys(versions).filter((service) => !isComplete || this._isMixed(service)) };
+  }
+
+  private _isMixed(service: string): boolean {
+    return this._history.versionsOf(service).length > 1;
+  }
+
+  private _announce(nowMs: number): void {
+    const message = this.announcement(nowMs);
+    this._record(message?.recorded ?? []);
+    const text = JSON.stringify(message);
+    if (message !== undefined && text !== this._announced) {
+      this._announced = text;
+      this._onVersions.fire(message);
+    }
+  }
+
+  /** Records the streams of services from now on; those of a further service from the first one that is known. */
+  private _record(services: readonly string[]): void {
+    const added = new Set(services.filter((service) => !this._recorded.has(service)));
+    this._recorded = new Set(services);
+    if (added.size > 0) {
+      this._save(this._origins.all().filter(({ service }) => added.has(service)));
+    }
+  }
+
+  private _save(origins: readonly StreamOrigin[]): void {
+    this._unsaved = [...this._unsaved, ...origins];
+  }
+
+  private _callIfDue(nowMs: number): void {
+    if (this.isLeading && !this._isCalling && nowMs >= this._nextCallMs) {
+      this._callStore(nowMs);
+    }
+  }
+
+  private _callStore(nowMs: number): void {
+    if (this._end === undefined) {
+      void this._call((term) => this._read(term));
+    } else if (this._isHistoryUnsaved) {
+      void this._call((term) => this._writeHistory(term));
+    } else if (this._unsaved.length > 0) {
+      this._nextCallMs = nowMs + batchIntervalMs;
+      void this._call((term) => this._writeBatch(term));
+    }
+  }
+
+  private async _call(call: (term: number) => Promise<boolean>): Promise<void> {
+    this._isCalling = true;
+    const hasSucceeded = await call(this._term);
+    this._isCalling = false;
+    if (!hasSucceeded) {
+      this._nextCallMs = this._clock.now().steadyMs + retryMs;
+    }
+  }
+
+  private async _read(term: number): Promise<boolean> {
+    const outcome = await this._store.readStreamRecords();
+    if (term !== this._term || !outcome.ok) {
+      return this._hasSucceeded(outcome, 'Could not read the origins of streams.');
+    }
+    this._applyRecords(outcome.value, this._clock.now().steadyMs);
+    return true;
+  }
+
+  private _applyRecords(table: TableRecords, nowMs: number): void {
+    const records = readStreamRecords(table.records, this._log);
+    const isFirstRead = this._stored === undefined;
+    this._end = { era: table.era, offset: table.end };
+    this._nextSlot = records.nextSlot;
+    for (const origin of records.origins) {
+      this._origins.add(origin, nowMs);
+    }
+    this._history.restore(records.history?.versions ?? {}, nowMs);
+    if (isFirstRead) {
+      const isProven = records.history === undefined ? this._context.isFirstStart : records.history.era === table.era;
+      this._completeFromMs = isProven ? nowMs : nowMs + this._context.lifetimeMs();
+      this._log.info('Read the origins of streams.', {
+        versions: records.history?.versions,
+        origins: records.origins.length,
+        isProven,
+        era: table.era,
+      });
+    }
+    this._stored ??= records.history?.versions ?? {};
+    this._isHistoryUnsaved =
+      records.history?.era !== table.era ||
+      JSON.stringify(records.history.versions) !== JSON.stringify(this._history.snapshot());
+  }
+
+  private async _writeHistory(term: number): Promise<boolean> {
+    const end = this._end;
+    const versions = this._history.snapshot();
+    if (end === undefined) {
+      return false;
+    }
+    const outcome = await this._store.writeStreamRecord(end, historyKey, encodeHistory({ era: end.era, versions }));
+    if (term !== this._term) {
+      return true;
+    }
+    if (outcome.ok && this._end === end) {
+      this._end = { ...end, offset: outcome.value + 1 };
+      this._stored = versions;
+      // A version that came during the write is stored with the next one.
+      this._isHistoryUnsaved = JSON.stringify(versions) !== JSON.stringify(this._history.snapshot());
+      this._log.info('Stored the versions of replicas.', { versions });
+      this._announce(this._clock.now().steadyMs);
+    }
+    return this._hasSucceeded(outcome, 'Could not store the versions of replicas.');
+  }
+
+  private async _writeBatch(term: number): Promise<boolean> {
+    const end = this._end;
+    if (end === undefined) {
+      return false;
+    }
+    const batch = this._unsaved.slice(0, maximumBatchOrigins);
+    const value = encodeBatch(groupOrigins(batch));
+    const outcome = await this._store.writeStreamRecord(end, batchKey(this._nextSlot), value);
+    if (term !== this._term) {
+      return true;
+    }
+    if (outcome.ok && this._end === end) {
+      this._end = { ...end, offset: outcome.value + 1 };
+      this._nextSlot += 1;
+      this._unsaved = this._unsaved.slice(batch.length);
+    }
+    return this._hasSucceeded(outcome, 'Could not store origins of streams.');
+  }
+
+  /** Logs a failed call. The records are read again, because a call without an answer may have taken effect. */
+  private _hasSucceeded(outcome: common.Outcome<unknown, StoreFailure>, message: string): boolean {
+    if (!outcome.ok) {
+      this._end = undefined;
+      this._log.warn(message, { reason: outcome.failure.message });
+    }
+    return outcome.ok;
+  }
+
+  /** Stores everything again after a restore of the store, which may have lost the latest records. */
+  private _saveAgain(): void {
+    this._end = undefined;
+    this._unsaved = this._origins.all().filter(({ service }) => this._recorded.has(service));
+  }
+}
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -18,6 +18,7 @@
 import { ReplicaLoads } from '../routing/ReplicaLoads.js';
 import type { Replica, Route } from '../Types.js';
 import { WaitingRequests } from '../waiting/WaitingRequests.js';
+import { FakeStreamOrigins } from './FakeStreamOrigins.js';
 import { FakeCodec } from './FakeCodec.js';
 import { silentLogger } from './SilentLogger.js';
 
@@ -50,6 +51,7 @@
   public readonly requestHeads: string[] = [];
   public readonly crashGuard = new CrashGuard();
   public readonly crashReports: CrashReport[] = [];
+  public readonly streams = new FakeStreamOrigins();
   private readonly _servers: net.Server[] = [];
   private readonly _replicas: Replica[] = [];
   private readonly _agent = new ReplicaAgent();
@@ -232,6 +234,7 @@
         silentLogger,
       ),
       crashMetrics: new CrashMetrics(requestLog.registry),
+      streams: this.streams,
       agent: this._agent,
       routes: () => routes,
       readyInMs: () => undefined,
--- a/packages/gateway/src/testing/FakeCodec.ts
+++ b/packages/gateway/src/testing/FakeCodec.ts
@@ -7,6 +7,8 @@
     const attemptId = request.headers['x-attempt'];
     const model = request.headers['x-model'];
     const parts = request.headers['x-parts'];
+    const lastEventId = request.headers['last-event-id'];
+    const resumes = request.headers['x-resumes'];
     if (typeof attemptId !== 'string') {
       return undefined;
     }
@@ -15,6 +17,8 @@
       host: request.headers.host ?? '',
       deadlineMs: 5_000,
       promptPartIds: typeof parts === 'string' ? parts.split(',') : [],
+      ...(typeof lastEventId === 'string' && { lastEventId }),
+      ...(typeof resumes === 'string' && { resumedAttemptId: resumes }),
       ...(typeof model === 'string' && { modelReference: { model } }),
     };
   }
--- a/packages/gateway/src/testing/changes/SimulatedStore.ts
+++ b/packages/gateway/src/testing/changes/SimulatedStore.ts
@@ -88,6 +88,14 @@
     return Promise.resolve(unavailable());
   }
 
+  public readStreamRecords(): Promise<common.Outcome<TableRecords, StoreFailure>> {
+    return Promise.resolve(unavailable());
+  }
+
+  public writeStreamRecord(): Promise<common.Outcome<number, StoreFailure>> {
+    return Promise.resolve(unavailable());
+  }
+
   public decodeConfiguration(text: string): Configuration {
     return { version: Number(text), routes: [], services: new Map(), callerLimits };
   }
--- a/packages/gateway/src/testing/placedReplica.ts
+++ b/packages/gateway/src/testing/placedReplica.ts
@@ -7,6 +7,7 @@
     weightMegabytes: 200_000,
     adapterSlots: 8,
     slots: 12,
+    softwareVersion: 'v1',
     takesRequests: true,
     takesOrders: true,
     hasFormerOrder: false,
--- a/packages/gateway/src/waiting/WaitingRequests.ts
+++ b/packages/gateway/src/waiting/WaitingRequests.ts
@@ -6,6 +6,8 @@
 /** A request that waits until a replica holds its model and adapter, or until it may be sent to a replica. */
 export interface WaitingRequest {
   readonly modelReference: ModelReference | undefined;
+  /** Software version that began the stream with which the request goes on; undefined if it begins anew. */
+  readonly requiredVersion: string | undefined;
   /** Rank of the request; 0 is the most urgent. */
   readonly urgency: number;
   /** Time at which the request misses its latency target, steady milliseconds. */
@@ -97,9 +99,11 @@
     return [...this._requests.values()].flatMap((requests) => {
       const [first] = requests;
       const slackMs = Math.min(...[...requests].map((request) => request.lateAtMs - nowMs));
+      const versions = [...requests].flatMap(({ requiredVersion }) => requiredVersion ?? []);
+      const requiredVersions = versions.length > 0 && { requiredVersions: [...new Set(versions)] };
       return first?.modelReference === undefined
         ? []
-        : [{ target: first.modelReference, count: requests.size, slackMs: Math.round(slackMs) }];
+        : [{ target: first.modelReference, count: requests.size, slackMs: Math.round(slackMs), ...requiredVersions }];
     });
   }
 }
