--- /dev/null
+++ b/packages/gateway/src/streams/StreamRecords.test.ts
@@ -0,0 +1,41 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import {
+  batchKey,
+  batchSlot,
+  batchSlots,
+  decodeBatch,
+  decodeHistory,
+  encodeBatch,
+  encodeHistory,
+  historyKey,
+} from './StreamRecords.js';
+
+const group = fastCheck.record({
+  service: fastCheck.string(),
+  version: fastCheck.string(),
+  attemptIds: fastCheck.array(fastCheck.string()),
+});
+const history = fastCheck.record({
+  era: fastCheck.maxSafeNat(),
+  versions: fastCheck.dictionary(fastCheck.string(), fastCheck.array(fastCheck.string())),
+});
+
+vitest.describe('records of streams', () => {
+  vitest.test('decode to what was encoded (guards against forgotten versions)', () => {
+    fastCheck.assert(
+      fastCheck.property(fastCheck.array(group), history, (groups, record) => {
+        vitest.expect(decodeBatch(encodeBatch(groups))).toEqual(groups);
+        vitest.expect(decodeHistory(encodeHistory(record))).toEqual(record);
+      }),
+    );
+  });
+
+  vitest.test('a new batch replaces the oldest one only (guards against lost origins)', () => {
+    const keys = Array.from({ length: batchSlots }, (_none, slot) => batchKey(slot));
+    vitest.expect(new Set(keys).size).toBe(batchSlots);
+    vitest.expect(batchKey(batchSlots)).toBe(batchKey(0));
+    vitest.expect(keys.map(batchSlot)).toEqual(keys.map((_key, slot) => slot));
+    vitest.expect(batchSlot(historyKey)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/streams/StreamRegistry.test.ts
@@ -0,0 +1,201 @@
+import * as vitest from 'vitest';
+import { systemClock } from '../Clock.js';
+import { sampleReplica } from '../testing/sampleReplica.js';
+import { silentLogger } from '../testing/SilentLogger.js';
+import { SimulatedStreamStore, SimulatedStreamStoreClient } from '../testing/streams/SimulatedStreamStore.js';
+import type { Replica } from '../Types.js';
+import { encodeHistory, historyKey } from './StreamRecords.js';
+import { StreamRegistry } from './StreamRegistry.js';
+import type { OriginAnswer, StreamOrigin, VersionsMessage } from './Types.js';
+
+const lifetimeMs = 10_000;
+const tickMs = 100;
+
+/** A leader whose replicas are of given versions. */
+class Leader {
+  public replicas: readonly Replica[] = [];
+  public readonly announcements: VersionsMessage[] = [];
+  private readonly _registry: StreamRegistry;
+
+  public constructor(store: SimulatedStreamStore, versions: readonly string[], isFirstStart = false) {
+    this.serve(...versions);
+    const context = { replicas: () => this.replicas, lifetimeMs: () => lifetimeMs, isFirstStart };
+    this._registry = new StreamRegistry(new SimulatedStreamStoreClient(store), context, systemClock, silentLogger);
+    this._registry.onVersions((message) => this.announcements.push(message));
+    this._registry.start([], systemClock.now().steadyMs);
+  }
+
+  public serve(...versions: readonly string[]): void {
+    this.replicas = versions.map((softwareVersion) => sampleReplica({ id: softwareVersion, softwareVersion }));
+  }
+
+  public report(...origins: readonly StreamOrigin[]): void {
+    this._registry.add(origins, systemClock.now().steadyMs);
+  }
+
+  public stop(): void {
+    this._registry.stop();
+  }
+
+  public answer(attemptId: string): OriginAnswer | undefined {
+    return this._registry.answer({ service: 's', attemptId }, systemClock.now().steadyMs);
+  }
+
+  public async run(durationMs: number): Promise<void> {
+    await run([this], durationMs);
+  }
+
+  public tick(): void {
+    this._registry.tick(systemClock.now().steadyMs);
+  }
+}
+
+async function run(leaders: readonly Leader[], durationMs: number): Promise<void> {
+  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += tickMs) {
+    leaders.forEach((leader) => {
+      leader.tick();
+    });
+    await vitest.vi.advanceTimersByTimeAsync(tickMs);
+  }
+}
+
+function origin(attemptId: string, version: string): StreamOrigin {
+  return { attemptId, service: 's', version };
+}
+
+const unknown: OriginAnswer = { kind: 'unknown' };
+
+vitest.describe('StreamRegistry', () => {
+  let store: SimulatedStreamStore;
+
+  vitest.beforeEach(() => {
+    vitest.vi.useFakeTimers({ now: 1_000_000 });
+    store = new SimulatedStreamStore();
+  });
+
+  vitest.afterEach(() => {
+    vitest.vi.useRealTimers();
+  });
+
+  /** A store with a history of one version, as a leader left it that has ended. */
+  function writeHistory(...versions: readonly string[]): void {
+    store.topic.write(historyKey, encodeHistory({ era: store.era, versions: { s: versions } }));
+  }
+
+  vitest.test(
+    'stores a version before it announces it (guards against streams that no stored version proves)',
+    async () => {
+      writeHistory('v1');
+      store.callMs = () => 600;
+      const leader = new Leader(store, ['v1']);
+      await leader.run(2_000);
+      leader.serve('v1', 'v2');
+      await leader.run(300);
+      vitest.expect(leader.announcements.at(-1)?.versions).toEqual({ s: ['v1'] });
+      await leader.run(1_000);
+      vitest.expect(store.versions).toEqual({ s: ['v1', 'v2'] });
+      vitest.expect(leader.announcements.at(-1)).toEqual({ versions: { s: ['v1', 'v2'] }, recorded: ['s'] });
+    },
+  );
+
+  vitest.test('calls the store once in a time of one version (guards against needless calls)', async () => {
+    writeHistory('v1');
+    const leader = new Leader(store, ['v1']);
+    await leader.run(5_000);
+    leader.report(origin('a', 'v1'));
+    await leader.run(5_000);
+    vitest.expect(store.calls).toBeLessThanOrEqual(2);
+  });
+
+  vitest.test('writes at most four batches a second (guards against a store that is overloaded)', async () => {
+    writeHistory('v1', 'v2');
+    const leader = new Leader(store, ['v1', 'v2']);
+    await leader.run(1_000);
+    const callsBefore = store.calls;
+    for (let step = 0; step < 100; step += 1) {
+      leader.report(origin(String(step), 'v1'));
+      await leader.run(tickMs);
+    }
+    vitest.expect(store.calls - callsBefore).toBeLessThanOrEqual(41);
+  });
+
+  vitest.test('answers from the batches of the former leader (guards against streams lost with a leader)', async () => {
+    writeHistory('v1', 'v2');
+    const former = new Leader(store, ['v1', 'v2']);
+    former.report(origin('a', 'v2'));
+    await former.run(1_000);
+    former.stop();
+    const leader = new Leader(store, ['v1', 'v2']);
+    await leader.run(200);
+    vitest.expect(leader.answer('a')).toEqual({ kind: 'known', version: 'v2' });
+  });
+
+  vitest.test('waits before it answers "unknown" (guards against streams that the daemons still report)', async () => {
+    writeHistory('v1', 'v2');
+    const leader = new Leader(store, ['v1', 'v2']);
+    vitest.expect(leader.answer('a')).toBeUndefined();
+    await leader.run(900);
+    vitest.expect(leader.answer('a')).toBeUndefined();
+    await leader.run(300);
+    vitest.expect(leader.answer('a')).toEqual(unknown);
+  });
+
+  vitest.test('learns what another leader wrote (guards against versions lost between two leaders)', async () => {
+    writeHistory('v1');
+    const former = new Leader(store, ['v1']);
+    await former.run(500);
+    const leader = new Leader(store, ['v1', 'v2']);
+    await leader.run(500);
+    former.serve('v1', 'v3');
+    await run([former, leader], 2_000);
+    vitest.expect(store.versions?.s).toEqual(vitest.expect.arrayContaining(['v1', 'v2', 'v3']));
+    vitest.expect(former.answer('a')).toEqual(unknown);
+  });
+
+  vitest.test('stores all again after a restore (guards against versions and origins that a copy lacks)', async () => {
+    writeHistory('v1');
+    const leader = new Leader(store, ['v1']);
+    await leader.run(500);
+    store.topic.copy();
+    leader.serve('v1', 'v2');
+    leader.report(origin('a', 'v2'));
+    await leader.run(1_000);
+    store.restore();
+    leader.report(origin('b', 'v1'));
+    await leader.run(3_000);
+    const successor = new Leader(store, ['v1']);
+    await successor.run(2_000);
+    vitest
+      .expect(['a', 'b', 'c'].map((attempt) => successor.answer(attempt)))
+      .toEqual([{ kind: 'known', version: 'v2' }, { kind: 'known', version: 'v1' }, unknown]);
+  });
+
+  vitest.test('proves nothing by a history of an earlier era (guards against versions that a copy lacks)', async () => {
+    writeHistory('v1');
+    store.topic.copy();
+    store.restore();
+    const leader = new Leader(store, ['v1']);
+    await leader.run(2_000);
+    vitest.expect(leader.answer('a')).toEqual(unknown);
+    await leader.run(lifetimeMs);
+    vitest.expect(leader.answer('a')).toEqual({ kind: 'known', version: 'v1' });
+  });
+
+  vitest.test(
+    'proves by its history once a lifetime has passed (guards against streams refused for ever)',
+    async () => {
+      const former = new Leader(store, ['v1']);
+      await former.run(lifetimeMs + 2_000);
+      former.stop();
+      const leader = new Leader(store, ['v1']);
+      await leader.run(500);
+      vitest.expect(leader.answer('a')).toEqual({ kind: 'known', version: 'v1' });
+    },
+  );
+
+  vitest.test('needs no proof at the first start (guards against streams refused on a new system)', async () => {
+    const leader = new Leader(store, ['v1'], true);
+    await leader.run(500);
+    vitest.expect(leader.answer('a')).toEqual({ kind: 'known', version: 'v1' });
+  });
+});
