Leave out a stored history of versions that is no object

A stored history "null", or one whose versions are null, made decodeHistory throw in the leader's read, so that no later call to the store was made; versions that were a number or a text passed as an empty history.

--- a/packages/gateway/src/streams/StreamRecords.test.ts
+++ b/packages/gateway/src/streams/StreamRecords.test.ts
@@ -31,6 +31,27 @@
     );
   });
 
+  vitest.test('of any text are read or left out (guards against a leader that fails on a damaged record)', () => {
+    const text = fastCheck.oneof(fastCheck.string(), fastCheck.json());
+    fastCheck.assert(
+      fastCheck.property(text, (value) => {
+        vitest.expect(() => [decodeBatch(value), decodeHistory(value)]).not.toThrow();
+      }),
+      { numRuns: 1_000 },
+    );
+  });
+
+  vitest.test.each([
+    'null',
+    '{}',
+    '{"era":1}',
+    '{"era":1,"versions":null}',
+    '{"era":1,"versions":""}',
+    '{"era":1,"versions":{"s":"v1"}}',
+  ])('reads no history from %s (guards against a version that nobody wrote)', (text) => {
+    vitest.expect(decodeHistory(text)).toBeUndefined();
+  });
+
   vitest.test('a new batch replaces the oldest one only (guards against lost origins)', () => {
     const keys = Array.from({ length: batchSlots }, (_none, slot) => batchKey(slot));
     vitest.expect(new Set(keys).size).toBe(batchSlots);
--- a/packages/gateway/src/streams/StreamRecords.ts
+++ b/packages/gateway/src/streams/StreamRecords.ts
@@ -30,11 +30,8 @@
 
 /** Decodes the record of the versions; undefined if it is unreadable. */
 export function decodeHistory(text: string): HistoryRecord | undefined {
-  const value = parse(text) as Partial<HistoryRecord> | undefined;
-  const lists = value?.versions === undefined ? undefined : Object.values(value.versions as Record<string, unknown>);
-  return value !== undefined && Number.isSafeInteger(value.era) && lists?.every(isTextList) === true
-    ? (value as HistoryRecord)
-    : undefined;
+  const value = parse(text) as Partial<HistoryRecord> | null | undefined;
+  return Number.isSafeInteger(value?.era) && isServiceVersions(value?.versions) ? (value as HistoryRecord) : undefined;
 }
 
 export function encodeBatch(groups: readonly OriginGroup[]): string {
@@ -52,6 +49,10 @@
   return typeof group?.service === 'string' && typeof group.version === 'string' && isTextList(group.attemptIds);
 }
 
+function isServiceVersions(value: unknown): value is ServiceVersions {
+  return typeof value === 'object' && value !== null && !Array.isArray(value) && Object.values(value).every(isTextList);
+}
+
 function isTextList(value: unknown): value is readonly string[] {
   return Array.isArray(value) && value.every((item) => typeof item === 'string');
 }
