Announce a version whose write had no answer

A history that was written although its answer got lost was read again, found equal to the one to be stored, and never announced: _applyRecords kept the versions of the last write that was answered. Replicas of the new version began no stream for a second at each daemon, and a proof that the store held was not used. The read records now count as the stored ones. The test announced v1 alone before the change.

--- a/packages/gateway/src/streams/StreamRegistry.test.ts
+++ b/packages/gateway/src/streams/StreamRegistry.test.ts
@@ -98,6 +98,22 @@
     },
   );
 
+  vitest.test(
+    'announces a version whose write had no answer (guards against replicas that are kept idle)',
+    async () => {
+      writeHistory('v1');
+      const leader = new Leader(store, ['v1']);
+      await leader.run(500);
+      store.losesAnswer = () => true;
+      leader.serve('v1', 'v2');
+      await leader.run(200);
+      store.losesAnswer = () => false;
+      await leader.run(2_000);
+      vitest.expect(leader.announcements.at(-1)?.versions).toEqual({ s: ['v1', 'v2'] });
+      vitest.expect(leader.answer('a')).toEqual(unknown);
+    },
+  );
+
   vitest.test('calls the store once in a time of one version (guards against needless calls)', async () => {
     writeHistory('v1');
     const leader = new Leader(store, ['v1']);
--- a/packages/gateway/src/streams/StreamRegistry.ts
+++ b/packages/gateway/src/streams/StreamRegistry.ts
@@ -214,7 +214,7 @@
         era: table.era,
       });
     }
-    this._stored ??= records.history?.versions ?? {};
+    this._stored = records.history?.versions ?? this._stored ?? {};
     this._isHistoryUnsaved =
       records.history?.era !== table.era ||
       JSON.stringify(records.history.versions) !== JSON.stringify(this._history.snapshot());
