Prove versions only by a history whose writer knew all of them

A leader that read a history of an earlier era, or none, waits for a lifetime before it trusts it, but wrote it again with the present era at once. The next leader, and daemons without a leader, took this for the proof that no other version can have begun a stream: after a restore of the store and the loss of all daemons, a second change of the leader answered the version left over, and a stream went on at another one than began it. The record states the era only once its writer knows that it is complete, which the leader writes again when the lifetime has passed. Both new tests answered v1 before the change; another one shows that the proof comes after a lifetime.

--- a/packages/gateway/src/streams/StreamRecords.ts
+++ b/packages/gateway/src/streams/StreamRecords.ts
@@ -6,9 +6,12 @@
 /** Number of batches that are kept; the next one replaces the oldest. At ten a second they cover 100 s. */
 export const batchSlots = 1_024;
 
+/** Era in a history that may lack versions, because its writer did not know all of them. */
+export const unprovenEra = -1;
+
 /** Versions of all services, as stored. */
 export interface HistoryRecord {
-  /** Era of the store in which the record was written. One of an earlier era may lack later versions. */
+  /** Era of the store in which the record was complete. In a later one, it may lack versions. */
   readonly era: number;
   readonly versions: ServiceVersions;
 }
--- a/packages/gateway/src/streams/StreamRegistry.test.ts
+++ b/packages/gateway/src/streams/StreamRegistry.test.ts
@@ -197,6 +197,23 @@
     vitest.expect(leader.answer('a')).toEqual({ kind: 'known', version: 'v1' });
   });
 
+  vitest.test.each([
+    ['a restored history', true],
+    ['no history', false],
+  ])('proves nothing to its successor by %s (guards against a proof that a leader never had)', async (_name, has) => {
+    if (has) {
+      writeHistory('v1');
+      store.topic.copy();
+      store.restore();
+    }
+    const former = new Leader(store, ['v1']);
+    await former.run(2_000);
+    former.stop();
+    const leader = new Leader(store, ['v1']);
+    await leader.run(2_000);
+    vitest.expect(leader.answer('a')).toEqual(unknown);
+  });
+
   vitest.test(
     'proves by its history once a lifetime has passed (guards against streams refused for ever)',
     async () => {
--- a/packages/gateway/src/streams/StreamRegistry.ts
+++ b/packages/gateway/src/streams/StreamRegistry.ts
@@ -5,7 +5,7 @@
 import { decideOrigin } from './decideOrigin.js';
 import { groupOrigins, OriginTable } from './OriginTable.js';
 import { readStreamRecords } from './readStreamRecords.js';
-import { batchKey, encodeBatch, encodeHistory, historyKey } from './StreamRecords.js';
+import { batchKey, encodeBatch, encodeHistory, historyKey, unprovenEra } from './StreamRecords.js';
 import type { OriginAnswer, OriginQuery, ServiceVersions, StreamOrigin, VersionsMessage } from './Types.js';
 import { VersionHistory } from './VersionHistory.js';
 
@@ -44,6 +44,8 @@
   private _unsaved: readonly StreamOrigin[] = [];
   /** Versions of the last history that was written or read. */
   private _stored: ServiceVersions | undefined;
+  /** Era in the last history that was written or read. */
+  private _storedEra = unprovenEra;
   private _isHistoryUnsaved = false;
   /** Services whose origins are stored. */
   private _recorded: ReadonlySet<string> = new Set();
@@ -109,6 +111,7 @@
     if (this._stored !== undefined) {
       this._isHistoryUnsaved =
         this._history.observe(this._context.replicas(), nowMs, lifetimeMs) || this._isHistoryUnsaved;
+      this._isHistoryUnsaved ||= this._end !== undefined && this._storedEra !== this._provenEra(this._end, nowMs);
       this._announce(nowMs);
     }
     this._callIfDue(nowMs);
@@ -215,24 +218,32 @@
       });
     }
     this._stored = records.history?.versions ?? this._stored ?? {};
+    this._storedEra = records.history?.era ?? unprovenEra;
     this._isHistoryUnsaved =
-      records.history?.era !== table.era ||
+      records.history?.era !== this._provenEra(this._end, nowMs) ||
       JSON.stringify(records.history.versions) !== JSON.stringify(this._history.snapshot());
   }
 
+  /** Era that a history written now may state: that of the store only if no version can be missing in it. */
+  private _provenEra({ era }: TablePosition, nowMs: number): number {
+    return nowMs >= this._completeFromMs ? era : unprovenEra;
+  }
+
   private async _writeHistory(term: number): Promise<boolean> {
     const end = this._end;
     const versions = this._history.snapshot();
     if (end === undefined) {
       return false;
     }
-    const outcome = await this._store.writeStreamRecord(end, historyKey, encodeHistory({ era: end.era, versions }));
+    const era = this._provenEra(end, this._clock.now().steadyMs);
+    const outcome = await this._store.writeStreamRecord(end, historyKey, encodeHistory({ era, versions }));
     if (term !== this._term) {
       return true;
     }
     if (outcome.ok && this._end === end) {
       this._end = { ...end, offset: outcome.value + 1 };
       this._stored = versions;
+      this._storedEra = era;
       // A version that came during the write is stored with the next one.
       this._isHistoryUnsaved = JSON.stringify(versions) !== JSON.stringify(this._history.snapshot());
       this._log.info('Stored the versions of replicas.', { versions });
