Limit a batch of origins by its size

Attempt ids have up to 64 characters, so that a batch of 4,000 could exceed the 256 KiB that the store takes for a record; it was refused, and sent again for ever, and no later origin was stored. A batch now ends at 180 KiB, which also fits when encoded. The test with ids of 64 characters found no batch in the store before the change.

--- a/packages/gateway/src/streams/StreamRecords.test.ts
+++ b/packages/gateway/src/streams/StreamRecords.test.ts
@@ -4,12 +4,14 @@
   batchKey,
   batchSlot,
   batchSlots,
+  countForBatch,
   decodeBatch,
   decodeHistory,
   encodeBatch,
   encodeHistory,
   historyKey,
 } from './StreamRecords.js';
+import { groupOrigins } from './OriginTable.js';
 
 const group = fastCheck.record({
   service: fastCheck.string(),
@@ -52,6 +54,23 @@
     vitest.expect(decodeHistory(text)).toBeUndefined();
   });
 
+  vitest.test('fit into a record of the store (guards against a batch that is refused for ever)', () => {
+    const text = fastCheck.string({ unit: 'grapheme', maxLength: 64 });
+    const origin = fastCheck.record({ attemptId: text, service: text, version: text });
+    fastCheck.assert(
+      fastCheck.property(fastCheck.array(origin, { minLength: 1, maxLength: 30 }), (some) => {
+        const origins = Array.from({ length: 6_000 }, (_none, index) => ({
+          ...(some[index % some.length] ?? { service: '', version: '' }),
+          attemptId: `${some[index % some.length]?.attemptId ?? ''}${index}`,
+        }));
+        const count = countForBatch(origins);
+        vitest.expect(count).toBeGreaterThan(0);
+        vitest.expect(Buffer.byteLength(encodeBatch(groupOrigins(origins.slice(0, count))))).toBeLessThan(256 * 1_024);
+      }),
+      { numRuns: 30 },
+    );
+  });
+
   vitest.test('a new batch replaces the oldest one only (guards against lost origins)', () => {
     const keys = Array.from({ length: batchSlots }, (_none, slot) => batchKey(slot));
     vitest.expect(new Set(keys).size).toBe(batchSlots);
--- a/packages/gateway/src/streams/StreamRecords.ts
+++ b/packages/gateway/src/streams/StreamRecords.ts
@@ -1,10 +1,16 @@
-import type { OriginGroup, ServiceVersions } from './Types.js';
+import type { OriginGroup, ServiceVersions, StreamOrigin } from './Types.js';
 
 /** Key of the record with the versions of all services. */
 export const historyKey = 'versions';
 const batchKeyPrefix = 'batch-';
 /** Number of batches that are kept; the next one replaces the oldest. At ten a second they cover 100 s. */
 export const batchSlots = 1_024;
+/** Largest number of origins in a batch. */
+const maximumBatchOrigins = 4_000;
+/** Largest size of a batch, bytes. The store takes records of 256 KiB. */
+const maximumBatchBytes = 180 * 1_024;
+/** Size of a group in a batch, beyond its service, version and attempts, bytes. */
+const groupBytes = 50;
 
 /** Era in a history that may lack versions, because its writer did not know all of them. */
 export const unprovenEra = -1;
@@ -37,6 +43,21 @@
   return Number.isSafeInteger(value?.era) && isServiceVersions(value?.versions) ? (value as HistoryRecord) : undefined;
 }
 
+/** Number of origins, from the first on, that a batch takes. */
+export function countForBatch(origins: readonly StreamOrigin[]): number {
+  const groups = new Set<string>();
+  let bytes = 0;
+  const candidates = origins.slice(0, maximumBatchOrigins);
+  const firstBeyond = candidates.findIndex(({ attemptId, service, version }) => {
+    const group = JSON.stringify([service, version]);
+    bytes += Buffer.byteLength(JSON.stringify(attemptId)) + 1;
+    bytes += groups.has(group) ? 0 : Buffer.byteLength(group) + groupBytes;
+    groups.add(group);
+    return bytes > maximumBatchBytes;
+  });
+  return firstBeyond === -1 ? candidates.length : Math.max(firstBeyond, 1);
+}
+
 export function encodeBatch(groups: readonly OriginGroup[]): string {
   return JSON.stringify(groups);
 }
--- a/packages/gateway/src/streams/StreamRegistry.test.ts
+++ b/packages/gateway/src/streams/StreamRegistry.test.ts
@@ -4,7 +4,7 @@
 import { silentLogger } from '../testing/SilentLogger.js';
 import { SimulatedStreamStore, SimulatedStreamStoreClient } from '../testing/streams/SimulatedStreamStore.js';
 import type { Replica } from '../Types.js';
-import { encodeHistory, historyKey } from './StreamRecords.js';
+import { decodeBatch, encodeHistory, historyKey } from './StreamRecords.js';
 import { StreamRegistry } from './StreamRegistry.js';
 import type { OriginAnswer, StreamOrigin, VersionsMessage } from './Types.js';
 
@@ -231,4 +231,23 @@
     await leader.run(500);
     vitest.expect(leader.answer('a')).toEqual({ kind: 'known', version: 'v1' });
   });
+
+  vitest.test('stores the longest origins (guards against a batch that the store refuses for ever)', async () => {
+    writeHistory('v1', 'v2');
+    const leader = new Leader(store, ['v1', 'v2']);
+    await leader.run(500);
+    const ids = Array.from({ length: 6_000 }, (_none, index) => String(index).padStart(64, '0'));
+    leader.report(...ids.map((id) => origin(id, 'v1')));
+    await leader.run(3_000);
+    const batches = store.topic.readTable().records.filter(({ key }) => key !== historyKey);
+    const stored = batches.flatMap(({ value }) => decodeBatch(value ?? '') ?? []);
+    vitest
+      .expect(
+        stored
+          .flatMap(({ attemptIds }) => attemptIds)
+          .sort()
+          .join(),
+      )
+      .toBe(ids.join());
+  });
 });
--- a/packages/gateway/src/streams/StreamRegistry.ts
+++ b/packages/gateway/src/streams/StreamRegistry.ts
@@ -5,7 +5,7 @@
 import { decideOrigin } from './decideOrigin.js';
 import { groupOrigins, OriginTable } from './OriginTable.js';
 import { readStreamRecords } from './readStreamRecords.js';
-import { batchKey, encodeBatch, encodeHistory, historyKey, unprovenEra } from './StreamRecords.js';
+import { batchKey, countForBatch, encodeBatch, encodeHistory, historyKey, unprovenEra } from './StreamRecords.js';
 import type { OriginAnswer, OriginQuery, ServiceVersions, StreamOrigin, VersionsMessage } from './Types.js';
 import { VersionHistory } from './VersionHistory.js';
 
@@ -14,8 +14,6 @@
  * daemons. The store takes hundreds of writes a second.
  */
 const batchIntervalMs = 100;
-/** Largest number of origins in a batch; the store takes records of 256 KiB. */
-const maximumBatchOrigins = 4_000;
 /** Pause after a failed call to the store, milliseconds. */
 const retryMs = 300;
 /** Time after which the daemons have sent a new leader the origins that they know, milliseconds. */
@@ -257,7 +255,7 @@
     if (end === undefined) {
       return false;
     }
-    const batch = this._unsaved.slice(0, maximumBatchOrigins);
+    const batch = this._unsaved.slice(0, countForBatch(this._unsaved));
     const value = encodeBatch(groupOrigins(batch));
     const outcome = await this._store.writeStreamRecord(end, batchKey(this._nextSlot), value);
     if (term !== this._term) {
