--- a/packages/common/src/PacedAgent.test.ts
+++ b/packages/common/src/PacedAgent.test.ts
@@ -63,4 +63,27 @@
     agent.destroy();
     server.close();
   });
+
+  vitest.test(
+    'closes a connection on which bytes arrive between requests (guards against answers of no request)',
+    async () => {
+      const connections: net.Socket[] = [];
+      const server = http.createServer((request, response) => {
+        connections.push(request.socket);
+        response.end();
+      });
+      const port = await listen(server);
+      const agent = new PacedAgent({ keepAlive: true });
+      const idle = (): number => Object.values(agent.freeSockets).flat().length;
+      const response = await get(port, agent);
+      response.resume();
+      await vitest.vi.waitUntil(() => idle() === 1);
+      connections[0]?.write('HTTP/1.1 409 Extra\r\n');
+      await vitest.vi.waitUntil(() => idle() === 0);
+      (await get(port, agent)).resume();
+      vitest.expect(new Set(connections).size).toBe(2);
+      agent.destroy();
+      server.close();
+    },
+  );
 });
