Check the id of an engine's errors as well

Callers saw: 400 or 404 with "executed: no" for a request that an engine was running, where an engine repeated the refusal of an earlier request on a kept connection. With 404, 429 and 503 the request was sent again, as if it had not run.

Answers were bound to their request by the id in the body of a success; an error was believed without a look at its id, which engines repeat in X-Request-Id.

Change: an error that names another request is a foreign answer: its connection is closed, and whether the request ran is unknown. Errors that name no request are taken as before.

The four tests (400, 404, 429, 503) failed before: 400 in place of 200, and no foreign answer noticed for the others. Plain services get a new connection for each call and can't have this fault.

--- a/packages/daemon/src/routing/EngineAttempt.test.ts
+++ b/packages/daemon/src/routing/EngineAttempt.test.ts
@@ -69,6 +69,45 @@
     },
   );
 
+  vitest.test.each([400, 404, 429, 503])(
+    'takes no repeated %i for the answer to the next request (guards against "executed: no" for a request that runs)',
+    async (status) => {
+      await using fixture = await FrontFixture.open();
+      const ids: string[] = [];
+      let refusal = '';
+      const server = net.createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.on('data', (bytes) => {
+          const id = /x-request-id: (\S+)/i.exec(bytes.toString())?.[1] ?? '';
+          ids.push(id);
+          const head = `content-type: application/json\r\nx-request-id: ${id}\r\ncontent-length:`;
+          if (ids.length === 1) {
+            refusal = `HTTP/1.1 ${status} Refused\r\n${head} 2\r\n\r\n{}`;
+            socket.write(refusal);
+            return;
+          }
+          if (socket.bytesWritten > 0 && refusal !== '') {
+            socket.write(refusal);
+            refusal = '';
+          }
+          const body = JSON.stringify({ id, choices: [] });
+          setTimeout(() => socket.write(`HTTP/1.1 200 OK\r\n${head} ${body.length}\r\n\r\n${body}`), 30);
+        });
+      });
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+      const { port } = server.address() as net.AddressInfo;
+      fixture.register(() => void server.close());
+      fixture.controlPlane.setVm('vm-1', 'live', { address: `127.0.0.1:${port}` });
+      fixture.controlPlane.setReplica({ replica: 1, vm: 'vm-1' });
+      await fixture.chat('p');
+      vitest.expect((await fixture.chat('p')).status).toBe(200);
+      const reasons = fixture.events
+        .filter(({ event }) => event === 'attemptFailed')
+        .map(({ detail }) => detail?.reason);
+      vitest.expect(reasons).toEqual(['foreignAnswer']);
+    },
+  );
+
   const brokenResponses = [
     ['truncated', 'HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n{"id":"'],
     ['not JSON', 'HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nyes'],
--- a/packages/daemon/src/routing/EngineAttempt.ts
+++ b/packages/daemon/src/routing/EngineAttempt.ts
@@ -146,7 +146,11 @@
     const status = response.statusCode ?? 0;
     if (status !== 200) {
       this._readBody(response, maximumErrorBytes, (body) => {
-        this._end(this._classify(status, response, body), false);
+        if (this._isForeign(response, body)) {
+          this._fail('foreignAnswer');
+        } else {
+          this._end(this._classify(status, response, body), false);
+        }
       });
       return;
     }
@@ -226,6 +230,12 @@
     this._fail('foreignAnswer');
   }
 
+  /** True if an error names another request. Engines that name none in errors are told apart by the connection alone. */
+  private _isForeign(response: http.IncomingMessage, body: string): boolean {
+    const id = response.headers['x-request-id'] ?? readId(body);
+    return id !== undefined && id !== this._request.engineRequestId;
+  }
+
   private _classify(status: number, response: http.IncomingMessage, body: string): AttemptEnd {
     if (status === 404 || status === 503 || status === 429) {
       this._executed = 'no';
@@ -261,6 +271,14 @@
   }
 }
 
+function readId(body: string): unknown {
+  try {
+    return (JSON.parse(body) as { readonly id?: unknown } | null)?.id;
+  } catch {
+    return undefined;
+  }
+}
+
 function readErrorMessage(body: string): string {
   try {
     const json = JSON.parse(body) as { readonly error?: { readonly message?: unknown } };
