Read the store frequently while followed, also if the followed daemon forwards changes

Two daemons that follow each other, such as seeds while the leader is unknown, relied on each other: each took the other one for a daemon that forwards all changes, read the store every 30 s only, and told its followers that it is current. Both could use a removed replica for as long.

A daemon with followers now reads at the rate of a leader, whatever it follows. The new case of readTiming.test.ts failed before (30,800 ms).

--- a/packages/gateway/src/replicas/TableSynchronizer.ts
+++ b/packages/gateway/src/replicas/TableSynchronizer.ts
@@ -46,12 +46,13 @@
  * changes through it, so the total number of calls stays bounded.
  */
 export function readTiming({ leader, hasFollowers, intervals }: ReadSituation): ReadTiming {
-  if (leader === 'current') {
-    return assistedTiming;
-  }
+  // Even while the followed daemon forwards changes, since it may follow this one.
   if (hasFollowers) {
     return timingForFollowers;
   }
+  if (leader === 'current') {
+    return assistedTiming;
+  }
   // The followers of a leader that is cut off all begin to read when it says so. One of them must read at any time.
   const isSpread = leader === 'cutOff';
   const intervalMs = isSpread ? intervals.sharedReadMs : intervals.leaderlessReadMs;
--- a/packages/gateway/src/replicas/readTiming.test.ts
+++ b/packages/gateway/src/replicas/readTiming.test.ts
@@ -27,6 +27,14 @@
     vitest.expect(timing.waitMs + timing.intervalMs).toBeLessThan(1_000);
   });
 
+  vitest.test(
+    'reads frequently although the followed daemon does (guards against two daemons that rely on each other)',
+    () => {
+      const timing = readTiming({ leader: 'current', hasFollowers: true, intervals: messageIntervals(430) });
+      vitest.expect(timing.waitMs + timing.intervalMs).toBeLessThan(1_000);
+    },
+  );
+
   vitest.test(
     'reads the store every 3 s or sooner in the mean at any size (guards against a late configuration)',
     () => {
