Announce a takeover of the lease to the former leaders and the seeds

While the store refused all daemons but one and that one took the lease over, the others went on following the former leader.

The new leader now announces itself to the latest leaders before it and to the seeds until they answer. Whoever learns of a leader tells its own followers and those that join it. An announcement counts only if its term is later than the known one, so an old one changes nothing, and a takeover costs one message for each daemon and a few short connections.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -9,11 +9,15 @@
 import { RequestLog } from './forwarding/RequestLog.js';
 import type { ExchangeContext } from './forwarding/Types.js';
 import { takeoverBackoffMs } from './leadership/Lease.js';
+import { KnownLeader } from './leadership/KnownLeader.js';
+import { LeaderAnnouncer } from './leadership/LeaderAnnouncer.js';
 import { PeerAssistedLeaseStore } from './leadership/LeaseStore.js';
 import { LeaderElector } from './leadership/LeaderElector.js';
 import type { GatewayPlatform, GatewaySettings } from './GatewayTypes.js';
 import { pause } from './pause.js';
 import { MessageReceiver } from './peers/MessageReceiver.js';
+import { LeaderCoordinator } from './peers/LeaderCoordinator.js';
+import { PeerAnnouncementSender } from './peers/PeerAnnouncementSender.js';
 import { PeerServer } from './peers/PeerServer.js';
 import { PeerClient } from './peers/PeerClient.js';
 import { CrashCoordinator } from './peers/CrashCoordinator.js';
@@ -52,6 +56,7 @@
   private readonly _routingTables: RoutingTables;
   private readonly _tableForwarder: TableForwarder;
   private readonly _leaderElector: LeaderElector;
+  private readonly _knownLeader: KnownLeader;
   private readonly _leaseStore: PeerAssistedLeaseStore;
   private readonly _peerServer: PeerServer;
   private readonly _peerClient: PeerClient;
@@ -90,6 +95,7 @@
     this._requestLog = new RequestLog(_log.child('requests'));
     this._peerServer = new PeerServer(_settings.peers, _clock, _log.child('peers'));
     this._peerClient = new PeerClient(otherSeeds(_settings), _clock, _log.child('peers'));
+    this._knownLeader = new KnownLeader(_settings.name, _log.child('lease'));
     const eraDelayMs = (): number => Math.random() * messageIntervals(this._leaderView.daemonCount).tickMs;
     const { replicaLivenessMs } = _settings;
     this._tables = new StoreTables(store, eraDelayMs, replicaLivenessMs, _clock, _log.child('store'));
@@ -242,6 +248,13 @@
     return new TableForwarder(context, this._clock, this._log.child('store'));
   }
 
+  private _createLeaderAnnouncer(): LeaderAnnouncer {
+    const seeds = otherSeeds(this._settings).map(({ host, port }) => `${host}:${port}`);
+    const sender = new PeerAnnouncementSender(this._clock);
+    const isHolder = (): boolean => this._leaderElector.isHolder;
+    return new LeaderAnnouncer(this._knownLeader, seeds, sender, isHolder, this._log.child('lease'));
+  }
+
   private _createMessageReceiver(): MessageReceiver {
     return new MessageReceiver({
       server: this._peerServer,
@@ -272,13 +285,18 @@
     this._crashGuard.onChanged(() => {
       this._waitingRequests.redispatchAll();
     });
-    this._leaderElector.onLeader(({ holder, peerAddress }) => {
-      const isSelf = holder === this._settings.name;
+    this._leaderElector.onLeader((leader) => {
+      this._knownLeader.learnFromStore(leader);
+    });
+    this._knownLeader.onChanged(({ peerAddress }) => {
+      const { isSelf } = this._knownLeader;
       if (isSelf) {
         this._tables.requestFullReplicaRead();
       }
       this._peerClient.setLeader(isSelf ? undefined : common.settings.parseAddress(peerAddress));
     });
+    new LeaderCoordinator(this._knownLeader, { server: this._peerServer, client: this._peerClient });
+    this._resources.register(this._createLeaderAnnouncer());
     this._leader.onPlanned(() => {
       this._leaderView.applyEstimates(this._leader.estimates(), this._nowMs());
     });
--- a/packages/gateway/src/leadership/LeaderElector.ts
+++ b/packages/gateway/src/leadership/LeaderElector.ts
@@ -14,6 +14,7 @@
   type ObservedLease,
   takeoverDelayMs,
 } from './Lease.js';
+import type { LeaderAnnouncement, LeaderLocation } from './KnownLeader.js';
 import type { LeaseStore } from './LeaseStore.js';
 import { pause } from '../pause.js';
 
@@ -27,12 +28,6 @@
 /** Offset that stands for a missing record. */
 const noRecordOffset = -1;
 
-/** Name and address of the leader, for the daemons that follow it. */
-export interface LeaderLocation {
-  readonly holder: string;
-  readonly peerAddress: string;
-}
-
 interface Term {
   readonly token: number;
   readonly renewedAt: Instant;
@@ -42,7 +37,7 @@
 
 /** Acquires and renews the lease of the placement leader, a record in the platform's store, or follows its holder. */
 export class LeaderElector implements AsyncDisposable {
-  private readonly _onLeader = new common.Emitter<LeaderLocation>();
+  private readonly _onLeader = new common.Emitter<LeaderAnnouncement>();
   /** Fires when a record names a leader, which may be this daemon. */
   public readonly onLeader = this._onLeader.event;
   private _observed: ObservedLease | undefined;
@@ -142,7 +137,7 @@
     }
     this._term = { token, renewedAt: sentAt, ordersFromSteadyMs: sentAt.steadyMs + delayMs, ordersFromWallMs };
     this._log.info('Acquired the lease.', { term: token, former: former?.record?.holder, firstOrderInMs: delayMs });
-    this._onLeader.fire(this._self);
+    this._onLeader.fire({ ...this._self, term: token });
     return this._times.renewMs;
   }
 
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -32,6 +32,7 @@
   'trialRequest',
   'trialGrant',
   'trialEnd',
+  'leader',
   'leaseCall',
   'leaseReply',
 ];
--- a/packages/gateway/src/peers/PeerClient.ts
+++ b/packages/gateway/src/peers/PeerClient.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../Clock.js';
 import type { Address } from '../Types.js';
 import { PeerChannel, type PeerMessage } from './PeerChannel.js';
+import { PeerChoice } from './PeerChoice.js';
 import type { PeerMessages } from './Types.js';
 
 /** A leader that is silent for this long counts as lost, milliseconds. It sends its status several times a second. */
@@ -19,20 +20,21 @@
   public readonly onConnected = this._onConnected.event;
   private readonly _onMessage = new common.Emitter<PeerMessage>();
   public readonly onMessage = this._onMessage.event;
-  private _leaderAddress: Address | undefined;
+  private readonly _choice: PeerChoice;
   private _channel: PeerChannel | undefined;
   /** Socket of the connection attempt in progress. */
   private _connecting: net.Socket | undefined;
   private _nextAttemptMs = 0;
-  private _nextSeedIndex = 0;
   /** When the last message was received, steady milliseconds. */
   private _lastMessageMs = Number.NEGATIVE_INFINITY;
 
   public constructor(
-    private readonly _seeds: readonly Address[],
+    seeds: readonly Address[],
     private readonly _clock: Clock,
     private readonly _log: common.Logger,
-  ) {}
+  ) {
+    this._choice = new PeerChoice(seeds);
+  }
 
   /**
    * True while messages have been received recently. A connection alone proves nothing: the kernel of a suspended VM
@@ -44,9 +46,8 @@
 
   /** Sets the address of the leader; undefined if this daemon leads. */
   public setLeader(leader: Address | undefined): void {
-    const isUnchanged = leader?.host === this._leaderAddress?.host && leader?.port === this._leaderAddress?.port;
-    this._leaderAddress = leader;
-    if (!isUnchanged || leader === undefined) {
+    const isChanged = this._choice.setLeader(leader);
+    if (isChanged || leader === undefined) {
       this._channel?.close('the leader has changed');
       this._connecting?.destroy();
       this._connecting = undefined;
@@ -64,12 +65,13 @@
     if (this._channel !== undefined && nowMs - this._channel.lastReceivedMs > silenceTimeoutMs) {
       this._channel.close('the leader is silent');
     }
-    const address = this._leaderAddress ?? this._seeds[this._nextSeedIndex % Math.max(this._seeds.length, 1)];
     const isIdle = this._channel === undefined && this._connecting === undefined;
-    if (shouldConnect && isIdle && address !== undefined && nowMs >= this._nextAttemptMs) {
-      this._nextSeedIndex += 1;
+    if (shouldConnect && isIdle && nowMs >= this._nextAttemptMs) {
       this._nextAttemptMs = nowMs + reconnectMs;
-      this._connect(address);
+      const address = this._choice.next();
+      if (address !== undefined) {
+        this._connect(address);
+      }
     }
   }
 
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -1,5 +1,6 @@
 import type { AnsweredPartsMessage, CrashReport, SuspectsMessage, TrialMessage } from '../crashes/Types.js';
 import type { LeaseSnapshot, StoreFailure, TableName, TableRecord } from '../contracts/MetadataStore.js';
+import type { LeaderAnnouncement } from '../leadership/KnownLeader.js';
 import type { PermitMessage, PermitReport, RateLimitStatement } from '../rateLimits/Types.js';
 import type { ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
 import type { ModelReference } from '../Types.js';
@@ -157,6 +158,7 @@
   readonly trialRequest: TrialMessage;
   readonly trialGrant: TrialMessage;
   readonly trialEnd: TrialMessage;
+  readonly leader: LeaderAnnouncement;
   readonly leaseCall: LeaseCall;
   readonly leaseReply: LeaseReply;
 }
--- a/packages/gateway/src/replicas/changesInForce.test.ts
+++ b/packages/gateway/src/replicas/changesInForce.test.ts
@@ -1,6 +1,7 @@
 import * as vitest from 'vitest';
 import { ChangeSimulation, type ChangeTimes } from '../testing/changes/ChangeSimulation.js';
 import { changesMs, type Way, ways } from '../testing/changes/ways.js';
+import { seededRandom } from '../testing/seededRandom.js';
 
 /** Numbers of daemons with the time within which a change must be in force there, milliseconds. */
 const sizes = [
@@ -50,14 +51,3 @@
     },
   );
 });
-
-/** Mulberry32, a small generator of pseudorandom numbers from 0 up to 1. */
-function seededRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)) ^ mixed;
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
--- a/packages/gateway/src/testing/changes/ChangeSimulation.ts
+++ b/packages/gateway/src/testing/changes/ChangeSimulation.ts
@@ -1,5 +1,7 @@
 import * as vitest from 'vitest';
 import { systemClock } from '../../Clock.js';
+import type { LeaderAnnouncement } from '../../leadership/KnownLeader.js';
+import type { PeerMessages } from '../../peers/Types.js';
 import { sampleReplica } from '../sampleReplica.js';
 import { SimulatedGateway } from './SimulatedGateway.js';
 import { Network } from './SimulatedLink.js';
@@ -12,6 +14,18 @@
 /** Length of a step of the simulation, milliseconds. */
 const stepMs = 20;
 
+/** Gateways of which the others know the addresses from their settings. */
+const seedCount = 3;
+/** Place of the first leader. */
+const leaderIndex = 0;
+/** Time until gateways read that the lease has been taken over, milliseconds. */
+const leaseReadMs = 700;
+
+/** True for the gateways that the store serves. */
+export function servedGateways({ store }: SimulatedGateway): boolean {
+  return store.reachability === 'served';
+}
+
 /** How long changes took to be in force at the last gateway, milliseconds. */
 export interface ChangeTimes {
   readonly removalMs: number;
@@ -37,14 +51,19 @@
 export class ChangeSimulation implements AsyncDisposable {
   public readonly store = new SimulatedStore();
   private readonly _network = new Network();
+  private readonly _addresses: readonly string[];
+  private _term = 0;
   private _gateways: SimulatedGateway[] = [];
   private _leader: SimulatedGateway | undefined;
   private readonly _pending = new Set<PendingChange>();
   private readonly _slowest = { removal: 0, configuration: 0 };
   private _nextReplica = 0;
   private _version = 1;
+  private _concerned = servedGateways;
 
-  public constructor(private readonly _daemonCount: number) {}
+  public constructor(daemonCount: number) {
+    this._addresses = Array.from({ length: daemonCount }, (_none, index) => `10.0.${index >> 8}.${index & 255}:1`);
+  }
 
   /** Starts the gateways and waits until all follow the leader. */
   public async open(replicaCount: number): Promise<void> {
@@ -53,14 +72,9 @@
       this.store.write('replicas', `i-${index}`, sampleReplica({ id: `i-${index}` }));
     }
     this._startLeader();
-    for (let index = 1; index < this._daemonCount; index += 1) {
-      const follower = new SimulatedGateway(
-        this.store,
-        this._network,
-        this._daemonCount,
-        systemClock,
-        () => this._leader,
-      );
+    for (const address of this._addresses.slice(1)) {
+      const follower = this._createGateway(address);
+      follower.learnLeader(this._leaderRecord(leaderIndex));
       follower.start(Math.random() * 300);
       this._gateways.push(follower);
     }
@@ -72,6 +86,31 @@
     return this._gateways.filter((gateway) => gateway !== this._leader);
   }
 
+  /** Number of gateways that follow the leader. */
+  public get followingCount(): number {
+    return this._leader?.followerCount ?? 0;
+  }
+
+  /** Messages of a kind that the gateways have sent. */
+  public sentMessages(method: keyof PeerMessages): number {
+    return this._network.count(method);
+  }
+
+  /** Lets the last follower take the lease over. The gateways that the store serves read it there. */
+  public takeOver(): void {
+    this._leader?.loseLease();
+    const successor = this._gateways.at(-1);
+    this._term += 1;
+    const record = this._leaderRecord(this._addresses.length - 1);
+    successor?.learnLeader(record);
+    this._leader = successor;
+    setTimeout(() => {
+      for (const gateway of this._gateways.filter(({ store }) => store.reachability === 'served')) {
+        gateway.learnLeader(record);
+      }
+    }, leaseReadMs);
+  }
+
   /** Sets how the store answers the leader and a share of the followers. */
   public setReachability(reachability: Reachability, scope: FaultScope = { leader: true, followerShare: 0 }): void {
     const count = Math.floor(this.followers.length * scope.followerShare);
@@ -101,8 +140,12 @@
     this._leader = undefined;
   }
 
-  /** Removes replicas and changes the configuration for a time, and returns how long it took until all was in force. */
-  public async change(durationMs: number, settleMs: number): Promise<ChangeTimes> {
+  /**
+   * Removes replicas and changes the configuration for a time, and returns how long it took until all was in force at the
+   * gateways concerned.
+   */
+  public async change(durationMs: number, settleMs: number, concerned = servedGateways): Promise<ChangeTimes> {
+    this._concerned = concerned;
     const readsBefore = this.store.reads;
     for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += changeIntervalMs) {
       this._removeReplica();
@@ -136,11 +179,23 @@
   }
 
   private _startLeader(): void {
-    this._leader = new SimulatedGateway(this.store, this._network, this._daemonCount, systemClock);
+    this._term += 1;
+    this._leader = this._createGateway(this._addresses[leaderIndex] ?? '');
+    this._leader.learnLeader(this._leaderRecord(leaderIndex));
     this._leader.start(0);
     this._gateways.push(this._leader);
   }
 
+  private _createGateway(address: string): SimulatedGateway {
+    const place = { address, seeds: this._addresses.slice(0, seedCount), daemonCount: this._addresses.length };
+    return new SimulatedGateway(this.store, this._network, place, systemClock);
+  }
+
+  private _leaderRecord(index: number): LeaderAnnouncement {
+    const address = this._addresses[index] ?? '';
+    return { holder: address, peerAddress: address, term: this._term };
+  }
+
   private _removeReplica(): void {
     const id = `i-${this._nextReplica}`;
     this._nextReplica += 1;
@@ -157,11 +212,11 @@
     this._pending.add({ kind: 'configuration', atMs: systemClock.now().steadyMs, isInForce });
   }
 
-  /** Times the changes that are in force at all gateways that the store serves. */
+  /** Times the changes that are in force at all gateways concerned. */
   private _settle(): void {
-    const served = this._gateways.filter(({ store }) => store.reachability === 'served');
+    const concerned = this._gateways.filter(this._concerned);
     for (const change of this._pending) {
-      if (served.every((gateway) => change.isInForce(gateway))) {
+      if (concerned.every((gateway) => change.isInForce(gateway))) {
         const elapsedMs = systemClock.now().steadyMs - change.atMs;
         this._slowest[change.kind] = Math.max(this._slowest[change.kind], elapsedMs);
         this._pending.delete(change);
--- a/packages/gateway/src/testing/changes/SimulatedGateway.ts
+++ b/packages/gateway/src/testing/changes/SimulatedGateway.ts
@@ -1,6 +1,12 @@
+import * as common from '@jayhaven/common';
 import type { Clock } from '../../Clock.js';
+import { KnownLeader, type LeaderAnnouncement } from '../../leadership/KnownLeader.js';
+import { LeaderAnnouncer } from '../../leadership/LeaderAnnouncer.js';
+import { LeaderCoordinator } from '../../peers/LeaderCoordinator.js';
 import { LeaderView } from '../../peers/LeaderView.js';
 import { messageIntervals } from '../../peers/messageIntervals.js';
+import type { PeerMessage } from '../../peers/PeerChannel.js';
+import { PeerChoice } from '../../peers/PeerChoice.js';
 import type { PeerMessages } from '../../peers/Types.js';
 import { StatusThrottle } from '../../peers/StatusThrottle.js';
 import { ReplicaDirectory } from '../../replicas/ReplicaDirectory.js';
@@ -8,7 +14,8 @@
 import { TableForwarder } from '../../replicas/TableForwarder.js';
 import { RoutingTables } from '../../RoutingTables.js';
 import { silentLogger } from '../SilentLogger.js';
-import { type Network, SimulatedLink } from './SimulatedLink.js';
+import { SimulatedAnnouncementSender } from './SimulatedAnnouncementSender.js';
+import type { LinkAcceptor, Network, SendingEnd, SimulatedLink } from './SimulatedLink.js';
 import { type SimulatedStore, SimulatedStoreClient } from './SimulatedStore.js';
 
 const livenessMs = 1_200;
@@ -17,30 +24,54 @@
 const reconnectMs = 300;
 const leaderTickMs = 100;
 
+/** Place of a gateway among the others. */
+export interface GatewayPlace {
+  /** Address for peers, which is also the name. */
+  readonly address: string;
+  readonly seeds: readonly string[];
+  readonly daemonCount: number;
+}
+
 /** The tables of one gateway, which reads the simulated store and follows another gateway or is followed. */
-export class SimulatedGateway implements AsyncDisposable {
+export class SimulatedGateway implements AsyncDisposable, LinkAcceptor {
   public readonly store: SimulatedStoreClient;
   public readonly directory: ReplicaDirectory;
   public readonly routingTables: RoutingTables;
   private readonly _tables: StoreTables;
   private readonly _forwarder: TableForwarder;
+  private readonly _knownLeader: KnownLeader;
+  private readonly _announcer: LeaderAnnouncer;
+  private readonly _choice: PeerChoice;
   private readonly _leaderView = new LeaderView();
   private readonly _statusThrottle = new StatusThrottle();
   private readonly _followers = new Set<SimulatedLink>();
+  private readonly _onJoined = new common.Emitter<SendingEnd>();
+  private readonly _onFollowerMessage = new common.Emitter<{ channel: SendingEnd; message: PeerMessage }>();
+  private readonly _onLeaderMessage = new common.Emitter<PeerMessage>();
   private _leaderLink: SimulatedLink | undefined;
   private _lastMessageMs = Number.NEGATIVE_INFINITY;
   private _linkOpenedMs = Number.NEGATIVE_INFINITY;
   private _nextTickMs = Number.POSITIVE_INFINITY;
+  private _isHolder = false;
   private _isStopped = false;
 
   public constructor(
     store: SimulatedStore,
     private readonly _network: Network,
-    private readonly _daemonCount: number,
+    private readonly _place: GatewayPlace,
     private readonly _clock: Clock,
-    /** The gateway to follow; undefined for the leader. */
-    private readonly _findLeader?: () => SimulatedGateway | undefined,
   ) {
+    const { address, seeds } = _place;
+    const otherSeeds = seeds.filter((seed) => seed !== address);
+    this._choice = new PeerChoice(otherSeeds.flatMap((seed) => common.settings.parseAddress(seed) ?? []));
+    this._knownLeader = new KnownLeader(address, silentLogger);
+    this._announcer = new LeaderAnnouncer(
+      this._knownLeader,
+      otherSeeds,
+      new SimulatedAnnouncementSender(_network),
+      () => this._isHolder,
+      silentLogger,
+    );
     this.store = new SimulatedStoreClient(store);
     this.directory = new ReplicaDirectory((id, text) => this.store.decodeReplica(id, text), silentLogger);
     this.routingTables = new RoutingTables(this.store, this.directory, silentLogger);
@@ -58,14 +89,32 @@
       _clock,
       silentLogger,
     );
+    this._exchangeLeaders();
   }
 
   /** Begins to read and to follow; the periodic work begins after a delay, milliseconds. */
   public start(firstTickMs: number): void {
+    this._network.listen(this._place.address, this);
     this._tables.start();
     this._nextTickMs = this._clock.now().steadyMs + firstTickMs;
   }
 
+  /** Number of gateways that follow this one. */
+  public get followerCount(): number {
+    return this._followers.size;
+  }
+
+  /** Applies a record of the lease. */
+  public learnLeader(leader: LeaderAnnouncement): void {
+    this._isHolder = leader.holder === this._place.address;
+    this._knownLeader.learnFromStore(leader);
+  }
+
+  /** Ends the term of this gateway, as its lease expires. */
+  public loseLease(): void {
+    this._isHolder = false;
+  }
+
   /** Does the periodic work if it is due. */
   public tickIfDue(nowMs: number): void {
     if (!this._isStopped && nowMs >= this._nextTickMs) {
@@ -77,7 +126,9 @@
   public accept(link: SimulatedLink): void {
     this._followers.add(link);
     link.onClosed(() => this._followers.delete(link));
+    this._onJoined.fire(link.toFollower);
     link.onMessageToLeader(({ method, params }) => {
+      this._onFollowerMessage.fire({ channel: link.toFollower, message: { method, params } as PeerMessage });
       if (method === 'known') {
         this._tables.sendMissingRecords(link.toFollower, params as PeerMessages['known']);
       } else if (method === 'table') {
@@ -96,6 +147,8 @@
   /** Closes all connections as a process that ends does. */
   public async [Symbol.asyncDispose](): Promise<void> {
     this._isStopped = true;
+    this._network.listen(this._place.address, undefined);
+    await this._announcer[Symbol.asyncDispose]();
     this._leaderLink?.close();
     for (const link of [...this._followers]) {
       link.close();
@@ -106,11 +159,29 @@
   /** Stops all messages without an end of the connections, as a suspended VM does. */
   public suspend(): void {
     this._isStopped = true;
+    this._network.listen(this._place.address, undefined);
     for (const link of this._followers) {
       link.isSilent = true;
     }
   }
 
+  private _exchangeLeaders(): void {
+    this._knownLeader.onChanged(({ peerAddress }) => {
+      const { isSelf } = this._knownLeader;
+      const leader = isSelf ? undefined : common.settings.parseAddress(peerAddress);
+      if (this._choice.setLeader(leader) || isSelf) {
+        this._leaderLink?.close();
+        this._linkOpenedMs = Number.NEGATIVE_INFINITY;
+      }
+    });
+    const server = {
+      ...this._server(),
+      onJoined: this._onJoined.event,
+      onMessage: this._onFollowerMessage.event,
+    };
+    new LeaderCoordinator(this._knownLeader, { server, client: { onMessage: this._onLeaderMessage.event } });
+  }
+
   private _server(): TableForwarder['_context']['server'] {
     const followers = this._followers;
     return {
@@ -135,22 +206,23 @@
   }
 
   private _tick(nowMs: number): void {
-    const intervals = messageIntervals(this._daemonCount);
+    const intervals = messageIntervals(this._place.daemonCount);
     this.directory.expire(nowMs);
     this._forwarder.updateReadTiming(nowMs);
-    if (this._findLeader === undefined) {
+    if (this._isHolder || this._followers.size > 0) {
       this._sendStatus(intervals.heartbeatMs, nowMs);
-    } else {
+    }
+    if (!this._isHolder) {
       this._maintainLink(nowMs);
     }
-    this._nextTickMs = nowMs + (this._findLeader === undefined ? leaderTickMs : intervals.tickMs);
+    this._nextTickMs = nowMs + (this._isHolder ? leaderTickMs : intervals.tickMs);
   }
 
   private _sendStatus(heartbeatMs: number, nowMs: number): void {
     const status = {
-      leads: true,
+      leads: this._isHolder,
       tellsChanges: this._tables.isCurrent(nowMs),
-      daemonCount: this._daemonCount,
+      daemonCount: this._place.daemonCount,
       ends: this._tables.endOffsets(),
     };
     const message = this._statusThrottle.next(status, heartbeatMs, nowMs);
@@ -165,21 +237,28 @@
     if (this._leaderLink !== undefined && nowMs - Math.max(this._lastMessageMs, this._linkOpenedMs) > leaderSilenceMs) {
       this._leaderLink.close();
     }
-    const leader = this._findLeader?.();
-    if (this._leaderLink !== undefined || leader === undefined || nowMs - this._linkOpenedMs < reconnectMs) {
+    if (this._leaderLink === undefined && nowMs - this._linkOpenedMs >= reconnectMs) {
+      this._linkOpenedMs = nowMs;
+      this._openLink();
+    }
+  }
+
+  private _openLink(): void {
+    const address = this._choice.next();
+    const link = address && this._network.connect(`${address.host}:${address.port}`);
+    if (link === undefined) {
       return;
     }
-    const link = new SimulatedLink(this._network);
     this._leaderLink = link;
-    this._linkOpenedMs = nowMs;
     link.onClosed(() => {
-      this._leaderLink = undefined;
+      this._leaderLink = this._leaderLink === link ? undefined : this._leaderLink;
     });
     link.onMessageToFollower(({ method, params }) => {
       this._lastMessageMs = this._clock.now().steadyMs;
+      const message = { method, params } as PeerMessage;
       this._receiveFromLeader(method, params);
+      this._onLeaderMessage.fire(message);
     });
-    leader.accept(link);
     this._tables.followPeer(link.toLeader);
   }
 
--- a/packages/gateway/src/testing/changes/SimulatedLink.ts
+++ b/packages/gateway/src/testing/changes/SimulatedLink.ts
@@ -7,14 +7,47 @@
   readonly params: unknown;
 }
 
+/** Accepts connections. */
+export interface LinkAcceptor {
+  accept(link: SimulatedLink): void;
+}
+
 /** Hands messages over at the end of a step of the simulation, since a timer for each would take most of its time. */
 export class Network {
   private _pending: (() => void)[] = [];
+  private readonly _acceptors = new Map<string, LinkAcceptor>();
+  private readonly _counts = new Map<keyof PeerMessages, number>();
 
-  public queue(deliver: () => void): void {
+  public queue(method: keyof PeerMessages, deliver: () => void): void {
+    this._counts.set(method, this.count(method) + 1);
     this._pending.push(deliver);
   }
 
+  /** Number of messages of a kind that were sent. */
+  public count(method: keyof PeerMessages): number {
+    return this._counts.get(method) ?? 0;
+  }
+
+  /** Sets who accepts connections at an address; undefined if nobody does. */
+  public listen(address: string, acceptor: LinkAcceptor | undefined): void {
+    if (acceptor === undefined) {
+      this._acceptors.delete(address);
+    } else {
+      this._acceptors.set(address, acceptor);
+    }
+  }
+
+  /** Opens a connection; undefined if nobody accepts it. */
+  public connect(address: string): SimulatedLink | undefined {
+    const acceptor = this._acceptors.get(address);
+    if (acceptor === undefined) {
+      return undefined;
+    }
+    const link = new SimulatedLink(this);
+    acceptor.accept(link);
+    return link;
+  }
+
   public deliver(): void {
     const due = this._pending;
     this._pending = [];
@@ -25,7 +58,7 @@
 }
 
 /** The sending end of a direction of a link. */
-interface SendingEnd {
+export interface SendingEnd {
   send<Method extends keyof PeerMessages>(method: Method, params: PeerMessages[Method]): void;
 }
 
@@ -55,7 +88,7 @@
   private _sendingEnd(emitter: common.Emitter<SimulatedMessage>): SendingEnd {
     return {
       send: (method, params) => {
-        this._network.queue(() => {
+        this._network.queue(method, () => {
           if (!this._isClosed && !this.isSilent) {
             emitter.fire({ method, params });
           }
