--- a/packages/gateway/src/leadership/takeover.test.ts
+++ b/packages/gateway/src/leadership/takeover.test.ts
@@ -13,6 +13,8 @@
 const replicaCount = 40;
 /** Time between the first refusal and the takeover, milliseconds. */
 const refusedMs = 2_000;
+/** Time within which daemons find a new leader although the former one has ended, milliseconds. */
+const searchMs = 9_000;
 const changesMs = 3_000;
 const settleMs = 6_000;
 /** Messages on the leader beyond one for each daemon: announcements with their answers, and those of the seeds. */
@@ -53,4 +55,17 @@
       vitest.expect(simulation.sentMessages('leader')).toBeLessThanOrEqual(daemonCount + furtherMessages);
     },
   );
+
+  vitest.test.each(sizes)(
+    'is found by all $daemonCount daemons although the former leader has ended (guards against daemons that ask nobody else)',
+    async ({ daemonCount, boundMs }) => {
+      await using simulation = await refuseAllButOne(daemonCount);
+      await simulation.killLeader();
+      await simulation.advance(refusedMs);
+      simulation.takeOver();
+      await simulation.advance(searchMs);
+      vitest.expect(simulation.followingCount).toBe(daemonCount - 2);
+      vitest.expect(await changeTimeMs(simulation)).toBeLessThanOrEqual(boundMs - marginMs);
+    },
+  );
 });
--- a/packages/gateway/src/peers/PeerClient.ts
+++ b/packages/gateway/src/peers/PeerClient.ts
@@ -13,7 +13,7 @@
 /** Least time between two connection attempts, milliseconds. */
 const reconnectMs = 300;
 
-/** The connection to the placement leader, or to one of the seeds while the leader is unknown. */
+/** The connection to the placement leader, or to one of the seeds while the leader is unknown or lost. */
 export class PeerClient implements AsyncDisposable {
   private readonly _onConnected = new common.Emitter<PeerChannel>();
   /** Fires with each new connection. */
@@ -46,7 +46,7 @@
 
   /** Sets the address of the leader; undefined if this daemon leads. */
   public setLeader(leader: Address | undefined): void {
-    const isChanged = this._choice.setLeader(leader);
+    const isChanged = this._choice.setLeader(leader, this._clock.now().steadyMs);
     if (isChanged || leader === undefined) {
       this._channel?.close('the leader has changed');
       this._connecting?.destroy();
@@ -64,11 +64,13 @@
     // The channel counts its start as the first receipt, so that a new one has time for the first message.
     if (this._channel !== undefined && nowMs - this._channel.lastReceivedMs > silenceTimeoutMs) {
       this._channel.close('the leader is silent');
+    } else if (this._choice.isSubstituteExpired(nowMs)) {
+      this._channel?.close('trying the leader again');
     }
     const isIdle = this._channel === undefined && this._connecting === undefined;
     if (shouldConnect && isIdle && nowMs >= this._nextAttemptMs) {
       this._nextAttemptMs = nowMs + reconnectMs;
-      const address = this._choice.next();
+      const address = this._choice.next(nowMs);
       if (address !== undefined) {
         this._connect(address);
       }
@@ -105,6 +107,7 @@
     this._log.info('Connected to a peer.', { host: address.host, port: address.port });
     channel.onMessage((message) => {
       this._lastMessageMs = this._clock.now().steadyMs;
+      this._choice.recordMessage(message.method === 'status' && message.params.leads, this._lastMessageMs);
       this._onMessage.fire(message);
     });
     channel.onClosed((reason) => {
--- a/packages/gateway/src/testing/changes/SimulatedGateway.ts
+++ b/packages/gateway/src/testing/changes/SimulatedGateway.ts
@@ -169,7 +169,7 @@
     this._knownLeader.onChanged(({ peerAddress }) => {
       const { isSelf } = this._knownLeader;
       const leader = isSelf ? undefined : common.settings.parseAddress(peerAddress);
-      if (this._choice.setLeader(leader) || isSelf) {
+      if (this._choice.setLeader(leader, this._clock.now().steadyMs) || isSelf) {
         this._leaderLink?.close();
         this._linkOpenedMs = Number.NEGATIVE_INFINITY;
       }
@@ -236,15 +236,17 @@
   private _maintainLink(nowMs: number): void {
     if (this._leaderLink !== undefined && nowMs - Math.max(this._lastMessageMs, this._linkOpenedMs) > leaderSilenceMs) {
       this._leaderLink.close();
+    } else if (this._choice.isSubstituteExpired(nowMs)) {
+      this._leaderLink?.close();
     }
     if (this._leaderLink === undefined && nowMs - this._linkOpenedMs >= reconnectMs) {
       this._linkOpenedMs = nowMs;
-      this._openLink();
+      this._openLink(nowMs);
     }
   }
 
-  private _openLink(): void {
-    const address = this._choice.next();
+  private _openLink(nowMs: number): void {
+    const address = this._choice.next(nowMs);
     const link = address && this._network.connect(`${address.host}:${address.port}`);
     if (link === undefined) {
       return;
@@ -256,6 +258,7 @@
     link.onMessageToFollower(({ method, params }) => {
       this._lastMessageMs = this._clock.now().steadyMs;
       const message = { method, params } as PeerMessage;
+      this._choice.recordMessage(message.method === 'status' && message.params.leads, this._lastMessageMs);
       this._receiveFromLeader(method, params);
       this._onLeaderMessage.fire(message);
     });
