--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -37,6 +37,7 @@
   streamVersions: true,
   originQuery: true,
   originReply: true,
+  leader: true,
   leaseCall: true,
   leaseReply: true,
 };
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -1,5 +1,6 @@
 import type { AnsweredPartsMessage, CrashReport, SuspectsMessage, TrialMessage } from '../crashes/Types.js';
 import type { LeaseSnapshot, StoreFailure, TableName, TableRecord } from '../contracts/MetadataStore.js';
+import type { LeaderAnnouncement } from '../leadership/KnownLeader.js';
 import type { PermitMessage, PermitReport, RateLimitStatement } from '../rateLimits/Types.js';
 import type { ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
 import type { OriginQuery, OriginReply, OriginsMessage, VersionsMessage } from '../streams/Types.js';
@@ -164,6 +165,7 @@
   readonly streamVersions: VersionsMessage;
   readonly originQuery: OriginQuery;
   readonly originReply: OriginReply;
+  readonly leader: LeaderAnnouncement;
   readonly leaseCall: LeaseCall;
   readonly leaseReply: LeaseReply;
 }
