Store where a stream began before its first event is passed on

Callers saw: after the loss of all gateways during a release, streams refused with 503 that a replica of their version could have gone on with.

Change: while a service has several versions, the first event of a stream waits until the leader confirms that its origin is stored, for 120 ms at most; a batch is written every 30 ms instead of 100 ms. With one version nothing waits.

--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -76,7 +76,6 @@
       onProgress: () => {
         this._inactivityTimer.refresh();
         this._attempt.recordEvents(this._relay.completeEvents, this._nowMs());
-        this._recordOrigin();
       },
       onEnd: () => {
         this._responseEnded();
@@ -160,12 +159,15 @@
     });
   }
 
-  /** Records which version began the stream, with the first event that is passed on. */
-  private _recordOrigin(): void {
+  /** Records which version begins the stream, and calls `release` once its first event may be passed on. */
+  private _recordOrigin(release: () => void): void {
     const { replica } = this._attempt;
-    if (this._callerRequest !== undefined && this._route !== undefined && replica !== undefined) {
-      this._continuation.recordEvents(this._callerRequest.attemptId, this._route, this._service, replica);
+    if (this._callerRequest === undefined || this._route === undefined || replica === undefined) {
+      release();
+      return;
     }
+    const { attemptId } = this._callerRequest;
+    this._continuation.recordFirstEvent(attemptId, this._route, this._service, replica, release);
   }
 
   /** Sends the request to the best replica, queues it or refuses it. Returns false if the request has to wait. */
@@ -335,6 +337,9 @@
     this._relay.start(response, {
       isEventStream,
       isFramed: isFramed(response),
+      beforeFirstEvent: (release) => {
+        this._recordOrigin(release);
+      },
       isComplete: () => this._attempt.isComplete(response),
     });
     if (isEventStream) {
--- a/packages/gateway/src/forwarding/ResponseRelay.ts
+++ b/packages/gateway/src/forwarding/ResponseRelay.ts
@@ -22,10 +22,18 @@
   readonly isEventStream: boolean;
   /** The response has a length or chunks; otherwise it ends with its connection. */
   readonly isFramed: boolean;
+  /** Called before the first events are passed on to the caller; they wait until `release` is called. */
+  readonly beforeFirstEvent: (release: () => void) => void;
   /** Called at the end of the body; returns true if the body is complete. */
   readonly isComplete: () => boolean;
 }
 
+/** First events of a stream that wait to be passed on. */
+interface HeldEvents {
+  readonly parts: Buffer[];
+  readonly body: common.PacedBody;
+}
+
 /** Relays responses of replicas to one caller. The head is sent together with the first bytes of the body. */
 export class ResponseRelay {
   private _upstream: http.IncomingMessage | undefined;
@@ -35,6 +43,8 @@
   /** Media type of the response whose head was sent. */
   private _sentMediaType: string | undefined;
   private _receivedBytes = 0;
+  /** First events that wait to be passed on; undefined if none do. */
+  private _held: HeldEvents | undefined;
   /** Complete events before the current response. */
   private _earlierEvents = 0;
 
@@ -74,7 +84,7 @@
     }
     this._earlierEvents = this._eventBuffer?.completeEvents ?? 0;
     const body = new common.PacedBody(upstream, (chunk) => {
-      this._forward(chunk, upstream, body);
+      this._forward(chunk, upstream, body, options);
     });
     upstream.on('end', () => {
       this._end(upstream, options.isComplete() && (options.isFramed || !this._isInsideEvent));
@@ -102,6 +112,7 @@
 
   /** Stops relaying the current response and drops a partial event. */
   public detach(): void {
+    this._releaseHeld();
     this._upstream = undefined;
     this._eventBuffer?.dropPartial();
   }
@@ -111,7 +122,12 @@
     return this._eventBuffer?.isInsideEvent === true;
   }
 
-  private _forward(chunk: Buffer, upstream: http.IncomingMessage, body: common.PacedBody): void {
+  private _forward(
+    chunk: Buffer,
+    upstream: http.IncomingMessage,
+    body: common.PacedBody,
+    { isEventStream, beforeFirstEvent }: RelayOptions,
+  ): void {
     if (this._upstream !== upstream) {
       return;
     }
@@ -127,6 +143,41 @@
       return;
     }
     this._listener.onProgress();
+    if (isEventStream && !this._headSent) {
+      this._hold(bytes, body, beforeFirstEvent);
+    } else {
+      this._write(bytes, body);
+    }
+  }
+
+  /** Passes the first events on once they are released. What arrives meanwhile follows them. */
+  private _hold(bytes: Buffer, body: common.PacedBody, beforeFirstEvent: RelayOptions['beforeFirstEvent']): void {
+    if (this._held !== undefined) {
+      this._held.parts.push(bytes);
+      return;
+    }
+    const held: HeldEvents = { parts: [bytes], body };
+    this._held = held;
+    beforeFirstEvent(() => {
+      if (this._held === held) {
+        this._releaseHeld();
+      }
+    });
+    if (this._held === held) {
+      body.pause();
+    }
+  }
+
+  private _releaseHeld(): void {
+    const held = this._held;
+    this._held = undefined;
+    if (held !== undefined) {
+      held.body.resume();
+      this._write(Buffer.concat(held.parts), held.body);
+    }
+  }
+
+  private _write(bytes: Buffer, body: common.PacedBody): void {
     this._sendHead();
     if (!this._response.write(bytes)) {
       body.pause();
@@ -152,6 +203,7 @@
       this.interrupt('the answer was cut off');
       return;
     }
+    this._releaseHeld();
     this._upstream = undefined;
     this._sendHead();
     this._response.end(this._eventBuffer?.flush());
--- a/packages/gateway/src/forwarding/StreamContinuation.ts
+++ b/packages/gateway/src/forwarding/StreamContinuation.ts
@@ -54,12 +54,23 @@
     };
   }
 
-  /** Records that events of a replica are passed on to the caller. */
-  public recordEvents(attemptId: string, route: Route, service: string, replica: Replica): void {
-    if (this._version === undefined && mayBeTakenUp(route)) {
-      this._version = replica.softwareVersion;
-      this._record(attemptId, service, replica.softwareVersion);
+  /**
+   * Records which replica begins the stream, before its first event is passed on. Calls `onStored` once the event may be
+   * passed on; at once if the stream has begun before or cannot be taken up.
+   */
+  public recordFirstEvent(
+    attemptId: string,
+    route: Route,
+    service: string,
+    replica: Replica,
+    onStored: () => void,
+  ): void {
+    if (this._version !== undefined || !mayBeTakenUp(route)) {
+      onStored();
+      return;
     }
+    this._version = replica.softwareVersion;
+    this._origins.begin({ attemptId, service, version: replica.softwareVersion }, onStored);
   }
 
   /** Ends the search. */
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -34,6 +34,7 @@
   trialGrant: true,
   trialEnd: true,
   streamOrigins: true,
+  originsStored: true,
   streamVersions: true,
   originQuery: true,
   originReply: true,
--- a/packages/gateway/src/peers/StreamCoordinator.ts
+++ b/packages/gateway/src/peers/StreamCoordinator.ts
@@ -5,6 +5,7 @@
 import { groupOrigins, OriginTable, ungroupOrigins } from '../streams/OriginTable.js';
 import { type OriginListener, PendingQueries } from '../streams/PendingQueries.js';
 import { readStreamRecords } from '../streams/readStreamRecords.js';
+import { StoredWaits } from '../streams/StoredWaits.js';
 import { StreamRegistry, type StreamRegistryContext } from '../streams/StreamRegistry.js';
 import type {
   OriginAnswer,
@@ -42,6 +43,14 @@
   readonly client: Pick<PeerClient, 'send' | 'onConnected' | 'onMessage'>;
 }
 
+/** A message of a follower whose origins are not stored yet. */
+interface OpenMessage {
+  readonly channel: Pick<PeerChannel, 'send'>;
+  readonly sequence: number;
+  /** Position up to which the registry must have stored origins. */
+  readonly position: number;
+}
+
 /** Finds out where streams began, with the peers and the store, so that they go on at the same software version. */
 export class StreamCoordinator implements StreamOrigins {
   private readonly _server: StreamLinks['server'];
@@ -54,6 +63,14 @@
   /** Services whose origins the leader wants. */
   private _recorded: ReadonlySet<string> = new Set();
   private _unsent: readonly StreamOrigin[] = [];
+  /** Number of the next message with origins on the connection to the leader. */
+  private _nextSequence = 1;
+  /** Streams whose origins are in messages to the leader, by number of the message. */
+  private readonly _sentWaits = new StoredWaits();
+  /** Streams whose origins this daemon stores as the leader, by position. */
+  private readonly _waits = new StoredWaits();
+  /** Messages of followers whose origins are not stored yet, oldest first. */
+  private _openMessages: readonly OpenMessage[] = [];
   private _sendTimer: NodeJS.Timeout | undefined;
   private _lastHeardMs: number;
   private _nextReadMs = Number.NEGATIVE_INFINITY;
@@ -74,6 +91,10 @@
       server.broadcast('streamVersions', message);
       this._applyVersions(message);
     });
+    this._registry.onSaved((position) => {
+      this._waits.resolve(position);
+      this._confirm(position);
+    });
     this._followPeers();
   }
 
@@ -90,6 +111,20 @@
     }
   }
 
+  public begin(origin: StreamOrigin, onStored: () => void): void {
+    const nowMs = this._nowMs();
+    const isNew = this._own.add(origin, nowMs);
+    if (this._registry.isLeading) {
+      this._waits.add(this._registry.add([origin], nowMs), onStored);
+    } else if (isNew && this._recorded.has(origin.service)) {
+      this._unsent = [...this._unsent, origin];
+      this._scheduleSend();
+      this._sentWaits.add(this._nextSequence, onStored);
+    } else {
+      onStored();
+    }
+  }
+
   public mayBegin(service: string, version: string): boolean {
     return this._gate.mayBegin(service, version, this._nowMs());
   }
@@ -127,12 +162,16 @@
       this._unsent = [];
     } else if (!leads && this._registry.isLeading) {
       this._registry.stop();
+      this._waits.resolveAll();
+      this._openMessages = [];
     }
   }
 
   private _followPeers(): void {
     this._client.onConnected(() => {
       this._recorded = new Set();
+      this._nextSequence = 1;
+      this._sentWaits.resolveAll();
       this._ask(this._pending.all);
     });
     this._client.onMessage((message) => {
@@ -152,6 +191,8 @@
   private _receiveFromLeader(message: PeerMessage): void {
     if (message.method === 'streamVersions') {
       this._applyVersions(message.params);
+    } else if (message.method === 'originsStored') {
+      this._sentWaits.resolve(message.params.sequence);
     } else if (message.method === 'originReply') {
       const { version, ...query } = message.params;
       this._pending.answer(query, version === undefined ? { kind: 'unknown' } : { kind: 'known', version });
@@ -160,7 +201,13 @@
 
   private _receiveFromFollower(channel: Pick<PeerChannel, 'send'>, message: PeerMessage): void {
     if (message.method === 'streamOrigins' && this._leads()) {
-      this._registry.add(ungroupOrigins(message.params.groups), this._nowMs());
+      const position = this._registry.add(ungroupOrigins(message.params.groups), this._nowMs());
+      const { sequence } = message.params;
+      if (position === undefined) {
+        channel.send('originsStored', { sequence });
+      } else {
+        this._openMessages = [...this._openMessages, { channel, sequence, position }];
+      }
     } else if (message.method === 'originQuery') {
       const answer = this._leads() ? this._registry.answer(message.params, this._nowMs()) : undefined;
       if (answer !== undefined) {
@@ -194,7 +241,18 @@
     }
     const batch = this._unsent.slice(0, maximumMessageOrigins);
     this._unsent = this._unsent.slice(batch.length);
-    this._client.send('streamOrigins', { groups: groupOrigins(batch) });
+    this._client.send('streamOrigins', { sequence: this._nextSequence, groups: groupOrigins(batch) });
+    this._nextSequence += 1;
+  }
+
+  /** Confirms the messages of followers whose origins are stored. */
+  private _confirm(position: number): void {
+    const stored = this._openMessages.filter((message) => message.position <= position);
+    this._openMessages = this._openMessages.filter((message) => message.position > position);
+    const newest = new Map(stored.map(({ channel, sequence }) => [channel, sequence]));
+    for (const [channel, sequence] of newest) {
+      channel.send('originsStored', { sequence });
+    }
   }
 
   /** Asks the leader, which may be this daemon. Queries without an answer are asked again with each tick. */
@@ -241,7 +299,7 @@
       const answer = decideOrigin({
         recorded: query.attemptId === undefined ? undefined : recorded.get(query.attemptId),
         versions: [...versions],
-        isHistoryComplete: history !== undefined && history.era === outcome.value.era,
+        isHistoryComplete: history?.era === outcome.value.era,
         areRecordsComplete: false,
       });
       if (answer !== undefined) {
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -3,7 +3,13 @@
 import type { LeaderAnnouncement } from '../leadership/KnownLeader.js';
 import type { PermitMessage, PermitReport, RateLimitStatement } from '../rateLimits/Types.js';
 import type { ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
-import type { OriginQuery, OriginReply, OriginsMessage, VersionsMessage } from '../streams/Types.js';
+import type {
+  OriginQuery,
+  OriginReply,
+  OriginsMessage,
+  OriginsStoredMessage,
+  VersionsMessage,
+} from '../streams/Types.js';
 import type { ModelReference } from '../Types.js';
 
 /** Requests of one daemon that wait for a model or adapter. */
@@ -162,6 +168,7 @@
   readonly trialGrant: TrialMessage;
   readonly trialEnd: TrialMessage;
   readonly streamOrigins: OriginsMessage;
+  readonly originsStored: OriginsStoredMessage;
   readonly streamVersions: VersionsMessage;
   readonly originQuery: OriginQuery;
   readonly originReply: OriginReply;
--- /dev/null
+++ b/packages/gateway/src/streams/StoredWaits.test.ts
@@ -0,0 +1,39 @@
+import * as vitest from 'vitest';
+import { StoredWaits } from './StoredWaits.js';
+
+vitest.describe('StoredWaits', () => {
+  vitest.beforeEach(() => {
+    vitest.vi.useFakeTimers();
+  });
+  vitest.afterEach(() => {
+    vitest.vi.useRealTimers();
+  });
+
+  vitest.test(
+    'hold a stream until its origin is stored (guards against streams that a loss of all daemons forgets)',
+    () => {
+      const waits = new StoredWaits();
+      const released: string[] = [];
+      waits.add(1, () => released.push('first'));
+      waits.add(2, () => released.push('second'));
+      waits.add(undefined, () => released.push('unrecorded'));
+      vitest.expect(released).toEqual(['unrecorded']);
+      waits.resolve(1);
+      vitest.expect(released).toEqual(['unrecorded', 'first']);
+    },
+  );
+
+  vitest.test(
+    'release a stream once, also without an answer of the store (guards against streams that are late)',
+    () => {
+      const waits = new StoredWaits();
+      let releases = 0;
+      waits.add(1, () => (releases += 1));
+      vitest.vi.advanceTimersByTime(119);
+      vitest.expect(releases).toBe(0);
+      vitest.vi.advanceTimersByTime(1);
+      waits.resolveAll();
+      vitest.expect(releases).toBe(1);
+    },
+  );
+});
--- a/packages/gateway/src/streams/StreamRegistry.ts
+++ b/packages/gateway/src/streams/StreamRegistry.ts
@@ -9,11 +9,8 @@
 import type { OriginAnswer, OriginQuery, ServiceVersions, StreamOrigin, VersionsMessage } from './Types.js';
 import { VersionHistory } from './VersionHistory.js';
 
-/**
- * Least time between two batches of origins, milliseconds. Streams that are in no batch yet are refused after a loss of all
- * daemons. The store takes hundreds of writes a second.
- */
-const batchIntervalMs = 100;
+/** Least time between two batches of origins, milliseconds. The first events of their streams wait for a batch. */
+const batchIntervalMs = 30;
 /** Pause after a failed call to the store, milliseconds. */
 const retryMs = 300;
 /** Time after which the daemons have sent a new leader the origins that they know, milliseconds. */
@@ -37,9 +34,14 @@
   private readonly _onVersions = new common.Emitter<VersionsMessage>();
   /** Fires when the stored versions, or the services whose origins are recorded, have changed. */
   public readonly onVersions = this._onVersions.event;
+  private readonly _onSaved = new common.Emitter<number>();
+  /** Fires with the position up to which origins are stored. */
+  public readonly onSaved = this._onSaved.event;
   private _history = new VersionHistory();
   private readonly _origins = new OriginTable();
   private _unsaved: readonly StreamOrigin[] = [];
+  /** Number of origins that were to be stored so far. */
+  private _savePosition = 0;
   /** Versions of the last history that was written or read. */
   private _stored: ServiceVersions | undefined;
   /** Era in the last history that was written or read. */
@@ -95,11 +97,16 @@
     this._unsaved = [];
   }
 
-  /** Adds origins that a daemon reports. */
-  public add(origins: readonly StreamOrigin[], nowMs: number): void {
-    const added = origins.filter((origin) => this._origins.add(origin, nowMs));
-    this._save(added.filter(({ service }) => this._recorded.has(service)));
+  /**
+   * Adds origins that a daemon reports. Returns the position up to which origins must be stored so that these are;
+   * undefined if they need no record.
+   */
+  public add(origins: readonly StreamOrigin[], nowMs: number): number | undefined {
+    const recorded = origins.filter(({ service }) => this._recorded.has(service));
+    const added = new Set(origins.filter((origin) => this._origins.add(origin, nowMs)));
+    this._save(recorded.filter((origin) => added.has(origin)));
     this._callIfDue(nowMs);
+    return recorded.length > 0 ? this._savePosition : undefined;
   }
 
   /** Called several times a second while this daemon leads. */
@@ -159,6 +166,7 @@
 
   private _save(origins: readonly StreamOrigin[]): void {
     this._unsaved = [...this._unsaved, ...origins];
+    this._savePosition += origins.length;
   }
 
   private _callIfDue(nowMs: number): void {
@@ -182,8 +190,16 @@
     this._isCalling = true;
     const hasSucceeded = await call(this._term);
     this._isCalling = false;
+    const nowMs = this._clock.now().steadyMs;
     if (!hasSucceeded) {
-      this._nextCallMs = this._clock.now().steadyMs + retryMs;
+      this._nextCallMs = nowMs + retryMs;
+    } else if (this.isLeading && this._unsaved.length > 0) {
+      setTimeout(
+        () => {
+          this._callIfDue(this._clock.now().steadyMs);
+        },
+        Math.max(this._nextCallMs - nowMs, 0),
+      ).unref();
     }
   }
 
@@ -265,6 +281,7 @@
       this._end = { ...end, offset: outcome.value + 1 };
       this._nextSlot += 1;
       this._unsaved = this._unsaved.slice(batch.length);
+      this._onSaved.fire(this._savePosition - this._unsaved.length);
     }
     return this._hasSucceeded(outcome, 'Could not store origins of streams.');
   }
--- a/packages/gateway/src/streams/Types.ts
+++ b/packages/gateway/src/streams/Types.ts
@@ -20,8 +20,13 @@
 
 /** Knowledge of where streams began, over all daemons. */
 export interface StreamOrigins {
-  /** Records where a stream began. */
+  /** Records where a stream began that a caller takes up. */
   record(origin: StreamOrigin): void;
+  /**
+   * Records that a stream begins. Calls `onStored` once: as soon as the origin outlives the loss of all daemons, or after a
+   * limited time; at once if it needs no record.
+   */
+  begin(origin: StreamOrigin, onStored: () => void): void;
   /** True if a stream may begin at a software version of a service. */
   mayBegin(service: string, version: string): boolean;
   /** Finds out where a stream began; the answer may come at once. The result ends the search. */
@@ -30,9 +35,16 @@
 
 /** Origins that a daemon reports to the leader. */
 export interface OriginsMessage {
+  /** Number of the message on its connection, from 1. */
+  readonly sequence: number;
   readonly groups: readonly OriginGroup[];
 }
 
+/** Of the leader: the origins of messages up to this one are stored. */
+export interface OriginsStoredMessage {
+  readonly sequence: number;
+}
+
 /** Of the leader: the versions at which streams may begin, and the services whose origins it wants. */
 export interface VersionsMessage {
   readonly versions: ServiceVersions;
--- a/packages/gateway/src/testing/FakeStreamOrigins.ts
+++ b/packages/gateway/src/testing/FakeStreamOrigins.ts
@@ -4,12 +4,23 @@
 export class FakeStreamOrigins implements StreamOrigins {
   public readonly answers = new Map<string, OriginAnswer>();
   public readonly recorded: StreamOrigin[] = [];
+  /** Time until the origin of a new stream is stored, milliseconds. */
+  public storeMs = 0;
   public readonly heldVersions = new Set<string>();
 
   public record(origin: StreamOrigin): void {
     this.recorded.push(origin);
   }
 
+  public begin(origin: StreamOrigin, onStored: () => void): void {
+    this.recorded.push(origin);
+    if (this.storeMs === 0) {
+      onStored();
+    } else {
+      setTimeout(onStored, this.storeMs);
+    }
+  }
+
   public mayBegin(_service: string, version: string): boolean {
     return !this.heldVersions.has(version);
   }
