--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -145,7 +145,7 @@
 }
 
 /** Longest time that a stream which has begun waits for its model at a replica of its version, milliseconds. */
-const longestVersionWaitMs = 3_000;
+const longestVersionWaitMs = 6_000;
 
 /** True if one of the replicas holds the model of a stream that has begun, or can load it from its own copy. */
 function mayServeSoon(replicas: readonly Replica[], { modelReference, waitedMs }: DispatchInput): boolean {
