Prove versions only once daemons had the time to report streams of others

Streams that broke went on at another version if they had begun at one that no leader had announced: a daemon that has just started and hears no leader used every version, and any daemon does after a second. Their origins were not reported, and the next leader, or a daemon without one, found one version in the history and answered with it. Now - a daemon that has heard no versions reads the stored ones, and until then holds streams as for a version that is not announced; - origins of versions that are not announced are reported in any case, to a new leader from the beginning, and the leader adds their versions to the history; - a leader takes a single version for proof only when its daemons had a second to report; - a daemon without a leader does so only if it knows replicas of the service.

--- a/packages/gateway/src/peers/StreamCoordinator.ts
+++ b/packages/gateway/src/peers/StreamCoordinator.ts
@@ -72,6 +72,8 @@
   /** Messages of followers whose origins are not stored yet, oldest first. */
   private _openMessages: readonly OpenMessage[] = [];
   private _sendTimer: NodeJS.Timeout | undefined;
+  /** True if the leader that this daemon is connected to has announced versions. */
+  private _hasAnnouncement = false;
   private _lastHeardMs: number;
   private _nextReadMs = Number.NEGATIVE_INFINITY;
   private _isReading = false;
@@ -105,7 +107,7 @@
     }
     if (this._registry.isLeading) {
       this._registry.add([origin], nowMs);
-    } else if (this._recorded.has(origin.service)) {
+    } else if (this._recorded.has(origin.service) || !this._gate.isAnnounced(origin.service, origin.version)) {
       this._unsent = [...this._unsent, origin];
       this._scheduleSend();
     }
@@ -116,13 +118,14 @@
     const isNew = this._own.add(origin, nowMs);
     if (this._registry.isLeading) {
       this._waits.add(this._registry.add([origin], nowMs), onStored);
-    } else if (isNew && this._recorded.has(origin.service)) {
+      return;
+    }
+    const isRecorded = this._recorded.has(origin.service);
+    if (isNew && (isRecorded || !this._gate.isAnnounced(origin.service, origin.version))) {
       this._unsent = [...this._unsent, origin];
       this._scheduleSend();
-      this._sentWaits.add(this._nextSequence, onStored);
-    } else {
-      onStored();
     }
+    this._sentWaits.add(isNew && isRecorded ? this._nextSequence : undefined, onStored);
   }
 
   public mayBegin(service: string, version: string): boolean {
@@ -172,6 +175,7 @@
       this._recorded = new Set();
       this._nextSequence = 1;
       this._sentWaits.resolveAll();
+      this._hasAnnouncement = false;
       this._ask(this._pending.all);
     });
     this._client.onMessage((message) => {
@@ -216,13 +220,20 @@
     }
   }
 
-  /** Applies the leader's announcement; the origins of services that it newly wants are sent from the beginning. */
+  /**
+   * Applies the leader's announcement. The origins of services that it newly wants are sent from the beginning, and to a
+   * new leader those of versions that it does not know.
+   */
   private _applyVersions({ versions, recorded }: VersionsMessage): void {
     this._gate.announce(versions);
     const added = recorded.filter((service) => !this._recorded.has(service));
+    const isFirst = !this._hasAnnouncement;
     this._recorded = new Set(recorded);
-    if (added.length > 0 && !this._registry.isLeading) {
-      this._unsent = [...this._unsent, ...this._own.all().filter(({ service }) => added.includes(service))];
+    this._hasAnnouncement = true;
+    if (!this._registry.isLeading && (added.length > 0 || isFirst)) {
+      const isWanted = ({ service, version }: StreamOrigin): boolean =>
+        added.includes(service) || (isFirst && !this._gate.isAnnounced(service, version));
+      this._unsent = [...this._unsent, ...this._own.all().filter(isWanted)];
       this._scheduleSend();
     }
   }
@@ -273,11 +284,11 @@
       this._lastHeardMs = nowMs;
       return;
     }
-    const isDue = nowMs - this._lastHeardMs >= leaderlessMs && nowMs >= this._nextReadMs;
-    if (this._pending.all.length > 0 && isDue && !this._isReading) {
+    const needsAnswers = this._pending.all.length > 0 && nowMs - this._lastHeardMs >= leaderlessMs;
+    if ((needsAnswers || !this._gate.hasAnnouncement) && nowMs >= this._nextReadMs && !this._isReading) {
       this._nextReadMs = nowMs + leaderlessReadMs;
       this._isReading = true;
-      void this._readStore(this._pending.all).then(() => {
+      void this._readStore(needsAnswers ? this._pending.all : []).then(() => {
         this._isReading = false;
       });
     }
@@ -291,6 +302,9 @@
       return;
     }
     const { history, origins } = readStreamRecords(outcome.value.records, this._log);
+    if (!this._gate.hasAnnouncement) {
+      this._gate.announce(history?.versions ?? {});
+    }
     const recorded = new Map(origins.map(({ attemptId, version }) => [attemptId, version]));
     for (const query of queries) {
       const stored = history?.versions[query.service] ?? [];
@@ -299,7 +313,8 @@
       const answer = decideOrigin({
         recorded: query.attemptId === undefined ? undefined : recorded.get(query.attemptId),
         versions: [...versions],
-        isHistoryComplete: history?.era === outcome.value.era,
+        // A daemon that does not know the replicas yet may lack a version.
+        isHistoryComplete: present.length > 0 && history?.era === outcome.value.era,
         areRecordsComplete: false,
       });
       if (answer !== undefined) {
--- a/packages/gateway/src/streams/StreamRegistry.test.ts
+++ b/packages/gateway/src/streams/StreamRegistry.test.ts
@@ -146,6 +146,28 @@
     vitest.expect(leader.answer('a')).toEqual({ kind: 'known', version: 'v2' });
   });
 
+  vitest.test('learns a version from a stream that began at it (guards against a version no leader saw)', async () => {
+    writeHistory('v1');
+    const leader = new Leader(store, ['v1']);
+    await leader.run(500);
+    leader.report(origin('a', 'v2'));
+    await leader.run(1_500);
+    vitest.expect(leader.answer('b')).toEqual(unknown);
+    vitest.expect(store.versions).toEqual({ s: ['v1', 'v2'] });
+  });
+
+  vitest.test(
+    'proves nothing until daemons had the time to report (guards against a version no leader saw)',
+    async () => {
+      writeHistory('v1');
+      const leader = new Leader(store, ['v1']);
+      await leader.run(900);
+      vitest.expect(leader.answer('a')).toBeUndefined();
+      await leader.run(300);
+      vitest.expect(leader.answer('a')).toEqual({ kind: 'known', version: 'v1' });
+    },
+  );
+
   vitest.test('waits before it answers "unknown" (guards against streams that the daemons still report)', async () => {
     writeHistory('v1', 'v2');
     const leader = new Leader(store, ['v1', 'v2']);
@@ -221,14 +243,14 @@
       await former.run(lifetimeMs + 2_000);
       former.stop();
       const leader = new Leader(store, ['v1']);
-      await leader.run(500);
+      await leader.run(1_500);
       vitest.expect(leader.answer('a')).toEqual({ kind: 'known', version: 'v1' });
     },
   );
 
   vitest.test('needs no proof at the first start (guards against streams refused on a new system)', async () => {
     const leader = new Leader(store, ['v1'], true);
-    await leader.run(500);
+    await leader.run(1_500);
     vitest.expect(leader.answer('a')).toEqual({ kind: 'known', version: 'v1' });
   });
 
--- a/packages/gateway/src/streams/StreamRegistry.ts
+++ b/packages/gateway/src/streams/StreamRegistry.ts
@@ -98,12 +98,18 @@
   }
 
   /**
-   * Adds origins that a daemon reports. Returns the position up to which origins must be stored so that these are;
-   * undefined if they need no record.
+   * Adds origins that a daemon reports. Streams may have begun at a version that no leader has announced. Returns the
+   * position up to which origins must be stored so that these are; undefined if they need no record.
    */
   public add(origins: readonly StreamOrigin[], nowMs: number): number | undefined {
     const recorded = origins.filter(({ service }) => this._recorded.has(service));
     const added = new Set(origins.filter((origin) => this._origins.add(origin, nowMs)));
+    for (const { service, version } of added) {
+      if (!this._history.versionsOf(service).includes(version)) {
+        this._history.restore({ [service]: [version] }, nowMs);
+        this._isHistoryUnsaved = true;
+      }
+    }
     this._save(recorded.filter((origin) => added.has(origin)));
     this._callIfDue(nowMs);
     return recorded.length > 0 ? this._savePosition : undefined;
@@ -124,11 +130,12 @@
 
   /** Where a stream began; undefined while this is not decided. */
   public answer({ service, attemptId }: OriginQuery, nowMs: number): OriginAnswer | undefined {
+    const isSettled = this._stored !== undefined && nowMs - (this._startedMs ?? nowMs) >= settleMs;
     return decideOrigin({
       recorded: attemptId === undefined ? undefined : this._origins.versionOf(attemptId),
       versions: this._history.versionsOf(service),
-      isHistoryComplete: nowMs >= this._completeFromMs,
-      areRecordsComplete: this._stored !== undefined && nowMs - (this._startedMs ?? nowMs) >= settleMs,
+      isHistoryComplete: isSettled && nowMs >= this._completeFromMs,
+      areRecordsComplete: isSettled,
     });
   }
 
--- a/packages/gateway/src/streams/VersionGate.test.ts
+++ b/packages/gateway/src/streams/VersionGate.test.ts
@@ -2,8 +2,16 @@
 import { VersionGate } from './VersionGate.js';
 
 vitest.describe('VersionGate', () => {
-  vitest.test('opens every version before it hears of any (guards against a start without a leader)', () => {
-    vitest.expect(new VersionGate().mayBegin('s', 'v1', 0)).toBe(true);
+  vitest.test('holds every version before it hears of any (guards against streams at a version without proof)', () => {
+    const gate = new VersionGate();
+    vitest.expect(gate.mayBegin('s', 'v1', 0)).toBe(false);
+    vitest.expect(gate.mayBegin('s', 'v1', 1_000)).toBe(true);
+  });
+
+  vitest.test('opens a service that the announcement leaves out (guards against a new service that waits)', () => {
+    const gate = new VersionGate();
+    gate.announce({});
+    vitest.expect(gate.mayBegin('s', 'v1', 0)).toBe(true);
   });
 
   vitest.test('holds a version until it is announced (guards against streams that no stored version proves)', () => {
--- a/packages/gateway/src/streams/VersionGate.ts
+++ b/packages/gateway/src/streams/VersionGate.ts
@@ -12,16 +12,25 @@
   /** When a version that is not announced was first asked for, by service and version, steady milliseconds. */
   private readonly _heldSinceMs = new Map<string, number>();
 
-  /** Applies the versions that the leader announces. */
+  /** Applies the versions that the leader announces, or that the store's records state to a daemon without a leader. */
   public announce(versions: ServiceVersions): void {
     this._announced = versions;
     this._heldSinceMs.clear();
   }
 
+  /** False before any versions were announced. */
+  public get hasAnnouncement(): boolean {
+    return this._announced !== undefined;
+  }
+
+  /** True if a version of a service is announced. */
+  public isAnnounced(service: string, version: string): boolean {
+    return this._announced?.[service]?.includes(version) === true;
+  }
+
   /** True if a stream may begin at a version of a service. */
   public mayBegin(service: string, version: string, nowMs: number): boolean {
-    const announced = this._announced?.[service];
-    if (announced === undefined || announced.includes(version)) {
+    if (this._announced !== undefined && this._announced[service]?.includes(version) !== false) {
       return true;
     }
     const key = JSON.stringify([service, version]);
