Hold a version that is not announced for longer than a change of the leader

A version was held for one second, but a leader that ends is replaced after 2.2 s. Streams began at a version that came meanwhile, and a daemon that had thawed with an old table of replicas and heard no leader answered the version before it. The price: while no leader can write, resumable streams begin at a new version two seconds later.

--- a/packages/gateway/src/streams/VersionGate.ts
+++ b/packages/gateway/src/streams/VersionGate.ts
@@ -1,7 +1,7 @@
 import type { ServiceVersions } from './Types.js';
 
 /** Time for which replicas of a version that is not announced begin no streams, milliseconds. */
-const longestHoldMs = 1_000;
+const longestHoldMs = 3_000; // a change of the leader takes 2.2 s, and then its first read and write
 
 /**
  * Decides at which software versions streams may begin. The leader stores a new version before it announces it, so that
