Bound the messages with origins at 300 daemons, and one timer for all held streams

At the design scale a daemon sent 2.0 KB/s and more of origins in times of several versions (simulation of 300 daemons with 51 streams a second each; bound 2 KB/s). A daemon now sends at once after a pause, and else as many messages as the number of daemons allows: one in 300 ms at 300.

--- a/packages/gateway/src/peers/StreamCoordinator.ts
+++ b/packages/gateway/src/peers/StreamCoordinator.ts
@@ -25,6 +25,8 @@
 const leaderlessMs = 200;
 /** Least time between two such reads, milliseconds. */
 const leaderlessReadMs = 500;
+/** Time for which origins are gathered before a message, milliseconds. */
+const gatherMs = 5;
 /** Largest number of origins in a message. */
 const maximumMessageOrigins = 4_000;
 
@@ -66,12 +68,13 @@
   /** Number of the next message with origins on the connection to the leader. */
   private _nextSequence = 1;
   /** Streams whose origins are in messages to the leader, by number of the message. */
-  private readonly _sentWaits = new StoredWaits();
+  private readonly _sentWaits: StoredWaits;
   /** Streams whose origins this daemon stores as the leader, by position. */
-  private readonly _waits = new StoredWaits();
+  private readonly _waits: StoredWaits;
   /** Messages of followers whose origins are not stored yet, oldest first. */
   private _openMessages: readonly OpenMessage[] = [];
   private _sendTimer: NodeJS.Timeout | undefined;
+  private _lastSentMs = Number.NEGATIVE_INFINITY;
   /** True if the leader that this daemon is connected to has announced versions. */
   private _hasAnnouncement = false;
   private _lastHeardMs: number;
@@ -88,6 +91,8 @@
     this._server = server;
     this._client = client;
     this._lastHeardMs = this._nowMs();
+    this._sentWaits = new StoredWaits(_clock);
+    this._waits = new StoredWaits(_clock);
     this._registry = new StreamRegistry(_store, _context, _clock, _log);
     this._registry.onVersions((message) => {
       server.broadcast('streamVersions', message);
@@ -238,12 +243,17 @@
     }
   }
 
-  /** Sends origins soon: those that the leader has not stored are lost with all daemons. */
+  /** Sends origins soon, as the first events of their streams wait for it, but a limited number of messages a second. */
   private _scheduleSend(): void {
-    this._sendTimer ??= setTimeout(() => {
-      this._sendTimer = undefined;
-      this._sendOrigins();
-    }, messageIntervals(this._context.daemonCount()).originsMs).unref();
+    const { originsMs } = messageIntervals(this._context.daemonCount());
+    const dueMs = this._lastSentMs + originsMs;
+    this._sendTimer ??= setTimeout(
+      () => {
+        this._sendTimer = undefined;
+        this._sendOrigins();
+      },
+      Math.max(dueMs - this._nowMs(), gatherMs),
+    ).unref();
   }
 
   private _sendOrigins(): void {
@@ -252,6 +262,7 @@
     }
     const batch = this._unsent.slice(0, maximumMessageOrigins);
     this._unsent = this._unsent.slice(batch.length);
+    this._lastSentMs = this._nowMs();
     this._client.send('streamOrigins', { sequence: this._nextSequence, groups: groupOrigins(batch) });
     this._nextSequence += 1;
   }
--- a/packages/gateway/src/peers/messageIntervals.ts
+++ b/packages/gateway/src/peers/messageIntervals.ts
@@ -39,7 +39,7 @@
   // Up to 200 daemons, at most 200 reports a second reach the leader besides the urgent ones.
   report: { perDaemonMs: 5, minimumMs: 100, maximumMs: 1_000 },
   urgentReport: { perDaemonMs: 0.25, minimumMs: 5, maximumMs: 100 },
-  origins: { perDaemonMs: 0.25, minimumMs: 5, maximumMs: 100 },
+  origins: { perDaemonMs: 1, minimumMs: 5, maximumMs: 300 },
   loads: { perDaemonMs: 5, minimumMs: 300, maximumMs: 1_000 },
   holdings: { perDaemonMs: 1, minimumMs: 10, maximumMs: 200 },
   leaderlessRead: { perDaemonMs: 10, minimumMs: 400, maximumMs: 2_000 },
--- a/packages/gateway/src/testing/streams/SimulatedCallers.ts
+++ b/packages/gateway/src/testing/streams/SimulatedCallers.ts
@@ -96,8 +96,13 @@
       if (daemon.isRunning) {
         this.began += 1;
         const attemptId = this.began.toString(16).padStart(16, '0');
-        new StreamContinuation(daemon.coordinator).recordEvents(attemptId, route, service, replica);
-        this._break({ attemptId, version: replica.softwareVersion, takeUps: 0 });
+        const { softwareVersion: version } = replica;
+        new StreamContinuation(daemon.coordinator).recordFirstEvent(attemptId, route, service, replica, () => {
+          // Its caller has nothing of a stream whose daemon ended before the first event was passed on.
+          if (daemon.isRunning) {
+            this._break({ attemptId, version, takeUps: 0 });
+          }
+        });
       }
     });
   }
