Log on what a refusal of a request is based

The users' report REFUSED could not be traced: the line of a request names its replicas, but not whether a connection was kept, nor whether a replica stated that it had not run the request.

--- a/packages/gateway/src/forwarding/AttemptHistory.ts
+++ b/packages/gateway/src/forwarding/AttemptHistory.ts
@@ -1,9 +1,12 @@
+import type * as net from 'node:net';
+import { SendLog } from './SendLog.js';
 import { UsedConnections } from './UsedConnections.js';
 
 /** Records the replicas that one request was sent to, and counts those that may have run it. */
 export class AttemptHistory {
   /** Connections that the request was sent on. */
   public readonly connections = new UsedConnections();
+  public readonly sends = new SendLog();
   private readonly _replicaIds: string[] = [];
   private readonly _excluded = new Set<string>();
   private _possibleRuns = 0;
@@ -32,10 +35,17 @@
   /** Records that the request is sent to a replica, which becomes the current one. */
   public startAttempt(replicaId: string): void {
     this._replicaIds.push(replicaId);
+    this.sends.start(replicaId);
     this._excluded.add(replicaId);
     this._currentCounted = false;
   }
 
+  /** Records the connection that the request is written on now. */
+  public recordConnection(socket: net.Socket, isKept: boolean): void {
+    this.connections.add(socket);
+    this.sends.recordConnection(isKept ? 'kept' : 'new');
+  }
+
   /** Records that the current replica may have run the request; counts it once. */
   public countPossibleRun(): void {
     if (!this._currentCounted) {
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -236,7 +236,7 @@
         callerRequest,
         route,
         replica,
-        connections: this._history.connections,
+        history: this._history,
         deadlineMs: Math.max(Math.floor(this._deadline.leftMs(now.steadyMs)), 1),
         lastEventId: this._relay.lastEventId,
       },
@@ -259,6 +259,7 @@
 
   private _receiveHead(replica: Replica, head: ResponseHead, response: http.IncomingMessage): void {
     this._inactivityTimer.stop();
+    this._history.sends.recordAnswer(head);
     recordResponseHead(this._context, replica, head, this._nowMs());
     if (statesNotExecuted(head)) {
       discardBody(response);
@@ -324,6 +325,7 @@
 
   private _attemptFailed(replica: Replica, failure: AttemptFailure): void {
     this._inactivityTimer.stop();
+    this._history.sends.recordFailure(failure.kind);
     if (failure.kind === 'notConnected' || failure.kind === 'replicaLeft') {
       if (failure.kind === 'notConnected') {
         this._context.loads.recordUnreachable(replica.id, this._nowMs());
@@ -501,6 +503,7 @@
       outcome,
       status,
       replicas: this._history.replicaIds,
+      sends: this._history.sends.records,
       rateLimitPerSecond: this._rateLimitPerSecond,
       waitedMs: this._wait.waitedMs(nowMs),
       durationMs: nowMs - this._startedMs,
--- a/packages/gateway/src/forwarding/ExchangeResult.ts
+++ b/packages/gateway/src/forwarding/ExchangeResult.ts
@@ -1,4 +1,5 @@
 import type { ModelReference } from '../Types.js';
+import type { SendRecord } from './SendLog.js';
 
 /** What was known of a request whose answer broke off. */
 export interface BrokenAnswer {
@@ -20,6 +21,8 @@
   readonly status: number | undefined;
   /** Replicas that the request was sent to, in order. */
   readonly replicas: readonly string[];
+  /** The last of these sends, with their connections and what the replicas stated. */
+  readonly sends: readonly Readonly<SendRecord>[];
   /** Rate limit of the last of these replicas when the request was sent to it, requests per second. */
   readonly rateLimitPerSecond: number | undefined;
   readonly waitedMs: number;
--- a/packages/gateway/src/forwarding/ReplicaAttempt.test.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.test.ts
@@ -3,7 +3,6 @@
 import { FakeCodec } from '../testing/FakeCodec.js';
 import { sampleReplica } from '../testing/sampleReplica.js';
 import { type AttemptFailure, ReplicaAttempt } from './ReplicaAttempt.js';
-import { UsedConnections } from './UsedConnections.js';
 
 vitest.describe('attempt at a replica', () => {
   vitest.test(
@@ -24,7 +23,7 @@
         callerRequest: { attemptId: 'a1', host: 'h', deadlineMs: 5_000, promptPartIds: [] },
         replica: sampleReplica({ address }),
         agent: false as const,
-        connections: new UsedConnections(),
+        onWrite: () => undefined,
         isReplicaUsable: () => false,
       };
       const failure = await new Promise<AttemptFailure>((resolve, reject) => {
--- a/packages/gateway/src/forwarding/ReplicaAttempt.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.ts
@@ -4,7 +4,6 @@
 import type { CallerRequest, ResponseHead, RequestCodec } from '../contracts/RequestCodec.js';
 import type { Replica } from '../Types.js';
 import { isFramed } from './responseHeaders.js';
-import type { UsedConnections } from './UsedConnections.js';
 
 /** Connect timeout, milliseconds. A connect normally takes a few milliseconds. */
 const connectTimeoutMs = 300;
@@ -21,8 +20,8 @@
   readonly callerRequest: CallerRequest;
   readonly replica: Replica;
   readonly agent: http.Agent | false;
-  /** Connections that the request was sent on; that of this attempt is added. */
-  readonly connections: UsedConnections;
+  /** Called when the request is about to be written to a connection, new or kept. */
+  readonly onWrite: (socket: net.Socket, isKept: boolean) => void;
   /** False once the replica takes no more requests, for instance because it has left while it was connected to. */
   readonly isReplicaUsable: () => boolean;
 }
@@ -143,7 +142,7 @@
       return;
     }
     this._connected = true;
-    this._request.connections.add(socket);
+    this._request.onWrite(socket, this._outgoing.reusedSocket);
     this._outgoing.end(this._request.body);
   }
 
--- a/packages/gateway/src/forwarding/RequestLog.ts
+++ b/packages/gateway/src/forwarding/RequestLog.ts
@@ -56,6 +56,7 @@
     }
     this._log.info('Request.', {
       ...result,
+      sends: isRoutine && result.sends.length < 2 ? undefined : result.sends,
       waitedMs: rounded(result.waitedMs),
       durationMs: rounded(result.durationMs),
       readyInMs: rounded(result.readyInMs),
--- a/packages/gateway/src/forwarding/createAttempt.ts
+++ b/packages/gateway/src/forwarding/createAttempt.ts
@@ -1,10 +1,11 @@
 import type * as http from 'node:http';
+import type * as net from 'node:net';
 import type { CallerRequest } from '../contracts/RequestCodec.js';
 import type { Replica, Route } from '../Types.js';
+import type { AttemptHistory } from './AttemptHistory.js';
 import { type AttemptListener, ReplicaAttempt } from './ReplicaAttempt.js';
 import { urgencyOf } from './retryPolicy.js';
 import type { ExchangeContext } from './Types.js';
-import type { UsedConnections } from './UsedConnections.js';
 
 /** A request of a caller that is to be sent to a replica. */
 export interface OutgoingRequest {
@@ -13,8 +14,7 @@
   readonly callerRequest: CallerRequest;
   readonly route: Route;
   readonly replica: Replica;
-  /** Connections that the request was sent on before. */
-  readonly connections: UsedConnections;
+  readonly history: AttemptHistory;
   /** Time that the replica has for the request, milliseconds. */
   readonly deadlineMs: number;
   /** Last event that the caller has received, if a stream is resumed. */
@@ -24,7 +24,7 @@
 /** Sends a request of a caller to a replica. */
 export function createAttempt(
   { codec, agent, directory }: Pick<ExchangeContext, 'codec' | 'agent' | 'directory'>,
-  { incoming, body, callerRequest, route, replica, connections, deadlineMs, lastEventId }: OutgoingRequest,
+  { incoming, body, callerRequest, route, replica, history, deadlineMs, lastEventId }: OutgoingRequest,
   listener: AttemptListener,
 ): ReplicaAttempt {
   const headers = codec.forwardedHeaders(incoming, {
@@ -42,9 +42,14 @@
     callerRequest,
     replica,
     isReplicaUsable: () => directory.isUsable(replica),
-    connections,
+    onWrite: (socket: net.Socket, isKept: boolean) => {
+      history.recordConnection(socket, isKept);
+    },
     // If the replica closed a reused connection during the send, the request would fail and could not be retried.
-    agent: route.kind === 'nonIdempotent' || connections.mayBeReused(agent, replica.address) ? (false as const) : agent,
+    agent:
+      route.kind === 'nonIdempotent' || history.connections.mayBeReused(agent, replica.address)
+        ? (false as const)
+        : agent,
   };
   return new ReplicaAttempt(request, codec, listener);
 }
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -48,6 +48,8 @@
   /** Retries that the retry budget allows in addition to its share of the requests. */
   public retrySlack = 1_000;
   public readonly requestHeads: string[] = [];
+  /** Fields of the log lines of requests. */
+  public readonly requestLines: Readonly<Record<string, unknown>>[] = [];
   public readonly crashGuard = new CrashGuard();
   public readonly crashReports: CrashReport[] = [];
   private readonly _servers: net.Server[] = [];
@@ -203,7 +205,10 @@
     };
     const routes = new RouteTable({ version: 1, routes: [route], services: new Map(), callerLimits });
     const retryBudgets = new RetryBudgets({ windowMs: 10_000, ratio: 0.2, slack: this.retrySlack });
-    const requestLog = new RequestLog(silentLogger);
+    const requestLog = new RequestLog({
+      ...silentLogger,
+      info: (_message, fields = {}) => this.requestLines.push(fields),
+    });
     const waitingRequests = new WaitingRequests();
     this.crashGuard.onChanged(() => {
       waitingRequests.redispatchAll();
