Answer a running request of jayhavend with nothing but its own answer

Callers saw: 400, or 405 for CONNECT, with "executed: no" for a request that an engine was running, if bytes that are no request, or a CONNECT, came behind it on its connection.

Cause: the same as in the gateway's caller server: the error was written at once unless a response had begun.

Change: the record of the responses in progress moves to the common package, and both servers close such a connection only after the requests received whole have been answered.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -10,6 +10,7 @@
 export * from './JsonHttpClient.js';
 export * from './Logger.js';
 export * from './messageHead.js';
+export * from './OpenResponses.js';
 export * from './Outcome.js';
 export * from './PacedAgent.js';
 export * from './PacedBody.js';
--- a/packages/daemon/src/front/CallerServer.test.ts
+++ b/packages/daemon/src/front/CallerServer.test.ts
@@ -45,6 +45,23 @@
     },
   );
 
+  vitest.test.each([
+    ['bytes that are not HTTP', 'hello\r\n\r\n'],
+    ['CONNECT', 'CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n'],
+    ['an incomplete request', 'POST /v1/chat'],
+  ])(
+    'does not answer a running request for %s behind it (guards against "executed: no" for a request that runs)',
+    async (_, bytes) => {
+      await using fixture = await FrontFixture.open();
+      await fixture.addEngine('vm-1', true, { firstTokenMs: 300 });
+      const body = JSON.stringify({ model: 'walk', messages: [{ role: 'user', content: 'p' }] });
+      const request = `${head}content-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+      const received = await exchange(fixture.front.port, request + bytes);
+      vitest.expect(received).not.toContain('"executed":"no"');
+      vitest.expect(received.match(/HTTP\/1.1 \d+/g) ?? []).toEqual(['HTTP/1.1 200']);
+    },
+  );
+
   vitest.test('refuses invalid headers, bodies, keys and paths (guards against unclear errors)', async () => {
     await using fixture = await FrontFixture.open();
     const path = '/v1/chat/completions';
--- a/packages/daemon/src/front/CallerServer.ts
+++ b/packages/daemon/src/front/CallerServer.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
+import * as common from '@jayhaven/common';
 import type * as decisions from '@jayhaven/decisions';
 import { notExecuted } from '../routing/callerErrors.js';
 import type { CallerError } from '../routing/Types.js';
@@ -31,6 +32,7 @@
     maximumHeaderBytes: number,
     handler: http.RequestListener,
   ): Promise<CallerServer> {
+    const openResponses = new common.OpenResponses();
     const server = http.createServer(
       {
         maxHeaderSize: maximumHeaderBytes,
@@ -39,12 +41,22 @@
         keepAliveTimeout: keepAliveTimeoutMs,
         connectionsCheckingInterval: 1_000,
       },
-      handler,
+      (request, response) => {
+        openResponses.track(request, response);
+        handler(request, response);
+      },
     );
     server.maxConnections = maximumConnections;
-    server.on('clientError', refuseInvalidRequest);
+    const refuse = (socket: Duplex, refusal: CallerError): void => {
+      if (!openResponses.closeAfterAnswers(socket)) {
+        refuseOnSocket(socket, refusal);
+      }
+    };
+    server.on('clientError', (error, socket) => {
+      refuse(socket, invalidRequest(error));
+    });
     server.on('connect', (_request, socket) => {
-      refuseOnSocket(socket, notExecuted(405, 'method_not_allowed', 'CONNECT is not supported'));
+      refuse(socket, notExecuted(405, 'method_not_allowed', 'CONNECT is not supported'));
     });
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -79,14 +91,12 @@
   }
 }
 
-function refuseInvalidRequest(error: NodeJS.ErrnoException, socket: Duplex): void {
-  const refusal =
-    error.code === 'HPE_HEADER_OVERFLOW'
-      ? notExecuted(431, 'headers_too_large', 'the request headers are too large')
-      : error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
-        ? notExecuted(408, 'request_timeout', 'the request was not complete in time')
-        : notExecuted(400, 'malformed_request', 'the request is not valid HTTP');
-  refuseOnSocket(socket, refusal);
+function invalidRequest(error: NodeJS.ErrnoException): CallerError {
+  return error.code === 'HPE_HEADER_OVERFLOW'
+    ? notExecuted(431, 'headers_too_large', 'the request headers are too large')
+    : error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+      ? notExecuted(408, 'request_timeout', 'the request was not complete in time')
+      : notExecuted(400, 'malformed_request', 'the request is not valid HTTP');
 }
 
 /** Connections that were refused. Further bytes of an invalid request must not close them before the error is read. */
--- a/packages/gateway/src/forwarding/InvalidRequests.ts
+++ b/packages/gateway/src/forwarding/InvalidRequests.ts
@@ -1,3 +1,4 @@
+import * as common from '@jayhaven/common';
 import * as http from 'node:http';
 import type * as stream from 'node:stream';
 
@@ -13,16 +14,13 @@
  * the caller takes it for the answer to an earlier request on the connection that is still in progress.
  */
 export class InvalidRequests {
-  private readonly _responses = new WeakMap<stream.Duplex, Set<http.ServerResponse>>();
+  private readonly _responses = new common.OpenResponses();
   /** Connections that have been refused; each further read of an invalid request reports its error again. */
   private readonly _refused = new WeakSet<stream.Duplex>();
 
   /** Records a request until its response has been closed. */
   public track(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const { socket } = request;
-    const responses = this._responses.get(socket) ?? new Set();
-    this._responses.set(socket, responses.add(response));
-    response.once('close', () => responses.delete(response));
+    this._responses.track(request, response);
   }
 
   /** Answers an invalid request and closes its connection, once the requests received before it have been answered. */
@@ -31,13 +29,11 @@
       return;
     }
     this._refused.add(socket);
-    const open = [...(this._responses.get(socket) ?? [])];
-    const last = open.filter((response) => response.req.complete).at(-1);
     if (!socket.writable) {
       socket.destroy();
-    } else if (last !== undefined) {
-      closeAfter(last, socket);
-    } else if (open.some((response) => response.headersSent)) {
+    } else if (this._responses.closeAfterAnswers(socket)) {
+      return;
+    } else if (this._responses.hasBegun(socket)) {
       socket.destroy();
     } else {
       const status = statuses[error.code ?? ''] ?? 400;
@@ -48,14 +44,3 @@
     }
   }
 }
-
-function closeAfter(response: http.ServerResponse, socket: stream.Duplex): void {
-  if (!response.headersSent) {
-    response.shouldKeepAlive = false;
-  }
-  response.once('close', () => {
-    socket.end(() => {
-      socket.destroy();
-    });
-  });
-}
