--- a/packages/gateway/src/forwarding/repeatedRefusals.test.ts
+++ b/packages/gateway/src/forwarding/repeatedRefusals.test.ts
@@ -154,3 +154,23 @@
     },
   );
 });
+
+vitest.describe('a refusal that belongs to another request', () => {
+  vitest.test('teaches nothing of its replica (guards against replicas left out for what is past)', async () => {
+    await using fixture = new ExchangeFixture(stream);
+    const past = 'x-leaving: 1\r\nRetry-After: 5\r\nx-rate-limit: 0.1\r\n';
+    const copy = notExecuted.replace('a1', 'a0').replace('Content-Length', `${past}Content-Length`);
+    await fixture.addReplica((socket, head) => {
+      if (head.includes('/p/first')) {
+        socket.write(copy);
+      } else {
+        runs(socket);
+      }
+    });
+    await fixture.open();
+    vitest.expect(await fixture.call({ path: '/p/first' })).toMatchObject({ status: 502 });
+    for (let run = 0; run < 3; run += 1) {
+      vitest.expect(await fixture.call()).toMatchObject({ status: 200 });
+    }
+  });
+});
