--- a/packages/gateway/src/forwarding/AttemptHistory.ts
+++ b/packages/gateway/src/forwarding/AttemptHistory.ts
@@ -1,10 +1,13 @@
+import type * as net from 'node:net';
 import type { Replica } from '../Types.js';
+import { SendLog } from './SendLog.js';
 import { UsedConnections } from './UsedConnections.js';
 
 /** Records the replicas that one request was sent to, and counts those that may have run it. */
 export class AttemptHistory {
   /** Connections that the request was sent on. */
   public readonly connections = new UsedConnections();
+  public readonly sends = new SendLog();
   private readonly _replicaIds: string[] = [];
   private readonly _softwareVersions: string[] = [];
   private readonly _excluded = new Set<string>();
@@ -40,10 +43,17 @@
   public startAttempt({ id, softwareVersion }: Pick<Replica, 'id' | 'softwareVersion'>): void {
     this._replicaIds.push(id);
     this._softwareVersions.push(softwareVersion);
+    this.sends.start(id);
     this._excluded.add(id);
     this._currentCounted = false;
   }
 
+  /** Records the connection that the request is written on now. */
+  public recordConnection(socket: net.Socket, isKept: boolean): void {
+    this.connections.add(socket);
+    this.sends.recordConnection(isKept ? 'kept' : 'new');
+  }
+
   /** Records that the current replica may have run the request; counts it once. */
   public countPossibleRun(): void {
     if (!this._currentCounted) {
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -275,7 +275,7 @@
         callerRequest,
         route,
         replica,
-        connections: this._history.connections,
+        history: this._history,
         deadlineMs: Math.max(Math.floor(this._deadline.leftMs(now.steadyMs)), 1),
         urgency: this._urgency(route),
         lastEventId: this._relay.lastEventId,
@@ -299,6 +299,7 @@
 
   private _receiveHead(replica: Replica, head: ResponseHead, response: http.IncomingMessage): void {
     this._inactivityTimer.stop();
+    this._history.sends.recordAnswer(head);
     recordResponseHead(this._context, replica, head, this._nowMs());
     if (statesNotExecuted(head)) {
       discardBody(response);
@@ -367,6 +368,7 @@
 
   private _attemptFailed(replica: Replica, failure: AttemptFailure): void {
     this._inactivityTimer.stop();
+    this._history.sends.recordFailure(failure.kind);
     if (failure.kind === 'notConnected' || failure.kind === 'replicaLeft') {
       if (failure.kind === 'notConnected') {
         this._context.loads.recordUnreachable(replica.id, this._nowMs());
@@ -548,6 +550,7 @@
       softwareVersions: this._history.softwareVersions,
       resumedAttemptId: this._callerRequest?.resumedAttemptId,
       lastEventId: this._callerRequest?.lastEventId,
+      sends: this._history.sends.records,
       rateLimitPerSecond: this._rateLimitPerSecond,
       waitedMs: this._wait.waitedMs(nowMs),
       durationMs: nowMs - this._startedMs,
--- a/packages/gateway/src/forwarding/ExchangeResult.ts
+++ b/packages/gateway/src/forwarding/ExchangeResult.ts
@@ -1,4 +1,5 @@
 import type { ModelReference } from '../Types.js';
+import type { SendRecord } from './SendLog.js';
 
 /** What was known of a request whose answer broke off. */
 export interface BrokenAnswer {
@@ -26,6 +27,8 @@
   readonly resumedAttemptId: string | undefined;
   /** Last event that the caller has received, if it takes up a broken stream. */
   readonly lastEventId: string | undefined;
+  /** The last of these sends, with their connections and what the replicas stated. */
+  readonly sends: readonly Readonly<SendRecord>[];
   /** Rate limit of the last of these replicas when the request was sent to it, requests per second. */
   readonly rateLimitPerSecond: number | undefined;
   readonly waitedMs: number;
--- a/packages/gateway/src/forwarding/createAttempt.ts
+++ b/packages/gateway/src/forwarding/createAttempt.ts
@@ -1,9 +1,10 @@
 import type * as http from 'node:http';
+import type * as net from 'node:net';
 import type { CallerRequest } from '../contracts/RequestCodec.js';
 import type { Replica, Route } from '../Types.js';
+import type { AttemptHistory } from './AttemptHistory.js';
 import { type AttemptListener, ReplicaAttempt } from './ReplicaAttempt.js';
 import type { ExchangeContext } from './Types.js';
-import type { UsedConnections } from './UsedConnections.js';
 
 /** A request of a caller that is to be sent to a replica. */
 export interface OutgoingRequest {
@@ -12,8 +13,7 @@
   readonly callerRequest: CallerRequest;
   readonly route: Route;
   readonly replica: Replica;
-  /** Connections that the request was sent on before. */
-  readonly connections: UsedConnections;
+  readonly history: AttemptHistory;
   /** Time that the replica has for the request, milliseconds. */
   readonly deadlineMs: number;
   /** Urgency from 0 (most urgent) to 9, for replicas that hold models. */
@@ -25,7 +25,7 @@
 /** Sends a request of a caller to a replica. */
 export function createAttempt(
   { codec, agent, directory }: Pick<ExchangeContext, 'codec' | 'agent' | 'directory'>,
-  { incoming, body, callerRequest, route, replica, connections, deadlineMs, urgency, lastEventId }: OutgoingRequest,
+  { incoming, body, callerRequest, route, replica, history, deadlineMs, urgency, lastEventId }: OutgoingRequest,
   listener: AttemptListener,
 ): ReplicaAttempt {
   const headers = codec.forwardedHeaders(incoming, {
@@ -43,9 +43,14 @@
     callerRequest,
     replica,
     isReplicaUsable: () => directory.isUsable(replica),
-    connections,
+    onWrite: (socket: net.Socket, isKept: boolean) => {
+      history.recordConnection(socket, isKept);
+    },
     // If the replica closed a reused connection during the send, the request would fail and could not be retried.
-    agent: route.kind === 'nonIdempotent' || connections.mayBeReused(agent, replica.address) ? (false as const) : agent,
+    agent:
+      route.kind === 'nonIdempotent' || history.connections.mayBeReused(agent, replica.address)
+        ? (false as const)
+        : agent,
   };
   return new ReplicaAttempt(request, codec, listener);
 }
