--- a/packages/gateway/src/forwarding/retryPolicy.ts
+++ b/packages/gateway/src/forwarding/retryPolicy.ts
@@ -11,10 +11,15 @@
 /** Largest urgency number that engines accept; it is the least urgent. */
 const lowestUrgency = 9;
 
+/** True if requests of a route may run more than once. */
+export function isRepeatable(route: Route): boolean {
+  return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
+}
+
 /** True if a request may be sent to another replica although `possibleRuns` replicas may already have run it. */
 export function mayRetry(route: Route, possibleRuns: number, headSent: boolean): boolean {
-  const isRepeatable = route.kind === 'idempotent' ? !headSent : route.kind === 'stream' && route.resumable;
-  return isRepeatable && possibleRuns < route.maximumAttempts;
+  const isTooLate = route.kind === 'idempotent' && headSent;
+  return isRepeatable(route) && !isTooLate && possibleRuns < route.maximumAttempts;
 }
 
 /** Time without data after which an attempt at a replica is cancelled, milliseconds. */
@@ -37,8 +42,11 @@
     : route.timeoutMs;
 }
 
-/** Urgency sent to engines: that of the route's priority; at equal priority, interactive routes are more urgent. */
-export function urgencyOf(route: Route): number {
+/**
+ * Urgency sent to engines: that of the route's priority; at equal priority, interactive routes are more urgent. A stream
+ * that goes on after a break is one level more urgent, as its caller has a part of it already.
+ */
+export function urgencyOf(route: Route, isContinued: boolean): number {
   const urgency = route.priority * 2 + (route.latencyTargetMs <= interactiveLatencyMs ? 0 : 1);
-  return Math.min(urgency, lowestUrgency);
+  return Math.min(Math.max(urgency - (isContinued ? 1 : 0), 0), lowestUrgency);
 }
