Use kept connections for all plain requests to a full replica

A new connection waits for a slot of the replica also when its queue for requests is full; a request on a kept connection is rejected then. Requests that are not idempotent had a new connection each and kept the queue full: a log line for each attempt shows 815 of 823 idempotent requests on kept connections rejected at once, and 462 of 463 others waiting.

They now use kept connections while all slots of the replica are known to be in use, so that all requests have the same chance. While it has room they still have a new connection each, as a kept one may be closed during the send.

--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -273,6 +273,7 @@
         callerRequest,
         route,
         replica,
+        isReplicaFull: this._context.loads.isFull(replica, now.steadyMs),
         connections: this._history.connections,
         deadlineMs: Math.max(Math.floor(this._deadline.leftMs(now.steadyMs)), 1),
         urgency: this._urgency(route),
--- a/packages/gateway/src/forwarding/createAttempt.ts
+++ b/packages/gateway/src/forwarding/createAttempt.ts
@@ -12,6 +12,8 @@
   readonly callerRequest: CallerRequest;
   readonly route: Route;
   readonly replica: Replica;
+  /** True if all slots of the replica are in use, as far as known. */
+  readonly isReplicaFull: boolean;
   /** Connections that the request was sent on before. */
   readonly connections: UsedConnections;
   /** Time that the replica has for the request, milliseconds. */
@@ -25,9 +27,10 @@
 /** Sends a request of a caller to a replica. */
 export function createAttempt(
   { codec, agent, directory }: Pick<ExchangeContext, 'codec' | 'agent' | 'directory'>,
-  { incoming, body, callerRequest, route, replica, connections, deadlineMs, urgency, lastEventId }: OutgoingRequest,
+  outgoing: OutgoingRequest,
   listener: AttemptListener,
 ): ReplicaAttempt {
+  const { incoming, body, callerRequest, replica, connections, deadlineMs, urgency, lastEventId } = outgoing;
   const headers = codec.forwardedHeaders(incoming, {
     replicaId: replica.id,
     deadlineMs,
@@ -44,12 +47,23 @@
     replica,
     isReplicaUsable: () => directory.isUsable(replica),
     connections,
-    // If the replica closed a reused connection during the send, the request would fail and could not be retried.
-    agent: route.kind === 'nonIdempotent' || connections.mayBeReused(agent, replica.address) ? (false as const) : agent,
+    agent: needsNewConnection(outgoing, agent) ? (false as const) : agent,
   };
   return new ReplicaAttempt(request, codec, listener);
 }
 
+/**
+ * True if a request must not use a kept connection. If the replica closed it during the send, a request that is not
+ * idempotent would fail and could not be retried. But a new connection waits for a slot of a full replica, ahead of
+ * requests on kept connections, which the replica then rejects.
+ */
+function needsNewConnection(
+  { route, replica, isReplicaFull, connections }: OutgoingRequest,
+  agent: ExchangeContext['agent'],
+): boolean {
+  return (route.kind === 'nonIdempotent' && !isReplicaFull) || connections.mayBeReused(agent, replica.address);
+}
+
 /** Keys of the parts of a request's prompt. Parts are shared only between requests for the same model. */
 export function promptPartKeys(callerRequest: CallerRequest | undefined): readonly string[] {
   const model = callerRequest?.modelReference?.model;
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -62,7 +62,11 @@
   private _callerServer: CallerServer | undefined;
   private _port = 0;
 
-  public constructor(private readonly _route: Partial<Route> = {}) {}
+  public constructor(
+    private readonly _route: Partial<Route> = {},
+    /** Another route, as far as it differs from the first one. */
+    private readonly _otherRoute?: Partial<Route>,
+  ) {}
 
   /** Adds a replica that runs a script for each chunk of a request. */
   public async addReplica(script: ReplicaScript): Promise<void> {
@@ -204,7 +208,8 @@
       eventGapMs: 200,
       ...this._route,
     };
-    const routes = new RouteTable({ version: 1, routes: [route], services: new Map(), callerLimits });
+    const otherRoutes = this._otherRoute === undefined ? [] : [{ ...route, ...this._otherRoute }];
+    const routes = new RouteTable({ version: 1, routes: [route, ...otherRoutes], services: new Map(), callerLimits });
     const retryBudgets = new RetryBudgets({ windowMs: 10_000, ratio: 0.2, slack: this.retrySlack });
     const requestLog = new RequestLog(silentLogger);
     const waitingRequests = new WaitingRequests();
--- a/packages/gateway/src/testing/FakeCodec.ts
+++ b/packages/gateway/src/testing/FakeCodec.ts
@@ -34,11 +34,13 @@
     const attemptId = response.headers['x-attempt'];
     const retryAfter = response.headers['retry-after'];
     const rateLimit = response.headers['x-rate-limit'];
+    const load = response.headers['x-load'];
     return {
       status: response.statusCode ?? 0,
       leaving: response.headers['x-leaving'] !== undefined,
       ...(retryAfter !== undefined && { retryAfterMs: Number(retryAfter) * 1000 }),
       ...(rateLimit !== undefined && { rateLimitPerSecond: Number(rateLimit) }),
+      ...(typeof load === 'string' && { load: readLoad(load) }),
       notExecuted: response.headers['x-not-run'] !== undefined,
       fromOtherReplica: response.statusCode === 421,
       contentEncoded: false,
@@ -57,6 +59,12 @@
   }
 }
 
+/** Reads the running and waiting requests and the slots of a replica. */
+function readLoad(text: string): { readonly running: number; readonly waiting: number; readonly slots: number } {
+  const [running = 0, waiting = 0, slots = 0] = text.split(',').map(Number);
+  return { running, waiting, slots };
+}
+
 /** Headers that a test adds; their names begin with "x-o". */
 function copyHeaders({ rawHeaders }: http.IncomingMessage): string[] {
   return rawHeaders.flatMap((name, index) =>
