--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -275,6 +275,7 @@
         callerRequest,
         route,
         replica,
+        isReplicaFull: this._context.loads.isFull(replica, now.steadyMs),
         history: this._history,
         deadlineMs: Math.max(Math.floor(this._deadline.leftMs(now.steadyMs)), 1),
         urgency: this._urgency(route),
--- a/packages/gateway/src/forwarding/createAttempt.ts
+++ b/packages/gateway/src/forwarding/createAttempt.ts
@@ -14,6 +14,8 @@
   readonly route: Route;
   readonly replica: Replica;
   readonly history: AttemptHistory;
+  /** True if all slots of the replica are in use, as far as known. */
+  readonly isReplicaFull: boolean;
   /** Time that the replica has for the request, milliseconds. */
   readonly deadlineMs: number;
   /** Urgency from 0 (most urgent) to 9, for replicas that hold models. */
@@ -25,9 +27,10 @@
 /** Sends a request of a caller to a replica. */
 export function createAttempt(
   { codec, agent, directory }: Pick<ExchangeContext, 'codec' | 'agent' | 'directory'>,
-  { incoming, body, callerRequest, route, replica, history, deadlineMs, urgency, lastEventId }: OutgoingRequest,
+  outgoing: OutgoingRequest,
   listener: AttemptListener,
 ): ReplicaAttempt {
+  const { incoming, body, callerRequest, replica, history, deadlineMs, urgency, lastEventId } = outgoing;
   const headers = codec.forwardedHeaders(incoming, {
     replicaId: replica.id,
     deadlineMs,
@@ -46,15 +49,23 @@
     onWrite: (socket: net.Socket, isKept: boolean) => {
       history.recordConnection(socket, isKept);
     },
-    // If the replica closed a reused connection during the send, the request would fail and could not be retried.
-    agent:
-      route.kind === 'nonIdempotent' || history.connections.mayBeReused(agent, replica.address)
-        ? (false as const)
-        : agent,
+    agent: needsNewConnection(outgoing, agent) ? (false as const) : agent,
   };
   return new ReplicaAttempt(request, codec, listener);
 }
 
+/**
+ * True if a request must not use a kept connection. If the replica closed it during the send, a request that is not
+ * idempotent would fail and could not be retried. But a new connection waits for a slot of a full replica, ahead of
+ * requests on kept connections, which the replica then rejects.
+ */
+function needsNewConnection(
+  { route, replica, isReplicaFull, history }: OutgoingRequest,
+  agent: ExchangeContext['agent'],
+): boolean {
+  return (route.kind === 'nonIdempotent' && !isReplicaFull) || history.connections.mayBeReused(agent, replica.address);
+}
+
 /** Keys of the parts of a request's prompt. Parts are shared only between requests for the same model. */
 export function promptPartKeys(callerRequest: CallerRequest | undefined): readonly string[] {
   const model = callerRequest?.modelReference?.model;
