--- a/packages/gateway/src/peers/StreamCoordinator.test.ts
+++ b/packages/gateway/src/peers/StreamCoordinator.test.ts
@@ -22,6 +22,7 @@
   public readonly coordinator: StreamCoordinator;
   private readonly _onFollowerMessage = new common.Emitter<unknown>();
   private readonly _onLeaderMessage = new common.Emitter<unknown>();
+  private readonly _onConnected = new common.Emitter<unknown>();
 
   public constructor(store: SimulatedStreamStore) {
     const send = (method: string, params: unknown): void => {
@@ -30,7 +31,7 @@
     const ignored = new common.Emitter<unknown>().event;
     const links = {
       server: { broadcast: () => undefined, onJoined: ignored, onMessage: this._onFollowerMessage.event },
-      client: { send, onConnected: ignored, onMessage: this._onLeaderMessage.event },
+      client: { send, onConnected: this._onConnected.event, onMessage: this._onLeaderMessage.event },
     };
     const context = {
       replicas: () => this.versions.map((version) => sampleReplica({ id: version, softwareVersion: version })),
@@ -67,6 +68,10 @@
     this._onFollowerMessage.fire({ channel: { send }, message: { method, params } });
   }
 
+  public connect(): void {
+    this._onConnected.fire({});
+  }
+
   public receiveFromLeader(method: string, params: unknown): void {
     this._onLeaderMessage.fire({ method, params });
   }
@@ -139,6 +144,22 @@
     vitest.expect(daemon.sent).toEqual([{ method: 'streamOrigins', params: { groups } }]);
   });
 
+  vitest.test('reports such streams to the next leader too (guards against joined versions)', async () => {
+    daemon.hearsLeader = true;
+    const announcement = { versions: { s: ['v1'] }, recorded: [] };
+    daemon.receiveFromLeader('streamVersions', announcement);
+    daemon.coordinator.record({ attemptId: 'b', service: 's', version: 'v2' });
+    await daemon.run(200);
+    daemon.connect();
+    daemon.receiveFromLeader('streamVersions', announcement);
+    await daemon.run(200);
+    const message = {
+      method: 'streamOrigins',
+      params: { groups: [{ service: 's', version: 'v2', attemptIds: ['b'] }] },
+    };
+    vitest.expect(daemon.sent).toEqual([message, message]);
+  });
+
   vitest.test(
     'reports the streams of before once they are wanted (guards against origins lost in a release)',
     async () => {
