--- a/packages/gateway/src/peers/StreamCoordinator.test.ts
+++ b/packages/gateway/src/peers/StreamCoordinator.test.ts
@@ -141,7 +141,7 @@
     daemon.coordinator.record({ attemptId: 'b', service: 's', version: 'v2' });
     await daemon.run(200);
     const groups = [{ service: 's', version: 'v2', attemptIds: ['b'] }];
-    vitest.expect(daemon.sent).toEqual([{ method: 'streamOrigins', params: { groups } }]);
+    vitest.expect(daemon.sent).toEqual([{ method: 'streamOrigins', params: { sequence: 1, groups } }]);
   });
 
   vitest.test('reports such streams to the next leader too (guards against joined versions)', async () => {
@@ -155,7 +155,7 @@
     await daemon.run(200);
     const message = {
       method: 'streamOrigins',
-      params: { groups: [{ service: 's', version: 'v2', attemptIds: ['b'] }] },
+      params: { sequence: 1, groups: [{ service: 's', version: 'v2', attemptIds: ['b'] }] },
     };
     vitest.expect(daemon.sent).toEqual([message, message]);
   });
@@ -169,7 +169,7 @@
       daemon.receiveFromLeader('streamVersions', { versions: { s: ['v1', 'v2'] }, recorded: ['s'] });
       await daemon.run(200);
       const groups = [{ service: 's', version: 'v1', attemptIds: ['a'] }];
-      vitest.expect(daemon.sent).toEqual([{ method: 'streamOrigins', params: { groups } }]);
+      vitest.expect(daemon.sent).toEqual([{ method: 'streamOrigins', params: { sequence: 1, groups } }]);
     },
   );
 });
