--- a/packages/gateway/src/peers/StreamCoordinator.ts
+++ b/packages/gateway/src/peers/StreamCoordinator.ts
@@ -23,8 +23,8 @@
 
 /** Time without a leader after which a daemon reads the origins in the store itself, milliseconds. */
 const leaderlessMs = 200;
-/** Least time between two such reads, milliseconds. */
-const leaderlessReadMs = 500;
+/** Least time between two such reads, milliseconds; more if there are many daemons. */
+const minimumReadMs = 500;
 /** Time for which origins are gathered before a message, milliseconds. */
 const gatherMs = 5;
 /** Largest number of origins in a message. */
@@ -297,7 +297,8 @@
     }
     const needsAnswers = this._pending.all.length > 0 && nowMs - this._lastHeardMs >= leaderlessMs;
     if ((needsAnswers || !this._gate.hasAnnouncement) && nowMs >= this._nextReadMs && !this._isReading) {
-      this._nextReadMs = nowMs + leaderlessReadMs;
+      const { leaderlessReadMs } = messageIntervals(this._context.daemonCount());
+      this._nextReadMs = nowMs + Math.max(minimumReadMs, leaderlessReadMs);
       this._isReading = true;
       void this._readStore(needsAnswers ? this._pending.all : []).then(() => {
         this._isReading = false;
