Pass on no request of a connection that is refused already

Found by the review of REFUSED: the rest of a request that came too late arrived while an earlier one on its connection was in progress. The refusal waits for that one, but the late request was passed on and run, and its answer lost with the connection; its caller's 502 or retry could not know. Requests on a connection that has been refused are ignored now. The test failed before (two requests at the replica).

--- a/packages/gateway/src/forwarding/CallerServer.ts
+++ b/packages/gateway/src/forwarding/CallerServer.ts
@@ -66,6 +66,11 @@
   }
 
   private _accept(request: http.IncomingMessage, response: http.ServerResponse): void {
+    if (this._invalidRequests.isRefused(request)) {
+      // Its connection closes after the requests before it; it is not passed on, as its answer would be lost.
+      request.resume();
+      return;
+    }
     this._activeCount += 1;
     this._invalidRequests.track(request, response);
     response.once('close', () => {
--- a/packages/gateway/src/forwarding/InvalidRequests.test.ts
+++ b/packages/gateway/src/forwarding/InvalidRequests.test.ts
@@ -65,6 +65,23 @@
   });
 });
 
+vitest.describe('the rest of a request that came too late behind another one', () => {
+  vitest.test('is not passed on (guards against an answer that is lost with the connection)', async () => {
+    await using fixture = await openFixture(2_500);
+    const socket = fixture.connect();
+    let received = '';
+    socket.on('data', (bytes) => (received += bytes.toString('latin1')));
+    socket.on('error', () => undefined);
+    const closed = new Promise((resolve) => socket.once('close', resolve));
+    socket.write(request + incomplete);
+    await timers.setTimeout(1_800);
+    socket.write('empt: a2\r\ncontent-length: 2\r\n\r\nok');
+    await closed;
+    vitest.expect(statuses(received)).toEqual(['200']);
+    vitest.expect(fixture.requestHeads.length).toBe(1);
+  });
+});
+
 vitest.describe('a request that is not received whole', () => {
   vitest.test.each([
     ['408', incomplete],
--- a/packages/gateway/src/forwarding/InvalidRequests.ts
+++ b/packages/gateway/src/forwarding/InvalidRequests.ts
@@ -23,6 +23,11 @@
     this._responses.track(request, response);
   }
 
+  /** True if the connection of a request has been refused, so that no further request on it is answered. */
+  public isRefused({ socket }: http.IncomingMessage): boolean {
+    return this._refused.has(socket);
+  }
+
   /** Answers an invalid request and closes its connection, once the requests received before it have been answered. */
   public refuse(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
     if (this._refused.has(socket)) {
