--- a/packages/gateway/src/placement/planModels.ts
+++ b/packages/gateway/src/placement/planModels.ts
@@ -10,6 +10,7 @@
 import { CopyIndex } from './CopyIndex.js';
 import { exceedsRateLimit } from './rateLimits.js';
 import { type LoadOption, LoadOptions } from './LoadOptions.js';
+import { type HotModel, overloaded, type StoreCandidate } from './hotModels.js';
 import {
   demandByModel,
   gainForStreams,
@@ -32,11 +33,6 @@
 const displacingShare = 0.5;
 /** Share of occupied slots above which a model gets another copy. */
 const secondCopyUtilization = 0.6;
-/**
- * Weight of requests beyond the capacity of a model's copies: they may be served late, while requests for a model
- * without a copy are never served.
- */
-const furtherCopyWeight = 0.1;
 /** Request rate above which a model is hot, requests per second. */
 const hotRate = 1;
 
@@ -49,14 +45,6 @@
 
 type WaitingModel = readonly [string, ModelDemand];
 
-/** A model in high demand, with the running requests and slots of the replicas assigned to it. */
-interface HotModel {
-  readonly model: string;
-  readonly demand: ModelDemand;
-  readonly running: number;
-  readonly slots: number;
-}
-
 /** Restricts the replicas on which a model may be loaded. */
 interface LoadConstraints {
   /** Only replicas that can load it at once. */
@@ -66,13 +54,6 @@
   readonly isEligible?: (replica: PlacedReplica) => boolean;
 }
 
-interface StoreCandidate {
-  readonly model: string;
-  /** Gain of a load, in weighted requests per second. */
-  readonly gain: number;
-  readonly reason: 'waiting' | 'secondCopy';
-}
-
 /**
  * Decides which models to load and unload now, for a workload of many rarely used models and a few hot ones. A model
  * that requests wait for is loaded on the replica where the load time and the cost of evictions are lowest. The few
@@ -407,15 +388,6 @@
   return replicaId;
 }
 
-/** Models whose copies have more running requests than slots. */
-function overloaded(hot: readonly HotModel[]): readonly StoreCandidate[] {
-  const overloadedModels = hot.filter(({ running, slots }) => running > slots);
-  return overloadedModels.map(({ model, demand, running, slots }) => {
-    const gain = gainOf(demand) * (1 - slots / running) * furtherCopyWeight;
-    return { model, gain, reason: 'secondCopy' as const };
-  });
-}
-
 function cheapest(options: readonly LoadOption[]): LoadOption | undefined {
   return options.reduce<LoadOption | undefined>(
     (best, option) => (best === undefined || option.costMs < best.costMs ? option : best),
