--- a/packages/gateway/src/testing/streams/StreamSimulation.ts
+++ b/packages/gateway/src/testing/streams/StreamSimulation.ts
@@ -3,7 +3,7 @@
 import { Network } from '../changes/SimulatedLink.js';
 import { sampleReplica } from '../sampleReplica.js';
 import { SimulatedTime } from '../SimulatedTime.js';
-import { seededRandom } from './seededRandom.js';
+import { seededRandom } from '../seededRandom.js';
 import { SimulatedCallers } from './SimulatedCallers.js';
 import { SimulatedStreamDaemon, type StreamSurroundings } from './SimulatedStreamDaemon.js';
 import { lifetimeMs } from './streamLimits.js';
