Add a chain of admission steps before a request is dispatched

Keys and quotas of tenants, and further decisions, need a place between the route of a request and its replica. Each of them would otherwise grow Exchange.ts.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -422,6 +422,7 @@
       crashMetrics: this._crashMetrics,
       streams: this._streams,
       agent: this._agent,
+      admission: this._admissionSteps(),
       routes: () => this._routingTables.routes,
       readyInMs: (model) => this._readyInMs(model),
       randomSlots: () => Math.random() * spreadSlots(this._leaderView.daemonCount),
@@ -439,6 +440,10 @@
     };
   }
 
+  private _admissionSteps(): ExchangeContext['admission'] {
+    return { beforeBody: [], beforeDispatch: [] };
+  }
+
   private _readyInMs(model: string): number | undefined {
     return this._isLeaderAlive() ? this._leaderView.readyInMs(model, this._nowMs()) : undefined;
   }
--- a/packages/gateway/src/Types.ts
+++ b/packages/gateway/src/Types.ts
@@ -46,6 +46,31 @@
   readonly resumable: boolean;
   /** Longest pause between two events of a stream that is on time, milliseconds. */
   readonly eventGapMs: number;
+  /** True if requests need no key although the configuration has tenants. */
+  readonly isKeyless: boolean;
+}
+
+/** What a tenant may use over all daemons together. */
+export interface TenantQuota {
+  /** What the figures count: requests, or prompt tokens plus the largest number of output tokens. */
+  readonly unit: 'requests' | 'tokens';
+  /** Units per second. */
+  readonly perSecond: number;
+  /** Units beyond the rate that a tenant may use at once after it has used less. */
+  readonly burst: number;
+  /** Tokens that a request without token counts counts as. */
+  readonly plainTokens: number;
+}
+
+/** A customer whose requests carry a key. */
+export interface Tenant {
+  readonly name: string;
+  /** SHA-256 digests of its keys, hexadecimal. */
+  readonly keyDigests: readonly string[];
+  /** Rank of its requests, which goes before that of their routes; 0 is the most urgent. */
+  readonly priority?: number;
+  /** Absent without a limit. */
+  readonly quota?: TenantQuota;
 }
 
 /** A model that the replicas of a service may hold. */
@@ -90,6 +115,8 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, Service>;
   readonly callerLimits: CallerLimits;
+  /** Tenants; empty if requests need no keys. */
+  readonly tenants: readonly Tenant[];
 }
 
 /** A model in the accelerator memory of a replica, with its adapters. */
--- a/packages/gateway/src/contracts/RequestCodec.ts
+++ b/packages/gateway/src/contracts/RequestCodec.ts
@@ -17,6 +17,10 @@
   readonly resumedAttemptId?: string;
   /** Identifiers of the parts of the prompt that other prompts may share, in order. */
   readonly promptPartIds: readonly string[];
+  /** Key of the caller's tenant. It must not reach a replica, a log, a metric, an error text or a peer. */
+  readonly credential?: string;
+  /** Prompt tokens plus the largest number of output tokens; absent if the caller does not state them. */
+  readonly tokens?: number;
 }
 
 /** Values of the headers that the gateway sets in a request to a replica. */
@@ -27,6 +31,8 @@
   readonly urgency?: number;
   readonly lastEventId?: string;
   readonly bodyBytes: number;
+  /** Name of the caller's tenant. */
+  readonly tenantName?: string;
 }
 
 /** Contents of the head of a replica's response. */
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -1,6 +1,8 @@
 import type * as http from 'node:http';
 import type { CallerRequest, ResponseHead } from '../contracts/RequestCodec.js';
 import type { Instant, Replica, Route } from '../Types.js';
+import { AdmissionRun } from './admission/AdmissionRun.js';
+import type { AdmissionStep } from './admission/AdmissionStep.js';
 import { RequestWait } from '../waiting/RequestWait.js';
 import type { WaitingRequest } from '../waiting/WaitingRequests.js';
 import { discardBody } from './discardBody.js';
@@ -48,6 +50,7 @@
   private readonly _attempt: CurrentAttempt;
   private readonly _continuation: StreamContinuation;
   private readonly _history = new AttemptHistory();
+  private _admission: AdmissionRun | undefined;
   /** Status of the response that is being relayed. */
   private _responseStatus = 0;
   /** Time at which this response began, steady milliseconds. */
@@ -92,9 +95,24 @@
 
   /** Admits the request, reads its body and dispatches it. */
   public begin(): void {
-    if (!this._admit()) {
-      return;
+    if (this._admit()) {
+      this._runAdmission(this._context.admission.beforeBody, () => {
+        this._readBody();
+      });
     }
+  }
+
+  /** Runs admission steps and calls `onPassed` once the request has passed them. */
+  private _runAdmission(steps: readonly AdmissionStep[], onPassed: () => void): void {
+    this._admission?.start(steps, {
+      onPassed,
+      onRejected: (response) => {
+        this._respond(response);
+      },
+    });
+  }
+
+  private _readBody(): void {
     const maximumBytes = this._context.routes()?.configuration.callerLimits.maximumBodyBytes ?? 0;
     readBody(this._request, maximumBytes, (outcome) => {
       if (this._finished) {
@@ -105,8 +123,10 @@
         this._respond({ status: 413, outcome: 'invalidRequest', reason });
       } else if (outcome !== 'broken') {
         this._body = outcome;
-        this._recordDemand();
-        this._beginStream();
+        this._runAdmission(this._context.admission.beforeDispatch, () => {
+          this._recordDemand();
+          this._beginStream();
+        });
       }
     });
   }
@@ -125,6 +145,8 @@
     this._service = service;
     this._configurationVersion = configurationVersion;
     this._deadline.start(this._startedMs, callerRequest.deadlineMs, route.timeoutMs);
+    const timeLeftMs = (nowMs: number): number => this._deadline.leftMs(nowMs);
+    this._admission = new AdmissionRun({ callerRequest, route, service, timeLeftMs }, this._context.clock);
     retryBudgets.recordRequest(service, this._startedMs);
     return true;
   }
@@ -225,7 +247,8 @@
   }
 
   private _urgency(route: Route): number {
-    return urgencyOf(route, this._continuation.requiredVersion !== undefined);
+    const isContinued = this._continuation.requiredVersion !== undefined;
+    return urgencyOf(route, this._admission?.tenant?.priority, isContinued);
   }
 
   private _startWaiting(limitedReplicaId: string | undefined, route: Route, nowMs: number): void {
@@ -280,6 +303,7 @@
         deadlineMs: Math.max(Math.floor(this._deadline.leftMs(now.steadyMs)), 1),
         urgency: this._urgency(route),
         lastEventId: this._relay.lastEventId,
+        tenantName: this._admission?.tenant?.name,
       },
       {
         onHead: (head, response) => {
@@ -538,11 +562,13 @@
     this._deadline.stop();
     this._inactivityTimer.stop();
     this._continuation.stop();
+    this._admission?.stop();
     const nowMs = this._nowMs();
     this._wait.stop(nowMs);
     const result: ExchangeResult = {
       attemptId: this._callerRequest?.attemptId,
       route: this._route?.name,
+      tenant: this._admission?.tenant?.name,
       configurationVersion: this._configurationVersion,
       target: this._callerRequest?.modelReference,
       outcome,
--- a/packages/gateway/src/forwarding/ExchangeResult.ts
+++ b/packages/gateway/src/forwarding/ExchangeResult.ts
@@ -14,10 +14,20 @@
 export interface ExchangeResult {
   readonly attemptId: string | undefined;
   readonly route: string | undefined;
+  /** Name of the caller's tenant. */
+  readonly tenant: string | undefined;
   readonly configurationVersion: number | undefined;
   readonly target: ModelReference | undefined;
   readonly outcome:
-    'delivered' | 'replicaFailure' | 'refused' | 'timedOut' | 'broken' | 'callerLeft' | 'invalidRequest' | 'noRoute';
+    | 'delivered'
+    | 'replicaFailure'
+    | 'refused'
+    | 'timedOut'
+    | 'broken'
+    | 'callerLeft'
+    | 'invalidRequest'
+    | 'noRoute'
+    | 'unauthorized';
   readonly status: number | undefined;
   /** Replicas that the request was sent to, in order. */
   readonly replicas: readonly string[];
--- a/packages/gateway/src/forwarding/StreamContinuation.test.ts
+++ b/packages/gateway/src/forwarding/StreamContinuation.test.ts
@@ -19,6 +19,7 @@
   services: [],
   resumable: true,
   eventGapMs: 1_000,
+  isKeyless: false,
 };
 
 const release = (): void => undefined;
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -13,6 +13,7 @@
 import type { StreamOrigins } from '../streams/Types.js';
 import type { ModelReference, Replica, Route } from '../Types.js';
 import type { WaitingRequests } from '../waiting/WaitingRequests.js';
+import type { AdmissionStep } from './admission/AdmissionStep.js';
 import type { RequestLog } from './RequestLog.js';
 
 /** The services of the daemon that an exchange uses. */
@@ -32,6 +33,11 @@
   readonly crashMetrics: CrashMetrics;
   readonly streams: StreamOrigins;
   readonly agent: http.Agent;
+  /** Admission steps before the body of a request is read, and those before it is dispatched. */
+  readonly admission: {
+    readonly beforeBody: readonly AdmissionStep[];
+    readonly beforeDispatch: readonly AdmissionStep[];
+  };
   routes(): RouteTable | undefined;
   /** Expected time until a model is ready; undefined while no leader provides an estimate. */
   readyInMs(model: string): number | undefined;
--- a/packages/gateway/src/forwarding/createAttempt.ts
+++ b/packages/gateway/src/forwarding/createAttempt.ts
@@ -22,6 +22,8 @@
   readonly urgency: number;
   /** Last event that the caller has received, if a stream is resumed. */
   readonly lastEventId: string | undefined;
+  /** Name of the caller's tenant; undefined where no key is needed. */
+  readonly tenantName: string | undefined;
 }
 
 /** Sends a request of a caller to a replica. */
@@ -30,13 +32,14 @@
   outgoing: OutgoingRequest,
   listener: AttemptListener,
 ): ReplicaAttempt {
-  const { incoming, body, callerRequest, replica, history, deadlineMs, urgency, lastEventId } = outgoing;
+  const { incoming, body, callerRequest, replica, history, deadlineMs, urgency, lastEventId, tenantName } = outgoing;
   const headers = codec.forwardedHeaders(incoming, {
     replicaId: replica.id,
     deadlineMs,
     bodyBytes: body.length,
     ...(callerRequest.modelReference !== undefined && { urgency }),
     ...(lastEventId !== undefined && { lastEventId }),
+    ...(tenantName !== undefined && { tenantName }),
   });
   const request = {
     method: incoming.method ?? 'GET',
--- a/packages/gateway/src/forwarding/decideDispatch.test.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.test.ts
@@ -21,6 +21,7 @@
   services: [],
   resumable: false,
   eventGapMs: 150,
+  isKeyless: false,
 };
 
 const request: DispatchInput = {
--- a/packages/gateway/src/forwarding/retryPolicy.ts
+++ b/packages/gateway/src/forwarding/retryPolicy.ts
@@ -43,10 +43,10 @@
 }
 
 /**
- * Urgency sent to engines: that of the route's priority; at equal priority, interactive routes are more urgent. A stream
+ * Urgency sent to engines: that of the tenant's priority, or of the route's without one; at equal priority, interactive routes are more urgent. A stream
  * that goes on after a break is one level more urgent, as its caller has a part of it already.
  */
-export function urgencyOf(route: Route, isContinued: boolean): number {
-  const urgency = route.priority * 2 + (route.latencyTargetMs <= interactiveLatencyMs ? 0 : 1);
+export function urgencyOf(route: Route, tenantPriority: number | undefined, isContinued: boolean): number {
+  const urgency = (tenantPriority ?? route.priority) * 2 + (route.latencyTargetMs <= interactiveLatencyMs ? 0 : 1);
   return Math.min(Math.max(urgency - (isContinued ? 1 : 0), 0), lowestUrgency);
 }
--- a/packages/gateway/src/placement/PlacementLeader.test.ts
+++ b/packages/gateway/src/placement/PlacementLeader.test.ts
@@ -45,6 +45,7 @@
       },
     ],
   ]),
+  tenants: [],
   callerLimits: { maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
 
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -208,10 +208,17 @@
       services: [{ service: 's', weight: 1 }],
       resumable: false,
       eventGapMs: 200,
+      isKeyless: false,
       ...this._route,
     };
     const otherRoutes = this._otherRoute === undefined ? [] : [{ ...route, ...this._otherRoute }];
-    const routes = new RouteTable({ version: 1, routes: [route, ...otherRoutes], services: new Map(), callerLimits });
+    const routes = new RouteTable({
+      version: 1,
+      routes: [route, ...otherRoutes],
+      services: new Map(),
+      callerLimits,
+      tenants: [],
+    });
     const retryBudgets = new RetryBudgets({ windowMs: 10_000, ratio: 0.2, slack: this.retrySlack });
     const requestLog = new RequestLog({
       ...silentLogger,
@@ -246,6 +253,7 @@
       crashMetrics: new CrashMetrics(requestLog.registry),
       streams: this.streams,
       agent: this._agent,
+      admission: { beforeBody: [], beforeDispatch: [] },
       routes: () => routes,
       readyInMs: () => undefined,
       randomSlots: () => 0,
--- a/packages/gateway/src/testing/changes/SimulatedStore.ts
+++ b/packages/gateway/src/testing/changes/SimulatedStore.ts
@@ -97,7 +97,7 @@
   }
 
   public decodeConfiguration(text: string): Configuration {
-    return { version: Number(text), routes: [], services: new Map(), callerLimits };
+    return { version: Number(text), routes: [], tenants: [], services: new Map(), callerLimits };
   }
 
   public decodeReplica(_id: string, text: string): Replica {
--- a/packages/gateway/src/testing/streams/SimulatedCallers.ts
+++ b/packages/gateway/src/testing/streams/SimulatedCallers.ts
@@ -20,6 +20,7 @@
   services: [],
   resumable: true,
   eventGapMs: 1_000,
+  isKeyless: false,
 };
 
 interface Stream {
