Estimate the lasting speed of replicas and place and choose by it

A single daemon gets too few streams of a replica to learn its speed, so daemons report the mean event gap of their streams, by replica and model, and the leader estimates the slowness of each replica and sends changes to all daemons. Hot models are loaded on faster replicas, and get a faster copy if all their copies are on slow ones.

No replica is asked more often.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -25,6 +25,7 @@
 import { LeaderView } from './peers/LeaderView.js';
 import { StreamCoordinator } from './peers/StreamCoordinator.js';
 import { RateLimitCoordinator } from './peers/RateLimitCoordinator.js';
+import { SpeedCoordinator } from './peers/SpeedCoordinator.js';
 import { messageIntervals } from './peers/messageIntervals.js';
 import { Reporter } from './peers/Reporter.js';
 import type { DaemonReport, LeaderStatus } from './peers/Types.js';
@@ -40,6 +41,8 @@
 import { spreadSlots } from './routing/chooseReplica.js';
 import { ReplicaLoads } from './routing/ReplicaLoads.js';
 import { RoutingTables } from './RoutingTables.js';
+import { ReplicaSpeeds } from './speeds/ReplicaSpeeds.js';
+import { SpeedReports } from './speeds/SpeedReports.js';
 import { streamLifetimeMs } from './streams/streamLifetimeMs.js';
 import { StopSchedule } from './StopSchedule.js';
 import type { Address } from './Types.js';
@@ -66,8 +69,11 @@
   private readonly _leaderMessages: LeaderMessages;
   private readonly _leaderView = new LeaderView();
   private readonly _reporter: Reporter;
-  private readonly _loads = new ReplicaLoads();
   private readonly _waitingRequests = new WaitingRequests();
+  private readonly _speedReports = new SpeedReports();
+  private readonly _speeds = new ReplicaSpeeds();
+  private readonly _loads = new ReplicaLoads((replicaId) => this._speeds.slowness(replicaId));
+  private readonly _speedCoordinator: SpeedCoordinator;
   private readonly _arrivals = new ArrivalCounter();
   private readonly _retryBudgets: RetryBudgets;
   private readonly _requestLog: RequestLog;
@@ -138,6 +144,8 @@
       (now) => this._leaderElector.orderToken(now),
       _clock,
     );
+    const isLeading = (): boolean => this._leaderElector.orderToken(this._clock.now()) !== undefined;
+    this._speedCoordinator = new SpeedCoordinator(this._speeds, this._peerServer, this._peerClient, isLeading);
     this._crashMetrics = new CrashMetrics(this._requestLog.registry);
     this._crashCoordinator = new CrashCoordinator(
       this._crashGuard,
@@ -158,6 +166,7 @@
       _clock,
       _log.child('placement'),
       (replicaId) => this._rateLimitCoordinator.placedLimit(replicaId),
+      (replicaId) => this._speeds.slowness(replicaId),
     );
     this._leaderMessages = new LeaderMessages(this._peerServer, this._leader, _clock);
     this._reporter = new Reporter(
@@ -167,6 +176,7 @@
         arrivals: this._arrivals,
         loads: this._loads,
         rateLimits: this._rateLimits,
+        speeds: this._speedReports,
       },
       (report) => {
         this._sendReport(report);
@@ -348,6 +358,7 @@
     this._loads.retain((id) => this._directory.get(id) !== undefined, nowMs);
     this._rateLimits.retain((id) => this._directory.get(id)?.bornMs);
     this._rateLimitCoordinator.tick();
+    this._speedCoordinator.tick((id) => this._directory.get(id) !== undefined, nowMs);
     this._crashCoordinator.tick();
     this._streams.tick();
     this._crashMetrics.setCounts(this._crashGuard.counts);
@@ -386,6 +397,7 @@
     if (this._leaderElector.isHolder) {
       this._leader.applyReport(report);
       this._rateLimitCoordinator.applyReport(report);
+      this._speedCoordinator.applyReport(report);
     } else {
       this._peerClient.send('report', report);
     }
@@ -414,6 +426,7 @@
       failureDomain: this._settings.failureDomain,
       directory: this._directory,
       loads: this._loads,
+      speedReports: this._speedReports,
       waitingRequests: this._waitingRequests,
       retryBudgets: this._retryBudgets,
       rateLimits: this._rateLimits,
--- a/packages/gateway/src/forwarding/CurrentAttempt.ts
+++ b/packages/gateway/src/forwarding/CurrentAttempt.ts
@@ -1,6 +1,8 @@
 import type * as http from 'node:http';
 import type { AttemptObservation } from '../crashes/AttemptObservation.js';
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
+import { EventGaps } from '../speeds/EventGaps.js';
+import type { SpeedReports } from '../speeds/SpeedReports.js';
 import type { ModelReference, Replica } from '../Types.js';
 import type { ReplicaAttempt } from './ReplicaAttempt.js';
 
@@ -14,13 +16,17 @@
   readonly attempt: ReplicaAttempt;
   readonly modelReference: ModelReference | undefined;
   readonly observation: AttemptObservation;
+  readonly eventGaps: EventGaps;
 }
 
 /** The running attempt of a request, if any. It counts towards the load of its replica. */
 export class CurrentAttempt {
   private _running: RunningAttempt | undefined;
 
-  public constructor(private readonly _loads: ReplicaLoads) {}
+  public constructor(
+    private readonly _loads: ReplicaLoads,
+    private readonly _speedReports: Pick<SpeedReports, 'record'>,
+  ) {}
 
   public get isRunning(): boolean {
     return this._running !== undefined;
@@ -37,7 +43,7 @@
     promptPartIds: readonly string[],
     observation: AttemptObservation,
   ): void {
-    this._running = { attempt, modelReference, observation };
+    this._running = { attempt, modelReference, observation, eventGaps: new EventGaps() };
     this._loads.recordStart(attempt.replica.id, modelReference, promptPartIds);
   }
 
@@ -49,6 +55,7 @@
   /** Records the number of complete events of the answer so far. */
   public recordEvents(completeEvents: number, nowMs: number): void {
     this._running?.observation.recordEvents(completeEvents, nowMs);
+    this._running?.eventGaps.record(completeEvents, nowMs);
   }
 
   /** Records the duration of a successful response, milliseconds. */
@@ -76,6 +83,7 @@
     }
     if (outcome === 'succeeded') {
       running.observation.recordAnswered(nowMs);
+      this._recordSpeed(running);
     } else if (outcome === 'lost') {
       running.observation.recordLost();
     }
@@ -89,6 +97,13 @@
     running?.observation.end();
   }
 
+  private _recordSpeed({ attempt, modelReference, eventGaps }: RunningAttempt): void {
+    const gapMs = eventGaps.meanMs;
+    if (modelReference !== undefined && gapMs !== undefined) {
+      this._speedReports.record(attempt.replica.id, modelReference.model, gapMs);
+    }
+  }
+
   private _release(): RunningAttempt | undefined {
     const running = this._running;
     if (running === undefined) {
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -73,7 +73,7 @@
   ) {
     this._startedMs = this._nowMs();
     this._wait = new RequestWait(_context.waitingRequests);
-    this._attempt = new CurrentAttempt(_context.loads);
+    this._attempt = new CurrentAttempt(_context.loads, _context.speedReports);
     this._continuation = new StreamContinuation(_context.streams);
     this._relay = new ResponseRelay(_response, _context.codec, () => _context.isStopping(), {
       onProgress: () => {
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -10,6 +10,7 @@
 import type { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
 import type { RetryBudgets } from '../retries/RetryBudgets.js';
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
+import type { SpeedReports } from '../speeds/SpeedReports.js';
 import type { StreamOrigins } from '../streams/Types.js';
 import type { ModelReference, Replica, Route } from '../Types.js';
 import type { WaitingRequests } from '../waiting/WaitingRequests.js';
@@ -25,6 +26,8 @@
   readonly failureDomain: string;
   readonly directory: ReplicaDirectory;
   readonly loads: ReplicaLoads;
+  /** Collects the event gaps of streams, from which the leader estimates the speeds of replicas. */
+  readonly speedReports: Pick<SpeedReports, 'record'>;
   readonly waitingRequests: WaitingRequests;
   readonly retryBudgets: RetryBudgets;
   readonly rateLimits: ReplicaRateLimits;
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -23,6 +23,7 @@
   holdings: true,
   status: true,
   loads: true,
+  speeds: true,
   estimates: true,
   leaving: true,
   rateLimits: true,
--- a/packages/gateway/src/peers/Reporter.test.ts
+++ b/packages/gateway/src/peers/Reporter.test.ts
@@ -1,6 +1,7 @@
 import * as vitest from 'vitest';
 import { ArrivalCounter } from '../placement/ArrivalCounter.js';
 import { ReplicaLoads } from '../routing/ReplicaLoads.js';
+import { SpeedReports } from '../speeds/SpeedReports.js';
 import { WaitingRequests } from '../waiting/WaitingRequests.js';
 import { Reporter } from './Reporter.js';
 import type { DaemonReport } from './Types.js';
@@ -17,6 +18,7 @@
       waitingRequests: this.waitingRequests,
       arrivals: this.arrivals,
       loads: new ReplicaLoads(),
+      speeds: new SpeedReports(),
       rateLimits: { takeReport: () => ({ demands: [], reportedAt: clock.now() }) },
     };
     const send = (report: DaemonReport): void => {
--- a/packages/gateway/src/peers/Reporter.ts
+++ b/packages/gateway/src/peers/Reporter.ts
@@ -2,6 +2,8 @@
 import type { ArrivalCounter } from '../placement/ArrivalCounter.js';
 import type { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
+import type { SpeedReports } from '../speeds/SpeedReports.js';
+import type { SpeedReport } from '../speeds/Types.js';
 import type { WaitingRequests } from '../waiting/WaitingRequests.js';
 import { type MessageIntervals, messageIntervals } from './messageIntervals.js';
 import type { DaemonReport } from './Types.js';
@@ -12,6 +14,7 @@
   readonly arrivals: ArrivalCounter;
   readonly loads: ReplicaLoads;
   readonly rateLimits: Pick<ReplicaRateLimits, 'takeReport'>;
+  readonly speeds: Pick<SpeedReports, 'take'>;
 }
 
 /** Longest time between two reports while requests wait for permits, milliseconds: the demands of a report expire. */
@@ -61,7 +64,7 @@
   }
 
   private _report(): void {
-    const { waitingRequests, arrivals, loads, rateLimits } = this._sources;
+    const { waitingRequests, arrivals, loads, rateLimits, speeds } = this._sources;
     const now = this._clock.now();
     const nowMs = now.steadyMs;
     this._lastReportMs = nowMs;
@@ -74,6 +77,7 @@
       running: loads.report(),
       unreachable: loads.unreachable(nowMs),
       permits,
+      ...speedsOf(speeds.take()),
     });
   }
 
@@ -85,3 +89,8 @@
     return this._clock.now().steadyMs;
   }
 }
+
+/** The part of a report on event gaps, which is left out if there are none. */
+function speedsOf(speeds: readonly SpeedReport[]): Pick<DaemonReport, 'speeds'> {
+  return speeds.length === 0 ? {} : { speeds };
+}
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -3,6 +3,7 @@
 import type { LeaderAnnouncement } from '../leadership/KnownLeader.js';
 import type { PermitMessage, PermitReport, RateLimitStatement } from '../rateLimits/Types.js';
 import type { ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
+import type { SlownessByReplica, SpeedReport } from '../speeds/Types.js';
 import type {
   OriginQuery,
   OriginReply,
@@ -46,6 +47,8 @@
   readonly unreachable: readonly string[];
   /** Permits that the daemon needs for replicas with a rate limit. Absent in reports of earlier versions. */
   readonly permits?: PermitReport;
+  /** Event gaps of the streams that have ended since the last report. Absent in reports of earlier versions. */
+  readonly speeds?: readonly SpeedReport[];
 }
 
 /** Records of a table that a peer has read. */
@@ -101,6 +104,11 @@
   readonly running: Readonly<Record<string, number>>;
 }
 
+/** Lasting speeds of replicas, as the leader estimates them. Replicas that are left out are unchanged. */
+export interface SpeedsMessage {
+  readonly slowness: SlownessByReplica;
+}
+
 /** Expected times for the models that the receiver's requests wait for; models that are left out have no estimate. */
 export interface EstimatesMessage {
   readonly estimates: readonly ReadyEstimate[];
@@ -156,6 +164,7 @@
   readonly holdings: HoldingsMessage;
   readonly status: LeaderStatus;
   readonly loads: LoadsMessage;
+  readonly speeds: SpeedsMessage;
   readonly estimates: EstimatesMessage;
   readonly leaving: LeavingMessage;
   readonly rateLimits: RateLimitsMessage;
--- a/packages/gateway/src/placement/LoadOptions.ts
+++ b/packages/gateway/src/placement/LoadOptions.ts
@@ -19,6 +19,11 @@
 /** Cost of a load on a replica with a rate limit, milliseconds: its orders and its requests count towards the limit. */
 const rateLimitCostMs = 2_000;
 
+/** Mean time that a request occupies a slot of a replica of mean speed, milliseconds. */
+const meanRunMs = 1_000;
+/** Slowness counts more for models whose requests have tight latency targets: on slow replicas they are late. */
+const tightLatencySlownessFactor = 2;
+
 /** A way to load a model on a replica. */
 export interface LoadOption {
   readonly replica: PlacedReplica;
@@ -60,10 +65,18 @@
     const victimsCostMs = victims.reduce((sum, victim) => sum + this._costOf(victim) + unloadStepCostMs, 0);
     const adapterRate = replica.models.reduce((sum, held) => sum + (this._adapterRates.get(held.name) ?? 0), 0);
     const limitCostMs = replica.rateLimit === undefined ? 0 : rateLimitCostMs;
-    const costMs = specification.loadMs[tier] + victimsCostMs + adapterRate * adapterDelayCostMs + limitCostMs;
+    const slownessCostMs = this._slownessCostMs(replica, specification.name);
+    const costMs =
+      specification.loadMs[tier] + victimsCostMs + adapterRate * adapterDelayCostMs + limitCostMs + slownessCostMs;
     return { replica, tier, victims, costMs };
   }
 
+  /** Time by which a run takes longer on a replica than on one of mean speed; negative on a faster one. */
+  private _slownessCostMs({ slowness }: PlacedReplica, model: string): number {
+    const factor = requestWeight(this._demand.get(model)) > 1 ? tightLatencySlownessFactor : 1;
+    return (slowness - 1) * meanRunMs * factor;
+  }
+
   /** Demand for the victims in weighted requests per second, reduced for models with other copies. */
   public lossOf(victims: readonly PlacedModel[]): number {
     return victims.reduce((sum, victim) => sum + this._weightedRate(victim.name) / this._copyCount(victim.name), 0);
--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -55,6 +55,7 @@
     private readonly _clock: Clock,
     private readonly _log: common.Logger,
     private readonly _rateLimit: (replicaId: string) => PlacedRateLimit | undefined = () => undefined,
+    private readonly _slowness: (replicaId: string) => number = () => 1,
   ) {
     const isCurrent = (tracked: TrackedReplica): boolean => this._isCurrent(tracked);
     this._sender = new OrderSender(self, _engines, _orderToken, isCurrent, _clock, _log);
@@ -276,7 +277,9 @@
       .filter((tracked) => tracked.replica.service === service)
       .map((tracked) => {
         const { id } = tracked.replica;
-        return tracked.toPlacedReplica(engine, running.get(id), unreachable.has(id), nowMs, this._rateLimit(id));
+        const { weightMegabytes, adapterSlots } = engine;
+        const limits = { weightMegabytes, adapterSlots, slowness: this._slowness(id) };
+        return tracked.toPlacedReplica(limits, running.get(id), unreachable.has(id), nowMs, this._rateLimit(id));
       });
   }
 
--- a/packages/gateway/src/placement/TrackedReplica.test.ts
+++ b/packages/gateway/src/placement/TrackedReplica.test.ts
@@ -3,7 +3,7 @@
 import { TrackedReplica } from './TrackedReplica.js';
 
 const replica = sampleReplica();
-const limits = { weightMegabytes: 100, adapterSlots: 2 };
+const limits = { weightMegabytes: 100, slowness: 1, adapterSlots: 2 };
 
 function trackReplica(): TrackedReplica {
   const tracked = new TrackedReplica(replica);
--- a/packages/gateway/src/placement/TrackedReplica.ts
+++ b/packages/gateway/src/placement/TrackedReplica.ts
@@ -122,7 +122,7 @@
 
   /** The state of the replica for the planner. */
   public toPlacedReplica(
-    limits: { readonly weightMegabytes: number; readonly adapterSlots: number },
+    limits: Pick<PlacedReplica, 'weightMegabytes' | 'adapterSlots' | 'slowness'>,
     running: RunningCounts | undefined,
     isUnreachable: boolean,
     nowMs: number,
--- a/packages/gateway/src/placement/Types.ts
+++ b/packages/gateway/src/placement/Types.ts
@@ -74,6 +74,8 @@
   /** Model that the replica is being cleared for: its retiring models are unloaded once their requests have ended. */
   readonly clearingFor?: string;
   readonly running: number;
+  /** How much longer work takes on the replica than in the mean of its service; 1 is the mean. */
+  readonly slowness: number;
 }
 
 /** Everything that a placement decision depends on. */
@@ -98,7 +100,7 @@
   /** True if the replica may still be executing an unload that precedes this order. */
   readonly afterUnload?: boolean;
   readonly tier: WeightTier;
-  readonly reason: 'waiting' | 'clearing' | 'coverage' | 'secondCopy' | 'adapter';
+  readonly reason: 'waiting' | 'clearing' | 'coverage' | 'secondCopy' | 'fasterCopy' | 'adapter';
 }
 
 /** Models of a replica that stop taking new requests, so that another model can be loaded once they are idle. */
--- a/packages/gateway/src/placement/planModels.test.ts
+++ b/packages/gateway/src/placement/planModels.test.ts
@@ -27,6 +27,7 @@
     takesRequests: true,
     takesOrders: true,
     hasFormerOrder: false,
+    slowness: 1,
     models,
     inMemory: new Set(),
     onDisk: new Set(onDisk),
--- a/packages/gateway/src/placement/planModels.ts
+++ b/packages/gateway/src/placement/planModels.ts
@@ -33,6 +33,8 @@
 const displacingShare = 0.5;
 /** Share of occupied slots above which a model gets another copy. */
 const secondCopyUtilization = 0.6;
+/** Slowness of a hot model's fastest copy from which a faster one is loaded, and the largest share of it that is faster. */
+const slowCopy = { slowness: 1.2, improvement: 0.75 } as const;
 /** Request rate above which a model is hot, requests per second. */
 const hotRate = 1;
 
@@ -222,10 +224,21 @@
     for (const { model, running, slots } of hot) {
       if (running > secondCopyUtilization * slots) {
         this._load(model, 'secondCopy', ['memory', 'disk']);
+      } else {
+        this._addFasterCopy(model);
       }
     }
   }
 
+  /** Loads a hot model on a faster replica if all its copies are on slow ones, where requests with tight targets are late. */
+  private _addFasterCopy(model: string): void {
+    const slowness = Math.min(...this._copies.assigned(model).map((replica) => replica.slowness));
+    if (slowness > slowCopy.slowness) {
+      const isEligible = (replica: PlacedReplica): boolean => replica.slowness < slowness * slowCopy.improvement;
+      this._load(model, 'fasterCopy', ['memory', 'disk'], { isEligible });
+    }
+  }
+
   /** Models in high demand that have copies and are not being loaded. */
   private _hotModels(): readonly HotModel[] {
     const hot = [...this._demand].filter(
@@ -235,7 +248,8 @@
       const holders = this._copies.assigned(model);
       const isBeingLoaded = holders.some((replica) => replica.order?.model === model);
       const running = holders.reduce((sum, replica) => sum + replica.running, 0);
-      const slots = holders.reduce((sum, replica) => sum + replica.slots, 0);
+      // Runs take longer on slow replicas, so that as many requests a second occupy more of their slots.
+      const slots = holders.reduce((sum, replica) => sum + replica.slots / Math.max(replica.slowness, 1), 0);
       return holders.length > 0 && !isBeingLoaded ? [{ model, demand, running, slots }] : [];
     });
   }
--- a/packages/gateway/src/routing/ReplicaLoads.ts
+++ b/packages/gateway/src/routing/ReplicaLoads.ts
@@ -46,6 +46,9 @@
   private _leaderMessageMs = Number.NEGATIVE_INFINITY;
   private _leaderUpdateMs = Number.NEGATIVE_INFINITY;
 
+  /** `slowness` is how much longer work takes on a replica than in the mean. */
+  public constructor(private readonly _slowness: (replicaId: string) => number = () => 1) {}
+
   /** True if requests have started or ended since the last report. */
   public get hasChanges(): boolean {
     return this._hasChanges;
@@ -140,6 +143,7 @@
     return {
       replica,
       runMs: load.runMs,
+      slowness: this._slowness(replica.id),
       running: load.ownTotal + this._others(load, nowMs),
       failureShare: decayedFailureShare(load, nowMs),
       isUnreachable: nowMs < load.unreachableUntilMs,
--- a/packages/gateway/src/routing/chooseReplica.ts
+++ b/packages/gateway/src/routing/chooseReplica.ts
@@ -5,6 +5,8 @@
   readonly replica: Replica;
   /** Requests on the replica, including those of other daemons as far as known. */
   readonly running: number;
+  /** How much longer work takes on the replica than in the mean of its service; 1 is the mean. */
+  readonly slowness: number;
   /** Mean run time on the replica, milliseconds. */
   readonly runMs: number;
   /** Share of recent attempts that failed, 0 to 1. */
@@ -19,6 +21,8 @@
 const promptPartsBonusSlots = 2;
 /** Cost of a replica that fails every attempt, in slots. */
 const failureCostSlots = 40;
+/** Cost of a replica on which work takes twice as long as in the mean, beyond that of its requests, in slots. */
+const slownessCostSlots = 6;
 /** Cost of an unreachable replica, in slots: it is chosen only if there is no other. */
 const unreachableCostSlots = 1_000;
 /** Cost of a replica in another failure domain, in slots: traffic between domains is billed. */
@@ -67,10 +71,11 @@
 }
 
 function costOf(candidate: Candidate, failureDomain: string): number {
-  const { replica, running, failureShare, isUnreachable, hasPromptParts } = candidate;
+  const { replica, running, slowness, failureShare, isUnreachable, hasPromptParts } = candidate;
   const overload = Math.max(running - replica.slots, 0) * 10;
   return (
-    running +
+    running * slowness +
+    (slowness - 1) * slownessCostSlots +
     overload +
     failureShare * failureCostSlots +
     (isUnreachable ? unreachableCostSlots : 0) +
--- /dev/null
+++ b/packages/gateway/src/speeds/ReplicaSpeeds.ts
@@ -0,0 +1,29 @@
+import type { SlownessByReplica } from './Types.js';
+
+/** Slowness of replicas as the leader last sent it. It lasts, so it stays in use while no leader is heard. */
+export class ReplicaSpeeds {
+  private readonly _slowness = new Map<string, number>();
+
+  /** Applies the leader's estimates; replicas that are left out are unchanged. */
+  public apply(slowness: SlownessByReplica): void {
+    for (const [replicaId, factor] of Object.entries(slowness)) {
+      if (Number.isFinite(factor) && factor > 0) {
+        this._slowness.set(replicaId, factor);
+      }
+    }
+  }
+
+  /** How much longer work takes on a replica than in the mean of its service; 1 if that is not known. */
+  public slowness(replicaId: string): number {
+    return this._slowness.get(replicaId) ?? 1;
+  }
+
+  /** Removes replicas that are gone. */
+  public retain(isKnown: (replicaId: string) => boolean): void {
+    for (const replicaId of this._slowness.keys()) {
+      if (!isKnown(replicaId)) {
+        this._slowness.delete(replicaId);
+      }
+    }
+  }
+}
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -16,6 +16,7 @@
 import { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
 import { RetryBudgets } from '../retries/RetryBudgets.js';
 import { ReplicaLoads } from '../routing/ReplicaLoads.js';
+import { SpeedReports } from '../speeds/SpeedReports.js';
 import type { Replica, Route } from '../Types.js';
 import { WaitingRequests } from '../waiting/WaitingRequests.js';
 import { FakeStreamOrigins } from './FakeStreamOrigins.js';
@@ -236,6 +237,7 @@
       failureDomain: 'a',
       directory,
       loads: new ReplicaLoads(),
+      speedReports: new SpeedReports(),
       waitingRequests,
       retryBudgets,
       rateLimits: new ReplicaRateLimits(
--- a/packages/gateway/src/testing/placedReplica.ts
+++ b/packages/gateway/src/testing/placedReplica.ts
@@ -15,6 +15,7 @@
     inMemory: new Set(),
     onDisk: new Set(),
     running: 0,
+    slowness: 1,
     ...changes,
   };
 }
