Let requests wait for the tables of a daemon that has just started

Requests log when the first part of their answer was passed on and the longest pause, which tells late starts from slow replicas.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -7,6 +7,7 @@
 import { CallerServer } from './forwarding/CallerServer.js';
 import { ReplicaAgent } from './forwarding/ReplicaAgent.js';
 import { RequestLog } from './forwarding/RequestLog.js';
+import { StartWait } from './forwarding/StartWait.js';
 import type { ExchangeContext } from './forwarding/Types.js';
 import { takeoverBackoffMs } from './leadership/Lease.js';
 import { KnownLeader } from './leadership/KnownLeader.js';
@@ -85,6 +86,7 @@
   private readonly _crashCoordinator: CrashCoordinator;
   private readonly _streams: StreamCoordinator;
   private readonly _agent = new ReplicaAgent();
+  private readonly _startWait = new StartWait();
   private readonly _messageReceiver: MessageReceiver;
   private readonly _callers: CallerServer;
   private _tickTimer: NodeJS.Timeout | undefined;
@@ -216,7 +218,11 @@
 
   /** True if this daemon is ready for new callers. */
   public get isReady(): boolean {
-    return !this._stopSchedule.isStopping && this._routingTables.routes !== undefined && this._directory.size > 0;
+    return !this._stopSchedule.isStopping && this._hasTables;
+  }
+
+  private get _hasTables(): boolean {
+    return this._routingTables.routes !== undefined && this._directory.size > 0;
   }
 
   /** Metrics in the text format of Prometheus. */
@@ -305,8 +311,10 @@
   private _connectComponents(): void {
     this._routingTables.onConfiguration(({ callerLimits }) => {
       this._callers.applyLimits(callerLimits);
+      this._endStartWaitSoon();
     });
     this._directory.onChanged(() => {
+      this._endStartWaitSoon();
       this._waitingRequests.redispatchAll();
     });
     this._crashGuard.onChanged(() => {
@@ -435,6 +443,7 @@
       crashMetrics: this._crashMetrics,
       streams: this._streams,
       agent: this._agent,
+      startWait: this._startWait,
       admission: this._admissionSteps(),
       routes: () => this._routingTables.routes,
       readyInMs: (model) => this._readyInMs(model),
@@ -453,6 +462,15 @@
     };
   }
 
+  /** Ends the wait of callers for the tables once both are known and all records of the current read are applied. */
+  private _endStartWaitSoon(): void {
+    if (!this._startWait.isReady && this._hasTables) {
+      setImmediate(() => {
+        this._startWait.setReady();
+      });
+    }
+  }
+
   private _admissionSteps(): ExchangeContext['admission'] {
     return { beforeBody: [], beforeDispatch: [] };
   }
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -17,10 +17,12 @@
 import type { AttemptFailure } from './ReplicaAttempt.js';
 import { type AttemptOutcome, CurrentAttempt } from './CurrentAttempt.js';
 import { Deadline } from './Deadline.js';
+import { DeliveryTimes } from './DeliveryTimes.js';
 import { decideDispatch, type DispatchInput, refusedRetryAfterMs } from './decideDispatch.js';
 import { callerTimeoutMs, mayRetry, urgencyOf } from './retryPolicy.js';
 import { AttemptHistory } from './AttemptHistory.js';
 import { sendLocalResponse } from './sendLocalResponse.js';
+import { startWaitMs } from './StartWait.js';
 import { statesNotExecuted, unstatedPromise } from './judgeAnswer.js';
 import { InactivityTimer } from './InactivityTimer.js';
 import type { BrokenAnswer, ExchangeResult } from './ExchangeResult.js';
@@ -50,7 +52,9 @@
   private readonly _attempt: CurrentAttempt;
   private readonly _continuation: StreamContinuation;
   private readonly _history = new AttemptHistory();
+  private readonly _deliveryTimes = new DeliveryTimes();
   private _admission: AdmissionRun | undefined;
+  private _stopStartWait: () => void = () => undefined;
   /** Status of the response that is being relayed. */
   private _responseStatus = 0;
   /** Time at which this response began, steady milliseconds. */
@@ -77,8 +81,10 @@
     this._continuation = new StreamContinuation(_context.streams);
     this._relay = new ResponseRelay(_response, _context.codec, () => _context.isStopping(), {
       onProgress: () => {
+        const nowMs = this._nowMs();
         this._inactivityTimer.refresh();
-        this._attempt.recordEvents(this._relay.completeEvents, this._nowMs());
+        this._deliveryTimes.record(nowMs);
+        this._attempt.recordEvents(this._relay.completeEvents, nowMs);
       },
       onEnd: () => {
         this._responseEnded();
@@ -93,8 +99,20 @@
     });
   }
 
-  /** Admits the request, reads its body and dispatches it. */
+  /** Admits the request, once the configuration is known, reads its body and dispatches it. */
   public begin(): void {
+    const { startWait, codec } = this._context;
+    if (startWait.isReady) {
+      this._beginAdmission();
+      return;
+    }
+    const limitMs = startWaitMs(codec.readRequest(this._request)?.deadlineMs);
+    this._stopStartWait = startWait.wait(limitMs, () => {
+      this._beginAdmission();
+    });
+  }
+
+  private _beginAdmission(): void {
     if (this._admit()) {
       this._runAdmission(this._context.admission.beforeBody, () => {
         this._readBody();
@@ -563,6 +581,7 @@
     this._inactivityTimer.stop();
     this._continuation.stop();
     this._admission?.stop();
+    this._stopStartWait();
     const nowMs = this._nowMs();
     this._wait.stop(nowMs);
     const result: ExchangeResult = {
@@ -581,6 +600,8 @@
       rateLimitPerSecond: this._rateLimitPerSecond,
       waitedMs: this._wait.waitedMs(nowMs),
       durationMs: nowMs - this._startedMs,
+      firstPartMs: this._deliveryTimes.firstAfterMs(this._startedMs),
+      longestGapMs: this._deliveryTimes.longestGapMs,
       reason,
       brokenAnswer: outcome === 'broken' ? this._brokenAnswer() : undefined,
       blockedParts: this._blockedParts,
--- a/packages/gateway/src/forwarding/ExchangeResult.ts
+++ b/packages/gateway/src/forwarding/ExchangeResult.ts
@@ -43,6 +43,10 @@
   readonly rateLimitPerSecond: number | undefined;
   readonly waitedMs: number;
   readonly durationMs: number;
+  /** Time until the first event of a stream, or the first part of any other answer, was passed on, milliseconds. */
+  readonly firstPartMs: number | undefined;
+  /** Longest pause between two parts of the answer, milliseconds. */
+  readonly longestGapMs: number | undefined;
   readonly reason: string | undefined;
   /** Parts of the prompt and bytes received of the answer, if the answer broke off. */
   readonly brokenAnswer: BrokenAnswer | undefined;
--- a/packages/gateway/src/forwarding/RequestLog.ts
+++ b/packages/gateway/src/forwarding/RequestLog.ts
@@ -59,6 +59,8 @@
       sends: isRoutine && result.sends.length < 2 ? undefined : result.sends,
       waitedMs: rounded(result.waitedMs),
       durationMs: rounded(result.durationMs),
+      firstPartMs: rounded(result.firstPartMs),
+      longestGapMs: rounded(result.longestGapMs),
       readyInMs: rounded(result.readyInMs),
       retryAfterMs: rounded(result.retryAfterMs),
     });
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -16,6 +16,7 @@
 import type { WaitingRequests } from '../waiting/WaitingRequests.js';
 import type { AdmissionStep } from './admission/AdmissionStep.js';
 import type { RequestLog } from './RequestLog.js';
+import type { StartWait } from './StartWait.js';
 
 /** The services of the daemon that an exchange uses. */
 export interface ExchangeContext {
@@ -36,6 +37,8 @@
   readonly crashMetrics: CrashMetrics;
   readonly streams: StreamOrigins;
   readonly agent: http.Agent;
+  /** Ends once the configuration and the replicas have been read. */
+  readonly startWait: StartWait;
   /** Admission steps before the body of a request is read, and those before it is dispatched. */
   readonly admission: {
     readonly beforeBody: readonly AdmissionStep[];
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -10,6 +10,7 @@
 import { CallerServer } from '../forwarding/CallerServer.js';
 import { ReplicaAgent } from '../forwarding/ReplicaAgent.js';
 import { RequestLog } from '../forwarding/RequestLog.js';
+import { StartWait } from '../forwarding/StartWait.js';
 import type { ExchangeContext } from '../forwarding/Types.js';
 import { RateLimitMetrics } from '../rateLimits/RateLimitMetrics.js';
 import { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
@@ -55,6 +56,9 @@
   public readonly crashGuard = new CrashGuard();
   public readonly crashReports: CrashReport[] = [];
   public readonly streams = new FakeStreamOrigins();
+  /** Ends at once unless a test holds it. */
+  public readonly startWait = new StartWait();
+  public holdsStartWait = false;
   private readonly _servers: net.Server[] = [];
   private readonly _replicas: Replica[] = [];
   private readonly _agent = new ReplicaAgent();
@@ -127,6 +131,9 @@
   }
 
   public async open(): Promise<void> {
+    if (!this.holdsStartWait) {
+      this.startWait.setReady();
+    }
     const directory = this._directory;
     directory.apply(
       this._replicas.map((replica) => ({ key: replica.id, offset: 0, value: 'any' })),
@@ -255,6 +262,7 @@
       crashMetrics: new CrashMetrics(requestLog.registry),
       streams: this.streams,
       agent: this._agent,
+      startWait: this.startWait,
       admission: { beforeBody: [], beforeDispatch: [] },
       routes: () => routes,
       readyInMs: () => undefined,
