Choose replicas by the expected time to the first event and the expected sends of others

Cause: all daemons chose the least loaded replica by the same outdated loads, and a replica without a report for 1.5 s counted as idle for all of them at the same moment. A count of requests ignores how fast a replica is. A replica that answered 421 for a model was chosen again when the exclusion of the request was cleared by its 100 ms re-check.

Change: chooseReplica distributes the requests that the other daemons are expected to have sent since the reports so that the expected times to the first event become equal, and chooses with the probabilities of this distribution. Reports decay to the mean utilisation of the service. The time includes the lasting speed of a replica, from this daemon's own runs with a prior of four runs at mean speed, and the fourth figure of Replica-Load, which decays with 400 ms. Prompt parts, failure domain and an idle connection are preferences among the replicas that are short of requests. Services with more than 64 replicas are compared by a stable subset of the daemon first, and as a whole if the chosen replica of the subset is full. The random cost (randomSlots, spreadSlots) is removed.

AbsentModels keeps what a replica has answered not to hold until a record with a higher order sequence or of a new start. An answer 421 that names another replica says nothing about models: the address gets no request of this daemon for 800 ms.

The test 'keep loads that the leader leaves out ..., then expire' is replaced, as it required that a replica counts as idle 1.5 s after the last message; the new one requires the decay to the mean of the service.

The test of three sends within 1.3 s fails without AbsentModels (2 sends in place of 1).

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -37,7 +37,6 @@
 import { StoreTables } from './replicas/StoreTables.js';
 import { TableForwarder } from './replicas/TableForwarder.js';
 import { RetryBudgets } from './retries/RetryBudgets.js';
-import { spreadSlots } from './routing/chooseReplica.js';
 import { ReplicaLoads } from './routing/ReplicaLoads.js';
 import { RoutingTables } from './RoutingTables.js';
 import { streamLifetimeMs } from './streams/streamLifetimeMs.js';
@@ -66,7 +65,7 @@
   private readonly _leaderMessages: LeaderMessages;
   private readonly _leaderView = new LeaderView();
   private readonly _reporter: Reporter;
-  private readonly _loads = new ReplicaLoads();
+  private readonly _loads: ReplicaLoads;
   private readonly _waitingRequests = new WaitingRequests();
   private readonly _arrivals = new ArrivalCounter();
   private readonly _retryBudgets: RetryBudgets;
@@ -93,6 +92,7 @@
     const { store, engines } = _platform;
     this._directory = new ReplicaDirectory((id, text) => store.decodeReplica(id, text), _log.child('replicas'));
     this._routingTables = new RoutingTables(store, this._directory, _log);
+    this._loads = new ReplicaLoads(_settings.name);
     this._retryBudgets = new RetryBudgets(_settings.retryBudget);
     this._stopSchedule = new StopSchedule(_settings.stopLimitMs);
     this._requestLog = new RequestLog(_log.child('requests'));
@@ -366,7 +366,8 @@
     this._leaderView.applyStatus(status);
     if (status.leads) {
       const nowMs = this._nowMs();
-      this._loads.recordLeaderMessage(nowMs);
+      // Unchanged loads are left out, so that a message without loads confirms those of one interval ago.
+      this._loads.recordLeaderUpdate(nowMs - this._leaderLagMs() - messageIntervals(status.daemonCount).loadsMs);
       this._retryBudgets.setDaemonCount(status.daemonCount, nowMs);
     }
     if (status.tellsChanges) {
@@ -379,7 +380,12 @@
     for (const [replicaId, total] of running) {
       this._loads.recordLeaderTotal(replicaId, total);
     }
-    this._loads.recordLeaderUpdate(nowMs);
+    this._loads.recordLeaderUpdate(nowMs - this._leaderLagMs());
+  }
+
+  /** Mean time from the requests of the daemons to the leader's sum of their reports, milliseconds. */
+  private _leaderLagMs(): number {
+    return messageIntervals(this._leaderView.daemonCount).reportMs / 2;
   }
 
   private _sendReport(report: DaemonReport): void {
@@ -425,7 +431,8 @@
       admission: this._admissionSteps(),
       routes: () => this._routingTables.routes,
       readyInMs: (model) => this._readyInMs(model),
-      randomSlots: () => Math.random() * spreadSlots(this._leaderView.daemonCount),
+      hasIdleConnection: (address) => this._agent.hasIdleConnection(address),
+      random: () => Math.random(),
       markReplicaLeaving: ({ id, bornMs }) => {
         this._messageReceiver.markLeaving({ replicaId: id, bornMs });
       },
--- a/packages/gateway/src/contracts/RequestCodec.ts
+++ b/packages/gateway/src/contracts/RequestCodec.ts
@@ -35,6 +35,15 @@
   readonly tenantName?: string;
 }
 
+/** Load that a replica reports in a response. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** How long work takes at this moment relative to the usual on this replica; absent if the replica does not say. */
+  readonly slowness?: number;
+}
+
 /** Contents of the head of a replica's response. */
 export interface ResponseHead {
   readonly status: number;
@@ -43,7 +52,9 @@
   readonly notExecuted: boolean;
   /** True if the response comes from a replica other than the expected one. */
   readonly fromOtherReplica: boolean;
-  readonly load?: { readonly running: number; readonly waiting: number; readonly slots: number };
+  /** Replica that the response names as its sender; absent if it names none. */
+  readonly replicaId?: string;
+  readonly load?: ReportedLoad;
   /** True if the replica is leaving and accepts no further requests. */
   readonly leaving: boolean;
   /** Time during which a replica that rejected the request accepts no requests, milliseconds. */
--- a/packages/gateway/src/forwarding/CurrentAttempt.ts
+++ b/packages/gateway/src/forwarding/CurrentAttempt.ts
@@ -51,10 +51,10 @@
     this._running?.observation.recordEvents(completeEvents, nowMs);
   }
 
-  /** Records the duration of a successful response, milliseconds. */
-  public recordDuration(durationMs: number): void {
+  /** Records the duration of a successful response to a request of a route, milliseconds. */
+  public recordDuration(durationMs: number, route: string | undefined): void {
     if (this._running !== undefined) {
-      this._loads.recordRun(this._running.attempt.replica.id, durationMs);
+      this._loads.recordRun(this._running.attempt.replica.id, durationMs, route);
     }
   }
 
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -325,7 +325,7 @@
   private _receiveHead(replica: Replica, head: ResponseHead, response: http.IncomingMessage): void {
     this._inactivityTimer.stop();
     this._history.sends.recordAnswer(head);
-    recordResponseHead(this._context, replica, head, this._nowMs());
+    recordResponseHead(this._context, replica, this._callerRequest?.modelReference, head, this._nowMs());
     if (statesNotExecuted(head)) {
       discardBody(response);
       this._endAttempt('refused');
@@ -376,7 +376,7 @@
   private _responseEnded(): void {
     const isGood = this._responseStatus < 500;
     if (isGood) {
-      this._attempt.recordDuration(this._nowMs() - this._responseStartedMs);
+      this._attempt.recordDuration(this._nowMs() - this._responseStartedMs, this._route?.name);
     }
     this._endAttempt(isGood ? 'succeeded' : 'failed');
     this._finish(isGood ? 'delivered' : 'replicaFailure', this._responseStatus);
--- a/packages/gateway/src/forwarding/ReplicaAgent.ts
+++ b/packages/gateway/src/forwarding/ReplicaAgent.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 import * as net from 'node:net';
 import type * as stream from 'node:stream';
+import type { Address } from '../Types.js';
 
 /** Idle connections are closed after this time, well before replicas do, milliseconds. */
 const maximumIdleMs = 4_000;
@@ -14,6 +15,11 @@
     super({ keepAlive: true, maxFreeSockets: 16 });
   }
 
+  /** True if an idle connection to the address is kept. */
+  public hasIdleConnection({ host, port }: Address): boolean {
+    return (this.freeSockets[this.getName({ host, port })]?.length ?? 0) > 0;
+  }
+
   /** Called by Node.js when a request has released its connection; false closes the connection. */
   public override keepSocketAlive(socket: stream.Duplex): boolean {
     if (!(socket instanceof net.Socket)) {
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -11,7 +11,7 @@
 import type { RetryBudgets } from '../retries/RetryBudgets.js';
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
 import type { StreamOrigins } from '../streams/Types.js';
-import type { ModelReference, Replica, Route } from '../Types.js';
+import type { Address, ModelReference, Replica, Route } from '../Types.js';
 import type { WaitingRequests } from '../waiting/WaitingRequests.js';
 import type { AdmissionStep } from './admission/AdmissionStep.js';
 import type { RequestLog } from './RequestLog.js';
@@ -41,8 +41,10 @@
   routes(): RouteTable | undefined;
   /** Expected time until a model is ready; undefined while no leader provides an estimate. */
   readyInMs(model: string): number | undefined;
-  /** Random part of a replica's cost during selection, slots. */
-  randomSlots(): number;
+  /** True if an idle connection to a replica is kept. */
+  hasIdleConnection(address: Address): boolean;
+  /** Random number from 0 to below 1 for the choice among replicas. */
+  random(): number;
   /** Marks a replica as leaving after it announced that in a response. */
   markReplicaLeaving(replica: Replica): void;
   /** Counts a request in the demand that is reported to the leader. */
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -47,7 +47,7 @@
 /** The services of the daemon that a dispatch decision uses. */
 export interface DispatchContext extends Pick<
   ExchangeContext,
-  'loads' | 'failureDomain' | 'randomSlots' | 'readyInMs' | 'longestRequestMs'
+  'loads' | 'failureDomain' | 'random' | 'hasIdleConnection' | 'readyInMs' | 'longestRequestMs'
 > {
   readonly crashGuard: Pick<ExchangeContext['crashGuard'], 'check' | 'hasGrant'>;
   readonly directory: Pick<ExchangeContext['directory'], 'usable'>;
@@ -127,12 +127,14 @@
     return { kind: 'refuse', reason: 'no replica of the version that began the stream can serve it in time' };
   }
   const selection = {
+    service: input.service,
     usable,
     modelReference: input.modelReference,
     promptPartIds: input.promptPartIds,
     excluded: input.excluded,
     failureDomain,
-    randomSlots: () => context.randomSlots(),
+    hasConnection: ({ address }: Replica) => input.route.kind !== 'nonIdempotent' && context.hasIdleConnection(address),
+    random: () => context.random(),
   };
   const { candidate, withoutPermit, preferredWithoutPermit } = selectReplica(selection, context, now);
   const option = shortestPermitWait(withoutPermit, input, context, now);
--- a/packages/gateway/src/forwarding/recordResponseHead.ts
+++ b/packages/gateway/src/forwarding/recordResponseHead.ts
@@ -1,16 +1,27 @@
 import type { ResponseHead } from '../contracts/RequestCodec.js';
-import type { Replica } from '../Types.js';
+import type { ModelReference, Replica } from '../Types.js';
 import type { ExchangeContext } from './Types.js';
 
-/** Records what a response head reports about its replica: its load, its rate limit, that it leaves, or that it rejects requests. */
+/** Time for which no request is sent to a replica after another one has answered at its address, milliseconds. */
+const otherReplicaBackoffMs = 800;
+
+/** Records what a response head reports about its replica: its load, its rate limit, that it leaves, that it rejects requests, or that it lacks a model. */
 export function recordResponseHead(
   context: Pick<ExchangeContext, 'loads' | 'markReplicaLeaving' | 'rateLimits'>,
   replica: Replica,
+  modelReference: ModelReference | undefined,
   head: ResponseHead,
   nowMs: number,
 ): void {
-  if (head.load !== undefined) {
-    context.loads.recordTotal(replica.id, head.load.running + head.load.waiting, nowMs);
+  const isNamedOther = head.replicaId !== undefined && head.replicaId !== replica.id;
+  if (head.load !== undefined && !isNamedOther) {
+    context.loads.recordReport(replica.id, head.load, nowMs);
+  }
+  if (head.fromOtherReplica && isNamedOther) {
+    // Another replica has the address. This stays at this daemon: a report of it could be wrong for the others.
+    context.loads.recordBackoff(replica.id, otherReplicaBackoffMs, nowMs);
+  } else if (head.fromOtherReplica && modelReference !== undefined) {
+    context.loads.absentModels.record(replica, modelReference);
   }
   if (!head.fromOtherReplica) {
     context.rateLimits.recordResponse(replica, head.rateLimitPerSecond, nowMs);
--- a/packages/gateway/src/routing/ReplicaLoads.ts
+++ b/packages/gateway/src/routing/ReplicaLoads.ts
@@ -1,7 +1,12 @@
+import * as crypto from 'node:crypto';
 import type { RunningReport } from '../peers/Types.js';
 import { modelReferenceKey } from '../placement/DemandAggregator.js';
+import type { ReportedLoad } from '../contracts/RequestCodec.js';
 import type { ModelReference, Replica } from '../Types.js';
+import { AbsentModels } from './AbsentModels.js';
 import type { Candidate } from './chooseReplica.js';
+import { ReplicaSpeeds } from './ReplicaSpeeds.js';
+import { ServiceUtilisation } from './ServiceUtilisation.js';
 
 /** Weight of the newest outcome in the failure share. */
 const failureWeight = 0.15;
@@ -10,13 +15,10 @@
 /** Time for which a replica counts as unreachable after a failed connection, milliseconds. */
 const unreachableMs = 800;
 /**
- * Time for which a load is used, milliseconds: from the answer of the replica that reported it, or from the last
- * message of the leader.
+ * Bounds of the time constant with which a report becomes outdated, milliseconds. Within the bounds it is the run time on
+ * the replica, after which most of the reported requests have ended.
  */
-const reportedLoadLifetimeMs = 1_500;
-/** Initial value of the mean run time, milliseconds, and weight of the newest run in the mean. */
-const initialRunMs = 1_000;
-const runWeight = 0.1;
+const outdatedMs = { minimum: 200, maximum: 3_000 } as const;
 /** Maximum number of prompt parts kept for a replica. */
 const maximumPromptParts = 256;
 
@@ -29,22 +31,39 @@
   replicaReportMs: number;
   /** Requests of other daemons, as last reported by the leader. */
   othersByLeader: number;
-  /** Mean time from the first byte of an answer to its end, milliseconds. */
-  runMs: number;
   failureShare: number;
   failureMs: number;
   unreachableUntilMs: number;
   /** Time until which the replica refuses the requests of this daemon, steady milliseconds. */
   backoffUntilMs: number;
   readonly promptPartIds: Set<string>;
+  /** Service of the replica; undefined until it has been a candidate. */
+  service: string | undefined;
+  /** Position in the order of this daemon; undefined until it is needed. */
+  rank: number | undefined;
+}
+
+/** The known load of a replica. */
+interface KnownLoad {
+  /** Requests of other daemons in the newer of the two reports. */
+  readonly others: number;
+  /** Time since then, milliseconds; infinite if there is no report. */
+  readonly ageMs: number;
 }
 
 /** Load and health of replicas, from the requests of this daemon and the reports of replicas and the leader. */
 export class ReplicaLoads {
   private readonly _loads = new Map<string, Load>();
   private _hasChanges = false;
-  private _leaderMessageMs = Number.NEGATIVE_INFINITY;
-  private _leaderUpdateMs = Number.NEGATIVE_INFINITY;
+  /** Time of the loads that the leader sent or confirmed last. */
+  private _leaderLoadsMs = Number.NEGATIVE_INFINITY;
+  private readonly _speeds = new ReplicaSpeeds();
+  private readonly _utilisation = new ServiceUtilisation();
+  /** Models that replicas have answered not to hold. */
+  public readonly absentModels = new AbsentModels();
+
+  /** The name of the daemon makes its order of the replicas different from that of other daemons. */
+  public constructor(private readonly _daemonName = '') {}
 
   /** True if requests have started or ended since the last report. */
   public get hasChanges(): boolean {
@@ -90,10 +109,12 @@
     }
   }
 
-  /** Records the time of a run from the first byte of its answer to the end, milliseconds. */
-  public recordRun(replicaId: string, durationMs: number): void {
-    const load = this._load(replicaId);
-    load.runMs += (durationMs - load.runMs) * runWeight;
+  /**
+   * Records the time of a run from the first byte of its answer to the end, milliseconds. Runs of the same kind take
+   * about the same time on replicas of the same speed.
+   */
+  public recordRun(replicaId: string, durationMs: number, kind = ''): void {
+    this._speeds.recordRun(replicaId, this._load(replicaId).service ?? '', kind, durationMs);
   }
 
   public recordUnreachable(replicaId: string, nowMs: number): void {
@@ -111,11 +132,12 @@
     return Math.max((this._loads.get(replicaId)?.backoffUntilMs ?? 0) - nowMs, 0);
   }
 
-  /** Records the number of requests that a replica reported in an answer. */
-  public recordTotal(replicaId: string, total: number, nowMs: number): void {
+  /** Records the load that a replica reported in an answer. */
+  public recordReport(replicaId: string, reported: ReportedLoad, nowMs: number): void {
     const load = this._load(replicaId);
-    load.othersByReplica = Math.max(total - load.ownTotal, 0);
+    load.othersByReplica = Math.max(reported.running + reported.waiting - load.ownTotal, 0);
     load.replicaReportMs = nowMs;
+    this._speeds.recordMomentary(replicaId, reported, nowMs);
   }
 
   /** Records the number of requests of all daemons on a replica, which the leader sends after a change. */
@@ -124,29 +146,55 @@
     load.othersByLeader = Math.max(total - load.ownTotal, 0);
   }
 
-  /** Records that the leader has sent all changed loads; the loads that it left out are unchanged. */
-  public recordLeaderUpdate(nowMs: number): void {
-    this._leaderUpdateMs = nowMs;
-    this._leaderMessageMs = nowMs;
+  /**
+   * Records that the leader has sent all changed loads as of the given time. It may repeat this without loads; those that
+   * it left out are unchanged.
+   */
+  public recordLeaderUpdate(asOfMs: number): void {
+    this._leaderLoadsMs = Math.max(this._leaderLoadsMs, asOfMs);
   }
 
-  /** Records a message from the leader, which keeps the loads that it sent last valid. */
-  public recordLeaderMessage(nowMs: number): void {
-    this._leaderMessageMs = nowMs;
+  /** Updates the mean utilisation of a service, to which outdated reports decay. */
+  public updateUtilisation(service: string, replicas: readonly Replica[], nowMs: number): void {
+    this._utilisation.update(service, replicas, nowMs, (id) => this._known(this._load(id), nowMs));
   }
 
-  public candidate(replica: Replica, promptPartIds: readonly string[], nowMs: number): Candidate {
+  public candidate(
+    replica: Replica,
+    promptPartIds: readonly string[],
+    nowMs: number,
+    hasConnection = false,
+  ): Candidate {
     const load = this._load(replica.id);
+    load.service = replica.service;
+    const slowness = this._speeds.slowness(replica.id, nowMs);
+    const runMs = this._speeds.serviceRunMs(replica.service) * slowness;
+    const { others, ageMs } = this._known(load, nowMs);
+    const decayMs = Math.min(Math.max(runMs, outdatedMs.minimum), outdatedMs.maximum);
+    const currentShare = Math.exp(-ageMs / decayMs);
+    const knownRunning = load.ownTotal + others * currentShare;
+    const meanOthers = this._utilisation.mean(replica.service) * replica.slots;
     return {
       replica,
-      runMs: load.runMs,
-      running: load.ownTotal + this._others(load, nowMs),
+      runMs,
+      slowness,
+      running: knownRunning + meanOthers * (1 - currentShare),
+      knownRunning,
+      reportAgeMs: ageMs,
       failureShare: decayedFailureShare(load, nowMs),
       isUnreachable: nowMs < load.unreachableUntilMs,
       hasPromptParts: promptPartIds.length > 0 && promptPartIds.every((part) => load.promptPartIds.has(part)),
+      hasConnection,
     };
   }
 
+  /** Position of a replica in the order of this daemon, from 0 to below 1, which is different for each daemon. */
+  public rank(replicaId: string): number {
+    const load = this._load(replicaId);
+    load.rank ??= rankOf(this._daemonName, replicaId);
+    return load.rank;
+  }
+
   /** True if all slots of a replica are in use, as far as this daemon knows. */
   public isFull(replica: Replica, nowMs: number): boolean {
     return this.candidate(replica, [], nowMs).running >= replica.slots;
@@ -174,17 +222,16 @@
     for (const [id, load] of this._loads) {
       if (load.ownTotal === 0 && nowMs >= load.backoffUntilMs && !isKnown(id)) {
         this._loads.delete(id);
+        this._speeds.delete(id);
       }
     }
   }
 
   /** Requests of other daemons, from the newer of the report of the replica and the report of the leader. */
-  private _others(load: Load, nowMs: number): number {
-    const isReplicaReportNewer = load.replicaReportMs > this._leaderUpdateMs;
-    if (isReplicaReportNewer && nowMs - load.replicaReportMs < reportedLoadLifetimeMs) {
-      return load.othersByReplica;
-    }
-    return nowMs - this._leaderMessageMs < reportedLoadLifetimeMs ? load.othersByLeader : 0;
+  private _known(load: Load, nowMs: number): KnownLoad {
+    return load.replicaReportMs > this._leaderLoadsMs
+      ? { others: load.othersByReplica, ageMs: nowMs - load.replicaReportMs }
+      : { others: load.othersByLeader, ageMs: nowMs - this._leaderLoadsMs };
   }
 
   private _recordPromptParts(load: Load, promptPartIds: readonly string[]): void {
@@ -211,12 +258,13 @@
       othersByReplica: 0,
       replicaReportMs: Number.NEGATIVE_INFINITY,
       othersByLeader: 0,
-      runMs: initialRunMs,
       failureShare: 0,
       failureMs: 0,
       unreachableUntilMs: 0,
       backoffUntilMs: 0,
       promptPartIds: new Set(),
+      service: undefined,
+      rank: undefined,
     };
     this._loads.set(replicaId, load);
     return load;
@@ -226,3 +274,7 @@
 function decayedFailureShare(load: Load, nowMs: number): number {
   return load.failureShare * Math.exp(-(nowMs - load.failureMs) / failureDecayMs);
 }
+
+function rankOf(daemonName: string, replicaId: string): number {
+  return crypto.createHash('sha256').update(`${daemonName} ${replicaId}`).digest().readUInt32BE(0) / 2 ** 32;
+}
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -114,6 +114,17 @@
     this._directory.apply(removed, { nowMs: 0, source: 'store', removalGraceMs: 0 });
   }
 
+  /** Writes a later record of a replica. */
+  public updateRecord(id: string, changes: Partial<Replica>): void {
+    const index = this._replicas.findIndex((replica) => replica.id === id);
+    const replica = this._replicas[index];
+    if (replica !== undefined) {
+      this._replicas[index] = { ...replica, ...changes };
+    }
+    const timing = { nowMs: 0, source: 'store' as const, removalGraceMs: 0 };
+    this._directory.apply([{ key: id, offset: 3, value: 'any' }], timing);
+  }
+
   /** Replaces the record of a replica by that of another one at the same address. */
   public replaceRecord(id: string): void {
     const address = this._replicas.find((replica) => replica.id === id)?.address;
@@ -256,7 +267,8 @@
       admission: { beforeBody: [], beforeDispatch: [] },
       routes: () => routes,
       readyInMs: () => undefined,
-      randomSlots: () => 0,
+      hasIdleConnection: (address) => this._agent.hasIdleConnection(address),
+      random: () => 0,
       markReplicaLeaving: ({ id, bornMs }) => {
         directory.markLeaving(id, bornMs);
       },
