--- a/packages/gateway/src/peers/SpeedCoordinator.ts
+++ b/packages/gateway/src/peers/SpeedCoordinator.ts
@@ -1,4 +1,4 @@
-import type { ReplicaSpeeds } from '../speeds/ReplicaSpeeds.js';
+import type { LastingSpeeds } from '../speeds/LastingSpeeds.js';
 import { SpeedEstimator } from '../speeds/SpeedEstimator.js';
 import { SpeedThrottle } from '../speeds/SpeedThrottle.js';
 import type { PeerClient } from './PeerClient.js';
@@ -12,7 +12,7 @@
   private _wasLeading = false;
 
   public constructor(
-    private readonly _speeds: ReplicaSpeeds,
+    private readonly _speeds: LastingSpeeds,
     private readonly _server: Pick<PeerServer, 'broadcast' | 'onJoined' | 'onMessage'>,
     client: Pick<PeerClient, 'onMessage'>,
     private readonly _isLeading: () => boolean,
--- a/packages/gateway/src/speeds/ReplicaSpeeds.ts
+++ b/packages/gateway/src/speeds/LastingSpeeds.ts
@@ -1,7 +1,7 @@
 import type { SlownessByReplica } from './Types.js';
 
 /** Slowness of replicas as the leader last sent it. It lasts, so it stays in use while no leader is heard. */
-export class ReplicaSpeeds {
+export class LastingSpeeds {
   private readonly _slowness = new Map<string, number>();
 
   /** Applies the leader's estimates; replicas that are left out are unchanged. */
@@ -13,9 +13,12 @@
     }
   }
 
-  /** How much longer work takes on a replica than in the mean of its service; 1 if that is not known. */
-  public slowness(replicaId: string): number {
-    return this._slowness.get(replicaId) ?? 1;
+  /**
+   * How much longer work takes on a replica than in the mean of its service; undefined if the leader has sent nothing. It
+   * leaves out replicas that are close to the mean.
+   */
+  public slowness(replicaId: string): number | undefined {
+    return this._slowness.get(replicaId) ?? (this._slowness.size > 0 ? 1 : undefined);
   }
 
   /** Removes replicas that are gone. */
