Estimate ready times from load times, and refuse with times that can be served

Cause: estimateReady used 1,200 ms for every load from local weights that had not begun, so that interactive requests on an installation with loads of 1,700 ms waited 500 ms and were then refused with 1,200 ms. Refused callers got times of 20 to 70 s, returned after one third of their remaining time and were refused again. Store loads were started for requests whose callers had left long before the load ended, as a request with a tight latency target weighed ten others.

- An estimate consists of the model's own load time and what is ahead of it: the order in progress, drains, unloads, the load that the replica is being cleared for, and loads of other waiting models on the same replica.
The schedule of the store follows the order of the planner.
Daemons count estimates down.
- decideReturn chooses the time to return: when the request can be served, else as late as a caller honours if the retry then still waits for it, else the true time.
Returns are spread per model and per replica queue (PromisedReturns), and count as waiting requests in the report, as models were not loaded once all of their callers had been refused.
- The gain of a store load is the callers that it serves: those that still wait at its end, weighted by the time that the model is unserved, and the expected ones that arrive late enough.
Daemons report how long callers wait.
Evictions and loads from local weights keep their weights.
- Requests wait for the estimates of the first leader as long as their time allows.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -6,6 +6,7 @@
 import { hasEnded } from './crashes/hasEnded.js';
 import { CallerServer } from './forwarding/CallerServer.js';
 import { ReplicaAgent } from './forwarding/ReplicaAgent.js';
+import { callerTimeoutMs } from './forwarding/retryPolicy.js';
 import { RequestLog } from './forwarding/RequestLog.js';
 import type { ExchangeContext } from './forwarding/Types.js';
 import { takeoverBackoffMs } from './leadership/Lease.js';
@@ -363,7 +364,7 @@
   }
 
   private _applyStatus(status: LeaderStatus): void {
-    this._leaderView.applyStatus(status);
+    this._leaderView.applyStatus(status, this._nowMs());
     if (status.leads) {
       const nowMs = this._nowMs();
       this._loads.recordLeaderMessage(nowMs);
@@ -425,12 +426,14 @@
       admission: this._admissionSteps(),
       routes: () => this._routingTables.routes,
       readyInMs: (model) => this._readyInMs(model),
+      awaitsFirstLeader: () => this._leaderView.awaitsFirstLeader(this._nowMs()),
+      returnSpreadMs: (model) => this._leaderView.spreadMs(model, this._nowMs()),
       randomSlots: () => Math.random() * spreadSlots(this._leaderView.daemonCount),
       markReplicaLeaving: ({ id, bornMs }) => {
         this._messageReceiver.markLeaving({ replicaId: id, bornMs });
       },
       recordArrival: (modelReference, route) => {
-        this._arrivals.record(modelReference, route.latencyTargetMs);
+        this._arrivals.record(modelReference, route.latencyTargetMs, callerTimeoutMs(route));
       },
       notifyWaitStarted: () => {
         this._reporter.scheduleUrgentReport();
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -223,7 +223,11 @@
       if (decision.blockedParts !== undefined) {
         this._context.crashMetrics.count('refused');
       }
-      this._refuse(decision.reason, decision.retryAfterMs);
+      const { promise } = decision;
+      const returns = this._context.waitingRequests.returns;
+      const retryAfterMs =
+        promise === undefined ? decision.retryAfterMs : returns.promise(promise.room, promise.window, nowMs);
+      this._refuse(decision.reason, retryAfterMs);
     }
     return true;
   }
@@ -260,6 +264,7 @@
       limitedReplicaId: () => this._limitedReplicaId,
       urgency: this._urgency(route),
       lateAtMs: this._startedMs + route.latencyTargetMs,
+      leavesAtMs: nowMs + this._firstByteTimeLeftMs(route),
       redispatch: () => this._dispatch(),
     });
     const redispatch = (): void => {
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -41,6 +41,10 @@
   routes(): RouteTable | undefined;
   /** Expected time until a model is ready; undefined while no leader provides an estimate. */
   readyInMs(model: string): number | undefined;
+  /** True until this daemon knows the estimates of its first leader. */
+  awaitsFirstLeader(): boolean;
+  /** Time over which a model that becomes ready takes the requests that wait for it, milliseconds. */
+  returnSpreadMs(model: string): number;
   /** Random part of a replica's cost during selection, slots. */
   randomSlots(): number;
   /** Marks a replica as leaving after it announced that in a response. */
--- a/packages/gateway/src/forwarding/decideDispatch.test.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.test.ts
@@ -51,6 +51,8 @@
     failureDomain: 'a',
     randomSlots: () => 0,
     readyInMs: () => undefined,
+    awaitsFirstLeader: () => false,
+    returnSpreadMs: () => 0,
     longestRequestMs: () => Number.POSITIVE_INFINITY,
     ...changes,
   };
@@ -78,6 +80,18 @@
     },
   );
 
+  vitest.test(
+    'returns times that a caller honours (guards against callers that return early to the same queue)',
+    () => {
+      const decision = decideDispatch(request, context([holder], { loads: loadsWith(15) }), now);
+      // At most one third of the 8 s that are left.
+      vitest
+        .expect(decision)
+        .toMatchObject({ promise: { window: { isServed: true }, room: { key: `queue ${holder.id}` } } });
+      vitest.expect(decision.kind === 'refuse' && decision.promise?.window.lastMs).toBeLessThan(8_000 / 3);
+    },
+  );
+
   vitest.test('never refuses a request that may have run (guards against false refusals)', () => {
     const busy = context([holder], { loads: loadsWith(40), longestRequestMs: () => 0 });
     vitest.expect(decideDispatch({ ...request, mayHaveRun: true }, busy, now).kind).toBe('send');
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -6,7 +6,10 @@
 import { selectReplica, shortestBackoffMs } from '../routing/selectReplica.js';
 import type { Instant, ModelReference, Replica, Route } from '../Types.js';
 import { decidePermitWait } from '../waiting/decidePermitWait.js';
-import { decideWait } from '../waiting/decideWait.js';
+import { decideReturn, firstEventReserveMs, type ReturnWindow } from '../waiting/decideReturn.js';
+import { decideWait, type WaitDecision, type WaitingSituation } from '../waiting/decideWait.js';
+import type { ReturnRoom } from '../waiting/PromisedReturns.js';
+import { callerTimeoutMs } from './retryPolicy.js';
 import type { ExchangeContext } from './Types.js';
 
 /** Retry-After once replicas have refused or could not be reached, milliseconds. */
@@ -47,7 +50,7 @@
 /** The services of the daemon that a dispatch decision uses. */
 export interface DispatchContext extends Pick<
   ExchangeContext,
-  'loads' | 'failureDomain' | 'randomSlots' | 'readyInMs' | 'longestRequestMs'
+  'loads' | 'failureDomain' | 'randomSlots' | 'readyInMs' | 'awaitsFirstLeader' | 'returnSpreadMs' | 'longestRequestMs'
 > {
   readonly crashGuard: Pick<ExchangeContext['crashGuard'], 'check' | 'hasGrant'>;
   readonly directory: Pick<ExchangeContext['directory'], 'usable'>;
@@ -56,6 +59,12 @@
   readonly waitingRequests: Pick<ExchangeContext['waitingRequests'], 'countAhead'>;
 }
 
+/** Times between which a refused caller returns, and the room that it returns to. */
+export interface ReturnPromise {
+  readonly window: ReturnWindow;
+  readonly room: ReturnRoom;
+}
+
 /** Decision on a request. */
 export type DispatchDecision =
   | {
@@ -80,6 +89,8 @@
       readonly retryAfterMs?: number;
       /** Estimate of the leader on which the refusal is based, milliseconds. */
       readonly readyInMs?: number;
+      /** Times between which the caller returns, and the room that it returns to. Absent if the time is exact. */
+      readonly promise?: ReturnPromise;
       /** Parts of the prompt for which the request is refused. */
       readonly blockedParts?: readonly string[];
     };
@@ -196,9 +207,12 @@
     };
   }
   const permitDecision = option === undefined ? undefined : decideWaitForPermit(input, context, option);
-  return permitDecision?.kind === 'wait'
-    ? permitDecision
-    : { kind: 'refuse', reason: 'the queue of every replica is too long', retryAfterMs: admission.retryAfterMs };
+  if (permitDecision?.kind === 'wait') {
+    return permitDecision;
+  }
+  const { retryAfterMs } = admission;
+  const reason = 'the queue of every replica is too long';
+  return { kind: 'refuse', reason, retryAfterMs, promise: promiseOfQueue(candidate, input, retryAfterMs) };
 }
 
 /**
@@ -210,22 +224,21 @@
   context: DispatchContext,
   { replicaId, waitMs, runMs }: PermitWaitOption,
 ): DispatchDecision {
-  const { waitedMs, timeLeftMs, firstByteTimeLeftMs, modelReference } = input;
+  const { timeLeftMs, modelReference } = input;
   const otherCopyInMs = modelReference === undefined ? undefined : context.readyInMs(modelReference.model);
   const readyInMs = otherCopyInMs === undefined || waitMs === undefined ? waitMs : Math.min(waitMs, otherCopyInMs);
   const estimate = readyInMs !== undefined && { readyInMs };
-  const { latencyTargetMs } = input.route;
-  const situation = { waitedMs, firstByteTimeLeftMs, latencyTargetMs, timeLeftMs, runMs, ...estimate };
-  const decision = decidePermitWait(situation);
+  const decision = decidePermitWait({ ...waitingSituation(input), timeLeftMs, runMs, ...estimate });
   return decision.kind === 'wait' ? { kind: 'wait', limitedReplicaId: replicaId } : { ...decision, ...estimate };
 }
 
 /** `availableInMs` is the time until a replica that holds the model accepts requests again. */
 function decideWithoutReplica(
-  { modelReference, route, waitedMs, firstByteTimeLeftMs }: DispatchInput,
+  input: DispatchInput,
   context: DispatchContext,
   availableInMs: number | undefined,
 ): DispatchDecision {
+  const { modelReference } = input;
   if (modelReference === undefined) {
     const reason =
       availableInMs === undefined ? 'no replica of the service is known' : 'all replicas turn requests away';
@@ -233,7 +246,56 @@
   }
   const readyInMs = availableInMs ?? context.readyInMs(modelReference.model);
   const estimate = readyInMs !== undefined && { readyInMs };
+  const awaitsFirstLeader = context.awaitsFirstLeader();
+  const decision = decideWait({ ...waitingSituation(input), awaitsFirstLeader, ...estimate });
+  return decision.kind === 'wait'
+    ? decision
+    : { ...decision, ...estimate, ...promiseOf(decision, input, modelReference, context) };
+}
+
+function waitingSituation(input: DispatchInput): Omit<WaitingSituation, 'readyInMs'> {
+  const { waitedMs, timeLeftMs, route, mayHaveRun } = input;
   const { latencyTargetMs } = route;
-  const decision = decideWait({ waitedMs, firstByteTimeLeftMs, latencyTargetMs, ...estimate });
-  return decision.kind === 'wait' ? decision : { ...decision, ...estimate };
+  // The caller of a stream that has begun has its first byte: it waits for the next one.
+  const begunTimeLeftMs = mayHaveRun ? latencyTargetMs + firstEventReserveMs : 0;
+  const firstByteTimeLeftMs = Math.max(input.firstByteTimeLeftMs, begunTimeLeftMs);
+  return { waitedMs, firstByteTimeLeftMs, timeLeftMs, latencyTargetMs, callerTimeoutMs: callerTimeoutMs(route) };
+}
+
+/**
+ * The room that a caller returns to when the queue of a replica has become shorter. The returns are spread over the time
+ * in which the queue shrinks from the longest one that is allowed, so that they do not meet the same queue again.
+ */
+function promiseOfQueue(
+  { replica, runMs }: Candidate,
+  { route, timeLeftMs }: DispatchInput,
+  readyInMs: number,
+): ReturnPromise {
+  // A caller that returns before is refused again, however long it waits.
+  const window = decideReturn({ readyInMs, timeLeftMs, callerTimeoutMs: firstEventReserveMs });
+  const spacingMs = runMs / Math.max(replica.slots, 1);
+  const spreadMs = window.lastMs - window.firstMs;
+  const times = { callerTimeoutMs: callerTimeoutMs(route), latencyTargetMs: route.latencyTargetMs };
+  return { window, room: { key: `queue ${replica.id}`, spacingMs, spreadMs, ...times } };
+}
+
+/** The room that a caller returns to when its model is ready. */
+function promiseOf(
+  { returnWindow: window }: Extract<WaitDecision, { kind: 'refuse' }>,
+  { route }: DispatchInput,
+  modelReference: ModelReference,
+  context: DispatchContext,
+): Pick<Extract<DispatchDecision, { kind: 'refuse' }>, 'promise'> {
+  if (window === undefined) {
+    return {};
+  }
+  const room = {
+    key: modelReference.model,
+    spacingMs: 0,
+    spreadMs: context.returnSpreadMs(modelReference.model),
+    modelReference,
+    callerTimeoutMs: callerTimeoutMs(route),
+    latencyTargetMs: route.latencyTargetMs,
+  };
+  return { promise: { window, room } };
 }
--- a/packages/gateway/src/peers/LeaderView.ts
+++ b/packages/gateway/src/peers/LeaderView.ts
@@ -2,19 +2,25 @@
 
 /** Time after which an estimate is out of date, milliseconds. The leader repeats estimates several times within it. */
 const estimateLifetimeMs = 1_200;
+/** Time from the first status of a leader until it has estimates for the requests that waited before, milliseconds. */
+const firstEstimatesMs = 1_500;
 
 /** Last status and estimates received from the placement leader, which may be this daemon itself. */
 export class LeaderView {
   private _status: LeaderStatus | undefined;
-  private _estimates: ReadonlyMap<string, number> = new Map();
+  private _firstLeaderMs: number | undefined;
+  private _estimates: ReadonlyMap<string, ReadyEstimate> = new Map();
   private _estimatesReceivedMs = Number.NEGATIVE_INFINITY;
 
-  public applyStatus(status: LeaderStatus): void {
+  public applyStatus(status: LeaderStatus, nowMs: number): void {
     this._status = status;
+    if (status.leads) {
+      this._firstLeaderMs ??= nowMs;
+    }
   }
 
   public applyEstimates(estimates: readonly ReadyEstimate[], nowMs: number): void {
-    this._estimates = new Map(estimates.map(({ model, readyInMs }) => [model, readyInMs]));
+    this._estimates = new Map(estimates.map((estimate) => [estimate.model, estimate]));
     this._estimatesReceivedMs = nowMs;
   }
 
@@ -33,8 +39,23 @@
     return this._status?.daemonCount ?? 1;
   }
 
+  /** True until this daemon knows the estimates of its first leader, as after the start of all daemons. */
+  public awaitsFirstLeader(nowMs: number): boolean {
+    return this._firstLeaderMs === undefined || nowMs - this._firstLeaderMs < firstEstimatesMs;
+  }
+
   /** Expected time until a model is ready, milliseconds; undefined without a recent estimate. */
   public readyInMs(model: string, nowMs: number): number | undefined {
+    const estimate = this._recentEstimate(model, nowMs);
+    return estimate && Math.max(estimate.readyInMs - (nowMs - this._estimatesReceivedMs), 0);
+  }
+
+  /** Time over which a model that becomes ready takes the requests that wait for it, milliseconds. */
+  public spreadMs(model: string, nowMs: number): number {
+    return this._recentEstimate(model, nowMs)?.spreadMs ?? 0;
+  }
+
+  private _recentEstimate(model: string, nowMs: number): ReadyEstimate | undefined {
     return nowMs - this._estimatesReceivedMs < estimateLifetimeMs ? this._estimates.get(model) : undefined;
   }
 }
--- a/packages/gateway/src/peers/Reporter.test.ts
+++ b/packages/gateway/src/peers/Reporter.test.ts
@@ -28,7 +28,7 @@
   /** Runs for a second with an arrival at each step. */
   public async runBusy(): Promise<void> {
     for (let step = 0; step < 100; step += 1) {
-      this.arrivals.record({ model: 'm' }, 250);
+      this.arrivals.record({ model: 'm' }, 250, 2_000);
       this.reporter.reportIfDue();
       await vitest.vi.advanceTimersByTimeAsync(10);
     }
@@ -61,6 +61,7 @@
       requiredVersion: undefined,
       urgency: 0,
       lateAtMs: 0,
+      leavesAtMs: 2_000,
       limitedReplicaId: () => undefined,
       redispatch: () => false,
     };
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -20,6 +20,8 @@
   readonly slackMs: number;
   /** Software versions that some of them need, because they go on with streams. Absent if none does. */
   readonly requiredVersions?: readonly string[];
+  /** Longest time that one of them can still wait, milliseconds. Absent in reports of earlier versions. */
+  readonly patienceMs?: number;
 }
 
 /** Requests of one daemon that arrived since its last report. */
@@ -27,6 +29,8 @@
   readonly target: ModelReference;
   readonly count: number;
   readonly latencyTargetMs: number;
+  /** Mean time that their callers wait for the first byte, milliseconds. Absent in reports of earlier versions. */
+  readonly patienceMs?: number;
 }
 
 /** Requests of one daemon that run on a replica. */
@@ -83,6 +87,8 @@
 export interface ReadyEstimate {
   readonly model: string;
   readonly readyInMs: number;
+  /** Time over which the model takes those who wait, if they are more than it can serve at once, milliseconds. */
+  readonly spreadMs?: number;
 }
 
 /** Status that the leader sends to every daemon at short intervals. */
--- a/packages/gateway/src/placement/ArrivalCounter.ts
+++ b/packages/gateway/src/placement/ArrivalCounter.ts
@@ -6,10 +6,14 @@
 export class ArrivalCounter {
   private _arrivals = new Map<string, ArrivalReport>();
 
-  public record(modelReference: ModelReference, latencyTargetMs: number): void {
+  /** Counts a request. `patienceMs` is the time that its caller waits for the first byte. */
+  public record(modelReference: ModelReference, latencyTargetMs: number, patienceMs: number): void {
     const key = modelReferenceKey(modelReference);
-    const count = (this._arrivals.get(key)?.count ?? 0) + 1;
-    this._arrivals.set(key, { target: modelReference, count, latencyTargetMs });
+    const before = this._arrivals.get(key);
+    const count = (before?.count ?? 0) + 1;
+    const beforeMs = before?.patienceMs ?? patienceMs;
+    const meanMs = Math.round(beforeMs + (patienceMs - beforeMs) / count);
+    this._arrivals.set(key, { target: modelReference, count, latencyTargetMs, patienceMs: meanMs });
   }
 
   public get hasArrivals(): boolean {
--- a/packages/gateway/src/placement/DemandAggregator.test.ts
+++ b/packages/gateway/src/placement/DemandAggregator.test.ts
@@ -49,4 +49,18 @@
       vitest.expect([...aggregator.unreachable()]).toEqual(['r1']);
     },
   );
+
+  vitest.test('reports how long callers wait (guards against loads that end after the last caller has left)', () => {
+    const aggregator = new DemandAggregator();
+    const { waiting, arrivals, ...rest } = report(1);
+    const patient = (patienceMs: number, daemon: string): DaemonReport => ({
+      ...rest,
+      daemon,
+      waiting: waiting.map((entry) => ({ ...entry, patienceMs })),
+      arrivals: arrivals.map((entry) => ({ ...entry, patienceMs })),
+    });
+    aggregator.apply(patient(2_000, 'vm1'), 0);
+    aggregator.apply(patient(16_000, 'vm2'), 0);
+    vitest.expect(aggregator.demands(1_000)).toMatchObject([{ waitingPatienceMs: 15_000, patienceMs: 9_000 }]);
+  });
 });
--- a/packages/gateway/src/placement/DemandAggregator.ts
+++ b/packages/gateway/src/placement/DemandAggregator.ts
@@ -29,6 +29,7 @@
   perSecond: number;
   updatedMs: number;
   latencyTargetMs: number;
+  patienceMs?: number;
 }
 
 interface StoredReport {
@@ -46,7 +47,13 @@
     this._reports.set(report.daemon, { report, receivedMs: nowMs });
     for (const arrival of report.arrivals) {
       const rate = this._rate(arrival.target, nowMs);
-      rate.perSecond += (arrival.count * 1000) / rateTimeConstantMs;
+      const addedPerSecond = (arrival.count * 1000) / rateTimeConstantMs;
+      if (arrival.patienceMs !== undefined) {
+        const share = addedPerSecond / (rate.perSecond + addedPerSecond);
+        const beforeMs = rate.patienceMs ?? arrival.patienceMs;
+        rate.patienceMs = beforeMs + (arrival.patienceMs - beforeMs) * share;
+      }
+      rate.perSecond += addedPerSecond;
       rate.latencyTargetMs = arrival.latencyTargetMs;
     }
   }
@@ -59,15 +66,21 @@
       this._rate(entry.target, nowMs);
       this._waits.set(key, { sinceMs: this._waits.get(key)?.sinceMs ?? nowMs, lastMs: nowMs });
     }
-    return [...this._rates.entries()].map(([key, rate]) => ({
-      modelReference: rate.modelReference,
-      waiting: waiting.get(key)?.count ?? 0,
-      slackMs: waiting.get(key)?.slackMs ?? Number.POSITIVE_INFINITY,
-      requiredVersions: [...new Set(waiting.get(key)?.requiredVersions)],
-      unservedMs: nowMs - (this._waits.get(key)?.sinceMs ?? nowMs),
-      ratePerSecond: decayed(rate, nowMs),
-      latencyTargetMs: rate.latencyTargetMs,
-    }));
+    return [...this._rates].map(([key, rate]) => {
+      const entry = waiting.get(key);
+      const patienceMs = entry?.patienceMs;
+      return {
+        modelReference: rate.modelReference,
+        waiting: entry?.count ?? 0,
+        slackMs: entry?.slackMs ?? Number.POSITIVE_INFINITY,
+        requiredVersions: [...new Set(entry?.requiredVersions)],
+        unservedMs: nowMs - (this._waits.get(key)?.sinceMs ?? nowMs),
+        ratePerSecond: decayed(rate, nowMs),
+        latencyTargetMs: rate.latencyTargetMs,
+        ...(patienceMs !== undefined && { waitingPatienceMs: patienceMs }),
+        ...(rate.patienceMs !== undefined && { patienceMs: rate.patienceMs }),
+      };
+    });
   }
 
   /** Requests that run on replicas, as the daemons last reported. */
@@ -97,7 +110,17 @@
         const sum = sums.get(key);
         const slackMs = Math.min(entry.slackMs - (nowMs - receivedMs), sum?.slackMs ?? Number.POSITIVE_INFINITY);
         const requiredVersions = [...(sum?.requiredVersions ?? []), ...(entry.requiredVersions ?? [])];
-        sums.set(key, { target: entry.target, count: entry.count + (sum?.count ?? 0), slackMs, requiredVersions });
+        const ageMs = nowMs - receivedMs;
+        const patiences = [sum?.patienceMs, entry.patienceMs && entry.patienceMs - ageMs].filter(
+          (ms) => ms !== undefined,
+        );
+        sums.set(key, {
+          target: entry.target,
+          count: entry.count + (sum?.count ?? 0),
+          slackMs,
+          requiredVersions,
+          ...(patiences.length > 0 && { patienceMs: Math.max(...patiences) }),
+        });
       }
     }
     return sums;
--- a/packages/gateway/src/placement/LoadOptions.ts
+++ b/packages/gateway/src/placement/LoadOptions.ts
@@ -4,9 +4,9 @@
 import { freeMegabytes, heldMegabytes, loadTier, type ModelDemand, requestWeight } from './weights.js';
 
 /** Minimum time that a model stays loaded, milliseconds, so that the requests that waited for it can reach it. */
-const minimumResidenceMs = 600;
+export const minimumResidenceMs = 600;
 /** Requests with less time than this until they miss their latency target may evict a model in use, milliseconds. */
-const urgentSlackMs = 500;
+export const urgentSlackMs = 500;
 /** Mean remaining time of a running request, milliseconds. An unload waits for the last of them. */
 const meanRemainingRunMs = 1_200;
 /** Cost of evicting the only copy of a model with one request per second, milliseconds. */
@@ -117,7 +117,7 @@
 }
 
 /** Expected time until the last of the running requests ends, milliseconds. */
-function drainMs(running: number): number {
+export function drainMs(running: number): number {
   let harmonic = 0;
   for (let index = 1; index <= running; index += 1) {
     harmonic += 1 / index;
--- a/packages/gateway/src/placement/Types.ts
+++ b/packages/gateway/src/placement/Types.ts
@@ -15,6 +15,10 @@
   readonly ratePerSecond: number;
   /** Smallest latency target of the requests, milliseconds. */
   readonly latencyTargetMs: number;
+  /** Longest time that one of the waiting requests can still wait, milliseconds. Absent if no daemon reports it. */
+  readonly waitingPatienceMs?: number;
+  /** Mean time that callers wait for the first byte, milliseconds. Absent if no daemon reports it. */
+  readonly patienceMs?: number;
 }
 
 /** An adapter on a replica. */
--- a/packages/gateway/src/placement/estimateReady.test.ts
+++ b/packages/gateway/src/placement/estimateReady.test.ts
@@ -52,6 +52,48 @@
     },
   );
 
+  vitest.test('is the load time from disk (guards against waits that the load time already rules out)', () => {
+    const estimates = estimateReady(input([placedReplica('r', { onDisk: new Set(['m']) })]), nowMs);
+    vitest.expect(estimates).toEqual([{ model: 'm', readyInMs: loadMs.disk + 40 }]);
+  });
+
+  vitest.test('adds what the replica has to do before (guards against waits for a busy replica)', () => {
+    const onDisk = new Set(['m']);
+    const order: OrderInProgress = { kind: 'load', model: 'a', tier: 'store', expectedDoneMs: nowMs + 4_000 };
+    const loading = placedReplica('r', { onDisk, order });
+    const state = input([loading]);
+    const models = new Map([...state.models, ['a', { ...specification, name: 'a' }]]);
+    vitest.expect(estimateReady({ ...state, models }, nowMs)[0]?.readyInMs).toBe(4_000 + loadMs.disk + 40);
+    const held = { name: 'old', adapters: [], readySinceMs: 0, retiringSinceMs: nowMs - 500 };
+    const clearing = { onDisk, clearingFor: 'm', running: 1, models: [{ ...held, running: 1 }] };
+    // One running request ends after 1.2 s in the mean, and the unload takes 15 ms.
+    vitest
+      .expect(estimateReady(input([placedReplica('r', clearing)]), nowMs)[0]?.readyInMs)
+      .toBe(1_200 + 15 + loadMs.disk + 40);
+  });
+
+  vitest.test('loads models that share a replica one after another (guards against one room promised twice)', () => {
+    const state = input([placedReplica('r', { onDisk: new Set(['m', 'n']) })]);
+    const models = new Map([...state.models, ['n', { ...specification, name: 'n' }]]);
+    const second: Demand = { ...baseDemand, modelReference: { model: 'n' }, slackMs: 2_000 };
+    const estimates = estimateReady({ ...state, models, demands: [baseDemand, second] }, nowMs);
+    vitest.expect(estimates.map(({ readyInMs }) => readyInMs)).toEqual([540, 1_080]);
+  });
+
+  vitest.test(
+    'uses a store load for callers that still wait at its end (guards against loads that serve nobody)',
+    () => {
+      const demands: Demand[] = [
+        { ...baseDemand, ratePerSecond: 1, waiting: 5, waitingPatienceMs: 2_000, patienceMs: 2_000 },
+        { ...baseDemand, modelReference: { model: 'n' }, ratePerSecond: 0.2, waitingPatienceMs: 16_000 },
+      ];
+      const state = input([placedReplica('r')]);
+      const models = new Map([...state.models, ['n', { ...specification, name: 'n' }]]);
+      const plan = planModels({ ...state, models, demands, maximumStoreLoads: 1 }, nowMs);
+      vitest.expect(plan.orders.map(({ model }) => model)).toEqual(['n']);
+    },
+  );
+
   vitest.test('scales with the number of concurrent store loads', () => {
     const limiter = new StoreLoadLimiter();
     const order = { kind: 'load', tier: 'store' } as const;
--- a/packages/gateway/src/placement/expectedDuration.ts
+++ b/packages/gateway/src/placement/expectedDuration.ts
@@ -1,11 +1,12 @@
+import type { ModelSpecification, WeightTier } from '../Types.js';
 import type { PlacementInput, PlannedOrder } from './Types.js';
 
 /** Time from an accepted adapter load until the adapter counts as ready, milliseconds. Loads take up to 10 ms. */
-const adapterReadyMs = 14;
+export const adapterReadyMs = 14;
 /** Margin added to the nominal time of a load from host memory or disk, milliseconds. */
 const localLoadMarginMs = 40;
 /** Duration of the unload of an idle model, milliseconds. */
-const idleUnloadMs = 15;
+export const idleUnloadMs = 15;
 
 /** Expected time from the acceptance of an order to its completion, milliseconds. Only idle models are unloaded. */
 export function expectedDuration(order: PlannedOrder, input: PlacementInput): number {
@@ -15,6 +16,11 @@
   if (order.kind === 'unload') {
     return idleUnloadMs;
   }
-  const nominalMs = input.models.get(order.model)?.loadMs[order.tier] ?? 0;
-  return order.tier === 'store' ? nominalMs : nominalMs + localLoadMarginMs;
+  const specification = input.models.get(order.model);
+  return specification === undefined ? localLoadMarginMs : loadDurationMs(specification, order.tier);
+}
+
+/** Expected time of the load of a model, milliseconds. */
+export function loadDurationMs({ loadMs }: ModelSpecification, tier: WeightTier): number {
+  return tier === 'store' ? loadMs.store : loadMs[tier] + localLoadMarginMs;
 }
--- a/packages/gateway/src/placement/planModels.ts
+++ b/packages/gateway/src/placement/planModels.ts
@@ -13,6 +13,7 @@
 import { type HotModel, overloaded, type StoreCandidate } from './hotModels.js';
 import {
   demandByModel,
+  displacingShare,
   gainForStreams,
   gainOf,
   isLoadingFromStore,
@@ -29,8 +30,6 @@
 const copyTimeoutMs = 4_000;
 /** The same for requests with a tight latency target, whose callers disconnect soon. */
 const tightLatencyCopyTimeoutMs = 1_000;
-/** A model may be unloaded for another one whose demand is at least this share of its own. */
-const displacingShare = 0.5;
 /** Share of occupied slots above which a model gets another copy. */
 const secondCopyUtilization = 0.6;
 /** Request rate above which a model is hot, requests per second. */
@@ -195,9 +194,9 @@
    * more requests than slots.
    */
   private _loadFromStore(hot: readonly HotModel[]): void {
-    const missing = storeCandidates(this._demand, this._copies).map(([model, demand]) => ({
+    const missing = storeCandidates(this._demand, this._copies, this._input.models).map(([model, gain]) => ({
       model,
-      gain: gainOf(demand),
+      gain,
       reason: 'waiting' as const,
     }));
     const candidates: StoreCandidate[] = [...missing, ...overloaded(hot)];
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -37,6 +37,9 @@
   return (demand?.latencyTargetMs ?? relaxedLatencyTargetMs) < relaxedLatencyTargetMs ? tightLatencyWeight : 1;
 }
 
+/** A model may be unloaded for another one whose demand is at least this share of its own. */
+export const displacingShare = 0.5;
+
 /** Gain of having a model ready, in weighted requests per second. */
 export function gainOf(demand: ModelDemand | undefined): number {
   return ((demand?.ratePerSecond ?? 0) + (demand?.waiting ?? 0) * ratePerWaitingRequest) * requestWeight(demand);
@@ -53,16 +56,37 @@
   return waiting.sort(([, first], [, second]) => first.slackMs - second.slackMs);
 }
 
+/** Time for which the present request rate predicts the requests to come, milliseconds: the time constant of the rates. */
+const predictedMs = 4_000;
+
+/**
+ * Gain of a load from the weight store, in callers that it serves. A waiting caller counts if it still waits when the
+ * load has ended, and more the longer requests have waited for the model, so that no model waits without end while
+ * others are requested anew. Of the callers to come, those count that arrive late enough in the load to see its end.
+ */
+export function storeGainOf(demand: ModelDemand, loadMs: number): number {
+  const { waiting, waitingPatienceMs = loadMs, patienceMs = loadMs, ratePerSecond } = demand;
+  const served = waitingPatienceMs < loadMs ? 0 : waiting;
+  const ageFactor = 1 + Math.min(demand.unservedMs, loadMs) / predictedMs;
+  const predicted = (ratePerSecond * predictedMs) / 1000;
+  return served * ageFactor + predicted * Math.min(patienceMs / loadMs, 1);
+}
+
 /**
- * Candidates for a load from the weight store, in descending order of gain: models that requests wait for, and
- * requested models that no replica has. Requests for the latter are often refused at once, so none may be waiting.
+ * Candidates for a load from the weight store with their gain, in descending order of gain: models that requests wait
+ * for, and requested models that no replica has. Requests for the latter are often refused at once, so none may be
+ * waiting.
  */
 export function storeCandidates(
   demands: ReadonlyMap<string, ModelDemand>,
   copies: CopyIndex,
-): readonly (readonly [string, ModelDemand])[] {
+  models: ReadonlyMap<string, ModelSpecification>,
+): readonly (readonly [string, number])[] {
   const candidates = [...demands].filter(([model, demand]) => demand.waiting > 0 || !copies.hasAnyCopy(model));
-  return candidates.sort(([, first], [, second]) => gainOf(second) - gainOf(first));
+  const gains = candidates.map(([model, demand]) => {
+    return [model, storeGainOf(demand, Math.max(models.get(model)?.loadMs.store ?? 0, 1))] as const;
+  });
+  return gains.sort(([, first], [, second]) => second - first);
 }
 
 /** Fastest tier from which a replica can load a model. */
@@ -81,6 +105,10 @@
   readonly unservedMs: number;
   readonly ratePerSecond: number;
   readonly latencyTargetMs: number;
+  /** Longest time that one of the waiting requests can still wait, milliseconds. Absent if no daemon reports it. */
+  readonly waitingPatienceMs?: number;
+  /** Mean time that callers wait for the first byte, milliseconds. Absent if no daemon reports it. */
+  readonly patienceMs?: number;
 }
 
 /** Sums the demand for each model and its adapters. */
@@ -95,11 +123,22 @@
       unservedMs: Math.max(sum?.unservedMs ?? 0, demand.unservedMs),
       ratePerSecond: (sum?.ratePerSecond ?? 0) + demand.ratePerSecond,
       latencyTargetMs: Math.min(sum?.latencyTargetMs ?? Number.POSITIVE_INFINITY, demand.latencyTargetMs),
+      ...longest('waitingPatienceMs', sum, demand),
+      ...longest('patienceMs', sum, demand),
     });
   }
   return sums;
 }
 
+/** The longer of two times, of which both may be absent. */
+function longest<Key extends 'waitingPatienceMs' | 'patienceMs'>(
+  key: Key,
+  ...demands: readonly (Partial<Record<Key, number>> | undefined)[]
+): Partial<Record<Key, number>> {
+  const times = demands.flatMap((demand) => demand?.[key] ?? []);
+  return times.length === 0 ? {} : ({ [key]: Math.max(...times) } as Record<Key, number>);
+}
+
 /** True if a replica is loading a model, not only an adapter, from the weight store. */
 export function isLoadingFromStore({ order }: { readonly order?: OrderInProgress | undefined }): boolean {
   return order !== undefined && isStoreLoad(order);
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -256,6 +256,8 @@
       admission: { beforeBody: [], beforeDispatch: [] },
       routes: () => routes,
       readyInMs: () => undefined,
+      awaitsFirstLeader: () => false,
+      returnSpreadMs: () => 0,
       randomSlots: () => 0,
       markReplicaLeaving: ({ id, bornMs }) => {
         directory.markLeaving(id, bornMs);
--- a/packages/gateway/src/testing/changes/SimulatedGateway.ts
+++ b/packages/gateway/src/testing/changes/SimulatedGateway.ts
@@ -270,7 +270,7 @@
       this._tables.applyFromFollowedPeer(params as PeerMessages['table']);
     } else if (method === 'status') {
       const status = params as PeerMessages['status'];
-      this._leaderView.applyStatus(status);
+      this._leaderView.applyStatus(status, this._clock.now().steadyMs);
       if (status.tellsChanges) {
         this._tables.advance(status.ends);
       }
--- a/packages/gateway/src/waiting/WaitingRequests.ts
+++ b/packages/gateway/src/waiting/WaitingRequests.ts
@@ -1,3 +1,4 @@
+import { PromisedReturns } from './PromisedReturns.js';
 import { modelReferenceKey } from '../placement/DemandAggregator.js';
 import type { WaitingReport } from '../peers/Types.js';
 import type { PermitDemand } from '../rateLimits/Types.js';
@@ -12,6 +13,8 @@
   readonly urgency: number;
   /** Time at which the request misses its latency target, steady milliseconds. */
   readonly lateAtMs: number;
+  /** Time at which the caller stops waiting for the first byte, steady milliseconds. */
+  readonly leavesAtMs: number;
   /** Replica with a rate limit that the request needs a permit for, if any. It may change with each dispatch. */
   readonly limitedReplicaId: () => string | undefined;
   /** Dispatches the request again; returns true if it no longer has to wait. */
@@ -20,6 +23,8 @@
 
 /** The waiting requests of this daemon, by model and adapter. */
 export class WaitingRequests {
+  /** Callers that were refused and asked to return. */
+  public readonly returns = new PromisedReturns();
   private readonly _requests = new Map<string, Set<WaitingRequest>>();
 
   public add(request: WaitingRequest): void {
@@ -94,20 +99,34 @@
     return [...this._requests.values()].reduce((sum, requests) => sum + requests.size, 0);
   }
 
-  /** Counts of waiting requests, for the report to the leader. */
+  /** Counts of waiting requests and of callers that were asked to return, for the report to the leader. */
   public report(nowMs: number): readonly WaitingReport[] {
-    return [...this._requests.values()].flatMap((requests) => {
-      const [first] = requests;
-      const slackMs = Math.min(...[...requests].map((request) => request.lateAtMs - nowMs));
-      const versions = [...requests].flatMap(({ requiredVersion }) => requiredVersion ?? []);
-      const requiredVersions = versions.length > 0 && { requiredVersions: [...new Set(versions)] };
-      return first?.modelReference === undefined
-        ? []
-        : [{ target: first.modelReference, count: requests.size, slackMs: Math.round(slackMs), ...requiredVersions }];
-    });
+    const reports = new Map<string, WaitingReport>();
+    for (const request of [...this._all(), ...this.returns.awaited(nowMs)]) {
+      if (request.modelReference !== undefined) {
+        const key = modelReferenceKey(request.modelReference);
+        const requiredVersion = 'requiredVersion' in request ? request.requiredVersion : undefined;
+        reports.set(key, addToReport(reports.get(key), { ...request, requiredVersion }, nowMs));
+      }
+    }
+    return [...reports.values()];
   }
 }
 
+type Awaited = Pick<WaitingRequest, 'modelReference' | 'requiredVersion' | 'lateAtMs' | 'leavesAtMs'>;
+
+function addToReport(before: WaitingReport | undefined, request: Awaited, nowMs: number): WaitingReport {
+  const { modelReference: target = { model: '' }, requiredVersion, lateAtMs, leavesAtMs } = request;
+  const versions = new Set([...(before?.requiredVersions ?? []), ...(requiredVersion ? [requiredVersion] : [])]);
+  return {
+    target,
+    count: (before?.count ?? 0) + 1,
+    slackMs: Math.min(before?.slackMs ?? Number.POSITIVE_INFINITY, Math.round(lateAtMs - nowMs)),
+    patienceMs: Math.max(before?.patienceMs ?? Number.NEGATIVE_INFINITY, Math.round(leavesAtMs - nowMs)),
+    ...(versions.size > 0 && { requiredVersions: [...versions] }),
+  };
+}
+
 /** Key of the requests that wait together. Requests without a model share one. */
 function keyOf({ modelReference }: WaitingRequest): string {
   return modelReference === undefined ? '' : modelReferenceKey(modelReference);
--- a/packages/gateway/src/waiting/decidePermitWait.test.ts
+++ b/packages/gateway/src/waiting/decidePermitWait.test.ts
@@ -1,7 +1,14 @@
 import * as vitest from 'vitest';
 import { decidePermitWait } from './decidePermitWait.js';
 
-const situation = { waitedMs: 0, firstByteTimeLeftMs: 2_000, timeLeftMs: 4_000, latencyTargetMs: 1_000, runMs: 1_000 };
+const situation = {
+  waitedMs: 0,
+  firstByteTimeLeftMs: 2_000,
+  timeLeftMs: 4_000,
+  callerTimeoutMs: 2_000,
+  latencyTargetMs: 1_000,
+  runMs: 1_000,
+};
 
 vitest.describe('waiting for a permit', () => {
   vitest.test('continues while the turn leaves time for the run', () => {
--- a/packages/gateway/src/waiting/decidePermitWait.ts
+++ b/packages/gateway/src/waiting/decidePermitWait.ts
@@ -5,8 +5,6 @@
 
 /** State of a request that waits for a permit of a replica with a rate limit. `readyInMs` is the time until its turn. */
 export interface PermitWaitSituation extends WaitingSituation {
-  /** Time until the deadline of the request, milliseconds. */
-  readonly timeLeftMs: number;
   /** Mean run time on the replica, milliseconds. */
   readonly runMs: number;
 }
