Dispatch waiting requests by urgency, turns of tenants, time left and size

Cause: waiting requests were ordered by urgency and the time of their latency target alone. A tenant with many times its usual rate had most of the earliest requests, and requests that were already late went before those that could still be in time.

TenantTurns gives the tenants of one urgency equal turns (start-time fair queueing); a tenant saves no turns up, and a refused request uses none. Within a tenant the next loss decides: the latency target, or once that is missed the time at which the caller leaves. The position for a permit counts as many turns of each other tenant as of the request's own.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -298,10 +298,10 @@
       this._callers.applyLimits(callerLimits);
     });
     this._directory.onChanged(() => {
-      this._waitingRequests.redispatchAll();
+      this._waitingRequests.redispatchAll(this._nowMs());
     });
     this._crashGuard.onChanged(() => {
-      this._waitingRequests.redispatchAll();
+      this._waitingRequests.redispatchAll(this._nowMs());
     });
     this._leaderElector.onLeader((leader) => {
       this._knownLeader.learnFromStore(leader);
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -4,7 +4,7 @@
 import { AdmissionRun } from './admission/AdmissionRun.js';
 import type { AdmissionStep } from './admission/AdmissionStep.js';
 import { RequestWait } from '../waiting/RequestWait.js';
-import type { WaitingRequest } from '../waiting/WaitingRequests.js';
+import type { RedispatchResult, WaitingRequest } from '../waiting/WaitingRequests.js';
 import { discardBody } from './discardBody.js';
 import { recordResponseHead } from './recordResponseHead.js';
 import { identifyRequest, type RequestIdentity, unidentified } from './identifyRequest.js';
@@ -192,11 +192,11 @@
     this._continuation.recordFirstEvent(attemptId, this._route, this._service, replica, release);
   }
 
-  /** Sends the request to the best replica, queues it or refuses it. Returns false if the request has to wait. */
-  private _dispatch(): boolean {
+  /** Sends the request to the best replica, queues it or refuses it. */
+  private _dispatch(): RedispatchResult {
     const route = this._route;
     if (route === undefined || this._finished || this._attempt.isRunning) {
-      return true;
+      return 'ended';
     }
     const now = this._context.clock.now();
     const nowMs = now.steadyMs;
@@ -206,7 +206,7 @@
       if (decision.trialParts !== undefined && this._context.crashGuard.requestTrial(decision.trialParts, nowMs)) {
         this._context.crashMetrics.count('requested');
       }
-      return false;
+      return 'waits';
     }
     this._wait.stop(nowMs);
     if (decision.kind === 'send') {
@@ -229,7 +229,7 @@
         promise === undefined ? decision.retryAfterMs : returns.promise(promise.room, promise.window, nowMs);
       this._refuse(decision.reason, retryAfterMs);
     }
-    return true;
+    return decision.kind === 'send' ? 'sent' : 'ended';
   }
 
   private _dispatchInput(route: Route, nowMs: number): DispatchInput {
@@ -244,6 +244,7 @@
       waitedMs: this._wait.waitedMs(nowMs),
       requiredVersion: this._continuation.requiredVersion,
       urgency: this._urgency(route),
+      tenantName: this._admission?.tenant?.name,
       lateAtMs: this._startedMs + route.latencyTargetMs,
       timeLeftMs: this._deadline.leftMs(nowMs),
       firstByteTimeLeftMs: this._firstByteTimeLeftMs(route),
@@ -265,6 +266,8 @@
       urgency: this._urgency(route),
       lateAtMs: this._startedMs + route.latencyTargetMs,
       leavesAtMs: nowMs + this._firstByteTimeLeftMs(route),
+      sizeBytes: this._body.length,
+      tenantName: this._admission?.tenant?.name,
       redispatch: () => this._dispatch(),
     });
     const redispatch = (): void => {
--- a/packages/gateway/src/forwarding/decideDispatch.test.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.test.ts
@@ -34,6 +34,7 @@
   mayHaveRun: false,
   waitedMs: 0,
   urgency: 2,
+  tenantName: undefined,
   lateAtMs: 10_500,
   timeLeftMs: 8_000,
   requiredVersion: undefined,
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -37,6 +37,8 @@
   readonly waitedMs: number;
   /** Urgency of the request; 0 is the most urgent. */
   readonly urgency: number;
+  /** Tenant of the caller, if it has one. */
+  readonly tenantName: string | undefined;
   /** Time at which the request misses its latency target, steady milliseconds. */
   readonly lateAtMs: number;
   /** Time until the deadline of the request, milliseconds. */
@@ -177,7 +179,7 @@
   now: Instant,
 ): PermitWaitOption | undefined {
   const options = candidates.map(({ replica: { id }, runMs }) => {
-    const position = context.waitingRequests.countAhead(id, input.urgency, input.lateAtMs);
+    const position = context.waitingRequests.countAhead(id, input);
     return { replicaId: id, waitMs: context.rateLimits.expectedWaitMs(id, input.urgency, position, now), runMs };
   });
   return options.sort((first, second) => (first.waitMs ?? 0) - (second.waitMs ?? 0))[0];
--- a/packages/gateway/src/peers/RateLimitCoordinator.ts
+++ b/packages/gateway/src/peers/RateLimitCoordinator.ts
@@ -145,8 +145,9 @@
   }
 
   private _applyPermits(message: PermitMessage): void {
-    this._rateLimits.applyPermits(message, this._clock.now());
-    this._waitingRequests.redispatchFor(new Set(message.replicas.map(({ replicaId }) => replicaId)));
+    const now = this._clock.now();
+    this._rateLimits.applyPermits(message, now);
+    this._waitingRequests.redispatchFor(new Set(message.replicas.map(({ replicaId }) => replicaId)), now.steadyMs);
   }
 
   private _applyLimits(limits: readonly RateLimitStatement[]): void {
--- a/packages/gateway/src/peers/Reporter.test.ts
+++ b/packages/gateway/src/peers/Reporter.test.ts
@@ -62,8 +62,10 @@
       urgency: 0,
       lateAtMs: 0,
       leavesAtMs: 2_000,
+      sizeBytes: 0,
+      tenantName: undefined,
       limitedReplicaId: () => undefined,
-      redispatch: () => false,
+      redispatch: () => 'waits' as const,
     };
     for (let index = 0; index < 20; index += 1) {
       fixture.waitingRequests.add({ ...waitingRequest });
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -226,7 +226,7 @@
     });
     const waitingRequests = new WaitingRequests();
     this.crashGuard.onChanged(() => {
-      waitingRequests.redispatchAll();
+      waitingRequests.redispatchAll(systemClock.now().steadyMs);
     });
     return {
       codec: new FakeCodec(),
--- a/packages/gateway/src/waiting/WaitingRequests.ts
+++ b/packages/gateway/src/waiting/WaitingRequests.ts
@@ -1,9 +1,13 @@
+import { TenantTurns } from './TenantTurns.js';
 import { PromisedReturns } from './PromisedReturns.js';
 import { modelReferenceKey } from '../placement/DemandAggregator.js';
 import type { WaitingReport } from '../peers/Types.js';
 import type { PermitDemand } from '../rateLimits/Types.js';
 import type { ModelReference } from '../Types.js';
 
+/** Result of dispatching a waiting request again: it waits on, it was sent, or it was refused or has ended. */
+export type RedispatchResult = 'waits' | 'sent' | 'ended';
+
 /** A request that waits until a replica holds its model and adapter, or until it may be sent to a replica. */
 export interface WaitingRequest {
   readonly modelReference: ModelReference | undefined;
@@ -15,16 +19,24 @@
   readonly lateAtMs: number;
   /** Time at which the caller stops waiting for the first byte, steady milliseconds. */
   readonly leavesAtMs: number;
+  /** Bytes of its body. */
+  readonly sizeBytes: number;
+  /** Tenant of the caller, if it has one. */
+  readonly tenantName: string | undefined;
   /** Replica with a rate limit that the request needs a permit for, if any. It may change with each dispatch. */
   readonly limitedReplicaId: () => string | undefined;
-  /** Dispatches the request again; returns true if it no longer has to wait. */
-  readonly redispatch: () => boolean;
+  /** Dispatches the request again. */
+  readonly redispatch: () => RedispatchResult;
 }
 
+/** A request whose turn for a permit is estimated. */
+export type PermitSeeker = Pick<WaitingRequest, 'urgency' | 'lateAtMs' | 'tenantName'>;
+
 /** The waiting requests of this daemon, by model and adapter. */
 export class WaitingRequests {
   /** Callers that were refused and asked to return. */
   public readonly returns = new PromisedReturns();
+  private readonly _turns = new TenantTurns();
   private readonly _requests = new Map<string, Set<WaitingRequest>>();
 
   public add(request: WaitingRequest): void {
@@ -43,22 +55,33 @@
     }
   }
 
-  /** Dispatches every waiting request again, the most urgent first. */
-  public redispatchAll(): void {
-    this._redispatch(this._all());
+  /** Dispatches every waiting request again, in their order. */
+  public redispatchAll(nowMs: number): void {
+    this._redispatch(this._all(), nowMs);
   }
 
-  /** Dispatches the requests again that need a permit for one of the replicas, the most urgent first. */
-  public redispatchFor(replicaIds: ReadonlySet<string>): void {
-    this._redispatch(this._all().filter((request) => replicaIds.has(request.limitedReplicaId() ?? '')));
+  /** Dispatches the requests again that need a permit for one of the replicas, in their order. */
+  public redispatchFor(replicaIds: ReadonlySet<string>, nowMs: number): void {
+    const requests = this._all().filter((request) => replicaIds.has(request.limitedReplicaId() ?? ''));
+    this._redispatch(requests, nowMs);
   }
 
-  /** Number of requests of the same urgency that get a permit for a replica before one that is late at `lateAtMs`. */
-  public countAhead(replicaId: string, urgency: number, lateAtMs: number): number {
-    return this._all().filter(
-      (request) =>
-        request.limitedReplicaId() === replicaId && request.urgency === urgency && request.lateAtMs < lateAtMs,
-    ).length;
+  /**
+   * Number of requests of the same urgency that get a permit for a replica before another one. Each tenant has as many
+   * turns before it as the tenant of the request itself.
+   */
+  public countAhead(replicaId: string, { urgency, lateAtMs, tenantName }: PermitSeeker): number {
+    const rivals = this._all().filter(
+      (request) => request.limitedReplicaId() === replicaId && request.urgency === urgency,
+    );
+    const isOwn = (request: WaitingRequest): boolean => request.tenantName === tenantName;
+    const ownAhead = rivals.filter((request) => isOwn(request) && request.lateAtMs < lateAtMs).length;
+    const others = new Map<string, number>();
+    for (const request of rivals.filter((rival) => !isOwn(rival))) {
+      const name = request.tenantName ?? '';
+      others.set(name, Math.min((others.get(name) ?? 0) + 1, ownAhead + 1));
+    }
+    return [...others.values()].reduce((sum, count) => sum + count, ownAhead);
   }
 
   /** Demands for permits, for the report to the leader. */
@@ -80,13 +103,16 @@
     return [...this._requests.values()].flatMap((set) => [...set]);
   }
 
-  private _redispatch(requests: WaitingRequest[]): void {
-    requests.sort((first, second) => first.urgency - second.urgency || first.lateAtMs - second.lateAtMs);
-    for (const request of requests) {
+  private _redispatch(requests: readonly WaitingRequest[], nowMs: number): void {
+    for (const request of this._turns.order(requests, nowMs)) {
       // Dispatching a request may dispatch others, which then no longer wait.
-      if (this._isWaiting(request) && request.redispatch()) {
+      const result = this._isWaiting(request) ? request.redispatch() : 'waits';
+      if (result !== 'waits') {
         this.remove(request);
       }
+      if (result === 'sent') {
+        this._turns.recordServed(request.tenantName);
+      }
     }
   }
 
