--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -6,6 +6,7 @@
 import { hasEnded } from './crashes/hasEnded.js';
 import { CallerServer } from './forwarding/CallerServer.js';
 import { ReplicaAgent } from './forwarding/ReplicaAgent.js';
+import { callerTimeoutMs } from './forwarding/retryPolicy.js';
 import { RequestLog } from './forwarding/RequestLog.js';
 import { StartWait } from './forwarding/StartWait.js';
 import type { ExchangeContext } from './forwarding/Types.js';
@@ -315,10 +316,10 @@
     });
     this._directory.onChanged(() => {
       this._endStartWaitSoon();
-      this._waitingRequests.redispatchAll();
+      this._waitingRequests.redispatchAll(this._nowMs());
     });
     this._crashGuard.onChanged(() => {
-      this._waitingRequests.redispatchAll();
+      this._waitingRequests.redispatchAll(this._nowMs());
     });
     this._leaderElector.onLeader((leader) => {
       this._knownLeader.learnFromStore(leader);
@@ -382,7 +383,7 @@
   }
 
   private _applyStatus(status: LeaderStatus): void {
-    this._leaderView.applyStatus(status);
+    this._leaderView.applyStatus(status, this._nowMs());
     if (status.leads) {
       const nowMs = this._nowMs();
       // Unchanged loads are left out, so that a message without loads confirms those of one interval ago.
@@ -455,11 +456,13 @@
       readyInMs: (model) => this._readyInMs(model),
       hasIdleConnection: (address) => this._agent.hasIdleConnection(address),
       random: () => Math.random(),
+      awaitsFirstLeader: () => this._leaderView.awaitsFirstLeader(this._nowMs()),
+      returnSpreadMs: (model) => this._leaderView.spreadMs(model, this._nowMs()),
       markReplicaLeaving: ({ id, bornMs }) => {
         this._messageReceiver.markLeaving({ replicaId: id, bornMs });
       },
       recordArrival: (modelReference, route) => {
-        this._arrivals.record(modelReference, route.latencyTargetMs);
+        this._arrivals.record(modelReference, route.latencyTargetMs, callerTimeoutMs(route));
       },
       notifyWaitStarted: () => {
         this._reporter.scheduleUrgentReport();
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -51,6 +51,10 @@
   hasIdleConnection(address: Address): boolean;
   /** Random number from 0 to below 1 for the choice among replicas. */
   random(): number;
+  /** True until this daemon knows the estimates of its first leader. */
+  awaitsFirstLeader(): boolean;
+  /** Time over which a model that becomes ready takes the requests that wait for it, milliseconds. */
+  returnSpreadMs(model: string): number;
   /** Marks a replica as leaving after it announced that in a response. */
   markReplicaLeaving(replica: Replica): void;
   /** Counts a request in the demand that is reported to the leader. */
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -245,7 +245,7 @@
     });
     const waitingRequests = new WaitingRequests();
     this.crashGuard.onChanged(() => {
-      waitingRequests.redispatchAll();
+      waitingRequests.redispatchAll(systemClock.now().steadyMs);
     });
     return {
       codec: new FakeCodec(),
@@ -279,6 +279,8 @@
       readyInMs: () => undefined,
       hasIdleConnection: (address) => this._agent.hasIdleConnection(address),
       random: () => 0,
+      awaitsFirstLeader: () => false,
+      returnSpreadMs: () => 0,
       markReplicaLeaving: ({ id, bornMs }) => {
         directory.markLeaving(id, bornMs);
       },
--- a/packages/gateway/src/waiting/WaitingRequests.ts
+++ b/packages/gateway/src/waiting/WaitingRequests.ts
@@ -1,8 +1,13 @@
+import { TenantTurns } from './TenantTurns.js';
+import { PromisedReturns } from './PromisedReturns.js';
 import { modelReferenceKey } from '../placement/DemandAggregator.js';
 import type { WaitingReport } from '../peers/Types.js';
 import type { PermitDemand } from '../rateLimits/Types.js';
 import type { ModelReference } from '../Types.js';
 
+/** Result of dispatching a waiting request again: it waits on, it was sent, or it was refused or has ended. */
+export type RedispatchResult = 'waits' | 'sent' | 'ended';
+
 /** A request that waits until a replica holds its model and adapter, or until it may be sent to a replica. */
 export interface WaitingRequest {
   readonly modelReference: ModelReference | undefined;
@@ -12,14 +17,26 @@
   readonly urgency: number;
   /** Time at which the request misses its latency target, steady milliseconds. */
   readonly lateAtMs: number;
+  /** Time at which the caller stops waiting for the first byte, steady milliseconds. */
+  readonly leavesAtMs: number;
+  /** Bytes of its body. */
+  readonly sizeBytes: number;
+  /** Tenant of the caller, if it has one. */
+  readonly tenantName: string | undefined;
   /** Replica with a rate limit that the request needs a permit for, if any. It may change with each dispatch. */
   readonly limitedReplicaId: () => string | undefined;
-  /** Dispatches the request again; returns true if it no longer has to wait. */
-  readonly redispatch: () => boolean;
+  /** Dispatches the request again. */
+  readonly redispatch: () => RedispatchResult;
 }
 
+/** A request whose turn for a permit is estimated. */
+export type PermitSeeker = Pick<WaitingRequest, 'urgency' | 'lateAtMs' | 'tenantName'>;
+
 /** The waiting requests of this daemon, by model and adapter. */
 export class WaitingRequests {
+  /** Callers that were refused and asked to return. */
+  public readonly returns = new PromisedReturns();
+  private readonly _turns = new TenantTurns();
   private readonly _requests = new Map<string, Set<WaitingRequest>>();
 
   public add(request: WaitingRequest): void {
@@ -38,22 +55,33 @@
     }
   }
 
-  /** Dispatches every waiting request again, the most urgent first. */
-  public redispatchAll(): void {
-    this._redispatch(this._all());
+  /** Dispatches every waiting request again, in their order. */
+  public redispatchAll(nowMs: number): void {
+    this._redispatch(this._all(), nowMs);
   }
 
-  /** Dispatches the requests again that need a permit for one of the replicas, the most urgent first. */
-  public redispatchFor(replicaIds: ReadonlySet<string>): void {
-    this._redispatch(this._all().filter((request) => replicaIds.has(request.limitedReplicaId() ?? '')));
+  /** Dispatches the requests again that need a permit for one of the replicas, in their order. */
+  public redispatchFor(replicaIds: ReadonlySet<string>, nowMs: number): void {
+    const requests = this._all().filter((request) => replicaIds.has(request.limitedReplicaId() ?? ''));
+    this._redispatch(requests, nowMs);
   }
 
-  /** Number of requests of the same urgency that get a permit for a replica before one that is late at `lateAtMs`. */
-  public countAhead(replicaId: string, urgency: number, lateAtMs: number): number {
-    return this._all().filter(
-      (request) =>
-        request.limitedReplicaId() === replicaId && request.urgency === urgency && request.lateAtMs < lateAtMs,
-    ).length;
+  /**
+   * Number of requests of the same urgency that get a permit for a replica before another one. Each tenant has as many
+   * turns before it as the tenant of the request itself.
+   */
+  public countAhead(replicaId: string, { urgency, lateAtMs, tenantName }: PermitSeeker): number {
+    const rivals = this._all().filter(
+      (request) => request.limitedReplicaId() === replicaId && request.urgency === urgency,
+    );
+    const isOwn = (request: WaitingRequest): boolean => request.tenantName === tenantName;
+    const ownAhead = rivals.filter((request) => isOwn(request) && request.lateAtMs < lateAtMs).length;
+    const others = new Map<string, number>();
+    for (const request of rivals.filter((rival) => !isOwn(rival))) {
+      const name = request.tenantName ?? '';
+      others.set(name, Math.min((others.get(name) ?? 0) + 1, ownAhead + 1));
+    }
+    return [...others.values()].reduce((sum, count) => sum + count, ownAhead);
   }
 
   /** Demands for permits, for the report to the leader. */
@@ -75,13 +103,16 @@
     return [...this._requests.values()].flatMap((set) => [...set]);
   }
 
-  private _redispatch(requests: WaitingRequest[]): void {
-    requests.sort((first, second) => first.urgency - second.urgency || first.lateAtMs - second.lateAtMs);
-    for (const request of requests) {
+  private _redispatch(requests: readonly WaitingRequest[], nowMs: number): void {
+    for (const request of this._turns.order(requests, nowMs)) {
       // Dispatching a request may dispatch others, which then no longer wait.
-      if (this._isWaiting(request) && request.redispatch()) {
+      const result = this._isWaiting(request) ? request.redispatch() : 'waits';
+      if (result !== 'waits') {
         this.remove(request);
       }
+      if (result === 'sent') {
+        this._turns.recordServed(request.tenantName);
+      }
     }
   }
 
@@ -94,20 +125,34 @@
     return [...this._requests.values()].reduce((sum, requests) => sum + requests.size, 0);
   }
 
-  /** Counts of waiting requests, for the report to the leader. */
+  /** Counts of waiting requests and of callers that were asked to return, for the report to the leader. */
   public report(nowMs: number): readonly WaitingReport[] {
-    return [...this._requests.values()].flatMap((requests) => {
-      const [first] = requests;
-      const slackMs = Math.min(...[...requests].map((request) => request.lateAtMs - nowMs));
-      const versions = [...requests].flatMap(({ requiredVersion }) => requiredVersion ?? []);
-      const requiredVersions = versions.length > 0 && { requiredVersions: [...new Set(versions)] };
-      return first?.modelReference === undefined
-        ? []
-        : [{ target: first.modelReference, count: requests.size, slackMs: Math.round(slackMs), ...requiredVersions }];
-    });
+    const reports = new Map<string, WaitingReport>();
+    for (const request of [...this._all(), ...this.returns.awaited(nowMs)]) {
+      if (request.modelReference !== undefined) {
+        const key = modelReferenceKey(request.modelReference);
+        const requiredVersion = 'requiredVersion' in request ? request.requiredVersion : undefined;
+        reports.set(key, addToReport(reports.get(key), { ...request, requiredVersion }, nowMs));
+      }
+    }
+    return [...reports.values()];
   }
 }
 
+type Awaited = Pick<WaitingRequest, 'modelReference' | 'requiredVersion' | 'lateAtMs' | 'leavesAtMs'>;
+
+function addToReport(before: WaitingReport | undefined, request: Awaited, nowMs: number): WaitingReport {
+  const { modelReference: target = { model: '' }, requiredVersion, lateAtMs, leavesAtMs } = request;
+  const versions = new Set([...(before?.requiredVersions ?? []), ...(requiredVersion ? [requiredVersion] : [])]);
+  return {
+    target,
+    count: (before?.count ?? 0) + 1,
+    slackMs: Math.min(before?.slackMs ?? Number.POSITIVE_INFINITY, Math.round(lateAtMs - nowMs)),
+    patienceMs: Math.max(before?.patienceMs ?? Number.NEGATIVE_INFINITY, Math.round(leavesAtMs - nowMs)),
+    ...(versions.size > 0 && { requiredVersions: [...versions] }),
+  };
+}
+
 /** Key of the requests that wait together. Requests without a model share one. */
 function keyOf({ modelReference }: WaitingRequest): string {
   return modelReference === undefined ? '' : modelReferenceKey(modelReference);
