Accept the memory and the descriptors of the machine in the settings

The tests of uncontrolled clients need them for their bounds, and an unknown key ends the start of a daemon. Nothing uses them yet. The template leaves them out where the platform does not state them.

--- a/packages/gateway/src/GatewayTypes.ts
+++ b/packages/gateway/src/GatewayTypes.ts
@@ -12,6 +12,10 @@
   readonly seeds: readonly Address[];
   /** Processor time available to this VM, seconds per second. Below 1, the VM delays its takeover of a free lease. */
   readonly processorShare: number;
+  /** Memory of the VM, megabytes; undefined if unknown. */
+  readonly memoryMegabytes?: number | undefined;
+  /** Descriptors that the process may open; undefined if only the limit of the operating system applies. */
+  readonly maximumDescriptors?: number | undefined;
   readonly retryBudget: RetryBudgetLimits;
   readonly lease: LeaseTimes;
   /** True if the whole system starts for the first time, so that the store has no records of it yet. */
