Bound the memory and the connections of callers by the machine's limits

Cause: Node.js creates an object for each chunk of a body, some hundred bytes for one byte, and reads up to 2 MiB of a connection in a turn; nothing counted what unfinished bodies, heads, pipelined requests and connections hold together. Responses of pipelined requests were also never closed when their connection was, so that the requests counted as in progress forever.

Change: small chunks are copied into blocks as they arrive, and connections that send many of them are read one at a time. One budget per daemon (packages/gateway/src/memory) reserves memory for bodies before they are read on, and counts heads, unsent responses and connections. decideMemory says what is granted, paused, refused and released. Announced bodies over the limit are refused unread. Connections and requests in progress follow the descriptors; over 32 requests in progress on one connection close it. Heads that trickle are looked for each second in place of each 30.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -14,5 +14,6 @@
 export * from './Outcome.js';
 export * from './PacedAgent.js';
 export * from './PacedBody.js';
+export * from './PacedRequest.js';
 export * from './Task.js';
 export * as settings from './settings/index.js';
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -14,6 +14,9 @@
 import { PeerAssistedLeaseStore } from './leadership/LeaseStore.js';
 import { LeaderElector } from './leadership/LeaderElector.js';
 import type { GatewayPlatform, GatewaySettings } from './GatewayTypes.js';
+import { CallerMemory } from './memory/CallerMemory.js';
+import { ClientLimitMetrics } from './memory/ClientLimitMetrics.js';
+import { type ConnectionLimits, connectionLimits, descriptorLimit, memoryBudgetBytes } from './memory/clientLimits.js';
 import { pause } from './pause.js';
 import { MessageReceiver } from './peers/MessageReceiver.js';
 import { LeaderCoordinator } from './peers/LeaderCoordinator.js';
@@ -80,6 +83,9 @@
   private readonly _streams: StreamCoordinator;
   private readonly _agent = new ReplicaAgent();
   private readonly _messageReceiver: MessageReceiver;
+  private readonly _connectionLimits: ConnectionLimits;
+  private readonly _clientLimits: ClientLimitMetrics;
+  private readonly _callerMemory: CallerMemory;
   private readonly _callers: CallerServer;
   private _tickTimer: NodeJS.Timeout | undefined;
   private readonly _stopSchedule: StopSchedule;
@@ -96,6 +102,8 @@
     this._retryBudgets = new RetryBudgets(_settings.retryBudget);
     this._stopSchedule = new StopSchedule(_settings.stopLimitMs);
     this._requestLog = new RequestLog(_log.child('requests'));
+    this._connectionLimits = connectionLimits(descriptorLimit(_settings.maximumDescriptors));
+    this._clientLimits = new ClientLimitMetrics(this._requestLog.registry, _log.child('limits'), () => this._nowMs());
     this._peerServer = new PeerServer(_settings.peers, _clock, _log.child('peers'));
     this._peerClient = new PeerClient(otherSeeds(_settings), _clock, _log.child('peers'));
     this._knownLeader = new KnownLeader(_settings.name, _log.child('lease'));
@@ -175,7 +183,17 @@
       _clock,
     );
     this._messageReceiver = this._createMessageReceiver();
-    this._callers = new CallerServer(this._exchangeContext(), _settings.callers, _log.child('callers'));
+    this._callerMemory = new CallerMemory(memoryBudgetBytes(_settings.memoryMegabytes), this._clientLimits, () =>
+      this._nowMs(),
+    );
+    const { callers: maximumConnections } = this._connectionLimits;
+    this._callers = new CallerServer(
+      this._exchangeContext(),
+      _settings.callers,
+      _log.child('callers'),
+      { maximumConnections, maximumRequests: maximumConnections },
+      this._clientLimits,
+    );
     this._connectComponents();
   }
 
@@ -235,6 +253,7 @@
 
   public async [Symbol.asyncDispose](): Promise<void> {
     this._callers.close();
+    this._callerMemory[Symbol.dispose]();
     this._agent.destroy();
     await this._resources[Symbol.asyncDispose]();
   }
@@ -422,6 +441,7 @@
       crashMetrics: this._crashMetrics,
       streams: this._streams,
       agent: this._agent,
+      callerMemory: this._callerMemory,
       admission: this._admissionSteps(),
       routes: () => this._routingTables.routes,
       readyInMs: (model) => this._readyInMs(model),
--- a/packages/gateway/src/forwarding/CallerServer.ts
+++ b/packages/gateway/src/forwarding/CallerServer.ts
@@ -1,34 +1,59 @@
-import type * as common from '@jayhaven/common';
+import * as common from '@jayhaven/common';
 import * as http from 'node:http';
+import { type CallerConnectionLimits, CallerConnections } from '../memory/CallerConnections.js';
+import type { ClientLimitMetrics } from '../memory/ClientLimitMetrics.js';
 import type { Address, CallerLimits } from '../Types.js';
 import { Exchange } from './Exchange.js';
 import { InvalidRequests } from './InvalidRequests.js';
+import { sendLocalResponse } from './sendLocalResponse.js';
 import type { ExchangeContext } from './Types.js';
 
 /** Header size limit of the HTTP parser, bytes. The operators' limit is lower. */
 const parserHeaderBytes = 64 * 1024;
 /** Added to the callers' idle timeout, so that no request arrives while its connection is closed, milliseconds. */
 const idleMarginMs = 2_000;
-/** Interval at which requests that are not received in time are looked for, milliseconds; the default of Node.js. */
-const connectionCheckMs = 30_000;
+/** Interval at which requests that are not received in time are looked for, milliseconds. Each may hold 64 KB until then. */
+const connectionCheckMs = 1_000;
+/** Retry-After of a request beyond the limit of requests in progress, milliseconds. */
+const crowdedRetryAfterMs = 1_000;
 
 /** HTTP server for requests of callers. */
 export class CallerServer {
   private readonly _server: http.Server;
   private _maximumHeaderBytes = parserHeaderBytes;
   private readonly _invalidRequests = new InvalidRequests();
+  private readonly _connections: CallerConnections;
   private _activeCount = 0;
 
   public constructor(
     private readonly _context: ExchangeContext,
     private readonly _address: Address,
     private readonly _log: common.Logger,
+    connectionLimits: CallerConnectionLimits,
+    private readonly _metrics: ClientLimitMetrics,
     connectionsCheckingInterval = connectionCheckMs,
   ) {
-    const limits = { maxHeaderSize: parserHeaderBytes, connectionsCheckingInterval };
+    this._connections = new CallerConnections(
+      connectionLimits,
+      _context.callerMemory,
+      _metrics,
+      () => _context.clock.now().steadyMs,
+      (socket) => {
+        const error = Object.assign(new Error('head is too large'), { code: 'HPE_HEADER_OVERFLOW' });
+        this._invalidRequests.refuse(error, socket);
+      },
+    );
+    const limits = {
+      maxHeaderSize: parserHeaderBytes,
+      connectionsCheckingInterval,
+      IncomingMessage: common.PacedRequest,
+    };
     this._server = http.createServer(limits, (request, response) => {
       this._accept(request, response);
     });
+    this._server.on('connection', (socket) => {
+      this._connections.open(socket);
+    });
     this._server.on('clientError', (error, socket) => {
       this._invalidRequests.refuse(error, socket);
     });
@@ -39,6 +64,10 @@
       this._server.once('error', reject);
       this._server.listen(this._address.port, this._address.host, 1024, resolve);
     });
+    // Accepting fails while the process or the machine has no descriptors left; later connections are accepted again.
+    this._server.on('error', () => {
+      this._metrics.count('acceptFailed');
+    });
     this._log.info('Listening for callers.', { host: this._address.host, port: this._address.port });
   }
 
@@ -50,6 +79,7 @@
   /** Applies the operators' limits. */
   public applyLimits(limits: CallerLimits): void {
     this._maximumHeaderBytes = limits.maximumHeaderBytes;
+    this._connections.setMaximumHeaderBytes(limits.maximumHeaderBytes);
     this._server.headersTimeout = limits.headerTimeoutMs;
     this._server.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
   }
@@ -61,6 +91,7 @@
   }
 
   public close(): void {
+    this._connections[Symbol.dispose]();
     this._server.close();
     this._server.closeAllConnections();
   }
@@ -71,6 +102,11 @@
       request.resume();
       return;
     }
+    const admission = this._connections.admitRequest(request, response);
+    if (admission === 'ignored') {
+      request.resume();
+      return;
+    }
     this._activeCount += 1;
     this._invalidRequests.track(request, response);
     response.once('close', () => {
@@ -81,6 +117,16 @@
       response.end();
       return;
     }
+    if (admission === 'refused') {
+      sendLocalResponse(request, response, this._context.codec, {
+        status: 503,
+        reason: 'too many requests are in progress',
+        attemptId: this._context.codec.readRequest(request)?.attemptId,
+        retryAfterMs: crowdedRetryAfterMs,
+        closesConnection: true,
+      });
+      return;
+    }
     new Exchange(this._context, request, response).begin();
   }
 }
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -8,6 +8,7 @@
 import { discardBody } from './discardBody.js';
 import { recordResponseHead } from './recordResponseHead.js';
 import { identifyRequest, type RequestIdentity, unidentified } from './identifyRequest.js';
+import { bodyRefusalResponse } from './bodyRefusalResponse.js';
 import { readBody } from './readBody.js';
 import { admitRequest, type LocalResponse } from './admitRequest.js';
 import { ResponseRelay } from './ResponseRelay.js';
@@ -114,14 +115,16 @@
 
   private _readBody(): void {
     const maximumBytes = this._context.routes()?.configuration.callerLimits.maximumBodyBytes ?? 0;
-    readBody(this._request, maximumBytes, (outcome) => {
+    readBody(this._request, this._response, { maximumBytes, memory: this._context.callerMemory }, (outcome) => {
       if (this._finished) {
         return;
       }
-      if (outcome === 'tooLarge') {
-        const reason = 'body is larger than the operators allow';
-        this._respond({ status: 413, outcome: 'invalidRequest', reason });
-      } else if (outcome !== 'broken') {
+      if (typeof outcome === 'string') {
+        const response = bodyRefusalResponse(outcome);
+        if (response !== undefined) {
+          this._respond(response);
+        }
+      } else {
         this._body = outcome;
         this._runAdmission(this._context.admission.beforeDispatch, () => {
           this._recordDemand();
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -6,6 +6,7 @@
 import type { CrashMetrics } from '../crashes/CrashMetrics.js';
 import type { CrashObserver } from '../crashes/CrashObserver.js';
 import type { RequestCodec } from '../contracts/RequestCodec.js';
+import type { CallerMemory } from '../memory/CallerMemory.js';
 import type { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
 import type { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
 import type { RetryBudgets } from '../retries/RetryBudgets.js';
@@ -33,6 +34,8 @@
   readonly crashMetrics: CrashMetrics;
   readonly streams: StreamOrigins;
   readonly agent: http.Agent;
+  /** Memory for bodies of requests. */
+  readonly callerMemory: CallerMemory;
   /** Admission steps before the body of a request is read, and those before it is dispatched. */
   readonly admission: {
     readonly beforeBody: readonly AdmissionStep[];
--- /dev/null
+++ b/packages/gateway/src/memory/clientLimits.ts
@@ -0,0 +1,61 @@
+import * as fs from 'node:fs';
+
+const megabyte = 1024 * 1024;
+/** Budget if the memory of the machine is unknown, bytes. */
+const defaultBudgetBytes = 128 * megabyte;
+/** Memory of the process without clients, with the garbage that its collector leaves, megabytes. It takes 30 to 60 and some. */
+const processMegabytes = 100;
+/** Share of the other memory for clients. The rest is for garbage that has been read and is not yet collected. */
+const clientShare = 0.4;
+/** Smallest budget, bytes: a few of the largest bodies. */
+const minimumBudgetBytes = 16 * megabyte;
+
+/** Descriptors if neither the settings nor the operating system state a limit. */
+const defaultDescriptors = 4_096;
+/** Descriptors for files, listeners, the store, and orders to replicas. */
+const ownDescriptors = 64;
+/** Share of the descriptors for peers: a leader has one connection for each other daemon. */
+const peerShare = 1 / 6;
+/** Share for each of the ports for status and metrics. */
+const statusShare = 1 / 20;
+const maximumStatusConnections = 64;
+
+/** Upper limits of connections by port. */
+export interface ConnectionLimits {
+  /** Also the limit of requests in progress, since each uses a connection to a replica. */
+  readonly callers: number;
+  readonly peers: number;
+  /** Of each of the ports for status and metrics. */
+  readonly status: number;
+}
+
+/** Memory that clients may hold together, bytes. */
+export function memoryBudgetBytes(memoryMegabytes: number | undefined): number {
+  return memoryMegabytes === undefined
+    ? defaultBudgetBytes
+    : Math.max((memoryMegabytes - processMegabytes) * clientShare * megabyte, minimumBudgetBytes);
+}
+
+/** Divides the descriptors of the process. */
+export function connectionLimits(maximumDescriptors: number): ConnectionLimits {
+  const peers = Math.floor(maximumDescriptors * peerShare);
+  const status = Math.max(Math.min(Math.floor(maximumDescriptors * statusShare), maximumStatusConnections), 2);
+  const rest = maximumDescriptors - ownDescriptors - peers - status * 2;
+  return { callers: Math.max(Math.floor(rest / 2), 1), peers: Math.max(peers, 1), status };
+}
+
+/** Descriptors that the process may open: the smaller of the limits of the settings and of the operating system. */
+export function descriptorLimit(settingsLimit: number | undefined): number {
+  const limits = [settingsLimit, systemDescriptorLimit()].filter((limit) => limit !== undefined);
+  return limits.length === 0 ? defaultDescriptors : Math.min(...limits);
+}
+
+function systemDescriptorLimit(): number | undefined {
+  try {
+    const match = /^Max open files\s+(\d+)/m.exec(fs.readFileSync('/proc/self/limits', 'utf8'));
+    return match === null ? undefined : Number(match[1]);
+  } catch {
+    // Only Linux has this file.
+    return undefined;
+  }
+}
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as metrics from 'prom-client';
 import { systemClock } from '../Clock.js';
 import { RouteTable } from '../configuration/RouteTable.js';
 import { CrashGuard } from '../crashes/CrashGuard.js';
@@ -11,6 +12,9 @@
 import { ReplicaAgent } from '../forwarding/ReplicaAgent.js';
 import { RequestLog } from '../forwarding/RequestLog.js';
 import type { ExchangeContext } from '../forwarding/Types.js';
+import { CallerMemory } from '../memory/CallerMemory.js';
+import { ClientLimitMetrics } from '../memory/ClientLimitMetrics.js';
+import { memoryBudgetBytes } from '../memory/clientLimits.js';
 import { RateLimitMetrics } from '../rateLimits/RateLimitMetrics.js';
 import { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
 import { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
@@ -61,6 +65,7 @@
     (id) => this._replicas.find((replica) => replica.id === id),
     silentLogger,
   );
+  private readonly _clientLimits = new ClientLimitMetrics(new metrics.Registry(), silentLogger, () => Date.now());
   private _callerServer: CallerServer | undefined;
   private _port = 0;
 
@@ -136,6 +141,8 @@
       this._context(directory),
       { host: '127.0.0.1', port: this._port },
       silentLogger,
+      { maximumConnections: 1_000, maximumRequests: 1_000 },
+      this._clientLimits,
       this.connectionCheckMs,
     );
     this._callerServer.applyLimits(callerLimits);
@@ -253,6 +260,7 @@
       crashMetrics: new CrashMetrics(requestLog.registry),
       streams: this.streams,
       agent: this._agent,
+      callerMemory: new CallerMemory(memoryBudgetBytes(undefined), this._clientLimits, () => Date.now()),
       admission: { beforeBody: [], beforeDispatch: [] },
       routes: () => routes,
       readyInMs: () => undefined,
