--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -10,6 +10,7 @@
 import type { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
 import type { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
 import type { RetryBudgets } from '../retries/RetryBudgets.js';
+import type { ChoiceMetrics } from '../routing/ChoiceMetrics.js';
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
 import type { SpeedReports } from '../speeds/SpeedReports.js';
 import type { StreamOrigins } from '../streams/Types.js';
@@ -30,6 +31,7 @@
   readonly loads: ReplicaLoads;
   /** Collects the event gaps of streams, from which the leader estimates the speeds of replicas. */
   readonly speedReports: Pick<SpeedReports, 'record'>;
+  readonly choiceMetrics: ChoiceMetrics;
   readonly waitingRequests: WaitingRequests;
   readonly retryBudgets: RetryBudgets;
   readonly rateLimits: ReplicaRateLimits;
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -20,6 +20,7 @@
 import { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
 import { ReplicaDirectory } from '../replicas/ReplicaDirectory.js';
 import { RetryBudgets } from '../retries/RetryBudgets.js';
+import { ChoiceMetrics } from '../routing/ChoiceMetrics.js';
 import { ReplicaLoads } from '../routing/ReplicaLoads.js';
 import { SpeedReports } from '../speeds/SpeedReports.js';
 import type { Replica, Route } from '../Types.js';
@@ -263,6 +264,7 @@
       directory,
       loads: new ReplicaLoads(),
       speedReports: new SpeedReports(),
+      choiceMetrics: new ChoiceMetrics(requestLog.registry),
       waitingRequests,
       retryBudgets,
       rateLimits: new ReplicaRateLimits(
