--- a/packages/gateway/src/Types.ts
+++ b/packages/gateway/src/Types.ts
@@ -117,6 +117,8 @@
   readonly callerLimits: CallerLimits;
   /** Tenants; empty if requests need no keys. */
   readonly tenants: readonly Tenant[];
+  /** Whether requests need keys; by default they do if there are tenants. */
+  readonly requiresKeys?: boolean;
 }
 
 /** A model in the accelerator memory of a replica, with its adapters. */
