--- a/packages/gateway/src/contracts/RequestCodec.ts
+++ b/packages/gateway/src/contracts/RequestCodec.ts
@@ -19,8 +19,12 @@
   readonly promptPartIds: readonly string[];
   /** Key of the caller's tenant. It must not reach a replica, a log, a metric, an error text or a peer. */
   readonly credential?: string;
+  /** True if the request has several keys; `credential` is then absent. */
+  readonly hasSeveralCredentials?: boolean;
   /** Prompt tokens plus the largest number of output tokens; absent if the caller does not state them. */
   readonly tokens?: number;
+  /** True if the caller states them in a malformed way; `tokens` is then absent. */
+  readonly hasMalformedTokens?: boolean;
 }
 
 /** Values of the headers that the gateway sets in a request to a replica. */
