Require the API key of a tenant where the configuration has tenants

Cause: any caller was served, whatever key it sent.

Change: KeyStep, the admission step before the body, finds the tenant of a key by its digest or rejects the request with 401, or 400 for several keys and for malformed token counts where the quota counts tokens. Requests count towards the retry budget only once they have passed it. Each open request of a tenant checks its key again at each new configuration: requests that did not begin get 401, running ones continue, or end within revoke_ms if strict_revoke is set and they are streams. The settings section [tenants] is optional; the template leaves its lines out if the fields are absent, and the script that fills the template for the review cases handles sections too. jayhaven_rejected_keys_total{reason} counts rejections; a key of two tenants is logged by the names of both.

Measured: the process test fails without the start of the watch and without the drop of Credential, and the unit test of requests that just ended fails without its guard. The template was rendered without the fields, with strict_revoke false, and with both fields; each text was accepted.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -42,6 +42,9 @@
 import { RoutingTables } from './RoutingTables.js';
 import { streamLifetimeMs } from './streams/streamLifetimeMs.js';
 import { StopSchedule } from './StopSchedule.js';
+import { KeyMetrics } from './tenants/KeyMetrics.js';
+import { KeyStep } from './tenants/KeyStep.js';
+import { TenantKeys } from './tenants/TenantKeys.js';
 import type { Address } from './Types.js';
 import { WaitingRequests } from './waiting/WaitingRequests.js';
 
@@ -78,6 +81,7 @@
   private readonly _crashObserver: CrashObserver;
   private readonly _crashCoordinator: CrashCoordinator;
   private readonly _streams: StreamCoordinator;
+  private readonly _tenantKeys: TenantKeys;
   private readonly _agent = new ReplicaAgent();
   private readonly _messageReceiver: MessageReceiver;
   private readonly _callers: CallerServer;
@@ -138,6 +142,8 @@
       (now) => this._leaderElector.orderToken(now),
       _clock,
     );
+    const keyMetrics = new KeyMetrics(this._requestLog.registry);
+    this._tenantKeys = new TenantKeys(_settings.revocation, keyMetrics, _log.child('tenants'));
     this._crashMetrics = new CrashMetrics(this._requestLog.registry);
     this._crashCoordinator = new CrashCoordinator(
       this._crashGuard,
@@ -293,8 +299,9 @@
   }
 
   private _connectComponents(): void {
-    this._routingTables.onConfiguration(({ callerLimits }) => {
-      this._callers.applyLimits(callerLimits);
+    this._routingTables.onConfiguration((configuration) => {
+      this._callers.applyLimits(configuration.callerLimits);
+      this._tenantKeys.apply(configuration);
     });
     this._directory.onChanged(() => {
       this._waitingRequests.redispatchAll();
@@ -441,7 +448,8 @@
   }
 
   private _admissionSteps(): ExchangeContext['admission'] {
-    return { beforeBody: [], beforeDispatch: [] };
+    const tenantKeys = this._tenantKeys;
+    return { beforeBody: [new KeyStep(tenantKeys)], beforeDispatch: [], tenantKeys };
   }
 
   private _readyInMs(model: string): number | undefined {
--- a/packages/gateway/src/GatewayTypes.ts
+++ b/packages/gateway/src/GatewayTypes.ts
@@ -1,6 +1,7 @@
 import type { EngineClient, MetadataStore, RequestCodec } from './contracts/index.js';
 import type { LeaseTimes } from './leadership/Lease.js';
 import type { RetryBudgetLimits } from './retries/RetryBudget.js';
+import type { RevocationSettings } from './tenants/Types.js';
 import type { Address } from './Types.js';
 
 /** Settings of a gateway daemon. */
@@ -20,6 +21,7 @@
   readonly replicaLivenessMs: number;
   /** Longest time that a stop may take, milliseconds. */
   readonly stopLimitMs: number;
+  readonly revocation: RevocationSettings;
 }
 
 /** The components of a gateway that depend on the installation's platform. */
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -18,6 +18,7 @@
 import { type AttemptOutcome, CurrentAttempt } from './CurrentAttempt.js';
 import { Deadline } from './Deadline.js';
 import { decideDispatch, type DispatchInput, refusedRetryAfterMs } from './decideDispatch.js';
+import { KeyWatch, type WatchedRequest } from '../tenants/KeyWatch.js';
 import { callerTimeoutMs, mayRetry, urgencyOf } from './retryPolicy.js';
 import { AttemptHistory } from './AttemptHistory.js';
 import { sendLocalResponse } from './sendLocalResponse.js';
@@ -51,6 +52,7 @@
   private readonly _continuation: StreamContinuation;
   private readonly _history = new AttemptHistory();
   private _admission: AdmissionRun | undefined;
+  private readonly _keyWatch: KeyWatch;
   /** Status of the response that is being relayed. */
   private _responseStatus = 0;
   /** Time at which this response began, steady milliseconds. */
@@ -87,6 +89,7 @@
         this._responseInterrupted(message);
       },
     });
+    this._keyWatch = new KeyWatch(_context.admission.tenantKeys, this._watchedRequest(), _context.clock);
     _response.sendDate = false;
     _response.on('close', () => {
       this._callerDisconnected();
@@ -97,11 +100,32 @@
   public begin(): void {
     if (this._admit()) {
       this._runAdmission(this._context.admission.beforeBody, () => {
+        this._context.retryBudgets.recordRequest(this._service, this._startedMs);
+        const { credential } = this._callerRequest ?? {};
+        if (this._admission?.tenant !== undefined && credential !== undefined) {
+          this._keyWatch.start(credential);
+        }
         this._readBody();
       });
     }
   }
 
+  private _watchedRequest(): WatchedRequest {
+    const hasBegun = (): boolean => this._attempt.isRunning || this._history.possibleRuns > 0 || this._relay.headSent;
+    return {
+      state: () => ({ hasBegun: hasBegun(), isStream: this._route?.kind === 'stream' }),
+      onTenant: (tenant) => {
+        this._admission?.replaceTenant(tenant);
+      },
+      onRejected: (response) => {
+        this._respond(response);
+      },
+      onEnded: (reason) => {
+        this._abort(reason);
+      },
+    };
+  }
+
   /** Runs admission steps and calls `onPassed` once the request has passed them. */
   private _runAdmission(steps: readonly AdmissionStep[], onPassed: () => void): void {
     this._admission?.start(steps, {
@@ -132,7 +156,7 @@
   }
 
   private _admit(): boolean {
-    const { codec, retryBudgets } = this._context;
+    const { codec } = this._context;
     const admission = admitRequest(this._request, codec, this._context.routes(), Math.random());
     if (admission.kind === 'rejected') {
       this._callerRequest = admission.callerRequest;
@@ -147,7 +171,6 @@
     this._deadline.start(this._startedMs, callerRequest.deadlineMs, route.timeoutMs);
     const timeLeftMs = (nowMs: number): number => this._deadline.leftMs(nowMs);
     this._admission = new AdmissionRun({ callerRequest, route, service, timeLeftMs }, this._context.clock);
-    retryBudgets.recordRequest(service, this._startedMs);
     return true;
   }
 
@@ -195,7 +218,7 @@
   /** Sends the request to the best replica, queues it or refuses it. Returns false if the request has to wait. */
   private _dispatch(): boolean {
     const route = this._route;
-    if (route === undefined || this._finished || this._attempt.isRunning) {
+    if (route === undefined || this._finished || this._attempt.isRunning || this._keyWatch.rejectIfRevoked()) {
       return true;
     }
     const now = this._context.clock.now();
@@ -563,6 +586,7 @@
     this._inactivityTimer.stop();
     this._continuation.stop();
     this._admission?.stop();
+    this._keyWatch.stop();
     const nowMs = this._nowMs();
     this._wait.stop(nowMs);
     const result: ExchangeResult = {
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -11,6 +11,7 @@
 import type { RetryBudgets } from '../retries/RetryBudgets.js';
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
 import type { StreamOrigins } from '../streams/Types.js';
+import type { TenantKeys } from '../tenants/TenantKeys.js';
 import type { ModelReference, Replica, Route } from '../Types.js';
 import type { WaitingRequests } from '../waiting/WaitingRequests.js';
 import type { AdmissionStep } from './admission/AdmissionStep.js';
@@ -37,6 +38,8 @@
   readonly admission: {
     readonly beforeBody: readonly AdmissionStep[];
     readonly beforeDispatch: readonly AdmissionStep[];
+    /** Keys that requests of tenants are checked against at each new configuration. */
+    readonly tenantKeys?: TenantKeys;
   };
   routes(): RouteTable | undefined;
   /** Expected time until a model is ready; undefined while no leader provides an estimate. */
--- a/packages/gateway/src/forwarding/admission/AdmissionRun.ts
+++ b/packages/gateway/src/forwarding/admission/AdmissionRun.ts
@@ -39,6 +39,11 @@
     return this._tenant;
   }
 
+  /** Sets the tenant again, as a new configuration states it. */
+  public replaceTenant(tenant: Tenant): void {
+    this._tenant = tenant;
+  }
+
   /** Runs the steps. A run may be started again with further steps after it has passed. */
   public start(steps: readonly AdmissionStep[], listener: AdmissionListener): void {
     this._steps = steps;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,5 +4,6 @@
 export * from './GatewayTypes.js';
 export * from './leadership/Lease.js';
 export * from './tenants/keyDigest.js';
+export * from './tenants/Types.js';
 export * from './Types.js';
 export * from './StatusServer.js';
--- a/review/lib/gateways.mjs
+++ b/review/lib/gateways.mjs
@@ -18,8 +18,12 @@
 /** Fills in the placeholders of deploy/gateway.ini.template as the platform does. */
 function fillTemplate(fields) {
   const text = fs.readFileSync(path.join(repository, 'deploy/gateway.ini.template'), 'utf8');
-  return text.replace(/\{\{([a-z_.0-9]+)\}\}/g, (_, name) => {
-    const value = name.split('.').reduce((object, key) => object?.[key], fields);
+  const valueOf = (name) => name.split('.').reduce((object, key) => object?.[key], fields);
+  const whole = text.replace(/\{\{#([a-z_.0-9]+)\}\}(.*?)\{\{\/\1\}\}/gs, (_, name, content) =>
+    valueOf(name) ? content : '',
+  );
+  return whole.replace(/\{\{([a-z_.0-9]+)\}\}/g, (_, name) => {
+    const value = valueOf(name);
     return Array.isArray(value) ? value.join(',') : String(value ?? '');
   });
 }
