--- a/packages/cli/src/explain/explainRequest.ts
+++ b/packages/cli/src/explain/explainRequest.ts
@@ -3,7 +3,7 @@
 /** How long before the end of a request a line may explain its outcome, milliseconds. */
 const lookBackMs = 15_000;
 /** Beginnings of messages that concern every request. */
-const sharedPrefixes = ['lease:', 'store:', 'limits:', 'main: Configuration', 'placement: Gives'];
+const sharedPrefixes = ['lease:', 'store:', 'limits:', 'tenants:', 'main: Configuration', 'placement: Gives'];
 
 /** A parsed log line with its text. */
 export interface LogLine {
