--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -48,6 +48,7 @@
   public connectionCheckMs: number | undefined;
   /** Retries that the retry budget allows in addition to its share of the requests. */
   public retrySlack = 1_000;
+  public admission: ExchangeContext['admission'] = { beforeBody: [], beforeDispatch: [] };
   public readonly requestHeads: string[] = [];
   /** Fields of the log lines of requests. */
   public readonly requestLines: Readonly<Record<string, unknown>>[] = [];
@@ -253,7 +254,7 @@
       crashMetrics: new CrashMetrics(requestLog.registry),
       streams: this.streams,
       agent: this._agent,
-      admission: { beforeBody: [], beforeDispatch: [] },
+      admission: this.admission,
       routes: () => routes,
       readyInMs: () => undefined,
       randomSlots: () => 0,
--- a/packages/gateway/src/testing/FakeCodec.ts
+++ b/packages/gateway/src/testing/FakeCodec.ts
@@ -8,6 +8,7 @@
     const model = request.headers['x-model'];
     const parts = request.headers['x-parts'];
     const lastEventId = request.headers['last-event-id'];
+    const credential = request.headers['x-key'];
     const resumes = request.headers['x-resumes'];
     if (typeof attemptId !== 'string') {
       return undefined;
@@ -18,6 +19,7 @@
       deadlineMs: 5_000,
       promptPartIds: typeof parts === 'string' ? parts.split(',') : [],
       ...(typeof lastEventId === 'string' && { lastEventId }),
+      ...(typeof credential === 'string' && { credential }),
       ...(typeof resumes === 'string' && { resumedAttemptId: resumes }),
       ...(typeof model === 'string' && { modelReference: { model } }),
     };
