Merge the API keys of tenants

The template has no sections, so that each program that fills in plain placeholders can start the gateway; an empty optional setting counts as absent.

--- a/packages/common/src/settings/fields.ts
+++ b/packages/common/src/settings/fields.ts
@@ -23,6 +23,20 @@
     .refine((value) => value >= minimum && value <= maximum, expected);
 }
 
+/** A setting that counts as absent if it is empty, as where a template is filled in without a value. */
+export function orEmpty<Value>(schema: z.ZodType<Value, string>): z.ZodType<Value | undefined, string | undefined> {
+  return z
+    .string()
+    .optional()
+    .transform((value, context) => {
+      const parsed = value === undefined || value === '' ? undefined : schema.safeParse(value);
+      for (const { message } of parsed?.error?.issues ?? []) {
+        context.addIssue({ code: 'custom', message });
+      }
+      return parsed?.data;
+    });
+}
+
 /** A name: letters, digits, `-`, `_` and `.`, starting with a letter or digit. */
 export function identifier(): z.ZodType<string, string> {
   return z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, nameFormat);
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -50,6 +50,9 @@
 import { SpeedReports } from './speeds/SpeedReports.js';
 import { streamLifetimeMs } from './streams/streamLifetimeMs.js';
 import { StopSchedule } from './StopSchedule.js';
+import { KeyMetrics } from './tenants/KeyMetrics.js';
+import { KeyStep } from './tenants/KeyStep.js';
+import { TenantKeys } from './tenants/TenantKeys.js';
 import type { Address } from './Types.js';
 import { WaitingRequests } from './waiting/WaitingRequests.js';
 
@@ -92,6 +95,7 @@
   private readonly _crashObserver: CrashObserver;
   private readonly _crashCoordinator: CrashCoordinator;
   private readonly _streams: StreamCoordinator;
+  private readonly _tenantKeys: TenantKeys;
   private readonly _agent = new ReplicaAgent();
   private readonly _startWait = new StartWait();
   private readonly _messageReceiver: MessageReceiver;
@@ -163,6 +167,8 @@
     );
     const isLeading = (): boolean => this._leaderElector.orderToken(this._clock.now()) !== undefined;
     this._speedCoordinator = new SpeedCoordinator(this._speeds, this._peerServer, this._peerClient, isLeading);
+    const keyMetrics = new KeyMetrics(this._requestLog.registry);
+    this._tenantKeys = new TenantKeys(_settings.revocation, keyMetrics, _log.child('tenants'));
     this._crashMetrics = new CrashMetrics(this._requestLog.registry);
     this._crashCoordinator = new CrashCoordinator(
       this._crashGuard,
@@ -335,8 +341,9 @@
   }
 
   private _connectComponents(): void {
-    this._routingTables.onConfiguration(({ callerLimits }) => {
-      this._callers.applyLimits(callerLimits);
+    this._routingTables.onConfiguration((configuration) => {
+      this._callers.applyLimits(configuration.callerLimits);
+      this._tenantKeys.apply(configuration);
       this._endStartWaitSoon();
     });
     this._directory.onChanged(() => {
@@ -518,7 +525,8 @@
   }
 
   private _admissionSteps(): ExchangeContext['admission'] {
-    return { beforeBody: [], beforeDispatch: [] };
+    const tenantKeys = this._tenantKeys;
+    return { beforeBody: [new KeyStep(tenantKeys)], beforeDispatch: [], tenantKeys };
   }
 
   private _readyInMs(model: string): number | undefined {
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -55,6 +55,7 @@
   public connectionCheckMs: number | undefined;
   /** Retries that the retry budget allows in addition to its share of the requests. */
   public retrySlack = 1_000;
+  public admission: ExchangeContext['admission'] = { beforeBody: [], beforeDispatch: [] };
   public readonly requestHeads: string[] = [];
   /** Fields of the log lines of requests. */
   public readonly requestLines: Readonly<Record<string, unknown>>[] = [];
@@ -284,7 +285,7 @@
       agent: this._agent,
       startWait: this.startWait,
       callerMemory: new CallerMemory(memoryBudgetBytes(undefined), this._clientLimits, () => Date.now()),
-      admission: { beforeBody: [], beforeDispatch: [] },
+      admission: this.admission,
       routes: () => routes,
       readyInMs: () => undefined,
       hasIdleConnection: (address) => this._agent.hasIdleConnection(address),
