Enforce the quotas of tenants over all daemons

Cause: a tenant in a surge takes the capacity of the others; nothing bounded what it uses over 82 daemons.

A request of a tenant with a quota passes QuotaStep before it is dispatched. Without credit at its daemon, the daemon asks the leader at once; the leader decides each request when it is asked for, from one token bucket for each tenant, and keeps no queue: it grants a request with the delay after which its units have accrued, or states the time to come back. A daemon asks for spare credit only if its recent use of the tenant covers two requests in half a second, and the leader grants it only while the bucket is at least half full. Without a leader, a daemon continues for 2 s at the rate of its recent grants and reports what it used; the leader charges silent daemons by assumption until they report.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -26,13 +26,19 @@
 import { StreamCoordinator } from './peers/StreamCoordinator.js';
 import { RateLimitCoordinator } from './peers/RateLimitCoordinator.js';
 import { messageIntervals } from './peers/messageIntervals.js';
+import { QuotaCoordinator } from './peers/QuotaCoordinator.js';
 import { Reporter } from './peers/Reporter.js';
 import type { DaemonReport, LeaderStatus } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
+import { DaemonQuotas } from './quotas/DaemonQuotas.js';
+import { QuotaAllocator } from './quotas/QuotaAllocator.js';
+import { QuotaMetrics } from './quotas/QuotaMetrics.js';
+import { QuotaStep } from './quotas/QuotaStep.js';
+import { QuotaTable } from './quotas/QuotaTable.js';
 import { RateLimitedEngineClient } from './rateLimits/RateLimitedEngineClient.js';
 import { RateLimitMetrics } from './rateLimits/RateLimitMetrics.js';
-import { type PermitSource, ReplicaRateLimits } from './rateLimits/ReplicaRateLimits.js';
+import { type PermitSource, type RateLimitContext, ReplicaRateLimits } from './rateLimits/ReplicaRateLimits.js';
 import { ReplicaDirectory } from './replicas/ReplicaDirectory.js';
 import { StoreTables } from './replicas/StoreTables.js';
 import { TableForwarder } from './replicas/TableForwarder.js';
@@ -73,6 +79,7 @@
   private readonly _requestLog: RequestLog;
   private readonly _rateLimits: ReplicaRateLimits;
   private readonly _rateLimitCoordinator: RateLimitCoordinator;
+  private readonly _quotaCoordinator: QuotaCoordinator;
   private readonly _crashGuard = new CrashGuard();
   private readonly _crashMetrics: CrashMetrics;
   private readonly _crashObserver: CrashObserver;
@@ -138,6 +145,7 @@
       (now) => this._leaderElector.orderToken(now),
       _clock,
     );
+    this._quotaCoordinator = this._createQuotaCoordinator(limitContext);
     this._crashMetrics = new CrashMetrics(this._requestLog.registry);
     this._crashCoordinator = new CrashCoordinator(
       this._crashGuard,
@@ -187,6 +195,7 @@
       this._leaderElector,
       this._leaderMessages,
       this._reporter,
+      this._quotaCoordinator,
       this._tables,
     ]) {
       this._resources.register(resource);
@@ -252,6 +261,20 @@
     return new TableForwarder(context, this._clock, this._log.child('store'));
   }
 
+  private _createQuotaCoordinator(context: RateLimitContext): QuotaCoordinator {
+    const { name } = this._settings;
+    const metrics = new QuotaMetrics(this._requestLog.registry);
+    const table = new QuotaTable(() => this._routingTables.routes?.configuration.tenants ?? []);
+    return new QuotaCoordinator(
+      new DaemonQuotas(name, this._clock.now().wallMs, context, metrics),
+      new QuotaAllocator((tenant) => table.quotaOf(tenant), this._log.child('quotas')),
+      { server: this._peerServer, client: this._peerClient },
+      (now) => this._leaderElector.orderToken(now),
+      () => this._leaderView.daemonCount,
+      this._clock,
+    );
+  }
+
   private _createStreamCoordinator(): StreamCoordinator {
     const context = {
       replicas: () => this._directory.all(),
@@ -348,6 +371,7 @@
     this._loads.retain((id) => this._directory.get(id) !== undefined, nowMs);
     this._rateLimits.retain((id) => this._directory.get(id)?.bornMs);
     this._rateLimitCoordinator.tick();
+    this._quotaCoordinator.tick();
     this._crashCoordinator.tick();
     this._streams.tick();
     this._crashMetrics.setCounts(this._crashGuard.counts);
@@ -441,7 +465,7 @@
   }
 
   private _admissionSteps(): ExchangeContext['admission'] {
-    return { beforeBody: [], beforeDispatch: [] };
+    return { beforeBody: [], beforeDispatch: [new QuotaStep(this._quotaCoordinator)] };
   }
 
   private _readyInMs(model: string): number | undefined {
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -27,6 +27,8 @@
   leaving: true,
   rateLimits: true,
   permits: true,
+  quotaAsk: true,
+  quotaAnswer: true,
   crash: true,
   answeredParts: true,
   suspects: true,
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -1,6 +1,7 @@
 import type { AnsweredPartsMessage, CrashReport, SuspectsMessage, TrialMessage } from '../crashes/Types.js';
 import type { LeaseSnapshot, StoreFailure, TableName, TableRecord } from '../contracts/MetadataStore.js';
 import type { LeaderAnnouncement } from '../leadership/KnownLeader.js';
+import type { QuotaAnswer, QuotaAsk } from '../quotas/Types.js';
 import type { PermitMessage, PermitReport, RateLimitStatement } from '../rateLimits/Types.js';
 import type { ReplicaHoldings } from '../replicas/ReplicaDirectory.js';
 import type {
@@ -160,6 +161,8 @@
   readonly leaving: LeavingMessage;
   readonly rateLimits: RateLimitsMessage;
   readonly permits: PermitMessage;
+  readonly quotaAsk: QuotaAsk;
+  readonly quotaAnswer: QuotaAnswer;
   readonly crash: CrashReport;
   readonly answeredParts: AnsweredPartsMessage;
   /** Of the leader, what it suspects and blocks; of a daemon that connects, what it knows from an earlier leader. */
