--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -32,13 +32,19 @@
 import { RateLimitCoordinator } from './peers/RateLimitCoordinator.js';
 import { SpeedCoordinator } from './peers/SpeedCoordinator.js';
 import { messageIntervals } from './peers/messageIntervals.js';
+import { QuotaCoordinator } from './peers/QuotaCoordinator.js';
 import { Reporter } from './peers/Reporter.js';
 import type { DaemonReport, LeaderStatus } from './peers/Types.js';
 import { ArrivalCounter } from './placement/ArrivalCounter.js';
 import { PlacementLeader } from './placement/PlacementLeader.js';
+import { DaemonQuotas } from './quotas/DaemonQuotas.js';
+import { QuotaAllocator } from './quotas/QuotaAllocator.js';
+import { QuotaMetrics } from './quotas/QuotaMetrics.js';
+import { QuotaStep } from './quotas/QuotaStep.js';
+import { QuotaTable } from './quotas/QuotaTable.js';
 import { RateLimitedEngineClient } from './rateLimits/RateLimitedEngineClient.js';
 import { RateLimitMetrics } from './rateLimits/RateLimitMetrics.js';
-import { type PermitSource, ReplicaRateLimits } from './rateLimits/ReplicaRateLimits.js';
+import { type PermitSource, type RateLimitContext, ReplicaRateLimits } from './rateLimits/ReplicaRateLimits.js';
 import { ReplicaDirectory } from './replicas/ReplicaDirectory.js';
 import { StoreTables } from './replicas/StoreTables.js';
 import { TableForwarder } from './replicas/TableForwarder.js';
@@ -90,6 +96,7 @@
   private readonly _requestLog: RequestLog;
   private readonly _rateLimits: ReplicaRateLimits;
   private readonly _rateLimitCoordinator: RateLimitCoordinator;
+  private readonly _quotaCoordinator: QuotaCoordinator;
   private readonly _crashGuard = new CrashGuard();
   private readonly _crashMetrics: CrashMetrics;
   private readonly _crashObserver: CrashObserver;
@@ -169,6 +176,7 @@
     this._speedCoordinator = new SpeedCoordinator(this._speeds, this._peerServer, this._peerClient, isLeading);
     const keyMetrics = new KeyMetrics(this._requestLog.registry);
     this._tenantKeys = new TenantKeys(_settings.revocation, keyMetrics, _log.child('tenants'));
+    this._quotaCoordinator = this._createQuotaCoordinator(limitContext);
     this._crashMetrics = new CrashMetrics(this._requestLog.registry);
     this._crashCoordinator = new CrashCoordinator(
       this._crashGuard,
@@ -230,6 +238,7 @@
       this._leaderElector,
       this._leaderMessages,
       this._reporter,
+      this._quotaCoordinator,
       this._tables,
     ]) {
       this._resources.register(resource);
@@ -300,6 +309,20 @@
     return new TableForwarder(context, this._clock, this._log.child('store'));
   }
 
+  private _createQuotaCoordinator(context: RateLimitContext): QuotaCoordinator {
+    const { name } = this._settings;
+    const metrics = new QuotaMetrics(this._requestLog.registry);
+    const table = new QuotaTable(() => this._routingTables.routes?.configuration.tenants ?? []);
+    return new QuotaCoordinator(
+      new DaemonQuotas(name, this._clock.now().wallMs, context, metrics),
+      new QuotaAllocator((tenant) => table.quotaOf(tenant), this._log.child('quotas')),
+      { server: this._peerServer, client: this._peerClient },
+      (now) => this._leaderElector.orderToken(now),
+      () => this._leaderView.daemonCount,
+      this._clock,
+    );
+  }
+
   private _createStreamCoordinator(): StreamCoordinator {
     const context = {
       replicas: () => this._directory.all(),
@@ -401,6 +424,7 @@
     this._rateLimits.retain((id) => this._directory.get(id)?.bornMs);
     this._rateLimitCoordinator.tick();
     this._speedCoordinator.tick((id) => this._directory.get(id) !== undefined, nowMs);
+    this._quotaCoordinator.tick();
     this._crashCoordinator.tick();
     this._streams.tick();
     this._crashMetrics.setCounts(this._crashGuard.counts);
@@ -526,7 +550,8 @@
 
   private _admissionSteps(): ExchangeContext['admission'] {
     const tenantKeys = this._tenantKeys;
-    return { beforeBody: [new KeyStep(tenantKeys)], beforeDispatch: [], tenantKeys };
+    const beforeDispatch = [new QuotaStep(this._quotaCoordinator)];
+    return { beforeBody: [new KeyStep(tenantKeys)], beforeDispatch, tenantKeys };
   }
 
   private _readyInMs(model: string): number | undefined {
