Bound the clients of the ports for peers, status and metrics

Cause: any client could keep a connection to these ports open, send up to 8 MB of a message without its end on each, any number of invalid messages, and any number of requests for the metrics, whose responses wait in memory.

Change: connections follow the descriptors. The oldest peer without a first message goes first, on the other two ports the oldest connection. A peer identifies itself by a first valid message within 3 s; an invalid message closes its channel, and so do unfinished messages of over 16 million characters together, largest first. A connection for metrics has one request in progress. Failures to accept are counted and do not end the process.

--- a/packages/common/src/HttpListener.ts
+++ b/packages/common/src/HttpListener.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type * as net from 'node:net';
 
 /** Limits of a listener. */
 export interface ListenerLimits {
@@ -9,6 +9,18 @@
   readonly headersTimeoutMs: number;
   /** Time limit for a client to send the whole request, milliseconds. */
   readonly requestTimeoutMs: number;
+  /** Limits for clients that nobody controls; unlimited if absent. */
+  readonly clients?: ClientLimits;
+}
+
+/** Limits of the connections of a listener. */
+export interface ClientLimits {
+  /** If there are more connections, the oldest one is closed, since requests are short. */
+  readonly maximumConnections: number;
+  /** Requests in progress on one connection; it is closed if there are more. */
+  readonly maximumRequestsPerConnection: number;
+  /** Called when a connection is closed because of a limit. */
+  readonly onEnforced: () => void;
 }
 
 /** Limits for requests between processes of the system. */
@@ -41,15 +53,22 @@
       server.once('error', reject);
       server.listen(address.port, address.host, () => {
         server.off('error', reject);
+        // Accepting fails while there are no descriptors left; later connections are accepted again.
+        server.on('error', () => {
+          limits.clients?.onEnforced();
+        });
         resolve();
       });
     });
+    if (limits.clients !== undefined) {
+      limitClients(server, limits.clients);
+    }
     return new HttpListener(server);
   }
 
   /** The bound port. */
   public get port(): number {
-    return (this._server.address() as AddressInfo).port;
+    return (this._server.address() as net.AddressInfo).port;
   }
 
   /** Stops accepting connections, closes idle ones, and waits for the requests in flight. */
@@ -68,6 +87,39 @@
   }
 }
 
+function limitClients(server: http.Server, limits: ClientLimits): void {
+  const requestCounts = new Map<net.Socket, number>();
+  const close = (socket: net.Socket): void => {
+    requestCounts.delete(socket);
+    limits.onEnforced();
+    socket.destroy();
+  };
+  server.on('connection', (socket: net.Socket) => {
+    const [oldest] = requestCounts.keys();
+    if (oldest !== undefined && requestCounts.size >= limits.maximumConnections) {
+      close(oldest);
+    }
+    requestCounts.set(socket, 0);
+    socket.once('close', () => requestCounts.delete(socket));
+  });
+  server.prependListener('request', ({ socket }, response) => {
+    const count = (requestCounts.get(socket) ?? 0) + 1;
+    if (!requestCounts.has(socket)) {
+      return;
+    }
+    if (count > limits.maximumRequestsPerConnection) {
+      close(socket);
+      return;
+    }
+    requestCounts.set(socket, count);
+    response.once('close', () => {
+      if (requestCounts.has(socket)) {
+        requestCounts.set(socket, (requestCounts.get(socket) ?? 1) - 1);
+      }
+    });
+  });
+}
+
 /** Sends a JSON response with its length. */
 export function sendJson(
   response: http.ServerResponse,
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -104,7 +104,12 @@
     this._requestLog = new RequestLog(_log.child('requests'));
     this._connectionLimits = connectionLimits(descriptorLimit(_settings.maximumDescriptors));
     this._clientLimits = new ClientLimitMetrics(this._requestLog.registry, _log.child('limits'), () => this._nowMs());
-    this._peerServer = new PeerServer(_settings.peers, _clock, _log.child('peers'));
+    this._peerServer = new PeerServer(_settings.peers, _clock, _log.child('peers'), {
+      maximumConnections: this._connectionLimits.peers,
+      onEnforced: (limit) => {
+        this._clientLimits.count(limit);
+      },
+    });
     this._peerClient = new PeerClient(otherSeeds(_settings), _clock, _log.child('peers'));
     this._knownLeader = new KnownLeader(_settings.name, _log.child('lease'));
     const eraDelayMs = (): number => Math.random() * messageIntervals(this._leaderView.daemonCount).tickMs;
@@ -232,6 +237,14 @@
     return this._requestLog.registry.metrics();
   }
 
+  public get maximumStatusConnections(): number {
+    return this._connectionLimits.status;
+  }
+
+  public recordStatusLimit(): void {
+    this._clientLimits.count('statusConnections');
+  }
+
   /** Stops gracefully: waits until the load balancer has removed this daemon and the running requests have ended. */
   public async stop(): Promise<{ readonly unfinished: number }> {
     this._stopSchedule.start(this._nowMs());
--- a/packages/gateway/src/peers/PeerChannel.ts
+++ b/packages/gateway/src/peers/PeerChannel.ts
@@ -6,6 +6,8 @@
 
 /** Unsent bytes above which a peer counts as too slow or gone and its connection is closed. */
 const maximumUnsentBytes = 8 * 1024 * 1024;
+/** The same before the first message of the client, which need not be a daemon. */
+const maximumUnsentBytesBefore = 1024 * 1024;
 /** Longest message that a peer may send, characters. */
 const maximumLineLength = 8 * 1024 * 1024;
 
@@ -55,17 +57,27 @@
   private readonly _onClosed = new common.Emitter<string>();
   /** Fires once with the reason. */
   public readonly onClosed = this._onClosed.event;
+  private readonly _onPending = new common.Emitter<number>();
+  /** Fires with each change of the length of an unfinished message, characters. */
+  public readonly onPending = this._onPending.event;
+  private readonly _onInvalid = new common.Emitter<undefined>();
+  /** Fires before the channel is closed because of an invalid message. */
+  public readonly onInvalid = this._onInvalid.event;
   private readonly _server = new rpc.JSONRPCServer();
   /** Parts of a line whose end has not been received. */
   private _lineParts: string[] = [];
   private _linePartsLength = 0;
   private _lastReceivedMs: number;
+  private _isIdentified = false;
+  /** When the channel was opened, steady milliseconds. */
+  public readonly openedMs: number;
 
   public constructor(
     private readonly _socket: net.Socket,
     private readonly _clock: Clock,
   ) {
-    this._lastReceivedMs = _clock.now().steadyMs;
+    this.openedMs = _clock.now().steadyMs;
+    this._lastReceivedMs = this.openedMs;
     for (const method of Object.keys(methods) as (keyof PeerMessages)[]) {
       this._server.addMethod(method, (params: PeerMessages[typeof method]) => {
         this._onMessage.fire({ method, params } as PeerMessage);
@@ -79,6 +91,16 @@
     return this._lastReceivedMs;
   }
 
+  /** True once the client has sent a message, so that it is a daemon. */
+  public get isIdentified(): boolean {
+    return this._isIdentified;
+  }
+
+  /** Length of a message whose end has not been received, characters. */
+  public get pendingLength(): number {
+    return this._linePartsLength;
+  }
+
   public send<Method extends keyof PeerMessages>(method: Method, params: PeerMessages[Method]): void {
     this.sendEncoded(encodeMessage(method, params));
   }
@@ -89,7 +111,7 @@
       return;
     }
     this._socket.write(`${line}\n`);
-    if (this._socket.writableLength > maximumUnsentBytes) {
+    if (this._socket.writableLength > (this._isIdentified ? maximumUnsentBytes : maximumUnsentBytesBefore)) {
       this.close('the peer does not read');
     }
   }
@@ -98,6 +120,7 @@
     if (!this._socket.destroyed) {
       this._socket.destroy(new Error(reason));
     }
+    this._takeLine();
   }
 
   private _attachListeners(): void {
@@ -117,25 +140,62 @@
 
   private _receive(text: string): void {
     this._lastReceivedMs = this._clock.now().steadyMs;
-    const [first = '', ...others] = text.split('\n');
-    this._appendToLine(first);
-    for (const part of others) {
+    let start = 0;
+    for (let end = text.indexOf('\n'); end >= 0; end = text.indexOf('\n', start)) {
+      this._appendToLine(text.slice(start, end));
+      start = end + 1;
       if (this._socket.destroyed) {
         return;
       }
-      const line = this._lineParts.join('');
-      this._lineParts = [];
-      this._linePartsLength = 0;
-      void this._server.receiveJSON(line);
-      this._appendToLine(part);
+      this._handleLine(this._takeLine());
+    }
+    if (start < text.length) {
+      this._appendToLine(text.slice(start));
+    }
+  }
+
+  /** Handles a message. Any client can connect, so one that sends something else is disconnected. */
+  private _handleLine(line: string): void {
+    const request = parseRequest(line);
+    if (request === undefined) {
+      this._onInvalid.fire(undefined);
+      this.close('invalid message');
+      return;
     }
+    this._isIdentified = true;
+    void this._server.receive(request);
+  }
+
+  private _takeLine(): string {
+    const line = this._lineParts.join('');
+    this._lineParts = [];
+    const length = this._linePartsLength;
+    this._linePartsLength = 0;
+    if (length > 0) {
+      this._onPending.fire(-length);
+    }
+    return line;
   }
 
   private _appendToLine(part: string): void {
+    if (part === '' || this._socket.destroyed) {
+      return;
+    }
     this._lineParts.push(part);
     this._linePartsLength += part.length;
+    this._onPending.fire(part.length);
     if (this._linePartsLength > maximumLineLength) {
       this.close('message is too long');
     }
   }
 }
+
+/** Parses a line; undefined if it is not a notification. */
+function parseRequest(line: string): rpc.JSONRPCRequest | undefined {
+  try {
+    const parsed: unknown = JSON.parse(line);
+    return rpc.isJSONRPCRequest(parsed) ? parsed : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/gateway/src/peers/PeerServer.ts
+++ b/packages/gateway/src/peers/PeerServer.ts
@@ -14,6 +14,18 @@
 /** A peer that sends nothing for this long counts as gone, milliseconds. Daemons report at least once a second. */
 const silenceTimeoutMs = 3_000;
 
+/** Characters of unfinished messages that all peers together may have sent. */
+const maximumPendingLength = 16 * 1024 * 1024;
+
+/** Limits for clients of the peer port, which need not be daemons. */
+export interface PeerServerLimits {
+  readonly maximumConnections: number;
+  /** Called when a connection is closed because of a limit. */
+  readonly onEnforced: (limit: 'peerConnections' | 'peerMemory' | 'peerMessage' | 'acceptFailed') => void;
+}
+
+const unlimited: PeerServerLimits = { maximumConnections: Number.POSITIVE_INFINITY, onEnforced: () => undefined };
+
 /** Accepts connections of the daemons that follow this one, sends them messages, and receives theirs. */
 export class PeerServer implements AsyncDisposable {
   private readonly _channels = new Set<PeerChannel>();
@@ -25,11 +37,13 @@
   public readonly onMessage = this._onMessage.event;
   private readonly _server: net.Server;
   private _nextPeerIndex = 0;
+  private _pendingLength = 0;
 
   public constructor(
     private readonly _address: Address,
     private readonly _clock: Clock,
     private readonly _log: common.Logger,
+    private readonly _limits = unlimited,
   ) {
     this._server = net.createServer((socket) => {
       this._accept(socket);
@@ -41,6 +55,10 @@
       this._server.once('error', reject);
       this._server.listen(this._address.port, this._address.host, resolve);
     });
+    // Accepting fails while there are no descriptors left; later connections are accepted again.
+    this._server.on('error', () => {
+      this._limits.onEnforced('acceptFailed');
+    });
   }
 
   /** Bound port. */
@@ -72,10 +90,11 @@
     return channel !== undefined;
   }
 
-  /** Closes channels whose peer has sent nothing within the silence timeout. */
+  /** Closes channels whose peer has sent nothing, or no first message, within the silence timeout. */
   public closeSilentChannels(nowMs: number): void {
     for (const channel of this._channels) {
-      if (nowMs - channel.lastReceivedMs > silenceTimeoutMs) {
+      const sinceMs = channel.isIdentified ? channel.lastReceivedMs : channel.openedMs;
+      if (nowMs - sinceMs > silenceTimeoutMs) {
         channel.close('the peer is silent');
       }
     }
@@ -89,16 +108,55 @@
   }
 
   private _accept(socket: net.Socket): void {
+    if (this._channels.size >= this._limits.maximumConnections && !this._closeUnidentified()) {
+      this._limits.onEnforced('peerConnections');
+      socket.destroy();
+      return;
+    }
     const channel = new PeerChannel(socket, this._clock);
     this._channels.add(channel);
+    channel.onPending((change) => {
+      this._countPending(change);
+    });
+    channel.onInvalid(() => {
+      this._limits.onEnforced('peerMessage');
+    });
     channel.onMessage((message) => {
       this._onMessage.fire({ channel, message });
     });
     channel.onClosed((reason) => {
       this._channels.delete(channel);
       this._onLeft.fire(channel);
-      this._log.info('Peer disconnected.', { address: socket.remoteAddress, reason, peers: this._channels.size });
+      if (channel.isIdentified) {
+        this._log.info('Peer disconnected.', { address: socket.remoteAddress, reason, peers: this._channels.size });
+      }
     });
     this._onJoined.fire(channel);
   }
+
+  /** Closes the oldest channel without a message so far, which may be of any client; false if there is none. */
+  private _closeUnidentified(): boolean {
+    for (const channel of this._channels) {
+      if (!channel.isIdentified) {
+        this._limits.onEnforced('peerConnections');
+        this._channels.delete(channel);
+        channel.close('there are too many connections');
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Counts characters of unfinished messages; above the limit, the channels that hold most are closed. */
+  private _countPending(change: number): void {
+    this._pendingLength += change;
+    while (this._pendingLength > maximumPendingLength) {
+      const largest = [...this._channels].reduce((a, b) => (b.pendingLength > a.pendingLength ? b : a));
+      if (largest.pendingLength === 0) {
+        return;
+      }
+      this._limits.onEnforced('peerMemory');
+      largest.close('unfinished messages take too much memory');
+    }
+  }
 }
