Hold requests of tenants that exceed their share while replicas are full

Cause: replicas serve requests of one urgency in order of arrival, so that a tenant with many times its usual rate takes most of their slots and makes the others late.

Without tenants nothing is held. Held requests are sent in the order of TenantTurns, and new ones of such tenants queue behind them.

Tests of waiting, forwarding and peers pass.

--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -63,6 +63,8 @@
   private _blockedParts: readonly string[] | undefined;
   /** Replica with a rate limit that the request waits for a permit of. */
   private _limitedReplicaId: string | undefined;
+  /** Full replicas for which the request is held. */
+  private _heldFor: string | undefined;
   /** Rate limit of the current replica when the request was sent to it, requests per second. */
   private _rateLimitPerSecond: number | undefined;
 
@@ -157,6 +159,10 @@
     if (callerRequest === undefined || this._route === undefined) {
       return;
     }
+    const tenantName = this._admission?.tenant?.name;
+    if (tenantName !== undefined) {
+      this._context.waitingRequests.shares.record(this._service, tenantName, this._nowMs());
+    }
     this._identity = identifyRequest(this._request, callerRequest, this._body);
     const verdict = this._context.crashGuard.check(this._identity.suspectableParts, this._nowMs());
     if (callerRequest.modelReference !== undefined && verdict.kind !== 'blocked') {
@@ -202,6 +208,7 @@
     const nowMs = now.steadyMs;
     const decision = decideDispatch(this._dispatchInput(route, nowMs), this._context, now);
     if (decision.kind === 'wait') {
+      this._heldFor = decision.heldFor;
       this._startWaiting(decision.limitedReplicaId, route, nowMs);
       if (decision.trialParts !== undefined && this._context.crashGuard.requestTrial(decision.trialParts, nowMs)) {
         this._context.crashMetrics.count('requested');
@@ -233,6 +240,7 @@
   }
 
   private _dispatchInput(route: Route, nowMs: number): DispatchInput {
+    const tenantName = this._admission?.tenant?.name;
     return {
       service: this._service,
       route,
@@ -244,7 +252,8 @@
       waitedMs: this._wait.waitedMs(nowMs),
       requiredVersion: this._continuation.requiredVersion,
       urgency: this._urgency(route),
-      tenantName: this._admission?.tenant?.name,
+      tenantName,
+      exceedsShare: this._context.waitingRequests.shares.exceedsShare(this._service, tenantName, nowMs),
       lateAtMs: this._startedMs + route.latencyTargetMs,
       timeLeftMs: this._deadline.leftMs(nowMs),
       firstByteTimeLeftMs: this._firstByteTimeLeftMs(route),
@@ -268,17 +277,22 @@
       leavesAtMs: nowMs + this._firstByteTimeLeftMs(route),
       sizeBytes: this._body.length,
       tenantName: this._admission?.tenant?.name,
+      heldFor: () => this._heldFor,
       redispatch: () => this._dispatch(),
     });
     const redispatch = (): void => {
       this._history.clearExcluded();
+      if (this._heldFor !== undefined) {
+        this._context.waitingRequests.redispatchHeld(this._nowMs());
+        return;
+      }
       this._dispatch();
     };
     const hasStarted = this._wait.start(createRequest, redispatch, nowMs);
     if (needsOtherPermit) {
       this._context.rateLimits.recordWait();
     }
-    if (hasStarted || needsOtherPermit) {
+    if ((hasStarted || needsOtherPermit) && this._heldFor === undefined) {
       this._context.notifyWaitStarted();
     }
   }
@@ -490,6 +504,7 @@
   private _endAttempt(outcome: AttemptOutcome): void {
     this._inactivityTimer.stop();
     this._attempt.end(outcome, this._nowMs());
+    this._context.waitingRequests.redispatchHeld(this._nowMs());
   }
 
   private _deadlineReached(): void {
--- a/packages/gateway/src/forwarding/decideDispatch.test.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.test.ts
@@ -35,6 +35,7 @@
   waitedMs: 0,
   urgency: 2,
   tenantName: undefined,
+  exceedsShare: false,
   lateAtMs: 10_500,
   timeLeftMs: 8_000,
   requiredVersion: undefined,
@@ -48,7 +49,7 @@
     loads: new ReplicaLoads(),
     rateLimits: { maySend: () => true, expectedWaitMs: () => undefined },
     streams: { mayBegin: () => true },
-    waitingRequests: { countAhead: () => 0 },
+    waitingRequests: { countAhead: () => 0, isHeldFor: () => false },
     failureDomain: 'a',
     randomSlots: () => 0,
     readyInMs: () => undefined,
@@ -93,6 +94,15 @@
     },
   );
 
+  vitest.test('holds a tenant that exceeds its share while the replica is full (guards against unfair queues)', () => {
+    const exceeding = { ...request, exceedsShare: true };
+    const full = context([holder], { loads: loadsWith(4) });
+    vitest.expect(decideDispatch(request, full, now).kind).toBe('send');
+    vitest.expect(decideDispatch(exceeding, full, now)).toEqual({ kind: 'wait', heldFor: 's m' });
+    vitest.expect(decideDispatch({ ...exceeding, mayHaveRun: true }, full, now).kind).toBe('send');
+    vitest.expect(decideDispatch({ ...exceeding, firstByteTimeLeftMs: 200 }, full, now).kind).toBe('refuse');
+  });
+
   vitest.test('never refuses a request that may have run (guards against false refusals)', () => {
     const busy = context([holder], { loads: loadsWith(40), longestRequestMs: () => 0 });
     vitest.expect(decideDispatch({ ...request, mayHaveRun: true }, busy, now).kind).toBe('send');
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -6,6 +6,7 @@
 import { selectReplica, shortestBackoffMs } from '../routing/selectReplica.js';
 import type { Instant, ModelReference, Replica, Route } from '../Types.js';
 import { decidePermitWait } from '../waiting/decidePermitWait.js';
+import { decideHold } from '../waiting/decideHold.js';
 import { decideReturn, firstEventReserveMs, type ReturnWindow } from '../waiting/decideReturn.js';
 import { decideWait, type WaitDecision, type WaitingSituation } from '../waiting/decideWait.js';
 import type { ReturnRoom } from '../waiting/PromisedReturns.js';
@@ -39,6 +40,8 @@
   readonly urgency: number;
   /** Tenant of the caller, if it has one. */
   readonly tenantName: string | undefined;
+  /** True if this tenant sends more than its share. */
+  readonly exceedsShare: boolean;
   /** Time at which the request misses its latency target, steady milliseconds. */
   readonly lateAtMs: number;
   /** Time until the deadline of the request, milliseconds. */
@@ -58,7 +61,7 @@
   readonly directory: Pick<ExchangeContext['directory'], 'usable'>;
   readonly rateLimits: Pick<ExchangeContext['rateLimits'], 'maySend' | 'expectedWaitMs'>;
   readonly streams: Pick<ExchangeContext['streams'], 'mayBegin'>;
-  readonly waitingRequests: Pick<ExchangeContext['waitingRequests'], 'countAhead'>;
+  readonly waitingRequests: Pick<ExchangeContext['waitingRequests'], 'countAhead' | 'isHeldFor'>;
 }
 
 /** Times between which a refused caller returns, and the room that it returns to. */
@@ -81,6 +84,8 @@
       readonly kind: 'wait';
       /** Replica with a rate limit that the request needs a permit for; absent if it waits for its model. */
       readonly limitedReplicaId?: string;
+      /** Full replicas for which the request is held, named by their service and model. */
+      readonly heldFor?: string;
       /** Suspected parts of the prompt, if the request waits for a trial of them. */
       readonly trialParts?: readonly string[];
     }
@@ -202,6 +207,10 @@
       ? { kind: 'send' as const }
       : decideAdmission({ candidate, firstByteTimeLeftMs });
   if (admission.kind === 'send') {
+    const hold = holdWhileFull(input, context, candidate);
+    if (hold !== undefined) {
+      return hold;
+    }
     return {
       kind: 'send',
       replica: candidate.replica,
@@ -264,6 +273,33 @@
   return { waitedMs, firstByteTimeLeftMs, timeLeftMs, latencyTargetMs, callerTimeoutMs: callerTimeoutMs(route) };
 }
 
+/** Holds or refuses a request of a tenant that exceeds its share while all replicas are full; else undefined. */
+function holdWhileFull(
+  input: DispatchInput,
+  context: DispatchContext,
+  candidate: Candidate,
+): DispatchDecision | undefined {
+  const { route, service, modelReference, exceedsShare, firstByteTimeLeftMs } = input;
+  if (!exceedsShare || input.mayHaveRun || input.requiredVersion !== undefined) {
+    return undefined;
+  }
+  const { running, runMs, replica } = candidate;
+  const heldFor = `${service} ${modelReference?.model ?? ''}`;
+  const decision = decideHold({
+    exceedsShare,
+    othersAreHeld: context.waitingRequests.isHeldFor(heldFor),
+    running,
+    slots: replica.slots,
+    firstByteAfterMs: route.kind === 'stream' ? 0 : runMs,
+    firstByteTimeLeftMs,
+  });
+  if (decision !== 'refuse') {
+    return decision === 'hold' ? { kind: 'wait', heldFor } : undefined;
+  }
+  const reason = 'the tenant exceeds its share of full replicas';
+  return { kind: 'refuse', reason, retryAfterMs: runMs, promise: promiseOfQueue(candidate, input, runMs) };
+}
+
 /**
  * The room that a caller returns to when the queue of a replica has become shorter. The returns are spread over the time
  * in which the queue shrinks from the longest one that is allowed, so that they do not meet the same queue again.
--- a/packages/gateway/src/peers/Reporter.test.ts
+++ b/packages/gateway/src/peers/Reporter.test.ts
@@ -65,6 +65,7 @@
       sizeBytes: 0,
       tenantName: undefined,
       limitedReplicaId: () => undefined,
+      heldFor: () => undefined,
       redispatch: () => 'waits' as const,
     };
     for (let index = 0; index < 20; index += 1) {
--- a/packages/gateway/src/waiting/WaitingRequests.test.ts
+++ b/packages/gateway/src/waiting/WaitingRequests.test.ts
@@ -3,7 +3,15 @@
 
 function waitingRequest(tenantName: string, redispatch: () => RedispatchResult): WaitingRequest {
   const times = { lateAtMs: 1_000, leavesAtMs: 2_000, sizeBytes: 0, requiredVersion: undefined };
-  return { ...times, modelReference: { model: 'm' }, urgency: 1, tenantName, limitedReplicaId: () => 'r', redispatch };
+  return {
+    ...times,
+    modelReference: { model: 'm' },
+    urgency: 1,
+    tenantName,
+    limitedReplicaId: () => 'r',
+    heldFor: () => undefined,
+    redispatch,
+  };
 }
 
 vitest.describe('waiting requests of tenants', () => {
@@ -31,4 +39,22 @@
     requests.redispatchAll(0);
     vitest.expect(sent).toEqual(['a', 'b', 'b']);
   });
+
+  vitest.test('that are held are sent in turn (guards against new requests that pass those which wait)', () => {
+    const requests = new WaitingRequests();
+    const sent: string[] = [];
+    for (const tenantName of ['a', 'a', 'b']) {
+      const send = (): RedispatchResult => {
+        // There is room for two requests, and none passes the others.
+        const mayBeSent = sent.length < 2 && !requests.isHeldFor('s m');
+        return mayBeSent && sent.push(tenantName) > 0 ? 'sent' : 'waits';
+      };
+      requests.add({ ...waitingRequest(tenantName, send), heldFor: () => 's m' });
+    }
+    vitest.expect(requests.isHeldFor('s m')).toBe(true);
+    vitest.expect(requests.report(0)).toEqual([]);
+    requests.redispatchHeld(0);
+    vitest.expect(sent).toEqual(['a', 'b']);
+    vitest.expect(requests.size).toBe(1);
+  });
 });
--- a/packages/gateway/src/waiting/WaitingRequests.ts
+++ b/packages/gateway/src/waiting/WaitingRequests.ts
@@ -1,3 +1,4 @@
+import { TenantShares } from './TenantShares.js';
 import { TenantTurns } from './TenantTurns.js';
 import { PromisedReturns } from './PromisedReturns.js';
 import { modelReferenceKey } from '../placement/DemandAggregator.js';
@@ -25,10 +26,15 @@
   readonly tenantName: string | undefined;
   /** Replica with a rate limit that the request needs a permit for, if any. It may change with each dispatch. */
   readonly limitedReplicaId: () => string | undefined;
+  /** Replicas for which the request is held while they are full, named by their service and model, if it is held. */
+  readonly heldFor: () => string | undefined;
   /** Dispatches the request again. */
   readonly redispatch: () => RedispatchResult;
 }
 
+/** Least time between two attempts to send held requests, milliseconds. */
+const heldIntervalMs = 10;
+
 /** A request whose turn for a permit is estimated. */
 export type PermitSeeker = Pick<WaitingRequest, 'urgency' | 'lateAtMs' | 'tenantName'>;
 
@@ -36,7 +42,10 @@
 export class WaitingRequests {
   /** Callers that were refused and asked to return. */
   public readonly returns = new PromisedReturns();
+  public readonly shares = new TenantShares();
   private readonly _turns = new TenantTurns();
+  private _dispatchesHeld = false;
+  private _heldDispatchedMs = Number.NEGATIVE_INFINITY;
   private readonly _requests = new Map<string, Set<WaitingRequest>>();
 
   public add(request: WaitingRequest): void {
@@ -66,6 +75,25 @@
     this._redispatch(requests, nowMs);
   }
 
+  /** Sends the held requests for which there is room, in their order. Called when there may be room, and at intervals. */
+  public redispatchHeld(nowMs: number): void {
+    if (this._dispatchesHeld || nowMs - this._heldDispatchedMs < heldIntervalMs) {
+      return;
+    }
+    this._heldDispatchedMs = nowMs;
+    this._dispatchesHeld = true;
+    this._redispatch(
+      this._all().filter((request) => request.heldFor() !== undefined),
+      nowMs,
+    );
+    this._dispatchesHeld = false;
+  }
+
+  /** True if a new request must not pass those that are held for the same replicas. */
+  public isHeldFor(replicas: string): boolean {
+    return !this._dispatchesHeld && this._all().some((request) => request.heldFor() === replicas);
+  }
+
   /**
    * Number of requests of the same urgency that get a permit for a replica before another one. Each tenant has as many
    * turns before it as the tenant of the request itself.
@@ -128,7 +156,8 @@
   /** Counts of waiting requests and of callers that were asked to return, for the report to the leader. */
   public report(nowMs: number): readonly WaitingReport[] {
     const reports = new Map<string, WaitingReport>();
-    for (const request of [...this._all(), ...this.returns.awaited(nowMs)]) {
+    const waiting = this._all().filter((request) => request.heldFor() === undefined);
+    for (const request of [...waiting, ...this.returns.awaited(nowMs)]) {
       if (request.modelReference !== undefined) {
         const key = modelReferenceKey(request.modelReference);
         const requiredVersion = 'requiredVersion' in request ? request.requiredVersion : undefined;
