Wait for the first leader after a power loss, and count waits and refusals

Streams that have begun wait for their model although the time of the first byte is over; without this they were cut.

Request lines have waitedFor and returnsTo.

Tests of forwarding and waiting pass. The effect on a power loss was not measured.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -44,6 +44,7 @@
 import { streamLifetimeMs } from './streams/streamLifetimeMs.js';
 import { StopSchedule } from './StopSchedule.js';
 import type { Address } from './Types.js';
+import { WaitingMetrics } from './waiting/WaitingMetrics.js';
 import { WaitingRequests } from './waiting/WaitingRequests.js';
 
 /** Time between two steps of the periodic work of a daemon that leads, milliseconds. */
@@ -416,6 +417,7 @@
       directory: this._directory,
       loads: this._loads,
       waitingRequests: this._waitingRequests,
+      waitingMetrics: new WaitingMetrics(this._requestLog.registry, this._waitingRequests),
       retryBudgets: this._retryBudgets,
       rateLimits: this._rateLimits,
       crashGuard: this._crashGuard,
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -17,7 +17,15 @@
 import type { AttemptFailure } from './ReplicaAttempt.js';
 import { type AttemptOutcome, CurrentAttempt } from './CurrentAttempt.js';
 import { Deadline } from './Deadline.js';
-import { decideDispatch, type DispatchInput, refusedRetryAfterMs } from './decideDispatch.js';
+import {
+  decideDispatch,
+  type DispatchInput,
+  refusedRetryAfterMs,
+  type ReturnPromise,
+  type WaitDispatch,
+  waitReason,
+} from './decideDispatch.js';
+import type { ReturnKind, WaitReason } from '../waiting/WaitingMetrics.js';
 import { callerTimeoutMs, mayRetry, urgencyOf } from './retryPolicy.js';
 import { AttemptHistory } from './AttemptHistory.js';
 import { sendLocalResponse } from './sendLocalResponse.js';
@@ -63,6 +71,10 @@
   private _blockedParts: readonly string[] | undefined;
   /** Replica with a rate limit that the request waits for a permit of. */
   private _limitedReplicaId: string | undefined;
+  /** What the request waited for last. */
+  private _waitReason: WaitReason | undefined;
+  /** What the refused caller returns to. */
+  private _returnKind: ReturnKind | undefined;
   /** Full replicas for which the request is held. */
   private _heldFor: string | undefined;
   /** Rate limit of the current replica when the request was sent to it, requests per second. */
@@ -209,7 +221,7 @@
     const decision = decideDispatch(this._dispatchInput(route, nowMs), this._context, now);
     if (decision.kind === 'wait') {
       this._heldFor = decision.heldFor;
-      this._startWaiting(decision.limitedReplicaId, route, nowMs);
+      this._startWaiting(decision, route, nowMs);
       if (decision.trialParts !== undefined && this._context.crashGuard.requestTrial(decision.trialParts, nowMs)) {
         this._context.crashMetrics.count('requested');
       }
@@ -231,14 +243,21 @@
         this._context.crashMetrics.count('refused');
       }
       const { promise } = decision;
-      const returns = this._context.waitingRequests.returns;
-      const retryAfterMs =
-        promise === undefined ? decision.retryAfterMs : returns.promise(promise.room, promise.window, nowMs);
+      this._context.waitingMetrics.countRefusal(decision.reason);
+      const retryAfterMs = promise === undefined ? decision.retryAfterMs : this._promiseReturn(promise, nowMs);
       this._refuse(decision.reason, retryAfterMs);
     }
     return decision.kind === 'send' ? 'sent' : 'ended';
   }
 
+  /** Returns the time after which the caller is asked to return, milliseconds. */
+  private _promiseReturn({ room, window }: ReturnPromise, nowMs: number): number {
+    const servedKind = room.modelReference === undefined ? 'queue' : 'model';
+    this._returnKind = window.isServed ? servedKind : 'late';
+    this._context.waitingMetrics.countReturn(this._returnKind);
+    return this._context.waitingRequests.returns.promise(room, window, nowMs);
+  }
+
   private _dispatchInput(route: Route, nowMs: number): DispatchInput {
     const tenantName = this._admission?.tenant?.name;
     return {
@@ -265,7 +284,13 @@
     return urgencyOf(route, this._admission?.tenant?.priority, isContinued);
   }
 
-  private _startWaiting(limitedReplicaId: string | undefined, route: Route, nowMs: number): void {
+  private _startWaiting(decision: WaitDispatch, route: Route, nowMs: number): void {
+    const { limitedReplicaId } = decision;
+    const reason = waitReason(decision);
+    if (reason !== this._waitReason) {
+      this._waitReason = reason;
+      this._context.waitingMetrics.countWait(reason);
+    }
     const needsOtherPermit = limitedReplicaId !== undefined && limitedReplicaId !== this._limitedReplicaId;
     this._limitedReplicaId = limitedReplicaId;
     const createRequest = (): WaitingRequest => ({
@@ -603,12 +628,14 @@
       sends: this._history.sends.records,
       rateLimitPerSecond: this._rateLimitPerSecond,
       waitedMs: this._wait.waitedMs(nowMs),
+      waitedFor: this._waitReason,
       durationMs: nowMs - this._startedMs,
       reason,
       brokenAnswer: outcome === 'broken' ? this._brokenAnswer() : undefined,
       blockedParts: this._blockedParts,
       readyInMs: this._readyInMs,
       retryAfterMs,
+      returnsTo: this._returnKind,
     };
     this._context.requestLog.record(result, nowMs);
   }
--- a/packages/gateway/src/forwarding/ExchangeResult.ts
+++ b/packages/gateway/src/forwarding/ExchangeResult.ts
@@ -1,4 +1,5 @@
 import type { ModelReference } from '../Types.js';
+import type { ReturnKind, WaitReason } from '../waiting/WaitingMetrics.js';
 import type { SendRecord } from './SendLog.js';
 
 /** What was known of a request whose answer broke off. */
@@ -42,6 +43,8 @@
   /** Rate limit of the last of these replicas when the request was sent to it, requests per second. */
   readonly rateLimitPerSecond: number | undefined;
   readonly waitedMs: number;
+  /** What the request waited for last, if it waited. */
+  readonly waitedFor: WaitReason | undefined;
   readonly durationMs: number;
   readonly reason: string | undefined;
   /** Parts of the prompt and bytes received of the answer, if the answer broke off. */
@@ -51,4 +54,6 @@
   /** Expected time until the model is ready, if a refusal is based on it. */
   readonly readyInMs: number | undefined;
   readonly retryAfterMs: number | undefined;
+  /** What the refused caller returns to, if its time to return depends on the capacity. */
+  readonly returnsTo: ReturnKind | undefined;
 }
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -12,6 +12,7 @@
 import type { ReplicaLoads } from '../routing/ReplicaLoads.js';
 import type { StreamOrigins } from '../streams/Types.js';
 import type { ModelReference, Replica, Route } from '../Types.js';
+import type { WaitingMetrics } from '../waiting/WaitingMetrics.js';
 import type { WaitingRequests } from '../waiting/WaitingRequests.js';
 import type { AdmissionStep } from './admission/AdmissionStep.js';
 import type { RequestLog } from './RequestLog.js';
@@ -26,6 +27,7 @@
   readonly directory: ReplicaDirectory;
   readonly loads: ReplicaLoads;
   readonly waitingRequests: WaitingRequests;
+  readonly waitingMetrics: WaitingMetrics;
   readonly retryBudgets: RetryBudgets;
   readonly rateLimits: ReplicaRateLimits;
   readonly crashGuard: CrashGuard;
--- a/packages/gateway/src/forwarding/decideDispatch.test.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.test.ts
@@ -119,6 +119,13 @@
     },
   );
 
+  vitest.test('waits for a model though its caller has the first byte long since (guards against cut streams)', () => {
+    const begun = { ...request, mayHaveRun: true, firstByteTimeLeftMs: -1_000 };
+    const soon = context([sampleReplica()], { readyInMs: () => 400 });
+    vitest.expect(decideDispatch(begun, soon, now).kind).toBe('wait');
+    vitest.expect(decideDispatch({ ...begun, mayHaveRun: false }, soon, now).kind).toBe('refuse');
+  });
+
   vitest.test(
     'returns the remaining back-off time that a replica requested (guards against retries that come too early)',
     () => {
@@ -129,6 +136,20 @@
     },
   );
 
+  vitest.test('waits for replicas, models and permits after a power loss (guards against early refusals)', () => {
+    const afterPowerLoss = { awaitsFirstLeader: () => true };
+    const waited = { ...request, waitedMs: 1_500, firstByteTimeLeftMs: 500 };
+    const plain = { ...waited, modelReference: undefined };
+    vitest.expect(decideDispatch(plain, context([]), now).kind).toBe('refuse');
+    vitest.expect(decideDispatch(plain, context([], afterPowerLoss), now).kind).toBe('wait');
+    vitest.expect(decideDispatch(waited, context([], afterPowerLoss), now).kind).toBe('wait');
+    const rateLimits = { maySend: () => false, expectedWaitMs: () => undefined };
+    vitest.expect(decideDispatch(waited, context([holder], { rateLimits }), now).kind).toBe('refuse');
+    vitest.expect(decideDispatch(waited, context([holder], { rateLimits, ...afterPowerLoss }), now).kind).toBe('wait');
+    const leaving = { ...plain, firstByteTimeLeftMs: 250 };
+    vitest.expect(decideDispatch(leaving, context([], afterPowerLoss), now).kind).toBe('refuse');
+  });
+
   vitest.test('refuses a request that may outlast the stop (guards against streams cut by a planned stop)', () => {
     const stopping = context([holder], { longestRequestMs: () => 5_000 });
     vitest.expect(decideDispatch(request, stopping, now)).toMatchObject({ reason: 'this daemon stops' });
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -11,6 +11,7 @@
 import { decideWait, type WaitDecision, type WaitingSituation } from '../waiting/decideWait.js';
 import type { ReturnRoom } from '../waiting/PromisedReturns.js';
 import { callerTimeoutMs } from './retryPolicy.js';
+import type { WaitReason } from '../waiting/WaitingMetrics.js';
 import type { ExchangeContext } from './Types.js';
 
 /** Retry-After once replicas have refused or could not be reached, milliseconds. */
@@ -102,6 +103,20 @@
       readonly blockedParts?: readonly string[];
     };
 
+/** The decision that a request waits. */
+export type WaitDispatch = Extract<DispatchDecision, { kind: 'wait' }>;
+
+/** What a request waits for, for the log and the metrics. */
+export function waitReason({ limitedReplicaId, heldFor, trialParts }: WaitDispatch): WaitReason {
+  if (trialParts !== undefined) {
+    return 'trial';
+  }
+  if (limitedReplicaId !== undefined) {
+    return 'permit';
+  }
+  return heldFor === undefined ? 'model' : 'room';
+}
+
 /** A replica with a rate limit that a request could wait for. */
 interface PermitWaitOption {
   readonly replicaId: string;
@@ -239,7 +254,7 @@
   const otherCopyInMs = modelReference === undefined ? undefined : context.readyInMs(modelReference.model);
   const readyInMs = otherCopyInMs === undefined || waitMs === undefined ? waitMs : Math.min(waitMs, otherCopyInMs);
   const estimate = readyInMs !== undefined && { readyInMs };
-  const decision = decidePermitWait({ ...waitingSituation(input), timeLeftMs, runMs, ...estimate });
+  const decision = decidePermitWait({ ...waitingSituation(input, context), timeLeftMs, runMs, ...estimate });
   return decision.kind === 'wait' ? { kind: 'wait', limitedReplicaId: replicaId } : { ...decision, ...estimate };
 }
 
@@ -251,26 +266,36 @@
 ): DispatchDecision {
   const { modelReference } = input;
   if (modelReference === undefined) {
+    const mayAppear = availableInMs === undefined && context.awaitsFirstLeader();
+    if (mayAppear && decideWait(waitingSituation(input, context)).kind === 'wait') {
+      return { kind: 'wait' };
+    }
     const reason =
       availableInMs === undefined ? 'no replica of the service is known' : 'all replicas turn requests away';
     return { kind: 'refuse', reason, retryAfterMs: availableInMs ?? refusedRetryAfterMs };
   }
   const readyInMs = availableInMs ?? context.readyInMs(modelReference.model);
   const estimate = readyInMs !== undefined && { readyInMs };
-  const awaitsFirstLeader = context.awaitsFirstLeader();
-  const decision = decideWait({ ...waitingSituation(input), awaitsFirstLeader, ...estimate });
+  const decision = decideWait({ ...waitingSituation(input, context), ...estimate });
   return decision.kind === 'wait'
     ? decision
     : { ...decision, ...estimate, ...promiseOf(decision, input, modelReference, context) };
 }
 
-function waitingSituation(input: DispatchInput): Omit<WaitingSituation, 'readyInMs'> {
+function waitingSituation(input: DispatchInput, context: DispatchContext): Omit<WaitingSituation, 'readyInMs'> {
   const { waitedMs, timeLeftMs, route, mayHaveRun } = input;
   const { latencyTargetMs } = route;
   // The caller of a stream that has begun has its first byte: it waits for the next one.
   const begunTimeLeftMs = mayHaveRun ? latencyTargetMs + firstEventReserveMs : 0;
   const firstByteTimeLeftMs = Math.max(input.firstByteTimeLeftMs, begunTimeLeftMs);
-  return { waitedMs, firstByteTimeLeftMs, timeLeftMs, latencyTargetMs, callerTimeoutMs: callerTimeoutMs(route) };
+  return {
+    waitedMs,
+    firstByteTimeLeftMs,
+    timeLeftMs,
+    latencyTargetMs,
+    callerTimeoutMs: callerTimeoutMs(route),
+    awaitsFirstLeader: context.awaitsFirstLeader(),
+  };
 }
 
 /** Holds or refuses a request of a tenant that exceeds its share while all replicas are full; else undefined. */
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -17,6 +17,7 @@
 import { RetryBudgets } from '../retries/RetryBudgets.js';
 import { ReplicaLoads } from '../routing/ReplicaLoads.js';
 import type { Replica, Route } from '../Types.js';
+import { WaitingMetrics } from '../waiting/WaitingMetrics.js';
 import { WaitingRequests } from '../waiting/WaitingRequests.js';
 import { FakeStreamOrigins } from './FakeStreamOrigins.js';
 import { FakeCodec } from './FakeCodec.js';
@@ -237,6 +238,7 @@
       directory,
       loads: new ReplicaLoads(),
       waitingRequests,
+      waitingMetrics: new WaitingMetrics(requestLog.registry, waitingRequests),
       retryBudgets,
       rateLimits: new ReplicaRateLimits(
         { permitSource: () => 'none', daemonCount: () => 1, random: () => 0 },
