Give no estimate for missing models while replicas are unknown

Cause: a new leader knows the models of a replica only once it has read its report. Until then the planner loads nothing on the assumption that a model has no copy, but the estimate already assumed a load from the weight store, so that interactive requests were refused in the first second or more.

The test fails without the condition. Tests of placement pass.

--- a/packages/gateway/src/placement/estimateReady.test.ts
+++ b/packages/gateway/src/placement/estimateReady.test.ts
@@ -72,6 +72,15 @@
       .toBe(1_200 + 15 + loadMs.disk + 40);
   });
 
+  vitest.test(
+    'is absent while replicas are unknown (guards against refusals by a leader that has just started)',
+    () => {
+      const state = input([placedReplica('r')]);
+      vitest.expect(estimateReady(state, nowMs)).toHaveLength(1);
+      vitest.expect(estimateReady({ ...state, mayLoadMissing: false }, nowMs)).toEqual([]);
+    },
+  );
+
   vitest.test('loads models that share a replica one after another (guards against one room promised twice)', () => {
     const state = input([placedReplica('r', { onDisk: new Set(['m', 'n']) })]);
     const models = new Map([...state.models, ['n', { ...specification, name: 'n' }]]);
--- a/packages/gateway/src/placement/estimateReady.ts
+++ b/packages/gateway/src/placement/estimateReady.ts
@@ -90,7 +90,11 @@
       ...holders.filter(({ clearingFor }) => clearingFor === name).map((replica) => this._aheadMs(replica)),
       this._localLoadMs(specification, demand),
     ].filter((timeMs) => timeMs !== undefined);
-    return times.length > 0 ? Math.min(...times) : this._storeTimes.get(name);
+    if (times.length > 0) {
+      return Math.min(...times);
+    }
+    // While replicas are unknown, as for a new leader, one of them may hold the model or have its weights.
+    return this._input.mayLoadMissing ? this._storeTimes.get(name) : undefined;
   }
 
   /** Time until a model is loaded from the local weights of the replica that has it first; undefined without any. */
