--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -60,6 +60,7 @@
 import { KeyStep } from './tenants/KeyStep.js';
 import { TenantKeys } from './tenants/TenantKeys.js';
 import type { Address } from './Types.js';
+import { WaitingMetrics } from './waiting/WaitingMetrics.js';
 import { WaitingRequests } from './waiting/WaitingRequests.js';
 
 /** Time between two steps of the periodic work of a daemon that leads, milliseconds. */
@@ -522,6 +523,7 @@
       speedReports: this._speedReports,
       choiceMetrics: this._choiceMetrics,
       waitingRequests: this._waitingRequests,
+      waitingMetrics: new WaitingMetrics(this._requestLog.registry, this._waitingRequests),
       retryBudgets: this._retryBudgets,
       rateLimits: this._rateLimits,
       crashGuard: this._crashGuard,
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -19,7 +19,15 @@
 import { type AttemptOutcome, CurrentAttempt } from './CurrentAttempt.js';
 import { Deadline } from './Deadline.js';
 import { DeliveryTimes } from './DeliveryTimes.js';
-import { decideDispatch, type DispatchInput, refusedRetryAfterMs } from './decideDispatch.js';
+import {
+  decideDispatch,
+  type DispatchInput,
+  refusedRetryAfterMs,
+  type ReturnPromise,
+  type WaitDispatch,
+  waitReason,
+} from './decideDispatch.js';
+import type { ReturnKind, WaitReason } from '../waiting/WaitingMetrics.js';
 import { KeyWatch, type WatchedRequest } from '../tenants/KeyWatch.js';
 import { callerTimeoutMs, mayRetry, urgencyOf } from './retryPolicy.js';
 import { AttemptHistory } from './AttemptHistory.js';
@@ -70,6 +78,12 @@
   private _blockedParts: readonly string[] | undefined;
   /** Replica with a rate limit that the request waits for a permit of. */
   private _limitedReplicaId: string | undefined;
+  /** What the request waited for last. */
+  private _waitReason: WaitReason | undefined;
+  /** What the refused caller returns to. */
+  private _returnKind: ReturnKind | undefined;
+  /** Full replicas for which the request is held. */
+  private _heldFor: string | undefined;
   /** Rate limit of the current replica when the request was sent to it, requests per second. */
   private _rateLimitPerSecond: number | undefined;
 
@@ -201,6 +215,10 @@
     if (callerRequest === undefined || this._route === undefined) {
       return;
     }
+    const tenantName = this._admission?.tenant?.name;
+    if (tenantName !== undefined) {
+      this._context.waitingRequests.shares.record(this._service, tenantName, this._nowMs());
+    }
     this._identity = identifyRequest(this._request, callerRequest, this._body);
     const verdict = this._context.crashGuard.check(this._identity.suspectableParts, this._nowMs());
     if (callerRequest.modelReference !== undefined && verdict.kind !== 'blocked') {
@@ -246,7 +264,8 @@
     const nowMs = now.steadyMs;
     const decision = decideDispatch(this._dispatchInput(route, nowMs), this._context, now);
     if (decision.kind === 'wait') {
-      this._startWaiting(decision.limitedReplicaId, route, nowMs);
+      this._heldFor = decision.heldFor;
+      this._startWaiting(decision, route, nowMs);
       if (decision.trialParts !== undefined && this._context.crashGuard.requestTrial(decision.trialParts, nowMs)) {
         this._context.crashMetrics.count('requested');
       }
@@ -268,15 +287,23 @@
         this._context.crashMetrics.count('refused');
       }
       const { promise } = decision;
-      const returns = this._context.waitingRequests.returns;
-      const retryAfterMs =
-        promise === undefined ? decision.retryAfterMs : returns.promise(promise.room, promise.window, nowMs);
+      this._context.waitingMetrics.countRefusal(decision.reason);
+      const retryAfterMs = promise === undefined ? decision.retryAfterMs : this._promiseReturn(promise, nowMs);
       this._refuse(decision.reason, retryAfterMs);
     }
     return decision.kind === 'send' ? 'sent' : 'ended';
   }
 
+  /** Returns the time after which the caller is asked to return, milliseconds. */
+  private _promiseReturn({ room, window }: ReturnPromise, nowMs: number): number {
+    const servedKind = room.modelReference === undefined ? 'queue' : 'model';
+    this._returnKind = window.isServed ? servedKind : 'late';
+    this._context.waitingMetrics.countReturn(this._returnKind);
+    return this._context.waitingRequests.returns.promise(room, window, nowMs);
+  }
+
   private _dispatchInput(route: Route, nowMs: number): DispatchInput {
+    const tenantName = this._admission?.tenant?.name;
     return {
       service: this._service,
       route,
@@ -288,7 +315,8 @@
       waitedMs: this._wait.waitedMs(nowMs),
       requiredVersion: this._continuation.requiredVersion,
       urgency: this._urgency(route),
-      tenantName: this._admission?.tenant?.name,
+      tenantName,
+      exceedsShare: this._context.waitingRequests.shares.exceedsShare(this._service, tenantName, nowMs),
       lateAtMs: this._startedMs + route.latencyTargetMs,
       timeLeftMs: this._deadline.leftMs(nowMs),
       firstByteTimeLeftMs: this._firstByteTimeLeftMs(route),
@@ -300,7 +328,13 @@
     return urgencyOf(route, this._admission?.tenant?.priority, isContinued);
   }
 
-  private _startWaiting(limitedReplicaId: string | undefined, route: Route, nowMs: number): void {
+  private _startWaiting(decision: WaitDispatch, route: Route, nowMs: number): void {
+    const { limitedReplicaId } = decision;
+    const reason = waitReason(decision);
+    if (reason !== this._waitReason) {
+      this._waitReason = reason;
+      this._context.waitingMetrics.countWait(reason);
+    }
     const needsOtherPermit = limitedReplicaId !== undefined && limitedReplicaId !== this._limitedReplicaId;
     this._limitedReplicaId = limitedReplicaId;
     const createRequest = (): WaitingRequest => ({
@@ -312,17 +346,22 @@
       leavesAtMs: nowMs + this._firstByteTimeLeftMs(route),
       sizeBytes: this._body.length,
       tenantName: this._admission?.tenant?.name,
+      heldFor: () => this._heldFor,
       redispatch: () => this._dispatch(),
     });
     const redispatch = (): void => {
       this._history.clearExcluded();
+      if (this._heldFor !== undefined) {
+        this._context.waitingRequests.redispatchHeld(this._nowMs());
+        return;
+      }
       this._dispatch();
     };
     const hasStarted = this._wait.start(createRequest, redispatch, nowMs);
     if (needsOtherPermit) {
       this._context.rateLimits.recordWait();
     }
-    if (hasStarted || needsOtherPermit) {
+    if ((hasStarted || needsOtherPermit) && this._heldFor === undefined) {
       this._context.notifyWaitStarted();
     }
   }
@@ -536,6 +575,7 @@
   private _endAttempt(outcome: AttemptOutcome): void {
     this._inactivityTimer.stop();
     this._attempt.end(outcome, this._nowMs());
+    this._context.waitingRequests.redispatchHeld(this._nowMs());
   }
 
   private _deadlineReached(): void {
@@ -636,6 +676,7 @@
       sends: this._history.sends.records,
       rateLimitPerSecond: this._rateLimitPerSecond,
       waitedMs: this._wait.waitedMs(nowMs),
+      waitedFor: this._waitReason,
       durationMs: nowMs - this._startedMs,
       firstPartMs: this._deliveryTimes.firstAfterMs(this._startedMs),
       longestGapMs: this._deliveryTimes.longestGapMs,
@@ -644,6 +685,7 @@
       blockedParts: this._blockedParts,
       readyInMs: this._readyInMs,
       retryAfterMs,
+      returnsTo: this._returnKind,
     };
     this._context.requestLog.record(result, nowMs);
   }
--- a/packages/gateway/src/forwarding/Types.ts
+++ b/packages/gateway/src/forwarding/Types.ts
@@ -16,6 +16,7 @@
 import type { StreamOrigins } from '../streams/Types.js';
 import type { TenantKeys } from '../tenants/TenantKeys.js';
 import type { Address, ModelReference, Replica, Route } from '../Types.js';
+import type { WaitingMetrics } from '../waiting/WaitingMetrics.js';
 import type { WaitingRequests } from '../waiting/WaitingRequests.js';
 import type { AdmissionStep } from './admission/AdmissionStep.js';
 import type { RequestLog } from './RequestLog.js';
@@ -34,6 +35,7 @@
   readonly speedReports: Pick<SpeedReports, 'record'>;
   readonly choiceMetrics: ChoiceMetrics;
   readonly waitingRequests: WaitingRequests;
+  readonly waitingMetrics: WaitingMetrics;
   readonly retryBudgets: RetryBudgets;
   readonly rateLimits: ReplicaRateLimits;
   readonly crashGuard: CrashGuard;
--- a/packages/gateway/src/forwarding/decideDispatch.test.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.test.ts
@@ -35,6 +35,7 @@
   waitedMs: 0,
   urgency: 2,
   tenantName: undefined,
+  exceedsShare: false,
   lateAtMs: 10_500,
   timeLeftMs: 8_000,
   requiredVersion: undefined,
@@ -48,7 +49,7 @@
     loads: new ReplicaLoads(),
     rateLimits: { maySend: () => true, expectedWaitMs: () => undefined },
     streams: { mayBegin: () => true },
-    waitingRequests: { countAhead: () => 0 },
+    waitingRequests: { countAhead: () => 0, isHeldFor: () => false },
     failureDomain: 'a',
     hasIdleConnection: () => false,
     random: () => 0,
@@ -94,6 +95,15 @@
     },
   );
 
+  vitest.test('holds a tenant that exceeds its share while the replica is full (guards against unfair queues)', () => {
+    const exceeding = { ...request, exceedsShare: true };
+    const full = context([holder], { loads: loadsWith(4) });
+    vitest.expect(decideDispatch(request, full, now).kind).toBe('send');
+    vitest.expect(decideDispatch(exceeding, full, now)).toEqual({ kind: 'wait', heldFor: 's m' });
+    vitest.expect(decideDispatch({ ...exceeding, mayHaveRun: true }, full, now).kind).toBe('send');
+    vitest.expect(decideDispatch({ ...exceeding, firstByteTimeLeftMs: 200 }, full, now).kind).toBe('refuse');
+  });
+
   vitest.test('never refuses a request that may have run (guards against false refusals)', () => {
     const busy = context([holder], { loads: loadsWith(40), longestRequestMs: () => 0 });
     vitest.expect(decideDispatch({ ...request, mayHaveRun: true }, busy, now).kind).toBe('send');
@@ -110,6 +120,13 @@
     },
   );
 
+  vitest.test('waits for a model though its caller has the first byte long since (guards against cut streams)', () => {
+    const begun = { ...request, mayHaveRun: true, firstByteTimeLeftMs: -1_000 };
+    const soon = context([sampleReplica()], { readyInMs: () => 400 });
+    vitest.expect(decideDispatch(begun, soon, now).kind).toBe('wait');
+    vitest.expect(decideDispatch({ ...begun, mayHaveRun: false }, soon, now).kind).toBe('refuse');
+  });
+
   vitest.test(
     'returns the remaining back-off time that a replica requested (guards against retries that come too early)',
     () => {
@@ -120,6 +137,20 @@
     },
   );
 
+  vitest.test('waits for replicas, models and permits after a power loss (guards against early refusals)', () => {
+    const afterPowerLoss = { awaitsFirstLeader: () => true };
+    const waited = { ...request, waitedMs: 1_500, firstByteTimeLeftMs: 500 };
+    const plain = { ...waited, modelReference: undefined };
+    vitest.expect(decideDispatch(plain, context([]), now).kind).toBe('refuse');
+    vitest.expect(decideDispatch(plain, context([], afterPowerLoss), now).kind).toBe('wait');
+    vitest.expect(decideDispatch(waited, context([], afterPowerLoss), now).kind).toBe('wait');
+    const rateLimits = { maySend: () => false, expectedWaitMs: () => undefined };
+    vitest.expect(decideDispatch(waited, context([holder], { rateLimits }), now).kind).toBe('refuse');
+    vitest.expect(decideDispatch(waited, context([holder], { rateLimits, ...afterPowerLoss }), now).kind).toBe('wait');
+    const leaving = { ...plain, firstByteTimeLeftMs: 250 };
+    vitest.expect(decideDispatch(leaving, context([], afterPowerLoss), now).kind).toBe('refuse');
+  });
+
   vitest.test('refuses a request that may outlast the stop (guards against streams cut by a planned stop)', () => {
     const stopping = context([holder], { longestRequestMs: () => 5_000 });
     vitest.expect(decideDispatch(request, stopping, now)).toMatchObject({ reason: 'this daemon stops' });
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -6,10 +6,12 @@
 import { selectReplica, shortestBackoffMs } from '../routing/selectReplica.js';
 import type { Instant, ModelReference, Replica, Route } from '../Types.js';
 import { decidePermitWait } from '../waiting/decidePermitWait.js';
+import { decideHold } from '../waiting/decideHold.js';
 import { decideReturn, firstEventReserveMs, type ReturnWindow } from '../waiting/decideReturn.js';
 import { decideWait, type WaitDecision, type WaitingSituation } from '../waiting/decideWait.js';
 import type { ReturnRoom } from '../waiting/PromisedReturns.js';
 import { callerTimeoutMs } from './retryPolicy.js';
+import type { WaitReason } from '../waiting/WaitingMetrics.js';
 import type { ExchangeContext } from './Types.js';
 
 /** Retry-After once replicas have refused or could not be reached, milliseconds. */
@@ -39,6 +41,8 @@
   readonly urgency: number;
   /** Tenant of the caller, if it has one. */
   readonly tenantName: string | undefined;
+  /** True if this tenant sends more than its share. */
+  readonly exceedsShare: boolean;
   /** Time at which the request misses its latency target, steady milliseconds. */
   readonly lateAtMs: number;
   /** Time until the deadline of the request, milliseconds. */
@@ -65,7 +69,7 @@
   readonly directory: Pick<ExchangeContext['directory'], 'usable'>;
   readonly rateLimits: Pick<ExchangeContext['rateLimits'], 'maySend' | 'expectedWaitMs'>;
   readonly streams: Pick<ExchangeContext['streams'], 'mayBegin'>;
-  readonly waitingRequests: Pick<ExchangeContext['waitingRequests'], 'countAhead'>;
+  readonly waitingRequests: Pick<ExchangeContext['waitingRequests'], 'countAhead' | 'isHeldFor'>;
 }
 
 /** Times between which a refused caller returns, and the room that it returns to. */
@@ -88,6 +92,8 @@
       readonly kind: 'wait';
       /** Replica with a rate limit that the request needs a permit for; absent if it waits for its model. */
       readonly limitedReplicaId?: string;
+      /** Full replicas for which the request is held, named by their service and model. */
+      readonly heldFor?: string;
       /** Suspected parts of the prompt, if the request waits for a trial of them. */
       readonly trialParts?: readonly string[];
     }
@@ -104,6 +110,20 @@
       readonly blockedParts?: readonly string[];
     };
 
+/** The decision that a request waits. */
+export type WaitDispatch = Extract<DispatchDecision, { kind: 'wait' }>;
+
+/** What a request waits for, for the log and the metrics. */
+export function waitReason({ limitedReplicaId, heldFor, trialParts }: WaitDispatch): WaitReason {
+  if (trialParts !== undefined) {
+    return 'trial';
+  }
+  if (limitedReplicaId !== undefined) {
+    return 'permit';
+  }
+  return heldFor === undefined ? 'model' : 'room';
+}
+
 /** A replica with a rate limit that a request could wait for. */
 interface PermitWaitOption {
   readonly replicaId: string;
@@ -211,6 +231,10 @@
       ? { kind: 'send' as const }
       : decideAdmission({ candidate, firstByteTimeLeftMs });
   if (admission.kind === 'send') {
+    const hold = holdWhileFull(input, context, candidate);
+    if (hold !== undefined) {
+      return hold;
+    }
     return {
       kind: 'send',
       replica: candidate.replica,
@@ -239,7 +263,7 @@
   const otherCopyInMs = modelReference === undefined ? undefined : context.readyInMs(modelReference.model);
   const readyInMs = otherCopyInMs === undefined || waitMs === undefined ? waitMs : Math.min(waitMs, otherCopyInMs);
   const estimate = readyInMs !== undefined && { readyInMs };
-  const decision = decidePermitWait({ ...waitingSituation(input), timeLeftMs, runMs, ...estimate });
+  const decision = decidePermitWait({ ...waitingSituation(input, context), timeLeftMs, runMs, ...estimate });
   return decision.kind === 'wait' ? { kind: 'wait', limitedReplicaId: replicaId } : { ...decision, ...estimate };
 }
 
@@ -251,26 +275,63 @@
 ): DispatchDecision {
   const { modelReference } = input;
   if (modelReference === undefined) {
+    const mayAppear = availableInMs === undefined && context.awaitsFirstLeader();
+    if (mayAppear && decideWait(waitingSituation(input, context)).kind === 'wait') {
+      return { kind: 'wait' };
+    }
     const reason =
       availableInMs === undefined ? 'no replica of the service is known' : 'all replicas turn requests away';
     return { kind: 'refuse', reason, retryAfterMs: availableInMs ?? refusedRetryAfterMs };
   }
   const readyInMs = availableInMs ?? context.readyInMs(modelReference.model);
   const estimate = readyInMs !== undefined && { readyInMs };
-  const awaitsFirstLeader = context.awaitsFirstLeader();
-  const decision = decideWait({ ...waitingSituation(input), awaitsFirstLeader, ...estimate });
+  const decision = decideWait({ ...waitingSituation(input, context), ...estimate });
   return decision.kind === 'wait'
     ? decision
     : { ...decision, ...estimate, ...promiseOf(decision, input, modelReference, context) };
 }
 
-function waitingSituation(input: DispatchInput): Omit<WaitingSituation, 'readyInMs'> {
+function waitingSituation(input: DispatchInput, context: DispatchContext): Omit<WaitingSituation, 'readyInMs'> {
   const { waitedMs, timeLeftMs, route, mayHaveRun } = input;
   const { latencyTargetMs } = route;
   // The caller of a stream that has begun has its first byte: it waits for the next one.
   const begunTimeLeftMs = mayHaveRun ? latencyTargetMs + firstEventReserveMs : 0;
   const firstByteTimeLeftMs = Math.max(input.firstByteTimeLeftMs, begunTimeLeftMs);
-  return { waitedMs, firstByteTimeLeftMs, timeLeftMs, latencyTargetMs, callerTimeoutMs: callerTimeoutMs(route) };
+  return {
+    waitedMs,
+    firstByteTimeLeftMs,
+    timeLeftMs,
+    latencyTargetMs,
+    callerTimeoutMs: callerTimeoutMs(route),
+    awaitsFirstLeader: context.awaitsFirstLeader(),
+  };
+}
+
+/** Holds or refuses a request of a tenant that exceeds its share while all replicas are full; else undefined. */
+function holdWhileFull(
+  input: DispatchInput,
+  context: DispatchContext,
+  candidate: Candidate,
+): DispatchDecision | undefined {
+  const { route, service, modelReference, exceedsShare, firstByteTimeLeftMs } = input;
+  if (!exceedsShare || input.mayHaveRun || input.requiredVersion !== undefined) {
+    return undefined;
+  }
+  const { running, runMs, replica } = candidate;
+  const heldFor = `${service} ${modelReference?.model ?? ''}`;
+  const decision = decideHold({
+    exceedsShare,
+    othersAreHeld: context.waitingRequests.isHeldFor(heldFor),
+    running,
+    slots: replica.slots,
+    firstByteAfterMs: route.kind === 'stream' ? 0 : runMs,
+    firstByteTimeLeftMs,
+  });
+  if (decision !== 'refuse') {
+    return decision === 'hold' ? { kind: 'wait', heldFor } : undefined;
+  }
+  const reason = 'the tenant exceeds its share of full replicas';
+  return { kind: 'refuse', reason, retryAfterMs: runMs, promise: promiseOfQueue(candidate, input, runMs) };
 }
 
 /**
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -24,6 +24,7 @@
 import { ReplicaLoads } from '../routing/ReplicaLoads.js';
 import { SpeedReports } from '../speeds/SpeedReports.js';
 import type { Replica, Route } from '../Types.js';
+import { WaitingMetrics } from '../waiting/WaitingMetrics.js';
 import { WaitingRequests } from '../waiting/WaitingRequests.js';
 import { FakeStreamOrigins } from './FakeStreamOrigins.js';
 import { FakeCodec } from './FakeCodec.js';
@@ -267,6 +268,7 @@
       speedReports: new SpeedReports(),
       choiceMetrics: new ChoiceMetrics(requestLog.registry),
       waitingRequests,
+      waitingMetrics: new WaitingMetrics(requestLog.registry, waitingRequests),
       retryBudgets,
       rateLimits: new ReplicaRateLimits(
         { permitSource: () => 'none', daemonCount: () => 1, random: () => 0 },
