--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -7,6 +7,7 @@
 import { CrashObserver } from '../crashes/CrashObserver.js';
 import { hasEnded } from '../crashes/hasEnded.js';
 import type { CrashReport } from '../crashes/Types.js';
+import type { AdmissionStep } from '../forwarding/admission/AdmissionStep.js';
 import { CallerServer } from '../forwarding/CallerServer.js';
 import { ReplicaAgent } from '../forwarding/ReplicaAgent.js';
 import { RequestLog } from '../forwarding/RequestLog.js';
@@ -50,6 +51,8 @@
   /** Retries that the retry budget allows in addition to its share of the requests. */
   public retrySlack = 1_000;
   public readonly requestHeads: string[] = [];
+  /** Admission steps before the body of a request is read. */
+  public readonly admissionSteps: AdmissionStep[] = [];
   /** Fields of the log lines of requests. */
   public readonly requestLines: Readonly<Record<string, unknown>>[] = [];
   public readonly crashGuard = new CrashGuard();
@@ -255,7 +258,7 @@
       crashMetrics: new CrashMetrics(requestLog.registry),
       streams: this.streams,
       agent: this._agent,
-      admission: { beforeBody: [], beforeDispatch: [] },
+      admission: { beforeBody: this.admissionSteps, beforeDispatch: [] },
       routes: () => routes,
       readyInMs: () => undefined,
       awaitsFirstLeader: () => false,
