Keep the store load that callers were told to return for

Cause: the store loads models by gain, and each new request for another model could become the first.

The leader remembers which models are loaded next. Another model takes the place only with twice the gain, which a single request does not have.

Both guards (the factor, and the weight of the time unserved) were removed in turn, and their tests failed. Tests of placement, waiting and peers pass.

--- a/packages/gateway/src/placement/PlacementLeader.ts
+++ b/packages/gateway/src/placement/PlacementLeader.ts
@@ -14,7 +14,7 @@
 import { TrackedReplica, type RunningCounts } from './TrackedReplica.js';
 import { StoreLoadLimiter } from './StoreLoadLimiter.js';
 import type { PlacedRateLimit, PlacedReplica, PlacementInput, PlacementPlan, PlannedOrder } from './Types.js';
-import { isLoadingFromStore, isStoreLoad } from './weights.js';
+import { isLoadingFromStore, isStoreLoad, nextStoreLoads } from './weights.js';
 
 /** Maximum age of a report, milliseconds. A report that still differs after this time is authoritative. */
 const maximumReportLagMs = 600;
@@ -43,6 +43,8 @@
   private _planTimer: NodeJS.Timeout | undefined;
   private _lastPlanMs = Number.NEGATIVE_INFINITY;
   private _estimates: readonly ReadyEstimate[] = [];
+  /** Models that the store was to load next in the last plan, by service. */
+  private readonly _nextStoreLoads = new Map<string, ReadonlySet<string>>();
   private _lastNewReplicaMs = 0;
   private _leaderSinceMs = 0;
 
@@ -198,6 +200,7 @@
     const inputs = this._inputs(now.steadyMs);
     for (const input of inputs) {
       this._planService(input, now.steadyMs);
+      this._nextStoreLoads.set(input.service, nextStoreLoads(input));
     }
     this._estimates = inputs.flatMap((input) => estimateReady(input, now.steadyMs));
     this._onPlanned.fire(undefined);
@@ -241,15 +244,17 @@
     return new Map(services.flatMap(({ name, engine }) => (engine === undefined ? [] : [[name, engine]])));
   }
 
-  private _inputs(nowMs: number): readonly PlacementInput[] {
+  private _inputs(nowMs: number): readonly (PlacementInput & { readonly service: string })[] {
     const running = this._runningCounts();
     const demands = this._demand.demands(nowMs);
     return [...this._engineServices()].map(([service, engine]) => ({
+      service,
       models: engine.models,
       replicas: this._placedReplicas(service, engine, running, nowMs),
       demands: demands.filter((demand) => engine.models.has(demand.modelReference.model)),
       mayLoadMissing: this._mayLoadMissing(nowMs),
       maximumStoreLoads: this._maximumStoreLoads(engine),
+      nextStoreLoads: this._nextStoreLoads.get(service) ?? new Set<string>(),
     }));
   }
 
--- a/packages/gateway/src/placement/Types.ts
+++ b/packages/gateway/src/placement/Types.ts
@@ -89,6 +89,8 @@
   readonly mayLoadMissing: boolean;
   /** Maximum number of concurrent loads from the weight store. */
   readonly maximumStoreLoads: number;
+  /** Models that the store was to load next in the previous plan. */
+  readonly nextStoreLoads?: ReadonlySet<string>;
 }
 
 /** An order to send, with its reason for the log. */
--- a/packages/gateway/src/placement/estimateReady.test.ts
+++ b/packages/gateway/src/placement/estimateReady.test.ts
@@ -3,6 +3,7 @@
 import { estimateReady } from './estimateReady.js';
 import { planModels } from './planModels.js';
 import { StoreLoadLimiter } from './StoreLoadLimiter.js';
+import { nextStoreLoads } from './weights.js';
 import type { Demand, OrderInProgress, PlacedReplica, PlacementInput } from './Types.js';
 
 const nowMs = 100_000;
@@ -103,6 +104,26 @@
     },
   );
 
+  vitest.test('loads the model first that is unserved for longer (guards against waits without end)', () => {
+    const state = input([placedReplica('r')], { waiting: 1, ratePerSecond: 0.1, unservedMs: 6_000 });
+    const models = new Map([...state.models, ['n', { ...specification, name: 'n' }]]);
+    const newer: Demand = { ...baseDemand, modelReference: { model: 'n' }, ratePerSecond: 0.4 };
+    const plan = planModels({ ...state, models, demands: [...state.demands, newer], maximumStoreLoads: 1 }, nowMs);
+    vitest.expect(plan.orders.map(({ model }) => model)).toEqual(['m']);
+  });
+
+  vitest.test('keeps the store load that was promised (guards against one load promised to many callers)', () => {
+    const state = input([placedReplica('r')], { ratePerSecond: 0, waitingPatienceMs: 20_000 });
+    const models = new Map([...state.models, ['n', { ...specification, name: 'n' }]]);
+    const newer: Demand = { ...baseDemand, modelReference: { model: 'n' }, ratePerSecond: 0.25 };
+    const first = { ...state, models, maximumStoreLoads: 1 };
+    const second = { ...first, demands: [...first.demands, newer], nextStoreLoads: nextStoreLoads(first) };
+    vitest.expect(planModels(second, nowMs).orders.map(({ model }) => model)).toEqual(['m']);
+    vitest.expect(estimateReady(second, nowMs).find(({ model }) => model === 'n')?.readyInMs).toBe(2 * loadMs.store);
+    const better = { ...second, demands: [...first.demands, { ...newer, waiting: 3 }] };
+    vitest.expect(planModels(better, nowMs).orders.map(({ model }) => model)).toEqual(['n']);
+  });
+
   vitest.test('scales with the number of concurrent store loads', () => {
     const limiter = new StoreLoadLimiter();
     const order = { kind: 'load', tier: 'store' } as const;
--- a/packages/gateway/src/placement/estimateReady.ts
+++ b/packages/gateway/src/placement/estimateReady.ts
@@ -166,7 +166,7 @@
 
   /** Times at which the models that no replica can load from local weights come from the store, in planning order. */
   private _storeSchedule(): ReadonlyMap<string, number> {
-    const { models, replicas, maximumStoreLoads } = this._input;
+    const { models, replicas, maximumStoreLoads, nextStoreLoads } = this._input;
     const longestLoadMs = Math.max(0, ...[...models.values()].map(({ loadMs }) => loadMs.store));
     const busyMs = replicas
       .filter((replica) => isLoadingFromStore(replica) || replica.hasFormerOrder)
@@ -177,7 +177,7 @@
       freeInMs.unshift(0);
     }
     const times = new Map<string, number>();
-    for (const [model] of storeCandidates(this._demand, this._copies, models)) {
+    for (const [model] of storeCandidates(this._demand, this._copies, models, nextStoreLoads)) {
       const isMissing = this._copies.assigned(model).length === 0 && !this._hasLocalWeights(model);
       const loadMs = models.get(model)?.loadMs.store;
       if (isMissing && loadMs !== undefined) {
--- a/packages/gateway/src/placement/planModels.ts
+++ b/packages/gateway/src/placement/planModels.ts
@@ -194,11 +194,13 @@
    * more requests than slots.
    */
   private _loadFromStore(hot: readonly HotModel[]): void {
-    const missing = storeCandidates(this._demand, this._copies, this._input.models).map(([model, gain]) => ({
-      model,
-      gain,
-      reason: 'waiting' as const,
-    }));
+    const missing = storeCandidates(this._demand, this._copies, this._input.models, this._input.nextStoreLoads).map(
+      ([model, gain]) => ({
+        model,
+        gain,
+        reason: 'waiting' as const,
+      }),
+    );
     const candidates: StoreCandidate[] = [...missing, ...overloaded(hot)];
     candidates.sort((one, other) => other.gain - one.gain);
     for (const { model, reason } of candidates) {
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -1,6 +1,6 @@
-import type { CopyIndex } from './CopyIndex.js';
+import { CopyIndex } from './CopyIndex.js';
 import type { ModelSpecification, WeightTier } from '../Types.js';
-import type { Demand, OrderInProgress, PlacedModel, PlacedReplica } from './Types.js';
+import type { Demand, OrderInProgress, PlacedModel, PlacedReplica, PlacementInput } from './Types.js';
 
 /** Memory of a loaded model with its adapters, megabytes. */
 export function heldMegabytes(model: PlacedModel, models: ReadonlyMap<string, ModelSpecification>): number {
@@ -72,23 +72,40 @@
   return served * ageFactor + predicted * Math.min(patienceMs / loadMs, 1);
 }
 
+/** Factor by which the gain of another load must exceed that of the load that callers were promised. */
+const promisedFactor = 2;
+
 /**
  * Candidates for a load from the weight store with their gain, in descending order of gain: models that requests wait
  * for, and requested models that no replica has. Requests for the latter are often refused at once, so none may be
- * waiting.
+ * waiting. `next` contains the models that were first in the previous plan: the times to return of their callers rest
+ * on it, and a single request for another model must not take their load.
  */
 export function storeCandidates(
   demands: ReadonlyMap<string, ModelDemand>,
   copies: CopyIndex,
   models: ReadonlyMap<string, ModelSpecification>,
+  next: ReadonlySet<string> = new Set(),
 ): readonly (readonly [string, number])[] {
   const candidates = [...demands].filter(([model, demand]) => demand.waiting > 0 || !copies.hasAnyCopy(model));
   const gains = candidates.map(([model, demand]) => {
-    return [model, storeGainOf(demand, Math.max(models.get(model)?.loadMs.store ?? 0, 1))] as const;
+    const gain = storeGainOf(demand, Math.max(models.get(model)?.loadMs.store ?? 0, 1));
+    return [model, gain * (next.has(model) ? promisedFactor : 1)] as const;
   });
   return gains.sort(([, first], [, second]) => second - first);
 }
 
+/** Models without a copy that the store loads next, as many as it loads at once, if requests wait for them. */
+export function nextStoreLoads(input: PlacementInput): ReadonlySet<string> {
+  const demands = demandByModel(input.demands);
+  const copies = new CopyIndex(input.replicas);
+  const missing = storeCandidates(demands, copies, input.models, input.nextStoreLoads)
+    .map(([model]) => model)
+    .filter((model) => !copies.hasAnyCopy(model));
+  const next = missing.slice(0, input.maximumStoreLoads);
+  return new Set(next.filter((model) => (demands.get(model)?.waiting ?? 0) > 0));
+}
+
 /** Fastest tier from which a replica can load a model. */
 export function loadTier(replica: PlacedReplica, model: string): WeightTier {
   if (replica.inMemory.has(model)) {
