--- a/packages/gateway/src/placement/estimateReady.ts
+++ b/packages/gateway/src/placement/estimateReady.ts
@@ -2,7 +2,7 @@
 import type { ModelSpecification } from '../Types.js';
 import { CopyIndex } from './CopyIndex.js';
 import { adapterReadyMs, idleUnloadMs, loadDurationMs } from './expectedDuration.js';
-import { drainMs, LoadOptions, minimumResidenceMs, urgentSlackMs } from './LoadOptions.js';
+import { drainMs, evictionLeadMs, LoadOptions, minimumResidenceMs } from './LoadOptions.js';
 import type { PlacedModel, PlacedReplica, PlacementInput } from './Types.js';
 import {
   demandByModel,
@@ -130,9 +130,10 @@
     if (victims === undefined) {
       return Number.POSITIVE_INFINITY;
     }
-    const isBusy = victims.some(({ running }) => running > 0);
+    const running = Math.max(...victims.map((victim) => victim.running), 0);
+    const leadMs = evictionLeadMs(specification.loadMs[loadTier(replica, specification.name)], running);
     const residenceMs = victims.map(({ readySinceMs }) => readySinceMs + minimumResidenceMs - this._nowMs);
-    return Math.max(isBusy ? demand.slackMs - urgentSlackMs : 0, 0, ...residenceMs) + unloadMs(victims);
+    return Math.max(running > 0 ? demand.slackMs - leadMs : 0, 0, ...residenceMs) + unloadMs(victims);
   }
 
   /** The models with the fewest running requests that free the memory for a model; undefined if they are too small. */
@@ -166,7 +167,7 @@
 
   /** Times at which the models that no replica can load from local weights come from the store, in planning order. */
   private _storeSchedule(): ReadonlyMap<string, number> {
-    const { models, replicas, maximumStoreLoads } = this._input;
+    const { models, replicas, maximumStoreLoads, nextStoreLoads } = this._input;
     const longestLoadMs = Math.max(0, ...[...models.values()].map(({ loadMs }) => loadMs.store));
     const busyMs = replicas
       .filter((replica) => isLoadingFromStore(replica) || replica.hasFormerOrder)
@@ -177,7 +178,7 @@
       freeInMs.unshift(0);
     }
     const times = new Map<string, number>();
-    for (const [model] of storeCandidates(this._demand, this._copies, models)) {
+    for (const [model] of storeCandidates(this._demand, this._copies, models, nextStoreLoads)) {
       const isMissing = this._copies.assigned(model).length === 0 && !this._hasLocalWeights(model);
       const loadMs = models.get(model)?.loadMs.store;
       if (isMissing && loadMs !== undefined) {
--- a/packages/gateway/src/testing/ExchangeFixture.ts
+++ b/packages/gateway/src/testing/ExchangeFixture.ts
@@ -8,6 +8,7 @@
 import { CrashObserver } from '../crashes/CrashObserver.js';
 import { hasEnded } from '../crashes/hasEnded.js';
 import type { CrashReport } from '../crashes/Types.js';
+import type { AdmissionStep } from '../forwarding/admission/AdmissionStep.js';
 import { CallerServer } from '../forwarding/CallerServer.js';
 import { ReplicaAgent } from '../forwarding/ReplicaAgent.js';
 import { RequestLog } from '../forwarding/RequestLog.js';
@@ -56,8 +57,10 @@
   public connectionCheckMs: number | undefined;
   /** Retries that the retry budget allows in addition to its share of the requests. */
   public retrySlack = 1_000;
-  public admission: ExchangeContext['admission'] = { beforeBody: [], beforeDispatch: [] };
+  public readonly admissionSteps: AdmissionStep[] = [];
+  public admission: ExchangeContext['admission'] = { beforeBody: this.admissionSteps, beforeDispatch: [] };
   public readonly requestHeads: string[] = [];
+  /** Admission steps before the body of a request is read. */
   /** Fields of the log lines of requests. */
   public readonly requestLines: Readonly<Record<string, unknown>>[] = [];
   public readonly crashGuard = new CrashGuard();
