--- a/packages/cli/src/explain/explainRequest.test.ts
+++ b/packages/cli/src/explain/explainRequest.test.ts
@@ -55,6 +55,16 @@
     vitest.expect(found.map((line) => line.timeMs)).toEqual([15_000, 20_000]);
   });
 
+  vitest.test('finds since when the tenant is over its quota (guards against an unexplained 429)', () => {
+    const overQuota = { ...refused, tenant: 't-1', status: 429 };
+    const begins = { time: 1_000, tenant: 't-1', msg: 'quotas: Tenant is over its quota.' };
+    const found = explainRequest(
+      lines(begins, { ...begins, time: 500 }, { ...begins, tenant: 't-2' }, overQuota),
+      'a1',
+    );
+    vitest.expect(found.map((line) => line.timeMs)).toEqual([1_000, 20_000]);
+  });
+
   vitest.test(
     'finds the crashes that the parts of a prompt were blocked for (guards against an unexplained block)',
     () => {
--- a/packages/cli/src/explain/explainRequest.ts
+++ b/packages/cli/src/explain/explainRequest.ts
@@ -29,7 +29,8 @@
 /**
  * Returns the lines that explain the outcome of a request, ordered by time: its own lines, those of its model and
  * replicas, and those of the lease, the store and the configuration shortly before; for a request that was refused for
- * parts of its prompt, also the crashes that they were blocked for. Empty if no line belongs to the request.
+ * parts of its prompt, also the crashes that they were blocked for, and for one refused with 429, the last line on the
+ * quota of its tenant. Empty if no line belongs to the request.
  */
 export function explainRequest(lines: readonly LogLine[], attemptId: string): readonly LogLine[] {
   const ownLines = lines.filter((line) => line.fields.attemptId === attemptId);
@@ -48,12 +49,24 @@
     const isAboutRequest = hasSharedPrefix || isAboutModel || replicas.includes(line.fields.replica);
     return (isRecent && isAboutRequest) || (line.timeMs <= untilMs && concernsParts(line.fields, blockedParts));
   };
+  const quotaLine = last.fields.status === 429 ? lastQuotaLine(lines, last.fields.tenant, untilMs) : undefined;
   const found = lines.filter(
-    (line) => ownLines.includes(line) || (line.fields.attemptId === undefined && isRelevant(line)),
+    (line) =>
+      line === quotaLine || ownLines.includes(line) || (line.fields.attemptId === undefined && isRelevant(line)),
   );
   return found.sort((first, second) => first.timeMs - second.timeMs);
 }
 
+/** Last line up to a time on the quota of a tenant. A tenant may have been over it for long. */
+function lastQuotaLine(lines: readonly LogLine[], tenant: unknown, untilMs: number): LogLine | undefined {
+  const about = ({ timeMs, fields }: LogLine): boolean =>
+    timeMs <= untilMs && fields.tenant === tenant && String(fields.msg).startsWith('quotas:');
+  return lines
+    .filter(about)
+    .sort((first, second) => first.timeMs - second.timeMs)
+    .at(-1);
+}
+
 function listOf(value: unknown): readonly unknown[] {
   return Array.isArray(value) ? value : [];
 }
--- a/packages/gateway/src/quotas/DaemonQuotas.ts
+++ b/packages/gateway/src/quotas/DaemonQuotas.ts
@@ -16,7 +16,9 @@
 /** A tenant whose quota is known. */
 export type LimitedTenant = Pick<Tenant, 'name'> & { readonly quota: TenantQuota };
 
+/** A message to the leader that is not answered. */
 interface OpenAsk {
+  /** Time of the message. The credit that answers it expires by this time. */
   readonly askedAt: Instant;
   readonly ticketsByTenant: ReadonlyMap<string, readonly QuotaTicket[]>;
 }
@@ -100,7 +102,6 @@
       daemon: this._daemon,
       incarnation: this._incarnation,
       sequence: this._sequence,
-      askedAt: now,
       tenants,
       ...(hasUsed && { usedAlone: used }),
     };
--- a/packages/gateway/src/quotas/QuotaStep.test.ts
+++ b/packages/gateway/src/quotas/QuotaStep.test.ts
@@ -157,7 +157,7 @@
       daemon: 'vm1',
       incarnation: 1,
       sequence: 1,
-      askedAt: fixture.now,
+
       tenants: [],
       usedAlone: { t: 7_000 },
     };
--- a/packages/gateway/src/quotas/Types.ts
+++ b/packages/gateway/src/quotas/Types.ts
@@ -1,5 +1,3 @@
-import type { Instant } from '../Types.js';
-
 /** A tenant's part of a request for quota. */
 export interface TenantAsk {
   readonly tenant: string;
@@ -16,8 +14,6 @@
   readonly incarnation: number;
   /** Number of the message. The leader ignores one that it has received before. */
   readonly sequence: number;
-  /** Time of the message by the daemon's clocks. The credit that answers it expires by this time. */
-  readonly askedAt: Instant;
   readonly tenants: readonly TenantAsk[];
   /**
    * Units that the daemon used without a leader since its last answer, by tenant. Only in the first message to a leader,
