Let a daemon at low load use all replicas

Change: the factor of a connection grows with the utilisation, in full from 0.5. The speed of a replica adds 20 ms to run times, bounds one run to 0.4 to 2.5 of the usual, and decays to the mean with 120 s without runs.

--- a/packages/gateway/src/forwarding/CurrentAttempt.ts
+++ b/packages/gateway/src/forwarding/CurrentAttempt.ts
@@ -52,9 +52,9 @@
   }
 
   /** Records the duration of a successful response to a request of a route, milliseconds. */
-  public recordDuration(durationMs: number, route: string | undefined): void {
+  public recordDuration(durationMs: number, route: string | undefined, nowMs: number): void {
     if (this._running !== undefined) {
-      this._loads.recordRun(this._running.attempt.replica.id, durationMs, route);
+      this._loads.recordRun(this._running.attempt.replica.id, durationMs, route, nowMs);
     }
   }
 
--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -378,7 +378,8 @@
   private _responseEnded(): void {
     const isGood = this._responseStatus < 500;
     if (isGood) {
-      this._attempt.recordDuration(this._nowMs() - this._responseStartedMs, this._route?.name);
+      const nowMs = this._nowMs();
+      this._attempt.recordDuration(nowMs - this._responseStartedMs, this._route?.name, nowMs);
     }
     this._endAttempt(isGood ? 'succeeded' : 'failed');
     this._finish(isGood ? 'delivered' : 'replicaFailure', this._responseStatus);
--- a/packages/gateway/src/routing/ReplicaLoads.ts
+++ b/packages/gateway/src/routing/ReplicaLoads.ts
@@ -113,8 +113,8 @@
    * Records the time of a run from the first byte of its answer to the end, milliseconds. Runs of the same kind take
    * about the same time on replicas of the same speed.
    */
-  public recordRun(replicaId: string, durationMs: number, kind = ''): void {
-    this._speeds.recordRun(replicaId, this._load(replicaId).service ?? '', kind, durationMs);
+  public recordRun(replicaId: string, durationMs: number, kind = '', nowMs = 0): void {
+    this._speeds.recordRun(replicaId, this._load(replicaId).service ?? '', kind, durationMs, nowMs);
   }
 
   public recordUnreachable(replicaId: string, nowMs: number): void {
--- a/packages/gateway/src/routing/ReplicaSpeeds.ts
+++ b/packages/gateway/src/routing/ReplicaSpeeds.ts
@@ -12,13 +12,18 @@
 /** Largest number of runs that an estimate averages over, so that it follows a lasting change. */
 const maximumRuns = 40;
 /** Bounds of one run relative to the usual, as a single very long or short answer says little about speed. */
-const runRatio = { minimum: 0.2, maximum: 5 } as const;
+const runRatio = { minimum: 0.4, maximum: 2.5 } as const;
+/** Variation of run times that has other causes than the replica, for instance a busy daemon, milliseconds. */
+const noiseMs = 20;
+/** Time constant with which a speed decays to the mean without runs, so that a replica once slow is tried again. */
+const lastingDecayMs = 120_000;
 /** Time constant of the decay of a reported momentary speed, milliseconds. Replicas are slow for some 600 ms at a time. */
 const momentaryDecayMs = 400;
 
 interface Speed {
   /** Lasting run time relative to the mean of the replicas. */
   lasting: number;
+  lastingMs: number;
   runs: number;
   /** Run time relative to the usual one of this replica, as last reported. */
   momentary: number;
@@ -36,16 +41,17 @@
   private readonly _kindRunMs = new Map<string, number>();
 
   /** Records the time of a run from the first byte of its answer to the end, milliseconds. */
-  public recordRun(replicaId: string, service: string, kind: string, durationMs: number): void {
+  public recordRun(replicaId: string, service: string, kind: string, durationMs: number, nowMs: number): void {
     const speed = this._speed(replicaId);
+    speed.lasting = lastingSlowness(speed, nowMs);
+    speed.lastingMs = nowMs;
     const kindKey = `${service} ${kind}`;
     const kindMs = this._kindRunMs.get(kindKey) ?? durationMs / speed.lasting;
     const serviceMs = this.serviceRunMs(service);
-    if (kindMs > 0) {
-      const ratio = Math.min(Math.max(durationMs / kindMs, runRatio.minimum), runRatio.maximum);
-      speed.runs = Math.min(speed.runs + 1, maximumRuns);
-      speed.lasting += (ratio - speed.lasting) / (speed.runs + priorRuns);
-    }
+    const measured = (durationMs + noiseMs) / (kindMs + noiseMs);
+    const ratio = Math.min(Math.max(measured, runRatio.minimum), runRatio.maximum);
+    speed.runs = Math.min(speed.runs + 1, maximumRuns);
+    speed.lasting += (ratio - speed.lasting) / (speed.runs + priorRuns);
     this._kindRunMs.set(kindKey, kindMs + (durationMs / speed.lasting - kindMs) * runWeight);
     this._serviceRunMs.set(service, serviceMs + (durationMs - serviceMs) * runWeight);
   }
@@ -62,7 +68,7 @@
   /** Expected run time on a replica now, relative to the mean of the replicas. */
   public slowness(replicaId: string, nowMs: number): number {
     const speed = this._speeds.get(replicaId);
-    return speed === undefined ? 1 : speed.lasting * momentarySlowness(speed, nowMs);
+    return speed === undefined ? 1 : lastingSlowness(speed, nowMs) * momentarySlowness(speed, nowMs);
   }
 
   /** Mean run time of this daemon's requests to a service, milliseconds. */
@@ -77,13 +83,17 @@
   private _speed(replicaId: string): Speed {
     let speed = this._speeds.get(replicaId);
     if (speed === undefined) {
-      speed = { lasting: 1, runs: 0, momentary: 1, momentaryMs: 0 };
+      speed = { lasting: 1, lastingMs: 0, runs: 0, momentary: 1, momentaryMs: 0 };
       this._speeds.set(replicaId, speed);
     }
     return speed;
   }
 }
 
+function lastingSlowness({ lasting, lastingMs }: Speed, nowMs: number): number {
+  return 1 + (lasting - 1) * Math.exp(-Math.max(nowMs - lastingMs, 0) / lastingDecayMs);
+}
+
 function momentarySlowness({ momentary, momentaryMs }: Speed, nowMs: number): number {
   return momentary === 1 ? 1 : 1 + (momentary - 1) * Math.exp(-(nowMs - momentaryMs) / momentaryDecayMs);
 }
--- a/packages/gateway/src/routing/chooseReplica.test.ts
+++ b/packages/gateway/src/routing/chooseReplica.test.ts
@@ -61,6 +61,14 @@
     vitest.expect(chosen).toBeGreaterThanOrEqual(share);
   });
 
+  vitest.test(
+    'uses idle replicas without a connection as well (guards against a daemon that keeps to one replica)',
+    () => {
+      const [, other = 0] = shares([candidate('r1', { hasConnection: true }), candidate('r2')]);
+      vitest.expect(other).toBeGreaterThan(0.4);
+    },
+  );
+
   vitest.test('leaves a replica with a connection that is fuller (guards against uneven load by affinity)', () => {
     const fuller = candidate('r1', { running: 6, hasConnection: true });
     vitest.expect(shares([fuller, candidate('r2', { running: 2 })])).toEqual([0, 1]);
--- a/packages/gateway/src/routing/chooseReplica.ts
+++ b/packages/gateway/src/routing/chooseReplica.ts
@@ -47,6 +47,11 @@
  * short of requests, and differ between daemons, so that the load remains even.
  */
 const preferenceFactors = { connection: 16, promptParts: 20, sameDomain: 4 } as const;
+/**
+ * Utilisation from which the factor of a connection applies in full. At less load a new connection delays nobody, and a
+ * daemon that keeps to a few replicas would not notice changes of the others.
+ */
+const connectionUtilisation = 0.5;
 
 /** True if a replica holds the model and adapter of a request. */
 export function holdsModel(replica: Replica, modelReference: ModelReference | undefined): boolean {
@@ -73,14 +78,19 @@
     return candidates[0];
   }
   let sends = 1;
+  let running = 0;
+  let slots = 0;
   const options = candidates.map((candidate) => {
     sends += candidate.running - candidate.knownRunning;
+    running += candidate.running;
+    slots += candidate.replica.slots;
     return fillOption(candidate, failureDomain);
   });
   const weights = fillToLevel(options, sends);
+  const connectionShare = Math.min(running / (Math.max(slots, 1) * connectionUtilisation), 1);
   let total = 0;
   for (const [index, candidate] of candidates.entries()) {
-    const weight = (weights[index] ?? 0) * preference(candidate, failureDomain);
+    const weight = (weights[index] ?? 0) * preference(candidate, failureDomain, connectionShare);
     weights[index] = weight;
     total += weight;
   }
@@ -112,9 +122,10 @@
   );
 }
 
-function preference({ replica, hasConnection, hasPromptParts }: Candidate, failureDomain: string): number {
+function preference(candidate: Candidate, failureDomain: string, connectionShare: number): number {
+  const { replica, hasConnection, hasPromptParts } = candidate;
   return (
-    (hasConnection ? preferenceFactors.connection : 1) *
+    (hasConnection ? 1 + (preferenceFactors.connection - 1) * connectionShare : 1) *
     (hasPromptParts ? preferenceFactors.promptParts : 1) *
     (replica.failureDomain === failureDomain ? preferenceFactors.sameDomain : 1)
   );
--- a/packages/gateway/src/testing/balance/SimulatedView.ts
+++ b/packages/gateway/src/testing/balance/SimulatedView.ts
@@ -37,7 +37,7 @@
 
   public recordEnd(index: number, runMs: number, nowMs: number): void {
     this.own[index] = (this.own[index] ?? 0) - 1;
-    this.loads.recordRun(this._id(index), runMs);
+    this.loads.recordRun(this._id(index), runMs, '', nowMs);
     this.loads.recordEnd(this._id(index), undefined);
     const connections = this._connections[index];
     if (connections !== undefined && connections.length < keptConnection.maximum) {
