Trust nothing in a response whose status is not one of HTTP

Cause: Node.js accepts any three digits as a status, and only the relays to callers and services checked them. An order that got 000 or 999 counted as refused, so as not run; the store's era was taken from any response; a JSON-RPC result of a peer counted at any status; an engine's 600 counted as a server error, which leaves its breaker closed.

Change: JsonHttpClient, RpcClient and EngineAttempt fail at a status outside 200 to 599 before they read anything else. JsonHttpClient covers orders, reports and the store of the gateway, and orders, index, load, VM list and log of jayhavend. ReplicaAttempt of the gateway and ServiceAttempt already did: their tests now cover 000, 099, 600 and 999, also with the headers of a refusal.

--- a/packages/common/src/JsonHttpClient.test.ts
+++ b/packages/common/src/JsonHttpClient.test.ts
@@ -43,6 +43,21 @@
     vitest.expect(outcome).toMatchObject({ ok: false, failure: { kind: 'invalidRequest', mayHaveRun: false } });
   });
 
+  vitest.test.each(['000', '099', '600', '999'])(
+    'takes a response with status %s for none (guards against an order or a report that is trusted)',
+    async (status) => {
+      const server = net.createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.on('data', () => socket.write(`HTTP/1.1 ${status} OK\r\nContent-Length: 2\r\n\r\n{}`));
+      });
+      const url = await listen(server);
+      await using client = new JsonHttpClient();
+      const outcome = await client.request({ method: 'GET', url, timeoutMs });
+      vitest.expect(outcome).toMatchObject({ ok: false, failure: { kind: 'broken', mayHaveRun: true } });
+      server.close();
+    },
+  );
+
   vitest.test(
     'uses no connection that was idle for too long (guards against reads on connections that went silent)',
     async () => {
--- a/packages/common/src/JsonHttpClient.ts
+++ b/packages/common/src/JsonHttpClient.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import { closeIdleConnections } from './closeIdleConnections.js';
 import { ByteCollector } from './ByteCollector.js';
+import { statusFault } from './messageHead.js';
 import { fail, succeed } from './Outcome.js';
 import { PacedAgent } from './PacedAgent.js';
 import { PacedBody } from './PacedBody.js';
@@ -138,6 +139,11 @@
         finish(fail({ kind: connected ? 'broken' : 'connectFailed', message: error.message, mayHaveRun: connected }));
       });
       outgoing.on('response', (response) => {
+        const fault = statusFault(response);
+        if (fault !== undefined) {
+          giveUp('broken', fault);
+          return;
+        }
         readBytes(response, this._maximumBodyBytes).then(
           (body) => {
             finish(succeed({ status: response.statusCode ?? 0, headers: response.headers, body }));
--- a/packages/common/src/messageHead.ts
+++ b/packages/common/src/messageHead.ts
@@ -15,14 +15,22 @@
   return !invalidValue.test(text);
 }
 
+/**
+ * Returns why the status of a received response is not one of HTTP (RFC 9110, section 15); undefined if it is. Nothing in such
+ * a response may be trusted. Node.js accepts any three digits.
+ */
+export function statusFault({ statusCode = 0 }: http.IncomingMessage): string | undefined {
+  return statusCode < lowestFinalStatus || statusCode > highestStatus ? `invalid status ${statusCode}` : undefined;
+}
+
 /**
  * Returns why the head of a received response is malformed; undefined if it is well-formed. The parser of Node.js accepts
  * heads that `writeHead` rejects with an exception, so a head is checked before any part of it is sent on.
  */
 export function responseHeadFault(response: http.IncomingMessage): string | undefined {
-  const status = response.statusCode ?? 0;
-  if (status < lowestFinalStatus || status > highestStatus) {
-    return `invalid status ${status}`;
+  const fault = statusFault(response);
+  if (fault !== undefined) {
+    return fault;
   }
   if (!isHeaderValue(response.statusMessage ?? '')) {
     return 'invalid character in the reason phrase';
--- a/packages/daemon/src/peers/RpcClient.ts
+++ b/packages/daemon/src/peers/RpcClient.ts
@@ -125,6 +125,11 @@
 }
 
 async function readResponse(response: http.IncomingMessage): Promise<JSONRPCResponse> {
+  const fault = common.statusFault(response);
+  if (fault !== undefined) {
+    response.destroy();
+    throw new Error(fault);
+  }
   const text = await common.readBody(response, maximumResponseBytes);
   const message: unknown = JSON.parse(text);
   if (!isJSONRPCResponse(message)) {
--- a/packages/daemon/src/routing/EngineAttempt.test.ts
+++ b/packages/daemon/src/routing/EngineAttempt.test.ts
@@ -108,6 +108,28 @@
     },
   );
 
+  vitest.test.each(['000', '099', '600', '999'])(
+    'fails at a response with status %s (guards against a refusal or a server error that is trusted)',
+    async (status) => {
+      await using fixture = await FrontFixture.open();
+      const server = net.createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.once('data', (bytes) => {
+          const id = /x-request-id: (\S+)/i.exec(bytes.toString())?.[1] ?? '';
+          socket.end(`HTTP/1.1 ${status} OK\r\nx-request-id: ${id}\r\ncontent-length: 2\r\n\r\n{}`);
+        });
+      });
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+      const { port } = server.address() as net.AddressInfo;
+      fixture.register(() => void server.close());
+      fixture.controlPlane.setVm('vm-1', 'live', { address: `127.0.0.1:${port}` });
+      fixture.controlPlane.setReplica({ replica: 1, vm: 'vm-1' });
+      vitest.expect((await fixture.chat('p')).status).toBe(502);
+      const [failed] = fixture.events.filter(({ event }) => event === 'attemptFailed');
+      vitest.expect(failed?.detail?.reason).toBe(`the answer has an invalid status ${Number(status)}`);
+    },
+  );
+
   const brokenResponses = [
     ['truncated', 'HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n{"id":"'],
     ['not JSON', 'HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nyes'],
--- a/packages/daemon/src/routing/EngineAttempt.ts
+++ b/packages/daemon/src/routing/EngineAttempt.ts
@@ -143,6 +143,11 @@
   private _handleResponse(response: http.IncomingMessage): void {
     this._response = response;
     this._lastReceivedMs = this._now();
+    const fault = common.statusFault(response);
+    if (fault !== undefined) {
+      this._fail(`the answer has an ${fault}`);
+      return;
+    }
     const status = response.statusCode ?? 0;
     if (status !== 200) {
       this._readBody(response, maximumErrorBytes, (body) => {
--- a/packages/daemon/src/routing/ServiceAttempt.test.ts
+++ b/packages/daemon/src/routing/ServiceAttempt.test.ts
@@ -27,6 +27,9 @@
   vitest.test.each([
     ['a control byte in the reason phrase', answer.replace('OK', 'O\x0b')],
     ['status 000', answer.replace('200', '000')],
+    ['status 099', answer.replace('200', '099')],
+    ['status 600', answer.replace('200', '600')],
+    ['status 999', answer.replace('200', '999')],
     ['a space in the name of a header', answer.replace('x-other', 'x-o her')],
     ['an upgrade', answer.replace('200 OK', '101 OK').replace('x-other: 1', 'Connection: upgrade\r\nUpgrade: x')],
   ])('reports %s as broken (guards against an answer that ends the daemon when it is sent on)', async (_name, text) => {
--- a/packages/gateway/src/forwarding/ReplicaAttempt.test.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.test.ts
@@ -38,4 +38,38 @@
       vitest.expect(received).toEqual([]);
     },
   );
+
+  vitest.test.each(['000', '099', '600', '999'])(
+    'passes on no head with status %s (guards against a load, a rate limit or a refusal that is trusted)',
+    async (status) => {
+      const server = net.createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.on('data', () =>
+          socket.end(`HTTP/1.1 ${status} OK\r\nx-attempt: a1\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n`),
+        );
+      });
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+      const address = { host: '127.0.0.1', port: (server.address() as net.AddressInfo).port };
+      const request = {
+        method: 'POST',
+        path: '/p/x',
+        headers: [],
+        body: Buffer.from('payment'),
+        callerRequest: { attemptId: 'a1', host: 'h', deadlineMs: 5_000, promptPartIds: [] },
+        replica: sampleReplica({ address }),
+        agent: false as const,
+        onWrite: () => undefined,
+        isReplicaUsable: () => true,
+      };
+      const failure = await new Promise<AttemptFailure>((resolve, reject) => {
+        const unexpected = (): void => {
+          reject(new Error('the head was passed on'));
+        };
+        const listener = { onHead: unexpected, onFailure: resolve, onConnectionLost: unexpected };
+        new ReplicaAttempt(request, new FakeCodec(), listener);
+      });
+      vitest.expect(failure).toMatchObject({ kind: 'invalidAnswer', mayHaveRun: true });
+      server.close();
+    },
+  );
 });
--- a/packages/gateway/src/forwarding/malformedHeads.test.ts
+++ b/packages/gateway/src/forwarding/malformedHeads.test.ts
@@ -31,7 +31,9 @@
   ['a control byte in the reason phrase', signedAnswer.replace('OK', 'O\x0b')],
   ['status 000', signedAnswer.replace('200', '000')],
   ['status 099', signedAnswer.replace('200', '099')],
+  ['status 600', signedAnswer.replace('200', '600')],
   ['status 700', signedAnswer.replace('200', '700')],
+  ['status 999', signedAnswer.replace('200', '999')],
   ['a space in the name of a header', signedAnswer.replace('x-other', 'x-o her')],
   ['an upgrade', signedAnswer.replace('200 OK', '101 OK').replace('x-other: 1', 'Connection: upgrade\r\nUpgrade: x')],
 ];
