--- a/packages/gateway/src/forwarding/readBody.ts
+++ b/packages/gateway/src/forwarding/readBody.ts
@@ -26,6 +26,7 @@
 ): void {
   const announcedBytes = Number(request.headers['content-length'] ?? 0);
   if (announcedBytes > limits.maximumBytes) {
+    limits.memory.recordTooLarge();
     onEnd('tooLarge');
   } else if (announcedBytes === 0 && request.headers['transfer-encoding'] === undefined) {
     readEmptyBody(request, onEnd);
@@ -102,7 +103,7 @@
     }
     this._length += part.length;
     if (this._length > this._limits.maximumBytes) {
-      this._reservation.end();
+      this._limits.memory.recordTooLarge();
       this._finish('tooLarge');
       return;
     }
--- a/packages/gateway/src/memory/CallerMemory.ts
+++ b/packages/gateway/src/memory/CallerMemory.ts
@@ -46,6 +46,11 @@
     return reservation;
   }
 
+  /** Counts a body over the operators' limit. */
+  public recordTooLarge(): void {
+    this._metrics.count('bodyTooLarge');
+  }
+
   public [Symbol.dispose](): void {
     clearTimeout(this._retryTimer);
   }
--- a/packages/gateway/src/peers/PeerServer.ts
+++ b/packages/gateway/src/peers/PeerServer.ts
@@ -16,6 +16,11 @@
 
 /** Characters of unfinished messages that all peers together may have sent. */
 const maximumPendingLength = 16 * 1024 * 1024;
+/**
+ * The same for clients without a first message. First messages of daemons are below 1 MB; with 16 Mi, the garbage of 200
+ * clients that send 2 MB each took the process to 225 MB.
+ */
+const maximumUnidentifiedLength = 4 * 1024 * 1024;
 
 /** Limits for clients of the peer port, which need not be daemons. */
 export interface PeerServerLimits {
@@ -38,6 +43,8 @@
   private readonly _server: net.Server;
   private _nextPeerIndex = 0;
   private _pendingLength = 0;
+  /** Part of `_pendingLength` of clients without a first message. */
+  private _unidentifiedLength = 0;
 
   public constructor(
     private readonly _address: Address,
@@ -116,7 +123,7 @@
     const channel = new PeerChannel(socket, this._clock);
     this._channels.add(channel);
     channel.onPending((change) => {
-      this._countPending(change);
+      this._countPending(channel, change);
     });
     channel.onInvalid(() => {
       this._limits.onEnforced('peerMessage');
@@ -147,16 +154,30 @@
     return false;
   }
 
-  /** Counts characters of unfinished messages; above the limit, the channels that hold most are closed. */
-  private _countPending(change: number): void {
+  /** Counts characters of unfinished messages; above a limit, the channels that hold most are closed. */
+  private _countPending({ isIdentified }: PeerChannel, change: number): void {
     this._pendingLength += change;
-    while (this._pendingLength > maximumPendingLength) {
-      const largest = [...this._channels].reduce((a, b) => (b.pendingLength > a.pendingLength ? b : a));
-      if (largest.pendingLength === 0) {
-        return;
+    this._unidentifiedLength += isIdentified ? 0 : change;
+    while (this._unidentifiedLength > maximumUnidentifiedLength && this._closeLongest(false)) {
+      // The length is counted as the channel closes.
+    }
+    while (this._pendingLength > maximumPendingLength && this._closeLongest(true)) {
+      // As above.
+    }
+  }
+
+  /** Closes the channel with the longest unfinished message; false if there is none. */
+  private _closeLongest(includesIdentified: boolean): boolean {
+    let longest: PeerChannel | undefined;
+    for (const channel of this._channels) {
+      if (includesIdentified || !channel.isIdentified) {
+        longest = channel.pendingLength > (longest?.pendingLength ?? 0) ? channel : longest;
       }
+    }
+    if (longest !== undefined) {
       this._limits.onEnforced('peerMemory');
-      largest.close('unfinished messages take too much memory');
+      longest.close('unfinished messages take too much memory');
     }
+    return longest !== undefined;
   }
 }
