--- a/packages/gateway/src/routing/ReplicaSpeeds.ts
+++ b/packages/gateway/src/routing/ReplicaSpeeds.ts
@@ -41,7 +41,7 @@
   private readonly _kindRunMs = new Map<string, number>();
 
   /** `lastingSlowness` is the estimate of the leader; undefined if there is none. */
-  public constructor(private readonly _lastingSlowness: (replicaId: string) => number | undefined) {}
+  public constructor(private readonly _lastingSlowness: (replicaId: string) => number | undefined = () => undefined) {}
 
   /** Records the time of a run from the first byte of its answer to the end, milliseconds. */
   public recordRun(replicaId: string, service: string, kind: string, durationMs: number, nowMs: number): void {
