Check lowered quotas and counted requests, and refuse grants that come too late

A request that the leader grants with a delay beyond its time left is refused at once with that delay in place of a wait until its deadline. The property tests now lower the limit within a run and include a tenant whose requests are counted; a test covers that assumed use is returned only to the process that used it.

--- a/packages/gateway/src/quotas/QuotaStep.test.ts
+++ b/packages/gateway/src/quotas/QuotaStep.test.ts
@@ -167,4 +167,20 @@
     const [decision] = (next && fixture.allocator.answer(next, fixture.nowMs)?.tenants[0]?.decisions) ?? [];
     vitest.expect(decision).toEqual({ delayMs: 250 });
   });
+
+  vitest.test.each([
+    [1, { delayMs: 0 }],
+    [2, { delayMs: 500 }],
+  ])(
+    'returns assumed use only to the process that used it: incarnation %i (guards against use before a restart)',
+    (incarnation, decision) => {
+      const { allocator, nowMs } = new Fixture();
+      const ask = { daemon: 'vm1', incarnation: 1, sequence: 1, tenants: [{ tenant: 't', units: [7_000] }] };
+      allocator.answer(ask, nowMs);
+      allocator.tick(new Set(['vm1']), nowMs);
+      allocator.tick(new Set(['vm1']), nowMs + 2_000);
+      const next = { ...ask, incarnation, sequence: 2, tenants: [{ tenant: 't', units: [1_500] }] };
+      vitest.expect(allocator.answer(next, nowMs + 2_000)?.tenants[0]?.decisions).toEqual([decision]);
+    },
+  );
 });
--- a/packages/gateway/src/quotas/TenantCredit.ts
+++ b/packages/gateway/src/quotas/TenantCredit.ts
@@ -202,6 +202,10 @@
       this._pool.add(this._tenant, ticket.units, askedAt);
       return;
     }
+    if (delayMs > 0 && ticket.timeLeftMs(now.steadyMs) <= delayMs + serviceReserveMs) {
+      this._refuse(ticket, delayMs, false, now.steadyMs);
+      return;
+    }
     ticket.state = { kind: 'delayed', askedAt, delayMs, readyMs: now.steadyMs + delayMs };
     this._stepTicket(ticket, false, now);
   }
--- a/packages/gateway/src/quotas/sharedQuota.test.ts
+++ b/packages/gateway/src/quotas/sharedQuota.test.ts
@@ -19,6 +19,10 @@
   return { unit: 'tokens', perSecond, burst: perSecond, plainTokens: 1_000 };
 }
 
+/** A tenant whose requests are counted, beside those of `rates`. */
+const countedQuota: TenantQuota = { unit: 'requests', perSecond: 20, burst: 20, plainTokens: 0 };
+const quotas = [...rates.map(tokenQuota), countedQuota];
+
 function simulate(options: Partial<QuotaSimulationOptions> & { daemonCount: number; perSecond: number; load: number }) {
   const { perSecond, load, ...others } = options;
   return new QuotaSimulation({
@@ -53,12 +57,14 @@
         fastCheck.constantFrom(...rates),
         fastCheck.constantFrom(0.9, 1.5, 4.2, 8),
         fastCheck.constantFrom(0, 0.5),
+        fastCheck.constantFrom(1, 0.5),
         faults,
-        (seed, perSecond, surge, firstShare, simulationFaults) => {
+        (seed, perSecond, surge, firstShare, lowered, simulationFaults) => {
           const simulation = simulate({
             daemonCount,
             perSecond,
             load: 1,
+            quota: (nowMs) => tokenQuota(nowMs < 14_000 ? perSecond : perSecond * lowered),
             // A tenant uses its usual rate and sends more at times.
             demandPerSecond: (nowMs) => perSecond * (nowMs % 16_000 < 8_000 ? 0.55 : surge),
             firstShare,
@@ -76,11 +82,13 @@
   vitest.test.each(daemonCounts)(
     'is used for more than 85%% with %i daemons under demand (guards against credit that expires unused)',
     (daemonCount) => {
-      for (const perSecond of rates) {
+      for (const quota of quotas) {
+        const { perSecond, unit } = quota;
         for (const load of [1.3, 2, 4.2]) {
-          const simulation = simulate({ daemonCount, perSecond, load });
+          const meanUnits = unit === 'requests' ? 1 : 1_000;
+          const simulation = simulate({ daemonCount, perSecond, load, quota: () => quota, meanUnits });
           const used = simulation.unitsBetween(5_000, 30_000) / (perSecond * 25);
-          vitest.expect(used, `rate ${perSecond}, load ${load}`).toBeGreaterThan(0.85);
+          vitest.expect(used, `rate ${perSecond} ${unit}, load ${load}`).toBeGreaterThan(0.85);
         }
       }
     },
@@ -90,9 +98,17 @@
   vitest.test.each(daemonCounts)(
     'refuses nothing of a tenant that asks for half of it with %i daemons (guards against refusals within the quota)',
     (daemonCount) => {
-      const property = fastCheck.property(fastCheck.nat(), fastCheck.constantFrom(...rates), (seed, perSecond) => {
-        const simulation = simulate({ daemonCount, perSecond, load: 0.5, random: seededRandom(seed) });
-        const far = (perSecond * 8 + perSecond) / 2;
+      const property = fastCheck.property(fastCheck.nat(), fastCheck.constantFrom(...quotas), (seed, quota) => {
+        const { perSecond, burst, unit } = quota;
+        const simulation = simulate({
+          daemonCount,
+          perSecond,
+          load: 0.5,
+          quota: () => quota,
+          meanUnits: unit === 'requests' ? 1 : 1_000,
+          random: seededRandom(seed),
+        });
+        const far = (perSecond * 8 + burst) / 2;
         const wrong = simulation.refusedMs.filter((atMs) => simulation.askedBefore(atMs, windowMs) <= far);
         vitest.expect([wrong, simulation.expiredMs]).toEqual([[], []]);
         // A message and its answer for each request, except soon after the term of the leader began.
--- a/packages/gateway/src/testing/QuotaSimulation.ts
+++ b/packages/gateway/src/testing/QuotaSimulation.ts
@@ -63,7 +63,10 @@
     return this;
   }
 
-  /** Largest number of units in a window, less the allowed number of the quota in its last moment. */
+  /**
+   * Largest number of units in a window, less the allowed number. A lower quota is binding one window after it takes
+   * effect, so the larger one of both ends of the window counts.
+   */
   public largestExcess(windowMs: number, allowed: (quota: TenantQuota) => number): number {
     let start = 0;
     let units = 0;
@@ -75,7 +78,8 @@
         start += 1;
         first = this.uses[start];
       }
-      largest = Math.max(largest, units - allowed(this._options.quota(use.atMs)));
+      const quotas = [this._options.quota(use.atMs), this._options.quota(use.atMs - windowMs)];
+      largest = Math.max(largest, units - Math.max(...quotas.map(allowed)));
     }
     return largest;
   }
