Limit requests in progress by the memory, and close stalled ones for others

Cause: 520 callers that read nothing of their response took 218 MB of 210 in a trial, since a response that is not read holds some 320 KB in both connections, of which the budget counted 80. Descriptors alone allowed 826 of them. And requests whose body never ends held their place although others were refused.

Change: requests in progress are limited to as many as fit at 384 KB each; an unread response counts as that much after 500 ms without progress; at the limit the connection that is stalled for longest is closed for the first request of another one.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -16,7 +16,13 @@
 import type { GatewayPlatform, GatewaySettings } from './GatewayTypes.js';
 import { CallerMemory } from './memory/CallerMemory.js';
 import { ClientLimitMetrics } from './memory/ClientLimitMetrics.js';
-import { type ConnectionLimits, connectionLimits, descriptorLimit, memoryBudgetBytes } from './memory/clientLimits.js';
+import {
+  type ConnectionLimits,
+  connectionLimits,
+  descriptorLimit,
+  memoryBudgetBytes,
+  requestLimit,
+} from './memory/clientLimits.js';
 import { pause } from './pause.js';
 import { MessageReceiver } from './peers/MessageReceiver.js';
 import { LeaderCoordinator } from './peers/LeaderCoordinator.js';
@@ -188,15 +194,14 @@
       _clock,
     );
     this._messageReceiver = this._createMessageReceiver();
-    this._callerMemory = new CallerMemory(memoryBudgetBytes(_settings.memoryMegabytes), this._clientLimits, () =>
-      this._nowMs(),
-    );
+    const budgetBytes = memoryBudgetBytes(_settings.memoryMegabytes);
+    this._callerMemory = new CallerMemory(budgetBytes, this._clientLimits, () => this._nowMs());
     const { callers: maximumConnections } = this._connectionLimits;
     this._callers = new CallerServer(
       this._exchangeContext(),
       _settings.callers,
       _log.child('callers'),
-      { maximumConnections, maximumRequests: maximumConnections },
+      { maximumConnections, maximumRequests: requestLimit(budgetBytes, maximumConnections) },
       this._clientLimits,
     );
     this._connectComponents();
--- a/packages/gateway/src/memory/CallerConnection.ts
+++ b/packages/gateway/src/memory/CallerConnection.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
+import { unreadResponseBytes } from './clientLimits.js';
 import type { MemoryHolder } from './Types.js';
 
 /** Memory of a connection without unread or unsent bytes: its socket, parser and their objects, bytes. */
@@ -7,6 +8,8 @@
 /** Memory of a request in progress without its body, bytes. */
 const requestBytes = 16 * 1024;
 
+/** Time without progress after which an unread response counts with its buffers on both connections, milliseconds. */
+const unreadAfterMs = 500;
 /** Bytes received between two measurements that count as progress. Bodies and heads that trickle make none. */
 const progressBytes = 256;
 
@@ -96,7 +99,9 @@
     }
     this._seenBytesSent = bytesSent;
     this._seenBytesRead = bytesRead;
-    const heldBytes = connectionBytes + this._headBytes + this._unsentBytes + this._responses.size * requestBytes;
+    const isUnread = this._unsentBytes > 0 && this.stalledMs(nowMs) >= unreadAfterMs;
+    const requestsBytes = Math.max(this._responses.size * requestBytes, isUnread ? unreadResponseBytes : 0);
+    const heldBytes = connectionBytes + this._headBytes + this._unsentBytes + requestsBytes;
     const change = heldBytes - this._heldBytes;
     this._heldBytes = heldBytes;
     return change;
--- a/packages/gateway/src/memory/CallerConnections.ts
+++ b/packages/gateway/src/memory/CallerConnections.ts
@@ -14,7 +14,7 @@
 /** Share of the requests in progress above which only the first request of a connection is accepted. */
 const pipelinedShare = 0.5;
 
-/** Share of the connections above which stalled ones are looked for. */
+/** Share of the connections or requests above which stalled ones are looked for. */
 const crowdedShare = 0.75;
 /** Time without progress after which a connection in use may be closed for another one, milliseconds. */
 const stalledAfterMs = 1_000;
@@ -104,7 +104,11 @@
     const limit = connection.requestCount > 1 ? maximumRequests * pipelinedShare : maximumRequests;
     if (this._requestCount > limit) {
       this._metrics.count('requests');
-      return 'refused';
+      const stalled = connection.requestCount === 1 ? this._takeStalled() : undefined;
+      if (stalled === undefined) {
+        return 'refused';
+      }
+      this._close(stalled);
     }
     return 'accepted';
   }
@@ -120,8 +124,7 @@
       }
     }
     budget.enforce(nowMs);
-    this._stalled =
-      this._connections.size >= this._limits.maximumConnections * crowdedShare ? this._findStalled(nowMs) : [];
+    this._stalled = this._isCrowded ? this._findStalled(nowMs) : [];
     this._metrics.setMemory(budget.usedBytes);
   }
 
@@ -129,6 +132,14 @@
     clearInterval(this._timer);
   }
 
+  private get _isCrowded(): boolean {
+    const { maximumConnections, maximumRequests } = this._limits;
+    return (
+      this._connections.size >= maximumConnections * crowdedShare ||
+      this._requestCount >= maximumRequests * crowdedShare
+    );
+  }
+
   private _findStalled(nowMs: number): CallerConnection[] {
     return [...this._connections.values()]
       .filter(
--- a/packages/gateway/src/memory/clientLimits.test.ts
+++ b/packages/gateway/src/memory/clientLimits.test.ts
@@ -1,5 +1,5 @@
 import * as vitest from 'vitest';
-import { connectionLimits, memoryBudgetBytes } from './clientLimits.js';
+import { connectionLimits, memoryBudgetBytes, requestLimit, unreadResponseBytes } from './clientLimits.js';
 
 const megabyte = 1024 * 1024;
 /** Body limit of the operators and read ahead, bytes. */
@@ -32,4 +32,13 @@
   vitest.test('leave the peer port a connection for each daemon (guards against followers without a leader)', () => {
     vitest.expect(connectionLimits(2_212).peers).toBeGreaterThan(daemonsOfTheLargerInstallation);
   });
+
+  vitest.test(
+    'leave room for as many unread responses as requests (guards against callers that stop reading together)',
+    () => {
+      const requests = requestLimit(memoryBudgetBytes(210), 1_000);
+      vitest.expect(requests * unreadResponseBytes).toBeLessThanOrEqual(110 * megabyte);
+      vitest.expect(requestLimit(memoryBudgetBytes(210), 50)).toBe(50);
+    },
+  );
 });
--- a/packages/gateway/src/memory/clientLimits.ts
+++ b/packages/gateway/src/memory/clientLimits.ts
@@ -7,6 +7,11 @@
 const processMegabytes = 100;
 /** Share of the other memory for clients. The rest is for garbage that has been read and is not yet collected. */
 const clientShare = 0.4;
+/**
+ * Memory of a request in progress whose response is not read, with the buffers and the garbage of both connections, bytes.
+ * 390 of them took 323 KB each, and 288 KB left too little of the machine's memory.
+ */
+export const unreadResponseBytes = 384 * 1024;
 /** Smallest budget, bytes: a few of the largest bodies. */
 const minimumBudgetBytes = 16 * megabyte;
 
@@ -22,7 +27,6 @@
 
 /** Upper limits of connections by port. */
 export interface ConnectionLimits {
-  /** Also the limit of requests in progress, since each uses a connection to a replica. */
   readonly callers: number;
   readonly peers: number;
   /** Of each of the ports for status and metrics. */
@@ -36,6 +40,14 @@
     : Math.max((memoryMegabytes - processMegabytes) * clientShare * megabyte, minimumBudgetBytes);
 }
 
+/**
+ * Requests in progress: each uses a connection to a replica, and all of their callers may stop reading at the same moment,
+ * before any of them counts as stalled.
+ */
+export function requestLimit(budgetBytes: number, callerConnections: number): number {
+  return Math.min(callerConnections, Math.floor(budgetBytes / clientShare / unreadResponseBytes));
+}
+
 /** Divides the descriptors of the process. */
 export function connectionLimits(maximumDescriptors: number): ConnectionLimits {
   const peers = Math.floor(maximumDescriptors * peerShare);
