--- a/packages/gateway/src/memory/clientLimits.ts
+++ b/packages/gateway/src/memory/clientLimits.ts
@@ -20,7 +20,7 @@
 /** Descriptors for files, listeners, the store, and orders to replicas. */
 const ownDescriptors = 64;
 /** Share of the descriptors for peers: a leader has one connection for each other daemon. */
-const peerShare = 1 / 6;
+const peerShare = 1 / 4;
 /** Share for each of the ports for status and metrics. */
 const statusShare = 1 / 20;
 const maximumStatusConnections = 64;
@@ -56,10 +56,12 @@
   return { callers: Math.max(Math.floor(rest / 2), 1), peers: Math.max(peers, 1), status };
 }
 
-/** Descriptors that the process may open: the smaller of the limits of the settings and of the operating system. */
+/**
+ * Descriptors that the process may open: the limit of the settings, or without one that of the operating system. The
+ * latter may be lower where the platform counts descriptors itself; then accepting fails for a time, which is not fatal.
+ */
 export function descriptorLimit(settingsLimit: number | undefined): number {
-  const limits = [settingsLimit, systemDescriptorLimit()].filter((limit) => limit !== undefined);
-  return limits.length === 0 ? defaultDescriptors : Math.min(...limits);
+  return settingsLimit ?? systemDescriptorLimit() ?? defaultDescriptors;
 }
 
 function systemDescriptorLimit(): number | undefined {
