Test that spare credit takes nothing from waiting requests

The property tests pass without the least fill of the bucket for spare credit, as a bucket at its limit has nothing to grant, so a test of the allocator covers it. It fails with a least fill of 0.

Measured: QuotaStep 12 of 12 tests pass. With the guards taken out on a copy of this code, tests also failed for assumed use, the end of use at the own rate, the refund to a restarted process and the longer delay below the quota.

--- a/packages/gateway/src/quotas/QuotaStep.test.ts
+++ b/packages/gateway/src/quotas/QuotaStep.test.ts
@@ -183,4 +183,20 @@
       vitest.expect(allocator.answer(next, nowMs + 2_000)?.tenants[0]?.decisions).toEqual([decision]);
     },
   );
+
+  vitest.test(
+    'gets spare credit only while the bucket is half full (guards against credit that others wait for)',
+    () => {
+      const { allocator, nowMs } = new Fixture();
+      const ask = {
+        daemon: 'vm1',
+        incarnation: 1,
+        sequence: 1,
+        tenants: [{ tenant: 't', units: [3_000], spare: 1_000 }],
+      };
+      vitest.expect(allocator.answer(ask, nowMs)?.tenants[0]?.spare).toBe(200);
+      const next = { ...ask, sequence: 2, tenants: [{ tenant: 't', units: [1_500], spare: 1_000 }] };
+      vitest.expect(allocator.answer(next, nowMs + 500)?.tenants[0]?.spare).toBeUndefined();
+    },
+  );
 });
