Move the admission of a request out of Exchange.ts

RequestAdmission takes a request from its arrival until it may be dispatched: configuration, route, admission steps and body. No behaviour changes.

--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -1,16 +1,13 @@
 import type * as http from 'node:http';
 import type { CallerRequest, ResponseHead } from '../contracts/RequestCodec.js';
 import type { Instant, Replica, Route } from '../Types.js';
-import { AdmissionRun } from './admission/AdmissionRun.js';
-import type { AdmissionStep } from './admission/AdmissionStep.js';
 import { RequestWait } from '../waiting/RequestWait.js';
 import type { RedispatchResult, WaitingRequest } from '../waiting/WaitingRequests.js';
 import { discardBody } from './discardBody.js';
 import { recordResponseHead } from './recordResponseHead.js';
 import { identifyRequest, type RequestIdentity, unidentified } from './identifyRequest.js';
-import { bodyRefusalResponse } from './bodyRefusalResponse.js';
-import { readBody } from './readBody.js';
-import { admitRequest, type LocalResponse } from './admitRequest.js';
+import type { LocalResponse } from './admitRequest.js';
+import { RequestAdmission, type RequestAdmissionListener } from './RequestAdmission.js';
 import { ResponseRelay } from './ResponseRelay.js';
 import { isFramed, mayBeEventStream } from './responseHeaders.js';
 import { StreamContinuation } from './StreamContinuation.js';
@@ -32,7 +29,6 @@
 import { callerTimeoutMs, mayRetry, urgencyOf } from './retryPolicy.js';
 import { AttemptHistory } from './AttemptHistory.js';
 import { sendLocalResponse } from './sendLocalResponse.js';
-import { startWaitMs } from './StartWait.js';
 import { statesNotExecuted, unstatedPromise } from './judgeAnswer.js';
 import { InactivityTimer } from './InactivityTimer.js';
 import type { BrokenAnswer, ExchangeResult } from './ExchangeResult.js';
@@ -63,8 +59,7 @@
   private readonly _continuation: StreamContinuation;
   private readonly _history = new AttemptHistory();
   private readonly _deliveryTimes = new DeliveryTimes();
-  private _admission: AdmissionRun | undefined;
-  private _stopStartWait: () => void = () => undefined;
+  private readonly _admission: RequestAdmission;
   private readonly _keyWatch: KeyWatch;
   /** Status of the response that is being relayed. */
   private _responseStatus = 0;
@@ -110,6 +105,14 @@
         this._responseInterrupted(message);
       },
     });
+    this._admission = new RequestAdmission(
+      _context,
+      _request,
+      _response,
+      this._deadline,
+      this._startedMs,
+      this._admissionListener(),
+    );
     this._keyWatch = new KeyWatch(_context.admission.tenantKeys, this._watchedRequest(), _context.clock);
     _response.sendDate = false;
     _response.on('close', () => {
@@ -119,28 +122,33 @@
 
   /** Admits the request, once the configuration is known, reads its body and dispatches it. */
   public begin(): void {
-    const { startWait, codec } = this._context;
-    if (startWait.isReady) {
-      this._beginAdmission();
-      return;
-    }
-    const limitMs = startWaitMs(codec.readRequest(this._request)?.deadlineMs);
-    this._stopStartWait = startWait.wait(limitMs, () => {
-      this._beginAdmission();
-    });
+    this._admission.begin();
   }
 
-  private _beginAdmission(): void {
-    if (this._admit()) {
-      this._runAdmission(this._context.admission.beforeBody, () => {
-        this._context.retryBudgets.recordRequest(this._service, this._startedMs);
+  private _admissionListener(): RequestAdmissionListener {
+    return {
+      onRoute: ({ callerRequest, route, service, configurationVersion }) => {
+        this._callerRequest = callerRequest;
+        this._route = route;
+        this._service = service;
+        this._configurationVersion = configurationVersion;
+      },
+      onAuthorized: () => {
         const { credential } = this._callerRequest ?? {};
-        if (this._admission?.tenant !== undefined && credential !== undefined) {
+        if (this._admission.tenant !== undefined && credential !== undefined) {
           this._keyWatch.start(credential);
         }
-        this._readBody();
-      });
-    }
+      },
+      onAdmitted: (body) => {
+        this._body = body;
+        this._recordDemand();
+        this._beginStream();
+      },
+      onRejected: (response, callerRequest) => {
+        this._callerRequest = callerRequest;
+        this._respond(response);
+      },
+    };
   }
 
   private _watchedRequest(): WatchedRequest {
@@ -148,7 +156,7 @@
     return {
       state: () => ({ hasBegun: hasBegun(), isStream: this._route?.kind === 'stream' }),
       onTenant: (tenant) => {
-        this._admission?.replaceTenant(tenant);
+        this._admission.replaceTenant(tenant);
       },
       onRejected: (response) => {
         this._respond(response);
@@ -159,63 +167,13 @@
     };
   }
 
-  /** Runs admission steps and calls `onPassed` once the request has passed them. */
-  private _runAdmission(steps: readonly AdmissionStep[], onPassed: () => void): void {
-    this._admission?.start(steps, {
-      onPassed,
-      onRejected: (response) => {
-        this._respond(response);
-      },
-    });
-  }
-
-  private _readBody(): void {
-    const maximumBytes = this._context.routes()?.configuration.callerLimits.maximumBodyBytes ?? 0;
-    readBody(this._request, this._response, { maximumBytes, memory: this._context.callerMemory }, (outcome) => {
-      if (this._finished) {
-        return;
-      }
-      if (typeof outcome === 'string') {
-        const response = bodyRefusalResponse(outcome);
-        if (response !== undefined) {
-          this._respond(response);
-        }
-      } else {
-        this._body = outcome;
-        this._runAdmission(this._context.admission.beforeDispatch, () => {
-          this._recordDemand();
-          this._beginStream();
-        });
-      }
-    });
-  }
-
-  private _admit(): boolean {
-    const { codec } = this._context;
-    const admission = admitRequest(this._request, codec, this._context.routes(), Math.random());
-    if (admission.kind === 'rejected') {
-      this._callerRequest = admission.callerRequest;
-      this._respond(admission.response);
-      return false;
-    }
-    const { callerRequest, route, service, configurationVersion } = admission.request;
-    this._callerRequest = callerRequest;
-    this._route = route;
-    this._service = service;
-    this._configurationVersion = configurationVersion;
-    this._deadline.start(this._startedMs, callerRequest.deadlineMs, route.timeoutMs);
-    const timeLeftMs = (nowMs: number): number => this._deadline.leftMs(nowMs);
-    this._admission = new AdmissionRun({ callerRequest, route, service, timeLeftMs }, this._context.clock);
-    return true;
-  }
-
   /** Identifies the request, and counts it in the demand for its model unless it is blocked. */
   private _recordDemand(): void {
     const callerRequest = this._callerRequest;
     if (callerRequest === undefined || this._route === undefined) {
       return;
     }
-    const tenantName = this._admission?.tenant?.name;
+    const tenantName = this._admission.tenant?.name;
     if (tenantName !== undefined) {
       this._context.waitingRequests.shares.record(this._service, tenantName, this._nowMs());
     }
@@ -303,7 +261,7 @@
   }
 
   private _dispatchInput(route: Route, nowMs: number): DispatchInput {
-    const tenantName = this._admission?.tenant?.name;
+    const tenantName = this._admission.tenant?.name;
     return {
       service: this._service,
       route,
@@ -325,7 +283,7 @@
 
   private _urgency(route: Route): number {
     const isContinued = this._continuation.requiredVersion !== undefined;
-    return urgencyOf(route, this._admission?.tenant?.priority, isContinued);
+    return urgencyOf(route, this._admission.tenant?.priority, isContinued);
   }
 
   private _startWaiting(decision: WaitDispatch, route: Route, nowMs: number): void {
@@ -345,7 +303,7 @@
       lateAtMs: this._startedMs + route.latencyTargetMs,
       leavesAtMs: nowMs + this._firstByteTimeLeftMs(route),
       sizeBytes: this._body.length,
-      tenantName: this._admission?.tenant?.name,
+      tenantName: this._admission.tenant?.name,
       heldFor: () => this._heldFor,
       redispatch: () => this._dispatch(),
     });
@@ -396,7 +354,7 @@
         deadlineMs: Math.max(Math.floor(this._deadline.leftMs(now.steadyMs)), 1),
         urgency: this._urgency(route),
         lastEventId: this._relay.lastEventId,
-        tenantName: this._admission?.tenant?.name,
+        tenantName: this._admission.tenant?.name,
       },
       {
         onHead: (head, response) => {
@@ -657,15 +615,14 @@
     this._deadline.stop();
     this._inactivityTimer.stop();
     this._continuation.stop();
-    this._admission?.stop();
-    this._stopStartWait();
+    this._admission.stop();
     this._keyWatch.stop();
     const nowMs = this._nowMs();
     this._wait.stop(nowMs);
     const result: ExchangeResult = {
       attemptId: this._callerRequest?.attemptId,
       route: this._route?.name,
-      tenant: this._admission?.tenant?.name,
+      tenant: this._admission.tenant?.name,
       configurationVersion: this._configurationVersion,
       target: this._callerRequest?.modelReference,
       outcome,
