Count no body as an unfinished head

Found in review: an idle connection counted the body of its last request as an unfinished head, so that a caller with a body above the header limit got a 431 which it would take for the answer to its next request. Both new tests fail without the change.

--- a/packages/gateway/src/memory/CallerConnection.ts
+++ b/packages/gateway/src/memory/CallerConnection.ts
@@ -22,8 +22,10 @@
   private readonly _responses = new Set<http.ServerResponse>();
   private _heldBytes = connectionBytes;
   private _unsentBytes = 0;
-  /** Bytes read up to the newest request. */
+  /** Bytes read up to the newest request, or to the end of its body. */
   private _parsedBytes = 0;
+  /** Request whose response is closed while the rest of its body is discarded. */
+  private _discarded: http.IncomingMessage | undefined;
   private _headBytes = 0;
   private _seenBytesRead = 0;
   private _seenBytesSent = 0;
@@ -77,6 +79,8 @@
 
   public endRequest(response: http.ServerResponse, nowMs: number): void {
     this._responses.delete(response);
+    this._discarded = response.req.complete ? undefined : response.req;
+    this._parsedBytes = this.socket.bytesRead;
     this._lastProgressMs = nowMs;
   }
 
@@ -90,7 +94,12 @@
   /** Measures what the connection holds. Returns the change, bytes. */
   public measure(nowMs: number): number {
     const { bytesRead, bytesWritten, writableLength } = this.socket;
-    this._headBytes = this._responses.size === 0 ? bytesRead - this._parsedBytes : 0;
+    if (this._responses.size > 0 || this._discarded !== undefined) {
+      // What is read meanwhile are bodies. They are counted where they are kept.
+      this._parsedBytes = bytesRead;
+      this._discarded = this._discarded?.complete === false ? this._discarded : undefined;
+    }
+    this._headBytes = bytesRead - this._parsedBytes;
     this._unsentBytes = this._responses.size === 0 ? writableLength : this._responseBytes();
     const bytesSent = bytesWritten - writableLength;
     const received = this._unsentBytes === 0 ? bytesRead - this._seenBytesRead : 0;
