--- a/packages/gateway/src/forwarding/readBody.ts
+++ b/packages/gateway/src/forwarding/readBody.ts
@@ -84,6 +84,8 @@
     });
     response.once('close', () => {
       this._reservation.end();
+      // A request that is answered before its body is complete needs no more of it.
+      this._finish('broken');
     });
     request.on('end', () => {
       this._complete();
