Withdraw requests from the tenant that they waited for, and check quota messages

Found in review: a request whose tenant or quota changed while it waited stayed in the step for the life of the process, or used quota for a caller that had left; charges without a grant were forgotten within a second; a malformed message of a client could refill a quota; channels of daemons that are gone were kept.

--- a/packages/gateway/src/peers/QuotaCoordinator.ts
+++ b/packages/gateway/src/peers/QuotaCoordinator.ts
@@ -3,6 +3,8 @@
 import type { QuotaAllocator } from '../quotas/QuotaAllocator.js';
 import type { QuotaDecider } from '../quotas/QuotaStep.js';
 import type { QuotaTicket } from '../quotas/QuotaTicket.js';
+import { isQuotaAsk } from '../quotas/isQuotaAsk.js';
+import { ownRateMs } from '../quotas/quotaRates.js';
 import type { QuotaAnswer, QuotaAsk } from '../quotas/Types.js';
 import type { Instant } from '../Types.js';
 import { messageIntervals } from './messageIntervals.js';
@@ -112,7 +114,7 @@
 
   private _receiveFromFollower({ channel, message }: ReceivedMessage): void {
     const now = this._clock.now();
-    if (message.method === 'quotaAsk' && this._isLeading(now)) {
+    if (message.method === 'quotaAsk' && isQuotaAsk(message.params) && this._isLeading(now)) {
       this._answer(channel, message.params, now);
     } else if (message.method === 'report' && this._channels.has(message.params.daemon)) {
       this._channels.set(message.params.daemon, channel);
@@ -173,9 +175,14 @@
   private _silentDaemons(nowMs: number): ReadonlySet<string> {
     const silent = new Set<string>();
     for (const [daemon, channel] of this._channels) {
-      if (nowMs - channel.lastReceivedMs >= silenceMs) {
+      const silentMs = nowMs - channel.lastReceivedMs;
+      if (silentMs >= silenceMs) {
         silent.add(daemon);
       }
+      if (silentMs >= silenceMs + ownRateMs) {
+        // What it may have used since its last grant is charged in full.
+        this._channels.delete(daemon);
+      }
     }
     return silent;
   }
--- a/packages/gateway/src/quotas/QuotaAccount.ts
+++ b/packages/gateway/src/quotas/QuotaAccount.ts
@@ -125,14 +125,15 @@
     }
   }
 
-  /** Removes daemons that no longer use the tenant; true if none is left. */
+  /** Removes daemons that no longer use the tenant; true if none is left and nothing of the quota is used up. */
   public expire(nowMs: number): boolean {
     for (const [daemon, { rate }] of this._uses) {
-      if (rate.perSecond(nowMs) * recentUseMs < 1) {
+      if ((rate.perSecond(nowMs) * recentUseMs) / 1_000 < 1) {
         this._uses.delete(daemon);
       }
     }
-    return this._uses.size === 0;
+    const rate = quotaRate(this._quota);
+    return this._uses.size === 0 && this._bucket.level(rate, nowMs) >= rate.capacity;
   }
 
   private _take(daemon: string, units: number, nowMs: number): void {
--- a/packages/gateway/src/quotas/QuotaStep.test.ts
+++ b/packages/gateway/src/quotas/QuotaStep.test.ts
@@ -5,6 +5,7 @@
 import { silentLogger } from '../testing/SilentLogger.js';
 import type { Route, Tenant } from '../Types.js';
 import { DaemonQuotas } from './DaemonQuotas.js';
+import { isQuotaAsk } from './isQuotaAsk.js';
 import { QuotaAllocator } from './QuotaAllocator.js';
 import { QuotaMetrics } from './QuotaMetrics.js';
 import { QuotaStep } from './QuotaStep.js';
@@ -99,6 +100,28 @@
     vitest.expect(fixture.step.decide(later, fixture.now)).toEqual({ kind: 'pass' });
   });
 
+  vitest.test('withdraws a request from the tenant that it waited for (guards against quota used for nobody)', () => {
+    const fixture = new Fixture();
+    const request = { ...fixture.request(500), tenant };
+    fixture.step.decide(request, fixture.now);
+    const moved: StepRequest = Object.assign(request, { tenant: { name: 'other', keyDigests: [] } });
+    vitest.expect(fixture.step.decide(moved, fixture.now)).toEqual({ kind: 'wait' });
+    fixture.step.withdraw(moved);
+    vitest.expect(fixture.quotas.needsAsk(fixture.now)).toBe(false);
+  });
+
+  vitest.test.each([
+    {},
+    { daemon: 'd', incarnation: 1, sequence: 1, tenants: [{ tenant: 't', units: ['a'] }] },
+    { daemon: 'd', incarnation: 1, sequence: 1, tenants: [], usedAlone: { t: -5 } },
+    { daemon: 'd', incarnation: 1, sequence: 1, tenants: [{ tenant: 't', units: [1], spare: null }] },
+  ])('is not asked by a malformed message: %j (guards against clients that refill a quota)', (message) => {
+    vitest.expect(isQuotaAsk(message)).toBe(false);
+    vitest
+      .expect(isQuotaAsk({ ...message, daemon: 'd', incarnation: 1, sequence: 1, tenants: [], usedAlone: {} }))
+      .toBe(true);
+  });
+
   vitest.test('never waits for units that a quota cannot hold (guards against waits until the deadline)', () => {
     const fixture = new Fixture();
     const decision = fixture.step.decide(fixture.request(50_000), fixture.now);
--- a/packages/gateway/src/quotas/QuotaStep.ts
+++ b/packages/gateway/src/quotas/QuotaStep.ts
@@ -11,43 +11,53 @@
   withdraw(tenant: string, ticket: QuotaTicket): void;
 }
 
+/** A request that waits for quota of a tenant. */
+interface WaitingTicket {
+  readonly ticket: QuotaTicket;
+  readonly tenantName: string;
+}
+
 /** Admission step for the quotas of tenants. A request passes, waits for the leader's answer, or is refused with 429. */
 export class QuotaStep extends AdmissionStep {
-  /** Requests that wait. */
-  private readonly _tickets = new Map<StepRequest, QuotaTicket>();
+  /** Requests that wait, with the tenant at that time. A new configuration may change the tenant or its quota. */
+  private readonly _tickets = new Map<StepRequest, WaitingTicket>();
 
   public constructor(private readonly _quotas: QuotaDecider) {
     super();
   }
 
   public override decide(request: StepRequest, now: Instant): StepDecision {
+    const waiting = this._tickets.get(request);
+    if (waiting?.ticket.result !== undefined) {
+      this._tickets.delete(request);
+      return decisionOf(waiting.ticket.result);
+    }
+    if (waiting !== undefined) {
+      return { kind: 'wait' };
+    }
     const { tenant } = request;
     const units = unitsOf(request, tenant?.quota);
     if (tenant?.quota === undefined || units === 0) {
       return { kind: 'pass' };
     }
-    let ticket = this._tickets.get(request);
-    if (ticket === undefined) {
-      ticket = new QuotaTicket(units, (nowMs) => request.timeLeftMs(nowMs));
-      this._quotas.enter({ name: tenant.name, quota: tenant.quota }, ticket, now);
-    }
-    if (ticket.result === undefined) {
-      this._tickets.set(request, ticket);
-      ticket.onDone = () => {
-        request.recheck();
-      };
-      return { kind: 'wait' };
+    const ticket = new QuotaTicket(units, (nowMs) => request.timeLeftMs(nowMs));
+    this._quotas.enter({ name: tenant.name, quota: tenant.quota }, ticket, now);
+    if (ticket.result !== undefined) {
+      return decisionOf(ticket.result);
     }
-    this._tickets.delete(request);
-    return decisionOf(ticket.result);
+    this._tickets.set(request, { ticket, tenantName: tenant.name });
+    ticket.onDone = () => {
+      request.recheck();
+    };
+    return { kind: 'wait' };
   }
 
   public override withdraw(request: StepRequest): void {
-    const ticket = this._tickets.get(request);
+    const waiting = this._tickets.get(request);
     this._tickets.delete(request);
-    if (ticket !== undefined && request.tenant !== undefined) {
-      ticket.onDone = undefined;
-      this._quotas.withdraw(request.tenant.name, ticket);
+    if (waiting !== undefined) {
+      waiting.ticket.onDone = undefined;
+      this._quotas.withdraw(waiting.tenantName, waiting.ticket);
     }
   }
 }
