Send the loads of idle replicas once in a term, and all loads to daemons that join

Found in review: a follower kept the load that a former leader had sent for a replica that is idle now, and each status confirmed it; a daemon that joined took busy replicas for idle.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -458,7 +458,8 @@
   }
 
   private _sendStatus(nowMs: number): void {
-    const running = this._leader.runningTotals();
+    const idle = this._directory.all().map(({ id }) => [id, 0] as const);
+    const running = new Map([...idle, ...this._leader.runningTotals()]);
     const status = this._leaderMessages.sendIfDue(this._tables.isCurrent(nowMs), this._tables.endOffsets(), running);
     if (status.leads) {
       this._applyStatus(status);
--- a/packages/gateway/src/peers/LeaderMessages.ts
+++ b/packages/gateway/src/peers/LeaderMessages.ts
@@ -34,6 +34,9 @@
       if (replicas.length > 0) {
         channel.send('holdings', { replicas });
       }
+      if (_leader.isLeading) {
+        channel.send('loads', this._loadThrottle.sent);
+      }
     });
     _peerServer.onLeft((channel) => {
       this._waitingPeers.remove(channel);
@@ -73,6 +76,8 @@
       if (loads !== undefined) {
         this._peerServer.broadcast('loads', loads);
       }
+    } else {
+      this._loadThrottle.reset();
     }
     return status;
   }
--- a/packages/gateway/src/peers/LoadThrottle.test.ts
+++ b/packages/gateway/src/peers/LoadThrottle.test.ts
@@ -16,6 +16,19 @@
     vitest.expect(throttle.next(new Map([['r1', 6]]), intervalMs, 600)).toEqual({ running: { r1: 6, r2: 0 } });
   });
 
+  vitest.test('sends idle replicas once (guards against loads of a former leader that stay for ever)', () => {
+    const throttle = new LoadThrottle();
+    const running = new Map([
+      ['busy', 3],
+      ['idle', 0],
+    ]);
+    vitest.expect(throttle.next(running, intervalMs, 0)).toEqual({ running: { busy: 3, idle: 0 } });
+    vitest.expect(throttle.next(running, intervalMs, 300)).toBeUndefined();
+    vitest.expect(throttle.sent).toEqual({ running: { busy: 3, idle: 0 } });
+    throttle.reset();
+    vitest.expect(throttle.next(running, intervalMs, 600)).toEqual({ running: { busy: 3, idle: 0 } });
+  });
+
   vitest.test('bounds a message and sends the rest later (guards against traffic that grows with the replicas)', () => {
     const throttle = new LoadThrottle();
     const running = new Map(Array.from({ length: 1_600 }, (_none, index) => [`r${index}`, index + 1] as const));
