Correct the speeds of a former leader, and leave services without streams to the daemons

Found in review: a new leader did not send replicas that are close to the mean, so daemons kept the former estimate, and any estimate switched the daemons' own measurement off for plain services.

--- a/packages/gateway/src/peers/SpeedCoordinator.ts
+++ b/packages/gateway/src/peers/SpeedCoordinator.ts
@@ -48,7 +48,7 @@
     const isLeading = this._isLeading();
     if (isLeading && !this._wasLeading) {
       this._estimator = new SpeedEstimator();
-      this._throttle = new SpeedThrottle();
+      this._throttle = new SpeedThrottle(this._speeds.all);
     }
     this._wasLeading = isLeading;
     if (!isLeading) {
--- a/packages/gateway/src/speeds/LastingSpeeds.ts
+++ b/packages/gateway/src/speeds/LastingSpeeds.ts
@@ -13,12 +13,17 @@
     }
   }
 
+  /** All estimates in use. */
+  public get all(): SlownessByReplica {
+    return Object.fromEntries(this._slowness);
+  }
+
   /**
-   * How much longer work takes on a replica than in the mean of its service; undefined if the leader has sent nothing. It
-   * leaves out replicas that are close to the mean.
+   * How much longer work takes on a replica than in the mean; undefined if the leader has sent nothing for it, as for a
+   * replica close to the mean and for services without streams.
    */
   public slowness(replicaId: string): number | undefined {
-    return this._slowness.get(replicaId) ?? (this._slowness.size > 0 ? 1 : undefined);
+    return this._slowness.get(replicaId);
   }
 
   /** Removes replicas that are gone. */
--- a/packages/gateway/src/speeds/SpeedThrottle.ts
+++ b/packages/gateway/src/speeds/SpeedThrottle.ts
@@ -9,9 +9,14 @@
 
 /** Chooses the estimates to send to the followers: at intervals, those that differ from what was sent last. */
 export class SpeedThrottle {
-  private readonly _sent = new Map<string, number>();
+  private readonly _sent: Map<string, number>;
   private _lastSentMs = Number.NEGATIVE_INFINITY;
 
+  /** `known` are the estimates of a former leader, which the followers may still use. */
+  public constructor(known: SlownessByReplica = {}) {
+    this._sent = new Map(Object.entries(known));
+  }
+
   /** Returns the estimates to send now; undefined if there are none. */
   public next(slowness: SlownessByReplica, nowMs: number): SlownessByReplica | undefined {
     if (nowMs - this._lastSentMs < intervalMs) {
