End the wait for the first leader after 8 s, and expect overdue orders later

Found in review: a daemon that started while it was cut off let every request wait until its time was over; a store load that took longer than expected was estimated to end at once, for as long as it lasted. Held requests are dispatched again after an exception.

--- a/packages/gateway/src/peers/LeaderView.test.ts
+++ b/packages/gateway/src/peers/LeaderView.test.ts
@@ -15,9 +15,17 @@
   vitest.test('awaits the estimates of the first leader (guards against refusals after a power loss)', () => {
     const view = new LeaderView();
     view.applyStatus({ ...status, leads: false }, 0);
+    vitest.expect(view.awaitsFirstLeader(19_000)).toBe(true);
     vitest.expect(view.awaitsFirstLeader(20_000)).toBe(true);
     view.applyStatus(status, 20_000);
     vitest.expect(view.awaitsFirstLeader(21_000)).toBe(true);
     vitest.expect(view.awaitsFirstLeader(21_500)).toBe(false);
   });
+
+  vitest.test('does not await a leader for ever (guards against waits in vain at a daemon that is cut off)', () => {
+    const view = new LeaderView();
+    vitest.expect(view.awaitsFirstLeader(1_000)).toBe(true);
+    vitest.expect(view.awaitsFirstLeader(8_000)).toBe(true);
+    vitest.expect(view.awaitsFirstLeader(9_000)).toBe(false);
+  });
 });
--- a/packages/gateway/src/peers/LeaderView.ts
+++ b/packages/gateway/src/peers/LeaderView.ts
@@ -5,10 +5,15 @@
 /** Time from the first status of a leader until it has estimates for the requests that waited before, milliseconds. */
 const firstEstimatesMs = 1_500;
 
+/** Time in which daemons that have started elect a leader and reach it, milliseconds. One that is cut off waits no longer. */
+const firstLeaderMs = 8_000;
+
 /** Last status and estimates received from the placement leader, which may be this daemon itself. */
 export class LeaderView {
   private _status: LeaderStatus | undefined;
   private _firstLeaderMs: number | undefined;
+  /** Time of the first question for the leader, steady milliseconds. */
+  private _firstAskedMs: number | undefined;
   private _estimates: ReadonlyMap<string, ReadyEstimate> = new Map();
   private _estimatesReceivedMs = Number.NEGATIVE_INFINITY;
 
@@ -41,7 +46,11 @@
 
   /** True until this daemon knows the estimates of its first leader, as after the start of all daemons. */
   public awaitsFirstLeader(nowMs: number): boolean {
-    return this._firstLeaderMs === undefined || nowMs - this._firstLeaderMs < firstEstimatesMs;
+    if (this._firstLeaderMs !== undefined) {
+      return nowMs - this._firstLeaderMs < firstEstimatesMs;
+    }
+    this._firstAskedMs ??= nowMs;
+    return nowMs - this._firstAskedMs < firstLeaderMs;
   }
 
   /** Expected time until a model is ready, milliseconds; undefined without a recent estimate. */
--- a/packages/gateway/src/placement/estimateReady.ts
+++ b/packages/gateway/src/placement/estimateReady.ts
@@ -17,6 +17,8 @@
   waitingModels,
 } from './weights.js';
 
+/** Expected further time of an order, as a share of the time by which it is overdue. A slowed store may take twice as long. */
+const overdueShare = 0.5;
 /**
  * Time for which the models of a replica count as needed more than the one that waits, milliseconds. Request rates
  * follow demand with this time constant, so the comparison may come out differently afterwards.
@@ -161,8 +163,13 @@
     return orderLeftMs + unloadMs(retiring) + loadDurationMs(specification, loadTier(replica, specification.name));
   }
 
+  /** Time until a replica has ended its order, milliseconds. An order that is overdue takes longer by a share of that. */
   private _orderLeftMs({ order }: PlacedReplica): number {
-    return order === undefined ? 0 : Math.max(order.expectedDoneMs - this._nowMs, 0);
+    if (order === undefined) {
+      return 0;
+    }
+    const leftMs = order.expectedDoneMs - this._nowMs;
+    return leftMs >= 0 ? leftMs : -leftMs * overdueShare;
   }
 
   /** Times at which the models that no replica can load from local weights come from the store, in planning order. */
--- a/packages/gateway/src/waiting/WaitingRequests.ts
+++ b/packages/gateway/src/waiting/WaitingRequests.ts
@@ -82,11 +82,14 @@
     }
     this._heldDispatchedMs = nowMs;
     this._dispatchesHeld = true;
-    this._redispatch(
-      this._all().filter((request) => request.heldFor() !== undefined),
-      nowMs,
-    );
-    this._dispatchesHeld = false;
+    try {
+      this._redispatch(
+        this._all().filter((request) => request.heldFor() !== undefined),
+        nowMs,
+      );
+    } finally {
+      this._dispatchesHeld = false;
+    }
   }
 
   /** True if a new request must not pass those that are held for the same replicas. */
