Refuse a request for long queues only if the shortest one is too long

Found in review: a replica is chosen at random among those of about equal cost, so a request could be refused or held for the queue of that one although another replica had a free slot.

--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -176,10 +176,13 @@
     hasConnection: ({ address }: Replica) => input.route.kind !== 'nonIdempotent' && context.hasIdleConnection(address),
     random: () => context.random(),
   };
-  const { candidate, withoutPermit, preferredWithoutPermit } = selectReplica(selection, context, now);
+  const { candidate, shortestQueue, withoutPermit, preferredWithoutPermit } = selectReplica(selection, context, now);
   const option = shortestPermitWait(withoutPermit, input, context, now);
   if (candidate !== undefined) {
-    return decideWithReplica(input, context, candidate, option, preferredWithoutPermit?.id);
+    const decision = decideWithReplica(input, context, candidate, option, preferredWithoutPermit?.id);
+    return decision.kind === 'send' || shortestQueue === undefined
+      ? decision
+      : decideWithReplica(input, context, shortestQueue, option, preferredWithoutPermit?.id);
   }
   return option === undefined
     ? decideWithoutReplica(input, context, shortestBackoffMs(selection, loads, now.steadyMs))
--- a/packages/gateway/src/routing/decideAdmission.ts
+++ b/packages/gateway/src/routing/decideAdmission.ts
@@ -13,15 +13,19 @@
 /** Share of a caller's remaining time that the wait in a replica's queue may take: reported loads are outdated. */
 const waitShare = 0.8;
 
+/** Expected wait of a further request in the queue of a replica, milliseconds. */
+export function queueWaitMs({ running, runMs, replica }: AdmissionSituation['candidate']): number {
+  const queued = Math.max(running + 1 - replica.slots, 0);
+  return (queued * runMs) / Math.max(replica.slots, 1);
+}
+
 /**
- * Decides whether a request joins the queue of the best replica for it. When requests for a model exceed the capacity
+ * Decides whether a request joins the queue of a replica. When requests for a model exceed the capacity
  * of its copies, a queue longer than callers wait serves none of them: each disconnects just before its turn. Requests
  * that would wait too long are refused at once, so that the others are served.
  */
 export function decideAdmission({ candidate, firstByteTimeLeftMs }: AdmissionSituation): AdmissionDecision {
-  const { running, runMs, replica } = candidate;
-  const queued = Math.max(running + 1 - replica.slots, 0);
-  const waitMs = (queued * runMs) / Math.max(replica.slots, 1);
+  const waitMs = queueWaitMs(candidate);
   const allowedMs = firstByteTimeLeftMs * waitShare;
   return waitMs <= allowedMs ? { kind: 'send' } : { kind: 'refuse', retryAfterMs: waitMs - allowedMs / 2 };
 }
--- a/packages/gateway/src/routing/selectReplica.ts
+++ b/packages/gateway/src/routing/selectReplica.ts
@@ -1,6 +1,7 @@
 import type { ReplicaRateLimits } from '../rateLimits/ReplicaRateLimits.js';
 import type { Instant, ModelReference, Replica } from '../Types.js';
 import { type Candidate, chooseReplica, holdsModel } from './chooseReplica.js';
+import { queueWaitMs } from './decideAdmission.js';
 import type { ReplicaLoads } from './ReplicaLoads.js';
 
 /** A request that needs a replica. */
@@ -29,6 +30,8 @@
 export interface SelectionResult {
   /** The replica to use; absent if no replica is suitable. */
   readonly candidate?: Candidate;
+  /** The replica with the shortest queue, if the one to use has a queue: a request is refused only if this one is too long. */
+  readonly shortestQueue?: Candidate;
   /** Replicas with a rate limit that are suitable except that this daemon has no permit for them. */
   readonly withoutPermit: readonly Candidate[];
   /** The replica that would be used if no permits were needed, if it is one of those without a permit. */
@@ -81,18 +84,27 @@
     modelReference === undefined ? candidates : candidates.filter((candidate) => !candidate.isUnreachable);
   const permitted = reachable.filter(({ replica }) => rateLimits.maySend(replica.id, now));
   const candidate = chooseReplica(permitted, failureDomain, random);
+  const shortestQueue = candidate === undefined || queueWaitMs(candidate) === 0 ? undefined : shortestOf(permitted);
+  const chosen = { ...(candidate && { candidate }), ...(shortestQueue && { shortestQueue }) };
   if (permitted.length === reachable.length) {
-    return { ...(candidate && { candidate }), withoutPermit: [] };
+    return { ...chosen, withoutPermit: [] };
   }
   const withoutPermit = reachable.filter((one) => !permitted.includes(one));
   const preferred = chooseReplica(reachable, failureDomain, random);
   return {
-    ...(candidate && { candidate }),
+    ...chosen,
     withoutPermit,
     ...(preferred && withoutPermit.includes(preferred) && { preferredWithoutPermit: preferred.replica }),
   };
 }
 
+function shortestOf(candidates: readonly Candidate[]): Candidate | undefined {
+  return candidates.reduce<Candidate | undefined>(
+    (best, one) => (best === undefined || queueWaitMs(one) < queueWaitMs(best) ? one : best),
+    undefined,
+  );
+}
+
 /** True if a replica holds the model of a request and does not currently refuse the requests of this daemon. */
 function mayServe(
   replica: Replica,
