--- a/packages/gateway/src/forwarding/Exchange.ts
+++ b/packages/gateway/src/forwarding/Exchange.ts
@@ -253,11 +253,11 @@
   }
 
   /** Returns the time after which the caller is asked to return, milliseconds. */
-  private _promiseReturn({ room, window }: ReturnPromise, nowMs: number): number {
-    const servedKind = room.modelReference === undefined ? 'queue' : 'model';
+  private _promiseReturn({ capacity, window }: ReturnPromise, nowMs: number): number {
+    const servedKind = capacity.modelReference === undefined ? 'queue' : 'model';
     this._returnKind = window.isServed ? servedKind : 'late';
     this._context.waitingMetrics.countReturn(this._returnKind);
-    return this._context.waitingRequests.returns.promise(room, window, nowMs);
+    return this._context.waitingRequests.returns.promise(capacity, window, nowMs);
   }
 
   private _dispatchInput(route: Route, nowMs: number): DispatchInput {
--- a/packages/gateway/src/forwarding/decideDispatch.test.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.test.ts
@@ -90,7 +90,7 @@
       // At most one third of the 8 s that are left.
       vitest
         .expect(decision)
-        .toMatchObject({ promise: { window: { isServed: true }, room: { key: `queue ${holder.id}` } } });
+        .toMatchObject({ promise: { window: { isServed: true }, capacity: { key: `queue ${holder.id}` } } });
       vitest.expect(decision.kind === 'refuse' && decision.promise?.window.lastMs).toBeLessThan(8_000 / 3);
     },
   );
--- a/packages/gateway/src/forwarding/decideDispatch.ts
+++ b/packages/gateway/src/forwarding/decideDispatch.ts
@@ -9,7 +9,7 @@
 import { decideHold } from '../waiting/decideHold.js';
 import { decideReturn, firstEventReserveMs, type ReturnWindow } from '../waiting/decideReturn.js';
 import { decideWait, type WaitDecision, type WaitingSituation } from '../waiting/decideWait.js';
-import type { ReturnRoom } from '../waiting/PromisedReturns.js';
+import type { ReturnCapacity } from '../waiting/PromisedReturns.js';
 import { callerTimeoutMs } from './retryPolicy.js';
 import type { WaitReason } from '../waiting/WaitingMetrics.js';
 import type { ExchangeContext } from './Types.js';
@@ -72,10 +72,10 @@
   readonly waitingRequests: Pick<ExchangeContext['waitingRequests'], 'countAhead' | 'isHeldFor'>;
 }
 
-/** Times between which a refused caller returns, and the room that it returns to. */
+/** Times between which a refused caller returns, and the capacity that it returns to. */
 export interface ReturnPromise {
   readonly window: ReturnWindow;
-  readonly room: ReturnRoom;
+  readonly capacity: ReturnCapacity;
 }
 
 /** Decision on a request. */
@@ -104,7 +104,7 @@
       readonly retryAfterMs?: number;
       /** Estimate of the leader on which the refusal is based, milliseconds. */
       readonly readyInMs?: number;
-      /** Times between which the caller returns, and the room that it returns to. Absent if the time is exact. */
+      /** Times between which the caller returns, and the capacity that it returns to. Absent if the time is exact. */
       readonly promise?: ReturnPromise;
       /** Parts of the prompt for which the request is refused. */
       readonly blockedParts?: readonly string[];
@@ -121,7 +121,7 @@
   if (limitedReplicaId !== undefined) {
     return 'permit';
   }
-  return heldFor === undefined ? 'model' : 'room';
+  return heldFor === undefined ? 'model' : 'slot';
 }
 
 /** A replica with a rate limit that a request could wait for. */
@@ -338,7 +338,7 @@
 }
 
 /**
- * The room that a caller returns to when the queue of a replica has become shorter. The returns are spread over the time
+ * The capacity that a caller returns to when the queue of a replica has become shorter. The returns are spread over the time
  * in which the queue shrinks from the longest one that is allowed, so that they do not meet the same queue again.
  */
 function promiseOfQueue(
@@ -351,10 +351,10 @@
   const spacingMs = runMs / Math.max(replica.slots, 1);
   const spreadMs = window.lastMs - window.firstMs;
   const times = { callerTimeoutMs: callerTimeoutMs(route), latencyTargetMs: route.latencyTargetMs };
-  return { window, room: { key: `queue ${replica.id}`, spacingMs, spreadMs, ...times } };
+  return { window, capacity: { key: `queue ${replica.id}`, spacingMs, spreadMs, ...times } };
 }
 
-/** The room that a caller returns to when its model is ready. */
+/** The capacity that a caller returns to when its model is ready. */
 function promiseOf(
   { returnWindow: window }: Extract<WaitDecision, { kind: 'refuse' }>,
   { route }: DispatchInput,
@@ -364,7 +364,7 @@
   if (window === undefined) {
     return {};
   }
-  const room = {
+  const capacity = {
     key: modelReference.model,
     spacingMs: 0,
     spreadMs: context.returnSpreadMs(modelReference.model),
@@ -372,5 +372,5 @@
     callerTimeoutMs: callerTimeoutMs(route),
     latencyTargetMs: route.latencyTargetMs,
   };
-  return { promise: { window, room } };
+  return { promise: { window, capacity } };
 }
--- a/packages/gateway/src/forwarding/heldRequests.test.ts
+++ b/packages/gateway/src/forwarding/heldRequests.test.ts
@@ -37,7 +37,7 @@
       await timers.setTimeout(60);
       const others = ['b-1', 'c-1', 'd-1'].map(call);
       vitest.expect(await Promise.all([...surge, ...others])).toEqual(Array.from({ length: 63 }, () => 200));
-      const heldLines = fixture.requestLines.filter(({ waitedFor }) => waitedFor === 'room');
+      const heldLines = fixture.requestLines.filter(({ waitedFor }) => waitedFor === 'slot');
       vitest.expect(heldLines.length).toBeGreaterThan(20);
       vitest.expect(heldLines.every(({ tenant }) => tenant === 'a')).toBe(true);
       // The surge takes 600 ms or more; the others wait for the requests that were sent before them only.
--- a/packages/gateway/src/peers/Types.ts
+++ b/packages/gateway/src/peers/Types.ts
@@ -23,7 +23,7 @@
   /** Software versions that some of them need, because they go on with streams. Absent if none does. */
   readonly requiredVersions?: readonly string[];
   /** Longest time that one of them can still wait, milliseconds. Absent in reports of earlier versions. */
-  readonly patienceMs?: number;
+  readonly callerTimeoutMs?: number;
 }
 
 /** Requests of one daemon that arrived since its last report. */
@@ -32,7 +32,7 @@
   readonly count: number;
   readonly latencyTargetMs: number;
   /** Mean time that their callers wait for the first byte, milliseconds. Absent in reports of earlier versions. */
-  readonly patienceMs?: number;
+  readonly callerTimeoutMs?: number;
 }
 
 /** Requests of one daemon that run on a replica. */
--- a/packages/gateway/src/placement/ArrivalCounter.ts
+++ b/packages/gateway/src/placement/ArrivalCounter.ts
@@ -6,14 +6,14 @@
 export class ArrivalCounter {
   private _arrivals = new Map<string, ArrivalReport>();
 
-  /** Counts a request. `patienceMs` is the time that its caller waits for the first byte. */
-  public record(modelReference: ModelReference, latencyTargetMs: number, patienceMs: number): void {
+  /** Counts a request. `callerTimeoutMs` is the time that its caller waits for the first byte. */
+  public record(modelReference: ModelReference, latencyTargetMs: number, callerTimeoutMs: number): void {
     const key = modelReferenceKey(modelReference);
     const before = this._arrivals.get(key);
     const count = (before?.count ?? 0) + 1;
-    const beforeMs = before?.patienceMs ?? patienceMs;
-    const meanMs = Math.round(beforeMs + (patienceMs - beforeMs) / count);
-    this._arrivals.set(key, { target: modelReference, count, latencyTargetMs, patienceMs: meanMs });
+    const beforeMs = before?.callerTimeoutMs ?? callerTimeoutMs;
+    const meanMs = Math.round(beforeMs + (callerTimeoutMs - beforeMs) / count);
+    this._arrivals.set(key, { target: modelReference, count, latencyTargetMs, callerTimeoutMs: meanMs });
   }
 
   public get hasArrivals(): boolean {
--- a/packages/gateway/src/placement/DemandAggregator.test.ts
+++ b/packages/gateway/src/placement/DemandAggregator.test.ts
@@ -53,14 +53,14 @@
   vitest.test('reports how long callers wait (guards against loads that end after the last caller has left)', () => {
     const aggregator = new DemandAggregator();
     const { waiting, arrivals, ...rest } = report(1);
-    const patient = (patienceMs: number, daemon: string): DaemonReport => ({
+    const patient = (callerTimeoutMs: number, daemon: string): DaemonReport => ({
       ...rest,
       daemon,
-      waiting: waiting.map((entry) => ({ ...entry, patienceMs })),
-      arrivals: arrivals.map((entry) => ({ ...entry, patienceMs })),
+      waiting: waiting.map((entry) => ({ ...entry, callerTimeoutMs })),
+      arrivals: arrivals.map((entry) => ({ ...entry, callerTimeoutMs })),
     });
     aggregator.apply(patient(2_000, 'vm1'), 0);
     aggregator.apply(patient(16_000, 'vm2'), 0);
-    vitest.expect(aggregator.demands(1_000)).toMatchObject([{ waitingPatienceMs: 15_000, patienceMs: 9_000 }]);
+    vitest.expect(aggregator.demands(1_000)).toMatchObject([{ waitingTimeoutMs: 15_000, callerTimeoutMs: 9_000 }]);
   });
 });
--- a/packages/gateway/src/placement/DemandAggregator.ts
+++ b/packages/gateway/src/placement/DemandAggregator.ts
@@ -29,7 +29,7 @@
   perSecond: number;
   updatedMs: number;
   latencyTargetMs: number;
-  patienceMs?: number;
+  callerTimeoutMs?: number;
 }
 
 interface StoredReport {
@@ -48,10 +48,10 @@
     for (const arrival of report.arrivals) {
       const rate = this._rate(arrival.target, nowMs);
       const addedPerSecond = (arrival.count * 1000) / rateTimeConstantMs;
-      if (arrival.patienceMs !== undefined) {
+      if (arrival.callerTimeoutMs !== undefined) {
         const share = addedPerSecond / (rate.perSecond + addedPerSecond);
-        const beforeMs = rate.patienceMs ?? arrival.patienceMs;
-        rate.patienceMs = beforeMs + (arrival.patienceMs - beforeMs) * share;
+        const beforeMs = rate.callerTimeoutMs ?? arrival.callerTimeoutMs;
+        rate.callerTimeoutMs = beforeMs + (arrival.callerTimeoutMs - beforeMs) * share;
       }
       rate.perSecond += addedPerSecond;
       rate.latencyTargetMs = arrival.latencyTargetMs;
@@ -68,7 +68,7 @@
     }
     return [...this._rates].map(([key, rate]) => {
       const entry = waiting.get(key);
-      const patienceMs = entry?.patienceMs;
+      const callerTimeoutMs = entry?.callerTimeoutMs;
       return {
         modelReference: rate.modelReference,
         waiting: entry?.count ?? 0,
@@ -77,8 +77,8 @@
         unservedMs: nowMs - (this._waits.get(key)?.sinceMs ?? nowMs),
         ratePerSecond: decayed(rate, nowMs),
         latencyTargetMs: rate.latencyTargetMs,
-        ...(patienceMs !== undefined && { waitingPatienceMs: patienceMs }),
-        ...(rate.patienceMs !== undefined && { patienceMs: rate.patienceMs }),
+        ...(callerTimeoutMs !== undefined && { waitingTimeoutMs: callerTimeoutMs }),
+        ...(rate.callerTimeoutMs !== undefined && { callerTimeoutMs: rate.callerTimeoutMs }),
       };
     });
   }
@@ -111,7 +111,7 @@
         const slackMs = Math.min(entry.slackMs - (nowMs - receivedMs), sum?.slackMs ?? Number.POSITIVE_INFINITY);
         const requiredVersions = [...(sum?.requiredVersions ?? []), ...(entry.requiredVersions ?? [])];
         const ageMs = nowMs - receivedMs;
-        const patiences = [sum?.patienceMs, entry.patienceMs && entry.patienceMs - ageMs].filter(
+        const timeouts = [sum?.callerTimeoutMs, entry.callerTimeoutMs && entry.callerTimeoutMs - ageMs].filter(
           (ms) => ms !== undefined,
         );
         sums.set(key, {
@@ -119,7 +119,7 @@
           count: entry.count + (sum?.count ?? 0),
           slackMs,
           requiredVersions,
-          ...(patiences.length > 0 && { patienceMs: Math.max(...patiences) }),
+          ...(timeouts.length > 0 && { callerTimeoutMs: Math.max(...timeouts) }),
         });
       }
     }
--- a/packages/gateway/src/placement/Types.ts
+++ b/packages/gateway/src/placement/Types.ts
@@ -16,9 +16,9 @@
   /** Smallest latency target of the requests, milliseconds. */
   readonly latencyTargetMs: number;
   /** Longest time that one of the waiting requests can still wait, milliseconds. Absent if no daemon reports it. */
-  readonly waitingPatienceMs?: number;
+  readonly waitingTimeoutMs?: number;
   /** Mean time that callers wait for the first byte, milliseconds. Absent if no daemon reports it. */
-  readonly patienceMs?: number;
+  readonly callerTimeoutMs?: number;
 }
 
 /** An adapter on a replica. */
--- a/packages/gateway/src/placement/estimateReady.test.ts
+++ b/packages/gateway/src/placement/estimateReady.test.ts
@@ -94,8 +94,8 @@
     'uses a store load for callers that still wait at its end (guards against loads that serve nobody)',
     () => {
       const demands: Demand[] = [
-        { ...baseDemand, ratePerSecond: 1, waiting: 5, waitingPatienceMs: 2_000, patienceMs: 2_000 },
-        { ...baseDemand, modelReference: { model: 'n' }, ratePerSecond: 0.2, waitingPatienceMs: 16_000 },
+        { ...baseDemand, ratePerSecond: 1, waiting: 5, waitingTimeoutMs: 2_000, callerTimeoutMs: 2_000 },
+        { ...baseDemand, modelReference: { model: 'n' }, ratePerSecond: 0.2, waitingTimeoutMs: 16_000 },
       ];
       const state = input([placedReplica('r')]);
       const models = new Map([...state.models, ['n', { ...specification, name: 'n' }]]);
@@ -113,7 +113,7 @@
   });
 
   vitest.test('keeps the store load that was promised (guards against one load promised to many callers)', () => {
-    const state = input([placedReplica('r')], { ratePerSecond: 0, waitingPatienceMs: 20_000 });
+    const state = input([placedReplica('r')], { ratePerSecond: 0, waitingTimeoutMs: 20_000 });
     const models = new Map([...state.models, ['n', { ...specification, name: 'n' }]]);
     const newer: Demand = { ...baseDemand, modelReference: { model: 'n' }, ratePerSecond: 0.25 };
     const first = { ...state, models, maximumStoreLoads: 1 };
--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -65,11 +65,11 @@
  * others are requested anew. Of the callers to come, those count that arrive late enough in the load to see its end.
  */
 export function storeGainOf(demand: ModelDemand, loadMs: number): number {
-  const { waiting, waitingPatienceMs = loadMs, patienceMs = loadMs, ratePerSecond } = demand;
-  const served = waitingPatienceMs < loadMs ? 0 : waiting;
+  const { waiting, waitingTimeoutMs = loadMs, callerTimeoutMs = loadMs, ratePerSecond } = demand;
+  const served = waitingTimeoutMs < loadMs ? 0 : waiting;
   const ageFactor = 1 + Math.min(demand.unservedMs, loadMs) / predictedMs;
   const predicted = (ratePerSecond * predictedMs) / 1000;
-  return served * ageFactor + predicted * Math.min(patienceMs / loadMs, 1);
+  return served * ageFactor + predicted * Math.min(callerTimeoutMs / loadMs, 1);
 }
 
 /** Factor by which the gain of another load must exceed that of the load that callers were promised. */
@@ -123,9 +123,9 @@
   readonly ratePerSecond: number;
   readonly latencyTargetMs: number;
   /** Longest time that one of the waiting requests can still wait, milliseconds. Absent if no daemon reports it. */
-  readonly waitingPatienceMs?: number;
+  readonly waitingTimeoutMs?: number;
   /** Mean time that callers wait for the first byte, milliseconds. Absent if no daemon reports it. */
-  readonly patienceMs?: number;
+  readonly callerTimeoutMs?: number;
 }
 
 /** Sums the demand for each model and its adapters. */
@@ -140,15 +140,15 @@
       unservedMs: Math.max(sum?.unservedMs ?? 0, demand.unservedMs),
       ratePerSecond: (sum?.ratePerSecond ?? 0) + demand.ratePerSecond,
       latencyTargetMs: Math.min(sum?.latencyTargetMs ?? Number.POSITIVE_INFINITY, demand.latencyTargetMs),
-      ...longest('waitingPatienceMs', sum, demand),
-      ...longest('patienceMs', sum, demand),
+      ...longest('waitingTimeoutMs', sum, demand),
+      ...longest('callerTimeoutMs', sum, demand),
     });
   }
   return sums;
 }
 
 /** The longer of two times, of which both may be absent. */
-function longest<Key extends 'waitingPatienceMs' | 'patienceMs'>(
+function longest<Key extends 'waitingTimeoutMs' | 'callerTimeoutMs'>(
   key: Key,
   ...demands: readonly (Partial<Record<Key, number>> | undefined)[]
 ): Partial<Record<Key, number>> {
--- a/packages/gateway/src/speeds/LastingSpeeds.ts
+++ b/packages/gateway/src/speeds/LastingSpeeds.ts
@@ -1,6 +1,6 @@
 import type { SlownessByReplica } from './Types.js';
 
-/** Slowness of replicas as the leader last sent it. It lasts, so it stays in use while no leader is heard. */
+/** Slowness of replicas as the leader last sent it. It lasts, so it stays in use while there is no leader. */
 export class LastingSpeeds {
   private readonly _slowness = new Map<string, number>();
 
--- a/packages/gateway/src/testing/HoldingSimulation.ts
+++ b/packages/gateway/src/testing/HoldingSimulation.ts
@@ -24,8 +24,8 @@
 
 export interface HoldingOptions {
   readonly daemons: number;
-  /** Age of the load news when they arrive, and time between two of them, milliseconds. */
-  readonly news: { readonly delayMs: number; readonly intervalMs: number };
+  /** Age of the load reports when they arrive, and time between two of them, milliseconds. */
+  readonly reports: { readonly delayMs: number; readonly intervalMs: number };
   readonly replicas: number;
   readonly slots: number;
   readonly meanRunMs: number;
@@ -82,7 +82,7 @@
   private readonly _random: () => number;
   private readonly _daemons: readonly SimulatedDaemon[];
   private readonly _replicas: readonly SimulatedReplica[];
-  private _news: { readonly atMs: number; readonly totals: readonly number[]; readonly own: readonly number[][] }[] =
+  private _reports: { readonly atMs: number; readonly totals: readonly number[]; readonly own: readonly number[][] }[] =
     [];
 
   public constructor(private readonly _options: HoldingOptions) {
@@ -136,14 +136,14 @@
   }
 
   private _sendNews(nowMs: number): void {
-    const { news } = this._options;
-    if (nowMs % news.intervalMs === 0) {
+    const { reports } = this._options;
+    if (nowMs % reports.intervalMs === 0) {
       const totals = this._replicas.map(({ running, queue }) => running.length + queue.length);
-      this._news.push({ atMs: nowMs + news.delayMs, totals, own: this._daemons.map(({ own }) => [...own]) });
+      this._reports.push({ atMs: nowMs + reports.delayMs, totals, own: this._daemons.map(({ own }) => [...own]) });
     }
-    const message = this._news[0];
+    const message = this._reports[0];
     if (message !== undefined && message.atMs <= nowMs) {
-      this._news.shift();
+      this._reports.shift();
       this._daemons.forEach(({ others }, daemon) => {
         message.totals.forEach((total, index) => {
           others[index] = Math.max(total - (message.own[daemon]?.[index] ?? 0), 0);
@@ -204,8 +204,8 @@
   }
 
   private _candidate({ record }: SimulatedReplica, index: number, { own, others }: SimulatedDaemon): Candidate {
-    const { news, meanRunMs } = this._options;
-    const reportAgeMs = news.delayMs + news.intervalMs / 2;
+    const { reports, meanRunMs } = this._options;
+    const reportAgeMs = reports.delayMs + reports.intervalMs / 2;
     const currentShare = Math.exp(-reportAgeMs / meanRunMs);
     const meanOthers = others.reduce((sum, count) => sum + count, 0) / Math.max(this._replicas.length, 1);
     const knownRunning = (own[index] ?? 0) + (others[index] ?? 0) * currentShare;
--- a/packages/gateway/src/waiting/PromisedReturns.ts
+++ b/packages/gateway/src/waiting/PromisedReturns.ts
@@ -4,11 +4,11 @@
 /** Upper limit of the promises that are kept, so that a burst of refusals does not fill the memory. */
 const promiseLimit = 1_000;
 
-/** The room that refused callers return to. */
-export interface ReturnRoom {
+/** The capacity that refused callers return to. */
+export interface ReturnCapacity {
   /** Model or replica that the callers wait for. */
   readonly key: string;
-  /** Time between two callers that the room takes, milliseconds. */
+  /** Time between two callers that the capacity takes, milliseconds. */
   readonly spacingMs: number;
   /** Time over which the callers of all daemons are spread, milliseconds. */
   readonly spreadMs: number;
@@ -21,7 +21,7 @@
 
 /** A caller that was asked to return. */
 interface PromisedReturn {
-  readonly room: ReturnRoom;
+  readonly capacity: ReturnCapacity;
   readonly atMs: number;
 }
 
@@ -33,31 +33,31 @@
 }
 
 /**
- * The times at which refused callers of this daemon were asked to return. No two callers are promised the same room, as
+ * The times at which refused callers of this daemon were asked to return. No two callers are promised the same capacity, as
  * far as this daemon knows: other daemons promise it too, so that each return also has a random part.
  */
 export class PromisedReturns {
   private readonly _promises: PromisedReturn[] = [];
-  /** Time of the last return by room, steady milliseconds. */
+  /** Time of the last return by capacity, steady milliseconds. */
   private readonly _lastMs = new Map<string, number>();
 
   public constructor(private readonly _random: () => number = Math.random) {}
 
   /** Promises a return within the window, and returns the time until then, milliseconds. */
-  public promise(room: ReturnRoom, window: ReturnWindow, nowMs: number): number {
+  public promise(capacity: ReturnCapacity, window: ReturnWindow, nowMs: number): number {
     this.expire(nowMs);
     if (!window.isServed) {
       return window.firstMs;
     }
     const { firstMs, lastMs } = window;
-    const afterOthersMs = (this._lastMs.get(room.key) ?? Number.NEGATIVE_INFINITY) - nowMs + room.spacingMs;
-    const spreadMs = Math.min(room.spreadMs, lastMs - firstMs);
+    const afterOthersMs = (this._lastMs.get(capacity.key) ?? Number.NEGATIVE_INFINITY) - nowMs + capacity.spacingMs;
+    const spreadMs = Math.min(capacity.spreadMs, lastMs - firstMs);
     const turnMs = Math.max(firstMs + this._random() * spreadMs, afterOthersMs);
-    // When the room up to the last time is promised, the returns are spread evenly: some callers do not return.
+    // When the capacity up to the last time is promised, the returns are spread evenly: some callers do not return.
     const returnInMs = turnMs <= lastMs ? turnMs : firstMs + this._random() * (lastMs - firstMs);
-    this._lastMs.set(room.key, Math.max(nowMs + returnInMs, this._lastMs.get(room.key) ?? 0));
+    this._lastMs.set(capacity.key, Math.max(nowMs + returnInMs, this._lastMs.get(capacity.key) ?? 0));
     if (this._promises.length < promiseLimit) {
-      this._promises.push({ room, atMs: nowMs + returnInMs });
+      this._promises.push({ capacity, atMs: nowMs + returnInMs });
     }
     return returnInMs;
   }
@@ -65,8 +65,8 @@
   /** Models that must be ready when callers return. They count as waited for, or no replica would load them. */
   public awaited(nowMs: number): readonly AwaitedReturn[] {
     this.expire(nowMs);
-    return this._promises.flatMap(({ room, atMs }) => {
-      const { modelReference, latencyTargetMs, callerTimeoutMs } = room;
+    return this._promises.flatMap(({ capacity, atMs }) => {
+      const { modelReference, latencyTargetMs, callerTimeoutMs } = capacity;
       const times = { lateAtMs: atMs + latencyTargetMs, leavesAtMs: atMs + callerTimeoutMs };
       return modelReference === undefined ? [] : [{ modelReference, ...times }];
     });
--- a/packages/gateway/src/waiting/TenantTurns.test.ts
+++ b/packages/gateway/src/waiting/TenantTurns.test.ts
@@ -57,13 +57,16 @@
     vitest.expect(served.size).toBe(3);
   });
 
-  vitest.test('saves no turns up for a tenant without requests (guards against a burst that stops all others)', () => {
-    const turns = new TenantTurns();
-    Array.from({ length: 50 }, () => {
-      turns.recordServed('a');
-    });
-    const burst = Array.from({ length: 5 }, () => request('b', { tenantName: 'b' }));
-    const own = Array.from({ length: 5 }, () => request('a', { tenantName: 'a', lateAtMs: 2_000 }));
-    vitest.expect(names([...burst, ...own], turns)).toBe('b b a b a b a b a a');
-  });
+  vitest.test(
+    'accumulates no turns for a tenant without requests (guards against a burst that stops all others)',
+    () => {
+      const turns = new TenantTurns();
+      Array.from({ length: 50 }, () => {
+        turns.recordServed('a');
+      });
+      const burst = Array.from({ length: 5 }, () => request('b', { tenantName: 'b' }));
+      const own = Array.from({ length: 5 }, () => request('a', { tenantName: 'a', lateAtMs: 2_000 }));
+      vitest.expect(names([...burst, ...own], turns)).toBe('b b a b a b a b a a');
+    },
+  );
 });
--- a/packages/gateway/src/waiting/TenantTurns.ts
+++ b/packages/gateway/src/waiting/TenantTurns.ts
@@ -12,7 +12,7 @@
  * queueing), so that a tenant with many requests delays only itself. Without tenants all requests share the turns.
  */
 export class TenantTurns {
-  /** Turn of the last request that was served. A tenant that has had no requests does not save turns up. */
+  /** Turn of the last request that was served. A tenant that has had no requests does not accumulate turns. */
   private _currentTurn = 0;
   /** Next turn by tenant. */
   private readonly _nextTurns = new Map<string, number>();
--- a/packages/gateway/src/waiting/WaitingMetrics.ts
+++ b/packages/gateway/src/waiting/WaitingMetrics.ts
@@ -2,10 +2,10 @@
 import type { WaitingRequests } from './WaitingRequests.js';
 
 /**
- * What a request waits for: its model, a permit of a replica with a rate limit, a trial of its prompt, or room at full
+ * What a request waits for: its model, a permit of a replica with a rate limit, a trial of its prompt, or a slot of full
  * replicas.
  */
-export type WaitReason = 'model' | 'permit' | 'trial' | 'room';
+export type WaitReason = 'model' | 'permit' | 'trial' | 'slot';
 
 /** What a refused caller returns to. `late`: no retry can be served before its deadline. */
 export type ReturnKind = 'model' | 'queue' | 'late';
@@ -32,7 +32,7 @@
     });
     this._returns = new metrics.Counter({
       name: 'jayhaven_returns_promised_total',
-      help: 'Refused callers that were told when to return, by what they return to.',
+      help: 'Refused callers that got a time to return, by what they return to.',
       labelNames: ['kind'],
       registers,
     });
--- a/packages/gateway/src/waiting/WaitingRequests.ts
+++ b/packages/gateway/src/waiting/WaitingRequests.ts
@@ -75,7 +75,7 @@
     this._redispatch(requests, nowMs);
   }
 
-  /** Sends the held requests for which there is room, in their order. Called when there may be room, and at intervals. */
+  /** Sends the held requests for which there are slots, in their order. Called when a slot may be free, and at intervals. */
   public redispatchHeld(nowMs: number): void {
     if (this._dispatchesHeld || nowMs - this._heldDispatchedMs < heldIntervalMs) {
       return;
@@ -180,7 +180,7 @@
     target,
     count: (before?.count ?? 0) + 1,
     slackMs: Math.min(before?.slackMs ?? Number.POSITIVE_INFINITY, Math.round(lateAtMs - nowMs)),
-    patienceMs: Math.max(before?.patienceMs ?? Number.NEGATIVE_INFINITY, Math.round(leavesAtMs - nowMs)),
+    callerTimeoutMs: Math.max(before?.callerTimeoutMs ?? Number.NEGATIVE_INFINITY, Math.round(leavesAtMs - nowMs)),
     ...(versions.size > 0 && { requiredVersions: [...versions] }),
   };
 }
--- a/packages/gateway/src/waiting/decideHold.test.ts
+++ b/packages/gateway/src/waiting/decideHold.test.ts
@@ -68,7 +68,7 @@
   ];
   const options: HoldingOptions = {
     daemons: 82,
-    news: { delayMs: 100, intervalMs: 400 },
+    reports: { delayMs: 100, intervalMs: 400 },
     replicas: 4,
     slots: 6,
     meanRunMs: 250,
--- a/packages/gateway/src/waiting/decideHold.ts
+++ b/packages/gateway/src/waiting/decideHold.ts
@@ -19,7 +19,7 @@
 
 /**
  * Decides whether a request is held while all replicas are full. Replicas admit by urgency themselves, so that requests
- * are sent in general: many daemons with old news leave slots idle if they hold all requests, and their turns mix the
+ * are sent in general: many daemons with outdated reports leave slots idle if they hold all requests, and their turns mix the
  * urgencies. Within one urgency replicas serve in order of arrival, so that a tenant with many times its usual rate
  * takes the slots of all others. Only its requests are held.
  */
--- a/packages/gateway/src/waiting/decideReturn.ts
+++ b/packages/gateway/src/waiting/decideReturn.ts
@@ -1,4 +1,4 @@
-/** A refused request and the room that a retry of it could be served with. */
+/** A refused request and the capacity that a retry of it could be served with. */
 export interface RefusedSituation {
   /** Time until a retry can be served, milliseconds. */
   readonly readyInMs: number;
@@ -29,7 +29,7 @@
 /**
  * Decides when a refused caller returns. It returns when it can be served, if it honours that time. If it can be served
  * later, but within the time that the retry waits, it returns as late as it honours and waits for the rest. If no retry
- * can be served before the deadline, the true time is told: a caller that returns earlier is refused once more, as it
+ * can be served before the deadline, the true time is returned: a caller that returns earlier is refused once more, as it
  * is without a time, and one that honours it is served with its next request.
  */
 export function decideReturn(situation: RefusedSituation): ReturnWindow {
--- a/packages/gateway/src/waiting/decideWait.test.ts
+++ b/packages/gateway/src/waiting/decideWait.test.ts
@@ -53,7 +53,7 @@
       fastCheck.property(times, times, times, times, (firstByteTimeLeftMs, timeLeftMs, callerTimeoutMs, readyInMs) => {
         const decision = decideWait({ ...situation, firstByteTimeLeftMs, timeLeftMs, callerTimeoutMs, readyInMs });
         if (decision.kind === 'wait' || decision.returnWindow?.isServed !== true) {
-          // The true time is told if no retry can be served.
+          // The true time is returned if no retry can be served.
           return decision.kind === 'wait' || decision.retryAfterMs >= readyInMs;
         }
         const { firstMs, lastMs } = decision.returnWindow;
