--- a/packages/gateway/src/placement/LoadOptions.ts
+++ b/packages/gateway/src/placement/LoadOptions.ts
@@ -5,8 +5,8 @@
 
 /** Minimum time that a model stays loaded, milliseconds, so that the requests that waited for it can reach it. */
 export const minimumResidenceMs = 600;
-/** Time that a load which evicts a model in use leaves until its requests miss their latency target, milliseconds. */
-const evictionReserveMs = 500;
+/** Requests with less time than this until they miss their latency target may evict a model in use, milliseconds. */
+export const urgentSlackMs = 500;
 /** Mean remaining time of a running request, milliseconds. An unload waits for the last of them. */
 const meanRemainingRunMs = 1_200;
 /** Cost of evicting the only copy of a model with one request per second, milliseconds. */
@@ -55,7 +55,7 @@
   public option(replica: PlacedReplica, specification: ModelSpecification): LoadOption | undefined {
     const victims: PlacedModel[] = [];
     let free = freeMegabytes(replica, this._input.models);
-    const candidates = this._modelsByCost(replica).filter((held) => this._mayEvict(held, replica, specification));
+    const candidates = this._modelsByCost(replica).filter((held) => this._mayEvict(held, replica, specification.name));
     while (free < specification.weightMegabytes) {
       const victim = candidates.shift();
       if (victim === undefined) {
@@ -103,15 +103,13 @@
   }
 
   /**
-   * A model in use is evicted only for requests that would miss their latency target if that began later; until then
-   * another model may become idle. It retires first, because an unload waits for the model's requests and blocks other orders to the
+   * A model in use is evicted only for requests that are about to miss their latency target; until then another model
+   * may become idle. It retires first, because an unload waits for the model's requests and blocks other orders to the
    * replica meanwhile.
    */
-  private _mayEvict(held: PlacedModel, replica: PlacedReplica, wanted: ModelSpecification): boolean {
+  private _mayEvict(held: PlacedModel, replica: PlacedReplica, wantedModel: string): boolean {
     const isNeeded = this.hasWaitingRequests(held.name) && !this._hasOtherCopy(held.name, replica);
-    const slackMs = this._demand.get(wanted.name)?.slackMs ?? Infinity;
-    const urgentMs = evictionLeadMs(wanted.loadMs[loadTier(replica, wanted.name)], held.running);
-    const isIdleOrUrgent = held.running === 0 || slackMs < urgentMs;
+    const isIdleOrUrgent = held.running === 0 || (this._demand.get(wantedModel)?.slackMs ?? Infinity) < urgentSlackMs;
     return isIdleOrUrgent && !isNeeded && this._nowMs - held.readySinceMs >= minimumResidenceMs;
   }
 
@@ -134,14 +132,6 @@
   }
 }
 
-/**
- * Time before the latency target of waiting requests from which a model in use may be evicted for theirs, milliseconds:
- * its requests have to end, and the load takes its time.
- */
-export function evictionLeadMs(loadMs: number, running: number): number {
-  return evictionReserveMs + drainMs(running) + loadMs;
-}
-
 /** Expected time until the last of the running requests ends, milliseconds. */
 export function drainMs(running: number): number {
   let harmonic = 0;
--- a/packages/gateway/src/placement/estimateReady.ts
+++ b/packages/gateway/src/placement/estimateReady.ts
@@ -2,7 +2,7 @@
 import type { ModelSpecification } from '../Types.js';
 import { CopyIndex } from './CopyIndex.js';
 import { adapterReadyMs, idleUnloadMs, loadDurationMs } from './expectedDuration.js';
-import { drainMs, evictionLeadMs, LoadOptions, minimumResidenceMs } from './LoadOptions.js';
+import { drainMs, LoadOptions, minimumResidenceMs, urgentSlackMs } from './LoadOptions.js';
 import type { PlacedModel, PlacedReplica, PlacementInput } from './Types.js';
 import {
   demandByModel,
@@ -132,10 +132,9 @@
     if (victims === undefined) {
       return Number.POSITIVE_INFINITY;
     }
-    const running = Math.max(...victims.map((victim) => victim.running), 0);
-    const leadMs = evictionLeadMs(specification.loadMs[loadTier(replica, specification.name)], running);
+    const isBusy = victims.some(({ running }) => running > 0);
     const residenceMs = victims.map(({ readySinceMs }) => readySinceMs + minimumResidenceMs - this._nowMs);
-    return Math.max(running > 0 ? demand.slackMs - leadMs : 0, 0, ...residenceMs) + unloadMs(victims);
+    return Math.max(isBusy ? demand.slackMs - urgentSlackMs : 0, 0, ...residenceMs) + unloadMs(victims);
   }
 
   /** The models with the fewest running requests that free the memory for a model; undefined if they are too small. */
