--- a/packages/gateway/src/forwarding/CurrentAttempt.ts
+++ b/packages/gateway/src/forwarding/CurrentAttempt.ts
@@ -99,8 +99,9 @@
 
   private _recordSpeed({ attempt, modelReference, eventGaps }: RunningAttempt): void {
     const gapMs = eventGaps.meanMs;
-    if (modelReference !== undefined && gapMs !== undefined) {
-      this._speedReports.record(attempt.replica.id, modelReference.model, gapMs);
+    const { id } = attempt.replica;
+    if (modelReference !== undefined && gapMs !== undefined && this._loads.reportsSpeed(id)) {
+      this._speedReports.record(id, modelReference.model, gapMs);
     }
   }
 
--- a/packages/gateway/src/placement/LoadOptions.ts
+++ b/packages/gateway/src/placement/LoadOptions.ts
@@ -24,9 +24,6 @@
 /** Slowness counts more for models whose requests have tight latency targets: on slow replicas they are late. */
 const tightLatencySlownessFactor = 2;
 
-/** Cost of a load on a replica whose slots are all in use, milliseconds: its requests wait and run in a full batch. */
-const fullReplicaCostMs = 1_500;
-
 /** A way to load a model on a replica. */
 export interface LoadOption {
   readonly replica: PlacedReplica;
@@ -68,7 +65,7 @@
     const victimsCostMs = victims.reduce((sum, victim) => sum + this._costOf(victim) + unloadStepCostMs, 0);
     const adapterRate = replica.models.reduce((sum, held) => sum + (this._adapterRates.get(held.name) ?? 0), 0);
     const limitCostMs = replica.rateLimit === undefined ? 0 : rateLimitCostMs;
-    const runCostMs = this._slownessCostMs(replica, specification.name) + busyCostMs(replica);
+    const runCostMs = this._slownessCostMs(replica, specification.name);
     const costMs =
       specification.loadMs[tier] + victimsCostMs + adapterRate * adapterDelayCostMs + limitCostMs + runCostMs;
     return { replica, tier, victims, costMs };
@@ -151,8 +148,3 @@
   }
   return rates;
 }
-
-/** Cost of the requests that already run on a replica, in proportion to its slots. */
-function busyCostMs({ running, slots }: PlacedReplica): number {
-  return (running / Math.max(slots, 1)) * fullReplicaCostMs;
-}
--- a/packages/gateway/src/routing/ReplicaLoads.ts
+++ b/packages/gateway/src/routing/ReplicaLoads.ts
@@ -37,6 +37,8 @@
   /** Time until which the replica refuses the requests of this daemon, steady milliseconds. */
   backoffUntilMs: number;
   readonly promptPartIds: Set<string>;
+  /** True if the replica reports how long work takes on its machine. Only then are replicas compared by their speed. */
+  reportsSpeed: boolean;
   /** Service of the replica; undefined until it has been a candidate. */
   service: string | undefined;
   /** Position in the order of this daemon; undefined until it is needed. */
@@ -145,9 +147,15 @@
     const load = this._load(replicaId);
     load.othersByReplica = Math.max(reported.running + reported.waiting - load.ownTotal, 0);
     load.replicaReportMs = nowMs;
+    load.reportsSpeed = reported.slowness !== undefined;
     this._speeds.recordMomentary(replicaId, reported, nowMs);
   }
 
+  /** True if a replica reports how long work takes on its machine. */
+  public reportsSpeed(replicaId: string): boolean {
+    return this._loads.get(replicaId)?.reportsSpeed === true;
+  }
+
   /** Records the number of requests of all daemons on a replica, which the leader sends after a change. */
   public recordLeaderTotal(replicaId: string, total: number): void {
     const load = this._load(replicaId);
@@ -175,7 +183,7 @@
   ): Candidate {
     const load = this._load(replica.id);
     load.service = replica.service;
-    const slowness = this._speeds.slowness(replica.id, nowMs);
+    const slowness = load.reportsSpeed ? this._speeds.slowness(replica.id, nowMs) : 1;
     const runMs = this._speeds.serviceRunMs(replica.service) * slowness;
     const { others, ageMs } = this._known(load, nowMs);
     const decayMs = Math.min(Math.max(runMs, outdatedMs.minimum), outdatedMs.maximum);
@@ -266,6 +274,7 @@
       unreachableUntilMs: 0,
       backoffUntilMs: 0,
       promptPartIds: new Set(),
+      reportsSpeed: false,
       service: undefined,
       rank: undefined,
     };
