--- a/packages/gateway/src/placement/weights.ts
+++ b/packages/gateway/src/placement/weights.ts
@@ -72,12 +72,6 @@
   return served * ageFactor + predicted * Math.min(callerTimeoutMs / loadMs, 1);
 }
 
-/**
- * Loads up to this time end while the demand that they are for lasts, so they go by the rate and the latency target of the
- * requests, milliseconds: twice the time constant of the rates. Longer ones go by the callers that they still serve.
- */
-const lastingDemandMs = 2 * predictedMs;
-
 /** Factor by which the gain of another load must exceed that of the load that callers were promised. */
 const promisedFactor = 2;
 
@@ -95,8 +89,7 @@
 ): readonly (readonly [string, number])[] {
   const candidates = [...demands].filter(([model, demand]) => demand.waiting > 0 || !copies.hasAnyCopy(model));
   const gains = candidates.map(([model, demand]) => {
-    const loadMs = Math.max(models.get(model)?.loadMs.store ?? 0, 1);
-    const gain = loadMs <= lastingDemandMs ? gainOf(demand) : storeGainOf(demand, loadMs);
+    const gain = storeGainOf(demand, Math.max(models.get(model)?.loadMs.store ?? 0, 1));
     return [model, gain * (next.has(model) ? promisedFactor : 1)] as const;
   });
   return gains.sort(([, first], [, second]) => second - first);
