--- a/packages/gateway/src/forwarding/ReplicaAttempt.test.ts
+++ b/packages/gateway/src/forwarding/ReplicaAttempt.test.ts
@@ -4,6 +4,29 @@
 import { sampleReplica } from '../testing/sampleReplica.js';
 import { type AttemptFailure, ReplicaAttempt } from './ReplicaAttempt.js';
 
+/** Sends a payment to a server, and returns why there is no usable response. */
+function failureOfAttempt(server: net.Server, isReplicaUsable: boolean): Promise<AttemptFailure> {
+  const address = { host: '127.0.0.1', port: (server.address() as net.AddressInfo).port };
+  const request = {
+    method: 'POST',
+    path: '/p/x',
+    headers: [],
+    body: Buffer.from('payment'),
+    callerRequest: { attemptId: 'a1', host: 'h', deadlineMs: 5_000, promptPartIds: [] },
+    replica: sampleReplica({ address }),
+    agent: false as const,
+    onWrite: () => undefined,
+    isReplicaUsable: () => isReplicaUsable,
+  };
+  return new Promise((resolve, reject) => {
+    const unexpected = (): void => {
+      reject(new Error('the head of a response was passed on'));
+    };
+    const listener = { onHead: unexpected, onFailure: resolve, onConnectionLost: unexpected };
+    new ReplicaAttempt(request, new FakeCodec(), listener);
+  });
+}
+
 vitest.describe('attempt at a replica', () => {
   vitest.test(
     'sends nothing to a replica that leaves while it is connected to (guards against requests chosen before a drain)',
@@ -14,25 +37,7 @@
         socket.on('data', (bytes) => received.push(bytes));
       });
       await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-      const address = { host: '127.0.0.1', port: (server.address() as net.AddressInfo).port };
-      const request = {
-        method: 'POST',
-        path: '/p/x',
-        headers: [],
-        body: Buffer.from('payment'),
-        callerRequest: { attemptId: 'a1', host: 'h', deadlineMs: 5_000, promptPartIds: [] },
-        replica: sampleReplica({ address }),
-        agent: false as const,
-        onWrite: () => undefined,
-        isReplicaUsable: () => false,
-      };
-      const failure = await new Promise<AttemptFailure>((resolve, reject) => {
-        const unexpected = (): void => {
-          reject(new Error('the replica answered'));
-        };
-        const listener = { onHead: unexpected, onFailure: resolve, onConnectionLost: unexpected };
-        new ReplicaAttempt(request, new FakeCodec(), listener);
-      });
+      const failure = await failureOfAttempt(server, false);
       vitest.expect(failure).toMatchObject({ kind: 'replicaLeft', mayHaveRun: false });
       await new Promise((resolve) => server.close(resolve));
       vitest.expect(received).toEqual([]);
@@ -49,25 +54,7 @@
         );
       });
       await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-      const address = { host: '127.0.0.1', port: (server.address() as net.AddressInfo).port };
-      const request = {
-        method: 'POST',
-        path: '/p/x',
-        headers: [],
-        body: Buffer.from('payment'),
-        callerRequest: { attemptId: 'a1', host: 'h', deadlineMs: 5_000, promptPartIds: [] },
-        replica: sampleReplica({ address }),
-        agent: false as const,
-        onWrite: () => undefined,
-        isReplicaUsable: () => true,
-      };
-      const failure = await new Promise<AttemptFailure>((resolve, reject) => {
-        const unexpected = (): void => {
-          reject(new Error('the head was passed on'));
-        };
-        const listener = { onHead: unexpected, onFailure: resolve, onConnectionLost: unexpected };
-        new ReplicaAttempt(request, new FakeCodec(), listener);
-      });
+      const failure = await failureOfAttempt(server, true);
       vitest.expect(failure).toMatchObject({ kind: 'invalidAnswer', mayHaveRun: true });
       server.close();
     },
--- a/packages/gateway/src/quotas/QuotaAllocator.ts
+++ b/packages/gateway/src/quotas/QuotaAllocator.ts
@@ -55,11 +55,6 @@
     this._startMs = nowMs;
   }
 
-  /** Number of tenants with requests in the last seconds. */
-  public get size(): number {
-    return this._accounts.size;
-  }
-
   /** Answers a daemon's request for quota; undefined if the message was received before. */
   public answer(ask: QuotaAsk, nowMs: number): QuotaAnswer | undefined {
     const { daemon, incarnation, sequence } = ask;
