--- a/review/lib-2/Replica.mjs
+++ b/review/lib-2/Replica.mjs
@@ -31,6 +31,8 @@
     this.state = 'ready';
     /** Part of a prompt that ends the replica when it begins to write an answer to it. */
     this.crashingPart = undefined;
+    /** Time from the head of such an answer to the end of the replica, milliseconds. */
+    this.crashAfterMs = 2;
     /** Called with each attempt that the replica begins to run. */
     this.onRun = () => undefined;
     /** Called with each request that reaches the replica. */
@@ -354,8 +356,7 @@
       if (this.crashingPart !== undefined && parts.includes(this.crashingPart)) {
         response.flushHeaders();
         this._recorder.write(this.id, 'crashes on a part', { attemptId, part: this.crashingPart });
-        setTimeout(() => void this.crash(), 2);
-        return;
+        setTimeout(() => void this.crash(), this.crashAfterMs);
       }
       writeEvent(after + 1);
     };
