--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -27,6 +27,7 @@
   await open('i-1', '1', ['m0']);
   await open('i-2', '1', ['m0']);
   await open('i-3', '1', ['m1']);
+  await open('i-4', '1', ['m1']);
   await site.startGateways(3);
   const leader = await site.awaitLeader();
   await sleep(4_000);
@@ -66,7 +67,7 @@
 
   // New software comes: a replica starts beside the others, which serve on.
   await sleep(2_000);
-  await open('i-4', '2', []);
+  await open('i-new', '2', []);
 
   // Consumers whose streams have paused for so long take them up at other machines. Without the disruption the streams have not
   // paused, and the consumers take them up all the same.
