--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -21,8 +21,12 @@
 /** Time from the second SIGTERM to these requests, and between two of them, milliseconds. */
 const requestsAfterMs = 6_700;
 const requestGapMs = 100;
-/** Streams that run when a gateway is stopped: events, and the time between two. */
-const stream = { events: 159, gapMs: 36 };
+/**
+ * Streams that run when a gateway is stopped: events, 119 at most on this site, and the time between two, of 8 tokens at 6 ms, where
+ * a step takes 5.23 ms and more.
+ */
+const stream = { events: 119, gapMs: 48 };
+const tokensPerEvent = 8;
 const streamsAfterMs = 1_500;
 /** The smallest tenant of the site, and one of its large ones: tokens a second, and their burst. */
 const tenants = [
@@ -94,6 +98,7 @@
   for (const id of ['i-1', 'i-2']) {
     const replica = new Replica(id, { service: 'llm', store, recorder, models: modelsByName });
     replica.eventGapMs = stream.gapMs;
+    replica.tokensPerEvent = tokensPerEvent;
     await site.openReplica(replica, ['m0']);
   }
   await site.startGateways(gatewayCount);
@@ -125,7 +130,7 @@
         const headers = {
           Credential: 'key-large',
           Model: 'm0',
-          'Token-Counts': `500,${stream.events * 6}`,
+          'Token-Counts': `500,${stream.events * tokensPerEvent}`,
           'Prompt-Prefix': `aa:100,d${index}:400`,
           'Deadline-Ms': '20000',
         };
--- a/review/lib-2/Gateway.mjs
+++ b/review/lib-2/Gateway.mjs
@@ -3,6 +3,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as path from 'node:path';
+import * as process from 'node:process';
 import * as url from 'node:url';
 
 const repository = url.fileURLToPath(new URL('../..', import.meta.url));
@@ -10,13 +11,18 @@
 /** The bounds of the small deployments. */
 const bounds = { grace_s: 8, lease_ms: 3000, budget_window_s: 10, budget_ratio: 0.2, budget_slack: 56 };
 
-/** Ports for gateways: below those that the system gives to outgoing connections and to the stand-ins. */
-const ports = { first: 12_000, last: 30_000 };
+/**
+ * Ports for gateways: below those that the system gives to outgoing connections and to the stand-ins. Each process of a case takes
+ * them one after the other from a block of its own, so that cases that run side by side take none of each other's.
+ */
+const ports = { first: 12_000, last: 30_000, block: 100 };
+let nextPort = ports.first + (process.pid % ((ports.last - ports.first) / ports.block)) * ports.block;
 
-/** A free port of the loopback address. */
+/** A free port of the loopback address, another one with each call. */
 export async function freePort() {
   for (;;) {
-    const port = ports.first + Math.floor(Math.random() * (ports.last - ports.first));
+    const port = nextPort;
+    nextPort += 1;
     if (await isFree(port)) {
       return port;
     }
--- a/review/lib-2/Replica.mjs
+++ b/review/lib-2/Replica.mjs
@@ -28,6 +28,8 @@
     /** Time between two events of a stream, milliseconds. */
     this.eventGapMs = 50;
     this.firstEventMs = 60;
+    /** Tokens that an event of a stream holds, as the site's sheet says. */
+    this.tokensPerEvent = 6;
     this.state = 'ready';
     /** Part of a prompt that ends the replica when it begins to write an answer to it. */
     this.crashingPart = undefined;
@@ -331,7 +333,8 @@
   _run(run, request, response) {
     this._runs.add(run);
     const after = Number(request.headers['last-event-id'] ?? 0);
-    const events = Number(request.headers['token-counts']?.split(',')[1] ?? 6) / 6;
+    const tokens = Number(request.headers['token-counts']?.split(',')[1] ?? this.tokensPerEvent);
+    const events = tokens / this.tokensPerEvent;
     Object.assign(run, { version: this.version, replica: this.id, after, lastEvent: undefined });
     this.onRun(run);
     const { attemptId, model, adapter } = run;
