--- a/review/lib-3/Store.mjs
+++ b/review/lib-3/Store.mjs
@@ -10,6 +10,8 @@
   #topics = new Map();
   #waiting = new Set();
   #server = http.createServer((request, response) => this.#handle(request, response));
+  /** While true, all calls get 503, and nothing is done. */
+  isDown = false;
   /** Texts that are replaced in what gateways write, such as an address by that of a proxy before it. */
   replacements = new Map();
 
@@ -52,7 +54,10 @@
     const url = new URL(request.url, 'http://store');
     const topic = url.searchParams.get('topic');
     response.setHeader('Store-Era', '1');
-    if (url.pathname === '/log-newest') {
+    if (this.isDown) {
+      request.resume();
+      sendJson(response, 503, { error: 'busy' });
+    } else if (url.pathname === '/log-newest') {
       this.#answerNewest(topic, response);
     } else if (url.pathname === '/log-read') {
       this.#answerRead(topic, url.searchParams, response);
