Review case 13: a leader without a configuration grants all quota

A leader that is started again while the store turns its machine away takes its lease back through a peer and knows no quotas. It then grants every request.

--- a/review/lib-3/Store.mjs
+++ b/review/lib-3/Store.mjs
@@ -12,6 +12,9 @@
   #server = http.createServer((request, response) => this.#handle(request, response));
   /** While true, all calls get 503, and nothing is done. */
   isDown = false;
+  /** Ports of machines that are turned away: their calls get 503, and nothing is done. */
+  refusedPorts = new Set();
+  #otherServers = [];
   /** Texts that are replaced in what gateways write, such as an address by that of a proxy before it. */
   replacements = new Map();
 
@@ -20,9 +23,19 @@
     this.port = this.#server.address().port;
   }
 
+  /** Opens a further port for one machine, which the store can turn away. */
+  async openPort() {
+    const server = http.createServer((request, response) => this.#handle(request, response));
+    this.#otherServers.push(server);
+    await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
+    return server.address().port;
+  }
+
   close() {
-    this.#server.closeAllConnections();
-    this.#server.close();
+    for (const server of [this.#server, ...this.#otherServers]) {
+      server.closeAllConnections();
+      server.close();
+    }
   }
 
   /** Writes a record as the operator or a replica does; undefined removes the key. */
@@ -54,7 +67,7 @@
     const url = new URL(request.url, 'http://store');
     const topic = url.searchParams.get('topic');
     response.setHeader('Store-Era', '1');
-    if (this.isDown) {
+    if (this.isDown || this.refusedPorts.has(request.socket.localPort)) {
       request.resume();
       sendJson(response, 503, { error: 'busy' });
     } else if (url.pathname === '/log-newest') {
