--- a/review/14/run.mjs
+++ b/review/14/run.mjs
@@ -5,125 +5,117 @@
 import { runCase } from '../lib-3/Recorder.mjs';
 import { Store } from '../lib-3/Store.mjs';
 
-const service = 'crew-ops';
+const service = 'dispatch-app';
 const gatewayCount = 4;
-/** Time that a request takes at the replica that is in need, milliseconds; below the aim of the sheet (121). */
-const workMsInNeed = 100;
-const limitPerSecond = 0.5;
-/** Requests of all callers a second, as the sheet of the site has them for the two kinds of request of this service. */
+const key = 'k-3f9a1c';
+const tenant = { name: 't-1', api_keys: [key], unit: 'tokens', rate_per_s: 1_000, burst: 2_000, plain_tokens: 500 };
+/** The tenant sends ten times its rate. */
 const requestsPerSecond = 20;
-const storeDownMs = 4_500;
-/** Time from the start of the outage until the leader is killed, and until the platform starts it again. */
-const killAfterMs = 100;
-const restartMs = 200;
-/** The rule: 1.5 times the limit + 5 in any 4 s, from contact_ms after the limit was first named. */
-const contactMs = 3_000;
-const windowMs = 4_000;
-const allowed = (limitPerSecond * windowMs * 1.5) / 1_000 + 5;
-/** A machine is bound from this time after it has passed on an answer that names the limit. */
-const noticeMs = 500;
+/** Time for which the store turns the leader's machine away. */
+const refusedMs = 9_000;
+const restartMs = 300;
+/** The rule: (rate x window + burst) x (1 + quota_over) + quota_slack tokens in any window. */
+const windowMs = 8_000;
+const allowed = ((tenant.rate_per_s * windowMs) / 1_000 + tenant.burst) * 1.1 + 7_400;
 const pause = (durationMs) => new Promise((resolve) => setTimeout(resolve, durationMs));
 
-/** Gateways whose settings name seeds that are gone. They find each other by the store. */
-class GatewaysWithStaleSeeds extends Gateways {
-  async chooseSeeds() {
+/** Gateways whose settings name seeds that are gone, each with a port of its own at the store. */
+class TestGateways extends Gateways {
+  async choosePorts(store) {
     const ports = await freePorts(3);
     this.staleSeeds = ports.map((port, index) => `127.0.2.${index + 1}:${port}`);
+    this.storePorts = [];
+    for (let index = 0; index < this.count; index += 1) {
+      this.storePorts.push(await store.openPort());
+    }
   }
 
   seedsOf() {
     return this.staleSeeds;
   }
+
+  storeOf({ index }) {
+    return `127.0.0.1:${this.storePorts[index]}`;
+  }
 }
 
-async function play(gateways, store, limited, record, hasTrouble) {
-  const senders = new Map();
+async function play(gateways, store, replicas, record, hasTrouble) {
   let isOver = false;
+  const sentMs = new Map();
   const asked = [];
   const traffic = (async () => {
     for (let index = 0; !isOver; index += 1) {
       const running = gateways.list.filter((gateway) => !gateway.hasExited);
-      asked.push(ask(running[index % running.length], index, senders, record));
+      asked.push(ask(running[index % running.length], index, sentMs, record));
       await pause(1_000 / requestsPerSecond);
     }
   })();
-  await pause(2_000);
-  record('limit', { replica: limited.id, limitPerSecond });
-  limited.limitPerSecond = limitPerSecond;
-  limited.workMs = workMsInNeed;
-  await pause(6_000);
-  const killed = gateways.leader(store);
+  await pause(10_000);
   if (hasTrouble) {
-    await killLeaderInOutage(gateways, store, killed, record);
+    await killRefusedLeader(gateways, store, record);
+  } else {
+    await pause(refusedMs);
   }
   await pause(3_000);
   isOver = true;
   await traffic;
   await Promise.all(asked);
-  return findViolation(limited, senders, hasTrouble ? killed.name : undefined, record);
+  return findViolation(replicas, sentMs, record);
 }
 
-async function killLeaderInOutage(gateways, store, leader, record) {
-  record('store down', { forMs: storeDownMs });
-  store.isDown = true;
+async function killRefusedLeader(gateways, store, record) {
+  const leader = gateways.leader(store);
+  const port = gateways.storePorts[leader.index];
+  record('the store turns away', { gateway: leader.name, forMs: refusedMs });
+  store.refusedPorts.add(port);
   const startedMs = Date.now();
-  await pause(killAfterMs);
   record('kill', { gateway: leader.name });
   leader.child.kill('SIGKILL');
   await leader.exited;
   await pause(restartMs);
   gateways.launch(leader, false);
   record('started again', { gateway: leader.name });
-  await pause(startedMs + storeDownMs - Date.now());
-  store.isDown = false;
-  record('store up');
+  await pause(startedMs + refusedMs - Date.now());
+  store.refusedPorts.delete(port);
+  record('the store serves', { gateway: leader.name });
 }
 
-/** The window with the most requests from machines that are bound; the machine that was killed is excused altogether. */
-function findViolation({ arrivals, limitAnswers }, senders, killed, record) {
-  const boundFromMs = new Map();
-  for (const { id, atMs } of limitAnswers) {
-    const sender = senders.get(id);
-    boundFromMs.set(sender, boundFromMs.get(sender) ?? atMs + noticeMs);
-  }
-  const fromMs = limitAnswers[0].atMs + contactMs;
-  const counted = arrivals
-    .filter(({ id, atMs }) => {
-      const sender = senders.get(id);
-      return sender !== killed && atMs >= (boundFromMs.get(sender) ?? Number.POSITIVE_INFINITY) && atMs >= fromMs;
-    })
-    .map(({ atMs }) => atMs);
-  const most = Math.max(
-    0,
-    ...counted.map((endMs) => counted.filter((atMs) => atMs > endMs - windowMs && atMs <= endMs).length),
-  );
-  record('window', { most, allowed });
+/** The window in which the most tokens were both sent and run. */
+function findViolation(replicas, sentMs, record) {
+  const runs = replicas.flatMap(({ arrivals }) => arrivals).sort((one, other) => one.atMs - other.atMs);
+  const tokensIn = (endMs) => {
+    const counted = runs.filter(({ id, atMs }) => sentMs.get(id) > endMs - windowMs && atMs <= endMs);
+    return counted.length * tenant.plain_tokens;
+  };
+  const most = Math.max(0, ...runs.map(({ atMs }) => tokensIn(atMs)));
+  record('window', { mostTokens: most, allowed });
   return most > allowed;
 }
 
-function ask(gateway, index, senders, record) {
+function ask(gateway, index, sentMs, record) {
   const id = `${String(index).padStart(8, '0')}${Math.random().toString(16).slice(2, 10)}`;
-  senders.set(id, gateway.name);
-  const request = { method: 'GET', path: '/list/x', headers: { 'Attempt-Id': id }, deadlineMs: 600 };
-  return send(gateway, request, record);
+  sentMs.set(id, Date.now());
+  const headers = { 'Attempt-Id': id, Credential: key };
+  return send(gateway, { method: 'GET', path: '/lookup/x', headers, deadlineMs: 1_008 }, record);
 }
 
 function configuration() {
   const route = {
-    name: 'load-list',
+    name: 'lamp-lookup',
     hostname: 'review.example',
-    path_prefix: '/list/',
+    path_prefix: '/lookup/',
     service,
     kind: 'safe',
-    timeout_ms: 600,
-    latency_target_ms: 121,
+    timeout_ms: 1_008,
+    latency_target_ms: 194,
     attempts: 2,
     priority: 1,
   };
   return {
     version: 1,
+    tenants: [tenant],
     routes: [route],
-    services: [{ name: service, health_path: '/health', max_conns: 110 }],
+    services: [{ name: service, health_path: '/health', max_conns: 550 }],
     limits: { max_header_bytes: 16_384, max_body_bytes: 1_048_576, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
   };
 }
@@ -131,22 +123,21 @@
 await runCase('record.txt', async (record, hasTrouble) => {
   const store = new Store();
   await store.open();
-  const replicas = ['i-1', 'i-2', 'i-3'].map((id) => new PlainReplica(id, service, {}, record));
+  const replicas = ['i-1', 'i-2', 'i-3'].map((id) => new PlainReplica(id, service, { workMs: 43 }, record));
   await Promise.all(replicas.map((replica) => replica.open()));
   store.put('keyed.op', 'config', configuration());
-  const beat = () => {
-    for (const replica of store.isDown ? [] : replicas) {
-      store.put('keyed.servers', replica.id, replica.entry());
-    }
-  };
+  const beat = () => replicas.forEach((replica) => store.put('keyed.servers', replica.id, replica.entry()));
   beat();
   const beats = setInterval(beat, 1_200);
-  const gateways = new GatewaysWithStaleSeeds(store.port, gatewayCount);
+  const gateways = new TestGateways(store.port, gatewayCount, 1_200, undefined, {
+    strict_revoke: false,
+    revoke_ms: 5_000,
+  });
   try {
-    await gateways.chooseSeeds();
+    await gateways.choosePorts(store);
     await gateways.start();
     await pause(6_000);
-    return await play(gateways, store, replicas[0], record, hasTrouble);
+    return await play(gateways, store, replicas, record, hasTrouble);
   } finally {
     clearInterval(beats);
     await gateways.close();
