--- a/review/14/run.mjs
+++ b/review/14/run.mjs
@@ -9,8 +9,10 @@
 const gatewayCount = 4;
 const key = 'k-3f9a1c';
 const tenant = { name: 't-1', api_keys: [key], unit: 'tokens', rate_per_s: 1_000, burst: 2_000, plain_tokens: 500 };
-/** The tenant sends ten times its rate. */
-const requestsPerSecond = 20;
+/** What the tenant usually sends: its rate. */
+const usualPerSecond = 2;
+/** For this time it sends so many times its usual; it begins a second before the disruption. */
+const hot = { times: 6, forMs: 11_000, beforeMs: 1_000 };
 /** Time for which the store turns the leader's machine away. */
 const refusedMs = 9_000;
 const restartMs = 300;
@@ -41,16 +43,20 @@
 
 async function play(gateways, store, replicas, record, hasTrouble) {
   let isOver = false;
+  let hotFromMs = Number.POSITIVE_INFINITY;
   const sentMs = new Map();
   const asked = [];
   const traffic = (async () => {
     for (let index = 0; !isOver; index += 1) {
       const running = gateways.list.filter((gateway) => !gateway.hasExited);
       asked.push(ask(running[index % running.length], index, sentMs, record));
-      await pause(1_000 / requestsPerSecond);
+      const isHot = Date.now() >= hotFromMs && Date.now() < hotFromMs + hot.forMs;
+      await pause(1_000 / (usualPerSecond * (isHot ? hot.times : 1)));
     }
   })();
-  await pause(10_000);
+  await pause(9_000);
+  hotFromMs = Date.now();
+  await pause(hot.beforeMs);
   if (hasTrouble) {
     await killRefusedLeader(gateways, store, record);
   } else {
